--- /dev/null
+++ b/src/thornspool/adapters/__init__.py
@@ -0,0 +1,1 @@
+"""Adapters: the edges that carry commands out."""
--- /dev/null
+++ b/src/thornspool/adapters/operators/__init__.py
@@ -0,0 +1,1 @@
+"""The HTTP interface of operators."""
--- /dev/null
+++ b/src/thornspool/adapters/peers/__init__.py
@@ -0,0 +1,1 @@
+"""Messages between entries."""
--- /dev/null
+++ b/src/thornspool/adapters/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Clients of the platform."""
--- /dev/null
+++ b/src/thornspool/adapters/targets/__init__.py
@@ -0,0 +1,1 @@
+"""Clients of model engines and plain services."""
--- /dev/null
+++ b/src/thornspool/application/__init__.py
@@ -0,0 +1,1 @@
+"""The use cases, written against ports that adapters carry out."""
--- /dev/null
+++ b/src/thornspool/console/__init__.py
@@ -0,0 +1,1 @@
+"""The command-line tool, one module a command."""
--- /dev/null
+++ b/src/thornspool/domain/__init__.py
@@ -0,0 +1,1 @@
+"""The pure decisions, one package an aggregate."""
--- /dev/null
+++ b/src/thornspool/domain/actions/__init__.py
@@ -0,0 +1,1 @@
+"""Non-idempotent actions that run at most once."""
--- /dev/null
+++ b/src/thornspool/domain/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""Configuration that is accepted once and never reverts."""
--- /dev/null
+++ b/src/thornspool/domain/limits/__init__.py
@@ -0,0 +1,1 @@
+"""Limits of each workspace across entries."""
--- /dev/null
+++ b/src/thornspool/domain/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Which entries are alive, from gossip."""
--- /dev/null
+++ b/src/thornspool/domain/pipelines/__init__.py
@@ -0,0 +1,1 @@
+"""Placement of model requests and checks of their streams."""
--- /dev/null
+++ b/src/thornspool/domain/quarantine/__init__.py
@@ -0,0 +1,1 @@
+"""Requests that crash the targets that run them."""
--- /dev/null
+++ b/src/thornspool/domain/retries/__init__.py
@@ -0,0 +1,1 @@
+"""Retry budgets and backoff."""
--- /dev/null
+++ b/tests/builders.py
@@ -0,0 +1,49 @@
+"""Builders of test data and the fake clock."""
+
+from __future__ import annotations
+
+import random
+
+from thornspool import clock
+from thornspool import identifiers
+from thornspool.application import ports
+
+WALL_START = 1_790_000_000_000
+
+
+class FakeClock(clock.Clock):
+    """A clock that moves only when a test moves it."""
+
+    def __init__(self, now: int = 0, wall: int = WALL_START) -> None:
+        self._now = now
+        self._wall = wall
+
+    def now(self) -> int:
+        return self._now
+
+    def wall(self) -> int:
+        return self._wall
+
+    def advance(self, milliseconds: int) -> None:
+        self._now += milliseconds
+        self._wall += milliseconds
+
+
+def build_key(seed: int, wall: int = WALL_START) -> str:
+    """Build a UUID version 7 as text from a seed."""
+    bits = random.Random(seed).getrandbits(74)
+    return str(identifiers.make_uuid7(wall, bits))
+
+
+def build_member(name: str = 'entry-1', **changes: object) -> ports.Member:
+    """Build a member whose addresses follow from its name."""
+    values: dict[str, object] = {
+        'incarnation': f'{name}-1',
+        'host': name,
+        'failure_domain': 'perth-a',
+        'region': 'perth',
+        'peer_address': f'tcp://{name}:7000',
+        'caller_url': f'http://{name}:8000',
+    }
+    values.update(changes)
+    return ports.Member(**values)  # type: ignore[arg-type]
--- /dev/null
+++ b/tools/__init__.py
@@ -0,0 +1,1 @@
+"""Commands of the repository: demo, measurements and the test verdict."""
