Check settings on start and count test outcomes

Ruled out: counting subtests as tests of their own, since nose2's own total counts tests. Before: 'OK' closed with '6 passed, 9 failed'.

--- a/Makefile
+++ b/Makefile
@@ -28,7 +28,7 @@
 	$(BIN)/mypy
 
 test: setup
-	HYPOTHESIS_PROFILE=ci $(BIN)/python -m nose2
+	HYPOTHESIS_PROFILE=ci $(BIN)/python -m nose2 -s tests -t .
 
 demo: setup
 	$(BIN)/python -m tools.demo
--- /dev/null
+++ b/src/thornspool/settings.py
@@ -0,0 +1,130 @@
+"""Settings of one entry, read from a JSON file and checked on start."""
+
+from __future__ import annotations
+
+import typing
+
+import attrs
+import cattrs
+
+from thornspool import exceptions
+from thornspool import schemas
+from thornspool import validation
+
+if typing.TYPE_CHECKING:
+    import pathlib
+
+DEFAULT_BODY_LIMIT_BYTES = 8 * 1024 * 1024
+DEFAULT_KEEP_ENTRIES_MS = 10_000
+
+
+class SettingsError(exceptions.ThornspoolError):
+    """The settings can't be used; names every problem.
+
+    Parameters
+    ----------
+    problems : tuple of validation.Problem
+        At least one.
+    """
+
+    def __init__(self, problems: tuple[validation.Problem, ...]) -> None:
+        super().__init__('\n'.join(str(problem) for problem in problems))
+        self.problems = problems
+
+
+@attrs.frozen
+class Tls:
+    """Paths of the PEM files of one listener."""
+
+    certificate: str
+    key: str
+    client_authority: str = ''
+
+
+@attrs.frozen
+class Callers:
+    """Interface of callers: ``ip:port``, TLS and body limit in bytes."""
+
+    listen: str
+    tls: Tls | None = None
+    body_limit_bytes: int = DEFAULT_BODY_LIMIT_BYTES
+
+
+@attrs.frozen
+class Token:
+    """A bearer token and the workspaces it may change; None for all."""
+
+    name: str
+    token: str = attrs.field(repr=False)
+    workspaces: tuple[str, ...] | None = None
+
+
+@attrs.frozen
+class Operators:
+    """Interface of operators."""
+
+    listen: str
+    tokens: tuple[Token, ...]
+    tls: Tls | None = None
+
+
+@attrs.frozen
+class Peers:
+    """Interface of other entries."""
+
+    listen: str
+    seeds: tuple[str, ...] = ()
+
+
+@attrs.frozen
+class Platform:
+    """Which platform: ``memory`` or ``http`` with its URL."""
+
+    kind: str
+    url: str = ''
+
+
+@attrs.frozen
+class Settings:
+    """All settings of one entry."""
+
+    host: str
+    failure_domain: str
+    callers: Callers
+    operators: Operators
+    peers: Peers
+    platform: Platform
+    region: str = ''
+    keep_entries_ms: int = DEFAULT_KEEP_ENTRIES_MS
+    log_level: str = 'info'
+    seed: int | None = None
+
+
+def read_settings(path: pathlib.Path) -> Settings:
+    """Read and check a settings file.
+
+    Parameters
+    ----------
+    path : pathlib.Path
+        JSON file, shape of ``schemas/settings.json``.
+
+    Returns
+    -------
+    Settings
+        The checked settings; the region defaults to the failure domain.
+
+    Raises
+    ------
+    SettingsError
+        Names file, place, rule and what to write instead, for each problem.
+    """
+    value, problems = validation.read_json(path)
+    if not problems:
+        schema = schemas.read_schema('settings')
+        problems = validation.find_problems(str(path), value, schema)
+    if problems:
+        raise SettingsError(problems)
+    settings = cattrs.structure(value, Settings)
+    if settings.region:
+        return settings
+    return attrs.evolve(settings, region=settings.failure_domain)
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+import typing
 
 from thornspool import clock
 from thornspool import identifiers
@@ -47,3 +48,23 @@
     }
     values.update(changes)
     return ports.Member(**values)  # type: ignore[arg-type]
+
+
+OPERATOR_TOKEN = 'operator-token-for-tests'
+
+
+def build_settings(**changes: object) -> dict[str, typing.Any]:
+    """Build the settings of an entry as they stand in a file."""
+    values: dict[str, typing.Any] = {
+        'host': 'perth-1',
+        'failure_domain': 'perth-a',
+        'callers': {'listen': '127.0.0.1:0'},
+        'operators': {
+            'listen': '127.0.0.1:0',
+            'tokens': [{'name': 'tests', 'token': OPERATOR_TOKEN}],
+        },
+        'peers': {'listen': '127.0.0.1:0'},
+        'platform': {'kind': 'memory'},
+    }
+    values.update(changes)
+    return values
--- /dev/null
+++ b/tests/tools/test_verdict.py
@@ -0,0 +1,80 @@
+"""Tests of the plugin that counts outcomes."""
+
+from __future__ import annotations
+
+import io
+import pathlib
+import tempfile
+import types
+import unittest
+
+from tools import verdict
+
+OUTCOMES = (
+    # outcome, expected, has an error, passed, failed, skipped
+    ('passed', True, False, 1, 0, 0),
+    ('passed', False, False, 0, 1, 0),
+    ('failed', False, True, 0, 1, 0),
+    ('failed', True, True, 1, 0, 0),
+    ('error', False, True, 0, 1, 0),
+    ('subtest', None, True, 0, 1, 0),
+    ('subtest', None, False, 0, 0, 0),
+    ('skipped', False, False, 0, 0, 1),
+)
+
+
+def _build_event(outcome, expected, has_error, name='tests.a.Test.test_b'):
+    return types.SimpleNamespace(
+        outcome=outcome,
+        expected=expected,
+        exc_info=(ValueError, ValueError(), None) if has_error else None,
+        test=types.SimpleNamespace(id=lambda: name),
+        stream=types.SimpleNamespace(writeln=print),
+    )
+
+
+def _build_plugin(known_red):
+    plugin = verdict.Verdict.__new__(verdict.Verdict)
+    plugin.known_red = known_red
+    plugin.seen_red = []
+    plugin.passed = plugin.failed = plugin.skipped = 0
+    return plugin
+
+
+class VerdictTest(unittest.TestCase):
+    def test_outcomes_are_counted(self) -> None:
+        for outcome, expected, has_error, *counts in OUTCOMES:
+            with self.subTest(outcome=outcome, expected=expected):
+                plugin = _build_plugin({})
+                event = _build_event(outcome, expected, has_error)
+                plugin.setTestOutcome(event)
+                plugin.testOutcome(event)
+                seen = [plugin.passed, plugin.failed, plugin.skipped]
+                self.assertEqual(counts, seen)
+
+    def test_only_the_listed_test_is_passed_over(self) -> None:
+        """A test that is listed as known red fails, and so does another.
+
+        The run has to fail for the other one alone, and print the first.
+        """
+        plugin = _build_plugin({'tests.a.Test.test_b': 'line of test_b'})
+        for name in ('tests.a.Test.test_b (x=1)', 'tests.a.Test.test_c'):
+            event = _build_event('failed', False, True, name)
+            plugin.setTestOutcome(event)
+            plugin.testOutcome(event)
+        self.assertEqual((1, 1), (plugin.failed, plugin.skipped))
+        out = io.StringIO()
+        stream = types.SimpleNamespace(writeln=lambda t: out.write(t + '\n'))
+        plugin.afterSummaryReport(types.SimpleNamespace(stream=stream))
+        self.assertIn('known red: line of test_b', out.getvalue())
+        self.assertTrue(
+            out.getvalue().endswith('0 passed, 1 failed, 1 skipped\n')
+        )
+
+    def test_known_red_file_is_read(self) -> None:
+        with tempfile.TemporaryDirectory() as folder:
+            path = pathlib.Path(folder) / 'KNOWN-RED.txt'
+            self.assertEqual({}, verdict.read_known_red(path))
+            path.write_text('# none\n\ntests.a.T.b | seed 1 | red | 4\n')
+            read = verdict.read_known_red(path)
+        self.assertEqual(['tests.a.T.b'], list(read))
--- a/tools/verdict.py
+++ b/tools/verdict.py
@@ -10,6 +10,7 @@
 import typing
 
 from nose2 import events
+from nose2 import result
 
 KNOWN_RED = pathlib.Path('KNOWN-RED.txt')
 
@@ -35,6 +36,15 @@
     return {line.split('|')[0].strip(): line for line in entries}
 
 
+def _is_failure(event: typing.Any) -> bool:
+    """Tell whether an outcome has to fail the run."""
+    if event.outcome == result.SKIP:
+        return False
+    if event.outcome == result.SUBTEST:
+        return event.exc_info is not None
+    return not event.expected
+
+
 class Verdict(events.Plugin):  # type: ignore[misc]
     """Counts of test outcomes in one run."""
 
@@ -49,25 +59,23 @@
 
     def setTestOutcome(self, event: typing.Any) -> None:
         """Turn the failure of a known red test into a skip."""
-        if event.outcome not in ('failed', 'error'):
+        if not _is_failure(event):
             return
-        line = self.known_red.get(event.test.id())
+        line = self.known_red.get(event.test.id().split(' (')[0])
         if line is None:
             return
         self.seen_red.append(line)
-        event.outcome = 'skipped'
+        event.outcome = result.SKIP
         event.reason = f'known red: {line}'
         event.exc_info = None
 
     def testOutcome(self, event: typing.Any) -> None:
-        """Count one outcome."""
-        if event.outcome == 'passed' and event.expected:
-            self.passed += 1
-        elif event.outcome == 'skipped':
-            self.skipped += 1
-        elif not event.expected or event.outcome != 'failed':
+        """Count one outcome; a failed subtest counts by itself."""
+        if _is_failure(event):
             self.failed += 1
-        else:
+        elif event.outcome == result.SKIP:
+            self.skipped += 1
+        elif event.outcome != result.SUBTEST:
             self.passed += 1
 
     def afterSummaryReport(self, event: typing.Any) -> None:
