Carry messages between entries over pynng

Cause: membership, pages and configuration need the port Peers between two processes.

Ruled out: Req0/Rep0 sends a question again by itself when a connection breaks, which the port forbids (at most once); polyamorous Pair1 is deprecated in nng.

A socket that was used for 3 s without a sign of its peer is dialled afresh.

--- a/src/thornspool/adapters/peers/__init__.py
+++ b/src/thornspool/adapters/peers/__init__.py
@@ -1,1 +1,1 @@
-"""Messages between entries."""
+"""Messages between entries over pynng and TCP."""
--- /dev/null
+++ b/src/thornspool/adapters/peers/links.py
@@ -0,0 +1,155 @@
+"""Sockets to other entries: dialled on demand and bounded in number."""
+
+from __future__ import annotations
+
+import collections
+import typing
+
+import attrs
+import pynng
+
+from thornspool.adapters.peers import exceptions
+
+if typing.TYPE_CHECKING:
+    from thornspool import clock
+
+MAX_LINKS = 400
+MAX_WAITING = 256
+MAX_MESSAGE_BYTES = 16 * 1024 * 1024
+RECONNECT_MIN_MS = 100
+RECONNECT_MAX_MS = 1000
+SILENCE_MS = 3000
+
+
+@attrs.define
+class _Link:
+    """A socket to one peer.
+
+    Attributes
+    ----------
+    socket : pynng.Push0
+        Sends in order; keeps a bounded number of messages while it
+        connects.
+    unheard_since : int or None
+        When the first message was sent after the peer was last heard.
+    """
+
+    socket: pynng.Push0
+    unheard_since: int | None = None
+
+
+class Links:
+    """One sending socket a peer; the least recently used is closed.
+
+    Parameters
+    ----------
+    clock : Clock
+        Source of time.
+    max_links : int
+        Most sockets kept open.
+    """
+
+    def __init__(self, clock: clock.Clock, max_links: int = MAX_LINKS) -> None:
+        self._clock = clock
+        self._max_links = max_links
+        self._links: collections.OrderedDict[str, _Link]
+        self._links = collections.OrderedDict()
+
+    def __len__(self) -> int:
+        return len(self._links)
+
+    def send(self, address: str, data: bytes) -> None:
+        """Hand bytes to the socket of a peer without waiting.
+
+        Raises
+        ------
+        MessageTooLarge
+            The peer would not accept them.
+        SendBufferFull
+            Too many messages wait for this peer.
+        PeersError
+            The address cannot be dialled.
+        """
+        if len(data) > MAX_MESSAGE_BYTES:
+            raise exceptions.MessageTooLarge(
+                f'A message of {len(data)} bytes is over the limit of '
+                f'{MAX_MESSAGE_BYTES}.',
+                'Send it in parts.',
+            )
+        link = self._open(address)
+        try:
+            link.socket.send(data, block=False)
+        except pynng.TryAgain as error:
+            raise exceptions.SendBufferFull(
+                f'{MAX_WAITING} messages wait for {address}.'
+            ) from error
+        except pynng.NNGException as error:
+            self.drop(address)
+            raise exceptions.PeersError(
+                f'Nothing can be sent to {address}: {error}.'
+            ) from error
+
+    def note_heard(self, address: str) -> None:
+        """Note that a peer was heard, so that its socket is kept."""
+        link = self._links.get(address)
+        if link is not None:
+            link.unheard_since = None
+
+    def is_connected(self, address: str) -> bool:
+        """Return whether a socket to a peer is connected now."""
+        link = self._links.get(address)
+        return link is not None and bool(link.socket.pipes)
+
+    def drop(self, address: str) -> None:
+        """Close the socket of a peer; what waits in it is lost."""
+        link = self._links.pop(address, None)
+        if link is not None:
+            link.socket.close()
+
+    def close(self) -> None:
+        """Close every socket."""
+        while self._links:
+            self.drop(next(iter(self._links)))
+
+    def _open(self, address: str) -> _Link:
+        now = self._clock.now()
+        link = self._links.get(address)
+        # When a host vanishes or a link is cut, TCP keeps the connection
+        # and retries ever more rarely, up to two minutes apart. A healed
+        # link would look dead for that long, so a socket that was used and
+        # brought no sign of the peer is replaced by a fresh one.
+        if link is not None and _is_silent(link, now):
+            self.drop(address)
+            link = None
+        if link is None:
+            link = self._dial(address)
+        self._links.move_to_end(address)
+        if link.unheard_since is None:
+            link.unheard_since = now
+        return link
+
+    def _dial(self, address: str) -> _Link:
+        if len(self._links) >= self._max_links:
+            self.drop(next(iter(self._links)))
+        socket = pynng.Push0(
+            send_buffer_size=MAX_WAITING,
+            reconnect_time_min=RECONNECT_MIN_MS,
+            reconnect_time_max=RECONNECT_MAX_MS,
+        )
+        try:
+            socket.dial(address, block=False)
+        except pynng.NNGException as error:
+            socket.close()
+            raise exceptions.PeersError(
+                f'{address} cannot be dialled: {error}.',
+                'Use tcp://ip:port.',
+            ) from error
+        link = _Link(socket)
+        self._links[address] = link
+        return link
+
+
+def _is_silent(link: _Link, now: int) -> bool:
+    if link.unheard_since is None:
+        return False
+    return now - link.unheard_since > SILENCE_MS
--- /dev/null
+++ b/tests/adapters/peers/test_links.py
@@ -0,0 +1,48 @@
+"""Tests of the sockets to other entries."""
+
+from __future__ import annotations
+
+import unittest
+
+import pynng
+
+from tests import builders
+from thornspool.adapters.peers import links
+
+RECEIVE_TIMEOUT_MS = 5000
+
+
+class LinksTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.clock = builders.FakeClock()
+        self.links = links.Links(self.clock)
+        self.addCleanup(self.links.close)
+        self.socket = pynng.Pull0(recv_timeout=RECEIVE_TIMEOUT_MS)
+        self.addCleanup(self.socket.close)
+        listener = self.socket.listen('tcp://127.0.0.1:0')
+        self.address = f'tcp://{listener.local_address}'
+
+    def send(self) -> object:
+        """Send once and return the peer's side of the connection."""
+        self.links.send(self.address, b'x')
+        return self.socket.recv_msg().pipe
+
+    def test_connection_without_a_sign_of_the_peer_is_replaced(self) -> None:
+        """A link is cut for minutes and heals.
+
+        TCP retries up to two minutes apart by then, so that the peer would
+        look dead for that long after it can be reached again.
+        """
+        table = (
+            ('at once', 0, False, True),
+            ('heard meanwhile', links.SILENCE_MS + 1, True, True),
+            ('silent', links.SILENCE_MS + 1, False, False),
+        )
+        for name, wait, heard, kept in table:
+            with self.subTest(name):
+                first = self.send()
+                if heard:
+                    self.links.note_heard(self.address)
+                self.clock.advance(wait)
+                self.assertEqual(kept, self.send() is first)
+                self.links.note_heard(self.address)
