Keep the list of entries by gossip

Cause: every other part asks who the entries are; the platform's list lags and goes away in outages, so it only gives addresses to try.

Ruled out: an update a member for each new configuration version. At 350 members and a version every 43 s it would cost some 100 KB a node each time; one bit a member, keyed by a digest of the live list, costs 44 bytes a message while a version spreads and none after. Sending the whole table at each comparison: 80 KB at 350; digests of 32 buckets cost 256 bytes and only differing buckets are sent.

--- /dev/null
+++ b/src/thornspool/domain/membership/machine.py
@@ -0,0 +1,376 @@
+"""Membership by gossip: probing, suspicion, refutation and spreading.
+
+After SWIM (Das, Gupta, Motivala: "SWIM: Scalable Weakly-consistent
+Infection-style Process Group Membership Protocol", 2002). Differences and
+their reasons stand in docs/design/membership.md.
+"""
+
+from __future__ import annotations
+
+import typing
+
+import attrs
+
+from thornspool.domain.membership import beliefs
+from thornspool.domain.membership import messages
+from thornspool.domain.membership import partners
+from thornspool.domain.membership import probes
+from thornspool.domain.membership import records
+from thornspool.domain.membership import settings as settings_module
+
+if typing.TYPE_CHECKING:
+    from collections.abc import Iterable
+    from collections.abc import Sequence
+    import random as randoms
+
+    from thornspool.domain.membership import views
+
+_MAX_POLLED = 64
+
+
+class Machine:
+    """One member of the gossip; pure but for its own state.
+
+    Parameters
+    ----------
+    identity : Identity
+        This process.
+    now : int
+        Monotonic milliseconds.
+    random : random.Random
+        Source of every choice.
+    settings : Settings, optional
+        Periods, timeouts and bounds.
+    """
+
+    def __init__(
+        self,
+        identity: messages.Identity,
+        now: int,
+        random: randoms.Random,
+        settings: settings_module.Settings | None = None,
+    ) -> None:
+        self.settings = settings or settings_module.Settings()
+        self._beliefs = beliefs.Beliefs(identity, self.settings)
+        self._random = random
+        self._probes = probes.Probes(self.settings, random)
+        self._seeds: tuple[str, ...] = ()
+        self._join_tries = self.settings.join_tries
+        self._last_tick = now
+        # The first probe falls at a random point of the period, or members
+        # that start together would all send at the same moments.
+        self._probe_at = now + random.randrange(self.settings.period_ms)
+        self._sync_at = now
+        self._push_at: int | None = None
+        self._pushed_at = now - self.settings.push_interval_ms
+        self._reported = (0, now)
+        self._commands: list[messages.Command] = []
+
+    @property
+    def view(self) -> views.View:
+        """The table of members."""
+        return self._beliefs.view
+
+    @property
+    def is_settled(self) -> bool:
+        """Whether there is no news left to spread."""
+        return self._beliefs.is_settled
+
+    @property
+    def own(self) -> records.Record:
+        """What this process says of itself."""
+        return self._beliefs.own
+
+    def set_seeds(self, addresses: Iterable[str]) -> None:
+        """Replace the addresses at which other members may be found."""
+        own = self.own.identity.peer_address
+        self._seeds = tuple(a for a in addresses if a != own)
+
+    def set_version(self, version: int) -> list[messages.Command]:
+        """Note the configuration version in force here and spread it."""
+        if version <= self.own.version:
+            return []
+        self._beliefs.set_version(version)
+        self._push(partners.list_behind(self.view, version))
+        return self._take_commands()
+
+    def poll_versions(self, version: int, now: int) -> list[messages.Command]:
+        """Ask members not known to be at a version, 64 at a time."""
+        behind = partners.list_behind(self.view, version)
+        for record in partners.sample(behind, _MAX_POLLED, self._random):
+            self._ping(record, self._probes.start(record.incarnation, now))
+        return self._take_commands()
+
+    def leave(self) -> list[messages.Command]:
+        """Say that this process leaves; it stays a member until it quits."""
+        self._beliefs.leave(messages.Status.ALIVE)
+        self._push(partners.list_live_others(self.view))
+        return self._take_commands()
+
+    def quit(self) -> list[messages.Command]:
+        """Say that this process is gone, so that nobody has to find out."""
+        self._beliefs.leave(messages.Status.LEFT)
+        self._push(partners.list_live_others(self.view))
+        return self._take_commands()
+
+    def tick(self, now: int) -> list[messages.Command]:
+        """Do what is due; called several times in each period."""
+        if not self.own.is_live:
+            return []
+        self._check_pause(now)
+        self._help_slow_probes(now)
+        for incarnation in self._probes.take_failed(now):
+            self._beliefs.suspect(incarnation, now)
+        self._beliefs.expire(now)
+        if now >= self._probe_at:
+            self._probe_at = now + self.settings.period_ms
+            self._probe(now)
+        if now >= self._sync_at:
+            self._sync(now)
+        self._push_news(now)
+        return self._take_commands()
+
+    def receive(
+        self, sender: str, message: messages.Message, now: int
+    ) -> list[messages.Command]:
+        """Take a message in.
+
+        Parameters
+        ----------
+        sender : str
+            Incarnation of the sending process.
+        message : Message
+            What it sent.
+        now : int
+            Monotonic milliseconds.
+
+        Returns
+        -------
+        list of Command
+            What is to be done.
+        """
+        if not self.own.is_live or sender == self.own.incarnation:
+            return []
+        size = len(self.view.list_live())
+        self._hear(sender, message.gossip, now)
+        match message:
+            case messages.Ping():
+                self._answer_ping(sender, message)
+            case messages.Ack():
+                self._pass_on(message)
+            case messages.PingRequest():
+                self._probe_for(message, now)
+            case messages.SyncRequest():
+                self._answer_sync(sender, message)
+            case messages.SyncReply():
+                self._take_sync(sender, message, size, now)
+        return self._take_commands()
+
+    # Hearing.
+
+    def _hear(self, sender: str, gossip: messages.Gossip, now: int) -> None:
+        own_word = messages.Update(
+            sender,
+            messages.Status.ALIVE,
+            gossip.counter,
+            version=gossip.version,
+        )
+        self._beliefs.merge(own_word, now)
+        for update in gossip.updates:
+            self._beliefs.merge(update, now)
+        self._beliefs.hear_applied(gossip.applied)
+        self._report_version(sender, gossip, now)
+
+    def _report_version(
+        self, sender: str, gossip: messages.Gossip, now: int
+    ) -> None:
+        version = max(gossip.version, gossip.applied.version)
+        if version <= self.own.version:
+            return
+        reported, reported_at = self._reported
+        is_recent = now - reported_at < self.settings.renotify_ms
+        if version <= reported and is_recent:
+            return
+        source = self._find_source(sender, gossip, version)
+        if source is None:
+            return
+        self._reported = (version, now)
+        address = source.identity.peer_address
+        self._commands.append(messages.ReportVersion(address, version))
+
+    def _find_source(
+        self, sender: str, gossip: messages.Gossip, version: int
+    ) -> records.Record | None:
+        if gossip.version >= version:
+            return self.view.find(sender)
+        others = partners.list_live_others(self.view)
+        holders = [record for record in others if record.version >= version]
+        return self._random.choice(holders) if holders else None
+
+    # Probing.
+
+    def _probe(self, now: int) -> None:
+        record = self._probes.choose_target(self.view)
+        if record is not None:
+            self._ping(record, self._probes.start(record.incarnation, now))
+
+    def _ping(self, record: records.Record, sequence: int) -> None:
+        gossip = self._beliefs.tell(record.incarnation)
+        address = self.own.identity.peer_address
+        self._send(record, messages.Ping(sequence, address, gossip))
+
+    def _answer_ping(self, sender: str, ping: messages.Ping) -> None:
+        ack = messages.Ack(ping.sequence, self._beliefs.tell(sender))
+        self._send_to(ping.address, ack)
+        if self.view.find(sender) is None:
+            self._request_sync(ping.address)
+
+    def _pass_on(self, ack: messages.Ack) -> None:
+        relay = self._probes.settle(ack.sequence)
+        if relay is None:
+            return
+        passed = messages.Ack(relay.sequence, self._beliefs.tell())
+        self._send_to(relay.address, passed)
+
+    def _probe_for(self, request: messages.PingRequest, now: int) -> None:
+        record = self.view.find(request.target)
+        if record is None:
+            return
+        sequence = self._probes.start_relay(
+            request.address, request.sequence, now
+        )
+        self._ping(record, sequence)
+
+    def _help_slow_probes(self, now: int) -> None:
+        address = self.own.identity.peer_address
+        for sequence, probe in self._probes.list_slow(now):
+            others = partners.list_live_others(self.view, probe.target)
+            for helper in partners.sample(
+                others, self.settings.helpers, self._random
+            ):
+                gossip = self._beliefs.tell(helper.incarnation)
+                request = messages.PingRequest(
+                    sequence, address, probe.target, gossip
+                )
+                self._send(helper, request)
+
+    def _check_pause(self, now: int) -> None:
+        """Give everybody the time back that this process slept.
+
+        A process that was frozen finds all its timers overdue when it
+        wakes, while the acknowledgements and refutations still wait in its
+        sockets. It would hold others for dead who did nothing wrong, and
+        say so to everybody. After so long a sleep that others may have
+        forgotten their dead, it would even bring these back, so it starts
+        over with nothing but addresses.
+        """
+        gap = now - self._last_tick
+        self._last_tick = now
+        if gap < self.settings.pause_ms:
+            return
+        self._probes.clear()
+        self._beliefs.postpone(gap)
+        self._sync_at = now
+        if gap >= self.settings.dead_memory_ms:
+            addresses = self._beliefs.start_over()
+            self.set_seeds(dict.fromkeys([*self._seeds, *addresses]))
+            self._join_tries = self.settings.join_tries
+
+    # The comparison of whole tables.
+
+    def _sync(self, now: int) -> None:
+        period = self.settings.sync_period_ms
+        is_joining = self._is_joining()
+        if is_joining:
+            self._join_tries -= 1
+            period = self.settings.period_ms
+        jitter = self._random.randrange(period // 2)
+        self._sync_at = now + period * 3 // 4 + jitter
+        address = partners.choose_to_sync(
+            self.view, self._seeds, self._random, prefers_lost=is_joining
+        )
+        if address is not None:
+            self._request_sync(address)
+
+    def _is_joining(self) -> bool:
+        # Entries that start together find each other first and would rest
+        # as small islands, each with its own list, until the next regular
+        # comparison. So a new member goes on with its seeds for a while.
+        if len(self.view.list_live()) == 1:
+            return True
+        if self._join_tries <= 0:
+            return False
+        return bool(partners.list_lost(self.view, self._seeds))
+
+    def _request_sync(self, address: str) -> None:
+        own_word = records.describe(self.own, with_identity=True)
+        gossip = self._beliefs.tell()
+        gossip = attrs.evolve(gossip, updates=(own_word, *gossip.updates))
+        request = messages.SyncRequest(
+            self.own.identity.peer_address, self.view.pack_digests(), gossip
+        )
+        self._send_to(address, request)
+
+    def _answer_sync(self, sender: str, request: messages.SyncRequest) -> None:
+        buckets = self.view.compare_digests(request.digests)
+        self._send_records(sender, request.address, buckets, buckets)
+
+    def _take_sync(
+        self, sender: str, reply: messages.SyncReply, size: int, now: int
+    ) -> None:
+        # Who has just joined learns everything here that all others know;
+        # spread from here, it would be told to each of them many times.
+        is_spread = 2 * size > len(reply.records)
+        for update in reply.records:
+            self._beliefs.merge(update, now, is_spread)
+        record = self.view.find(sender)
+        if record is not None:
+            address = record.identity.peer_address
+            self._send_records(sender, address, reply.buckets, ())
+
+    def _send_records(
+        self,
+        receiver: str,
+        address: str,
+        buckets: tuple[int, ...],
+        wanted: tuple[int, ...],
+    ) -> None:
+        if not buckets:
+            return
+        updates = tuple(
+            records.describe(record, with_identity=True)
+            for record in self.view.list_buckets(buckets)
+        )
+        gossip = self._beliefs.tell(receiver)
+        reply = messages.SyncReply(wanted, updates, gossip)
+        self._send_to(address, reply)
+
+    # Sending.
+
+    def _push_news(self, now: int) -> None:
+        if self._beliefs.has_news and self._push_at is None:
+            earliest = self._pushed_at + self.settings.push_interval_ms
+            delayed = now + self.settings.push_delay_ms
+            self._push_at = max(delayed, earliest)
+        if self._push_at is None or now < self._push_at:
+            return
+        self._beliefs.has_news = False
+        self._push_at = None
+        self._pushed_at = now
+        self._push(partners.list_live_others(self.view))
+
+    def _push(self, members: Sequence[records.Record]) -> None:
+        count = self.settings.push_fanout
+        for record in partners.sample(members, count, self._random):
+            gossip = self._beliefs.tell(record.incarnation)
+            self._send(record, messages.News(gossip))
+
+    def _send(self, record: records.Record, message: messages.Message) -> None:
+        self._send_to(record.identity.peer_address, message)
+
+    def _send_to(self, address: str, message: messages.Message) -> None:
+        self._commands.append(messages.Send(address, message))
+
+    def _take_commands(self) -> list[messages.Command]:
+        commands, self._commands = self._commands, []
+        return commands
