Fuzz membership, and let no process answer for its predecessor

Cause: the first run of the stateful fuzz failed. A process that starts at the address of a killed one answered the probes of its predecessor, which so was listed for ever.

Ruled out: letting the successor declare its predecessor gone; two hosts that were given one address by mistake would end each other for good.

Change: a probe names the process by 32 bits of a digest, 5 bytes a probe; another process stays silent, and suspicion takes its usual course. The fuzz kills, restarts, freezes, cuts, loses and delays messages, lets members leave and quit and publishes versions, against a list of what was done; tables for each failure.

--- a/src/thornspool/domain/membership/machine.py
+++ b/src/thornspool/domain/membership/machine.py
@@ -17,13 +17,13 @@
 from thornspool.domain.membership import probes
 from thornspool.domain.membership import records
 from thornspool.domain.membership import settings as settings_module
+from thornspool.domain.membership import views
 
 if typing.TYPE_CHECKING:
     from collections.abc import Iterable
     from collections.abc import Sequence
     import random as randoms
 
-    from thornspool.domain.membership import views
 
 _MAX_POLLED = 64
 
@@ -217,9 +217,12 @@
     def _ping(self, record: records.Record, sequence: int) -> None:
         gossip = self._beliefs.tell(record.incarnation)
         address = self.own.identity.peer_address
-        self._send(record, messages.Ping(sequence, address, gossip))
+        target = views.shorten(record.incarnation)
+        self._send(record, messages.Ping(sequence, address, target, gossip))
 
     def _answer_ping(self, sender: str, ping: messages.Ping) -> None:
+        if ping.target != views.shorten(self.own.incarnation):
+            return
         ack = messages.Ack(ping.sequence, self._beliefs.tell(sender))
         self._send_to(ping.address, ack)
         if self.view.find(sender) is None:
--- a/src/thornspool/domain/membership/messages.py
+++ b/src/thornspool/domain/membership/messages.py
@@ -119,10 +119,25 @@
 
 @attrs.frozen
 class Ping:
-    """Asks for an :class:`Ack` to ``address``."""
+    """Asks one process for an :class:`Ack` to ``address``.
+
+    Attributes
+    ----------
+    sequence : int
+        Number of the probe.
+    address : str
+        Where to answer.
+    target : int
+        Short digest of the incarnation that is probed. A process that
+        restarts keeps its address; were it to answer for its predecessor,
+        that one would be listed for ever.
+    gossip : Gossip
+        As in every message.
+    """
 
     sequence: int
     address: str
+    target: int
     gossip: Gossip
 
 
--- a/src/thornspool/domain/membership/views.py
+++ b/src/thornspool/domain/membership/views.py
@@ -15,6 +15,7 @@
     from thornspool.domain.membership import records
 
 BUCKETS = 32
+_SHORT_MASK = (1 << 32) - 1
 _DIGESTS = struct.Struct(f'>{BUCKETS}Q')
 
 
@@ -141,6 +142,11 @@
         self._digests[_choose_bucket(record)] ^= _digest(record)
 
 
+def shorten(incarnation: str) -> int:
+    """Return a digest of an incarnation, 32 bits."""
+    return _hash(incarnation) & _SHORT_MASK
+
+
 def _choose_bucket(record: records.Record) -> int:
     return _hash(record.incarnation) % BUCKETS
 
--- /dev/null
+++ b/tests/domain/membership/builders.py
@@ -0,0 +1,143 @@
+"""A network of pure machines in memory, for the tests of this package."""
+
+from __future__ import annotations
+
+import random
+
+import attrs
+
+from thornspool.domain.membership import machine
+from thornspool.domain.membership import messages
+from thornspool.domain.membership import settings as settings_module
+
+TICK_MS = 100
+MAX_DELAY_MS = 300
+
+
+def build_identity(
+    host: str = 'entry-1', process: int = 1
+) -> messages.Identity:
+    """Build an identity whose addresses follow from the host."""
+    return messages.Identity(
+        f'{host}-{process}',
+        host,
+        'perth-a',
+        'perth',
+        f'tcp://{host}:7000',
+        f'http://{host}:8000',
+    )
+
+
+@attrs.define
+class Node:
+    """One process; a frozen one keeps what arrives until it is thawed."""
+
+    machine: machine.Machine
+    is_frozen: bool = False
+    inbox: list[tuple[str, messages.Message]] = attrs.field(factory=list)
+    reports: list[messages.ReportVersion] = attrs.field(factory=list)
+
+    @property
+    def name(self) -> str:
+        return self.machine.own.incarnation
+
+    @property
+    def address(self) -> str:
+        return self.machine.own.identity.peer_address
+
+    def list_live(self) -> tuple[str, ...]:
+        return self.machine.view.list_live()
+
+
+class Network:
+    """Machines, the messages between them, and the faults on the way."""
+
+    def __init__(
+        self, seed: int = 1, settings: settings_module.Settings | None = None
+    ) -> None:
+        self.now = 0
+        self.loss = 0.0
+        self.delay = 0
+        self.nodes: dict[str, Node] = {}
+        self.seeds: set[str] = set()
+        self.cuts: set[frozenset[str]] = set()
+        self._settings = settings
+        self._random = random.Random(seed)
+        self._flying: list[tuple[int, str, str, messages.Message]] = []
+        self._processes = 0
+
+    def start(self, host: str) -> Node:
+        """Start a process on a host; a former one there must be gone."""
+        self._processes += 1
+        identity = build_identity(host, self._processes)
+        made = machine.Machine(
+            identity, self.now, self._random, self._settings
+        )
+        node = Node(made)
+        self.seeds.add(node.address)
+        self.nodes[node.address] = node
+        for other in self.nodes.values():
+            other.machine.set_seeds(sorted(self.seeds))
+        return node
+
+    def start_many(self, count: int) -> list[Node]:
+        """Start processes on hosts of their own and let them meet."""
+        nodes = [self.start(f'host-{i}') for i in range(count)]
+        self.run(5000)
+        return nodes
+
+    def kill(self, node: Node) -> None:
+        """End a process without a word."""
+        del self.nodes[node.address]
+
+    def quit(self, node: Node) -> None:
+        """End a process in order."""
+        self.carry_out(node, node.machine.quit())
+        self.kill(node)
+
+    def cut(self, one: list[Node], other: list[Node]) -> None:
+        """Lose every message between two groups."""
+        self.cuts.update(
+            frozenset((a.address, b.address)) for a in one for b in other
+        )
+
+    def run(self, milliseconds: int) -> None:
+        """Let time pass."""
+        for _ in range(milliseconds // TICK_MS):
+            self.step()
+
+    def step(self) -> None:
+        """Let one tick pass."""
+        self.now += TICK_MS
+        due = [item for item in self._flying if item[0] <= self.now]
+        self._flying = [item for item in self._flying if item[0] > self.now]
+        for _, sender, address, message in due:
+            if address in self.nodes:
+                self.nodes[address].inbox.append((sender, message))
+        for node in list(self.nodes.values()):
+            if not node.is_frozen:
+                self._advance(node)
+
+    def carry_out(self, node: Node, commands: list[messages.Command]) -> None:
+        """Put messages on their way and keep reports."""
+        for command in commands:
+            if isinstance(command, messages.ReportVersion):
+                node.reports.append(command)
+            else:
+                self._send(node, command)
+
+    def _advance(self, node: Node) -> None:
+        # A process that wakes looks at its timers before its sockets.
+        self.carry_out(node, node.machine.tick(self.now))
+        inbox, node.inbox = node.inbox, []
+        for sender, message in inbox:
+            commands = node.machine.receive(sender, message, self.now)
+            self.carry_out(node, commands)
+
+    def _send(self, node: Node, command: messages.Send) -> None:
+        if frozenset((node.address, command.address)) in self.cuts:
+            return
+        if self._random.random() < self.loss:
+            return
+        due = self.now + self._random.randint(0, self.delay)
+        self._flying.append((due, node.name, command.address, command.message))
