Drain entries, and give leaving targets no new work within 3 s

Cause: a planned stop may cut off nothing, and callers may still hold the address; targets that leave may get no new work, though the platform's list lags by 10 s.

Ruled out: every entry polls every target: at 350 entries and 690 engines 230 polls a second an entry. Load reports shared by gossip: 690 reports a second of some 40 bytes to each entry, 27 KB a second. One polling entry a target: when it dies the bound is missed until the others know. So two entries, chosen by rendezvous hashing, poll a target every 1.5 s, 2.6 polls a second an entry, and tell all others when it says that it leaves or is ready again; load is heard in answers besides. Failures are not shared: an entry cut off from a region would take its targets away from all others.

Change: availability of targets by own word, host list, operator and noted failures with backoff; two checks a second for targets that failed here and are polled by others; three entries read the host list every 3 s and pass changes on. Drain: unlisted, then drained when nothing is in flight and the time for which callers keep an address is over; no limit overrules requests in flight, a second order changes nothing.

--- a/src/thornspool/application/membership.py
+++ b/src/thornspool/application/membership.py
@@ -13,6 +13,7 @@
 from thornspool.application import ports
 from thornspool.domain.membership import machine
 from thornspool.domain.membership import messages
+from thornspool.domain.membership import rendezvous
 from thornspool.domain.membership import settings as settings_module
 
 if typing.TYPE_CHECKING:
@@ -25,7 +26,8 @@
     from thornspool.domain.membership import records
 
 TICK_MS = 100
-JOIN_READ_MS = 2000
+READERS = 3
+READER_MS = 3000
 MIN_READ_MS = 10_000
 READ_MS_PER_MEMBER = 100
 KEEP_MS = 15_000
@@ -261,13 +263,14 @@
             await asyncio.sleep(self._choose_read_interval() / 1000)
 
     def _choose_read_interval(self) -> float:
-        # The platform counts every call and its rate does not grow with
-        # the fleet, so the members together read ten times a second at
-        # most, whatever their number.
-        members = len(self._machine.view.list_live())
-        interval = max(MIN_READ_MS, READ_MS_PER_MEMBER * members)
-        if members == 1:
-            interval = JOIN_READ_MS
+        # The platform counts every call and its rate grows more slowly than
+        # the fleet, so a few members read often, and all the others
+        # together ten times a second at most, whatever their number.
+        live = self._machine.view.list_live()
+        interval = max(MIN_READ_MS, READ_MS_PER_MEMBER * len(live))
+        readers = rendezvous.choose('host list', live, READERS)
+        if self._machine.own.incarnation in readers:
+            interval = READER_MS
         return interval * self._random.uniform(0.75, 1.25)
 
 
--- a/src/thornspool/domain/targets/messages.py
+++ b/src/thornspool/domain/targets/messages.py
@@ -57,3 +57,35 @@
     def read_load(self, target: str) -> LoadReport | None:
         """Return the last load report of a target, None before the first."""
         ...
+
+
+@attrs.frozen
+class TargetNews:
+    """Told between entries: what targets have said of themselves.
+
+    Attributes
+    ----------
+    leaving : tuple of str
+        Names of targets that said they leave.
+    ready : tuple of str
+        Names of targets that are ready again.
+    """
+
+    leaving: tuple[str, ...] = ()
+    ready: tuple[str, ...] = ()
+
+
+@attrs.frozen
+class HostNews:
+    """Told between entries: the platform's list has changed.
+
+    Attributes
+    ----------
+    leaving : tuple of str
+        All hosts that the list has as leaving, sorted.
+    """
+
+    leaving: tuple[str, ...] = ()
+
+
+MESSAGE_TYPES: tuple[type, ...] = (TargetNews, HostNews)
