Close sockets to addresses where nobody listens

Cause: a socket to a host that was replaced dials once a second for ever. Ruled out: a timer of its own; members are dialled every few seconds anyway. Seen to fail without it: test_sockets_to_nobody_are_closed, "1 != 4".

--- a/src/thornspool/adapters/peers/links.py
+++ b/src/thornspool/adapters/peers/links.py
@@ -128,7 +128,17 @@
             link.unheard_since = now
         return link
 
+    def _drop_dead(self) -> None:
+        # A socket to an address that nobody listens at goes on dialling
+        # once a second for ever; after a year of replaced hosts an entry
+        # would be busy with addresses of the past.
+        now = self._clock.now()
+        dead = [a for a, link in self._links.items() if _is_dead(link, now)]
+        for address in dead:
+            self.drop(address)
+
     def _dial(self, address: str) -> _Link:
+        self._drop_dead()
         if len(self._links) >= self._max_links:
             self.drop(next(iter(self._links)))
         socket = pynng.Push0(
@@ -149,6 +159,10 @@
         return link
 
 
+def _is_dead(link: _Link, now: int) -> bool:
+    return _is_silent(link, now) and not link.socket.pipes
+
+
 def _is_silent(link: _Link, now: int) -> bool:
     if link.unheard_since is None:
         return False
--- a/tests/adapters/peers/test_links.py
+++ b/tests/adapters/peers/test_links.py
@@ -27,6 +27,17 @@
         self.links.send(self.address, b'x')
         return self.socket.recv_msg().pipe
 
+    def test_sockets_to_nobody_are_closed(self) -> None:
+        """Hosts are replaced by others at new addresses.
+
+        Sockets to the old ones would go on dialling for ever.
+        """
+        for port in (1, 2, 3):
+            self.links.send(f'tcp://127.0.0.1:{port}', b'x')
+        self.clock.advance(links.SILENCE_MS + 1)
+        self.send()
+        self.assertEqual(1, len(self.links))
+
     def test_connection_without_a_sign_of_the_peer_is_replaced(self) -> None:
         """A link is cut for minutes and heals.
 
