--- /dev/null
+++ b/src/thornspool/adapters/problems.py
@@ -0,0 +1,133 @@
+"""Errors over HTTP as problem details (RFC 9457)."""
+
+from __future__ import annotations
+
+import enum
+import http
+import math
+import typing
+
+import attrs
+import msgspec
+import structlog
+from tornado import web
+
+CONTENT_TYPE = 'application/problem+json'
+
+logger = structlog.get_logger()
+
+
+class Outcome(enum.Enum):
+    """What became of the request; the caller may rely on it."""
+
+    NOT_RUN = 'not run'
+    UNKNOWN = 'unknown'
+    DONE = 'done'
+
+
+@attrs.frozen
+class Problem:
+    """Problem details of one answer.
+
+    Attributes
+    ----------
+    status : int
+        HTTP status.
+    detail : str
+        What went wrong and what to do next.
+    outcome : Outcome
+        Whether anything was run.
+    retry_after_ms : int or None
+        When to come back; None when coming back does not help.
+    instead : tuple of str
+        Addresses of entries to use instead of this one.
+    """
+
+    status: int
+    detail: str
+    outcome: Outcome = Outcome.NOT_RUN
+    retry_after_ms: int | None = None
+    instead: tuple[str, ...] = ()
+
+
+class ProblemError(Exception):
+    """Ends a handler with a problem."""
+
+    def __init__(self, problem: Problem) -> None:
+        super().__init__(problem.detail)
+        self.problem = problem
+
+
+def describe_problem(problem: Problem) -> dict[str, typing.Any]:
+    """Return the members of the JSON object of a problem."""
+    members: dict[str, typing.Any] = {
+        'type': 'about:blank',
+        'title': http.HTTPStatus(problem.status).phrase,
+        'status': problem.status,
+        'detail': problem.detail,
+        'outcome': problem.outcome.value,
+    }
+    if problem.retry_after_ms is not None:
+        members['retry_after_ms'] = problem.retry_after_ms
+    if problem.instead:
+        members['instead'] = problem.instead
+    return members
+
+
+def write_problem(handler: web.RequestHandler, problem: Problem) -> None:
+    """End a request with a problem.
+
+    ``Retry-After`` is rounded up to whole seconds (RFC 9110);
+    ``retry_after_ms`` in the body is exact.
+    """
+    handler.set_status(problem.status)
+    handler.set_header('Content-Type', CONTENT_TYPE)
+    if problem.retry_after_ms is not None:
+        seconds = math.ceil(problem.retry_after_ms / 1000)
+        handler.set_header('Retry-After', str(seconds))
+    handler.finish(msgspec.json.encode(describe_problem(problem)))
+
+
+class ProblemHandler(web.RequestHandler):
+    """Base of handlers whose errors are problem details."""
+
+    def write_error(self, status_code: int, **kwargs: typing.Any) -> None:
+        """Turn any error that ended a handler into a problem.
+
+        Parameters
+        ----------
+        status_code : int
+            Status that tornado chose.
+        **kwargs : object
+            ``exc_info`` of the error, if any.
+        """
+        error = kwargs.get('exc_info', (None, None, None))[1]
+        if isinstance(error, ProblemError):
+            write_problem(self, error.problem)
+            return
+        if status_code >= 500:
+            detail = 'The entry failed; ask again through another entry.'
+            problem = Problem(status_code, detail, Outcome.UNKNOWN)
+        else:
+            detail = getattr(error, 'log_message', None) or self._reason
+            problem = Problem(status_code, detail)
+        write_problem(self, problem)
+
+    def log_exception(
+        self, typ: typing.Any, value: typing.Any, tb: typing.Any
+    ) -> None:
+        """Log only errors that nobody expected."""
+        if isinstance(value, (ProblemError, web.HTTPError)):
+            return
+        logger.error(
+            'handler_failed', path=self.request.path, exc_info=(typ, value, tb)
+        )
+
+
+class NotFoundHandler(ProblemHandler):
+    """Answers every path that does not exist."""
+
+    def prepare(self) -> None:
+        """End the request with a problem."""
+        detail = f'There is no {self.request.path}; see docs/api.md.'
+        raise ProblemError(Problem(404, detail))
--- /dev/null
+++ b/src/thornspool/application/calls.py
@@ -0,0 +1,176 @@
+"""Idempotent calls to plain services; these may be repeated freely."""
+
+from __future__ import annotations
+
+import typing
+
+import attrs
+import structlog
+
+from thornspool.application import exceptions
+from thornspool.application import ports
+from thornspool.domain.targets import messages as target_messages
+
+if typing.TYPE_CHECKING:
+    from collections.abc import Callable
+    import random
+
+    from thornspool import clock
+    from thornspool.application import directory
+    from thornspool.domain.configuration import documents
+
+MAX_ATTEMPTS = 4
+RETRY_AFTER_MS = 1000
+
+logger = structlog.get_logger()
+
+
+@attrs.frozen
+class CallAnswered:
+    """A target gave a whole answer."""
+
+    answer: ports.ServiceAnswer
+
+
+@attrs.frozen
+class CallFailed:
+    """No target gave a whole answer in time.
+
+    Attributes
+    ----------
+    reason : str
+        What went wrong last.
+    ran : bool
+        Whether an attempt may have run on a target.
+    retry_after_ms : int
+        When to come back.
+    """
+
+    reason: str
+    ran: bool
+    retry_after_ms: int
+
+
+CallResult = CallAnswered | CallFailed
+
+
+class CallService:
+    """Sends idempotent calls and repeats them on other targets.
+
+    Parameters
+    ----------
+    clock : clock.Clock
+        Source of time.
+    services : ports.Services
+        Sends one call.
+    targets : target_messages.TargetView
+        Which targets may be given work.
+    random_source : random.Random
+        Breaks ties between targets.
+    take_retry : callable
+        Takes one retry from the budget of a service, by name; False when
+        the budget is spent, so that retries can't amplify an outage.
+    note_success : callable
+        Tells the budget of a service of a success.
+    note_failure : callable
+        Tells of a target that failed, with a reason.
+    """
+
+    def __init__(
+        self,
+        clock: clock.Clock,
+        services: ports.Services,
+        targets: target_messages.TargetView,
+        random_source: random.Random,
+        take_retry: Callable[[str], bool],
+        note_success: Callable[[str], None],
+        note_failure: Callable[[str, str], None],
+    ) -> None:
+        self._clock = clock
+        self._services = services
+        self._targets = targets
+        self._random = random_source
+        self._take_retry = take_retry
+        self._note_success = note_success
+        self._note_failure = note_failure
+        self._in_flight: dict[str, int] = {}
+
+    async def call(
+        self, resolved: directory.ResolvedOperation, body: bytes
+    ) -> CallResult:
+        """Call an operation until a target answers or the budget is spent.
+
+        Parameters
+        ----------
+        resolved : directory.ResolvedOperation
+            An idempotent operation.
+        body : bytes
+            Request body, JSON.
+
+        Returns
+        -------
+        CallAnswered or CallFailed
+            The first whole answer, or the last failure.
+        """
+        deadline = self._clock.now() + resolved.operation.timeout_ms
+        tried: set[str] = set()
+        ran = False
+        failed = CallFailed('No target is ready.', False, RETRY_AFTER_MS)
+        name = resolved.service.name
+        while len(tried) < MAX_ATTEMPTS and self._clock.now() < deadline:
+            target = self._choose(resolved.targets, tried)
+            if target is None or (tried and not self._take_retry(name)):
+                break
+            tried.add(target.name)
+            try:
+                answer = await self._send(target, resolved, body, deadline)
+            except exceptions.TargetError as error:
+                ran |= not isinstance(error, exceptions.TargetNotReached)
+                failed = CallFailed(error.message, ran, RETRY_AFTER_MS)
+                self._note_failure(target.name, error.message)
+                logger.warning(
+                    'call_failed', target=target.name, reason=error.message
+                )
+                continue
+            self._note_success(name)
+            return CallAnswered(answer)
+        return failed
+
+    def _choose(
+        self, targets: tuple[documents.Target, ...], tried: set[str]
+    ) -> documents.Target | None:
+        """Choose the less loaded of two ready targets drawn at random."""
+        ready = [
+            target
+            for target in targets
+            if target.name not in tried
+            and self._targets.read_readiness(target.name)
+            is target_messages.Readiness.READY
+        ]
+        if not ready:
+            return None
+        drawn = self._random.sample(ready, min(2, len(ready)))
+        return min(drawn, key=lambda t: self._in_flight.get(t.name, 0))
+
+    async def _send(
+        self,
+        target: documents.Target,
+        resolved: directory.ResolvedOperation,
+        body: bytes,
+        deadline: int,
+    ) -> ports.ServiceAnswer:
+        """Send one attempt and count it while it is in flight."""
+        call = ports.ServiceCall(
+            url=target.url,
+            operation=resolved.operation.name,
+            workspace=resolved.service.workspace,
+            key='',
+            fencing_token=0,
+            body=body,
+            timeout_ms=max(1, deadline - self._clock.now()),
+        )
+        self._in_flight[target.name] = self._in_flight.get(target.name, 0) + 1
+        try:
+            return await self._services.call(call)
+        finally:
+            self._in_flight[target.name] -= 1
--- /dev/null
+++ b/src/thornspool/application/directory.py
@@ -0,0 +1,94 @@
+"""Look-ups of what a caller names in the configuration in force."""
+
+from __future__ import annotations
+
+import typing
+
+import attrs
+
+from thornspool.application import exceptions
+
+if typing.TYPE_CHECKING:
+    from thornspool.domain.configuration import documents
+
+
+@attrs.frozen
+class ResolvedOperation:
+    """An operation that a workspace may call, with its targets.
+
+    Attributes
+    ----------
+    service : documents.Service
+        The service.
+    operation : documents.Operation
+        One of its operations.
+    targets : tuple of documents.Target
+        Targets that serve it, in the order of the document.
+    """
+
+    service: documents.Service
+    operation: documents.Operation
+    targets: tuple[documents.Target, ...]
+
+
+def find_workspace(
+    snapshot: documents.Snapshot, name: str
+) -> documents.Workspace:
+    """Return a workspace.
+
+    Raises
+    ------
+    UnknownName
+        When no such workspace is in force.
+    """
+    workspace = snapshot.workspaces.get(name)
+    if workspace is None:
+        raise exceptions.UnknownName('workspace', name)
+    return workspace
+
+
+def find_model(
+    snapshot: documents.Snapshot, workspace_name: str, name: str
+) -> documents.Model:
+    """Return a model that a workspace may use.
+
+    Raises
+    ------
+    UnknownName
+        When workspace or model is not in force, or the workspace may not
+        use the model.
+    """
+    workspace = find_workspace(snapshot, workspace_name)
+    model = snapshot.models.get(name)
+    if model is None or name not in workspace.models:
+        raise exceptions.UnknownName('model', name)
+    return model
+
+
+def find_operation(
+    snapshot: documents.Snapshot,
+    workspace_name: str,
+    service_name: str,
+    operation_name: str,
+) -> ResolvedOperation:
+    """Return an operation of a service that belongs to a workspace.
+
+    Raises
+    ------
+    UnknownName
+        When one of the three is not in force, or the service belongs to
+        another workspace.
+    """
+    find_workspace(snapshot, workspace_name)
+    service = snapshot.services.get(service_name)
+    if service is None or service.workspace != workspace_name:
+        raise exceptions.UnknownName('service', service_name)
+    operation = service.find_operation(operation_name)
+    if operation is None:
+        raise exceptions.UnknownName('operation', operation_name)
+    targets = tuple(
+        snapshot.targets[name]
+        for name in service.targets
+        if name in snapshot.targets
+    )
+    return ResolvedOperation(service, operation, targets)
--- a/src/thornspool/application/exceptions.py
+++ b/src/thornspool/application/exceptions.py
@@ -27,3 +27,29 @@
 
 class TargetAnswerLost(TargetError):
     """The call was sent, in part or whole, and no whole answer came back."""
+
+
+class TargetLeaving(TargetNotReached):
+    """The target refused the call because it leaves; it ran nothing."""
+
+
+class UnknownName(ApplicationError):
+    """The configuration in force has no such document for the caller.
+
+    Parameters
+    ----------
+    kind : str
+        Kind of the document, for instance ``workspace``.
+    name : str
+        The name that was asked for.
+    """
+
+    def __init__(self, kind: str, name: str) -> None:
+        hint = f'Publish it, or name a {kind} that is in force.'
+        super().__init__(f'There is no {kind} {name!r} for this caller.', hint)
+        self.kind = kind
+        self.name = name
+
+
+class MalformedRequest(ApplicationError):
+    """The caller's request can't be understood; nothing was run."""
--- /dev/null
+++ b/src/thornspool/metrics.py
@@ -0,0 +1,112 @@
+"""Metrics of one entry, with units in their names."""
+
+from __future__ import annotations
+
+import typing
+
+import aioprometheus
+
+_SECONDS = (0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5)
+_TOKEN_SECONDS = (0.005, 0.01, 0.02, 0.03, 0.049, 0.075, 0.1, 0.25, 0.5, 0.84)
+
+Reader = typing.Callable[[], float]
+
+
+class Metrics:
+    """Counters, histograms and gauges of one entry."""
+
+    def __init__(self) -> None:
+        self.registry = aioprometheus.Registry()
+        self._requests = self._counter(
+            'thornspool_requests_total', 'Requests of callers by outcome.'
+        )
+        self._latency = self._histogram(
+            'thornspool_request_duration_seconds',
+            'Time from the request to the end of its answer.',
+            _SECONDS,
+        )
+        self._first_token = self._histogram(
+            'thornspool_first_token_seconds',
+            'Time to the first token.',
+            (*_TOKEN_SECONDS, 2.5, 5),
+        )
+        self._between_tokens = self._histogram(
+            'thornspool_between_tokens_seconds',
+            'Time between two chunks of tokens.',
+            _TOKEN_SECONDS,
+        )
+        self._tokens = self._counter(
+            'thornspool_tokens_total', 'Tokens delivered to callers.'
+        )
+        self._events = self._counter(
+            'thornspool_events_total',
+            'Retries, refusals, target failures and the like, by name.',
+        )
+        self._readers: dict[str, tuple[typing.Any, Reader]] = {}
+
+    def _counter(self, name: str, doc: str) -> typing.Any:
+        return aioprometheus.Counter(name, doc, registry=self.registry)
+
+    def _histogram(
+        self, name: str, doc: str, buckets: tuple[float, ...]
+    ) -> typing.Any:
+        return aioprometheus.Histogram(
+            name, doc, registry=self.registry, buckets=buckets
+        )
+
+    def add_gauge(self, name: str, doc: str, read: Reader) -> None:
+        """Add a gauge whose value is read when metrics are scraped.
+
+        Parameters
+        ----------
+        name, doc : str
+            Name with its unit, and one sentence.
+        read : callable
+            Returns the value.
+        """
+        gauge = aioprometheus.Gauge(name, doc, registry=self.registry)
+        self._readers[name] = (gauge, read)
+
+    def count_request(
+        self, kind: str, workspace: str, outcome: str, milliseconds: int
+    ) -> None:
+        """Count a request that ended, with its duration."""
+        labels = {'kind': kind, 'workspace': workspace}
+        self._requests.inc({**labels, 'outcome': outcome})
+        self._latency.observe(labels, milliseconds / 1000)
+
+    def observe_first_token(self, workspace: str, milliseconds: int) -> None:
+        """Record the time to a first token."""
+        self._first_token.observe(
+            {'workspace': workspace}, milliseconds / 1000
+        )
+
+    def observe_tokens(
+        self, workspace: str, count: int, milliseconds: int
+    ) -> None:
+        """Record tokens that followed the last chunk after some time."""
+        labels = {'workspace': workspace}
+        self._tokens.add(labels, count)
+        self._between_tokens.observe(labels, milliseconds / 1000)
+
+    def count_event(self, name: str) -> None:
+        """Count something that operators watch, by its name."""
+        self._events.inc({'event': name})
+
+    def render(self, accepts: tuple[str, ...] = ()) -> tuple[bytes, str]:
+        """Render all metrics.
+
+        Parameters
+        ----------
+        accepts : tuple of str
+            Values of the Accept header.
+
+        Returns
+        -------
+        tuple of bytes and str
+            The body and its content type.
+        """
+        for gauge, read in self._readers.values():
+            gauge.set({}, read())
+        body, headers = aioprometheus.render(self.registry, accepts)
+        return body, headers['Content-Type']
