--- /dev/null
+++ b/src/thornspool/adapters/callers/context.py
@@ -0,0 +1,69 @@
+"""What the handlers of callers need from the use cases."""
+
+from __future__ import annotations
+
+import typing
+
+import attrs
+
+if typing.TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+    from thornspool.application import requests
+
+
+class RequestPort(typing.Protocol):
+    """The use cases behind callers' requests."""
+
+    async def run_operation(
+        self, request: requests.OperationRequest
+    ) -> typing.Any:
+        """Run an operation; returns an action result."""
+        ...
+
+    async def look_up(self, workspace: str, key: str) -> typing.Any:
+        """Tell what became of an action; returns an action result."""
+        ...
+
+    def stream(
+        self, request: requests.ModelRequest
+    ) -> AsyncIterator[typing.Any]:
+        """Generate text; yields generation events."""
+        ...
+
+
+@attrs.frozen
+class EntryList:
+    """Addresses for callers.
+
+    Attributes
+    ----------
+    entries : tuple of EntryAddress
+        Entries to use.
+    leaving : tuple of str
+        URLs that a caller has to stop using.
+    keep_ms : int
+        How long the answer may be kept, in milliseconds.
+    """
+
+    entries: tuple[EntryAddress, ...]
+    leaving: tuple[str, ...]
+    keep_ms: int
+
+
+@attrs.frozen
+class EntryAddress:
+    """URL and failure domain of one entry."""
+
+    url: str
+    failure_domain: str
+
+
+@attrs.frozen
+class CallerContext:
+    """Everything that the handlers of callers use."""
+
+    requests: RequestPort
+    list_entries: typing.Callable[[], EntryList]
+    make_request_id: typing.Callable[[], str]
+    is_ready: typing.Callable[[], bool]
--- /dev/null
+++ b/src/thornspool/adapters/callers/handlers.py
@@ -0,0 +1,194 @@
+"""Handlers of callers: entries, operations, actions and health."""
+
+from __future__ import annotations
+
+import contextlib
+import typing
+
+import msgspec
+
+from thornspool.adapters import problems
+from thornspool.application import actions
+from thornspool.application import exceptions
+from thornspool.application import requests
+
+if typing.TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from tornado import web
+
+    from thornspool.adapters.callers import context
+
+JSON = 'application/json'
+REPLAYED_HEADER = 'Idempotency-Replayed'
+
+
+class CallerHandler(problems.ProblemHandler):
+    """Base of the handlers of callers.
+
+    Parameters
+    ----------
+    context : context.CallerContext
+        The use cases.
+    """
+
+    def initialize(self, context: context.CallerContext) -> None:
+        """Keep the use cases."""
+        self.context = context
+
+    def write_json(self, value: typing.Any, status: int = 200) -> None:
+        """End the request with a JSON value."""
+        self.set_status(status)
+        self.set_header('Content-Type', JSON)
+        self.finish(msgspec.json.encode(value))
+
+    def read_body(self) -> bytes:
+        """Return the request body.
+
+        Raises
+        ------
+        problems.ProblemError
+            When it is not JSON.
+        """
+        try:
+            msgspec.json.decode(self.request.body, type=msgspec.Raw)
+            msgspec.json.decode(self.request.body)
+        except msgspec.DecodeError as error:
+            detail = f'The body is not JSON: {error}. Send one JSON value.'
+            raise problems.ProblemError(
+                problems.Problem(400, detail)
+            ) from error
+        return self.request.body
+
+
+class EntriesHandler(CallerHandler):
+    """``GET /v1/entries``: which addresses to use and for how long."""
+
+    def get(self) -> None:
+        """Answer with the list of entries."""
+        entries = self.context.list_entries()
+        seconds = entries.keep_ms // 1000
+        self.set_header('Cache-Control', f'max-age={seconds}')
+        self.write_json(entries)
+
+
+class HealthHandler(CallerHandler):
+    """``GET /v1/health`` and ``/v1/ready``."""
+
+    def get(self, probe: str) -> None:
+        """Answer 200, or 503 when the entry takes no new work."""
+        if probe == 'health' or self.context.is_ready():
+            self.write_json({'status': 'ok'})
+            return
+        self.write_json({'status': 'not ready'}, 503)
+
+
+class OperationHandler(CallerHandler):
+    """``POST .../services/{service}/{operation}``."""
+
+    async def post(self, workspace: str, service: str, operation: str) -> None:
+        """Run an operation and answer with its result."""
+        request = requests.OperationRequest(
+            workspace=workspace,
+            service=service,
+            operation=operation,
+            key=self.request.headers.get('Idempotency-Key', ''),
+            body=self.read_body(),
+        )
+        with translate_errors():
+            result = await self.context.requests.run_operation(request)
+        write_result(self, result)
+
+
+class ActionHandler(CallerHandler):
+    """``GET .../actions/{key}``: what became of an action."""
+
+    async def get(self, workspace: str, key: str) -> None:
+        """Answer with the recorded result."""
+        with translate_errors():
+            result = await self.context.requests.look_up(workspace, key)
+        write_result(self, result)
+
+
+@contextlib.contextmanager
+def translate_errors() -> Iterator[None]:
+    """Turn errors of use cases into problems.
+
+    Raises
+    ------
+    problems.ProblemError
+        For every error that a caller can act on.
+    """
+    try:
+        yield
+    except exceptions.ApplicationError as error:
+        problem = find_problem(error)
+        if problem is None:
+            raise
+        raise problems.ProblemError(problem) from error
+
+
+def find_problem(
+    error: exceptions.ApplicationError,
+) -> problems.Problem | None:
+    """Return the problem that tells a caller of an error.
+
+    Parameters
+    ----------
+    error : exceptions.ApplicationError
+        An error of the application layer.
+
+    Returns
+    -------
+    problems.Problem or None
+        None for errors that nobody expected.
+    """
+    if isinstance(error, requests.RequestRefused):
+        return problems.Problem(
+            503,
+            str(error),
+            retry_after_ms=error.retry_after_ms,
+            instead=error.instead,
+        )
+    if isinstance(error, exceptions.UnknownName):
+        return problems.Problem(404, str(error))
+    if isinstance(error, exceptions.MalformedRequest):
+        return problems.Problem(400, str(error))
+    return None
+
+
+def write_result(handler: web.RequestHandler, result: typing.Any) -> None:
+    """End a request with the result of an action or a call.
+
+    Parameters
+    ----------
+    handler : tornado.web.RequestHandler
+        The handler to end.
+    result : actions.ActionResult
+        What became of it.
+    """
+    if isinstance(result, actions.ActionDone):
+        handler.set_status(result.status)
+        handler.set_header('Content-Type', result.content_type)
+        handler.set_header(REPLAYED_HEADER, str(result.replayed).lower())
+        handler.finish(result.body)
+        return
+    problems.write_problem(handler, _describe_result(result))
+
+
+def _describe_result(result: typing.Any) -> problems.Problem:
+    """Return the problem that stands for a result without an answer."""
+    match result:
+        case actions.ActionNotRun():
+            return problems.Problem(
+                503, result.reason, retry_after_ms=result.retry_after_ms
+            )
+        case actions.ActionUnknown():
+            return problems.Problem(
+                504,
+                result.reason,
+                problems.Outcome.UNKNOWN,
+                result.retry_after_ms,
+            )
+        case _:
+            return problems.Problem(422, result.reason)
--- /dev/null
+++ b/src/thornspool/application/requests.py
@@ -0,0 +1,78 @@
+"""Typed requests and results between callers' interface and use cases."""
+
+from __future__ import annotations
+
+import attrs
+
+from thornspool.application import exceptions
+
+
+@attrs.frozen
+class OperationRequest:
+    """A call of a service's operation.
+
+    Attributes
+    ----------
+    workspace, service, operation : str
+        What is called.
+    key : str
+        Idempotency key, empty when the caller gave none.
+    body : bytes
+        JSON text.
+    """
+
+    workspace: str
+    service: str
+    operation: str
+    key: str
+    body: bytes
+
+
+@attrs.frozen
+class ModelRequest:
+    """A request for generated text.
+
+    Attributes
+    ----------
+    request_id : str
+        Chosen by the entry.
+    workspace, model : str
+        What is asked.
+    prompt : str
+        Text that the model continues.
+    max_tokens : int
+        Bound on the number of tokens.
+    priority : int
+        Higher ones go first.
+    timeout_ms : int
+        Bound on the whole answer, in milliseconds.
+    """
+
+    request_id: str
+    workspace: str
+    model: str
+    prompt: str
+    max_tokens: int
+    priority: int
+    timeout_ms: int
+
+
+class RequestRefused(exceptions.ApplicationError):
+    """The request was given up before anything ran.
+
+    Parameters
+    ----------
+    reason : str
+        Why, in one sentence.
+    retry_after_ms : int
+        When to come back, in milliseconds.
+    instead : tuple of str
+        Addresses of entries to use instead of this one.
+    """
+
+    def __init__(
+        self, reason: str, retry_after_ms: int, instead: tuple[str, ...] = ()
+    ) -> None:
+        super().__init__(reason, f'Come back in {retry_after_ms} ms.')
+        self.retry_after_ms = retry_after_ms
+        self.instead = instead
