--- a/src/thornspool/adapters/callers/handlers.py
+++ b/src/thornspool/adapters/callers/handlers.py
@@ -8,9 +8,9 @@
 import msgspec
 
 from thornspool.adapters import problems
-from thornspool.application import actions
 from thornspool.application import exceptions
 from thornspool.application import requests
+from thornspool.domain.actions import results as actions
 
 if typing.TYPE_CHECKING:
     from collections.abc import Iterator
--- a/src/thornspool/adapters/callers/streams.py
+++ b/src/thornspool/adapters/callers/streams.py
@@ -12,7 +12,7 @@
 
 from thornspool.adapters import problems
 from thornspool.adapters.callers import handlers
-from thornspool.application import generation
+from thornspool.application import generation_messages as generation
 from thornspool.application import requests
 
 EVENT_STREAM = 'text/event-stream'
@@ -133,8 +133,8 @@
     """Return the problem that stands for a failed generation."""
     return problems.Problem(
         503,
-        event.reason,
-        problems.Outcome(event.outcome),
+        event.reason.value,
+        problems.Outcome(event.outcome.value),
         event.retry_after_ms,
     )
 
