--- /dev/null
+++ b/tests/adapters/callers/test_routes.py
@@ -0,0 +1,217 @@
+"""Contract tests of the callers' interface over a fake of the use cases."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+
+from tornado import testing
+
+from thornspool.adapters.callers import context
+from thornspool.adapters.callers import routes
+from thornspool.application import exceptions
+from thornspool.application import generation_messages as generation
+from thornspool.application import requests
+from thornspool.domain.actions import results
+from thornspool.domain.pipelines import messages
+
+GENERATE = '/v1/workspaces/swan-coast/models/drafter/generate'
+HOLD = '/v1/workspaces/swan-coast/services/slots/hold'
+
+# path, body, status, part of the detail
+BAD_INPUT = (
+    (GENERATE, b'{"prompt": ', 400, 'not a request for text'),
+    (GENERATE, b'[]', 400, 'not a request for text'),
+    (GENERATE, b'{"max_tokens": 3}', 400, 'prompt'),
+    (GENERATE, b'{"prompt": "a", "max_tokens": 0}', 400, 'max_tokens'),
+    (GENERATE, b'{"prompt": "a", "max_tokens": "9"}', 400, 'int'),
+    (GENERATE, b'{"prompt": "a", "timeout_ms": 0}', 400, 'timeout_ms'),
+    (GENERATE, b'{"prompt": "a", "promt": "b"}', 400, 'promt'),
+    (HOLD, b'{"slot": ', 400, 'not JSON'),
+    (HOLD, b'', 400, 'not JSON'),
+    (HOLD, b'{"nested": {"open": [1, 2}', 400, 'not JSON'),
+    ('/v1/workspaces/swan-coast/hold', b'{}', 404, 'docs/api.md'),
+)
+
+# result or error of the use case, status, outcome, retry_after_ms
+RESULTS = (
+    (results.ActionNotRun('busy', 1200), 503, 'not run', 1200),
+    (results.ActionUnknown('lost', 3000), 504, 'unknown', 3000),
+    (results.ActionRefused('reused'), 422, 'not run', None),
+    (requests.RequestRefused('limit', 400), 503, 'not run', 400),
+    (exceptions.UnknownName('service', 'x'), 404, 'not run', None),
+    (exceptions.MalformedRequest('no key'), 400, 'not run', None),
+    (ValueError('unforeseen'), 500, 'unknown', None),
+)
+
+
+class FakeRequests:
+    """Use cases that answer what a test puts in."""
+
+    def __init__(self) -> None:
+        self.result = results.ActionDone(200, 'text/plain', b'held', False)
+        self.events = []
+        self.calls = []
+        self.closed = asyncio.Event()
+        self.hang = False
+
+    async def run_operation(self, request):
+        self.calls.append(request)
+        if isinstance(self.result, Exception):
+            raise self.result
+        return self.result
+
+    async def look_up(self, workspace, key):
+        return await self.run_operation((workspace, key))
+
+    async def stream(self, request):
+        self.calls.append(request)
+        try:
+            for event in self.events:
+                if isinstance(event, Exception):
+                    raise event
+                yield event
+            if self.hang:
+                await asyncio.sleep(30)
+        finally:
+            self.closed.set()
+
+
+class RoutesTest(testing.AsyncHTTPTestCase):
+    def get_app(self):
+        self.requests = FakeRequests()
+        entries = context.EntryList(
+            (context.EntryAddress('http://10.0.0.1:8000', 'a'),),
+            ('http://10.0.0.9:8000',),
+            10_000,
+        )
+        return routes.make_application(
+            context.CallerContext(
+                requests=self.requests,
+                list_entries=lambda: entries,
+                make_request_id=lambda: 'request-1',
+                is_ready=lambda: False,
+            )
+        )
+
+    def post(self, path, body, **headers):
+        names = {k.replace('_', '-'): v for k, v in headers.items()}
+        return self.fetch(path, method='POST', body=body, headers=names)
+
+    def test_entries_say_how_long_to_keep_them(self) -> None:
+        answer = self.fetch('/v1/entries')
+        body = json.loads(answer.body)
+        self.assertEqual('http://10.0.0.1:8000', body['entries'][0]['url'])
+        self.assertEqual(['http://10.0.0.9:8000'], body['leaving'])
+        self.assertEqual('max-age=10', answer.headers['Cache-Control'])
+
+    def test_health_and_readiness_differ(self) -> None:
+        self.assertEqual(200, self.fetch('/v1/health').code)
+        self.assertEqual(503, self.fetch('/v1/ready').code)
+
+    def test_bad_input_is_refused_and_runs_nothing(self) -> None:
+        for path, body, status, detail in BAD_INPUT:
+            with self.subTest(path=path, body=body):
+                answer = self.post(path, body)
+                problem = json.loads(answer.body)
+                self.assertEqual(status, answer.code)
+                self.assertIn(detail, problem['detail'])
+                self.assertEqual('not run', problem['outcome'])
+        self.assertEqual([], self.requests.calls)
+
+    def test_results_keep_their_outcome(self) -> None:
+        for result, status, outcome, retry_after_ms in RESULTS:
+            with self.subTest(result=result):
+                self.requests.result = result
+                answer = self.post(HOLD, b'{}', Idempotency_Key='k')
+                problem = json.loads(answer.body)
+                self.assertEqual(status, answer.code)
+                self.assertEqual(outcome, problem['outcome'])
+                self.assertEqual(retry_after_ms, problem.get('retry_after_ms'))
+                self.assertEqual(
+                    retry_after_ms is not None,
+                    'Retry-After' in answer.headers,
+                )
+
+    def test_an_answer_is_passed_on_whole(self) -> None:
+        answer = self.post(HOLD, b'{"slot": 1}', Idempotency_Key='k')
+        self.assertEqual(b'held', answer.body)
+        self.assertEqual('false', answer.headers['Idempotency-Replayed'])
+        self.assertEqual('k', self.requests.calls[0].key)
+
+    def test_a_drain_names_entries_to_use_instead(self) -> None:
+        self.requests.result = requests.RequestRefused(
+            'drain', 0, ('http://10.0.0.1:8000',)
+        )
+        problem = json.loads(self.post(HOLD, b'{}').body)
+        self.assertEqual(['http://10.0.0.1:8000'], problem['instead'])
+
+    def test_a_stream_numbers_its_tokens_and_ends_with_a_count(self):
+        self.requests.events = [
+            generation.Tokens(0, ('a', 'b')),
+            generation.Tokens(2, ('c',)),
+            generation.Finished(3),
+        ]
+        answer = self.post(GENERATE, b'{"prompt": "p"}')
+        self.assertEqual('text/event-stream', answer.headers['Content-Type'])
+        self.assertEqual(
+            b'event: tokens\n'
+            b'data: {"first_index":0,"texts":["a","b"]}\n\n'
+            b'event: tokens\ndata: {"first_index":2,"texts":["c"]}\n\n'
+            b'event: end\ndata: {"count":3}\n\n',
+            answer.body,
+        )
+        whole = self.post(
+            GENERATE, b'{"prompt": "p"}', Accept='application/json'
+        )
+        self.assertEqual(
+            {'texts': ['a', 'b', 'c'], 'count': 3}, json.loads(whole.body)
+        )
+
+    def test_a_stream_that_fails_is_never_cut_in_silence(self) -> None:
+        """Every stage of the model dies in mid-answer.
+
+        The caller must be told in the stream, with what was delivered,
+        since a stream that merely stops looks like a whole answer.
+        """
+        failed = generation.Failed(
+            next(iter(messages.Reason)), generation.Outcome.UNKNOWN, 500, 1
+        )
+        self.requests.events = [generation.Tokens(0, ('a',)), failed]
+        body = self.post(GENERATE, b'{"prompt": "p"}').body.decode()
+        last = body.strip().split('\n\n')[-1]
+        self.assertTrue(last.startswith('event: error\n'))
+        problem = json.loads(last.split('data: ')[1])
+        self.assertEqual(1, problem['delivered'])
+        self.assertEqual(500, problem['retry_after_ms'])
+
+    def test_a_stream_refused_before_its_start_has_a_status(self) -> None:
+        failed = generation.Failed(
+            next(iter(messages.Reason)), generation.Outcome.NOT_RUN, 500, 0
+        )
+        for event in (failed, requests.RequestRefused('limit', 500)):
+            with self.subTest(event=event):
+                self.requests.events = [event]
+                answer = self.post(GENERATE, b'{"prompt": "p"}')
+                self.assertEqual(503, answer.code)
+                self.assertEqual('1', answer.headers['Retry-After'])
+
+    @testing.gen_test
+    async def test_work_of_a_caller_that_left_is_stopped(self):
+        """A caller closes its connection in the middle of an answer.
+
+        Nobody notices but the accelerators, which would go on for nobody.
+        """
+        self.requests.events = [generation.Tokens(0, ('a',))]
+        self.requests.hang = True
+        reader, writer = await asyncio.open_connection(
+            '127.0.0.1', self.get_http_port()
+        )
+        body = b'{"prompt": "p"}'
+        head = f'POST {GENERATE} HTTP/1.1\r\nHost: a\r\n'
+        head += f'Content-Length: {len(body)}\r\n\r\n'
+        writer.write(head.encode() + body)
+        await reader.readuntil(b'event: tokens')
+        self.assertFalse(self.requests.closed.is_set())
+        writer.close()
+        await asyncio.wait_for(self.requests.closed.wait(), 5)
