Add the platform's adapters, the service client and two stand-ins

Cause: every use case needs the platform's key-value service and calls to plain services whose fate can be told afterwards.

Ruled out, by what the tests showed: - Kept-alive connections for writes and for calls with a key: libcurl sends a request again by itself when a kept connection breaks. The second compare-and-swap meets the first and looks like a conflict. - libcurl's times as the proof that nothing was sent: tornado drops them with every transport error. The proof is libcurl's own announcement before the first byte (PREREQFUNCTION), and an error code of the phase before it; both must agree. - Freeing a connection's slot when its caller is cancelled: the next request then waits in tornado's queue, outlives its caller and is sent later.

Change: in-process platform with faults, HTTP platform with a call budget and backoff, the client of plain services, the stand-ins of the platform and of a plain service with their pages, token buckets and backoff.

Seen to fail (broken by hand, then restored): - own connection for unrepeatable calls off: "WriteUnknown() != WriteConflict()", "TargetAnswerLost not raised" - announcement before the first byte ignored: a silent service's write came back as PlatformError, a frozen target as not reached, 2 failed - redirects followed: "307 != 200" - slot freed at cancellation: "1 != 2" requests at the server - answers without a length taken as whole: "TargetAnswerLost not raised" - lost answer of a write called a conflict: "WriteUnknown() != WriteConflict()", in both test modules - one probe at a time off: "PlatformError not raised"; gate off: "2 != 20" calls in an outage - versions not compared in memory: "WriteConflict() != WriteDone(version=2)" - the error code as second witness removed: nothing failed; it guards against a libcurl that fails to announce, which no test can bring about.

--- /dev/null
+++ b/src/thornspool/adapters/platform/exceptions.py
@@ -0,0 +1,17 @@
+"""Errors of this package's transport; its callers turn them into theirs."""
+
+from __future__ import annotations
+
+from thornspool import exceptions
+
+
+class TransportError(exceptions.ThornspoolError):
+    """Base of the errors of a call over HTTP."""
+
+
+class NotSent(TransportError):
+    """Not one byte of the request was written, and none will be."""
+
+
+class AnswerLost(TransportError):
+    """The request may have been sent; no whole answer came back."""
--- /dev/null
+++ b/tests/adapters/platform/test_gate.py
@@ -0,0 +1,50 @@
+"""Tests of the gate before the platform."""
+
+from __future__ import annotations
+
+import unittest
+
+from thornspool.adapters.platform import gate
+from thornspool.application import exceptions
+
+
+def build_gate() -> gate.Gate:
+    settings = gate.GateSettings(
+        patience_ms=10, backoff_base_ms=100, backoff_cap_ms=800
+    )
+    return gate.Gate(settings, lambda: 1.0)
+
+
+class GateTest(unittest.TestCase):
+    def test_waits_grow_to_a_cap_and_one_probe_passes(self) -> None:
+        """The platform fails for a long time.
+
+        Calls back off further with each failure and one probe at a time
+        finds out when it is back; then all calls pass again at once.
+        """
+        guard = build_gate()
+        guard.record_failure(0)
+        self.assertEqual(0, guard.enter(0))
+        now = 0
+        for delay in (100, 200, 400, 800, 800):
+            guard.record_failure(now)
+            with self.assertRaises(exceptions.PlatformError):
+                guard.enter(now + delay - 11)
+            now += delay
+            self.assertEqual(0, guard.enter(now))
+            with self.assertRaises(exceptions.PlatformError):
+                guard.enter(now)
+        guard.record_success()
+        self.assertEqual([0, 0], [guard.enter(now), guard.enter(now)])
+
+    def test_cancelled_probe_frees_the_gate(self) -> None:
+        """A caller gives up while its call is the probe.
+
+        The gate would stay shut for ever if the probe were not forgotten.
+        """
+        guard = build_gate()
+        for _ in range(2):
+            guard.record_failure(0)
+        guard.enter(200)
+        guard.release()
+        self.assertEqual(0, guard.enter(200))
--- /dev/null
+++ b/tests/standins/test_service.py
@@ -0,0 +1,105 @@
+"""Tests of the stand-in of a plain service, as a process and in this one."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import sys
+import typing
+import unittest
+
+from tornado import httpclient
+
+from standins import common
+from standins import service as standin
+
+URL_LINE_TIMEOUT_S = 20
+
+
+async def start(module: str, *options: str) -> tuple[typing.Any, str]:
+    process = await asyncio.create_subprocess_exec(
+        sys.executable,
+        '-m',
+        module,
+        '--port',
+        '0',
+        *options,
+        stdout=asyncio.subprocess.PIPE,
+    )
+    assert process.stdout is not None
+    async with asyncio.timeout(URL_LINE_TIMEOUT_S):
+        line = await process.stdout.readline()
+    return process, json.loads(line)['url']
+
+
+async def post(
+    url: str, body: typing.Any, key: str = 'k', token: int = 1
+) -> tuple[int, typing.Any]:
+    response = await httpclient.AsyncHTTPClient().fetch(
+        url,
+        method='POST',
+        body=json.dumps(body),
+        headers={'Idempotency-Key': key, 'Fencing-Token': str(token)},
+        raise_error=False,
+    )
+    return response.code, json.loads(response.body or b'null')
+
+
+class ServiceStandinTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        self.state = standin.State('slots-1')
+        application = standin.make_application(self.state)
+        self.server, url = common.listen(application)
+        self.hold = f'{url}/v1/operations/hold'
+        self.behaviour = f'{url}/control/behaviour'
+
+    async def asyncTearDown(self) -> None:
+        self.server.stop()
+        await self.server.close_all_connections()
+
+    async def test_faults_by_table(self) -> None:
+        """A target loses its answer, refuses, leaves or is told to dedupe.
+
+        Each row gives the statuses of two calls with one key and fencing
+        tokens 2 and 1, and how often the key was executed.
+        """
+        cases: list[tuple[dict[str, typing.Any], list[int], int]] = [
+            ({}, [200, 200], 2),
+            ({'deduplicate': True}, [200, 200], 1),
+            ({'check_fencing': True}, [200, 409], 1),
+            ({'lose_answers': 1}, [599, 200], 2),
+            ({'refuse_connections': 1}, [599, 200], 1),
+            ({'leaving': True}, [409, 409], 0),
+        ]
+        for number, (behaviour, statuses, executions) in enumerate(cases):
+            with self.subTest(behaviour):
+                await post(self.behaviour, behaviour)
+                seen = []
+                for token in (2, 1):
+                    try:
+                        key = f'key-{number}'
+                        code, _ = await post(self.hold, {}, key, token)
+                    except (OSError, httpclient.HTTPError):
+                        code = 599
+                    seen.append(code)
+                self.assertEqual(statuses, seen)
+                count = self.state.executions[f'key-{number}']
+                self.assertEqual(executions, count)
+
+    async def test_leaving_shows_in_the_load_report(self) -> None:
+        await post(self.behaviour, {'leaving': True})
+        url = self.hold.replace('operations/hold', 'load')
+        response = await httpclient.AsyncHTTPClient().fetch(url)
+        self.assertEqual('leaving', json.loads(response.body)['state'])
+
+    async def test_marker_ends_the_process(self) -> None:
+        """A single request crashes the target that runs it."""
+        process, url = await start('standins.service', '--name', 's')
+        with self.assertRaises((OSError, httpclient.HTTPError)):
+            await httpclient.AsyncHTTPClient().fetch(
+                f'{url}/v1/operations/hold',
+                method='POST',
+                body=json.dumps(standin.DEFAULT_CRASH_MARKER),
+            )
+        async with asyncio.timeout(URL_LINE_TIMEOUT_S):
+            self.assertEqual(70, await process.wait())
