Run actions at most once over a ledger in the platform

Cause: holds, deposits and payouts must run at most once, also when a caller sends a key again through another entry.

Entries ask the preferred writer of a page first and write it themselves when that is silent.

--- /dev/null
+++ b/src/thornspool/application/ledger_router.py
@@ -0,0 +1,179 @@
+"""Which entry writes a ledger page, and what to do when it is silent."""
+
+from __future__ import annotations
+
+import asyncio
+import typing
+
+import attrs
+import xxhash
+
+from thornspool.application import exceptions
+from thornspool.application import ports
+from thornspool.domain.actions import messages
+
+if typing.TYPE_CHECKING:
+    from thornspool import clock
+    from thornspool.application import ledger
+
+
+@attrs.frozen
+class RouterSettings:
+    """Bounds of a router.
+
+    Attributes
+    ----------
+    ask_ms : int
+        Longest wait for the preferred writer before this entry writes.
+    avoid_ms : int
+        How long a silent writer is passed over.
+    """
+
+    ask_ms: int = 300
+    avoid_ms: int = 5_000
+
+
+def choose_writer(
+    members: typing.Iterable[ports.Member], bucket: int, slot: int
+) -> ports.Member | None:
+    """Return the entry that is asked first to write a page.
+
+    Rendezvous hashing: entries whose views agree choose the same writer,
+    so that grants share writes. Differing views cost a conflict, no more.
+    """
+    page = f'{bucket}/{slot}'
+    return max(
+        members,
+        key=lambda member: xxhash.xxh64_intdigest(
+            f'{member.incarnation}/{page}'.encode()
+        ),
+        default=None,
+    )
+
+
+class LedgerRouter:
+    """Sends proposals to the writers of their pages.
+
+    Parameters
+    ----------
+    clock : clock.Clock
+        Source of time.
+    peers : ports.Peers
+        Messages to other entries.
+    members : ports.MemberView
+        Entries as seen from here.
+    member : ports.Member
+        This entry.
+    local : ledger.Ledger
+        Page writers of this entry.
+    settings : RouterSettings
+        Bounds.
+    """
+
+    def __init__(
+        self,
+        clock: clock.Clock,
+        peers: ports.Peers,
+        members: ports.MemberView,
+        member: ports.Member,
+        local: ledger.Ledger,
+        settings: RouterSettings,
+    ) -> None:
+        self._clock = clock
+        self._peers = peers
+        self._members = members
+        self._member = member
+        self._local = local
+        self._settings = settings
+        self._avoided: dict[str, int] = {}
+        for message_type in (
+            messages.GrantRequest,
+            messages.OutcomeRecord,
+            messages.GrantRelease,
+        ):
+            peers.handle(message_type, self._serve)
+
+    async def propose(
+        self, proposal: messages.Proposal, timeout_ms: int
+    ) -> messages.Verdict | None:
+        """Have a proposal decided by some writer.
+
+        Parameters
+        ----------
+        proposal : messages.Proposal
+            What is wanted; deciding it twice is the same as once.
+        timeout_ms : int
+            Longest wait in all.
+
+        Returns
+        -------
+        messages.Verdict or None
+            None when nobody answered in time; the proposal may still be
+            written then.
+        """
+        end = self._clock.now() + timeout_ms
+        preferred = self._choose(proposal)
+        asked = preferred is not None
+        if preferred is not None:
+            verdict = await self._ask(preferred, proposal, timeout_ms)
+            if verdict is not None and not _is_unavailable(verdict):
+                return verdict
+        left = max(end - self._clock.now(), 1)
+        try:
+            verdict = await asyncio.wait_for(
+                self._local.propose(proposal), left / 1000
+            )
+        except TimeoutError:
+            return None
+        return _widen(verdict, asked)
+
+    def _choose(self, proposal: messages.Proposal) -> ports.Member | None:
+        """Return the preferred writer, None for this entry itself."""
+        now = self._clock.now()
+        self._avoided = {
+            name: until for name, until in self._avoided.items() if until > now
+        }
+        members = [
+            member
+            for member in self._members.list_members()
+            if member.state is ports.MemberState.ALIVE
+            and member.incarnation not in self._avoided
+        ]
+        chosen = choose_writer(members, proposal.bucket, proposal.slot)
+        if chosen is None or chosen.incarnation == self._member.incarnation:
+            return None
+        return chosen
+
+    async def _ask(
+        self,
+        preferred: ports.Member,
+        proposal: messages.Proposal,
+        timeout_ms: int,
+    ) -> messages.Verdict | None:
+        wait = min(self._settings.ask_ms, timeout_ms)
+        try:
+            verdict: messages.Verdict = await self._peers.ask(
+                preferred.peer_address, proposal, wait
+            )
+        except exceptions.PeerUnreachable:
+            # A paused entry would cost each of its pages' actions a wait.
+            until = self._clock.now() + self._settings.avoid_ms
+            self._avoided[preferred.incarnation] = until
+            return None
+        return verdict
+
+    async def _serve(
+        self, sender: str, proposal: messages.Proposal
+    ) -> messages.Verdict:
+        return await self._local.propose(proposal)
+
+
+def _is_unavailable(verdict: messages.Verdict) -> bool:
+    return isinstance(verdict, messages.LedgerUnavailable)
+
+
+def _widen(verdict: messages.Verdict, asked: bool) -> messages.Verdict:
+    """Say that a write is possible when another writer was asked before."""
+    if asked and isinstance(verdict, messages.LedgerUnavailable):
+        return attrs.evolve(verdict, maybe_written=True)
+    return verdict
--- /dev/null
+++ b/src/thornspool/domain/actions/results.py
@@ -0,0 +1,122 @@
+"""What a caller is told about an action."""
+
+from __future__ import annotations
+
+import typing
+
+import attrs
+
+if typing.TYPE_CHECKING:
+    from thornspool.domain.actions import records
+
+NOT_RUN_DEADLINE = 'The deadline passed before the call was sent.'
+NOT_RUN_TARGETS = 'No target of the service could be reached.'
+NOT_RUN_LEDGER = (
+    'The platform can not be reached, so this call was not sent; '
+    'send it again with the same key.'
+)
+NOT_RUN_FULL = (
+    'Too many actions carry a key of this moment; '
+    'send it again later with a new key.'
+)
+NOT_RUN_BUSY = 'This entry has too many actions open; send it again later.'
+UNKNOWN_RUNNING = (
+    'A call with this key is still running; ask again with the same key.'
+)
+UNKNOWN_RUNNER_GONE = (
+    'The entry that ran this key does not answer; ask again later and '
+    'check with the service before using a new key.'
+)
+UNKNOWN_ANSWER_LOST = (
+    'The call was sent and its answer was lost; it is never sent again. '
+    'Check with the service before using a new key.'
+)
+UNKNOWN_DROPPED = (
+    'The key is too old and its record was dropped; it never runs again. '
+    'Check with the service before using a new key.'
+)
+UNKNOWN_LEDGER = (
+    'An earlier call with this key may have run, and the platform can not '
+    'be reached; ask again with the same key.'
+)
+UNKNOWN_NO_RECORD = (
+    'No call with this key is on record; one may still be on its way.'
+)
+REFUSED_REUSED = (
+    'The key was used for another request; send a new key for a new action.'
+)
+
+
+@attrs.frozen
+class ActionDone:
+    """The action ran and this is the target's answer.
+
+    Attributes
+    ----------
+    status : int
+        HTTP status.
+    content_type : str
+        Media type of the body.
+    body : bytes
+        The whole body, or nothing when ``whole`` is false.
+    replayed : bool
+        Whether the answer was made for an earlier or another call.
+    whole : bool
+        False for a replay whose body was too long to be kept.
+    """
+
+    status: int
+    content_type: str
+    body: bytes
+    replayed: bool
+    whole: bool = True
+
+
+@attrs.frozen
+class ActionNotRun:
+    """The call ran nothing and never will.
+
+    Attributes
+    ----------
+    reason : str
+        What went wrong and what to do next.
+    retry_after_ms : int
+        When to come back.
+    key_checked : bool
+        True when the ledger showed that no other call with this key ran
+        either. False when only this call is known to have run nothing:
+        a caller that sent the key before must go on asking with it.
+    """
+
+    reason: str
+    retry_after_ms: int
+    key_checked: bool = False
+
+
+@attrs.frozen
+class ActionUnknown:
+    """The action may have run, may be running, or may not have run."""
+
+    reason: str
+    retry_after_ms: int
+
+
+@attrs.frozen
+class ActionRefused:
+    """The call can not be accepted as it is; it ran nothing."""
+
+    reason: str
+
+
+ActionResult = ActionDone | ActionNotRun | ActionUnknown | ActionRefused
+
+
+def replay(outcome: records.Outcome) -> ActionDone:
+    """Return the result of an attempt that another call has made."""
+    return ActionDone(
+        outcome.status,
+        outcome.content_type,
+        outcome.body,
+        True,
+        outcome.whole,
+    )
