Stream tokens through a two-stage route, checked

Cause: callers need whole answers from models that no single target holds, over streams that may be cut, doubled, late or crossed.

Ruled out: dropping a transfer through tornado's client, which has no call for it; curl is asked to look at the transfer and told to stop instead.

--- /dev/null
+++ b/src/thornspool/adapters/targets/engine_messages.py
@@ -0,0 +1,113 @@
+"""Bodies of the calls to engines, as ``docs/standins/engine.md`` says."""
+
+from __future__ import annotations
+
+import typing
+
+import attrs
+import msgspec
+
+if typing.TYPE_CHECKING:
+    from thornspool.application import generation_messages
+
+
+@attrs.frozen
+class StageBody:
+    """A stage of the route.
+
+    Attributes
+    ----------
+    target, url : str
+        Its name and address.
+    first_layer, end_layer : int
+        Its layers.
+    """
+
+    target: str
+    url: str
+    first_layer: int
+    end_layer: int
+
+
+@attrs.frozen
+class GenerateBody:
+    """Body of ``POST /v1/generate``.
+
+    Attributes
+    ----------
+    request : str
+        Identifier of the request.
+    attempt : int
+        Number of the attempt.
+    model, version, adapter : str
+        What to run.
+    route : tuple of StageBody
+        The stages in order; the first is the engine that is called.
+    prompt : str
+        The prompt.
+    resume : tuple of str
+        Tokens to go on after.
+    max_tokens : int
+        Longest answer, resumed tokens included.
+    priority : int
+        Higher goes first.
+    """
+
+    request: str
+    attempt: int
+    model: str
+    version: str
+    adapter: str
+    route: tuple[StageBody, ...]
+    prompt: str
+    resume: tuple[str, ...]
+    max_tokens: int
+    priority: int
+
+
+@attrs.frozen
+class CancelBody:
+    """Body of ``POST /v1/cancel``.
+
+    Attributes
+    ----------
+    request : str
+        Identifier of the request.
+    attempt : int
+        Number of the attempt; older ones are stopped too.
+    """
+
+    request: str
+    attempt: int
+
+
+def encode_generate(call: generation_messages.GenerateCall) -> bytes:
+    """Encode an attempt."""
+    request = call.request
+    return msgspec.json.encode(
+        GenerateBody(
+            request=request.request_id,
+            attempt=call.attempt,
+            model=request.model,
+            version=call.version,
+            adapter=call.adapter,
+            route=tuple(
+                StageBody(
+                    stage.target,
+                    stage.url,
+                    stage.first_layer,
+                    stage.end_layer,
+                )
+                for stage in call.route.stages
+            ),
+            prompt=request.prompt,
+            resume=call.resume,
+            max_tokens=request.max_tokens,
+            priority=request.priority,
+        )
+    )
+
+
+def encode_cancel(request_id: str, attempt: int) -> bytes:
+    """Encode a cancel."""
+    return msgspec.json.encode(CancelBody(request_id, attempt))
--- /dev/null
+++ b/src/thornspool/adapters/targets/engines.py
@@ -0,0 +1,229 @@
+"""Client of model engines over HTTP, by tornado's curl client."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import typing
+
+import attrs
+import pycurl
+from tornado import curl_httpclient
+from tornado import httpclient
+
+from thornspool.adapters.targets import engine_messages
+from thornspool.application import exceptions
+from thornspool.application import generation_exceptions
+from thornspool.domain.pipelines import exceptions as pipeline_exceptions
+from thornspool.domain.pipelines import frames
+
+if typing.TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from thornspool.application import generation_messages
+
+MAX_STREAMS = 512
+"""Streams at once; tornado's client queues what is above, unseen."""
+
+_CONNECT_TIMEOUT_MS = 1_000
+_OK = 200
+_CONFLICT = 409
+_UNAVAILABLE = 503
+_UNREACHED = frozenset(
+    {pycurl.E_COULDNT_CONNECT, pycurl.E_COULDNT_RESOLVE_HOST}
+)
+
+
+@attrs.define
+class _Transfer:
+    """One transfer of curl, to be able to break it off."""
+
+    handle: pycurl.Curl | None = None
+    unwanted: bool = False
+
+    def prepare(self, handle: pycurl.Curl) -> None:
+        """Have curl ask now and then whether to go on."""
+        self.handle = handle
+        handle.setopt(pycurl.NOPROGRESS, 0)
+        handle.setopt(pycurl.XFERINFOFUNCTION, self._read_progress)
+
+    def abort(self) -> None:
+        """Close the connection.
+
+        tornado's client can't drop a transfer: it would go on until its
+        timeout, and the engine would go on computing for nobody. Pausing
+        and resuming makes curl look at the transfer, and thus ask
+        ``_read_progress``, at once.
+        """
+        self.unwanted = True
+        if self.handle is None:
+            return
+        with contextlib.suppress(pycurl.error):
+            self.handle.pause(pycurl.PAUSE_RECV)
+            self.handle.pause(pycurl.PAUSE_CONT)
+
+    def forget(self, _fetch: object) -> None:
+        """Let go of the handle: tornado uses it again for another call."""
+        self.handle = None
+
+    def _read_progress(self, *_sizes: int) -> int:
+        return 1 if self.unwanted else 0
+
+
+class CurlEngines:
+    """Calls to model engines.
+
+    Parameters
+    ----------
+    max_streams : int
+        Streams and calls at once.
+    """
+
+    def __init__(self, max_streams: int = MAX_STREAMS) -> None:
+        self._client = curl_httpclient.CurlAsyncHTTPClient(
+            force_instance=True, max_clients=max_streams
+        )
+
+    def close(self) -> None:
+        """Close every connection."""
+        self._client.close()
+
+    async def generate(
+        self,
+        call: generation_messages.GenerateCall,
+        deliver: Callable[[list[frames.Frame]], None],
+    ) -> None:
+        """Run an attempt, handing over its frames in order as they come.
+
+        Parameters
+        ----------
+        call : generation_messages.GenerateCall
+            The attempt.
+        deliver : callable
+            Told the frames of each chunk.
+
+        Raises
+        ------
+        TargetNotReached
+            Not one byte was written.
+        EngineRefused
+            The engine did not take the work.
+        StreamMalformed
+            It sent what is no frame.
+        TargetAnswerLost
+            The stream broke.
+        """
+        reader = _ChunkReader(deliver)
+        response = await self._post(
+            call.route.stages[0].url + '/v1/generate',
+            engine_messages.encode_generate(call),
+            call.timeout_ms,
+            reader.read,
+        )
+        if response.code in (_CONFLICT, _UNAVAILABLE):
+            raise generation_exceptions.EngineRefused(
+                f'The engine answered {response.code}.',
+                'Another engine will be tried.',
+            )
+        if reader.error is not None:
+            raise generation_exceptions.StreamMalformed(
+                str(reader.error)
+            ) from reader.error
+        _check_status(response)
+
+    async def cancel(
+        self, url: str, request_id: str, attempt: int, timeout_ms: int
+    ) -> None:
+        """Stop an attempt at one engine.
+
+        Parameters
+        ----------
+        url : str
+            ``http://ip:port`` of the engine.
+        request_id : str
+            The request.
+        attempt : int
+            The attempt.
+        timeout_ms : int
+            Longest wait.
+
+        Raises
+        ------
+        TargetNotReached, TargetAnswerLost
+            As for ``generate``.
+        """
+        body = engine_messages.encode_cancel(request_id, attempt)
+        _check_status(
+            await self._post(url + '/v1/cancel', body, timeout_ms, None)
+        )
+
+    async def _post(
+        self,
+        url: str,
+        body: bytes,
+        timeout_ms: int,
+        read: Callable[[bytes], None] | None,
+    ) -> httpclient.HTTPResponse:
+        transfer = _Transfer()
+        request = httpclient.HTTPRequest(
+            url,
+            method='POST',
+            body=body,
+            connect_timeout=min(timeout_ms, _CONNECT_TIMEOUT_MS) / 1000,
+            request_timeout=timeout_ms / 1000,
+            streaming_callback=read,
+            prepare_curl_callback=transfer.prepare,
+            headers={'Content-Type': 'application/json', 'Expect': ''},
+            decompress_response=False,
+        )
+        fetch = asyncio.ensure_future(
+            self._client.fetch(request, raise_error=False)
+        )
+        fetch.add_done_callback(transfer.forget)
+        try:
+            response = await asyncio.shield(fetch)
+        except asyncio.CancelledError:
+            transfer.abort()
+            raise
+        _check_transfer(response)
+        return response
+
+
+class _ChunkReader:
+    """Decodes chunks until one is malformed, then drops the rest."""
+
+    def __init__(self, deliver: Callable[[list[frames.Frame]], None]) -> None:
+        self.error: pipeline_exceptions.MalformedFrame | None = None
+        self._reader = frames.FrameReader()
+        self._deliver = deliver
+
+    def read(self, chunk: bytes) -> None:
+        """Hand over the frames of a chunk."""
+        if self.error is not None:
+            return
+        try:
+            self._deliver(self._reader.read(chunk))
+        except pipeline_exceptions.MalformedFrame as error:
+            self.error = error
+
+
+def _check_transfer(response: httpclient.HTTPResponse) -> None:
+    error = response.error
+    if not isinstance(error, curl_httpclient.CurlError):
+        return
+    never_connected = response.time_info.get('pretransfer', 0) == 0
+    if error.errno in _UNREACHED or never_connected:
+        raise exceptions.TargetNotReached(
+            f'The engine could not be reached: {error}.'
+        ) from error
+    raise exceptions.TargetAnswerLost(
+        f'The stream of the engine broke: {error}.'
+    ) from error
+
+
+def _check_status(response: httpclient.HTTPResponse) -> None:
+    if response.code != _OK:
+        raise exceptions.TargetAnswerLost(
+            f'The engine answered {response.code}.',
+            'See the log of the engine.',
+        )
--- /dev/null
+++ b/src/thornspool/application/generation.py
@@ -0,0 +1,269 @@
+"""Serve a model request: plan, stream, verify, resume, and never cut."""
+
+from __future__ import annotations
+
+import asyncio
+import collections
+import contextlib
+import typing
+
+import attrs
+import structlog
+
+from thornspool.application import generation_attempts
+from thornspool.application import generation_messages
+from thornspool.application import generation_planning
+from thornspool.domain.pipelines import affinity
+from thornspool.domain.pipelines import exceptions as pipeline_exceptions
+from thornspool.domain.pipelines import messages
+from thornspool.domain.pipelines import verifier as verifier_module
+
+if typing.TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+    from thornspool import clock as clock_module
+
+logger = structlog.get_logger(__name__)
+
+_RETRY_AFTER_MS = 1_000
+
+
+@attrs.frozen
+class StreamBounds:
+    """Longest waits of an attempt, in milliseconds.
+
+    Attributes
+    ----------
+    first_token_ms : int
+        Until its first token.
+    between_tokens_ms : int
+        Between two tokens.
+    """
+
+    first_token_ms: int = 5_000
+    between_tokens_ms: int = 1_000
+
+
+class GenerationService:
+    """Serves model requests on this entry.
+
+    Parameters
+    ----------
+    clock : clock_module.Clock
+        Source of time.
+    engines : generation_messages.Engines
+        Calls to engines.
+    planning : generation_planning.Planning
+        What is known for planning routes.
+    hooks : generation_attempts.Hooks, optional
+        What to tell the rest of the entry.
+    bounds : StreamBounds, optional
+        Longest waits of an attempt.
+    """
+
+    def __init__(
+        self,
+        clock: clock_module.Clock,
+        engines: generation_messages.Engines,
+        planning: generation_planning.Planning,
+        hooks: generation_attempts.Hooks | None = None,
+        bounds: StreamBounds | None = None,
+    ) -> None:
+        self._bounds = bounds or StreamBounds()
+        self._context = generation_attempts.Context(
+            clock, engines, planning, hooks or generation_attempts.Hooks()
+        )
+
+    async def stream(
+        self, request: generation_messages.GenerationRequest
+    ) -> AsyncIterator[generation_messages.GenerationEvent]:
+        """Generate the answer of a request.
+
+        Parameters
+        ----------
+        request : generation_messages.GenerationRequest
+            The caller's request.
+
+        Yields
+        ------
+        generation_messages.GenerationEvent
+            Tokens in order, then exactly one ``Finished`` or ``Failed``.
+            Closing the iterator cancels the work at every stage.
+        """
+        run = _Run(self._context, self._bounds, request)
+        try:
+            async for event in run.follow():
+                yield event
+        finally:
+            run.close()
+
+    async def close(self) -> None:
+        """Wait until what goes on in the background has ended."""
+        while self._context.background:
+            await asyncio.wait(self._context.background)
+
+
+class _Run:
+    """One request on its way through one or more attempts."""
+
+    def __init__(
+        self,
+        context: generation_attempts.Context,
+        bounds: StreamBounds,
+        request: generation_messages.GenerationRequest,
+    ) -> None:
+        self._context = context
+        self._request = request
+        self._verifier = verifier_module.Verifier(
+            request.request_id,
+            verifier_module.Bounds(
+                request.deadline,
+                bounds.first_token_ms,
+                bounds.between_tokens_ms,
+            ),
+            context.hooks.take_retry,
+        )
+        self._model = context.planning.find_model(request.model)
+        self._prefix = affinity.compute_prefix(request.prompt)
+        self._events: asyncio.Queue[messages.Event] = asyncio.Queue()
+        self._commands: collections.deque[messages.Command]
+        self._commands = collections.deque()
+        self._attempt: generation_attempts.Attempt | None = None
+        self._may_have_run = False
+
+    async def follow(
+        self,
+    ) -> AsyncIterator[generation_messages.GenerationEvent]:
+        """Yield the events for the caller until the request is over."""
+        self._commands.extend(self._begin())
+        while True:
+            while self._commands:
+                event = self._carry_out(self._commands.popleft())
+                if event is not None:
+                    yield event
+            if self._verifier.over:
+                return
+            event_in = await self._wait()
+            now = self._context.clock.now()
+            self._commands.extend(self._verifier.handle(event_in, now))
+
+    def close(self) -> None:
+        """Stop what still runs, when the caller left."""
+        self._stop(cancel=True)
+
+    def _begin(self) -> list[messages.Command]:
+        if self._model is None:
+            reason = messages.Reason.UNKNOWN_MODEL
+            return self._verifier.give_up(reason)
+        return [messages.Replan(0, frozenset(), frozenset())]
+
+    async def _wait(self) -> messages.Event:
+        """Wait for the next event, no longer than to the next bound."""
+        with contextlib.suppress(asyncio.QueueEmpty):
+            return self._events.get_nowait()
+        now = self._context.clock.now()
+        wait_ms = max(0, self._verifier.read_wake() - now)
+        try:
+            async with asyncio.timeout(wait_ms / 1000):
+                return await self._events.get()
+        except TimeoutError:
+            return messages.TimePassed()
+
+    def _carry_out(
+        self, command: messages.Command
+    ) -> generation_messages.GenerationEvent | None:
+        if isinstance(command, messages.Deliver):
+            return self._deliver(command)
+        if isinstance(command, messages.Finish):
+            self._stop(cancel=False)
+            return generation_messages.Finished(command.count)
+        if isinstance(command, messages.GiveUp):
+            return self._fail(command.reason)
+        if isinstance(command, messages.Cancel):
+            self._leave(command)
+        else:
+            self._start(command)
+        return None
+
+    def _deliver(
+        self, command: messages.Deliver
+    ) -> generation_messages.GenerationEvent:
+        if self._attempt is not None:
+            now = self._context.clock.now()
+            self._attempt.note_tokens(len(command.texts), now)
+        return generation_messages.Tokens(command.first_index, command.texts)
+
+    def _fail(
+        self, reason: messages.Reason
+    ) -> generation_messages.GenerationEvent:
+        outcome = generation_messages.Outcome.NOT_RUN
+        if self._may_have_run:
+            outcome = generation_messages.Outcome.UNKNOWN
+        delivered = len(self._verifier.tokens)
+        logger.info(
+            'generation_failed',
+            request=self._request.request_id,
+            reason=reason.name,
+            outcome=outcome.value,
+            delivered=delivered,
+        )
+        return generation_messages.Failed(
+            reason, outcome, _RETRY_AFTER_MS, delivered
+        )
+
+    def _leave(self, command: messages.Cancel) -> None:
+        """End the present attempt and tell who is to blame."""
+        attempt = self._attempt
+        if attempt is None:
+            return
+        logger.info(
+            'attempt_left',
+            request=self._request.request_id,
+            attempt=command.attempt,
+            reason=command.reason.name,
+            suspect=command.suspect,
+        )
+        attempt.blame(command)
+        self._stop(cancel=True)
+
+    def _start(self, command: messages.Replan) -> None:
+        """Plan and send the next attempt."""
+        assert self._model is not None
+        context, request = self._context, self._request
+        now = context.clock.now()
+        resume = tuple(self._verifier.tokens)
+        wish = generation_planning.Wish(
+            self._model,
+            self._prefix,
+            request.max_tokens - len(resume),
+            command.excluded,
+            command.avoided,
+        )
+        try:
+            route = context.planning.plan(wish, now)
+        except pipeline_exceptions.NoPipeline:
+            reason = messages.Reason.NO_PIPELINE
+            self._commands.extend(self._verifier.give_up(reason))
+            return
+        call = generation_messages.GenerateCall(
+            request,
+            command.attempt,
+            self._model.version,
+            self._model.adapter,
+            route,
+            resume,
+            max(1, request.deadline - now),
+        )
+        self._verifier.handle(messages.Started(route), now)
+        self._attempt = generation_attempts.Attempt(
+            context, call, self._events.put_nowait
+        )
+        self._attempt.start()
+
+    def _stop(self, cancel: bool) -> None:
+        attempt, self._attempt = self._attempt, None
+        if attempt is None:
+            return
+        attempt.stop(cancel)
+        if not attempt.nothing_ran:
+            self._may_have_run = True
--- /dev/null
+++ b/src/thornspool/application/generation_attempts.py
@@ -0,0 +1,221 @@
+"""One attempt of a request: sent, followed, blamed, cancelled."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import typing
+
+import attrs
+import xxhash
+
+from thornspool.application import exceptions
+from thornspool.application import generation_exceptions
+from thornspool.application import generation_flights
+from thornspool.application import generation_planning
+from thornspool.domain.pipelines import affinity
+from thornspool.domain.pipelines import messages
+
+if typing.TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from thornspool import clock as clock_module
+    from thornspool.application import generation_messages
+    from thornspool.domain.pipelines import frames as frames_module
+
+_CANCEL_TIMEOUT_MS = 2_000
+
+
+def fingerprint_request(
+    request: generation_messages.GenerationRequest,
+) -> str:
+    """Name a request's content, the same each time it is sent again."""
+    content = '\0'.join((request.workspace, request.model, request.prompt))
+    return xxhash.xxh3_128_hexdigest(content.encode())
+
+
+def _ignore_failure(target: str, reason: messages.Reason) -> None:
+    """Take note of nothing."""
+
+
+def _ignore_loads(loads: list[frames_module.StageLoad]) -> None:
+    """Take note of nothing."""
+
+
+@attrs.frozen
+class Hooks:
+    """What the use case asks and tells the rest of the entry.
+
+    Attributes
+    ----------
+    take_retry : callable
+        Takes one retry from the budget; False when it is spent.
+    note_failure : callable
+        Told a target's name and why an attempt on it failed.
+    note_death : callable
+        Told a target's name and the fingerprints in flight on it, once for
+        each death.
+    note_loads : callable
+        Told the loads that stages sent along with an answer.
+    fingerprint : callable
+        Names the content of a request.
+    """
+
+    take_retry: Callable[[], bool] = lambda: True
+    note_failure: Callable[[str, messages.Reason], None] = _ignore_failure
+    note_death: Callable[[str, tuple[str, ...]], None] = (
+        generation_flights.ignore_death
+    )
+    note_loads: Callable[[list[frames_module.StageLoad]], None] = _ignore_loads
+    fingerprint: Callable[[generation_messages.GenerationRequest], str] = (
+        fingerprint_request
+    )
+
+
+class Context:
+    """What all requests of an entry share.
+
+    Parameters
+    ----------
+    clock : clock_module.Clock
+        Source of time.
+    engines : generation_messages.Engines
+        Calls to engines.
+    planning : generation_planning.Planning
+        What is known for planning routes.
+    hooks : Hooks
+        What to tell the rest of the entry.
+    """
+
+    def __init__(
+        self,
+        clock: clock_module.Clock,
+        engines: generation_messages.Engines,
+        planning: generation_planning.Planning,
+        hooks: Hooks,
+    ) -> None:
+        self.clock = clock
+        self.engines = engines
+        self.planning = planning
+        self.hooks = hooks
+        self.flights = generation_flights.Flights(hooks.note_death)
+        self.background: set[asyncio.Task[None]] = set()
+
+    def keep(self, task: asyncio.Task[None]) -> None:
+        """Hold a task until it ends; the loop alone would drop it."""
+        self.background.add(task)
+        task.add_done_callback(self.background.discard)
+
+
+class Attempt:
+    """One attempt in flight.
+
+    Parameters
+    ----------
+    context : Context
+        What all requests share.
+    call : generation_messages.GenerateCall
+        What to send.
+    tell : callable
+        Told each event of the stream.
+    """
+
+    def __init__(
+        self,
+        context: Context,
+        call: generation_messages.GenerateCall,
+        tell: Callable[[messages.Event], None],
+    ) -> None:
+        self.nothing_ran = False
+        self._context = context
+        self._call = call
+        self._tell = tell
+        self._route = call.route
+        self._pace = generation_planning.Pace()
+        self._started_at = context.clock.now()
+        self._seen_at = -1
+        self._task: asyncio.Task[None] | None = None
+        self._flight = context.flights.start(
+            context.hooks.fingerprint(call.request),
+            call.route.list_targets(),
+        )
+
+    def start(self) -> None:
+        """Send it."""
+        self._context.planning.start(self._route)
+        self._task = asyncio.get_running_loop().create_task(self._run())
+        self._context.keep(self._task)
+
+    def note_tokens(self, count: int, now: int) -> None:
+        """Learn from verified tokens."""
+        planning = self._context.planning
+        if self._seen_at < 0:
+            prefix = affinity.compute_prefix(self._call.request.prompt)
+            planning.note_prefix(self._route, prefix, now)
+        self._seen_at = now
+        interval = self._pace.add(count, now)
+        if interval is not None:
+            planning.note_pace(self._route, interval)
+
+    def blame(self, command: messages.Cancel) -> None:
+        """Tell who failed, and learn from a stall."""
+        context = self._context
+        if command.reason is messages.Reason.STALLED and self._seen_at >= 0:
+            waited = context.clock.now() - self._seen_at
+            context.planning.note_stall(self._route, waited)
+        if not command.suspect:
+            return
+        context.hooks.note_failure(command.suspect, command.reason)
+        if command.reason is messages.Reason.STAGE_LOST:
+            context.flights.report_death(command.suspect, self._flight)
+
+    def stop(self, cancel: bool) -> None:
+        """Stop counting it, and cancel it at every stage unless it is done."""
+        self._context.planning.end(self._route)
+        self._context.flights.end(self._flight)
+        if not cancel:
+            return
+        if self._task is not None:
+            self._task.cancel()
+        if self.nothing_ran:
+            return
+        loop = asyncio.get_running_loop()
+        for stage in self._route.stages:
+            self._context.keep(loop.create_task(self._cancel(stage.url)))
+
+    async def _cancel(self, url: str) -> None:
+        request = self._call.request.request_id
+        # A stage that can't be told is dead, or finds out when its
+        # connection closes; nobody waits for it.
+        with contextlib.suppress(exceptions.TargetError):
+            await self._context.engines.cancel(
+                url, request, self._call.attempt, _CANCEL_TIMEOUT_MS
+            )
+
+    async def _run(self) -> None:
+        self._tell(await self._follow())
+
+    async def _follow(self) -> messages.StreamClosed:
+        """Run the stream to its end and say how it ended."""
+        attempt, first = self._call.attempt, self._route.stages[0].target
+        reasons = messages.Reason
+        try:
+            await self._context.engines.generate(self._call, self._deliver)
+        except exceptions.TargetNotReached:
+            self.nothing_ran = True
+            return messages.StreamClosed(attempt, reasons.NOT_REACHED, first)
+        except generation_exceptions.EngineRefused:
+            self.nothing_ran = True
+            return messages.StreamClosed(attempt, reasons.REFUSED, first)
+        except generation_exceptions.StreamMalformed:
+            return messages.StreamClosed(attempt, reasons.MALFORMED, first)
+        except exceptions.TargetError:
+            return messages.StreamClosed(attempt, reasons.STAGE_LOST, first)
+        return messages.StreamClosed(attempt)
+
+    def _deliver(self, frames: list[frames_module.Frame]) -> None:
+        if not frames:
+            return
+        if frames[-1].loads:
+            self._context.hooks.note_loads(frames[-1].loads)
+        self._tell(messages.FramesReceived(self._call.attempt, frames))
