--- a/src/thornspool/domain/configuration/documents.py
+++ b/src/thornspool/domain/configuration/documents.py
@@ -228,6 +228,48 @@
 Document = Workspace | Service | Model | Target
 
 
+class DocumentKind(enum.Enum):
+    """Kinds of documents, as service files name them."""
+
+    WORKSPACE = 'workspace'
+    SERVICE = 'service'
+    MODEL = 'model'
+    TARGET = 'target'
+
+
+@attrs.frozen
+class DocumentKey:
+    """Address of a document.
+
+    Attributes
+    ----------
+    kind : DocumentKind
+        Kind of the document.
+    name : str
+        Name, unique within the kind.
+    """
+
+    kind: DocumentKind
+    name: str
+
+    def __str__(self) -> str:
+        return f'{self.kind.value}/{self.name}'
+
+
+DOCUMENT_TYPES: dict[DocumentKind, type[Document]] = {
+    DocumentKind.WORKSPACE: Workspace,
+    DocumentKind.SERVICE: Service,
+    DocumentKind.MODEL: Model,
+    DocumentKind.TARGET: Target,
+}
+_KINDS = {kind_type: kind for kind, kind_type in DOCUMENT_TYPES.items()}
+
+
+def identify(document: Document) -> DocumentKey:
+    """Return the address of a document."""
+    return DocumentKey(_KINDS[type(document)], document.name)
+
+
 @attrs.frozen
 class Snapshot:
     """One version of the whole configuration.
--- /dev/null
+++ b/src/thornspool/domain/configuration/files.py
@@ -0,0 +1,289 @@
+"""Service files: from JSON text to documents, with every error at once."""
+
+from __future__ import annotations
+
+import functools
+import json
+import re
+import typing
+
+import attrs
+import msgspec
+
+from thornspool import schemas
+from thornspool import validation
+from thornspool.domain.configuration import documents
+from thornspool.domain.configuration import problems
+
+if typing.TYPE_CHECKING:
+    from collections.abc import Iterable
+
+Json = typing.Any
+"""A decoded JSON value."""
+
+_SCHEMA = 'service-file'
+_PLACE = re.compile(r' - at `(?P<place>.*)`$')
+
+
+@attrs.frozen
+class SourceFile:
+    """A service file as it was read.
+
+    Attributes
+    ----------
+    path : str
+        Where it was found, for messages.
+    text : str
+        Its JSON text.
+    """
+
+    path: str
+    text: str
+
+
+@attrs.frozen
+class Origin:
+    """Where a document stands.
+
+    Attributes
+    ----------
+    file : str
+        File that holds it.
+    path : str
+        JSONPath of it within the file, ``$`` for the whole file.
+    """
+
+    file: str
+    path: str
+
+
+@attrs.frozen
+class Collection:
+    """What a set of service files says.
+
+    Attributes
+    ----------
+    documents : tuple of Document
+        The documents that keep the schema.
+    raw : tuple of dict
+        The same documents as JSON values, to send on.
+    origins : dict of str to Origin
+        Where each ``kind/name`` stands.
+    problems : tuple of Problem
+        Every broken rule of the schema.
+    """
+
+    documents: tuple[documents.Document, ...]
+    raw: tuple[Json, ...]
+    origins: dict[str, Origin]
+    problems: tuple[problems.Problem, ...]
+
+
+@attrs.define
+class _Collecting:
+    """What was collected so far."""
+
+    documents: list[documents.Document] = attrs.field(factory=list)
+    raw: list[Json] = attrs.field(factory=list)
+    origins: dict[str, Origin] = attrs.field(factory=dict)
+    problems: list[problems.Problem] = attrs.field(factory=list)
+
+    def freeze(self) -> Collection:
+        return Collection(
+            tuple(self.documents),
+            tuple(self.raw),
+            self.origins,
+            tuple(self.problems),
+        )
+
+
+class _RepeatedName(ValueError):
+    """A JSON object names a member twice."""
+
+
+def collect_documents(files: Iterable[SourceFile]) -> Collection:
+    """Read service files and check each document against the schema.
+
+    Parameters
+    ----------
+    files : iterable of SourceFile
+        The files, in the order in which problems are to be reported.
+    """
+    collecting = _Collecting()
+    for file in files:
+        try:
+            value = json.loads(file.text, object_pairs_hook=_build_object)
+        except _RepeatedName as error:
+            collecting.problems.append(
+                problems.Problem(
+                    '',
+                    '$',
+                    'repeated-member',
+                    f'Keep one of the members named "{error}".',
+                    file.path,
+                )
+            )
+        except json.JSONDecodeError as error:
+            collecting.problems.append(_report_syntax(file.path, error))
+        else:
+            _add_value(collecting, file.path, value)
+    return collecting.freeze()
+
+
+def read_documents(value: Json) -> Collection:
+    """Check documents that arrive decoded, as in a publication's body.
+
+    Parameters
+    ----------
+    value : JSON value
+        One document or a list of documents.
+    """
+    collecting = _Collecting()
+    _add_value(collecting, '', value)
+    return collecting.freeze()
+
+
+def locate_problem(
+    problem: problems.Problem, origins: dict[str, Origin]
+) -> problems.Problem:
+    """Add the file and the path within it, if the document has a file."""
+    origin = origins.get(problem.document)
+    if origin is None or problem.file:
+        return problem
+    return attrs.evolve(
+        problem,
+        file=origin.file,
+        path=_join_paths(origin.path, problem.path),
+    )
+
+
+def _build_object(pairs: list[tuple[str, Json]]) -> dict[str, Json]:
+    built: dict[str, Json] = {}
+    for name, value in pairs:
+        if name in built:
+            raise _RepeatedName(name)
+        built[name] = value
+    return built
+
+
+def _report_syntax(path: str, error: json.JSONDecodeError) -> problems.Problem:
+    return problems.Problem(
+        '',
+        '$',
+        'json',
+        f'Write JSON; line {error.lineno}, column {error.colno}: {error.msg}.',
+        path,
+    )
+
+
+def _add_value(collecting: _Collecting, file: str, value: Json) -> None:
+    if not isinstance(value, list):
+        _add_document(collecting, Origin(file, '$'), value)
+        return
+    for index, item in enumerate(value):
+        _add_document(collecting, Origin(file, f'$[{index}]'), item)
+
+
+def _add_document(
+    collecting: _Collecting, origin: Origin, value: Json
+) -> None:
+    address = _read_address(value)
+    found = _check_schema(origin, address, value)
+    if found:
+        collecting.problems.extend(found)
+        return
+    document = _convert(value)
+    if isinstance(document, msgspec.ValidationError):
+        collecting.problems.append(_report_type(origin, address, document))
+        return
+    first = collecting.origins.get(address)
+    if first is not None:
+        collecting.problems.append(_report_duplicate(origin, address, first))
+        return
+    collecting.origins[address] = origin
+    collecting.documents.append(document)
+    collecting.raw.append(value)
+
+
+def _read_address(value: Json) -> str:
+    if not isinstance(value, dict) or not value.get('name'):
+        return ''
+    return f'{value.get("kind")}/{value["name"]}'
+
+
+def _convert(
+    value: dict[str, Json],
+) -> documents.Document | msgspec.ValidationError:
+    """Turn a document that keeps the schema into its type.
+
+    A target's own kind stands under "serves" in files, since "kind" tells
+    the kind of document there. JSON Schema takes 2.0 for an integer and
+    the typed documents do not, so an error is still possible.
+    """
+    kind = documents.DocumentKind(value['kind'])
+    fields = {name: item for name, item in value.items() if name != 'kind'}
+    if kind is documents.DocumentKind.TARGET:
+        fields['kind'] = fields.pop('serves')
+    try:
+        return msgspec.convert(fields, documents.DOCUMENT_TYPES[kind])
+    except msgspec.ValidationError as error:
+        return error
+
+
+def _check_schema(
+    origin: Origin, address: str, value: Json
+) -> list[problems.Problem]:
+    kind = value.get('kind') if isinstance(value, dict) else None
+    found = validation.find_problems(
+        origin.file, value, _choose_schema(str(kind))
+    )
+    return [
+        problems.Problem(
+            address,
+            _join_paths(origin.path, one.path),
+            'schema',
+            f'{one.hint} ({one.rule})',
+            origin.file,
+        )
+        for one in found
+    ]
+
+
+@functools.cache
+def _choose_schema(kind: str) -> dict[str, Json]:
+    """Return the schema of one kind, so that its errors name the place."""
+    definitions = schemas.read_schema(_SCHEMA)['$defs']
+    if kind in [one.value for one in documents.DocumentKind]:
+        return {'$ref': f'#/$defs/{kind}', '$defs': definitions}
+    document = definitions['document']
+    return {part: document[part] for part in document if part != 'oneOf'}
+
+
+def _join_paths(outer: str, inner: str) -> str:
+    return f'{outer}{inner.removeprefix("$")}'
+
+
+def _report_type(
+    origin: Origin, address: str, error: msgspec.ValidationError
+) -> problems.Problem:
+    place = _PLACE.search(str(error))
+    return problems.Problem(
+        address,
+        _join_paths(origin.path, place['place'] if place else '$'),
+        'schema',
+        f'Write a value of the right type ({error}).',
+        origin.file,
+    )
+
+
+def _report_duplicate(
+    origin: Origin, address: str, first: Origin
+) -> problems.Problem:
+    return problems.Problem(
+        address,
+        origin.path,
+        'duplicate-document',
+        'Give it another name or remove it; the name is taken by '
+        f'{first.file} {first.path}.',
+        origin.file,
+    )
