Take callers' requests: look up, admit, run, count

Cause: every kind of request needs the same gates and the same counts. Change: one use case before the three that run work. A refusal of an action that the caller says it sent before answers 'unknown', since 'not run' would be read as a word about the key. Ruled out: admitting resends past the limits, which a caller in a loop would turn into load.

--- a/src/thornspool/adapters/callers/handlers.py
+++ b/src/thornspool/adapters/callers/handlers.py
@@ -20,6 +20,7 @@
     from thornspool.adapters.callers import context
 
 JSON = 'application/json'
+RESENT_HEADER = 'Idempotency-Resent'
 REPLAYED_HEADER = 'Idempotency-Replayed'
 
 
@@ -94,6 +95,7 @@
             operation=operation,
             key=self.request.headers.get('Idempotency-Key', ''),
             body=self.read_body(),
+            resent=self.request.headers.get(RESENT_HEADER) == 'true',
         )
         with translate_errors():
             result = await self.context.requests.run_operation(request)
--- /dev/null
+++ b/src/thornspool/application/intake.py
@@ -0,0 +1,421 @@
+"""The way of every caller's request: looked up, admitted, run, counted."""
+
+from __future__ import annotations
+
+import contextlib
+import typing
+
+import attrs
+
+from thornspool.application import actions
+from thornspool.application import calls
+from thornspool.application import directory
+from thornspool.application import generation_messages as generation
+from thornspool.application import requests
+from thornspool.domain.actions import results
+from thornspool.domain.objectives import burn
+
+if typing.TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+    from collections.abc import Callable
+    from collections.abc import Iterator
+
+    from thornspool import clock
+    from thornspool import metrics
+    from thornspool.application import generation as generation_service
+    from thornspool.application import objectives
+    from thornspool.domain.configuration import documents
+
+ISOLATED_RETRY_MS = 2000
+DRAINING_RETRY_MS = 100
+_ISOLATED = 'This entry reaches neither the platform nor any other entry.'
+_DRAINING = 'This entry is leaving; use another one.'
+_RESENT = 'The key was sent before and this entry can not look it up now.'
+
+
+@attrs.frozen
+class Work:
+    """What admission weighs.
+
+    Attributes
+    ----------
+    workspace : str
+        Whose limits count.
+    group : str
+        Model or service whose targets would run it.
+    fingerprint : str
+        Names the content of the request.
+    deadline : int
+        Monotonic milliseconds.
+    tokens : int
+        Most tokens that it may generate; 0 for calls.
+    """
+
+    workspace: str
+    group: str
+    fingerprint: str
+    deadline: int
+    tokens: int
+
+
+class Ticket(typing.Protocol):
+    """A place among the admitted; it has to be given back once."""
+
+    def finish(self, tokens: int, good: bool, duration_ms: int) -> None:
+        """Give the place back and tell what became of the request."""
+        ...
+
+
+@attrs.frozen
+class Gates:
+    """What decides whether a request is taken.
+
+    Attributes
+    ----------
+    admit : callable
+        Returns a ticket or raises ``RequestRefused``.
+    is_accepting : callable
+        False while the entry drains.
+    is_isolated : callable
+        True while neither platform nor peers answer.
+    list_instead : callable
+        URLs of entries to use instead.
+    """
+
+    admit: Callable[[Work], Ticket]
+    is_accepting: Callable[[], bool]
+    is_isolated: Callable[[], bool]
+    list_instead: Callable[[], tuple[str, ...]]
+
+
+@attrs.frozen
+class Runners:
+    """The use cases that run requests."""
+
+    actions: actions.ActionService
+    calls: calls.CallService
+    generation: generation_service.GenerationService
+
+
+class Intake:
+    """Takes the requests of callers.
+
+    Parameters
+    ----------
+    clock : clock.Clock
+        Source of time.
+    snapshot : callable
+        Returns the configuration in force.
+    gates : Gates
+        Decide whether a request is taken.
+    runners : Runners
+        Run what was taken.
+    track : callable
+        Context manager that counts a request as in flight, so that a drain
+        waits for it.
+    metrics : metrics.Metrics
+        Counts requests.
+    objective_service : objectives.ObjectiveService
+        Compares requests with their objectives.
+    """
+
+    def __init__(
+        self,
+        clock: clock.Clock,
+        snapshot: Callable[[], documents.Snapshot],
+        gates: Gates,
+        runners: Runners,
+        track: Callable[[], contextlib.AbstractContextManager[None]],
+        metrics: metrics.Metrics,
+        objective_service: objectives.ObjectiveService,
+    ) -> None:
+        self._clock = clock
+        self._snapshot = snapshot
+        self._gates = gates
+        self._runners = runners
+        self._track = track
+        self._metrics = metrics
+        self._objectives = objective_service
+
+    async def run_operation(
+        self, request: requests.OperationRequest
+    ) -> results.ActionResult:
+        """Run an operation of a plain service.
+
+        Parameters
+        ----------
+        request : requests.OperationRequest
+            What to run.
+
+        Returns
+        -------
+        results.ActionResult
+            What the caller is told.
+
+        Raises
+        ------
+        requests.RequestRefused
+            The request was not taken; nothing ran.
+        exceptions.UnknownName
+            Nothing of that name is in force for the workspace.
+        """
+        resolved = directory.find_operation(
+            self._snapshot(),
+            request.workspace,
+            request.service,
+            request.operation,
+        )
+        try:
+            with self._admit_operation(request, resolved) as run:
+                result = await self._run_operation(request, resolved)
+                run.result = result
+                return result
+        except requests.RequestRefused as refused:
+            if request.resent and not resolved.operation.idempotent:
+                # "Not run" would be read as a statement about the key, which
+                # an earlier send may have run; the caller would then book
+                # again under a new key.
+                reason = f'{_RESENT} {refused.message}'
+                return results.ActionUnknown(reason, refused.retry_after_ms)
+            raise
+
+    async def look_up(self, workspace: str, key: str) -> results.ActionResult:
+        """Tell what became of an action; also while draining."""
+        directory.find_workspace(self._snapshot(), workspace)
+        with self._track():
+            return await self._runners.actions.look_up(workspace, key)
+
+    async def stream(
+        self, request: requests.ModelRequest
+    ) -> AsyncIterator[generation.GenerationEvent]:
+        """Generate text.
+
+        Parameters
+        ----------
+        request : requests.ModelRequest
+            What to generate.
+
+        Yields
+        ------
+        generation.GenerationEvent
+            Tokens, then one ``Finished`` or ``Failed``.
+
+        Raises
+        ------
+        requests.RequestRefused
+            The request was not taken; nothing ran.
+        exceptions.UnknownName
+            The workspace may not use such a model.
+        """
+        directory.find_model(
+            self._snapshot(), request.workspace, request.model
+        )
+        wanted = generation.GenerationRequest(
+            request_id=request.request_id,
+            workspace=request.workspace,
+            model=request.model,
+            prompt=request.prompt,
+            max_tokens=request.max_tokens,
+            priority=request.priority,
+            deadline=self._clock.now() + request.timeout_ms,
+        )
+        work = Work(
+            request.workspace,
+            request.model,
+            f'{request.model}\0{request.prompt}',
+            wanted.deadline,
+            request.max_tokens,
+        )
+        with self._admit(work, 'generation') as run:
+            events = self._runners.generation.stream(wanted)
+            watch = _TokenWatch(self._clock, self._metrics, self._objectives)
+            async with contextlib.aclosing(events):  # type: ignore[type-var]
+                async for event in events:
+                    run.tokens += watch.see(request, event)
+                    run.result = event
+                    yield event
+
+    async def _run_operation(
+        self,
+        request: requests.OperationRequest,
+        resolved: directory.ResolvedOperation,
+    ) -> results.ActionResult:
+        """Run an admitted operation in the way that is safe for it."""
+        operation = resolved.operation
+        if operation.idempotent:
+            called = await self._runners.calls.call(resolved, request.body)
+            return _describe_call(called)
+        action = build_action(
+            request, resolved, self._clock.now() + operation.timeout_ms
+        )
+        return await self._runners.actions.run(action)
+
+    @contextlib.contextmanager
+    def _admit_operation(
+        self,
+        request: requests.OperationRequest,
+        resolved: directory.ResolvedOperation,
+    ) -> Iterator[_Run]:
+        """Admit an operation."""
+        content = f'{request.operation}\0'.encode() + request.body
+        work = Work(
+            request.workspace,
+            request.service,
+            content.decode(errors='replace'),
+            self._clock.now() + resolved.operation.timeout_ms,
+            0,
+        )
+        kind = 'call' if resolved.operation.idempotent else 'action'
+        with self._admit(work, kind) as run:
+            yield run
+
+    @contextlib.contextmanager
+    def _admit(self, work: Work, kind: str) -> Iterator[_Run]:
+        """Take a request, or refuse it, and count it when it ends."""
+        started = self._clock.now()
+        try:
+            self._check_open()
+            ticket = self._gates.admit(work)
+        except requests.RequestRefused:
+            self._metrics.count_event('request_refused')
+            self._count(work, kind, 'refused', started)
+            raise
+        run = _Run()
+        try:
+            with self._track():
+                yield run
+        finally:
+            outcome = _name_outcome(run.result)
+            duration = self._clock.now() - started
+            ticket.finish(run.tokens, outcome == 'done', duration)
+            self._count(work, kind, outcome, started)
+
+    def _check_open(self) -> None:
+        """Refuse new work while draining or cut off from everything."""
+        if not self._gates.is_accepting():
+            raise requests.RequestRefused(
+                _DRAINING, DRAINING_RETRY_MS, self._gates.list_instead()
+            )
+        if self._gates.is_isolated():
+            raise requests.RequestRefused(_ISOLATED, ISOLATED_RETRY_MS)
+
+    def _count(
+        self, work: Work, kind: str, outcome: str, started: int
+    ) -> None:
+        """Count a request that ended."""
+        duration = self._clock.now() - started
+        self._metrics.count_request(kind, work.workspace, outcome, duration)
+        if outcome == 'left':
+            return
+        self._objectives.record_outcome(
+            work.workspace, work.group, outcome == 'done'
+        )
+        if kind != 'generation' and outcome == 'done':
+            self._objectives.record_time(
+                work.workspace, work.group, burn.Indicator.LATENCY, duration
+            )
+
+
+class _Run:
+    """What is known of a request when it ends."""
+
+    def __init__(self) -> None:
+        self.result: typing.Any = None
+        self.tokens = 0
+
+
+class _TokenWatch:
+    """Times the tokens of one stream."""
+
+    def __init__(
+        self,
+        clock: clock.Clock,
+        metrics: metrics.Metrics,
+        objective_service: objectives.ObjectiveService,
+    ) -> None:
+        self._clock = clock
+        self._metrics = metrics
+        self._objectives = objective_service
+        self._started = clock.now()
+        self._last: int | None = None
+
+    def see(
+        self,
+        request: requests.ModelRequest,
+        event: generation.GenerationEvent,
+    ) -> int:
+        """Record the times of an event and return its number of tokens."""
+        if not isinstance(event, generation.Tokens):
+            return 0
+        now = self._clock.now()
+        workspace, model = request.workspace, request.model
+        if self._last is None:
+            waited = now - self._started
+            self._metrics.observe_first_token(workspace, waited)
+            indicator = burn.Indicator.FIRST_TOKEN
+        else:
+            waited = (now - self._last) // max(1, len(event.texts))
+            indicator = burn.Indicator.BETWEEN_TOKENS
+        self._objectives.record_time(workspace, model, indicator, waited)
+        self._metrics.observe_tokens(workspace, len(event.texts), waited)
+        self._last = now
+        return len(event.texts)
+
+
+def build_action(
+    request: requests.OperationRequest,
+    resolved: directory.ResolvedOperation,
+    deadline: int,
+) -> actions.ActionRequest:
+    """Build the request of an action from that of a caller.
+
+    Parameters
+    ----------
+    request : requests.OperationRequest
+        What the caller sent.
+    resolved : directory.ResolvedOperation
+        What the configuration says of it.
+    deadline : int
+        Monotonic milliseconds after which nothing is sent.
+    """
+    return actions.ActionRequest(
+        workspace=request.workspace,
+        service=request.service,
+        operation=request.operation,
+        key=request.key,
+        body=request.body,
+        deadline=deadline,
+        targets=resolved.targets,
+        deduplicates=resolved.operation.deduplicates,
+        timeout_ms=resolved.operation.timeout_ms,
+        resent=request.resent,
+    )
+
+
+def _describe_call(called: calls.CallResult) -> results.ActionResult:
+    """Return the result that stands for an idempotent call."""
+    if isinstance(called, calls.CallAnswered):
+        answer = called.answer
+        return results.ActionDone(
+            answer.status, answer.content_type, answer.body, False
+        )
+    if called.ran:
+        return results.ActionUnknown(called.reason, called.retry_after_ms)
+    return results.ActionNotRun(called.reason, called.retry_after_ms, True)
+
+
+def _name_outcome(result: typing.Any) -> str:
+    """Return the label of an outcome in metrics."""
+    match result:
+        case results.ActionDone() | generation.Finished():
+            return 'done'
+        case results.ActionNotRun():
+            return 'not_run'
+        case results.ActionRefused():
+            return 'refused'
+        case results.ActionUnknown():
+            return 'unknown'
+        case generation.Failed():
+            return result.outcome.value.replace(' ', '_')
+        case _:
+            return 'left'
--- a/src/thornspool/application/requests.py
+++ b/src/thornspool/application/requests.py
@@ -19,6 +19,8 @@
         Idempotency key, empty when the caller gave none.
     body : bytes
         JSON text.
+    resent : bool
+        Whether the caller says that it sent the key before.
     """
 
     workspace: str
@@ -26,6 +28,7 @@
     operation: str
     key: str
     body: bytes
+    resent: bool = False
 
 
 @attrs.frozen
