Fuzz the action machines and read again before confirming nothing

Cause: an outcome may reach a writer whose page in memory is older than the grant that another entry wrote. The writer found no grant, confirmed the outcome without a write, and the runner forgot the attempt. The next sender was told "never ran" and ran the key again.

Seen: the first run of the fuzzing model failed with "a ran ['a-11', 'a-12']" after callers sent key a to three entries through a writer that another entry had overtaken.

Ruled out: writing a page for each such proposal, since the write would only prove what a read proves.

Change: an outcome or a release that changes nothing is confirmed only on a page that was read after it came. A model of entries, network, platform and target with an oracle drives the pure machines through random histories.

--- a/src/thornspool/domain/actions/writer.py
+++ b/src/thornspool/domain/actions/writer.py
@@ -154,6 +154,7 @@
     proposal: messages.Proposal
     since: int
     written: bool = False
+    read: bool = False
 
 
 class PageWriter:
@@ -184,6 +185,7 @@
         self._queue: list[_Waiting] = []
         self._batch: list[tuple[_Waiting, messages.Verdict]] = []
         self._draft_page = records.EMPTY_PAGE
+        self._stale = False
         self._next_write_at = 0
         self._wake_at: int | None = None
 
@@ -238,7 +240,7 @@
             self._version = event.version
             return
         if isinstance(event, WriteAccepted):
-            self._page = self._draft_page
+            self._page = None if self._stale else self._draft_page
             self._version = event.version
             return
         # Refused or unanswered: the page has another version now or may
@@ -269,6 +271,8 @@
             return commands
         if self._page is None:
             self._phase = _Phase.READING
+            for waiting in self._queue:
+                waiting.read = True
             return [*commands, ReadPage()]
         return commands + self._decide(self._page, now)
 
@@ -288,6 +292,7 @@
         draft = pages.Draft(page, self._slot, self._max_bytes)
         replies: list[WriterCommand] = []
         batch = []
+        stale = []
         drafted: set[str] = set()
         for waiting in self._queue:
             name = waiting.proposal.name
@@ -297,11 +302,15 @@
             if decision.changed or name in drafted:
                 drafted.add(name)
                 batch.append((waiting, decision.verdict))
+            elif _needs_read(waiting):
+                stale.append(waiting)
             else:
                 replies.append(Reply(waiting.number, decision.verdict))
-        self._queue = []
+        self._queue = stale
+        self._stale = bool(stale)
         if not batch:
-            return replies
+            self._page = None if stale else page
+            return replies + self._advance(now)
         return replies + self._write(draft, batch, now)
 
     def _write(
@@ -333,6 +342,19 @@
         return [Wake(at)]
 
 
+def _needs_read(waiting: _Waiting) -> bool:
+    """Return whether a proposal that changes nothing may not be confirmed.
+
+    The page in memory may be older than a grant that another entry wrote.
+    An outcome confirmed on such a page would be forgotten by its runner and
+    be nowhere; the next sender would be told "never ran" and run it again.
+    A page that was read after the proposal came can not be that old.
+    """
+    if isinstance(waiting.proposal, messages.GrantRequest):
+        return False
+    return not waiting.read
+
+
 def _give_up(waiting: _Waiting, retry_after_ms: int) -> Reply:
     verdict = messages.LedgerUnavailable(
         waiting.proposal.attempt, retry_after_ms, waiting.written
--- /dev/null
+++ b/tests/domain/actions/world.py
@@ -0,0 +1,404 @@
+"""A model of entries, network, platform and target for fuzzing.
+
+Everything that is on its way is an item that the fuzzer delivers, doubles,
+drops, delays or loses in any order. The oracle checks each execution and
+each answer as it happens.
+"""
+
+from __future__ import annotations
+
+import itertools
+import typing
+
+import attrs
+
+from thornspool.domain.actions import events
+from thornspool.domain.actions import keys
+from thornspool.domain.actions import messages
+from thornspool.domain.actions import records
+from thornspool.domain.actions import results
+from thornspool.domain.actions import runner
+from thornspool.domain.actions import writer
+
+LAYOUT = keys.Layout(buckets=1, slots=2)
+# The last key's slot shares its page with the slot of the others.
+SLOTS = {'a': 4, 'b': 4, 'dedup': 4, 'later': 6}
+HOWS = ('deliver', 'double', 'lose', 'drop', 'late')
+
+
+@attrs.define
+class Item:
+    """Something on its way; an empty owner needs no live entry."""
+
+    owner: str
+    act: typing.Callable[[str], None]
+    repeats: bool = True
+
+
+class Entry:
+    """One process: its runner, its page writers and its timers."""
+
+    def __init__(self, name: str) -> None:
+        self.name = name
+        self.frozen = False
+        self.runner = runner.Runner()
+        self.writers: dict[int, writer.PageWriter] = {}
+        self.replies: dict[int, typing.Callable[..., None]] = {}
+        self.wakes: list[tuple[int, int]] = []
+        self.deadlines: dict[str, int] = {}
+        self.requests: dict[str, messages.GrantRequest] = {}
+        self.asked: dict[str, int] = {}
+        self.unsettled: dict[str, messages.Proposal] = {}
+
+
+class World:
+    """All of the model and its oracle."""
+
+    def __init__(self, size: int = 3) -> None:
+        self.now = 0
+        self.down = False
+        self.items: list[Item] = []
+        self.pages: dict[str, tuple[records.Page, int]] = {}
+        self.numbers = itertools.count(1)
+        self.entries = [self._create() for _ in range(size)]
+        self.key_of: dict[str, str] = {}
+        self.executions: dict[str, list[str]] = {}
+        self.lost: set[str] = set()
+        self.denied: set[str] = set()
+        self.told: dict[str, results.ActionResult] = {}
+
+    def _create(self) -> Entry:
+        return Entry(f'entry-{next(self.numbers)}')
+
+    def find(self, name: str) -> Entry | None:
+        return next((e for e in self.entries if e.name == name), None)
+
+    # What callers, operators and time do.
+
+    def send(self, index: int, key: str, via: int, digest: str) -> str:
+        """Send a key to an entry; its grant is asked through another."""
+        entry = self.entries[index]
+        attempt = f'{key}-{next(self.numbers)}'
+        if entry.frozen:
+            return attempt
+        self.key_of[attempt] = key
+        event = events.ActionRequested(
+            attempt,
+            keys.PageAddress(0, SLOTS[key]),
+            key,
+            digest,
+            self.now + 2_000,
+            2,
+            key == 'dedup',
+        )
+        entry.deadlines[attempt] = event.deadline
+        entry.asked[attempt] = via
+        self.carry_out(entry, entry.runner.request(event, self.now))
+        return attempt
+
+    def step(self, number: int, how: str) -> None:
+        """Let one thing on its way go on."""
+        if not self.items:
+            return
+        index = number % len(self.items)
+        item = self.items[index]
+        owner = self.find(item.owner)
+        if owner is not None and owner.frozen:
+            return
+        if how != 'double' or not item.repeats:
+            del self.items[index]
+        if owner is not None or not item.owner:
+            item.act('deliver' if how == 'double' else how)
+
+    def advance(self, milliseconds: int) -> None:
+        """Let time pass; only entries that are awake notice."""
+        self.now += milliseconds
+        for entry in self.entries:
+            if entry.frozen:
+                continue
+            due = [wake for wake in entry.wakes if wake[0] <= self.now]
+            entry.wakes = [w for w in entry.wakes if w[0] > self.now]
+            for _, slot in due:
+                self.feed_writer(entry, slot, writer.TimePassed())
+            late = [a for a, at in entry.deadlines.items() if at <= self.now]
+            for attempt in late:
+                del entry.deadlines[attempt]
+                self.feed(entry, events.DeadlinePassed(attempt))
+
+    def fall_back(self, index: int) -> None:
+        """Have an entry write its grants itself and settle its records."""
+        entry = self.entries[index]
+        if entry.frozen:
+            return
+        for attempt in list(entry.requests):
+            if entry.runner.knows(attempt):
+                entry.asked[attempt] = -1
+                self.propose(entry, entry, entry.requests[attempt])
+        for proposal in list(entry.unsettled.values()):
+            self.propose(entry, entry, proposal)
+
+    def fall_silent(self, index: int) -> None:
+        """Have an entry give up waiting for any writer."""
+        entry = self.entries[index]
+        if not entry.frozen:
+            for attempt in list(entry.requests):
+                self.feed(entry, events.LedgerSilent(attempt))
+
+    def kill(self, index: int) -> None:
+        """Replace a process by a new one."""
+        self.entries[index] = self._create()
+
+    def settle(self) -> None:
+        """End all faults and let everything come to rest."""
+        self.down = False
+        for entry in self.entries:
+            entry.frozen = False
+        for _ in range(60):
+            while self.items:
+                self.step(0, 'deliver')
+            self.advance(200)
+            for index, entry in enumerate(self.entries):
+                if entry.unsettled:
+                    self.fall_back(index)
+            if not self.items and not any(
+                e.runner.open_count or e.wakes for e in self.entries
+            ):
+                return
+        raise AssertionError('the world did not come to rest')
+
+    # What entries do.
+
+    def feed(self, entry: Entry, event: events.RunnerEvent) -> None:
+        self.carry_out(entry, entry.runner.handle(event, self.now))
+
+    def carry_out(
+        self, entry: Entry, commands: list[events.RunnerCommand]
+    ) -> None:
+        for command in commands:
+            if isinstance(command, events.Answer):
+                self.answer(command)
+            elif isinstance(command, events.RequestGrant):
+                self.request(entry, command)
+            elif isinstance(command, events.Join):
+                entry.deadlines[command.running] = self.now + 2_000
+            elif isinstance(command, events.AskHolder):
+                self.ask_holder(entry, command)
+            elif isinstance(command, events.Dispatch):
+                self.call(entry, command.attempt)
+            elif isinstance(command, events.RecordOutcome):
+                address = command.address
+                outcome = messages.OutcomeRecord(
+                    address.bucket,
+                    address.slot,
+                    command.name,
+                    command.attempt,
+                    command.outcome,
+                )
+                self.settle_later(entry, outcome)
+            elif isinstance(command, events.ReleaseGrant):
+                address = command.address
+                release = messages.GrantRelease(
+                    address.bucket,
+                    address.slot,
+                    command.name,
+                    command.attempt,
+                )
+                self.settle_later(entry, release)
+
+    def settle_later(self, entry: Entry, proposal: messages.Proposal) -> None:
+        entry.unsettled[proposal.attempt] = proposal
+        via = self.entries[next(self.numbers) % len(self.entries)]
+        self.propose(entry, via, proposal)
+
+    def request(self, entry: Entry, command: events.RequestGrant) -> None:
+        key = self.key_of[command.attempt]
+        digest = entry.runner._attempts[command.attempt].request.digest
+        request = messages.GrantRequest(
+            0,
+            SLOTS[key],
+            key,
+            command.attempt,
+            entry.name,
+            entry.name,
+            digest,
+            0,
+            command.displaces,
+            command.uncertain,
+        )
+        entry.requests[command.attempt] = request
+        via = entry.asked[command.attempt] % len(self.entries)
+        self.propose(entry, self.entries[via], request)
+
+    def propose(
+        self, entry: Entry, via: Entry, proposal: messages.Proposal
+    ) -> None:
+        def reply(verdict: messages.Verdict) -> None:
+            self.items.append(
+                Item(entry.name, lambda _: self.hear(entry, proposal, verdict))
+            )
+
+        def receive(how: str) -> None:
+            if how not in ('lose', 'drop'):
+                number = next(self.numbers)
+                via.replies[number] = reply
+                received = writer.ProposalReceived(number, proposal)
+                self.feed_writer(via, proposal.slot, received)
+
+        self.items.append(Item(via.name, receive))
+
+    def hear(
+        self,
+        entry: Entry,
+        proposal: messages.Proposal,
+        verdict: messages.Verdict,
+    ) -> None:
+        unavailable = isinstance(verdict, messages.LedgerUnavailable)
+        if isinstance(proposal, messages.GrantRequest):
+            if unavailable and entry.asked[proposal.attempt] < 0:
+                verdict = attrs.evolve(verdict, maybe_written=True)
+            answered = events.LedgerAnswered(proposal.attempt, verdict)
+            self.feed(entry, answered)
+        elif not unavailable:
+            entry.unsettled.pop(proposal.attempt, None)
+            self.feed(entry, events.RecordConfirmed(proposal.attempt))
+
+    def ask_holder(self, entry: Entry, command: events.AskHolder) -> None:
+        def reply(report: messages.AttemptReport) -> None:
+            answered = events.HolderAnswered(command.attempt, report)
+            self.items.append(
+                Item(entry.name, lambda _: self.feed(entry, answered))
+            )
+
+        def receive(how: str) -> None:
+            holder = self.find(command.runner)
+            gone = messages.AttemptState.GONE
+            if how in ('lose', 'drop') or holder is None or holder.frozen:
+                reply(messages.AttemptReport(command.holder, gone))
+            else:
+                reply(holder.runner.report(command.holder))
+
+        self.items.append(Item('', receive))
+
+    # What the platform and the target do.
+
+    def feed_writer(
+        self, entry: Entry, slot: int, event: writer.WriterEvent
+    ) -> None:
+        if slot not in entry.writers:
+            entry.writers[slot] = writer.PageWriter(slot, writer.Pace())
+        for command in entry.writers[slot].handle(event, self.now):
+            if isinstance(command, writer.Reply):
+                entry.replies.pop(command.number)(command.verdict)
+            elif isinstance(command, writer.Wake):
+                entry.wakes.append((command.at, slot))
+            elif isinstance(command, writer.ReadPage):
+                self.read(entry, slot)
+            else:
+                self.write(entry, slot, command)
+
+    def read(self, entry: Entry, slot: int) -> None:
+        key = keys.format_page_key(keys.PageAddress(0, slot), LAYOUT)
+
+        def act(how: str) -> None:
+            if self.down or how == 'lose':
+                self.feed_writer(entry, slot, writer.ReadFailed(200))
+                return
+            found = self.pages.get(key, (records.EMPTY_PAGE, 0))
+            event = writer.PageRead(*found)
+            if how == 'deliver':
+                self.feed_writer(entry, slot, event)
+                return
+            later = Item(
+                entry.name,
+                lambda _: self.feed_writer(entry, slot, event),
+                False,
+            )
+            self.items.append(later)
+
+        self.items.append(Item(entry.name, act, False))
+
+    def write(
+        self, entry: Entry, slot: int, command: writer.WritePage
+    ) -> None:
+        key = keys.format_page_key(keys.PageAddress(0, slot), LAYOUT)
+
+        def land() -> writer.WriterEvent:
+            _, version = self.pages.get(key, (records.EMPTY_PAGE, 0))
+            if version != command.expected_version:
+                return writer.WriteRefused()
+            self.pages[key] = (command.page, version + 1)
+            return writer.WriteAccepted(version + 1)
+
+        def act(how: str) -> None:
+            event: writer.WriterEvent = writer.WriteUnanswered()
+            if how == 'late':
+                self.items.append(Item('', lambda _: void(land()), False))
+            elif how != 'drop' and not self.down:
+                landed = land()
+                event = landed if how == 'deliver' else event
+            answer = Item(
+                entry.name,
+                lambda _: self.feed_writer(entry, slot, event),
+                False,
+            )
+            self.items.append(answer)
+
+        self.items.append(Item('', act, False))
+
+    def call(self, entry: Entry, attempt: str) -> None:
+        key = self.key_of[attempt]
+
+        def act(how: str) -> None:
+            event: events.RunnerEvent = events.TargetLost(attempt)
+            if how == 'drop':
+                event = events.TargetUnreached(attempt)
+            elif how == 'late':
+                self.lost.add(key)
+            else:
+                body = self.execute(key, attempt)
+                if how == 'lose':
+                    self.lost.add(key)
+                else:
+                    outcome = records.Outcome(200, 'text/plain', body)
+                    event = events.TargetAnswered(attempt, outcome)
+            answer = Item(entry.name, lambda _: self.feed(entry, event), False)
+            self.items.append(answer)
+
+        self.items.append(Item('', act, False))
+
+    # The oracle.
+
+    def execute(self, key: str, attempt: str) -> bytes:
+        assert attempt not in self.denied, f'{attempt} ran after "not run"'
+        ran = self.executions.setdefault(key, [])
+        if key != 'dedup' or not ran:
+            ran.append(attempt)
+        assert len(ran) == 1, f'{key} ran {ran}'
+        return ran[0].encode()
+
+    def answer(self, command: events.Answer) -> None:
+        result = command.result
+        key = self.key_of[command.attempt]
+        ran = self.executions.get(key, [])
+        self.told[command.attempt] = result
+        if isinstance(result, results.ActionDone):
+            assert result.body == ran[0].encode(), f'{key}: {result}'
+        if isinstance(result, results.ActionNotRun):
+            self.denied.add(command.attempt)
+            assert command.attempt not in ran, f'{command.attempt} had run'
+            assert not (result.key_checked and ran), f'{key} had run'
+
+    def may_stay_unknown(self, key: str) -> bool:
+        """Return whether a key has a right to stay unknown for good."""
+        address = keys.PageAddress(0, SLOTS[key])
+        page, _ = self.pages[keys.format_page_key(address, LAYOUT)]
+        if page.slot > address.slot:
+            return True
+        record = page.records[key]
+        if record.state is records.RecordState.GRANTED:
+            return self.find(record.runner) is None
+        return key in self.lost
+
+
+def void(_: object) -> None:
+    """Drop a value."""
