--- a/src/thornspool/adapters/callers/context.py
+++ b/src/thornspool/adapters/callers/context.py
@@ -9,6 +9,7 @@
 if typing.TYPE_CHECKING:
     from collections.abc import AsyncIterator
 
+    from thornspool.application import membership
     from thornspool.application import requests
 
 
@@ -32,38 +33,11 @@
         ...
 
 
-@attrs.frozen
-class EntryList:
-    """Addresses for callers.
-
-    Attributes
-    ----------
-    entries : tuple of EntryAddress
-        Entries to use.
-    leaving : tuple of str
-        URLs that a caller has to stop using.
-    keep_ms : int
-        How long the answer may be kept, in milliseconds.
-    """
-
-    entries: tuple[EntryAddress, ...]
-    leaving: tuple[str, ...]
-    keep_ms: int
-
-
-@attrs.frozen
-class EntryAddress:
-    """URL and failure domain of one entry."""
-
-    url: str
-    failure_domain: str
-
-
 @attrs.frozen
 class CallerContext:
     """Everything that the handlers of callers use."""
 
     requests: RequestPort
-    list_entries: typing.Callable[[], EntryList]
+    list_entries: typing.Callable[[], membership.EntriesAnswer]
     make_request_id: typing.Callable[[], str]
     is_ready: typing.Callable[[], bool]
--- a/src/thornspool/adapters/servers.py
+++ b/src/thornspool/adapters/servers.py
@@ -8,12 +8,20 @@
 from tornado import httpserver
 from tornado import netutil
 
+from thornspool import exceptions
+
 if typing.TYPE_CHECKING:
     from tornado import web
 
     from thornspool import settings
 
 BACKLOG = 1024
+DEFAULT_BODY_LIMIT_BYTES = 8 * 1024 * 1024
+_HEADROOM_BYTES = 65_536
+
+
+class ListenError(exceptions.ThornspoolError):
+    """A listener can't be opened."""
 
 
 def make_tls(tls: settings.Tls | None) -> ssl.SSLContext | None:
@@ -41,49 +49,61 @@
 
 
 class Listener:
-    """An HTTP server on one address.
+    """An HTTP server on one address, bound before it answers.
 
     Parameters
     ----------
-    application : tornado.web.Application
-        What answers.
     listen : str
         ``ip:port``; port 0 lets the system choose.
     tls : settings.Tls or None
         Paths of the PEM files.
     body_limit_bytes : int
         Larger request bodies are refused.
+
+    Raises
+    ------
+    ListenError
+        The address can't be bound or the PEM files can't be read.
     """
 
     def __init__(
         self,
-        application: web.Application,
         listen: str,
         tls: settings.Tls | None,
-        body_limit_bytes: int,
+        body_limit_bytes: int = DEFAULT_BODY_LIMIT_BYTES,
     ) -> None:
         self._address, _, port = listen.rpartition(':')
         self._scheme = 'https' if tls else 'http'
-        self._sockets = netutil.bind_sockets(
-            int(port), self._address.strip('[]'), backlog=BACKLOG
-        )
-        self._server = httpserver.HTTPServer(
-            application,
-            ssl_options=make_tls(tls),
-            max_body_size=body_limit_bytes,
-            max_buffer_size=body_limit_bytes + 65_536,
-        )
+        self._body_limit_bytes = body_limit_bytes
+        self._server: httpserver.HTTPServer | None = None
+        try:
+            self._tls = make_tls(tls)
+            self._sockets = netutil.bind_sockets(
+                int(port), self._address.strip('[]'), backlog=BACKLOG
+            )
+        except OSError as error:
+            raise ListenError(
+                f'Can not listen on {listen}: {error}.',
+                'Correct "listen" or "tls" in the settings.',
+            ) from error
 
     def read_url(self) -> str:
         """Return the URL with the port that is listened on."""
         port = self._sockets[0].getsockname()[1]
         return f'{self._scheme}://{self._address}:{port}'
 
-    def start(self) -> None:
-        """Accept connections."""
+    def start(self, application: web.Application) -> None:
+        """Answer with an application."""
+        self._server = httpserver.HTTPServer(
+            application,
+            ssl_options=self._tls,
+            max_body_size=self._body_limit_bytes,
+            max_buffer_size=self._body_limit_bytes + _HEADROOM_BYTES,
+        )
         self._server.add_sockets(self._sockets)
 
     async def stop(self) -> None:
         """Accept nothing more and close what is open."""
-        self._server.stop()
-        await self._server.close_all_connections()
+        if self._server is not None:
+            self._server.stop()
+            await self._server.close_all_connections()
--- a/tests/adapters/callers/test_routes.py
+++ b/tests/adapters/callers/test_routes.py
@@ -11,6 +11,7 @@
 from thornspool.adapters.callers import routes
 from thornspool.application import exceptions
 from thornspool.application import generation_messages as generation
+from thornspool.application import membership
 from thornspool.application import requests
 from thornspool.domain.actions import results
 from thornspool.domain.pipelines import messages
@@ -80,10 +81,10 @@
 class RoutesTest(testing.AsyncHTTPTestCase):
     def get_app(self):
         self.requests = FakeRequests()
-        entries = context.EntryList(
-            (context.EntryAddress('http://10.0.0.1:8000', 'a'),),
-            ('http://10.0.0.9:8000',),
+        entries = membership.EntriesAnswer(
+            (membership.Entry('http://10.0.0.1:8000', 'a'),),
             10_000,
+            ('http://10.0.0.9:8000',),
         )
         return routes.make_application(
             context.CallerContext(
