Tell a target that leaves from one that answers with a conflict

Cause: a target that refuses a call to leave ran nothing, and another one may be tried; a conflict of the service itself is its answer. Proofs seen to fail: without the check the row 'leaving' failed; with any 409 taken for a refusal the three other rows failed.

--- /dev/null
+++ b/src/thornspool/adapters/targets/loads.py
@@ -0,0 +1,85 @@
+"""Reads the load report of a target over HTTP."""
+
+from __future__ import annotations
+
+import typing
+
+import attrs
+import msgspec
+from tornado import curl_httpclient
+from tornado import httpclient
+
+from thornspool.application import exceptions
+from thornspool.domain.targets import messages
+
+if typing.TYPE_CHECKING:
+    from thornspool import clock
+    from thornspool.domain.configuration import documents
+
+TIMEOUT_MS = 1000
+MAX_CLIENTS = 16
+
+
+@attrs.frozen
+class LoadBody:
+    """Body of a target's answer; unknown members are passed over."""
+
+    state: str
+    running: int = 0
+    waiting: int = 0
+    max_batch: int = 1
+    step_ms: float = 1.0
+
+
+class LoadReader:
+    """Asks targets for their load.
+
+    Parameters
+    ----------
+    clock : clock.Clock
+        Stamps each report with the time of its arrival.
+    """
+
+    def __init__(self, clock: clock.Clock) -> None:
+        self._clock = clock
+        self._client = curl_httpclient.CurlAsyncHTTPClient(
+            force_instance=True, max_clients=MAX_CLIENTS
+        )
+
+    def close(self) -> None:
+        """Close the connections."""
+        self._client.close()
+
+    async def fetch(self, target: documents.Target) -> messages.LoadReport:
+        """Read the report of one target.
+
+        Raises
+        ------
+        exceptions.TargetError
+            No report came in time, or it can't be understood.
+        """
+        request = httpclient.HTTPRequest(
+            f'{target.url}/v1/load',
+            connect_timeout=TIMEOUT_MS / 1000,
+            request_timeout=TIMEOUT_MS / 1000,
+        )
+        try:
+            response = await self._client.fetch(request)
+            body = msgspec.json.decode(response.body, type=LoadBody)
+        except (OSError, httpclient.HTTPError, msgspec.DecodeError) as error:
+            reason = f'No load report of {target.name}: {error}.'
+            raise exceptions.TargetNotReached(reason) from error
+        readiness = (
+            messages.Readiness.LEAVING
+            if body.state == messages.Readiness.LEAVING.value
+            else messages.Readiness.READY
+        )
+        return messages.LoadReport(
+            target=target.name,
+            received_at=self._clock.now(),
+            readiness=readiness,
+            running=body.running,
+            waiting=body.waiting,
+            max_batch=body.max_batch,
+            step_ms=body.step_ms,
+        )
--- a/src/thornspool/adapters/targets/services.py
+++ b/src/thornspool/adapters/targets/services.py
@@ -2,13 +2,18 @@
 
 from __future__ import annotations
 
+import http
 import typing
 import urllib.parse
 
+import attrs
+import msgspec
+
 from thornspool.adapters.platform import exceptions as platform_exceptions
 from thornspool.adapters.platform import transport
 from thornspool.application import exceptions
 from thornspool.application import ports
+from thornspool.domain.targets import messages
 
 if typing.TYPE_CHECKING:
     from tornado import httpclient
@@ -18,6 +23,13 @@
 _STATUSES_WITHOUT_BODY = frozenset({204, 304})
 
 
+@attrs.frozen
+class _Refusal:
+    """Body of a 409 by which a target says that it ran nothing."""
+
+    state: str
+
+
 class HttpServices:
     """The port of plain services; build it inside a running loop.
 
@@ -41,6 +53,8 @@
         ------
         TargetNotReached
             When not one byte was written.
+        TargetLeaving
+            When the target refused the call to leave, before running it.
         TargetAnswerLost
             When a byte may have been written and no whole answer came.
         """
@@ -70,6 +84,11 @@
                 f'The answer of {call.url} does not say where it ends.',
                 'It may have run; ask for the outcome of its key.',
             )
+        if _is_leaving(response):
+            raise exceptions.TargetLeaving(
+                f'The target at {call.url} is leaving.',
+                'Nothing was run; send the request again.',
+            )
         return ports.ServiceAnswer(
             response.code,
             response.headers.get('Content-Type', ''),
@@ -94,6 +113,17 @@
     return headers
 
 
+def _is_leaving(response: httpclient.HTTPResponse) -> bool:
+    """Tell whether a target refused a call, before running it, to leave."""
+    if response.code != http.HTTPStatus.CONFLICT:
+        return False
+    try:
+        refusal = msgspec.json.decode(response.body, type=_Refusal)
+    except msgspec.DecodeError:
+        return False
+    return refusal.state == messages.Readiness.LEAVING.value
+
+
 def _is_whole(response: httpclient.HTTPResponse) -> bool:
     """Tell whether an answer is known to be whole.
 
--- a/tests/adapters/targets/test_services.py
+++ b/tests/adapters/targets/test_services.py
@@ -165,3 +165,27 @@
         self.assertEqual({'key-1': 3}, state.fencing_tokens)
         server.stop()
         await server.close_all_connections()
+
+    async def test_only_a_refusal_to_leave_counts_as_not_run(self) -> None:
+        """A target leaves and refuses the call; another 409 is an answer.
+
+        The caller of a refused hold may be served by another target; one
+        whose hold met a conflict must see the conflict.
+        """
+        head = b'HTTP/1.1 409 Conflict\r\nContent-Length: %d\r\n\r\n%s'
+        bodies = {
+            b'{"state": "leaving"}': True,
+            b'{"state": "fenced"}': False,
+            b'{"error": "slot taken"}': False,
+            b'slot taken': False,
+        }
+        for body, left in bodies.items():
+            with self.subTest(body=body):
+                reply = head % (len(body), body)
+                async with broken.open_broken([reply]) as server:
+                    call = self.services.call(build_call(server.url))
+                    if left:
+                        with self.assertRaises(exceptions.TargetLeaving):
+                            await call
+                        continue
+                    self.assertEqual(409, (await call).status)
--- /dev/null
+++ b/tools/requester.py
@@ -0,0 +1,89 @@
+"""Small blocking HTTP requests for the demo, measurements and tests.
+
+They use the library's curl client, each on a loop of its own call.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import typing
+
+import attrs
+from tornado import curl_httpclient
+from tornado import httpclient
+
+TIMEOUT_S = 30.0
+
+
+@attrs.frozen
+class Answer:
+    """Status, headers and body of an answer."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+
+    def read_json(self) -> typing.Any:
+        """Return the decoded body."""
+        return json.loads(self.body)
+
+
+def send(
+    method: str,
+    url: str,
+    body: bytes | None = None,
+    headers: dict[str, str] | None = None,
+) -> Answer:
+    """Send one request and wait for its whole answer.
+
+    Parameters
+    ----------
+    method : str
+        HTTP method.
+    url : str
+        Whole URL.
+    body : bytes, optional
+        Request body.
+    headers : dict of str to str, optional
+        Request headers.
+    """
+    return asyncio.run(send_async(method, url, body, headers))
+
+
+async def send_async(
+    method: str,
+    url: str,
+    body: bytes | None = None,
+    headers: dict[str, str] | None = None,
+    on_chunk: typing.Callable[[bytes], None] | None = None,
+) -> Answer:
+    """Send one request on the running loop; chunks as they come if asked."""
+    client = curl_httpclient.CurlAsyncHTTPClient(force_instance=True)
+    try:
+        response = await client.fetch(
+            httpclient.HTTPRequest(
+                url,
+                method=method,
+                body=body,
+                headers=headers or {},
+                request_timeout=TIMEOUT_S,
+                streaming_callback=on_chunk,
+                allow_nonstandard_methods=True,
+            ),
+            raise_error=False,
+        )
+    finally:
+        client.close()
+    if response.code == 599:
+        raise ConnectionError(f'{method} {url}: {response.error}')
+    return Answer(response.code, dict(response.headers), response.body or b'')
+
+
+def read_events(body: bytes) -> list[tuple[str, typing.Any]]:
+    """Return name and data of each server-sent event of a stream."""
+    events = []
+    for block in body.decode().strip().split('\n\n'):
+        name, _, data = block.partition('\ndata: ')
+        events.append((name.removeprefix('event: '), json.loads(data)))
+    return events
