--- a/src/thornspool/settings.py
+++ b/src/thornspool/settings.py
@@ -15,7 +15,6 @@
     import pathlib
 
 DEFAULT_BODY_LIMIT_BYTES = 8 * 1024 * 1024
-DEFAULT_KEEP_ENTRIES_MS = 10_000
 
 
 class SettingsError(exceptions.ThornspoolError):
@@ -95,7 +94,6 @@
     peers: Peers
     platform: Platform
     region: str = ''
-    keep_entries_ms: int = DEFAULT_KEEP_ENTRIES_MS
     log_level: str = 'info'
     seed: int | None = None
 
