Resume answers through deaths, slow links and spoilt frames

Cause: tornado's client raises a transfer error even when told not to, so a death of the first engine ended the attempt's task with an error of the wrong layer: the request only went on after the stall bound and the death was told to nobody (three subtests printed `[] != [('a-head', ...)]`).

Change: transfer errors are translated where they come up; whether a byte may have been written is learnt from curl itself, which calls back right before it writes. Reading the connect time of the transfer was ruled out: the error carries none. Stand-ins end with the test that started them; before, a killed run left its engines behind.

--- a/src/thornspool/adapters/targets/engines.py
+++ b/src/thornspool/adapters/targets/engines.py
@@ -29,9 +29,6 @@
 _OK = 200
 _CONFLICT = 409
 _UNAVAILABLE = 503
-_UNREACHED = frozenset(
-    {pycurl.E_COULDNT_CONNECT, pycurl.E_COULDNT_RESOLVE_HOST}
-)
 
 
 @attrs.define
@@ -40,12 +37,14 @@
 
     handle: pycurl.Curl | None = None
     unwanted: bool = False
+    may_have_written: bool = False
 
     def prepare(self, handle: pycurl.Curl) -> None:
         """Have curl ask now and then whether to go on."""
         self.handle = handle
         handle.setopt(pycurl.NOPROGRESS, 0)
         handle.setopt(pycurl.XFERINFOFUNCTION, self._read_progress)
+        handle.setopt(pycurl.PREREQFUNCTION, self._note_connected)
 
     def abort(self) -> None:
         """Close the connection.
@@ -62,9 +61,18 @@
             self.handle.pause(pycurl.PAUSE_RECV)
             self.handle.pause(pycurl.PAUSE_CONT)
 
-    def forget(self, _fetch: object) -> None:
+    def _note_connected(self, *_addresses: object) -> int:
+        """Note that the request is written next."""
+        self.may_have_written = True
+        return int(pycurl.PREREQFUNC_OK)
+
+    def forget(self, fetch: asyncio.Future[httpclient.HTTPResponse]) -> None:
         """Let go of the handle: tornado uses it again for another call."""
         self.handle = None
+        # Nobody waits for a transfer that was broken off; its error is read
+        # here, or the loop would log each one as forgotten.
+        if not fetch.cancelled():
+            fetch.exception()
 
     def _read_progress(self, *_sizes: int) -> int:
         return 1 if self.unwanted else 0
@@ -181,12 +189,12 @@
         )
         fetch.add_done_callback(transfer.forget)
         try:
-            response = await asyncio.shield(fetch)
+            return await asyncio.shield(fetch)
         except asyncio.CancelledError:
             transfer.abort()
             raise
-        _check_transfer(response)
-        return response
+        except httpclient.HTTPError as error:
+            raise _translate(error, transfer.may_have_written) from error
 
 
 class _ChunkReader:
@@ -207,18 +215,16 @@
             self.error = error
 
 
-def _check_transfer(response: httpclient.HTTPResponse) -> None:
-    error = response.error
-    if not isinstance(error, curl_httpclient.CurlError):
-        return
-    never_connected = response.time_info.get('pretransfer', 0) == 0
-    if error.errno in _UNREACHED or never_connected:
-        raise exceptions.TargetNotReached(
-            f'The engine could not be reached: {error}.'
-        ) from error
-    raise exceptions.TargetAnswerLost(
-        f'The stream of the engine broke: {error}.'
-    ) from error
+def _translate(
+    error: httpclient.HTTPError, may_have_written: bool
+) -> exceptions.TargetError:
+    if may_have_written:
+        return exceptions.TargetAnswerLost(
+            f'The stream of the engine broke: {error}.'
+        )
+    return exceptions.TargetNotReached(
+        f'The engine could not be reached: {error}.'
+    )
 
 
 def _check_status(response: httpclient.HTTPResponse) -> None:
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -11,6 +11,8 @@
 import asyncio
 import hashlib
 import json
+import os
+import sys
 import typing
 
 import attrs
@@ -326,6 +328,7 @@
 def read_arguments(arguments: Sequence[str] | None) -> argparse.Namespace:
     """Read the command line."""
     parser = argparse.ArgumentParser(prog='engine', description=__doc__)
+    parser.add_argument('--guarded', action='store_true')
     parser.add_argument('--port', type=int, default=0)
     parser.add_argument('--name', default='engine-1')
     parser.add_argument('--kind', default='a')
@@ -355,6 +358,16 @@
     )
 
 
+def _end_with_parent() -> None:
+    """End when standard input closes, as it does when a test is killed."""
+
+    def read() -> None:
+        if not os.read(sys.stdin.fileno(), 1):
+            os._exit(0)
+
+    asyncio.get_running_loop().add_reader(sys.stdin.fileno(), read)
+
+
 async def serve(options: argparse.Namespace) -> None:
     """Serve until the process is ended."""
     engine = Engine(build_settings(options))
@@ -362,6 +375,8 @@
     server = httpserver.HTTPServer(build_application(engine))
     server.add_sockets(sockets)
     port = sockets[0].getsockname()[1]
+    if options.guarded:
+        _end_with_parent()
     print(json.dumps({'url': f'http://127.0.0.1:{port}'}), flush=True)
     await asyncio.gather(engine.batch.run(), engine.report())
 
--- a/tests/application/test_generation.py
+++ b/tests/application/test_generation.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import random
 import unittest
 
@@ -14,33 +15,70 @@
 from thornspool.application import generation_attempts
 from thornspool.application import generation_messages
 from thornspool.application import generation_planning
+from thornspool.domain.pipelines import messages
+
+STAGES = {
+    'a-head': (0, 8),
+    'a-tail': (8, 16),
+    'b-head': (0, 8),
+    'b-tail': (8, 16),
+}
+REASONS = messages.Reason
 
 
 class GenerationCase(unittest.IsolatedAsyncioTestCase):
-    def start_engines(self, stages, *options):
+    """Two engines for each half of a model; those of domain a are faster."""
+
+    def setUp(self):
         self.engines = {}
+        self.addCleanup(self.end_engines)
+
+    def end_engines(self):
+        while self.engines:
+            self.engines.popitem()[1].end()
+
+    def start_engines(self, stages=None):
+        stages = stages or STAGES
+        self.end_engines()
         for name, (first, end) in stages.items():
-            started = processes.EngineProcess(
-                name, '--first-layer', first, '--end-layer', end, *options
-            )
-            self.addCleanup(started.end)
+            layers = ('--first-layer', first, '--end-layer', end)
+            started = processes.EngineProcess(name, *layers, '--step-ms', 2)
             self.engines[name] = started
+        for started in self.engines.values():
+            started.wait()
         urls = {name: each.url for name, each in self.engines.items()}
         self.snapshot = builders.build_snapshot(stages, urls)
         self.view = builders.FakeTargetView()
+        now = clock.Clock().now()
+        for name in stages:
+            step = 2 if name.startswith('a') else 50
+            self.view.loads[name] = builders.build_load(
+                name, received_at=now, step_ms=step
+            )
 
-    def build_service(self, **options):
+    def build_service(self, bounds=None, **hooks):
+        self.failures = []
+        self.deaths = []
+        hooks.setdefault(
+            'note_failure', lambda *failure: self.failures.append(failure)
+        )
+        hooks.setdefault(
+            'note_death', lambda *death: self.deaths.append(death)
+        )
         self.client = engines.CurlEngines(max_streams=32)
         self.addCleanup(self.client.close)
         planning = generation_planning.Planning(
             'entry-1', lambda: self.snapshot, self.view, random.Random(7)
         )
-        self.hooks = options.pop('hooks', generation_attempts.Hooks())
         return generation.GenerationService(
-            clock.Clock(), self.client, planning, self.hooks, **options
+            clock.Clock(),
+            self.client,
+            planning,
+            generation_attempts.Hooks(**hooks),
+            bounds or generation.StreamBounds(3_000, 400),
         )
 
-    def build_request(self, request_id='r', max_tokens=12):
+    def build_request(self, request_id='r', max_tokens=12, wait_ms=20_000):
         return generation_messages.GenerationRequest(
             request_id=request_id,
             workspace='brokers',
@@ -48,7 +86,7 @@
             prompt=f'Prompt of {request_id}',
             max_tokens=max_tokens,
             priority=0,
-            deadline=clock.Clock().now() + 20_000,
+            deadline=clock.Clock().now() + wait_ms,
         )
 
     async def collect(self, service, request):
@@ -60,21 +98,217 @@
             texts.extend(event.texts)
         return texts, events[-1]
 
-    def list_expected(self, request, count):
-        return [
+    async def check_whole(self, service, request):
+        texts, last = await self.collect(service, request)
+        expected = [
             engine.compute_token(request.prompt, index)
-            for index in range(count)
+            for index in range(request.max_tokens)
+        ]
+        self.assertEqual(texts, expected)
+        self.assertEqual(last, generation_messages.Finished(len(expected)))
+        await service.close()
+
+    def list_indexes(self, target, request_id):
+        """Return which tokens a target computed for a request."""
+        return [
+            index
+            for count in self.engines[target].read_counts()
+            if count['request'] == request_id
+            for index in count['indexes']
         ]
 
 
 class GenerationServiceTest(GenerationCase):
     async def test_whole_answer_through_two_stages(self):
-        self.start_engines({'a-1': (0, 8), 'a-2': (8, 16)}, '--step-ms', 2)
+        self.start_engines()
+        await self.check_whole(self.build_service(), self.build_request())
+        for name in ('a-head', 'a-tail'):
+            self.assertEqual(self.list_indexes(name, 'r'), list(range(12)))
+
+    async def test_answers_of_requests_at_once_do_not_cross(self):
+        """Many callers ask at once; each must get its own answer.
+
+        If streams were mixed up, a caller would read another's text.
+        """
+        self.start_engines()
         service = self.build_service()
-        request = self.build_request()
-        texts, last = await self.collect(service, request)
-        self.assertEqual(texts, self.list_expected(request, 12))
-        self.assertEqual(last, generation_messages.Finished(12))
+        await asyncio.gather(
+            *(
+                self.check_whole(service, self.build_request(f'r-{number}'))
+                for number in range(20)
+            )
+        )
+
+    async def test_stage_that_dies_is_replaced(self):
+        """An engine's process dies around the work on a token.
+
+        The caller notices a pause and then gets the rest of the answer; the
+        death is told once, with what was in flight there.
+        """
+        for target in ('a-head', 'a-tail'):
+            for moment in ('before', 'during', 'after'):
+                with self.subTest(target=target, moment=moment):
+                    self.start_engines()
+                    self.engines[target].order(die_after=5, die_when=moment)
+                    service = self.build_service()
+                    request = self.build_request()
+                    await self.check_whole(service, request)
+                    prints = (
+                        generation_attempts.fingerprint_request(request),
+                    )
+                    self.assertEqual(self.deaths, [(target, prints)])
+
+    async def test_death_under_many_requests_is_told_once(self):
+        """One engine dies with several requests in flight.
+
+        Each of their streams breaks. Counted once for each, a single death
+        would look like many and condemn requests that merely shared the
+        target.
+        """
+        self.start_engines()
+        self.engines['a-tail'].order(die_after=20, die_when='during')
+        service = self.build_service()
+        requests = [self.build_request(f'r-{number}') for number in range(4)]
+        await asyncio.gather(
+            *(self.check_whole(service, request) for request in requests)
+        )
+        self.assertEqual(len(self.deaths), 1)
+        target, prints = self.deaths[0]
+        self.assertEqual(target, 'a-tail')
+        self.assertEqual(
+            set(prints),
+            set(map(generation_attempts.fingerprint_request, requests)),
+        )
+
+    async def test_spoilt_frames_never_reach_the_caller(self):
+        """An engine spoils the frame of one token in some way.
+
+        The caller must get the right text all the same: a doubled or late
+        frame is dropped, and after a lost or false one the rest is computed
+        by other engines.
+        """
+        cases = (
+            ('double', None),
+            ('late', None),
+            ('drop', REASONS.GAP),
+            ('cross', REASONS.GAP),
+            ('reorder', REASONS.GAP),
+            ('receipts', REASONS.RECEIPTS),
+        )
+        self.start_engines()
+        for kind, reason in cases:
+            with self.subTest(kind=kind):
+                self.engines['a-head'].order(corrupt=kind, corrupt_index=4)
+                service = self.build_service()
+                await self.check_whole(service, self.build_request(kind))
+                reasons = [noted for _, noted in self.failures]
+                self.assertEqual(reasons, [reason] if reason else [])
+
+    async def test_slow_link_is_left_and_remembered(self):
+        """The link between two engines slows a hundredfold, without a loss.
+
+        The tokens stop for longer than the bound. The answer goes on over
+        other engines, and the next request avoids the link from the start.
+        """
+        self.start_engines()
+        self.engines['a-head'].order(link_ms={'a-tail': 1_000})
+        service = self.build_service()
+        await self.check_whole(service, self.build_request('r'))
+        await self.check_whole(service, self.build_request('s'))
+        self.assertEqual(self.list_indexes('a-tail', 's'), [])
+
+    async def test_leaving_stage_gets_no_new_work(self):
+        """An engine is told to leave while its view here still says ready.
+
+        It answers that it is leaving; the request runs elsewhere, and no
+        retry is taken since nothing of it had run there.
+        """
+        for target in ('a-head', 'a-tail'):
+            with self.subTest(target=target):
+                self.start_engines()
+                self.engines[target].order(leave=True)
+                service = self.build_service(take_retry=lambda: False)
+                await self.check_whole(service, self.build_request())
+                self.assertEqual(self.list_indexes(target, 'r'), [])
+                self.assertEqual(self.failures, [(target, REASONS.REFUSED)])
+
+    async def test_leaving_stage_finishes_what_is_in_flight(self):
+        """An engine is told to leave in the middle of an answer.
+
+        The answer must go on to its end there: a planned stop cuts off no
+        request in flight.
+        """
+        self.start_engines()
+        service = self.build_service()
+        stream = service.stream(self.build_request())
+        await anext(stream)
+        for name in ('a-head', 'a-tail'):
+            self.engines[name].order(leave=True)
+        events = [event async for event in stream]
+        self.assertEqual(events[-1], generation_messages.Finished(12))
+        self.assertEqual(self.list_indexes('a-tail', 'r'), list(range(12)))
+
+    async def test_caller_that_leaves_stops_every_stage(self):
+        """A caller closes its connection in the middle of an answer.
+
+        Engines that went on would spend their time on text for nobody.
+        """
+        self.start_engines()
+        service = self.build_service()
+        stream = service.stream(self.build_request(max_tokens=5_000))
+        await anext(stream)
+        await stream.aclose()
+        await service.close()
+        before = self.list_indexes('a-head', 'r')
+        tail_before = self.list_indexes('a-tail', 'r')
+        await asyncio.sleep(0.1)
+        self.assertLess(len(before), 5_000)
+        self.assertEqual(self.list_indexes('a-head', 'r'), before)
+        self.assertEqual(self.list_indexes('a-tail', 'r'), tail_before)
+
+    async def test_failure_is_explicit_when_nothing_is_left(self):
+        """The only engine of the second half dies and none can replace it.
+
+        The caller must be told that the answer is not whole, and how much
+        of it came, instead of a stream that just stops.
+        """
+        self.start_engines({'a-head': (0, 8), 'a-tail': (8, 16)})
+        self.engines['a-tail'].order(die_after=5, die_when='before')
+        service = self.build_service()
+        texts, last = await self.collect(service, self.build_request())
+        self.assertEqual(last.reason, REASONS.NO_PIPELINE)
+        self.assertEqual(last.outcome, generation_messages.Outcome.UNKNOWN)
+        self.assertEqual(last.delivered, len(texts))
+        self.assertEqual(len(texts), 4)
+
+    async def test_not_run_is_said_only_when_no_engine_took_it(self):
+        """Every engine of the first half has gone before the request.
+
+        No connection could be made, so nothing ran and the caller may
+        safely send the request again.
+        """
+        self.start_engines()
+        for name in ('a-head', 'b-head'):
+            self.engines[name].end()
+        service = self.build_service()
+        texts, last = await self.collect(service, self.build_request())
+        self.assertEqual(texts, [])
+        self.assertEqual(last.reason, REASONS.NO_PIPELINE)
+        self.assertEqual(last.outcome, generation_messages.Outcome.NOT_RUN)
+        self.assertEqual(self.list_indexes('a-tail', 'r'), [])
+
+    async def test_deadline_ends_the_request(self):
+        """The engines are too slow for the request's deadline.
+
+        The caller gets its final answer at the deadline, and the engines
+        are told to stop.
+        """
+        self.start_engines()
         for each in self.engines.values():
-            counts = each.read_counts()
-            self.assertEqual(counts[0]['indexes'], list(range(12)))
+            each.order(slow=50.0)
+        service = self.build_service()
+        request = self.build_request(wait_ms=600)
+        texts, last = await self.collect(service, request)
+        self.assertEqual(last.reason, REASONS.DEADLINE)
+        self.assertLess(len(texts), 12)
+        await service.close()
--- a/tests/domain/pipelines/builders.py
+++ b/tests/domain/pipelines/builders.py
@@ -57,6 +57,19 @@
     )
 
 
+def build_load(target: str, **changes: object) -> messages.LoadReport:
+    """Build a load report of a target that is ready."""
+    values: dict[str, object] = {
+        'target': target,
+        'received_at': 0,
+        'readiness': messages.Readiness.READY,
+        'max_batch': 16,
+        'step_ms': 10.0,
+    }
+    values.update(changes)
+    return messages.LoadReport(**values)  # type: ignore[arg-type]
+
+
 def build_route(*targets: str, width: int = 4) -> routes.Route:
     """Build a route of stages that hold equally many layers."""
     return routes.Route(
--- a/tests/standins/processes.py
+++ b/tests/standins/processes.py
@@ -16,14 +16,18 @@
 
     def __init__(self, name: str, *options: object) -> None:
         self.name = name
-        command = [sys.executable, '-m', 'standins.engine', '--name', name]
+        command = [sys.executable, '-m', 'standins.engine']
         self._process = subprocess.Popen(
-            command + [str(option) for option in options],
+            [*command, '--name', name, '--guarded', *map(str, options)],
+            stdin=subprocess.PIPE,
             stdout=subprocess.PIPE,
         )
+        self.url = ''
+
+    def wait(self) -> None:
+        """Wait until it listens."""
         assert self._process.stdout is not None
-        line = self._process.stdout.readline()
-        self.url: str = json.loads(line)['url']
+        self.url = json.loads(self._process.stdout.readline())['url']
 
     def order(self, **orders: object) -> None:
         """Give the engine a control order."""
@@ -44,5 +48,7 @@
         """End the process."""
         self._process.kill()
         self._process.wait(_TIMEOUT_S)
+        assert self._process.stdin is not None
         assert self._process.stdout is not None
+        self._process.stdin.close()
         self._process.stdout.close()
