Read a page again before telling that another attempt holds a key

Cause: a page writer answers from the page in its memory. Once another entry had written the page, a grant that was long released was still found there. Its runner was gone, so every sender through this writer was told "outcome unknown", for as long as the page stayed in memory: a lost hold.

Change: every verdict that no write proves and that may change waits for a page read after its proposal came; final ones (own grant, known end, dropped record) are answered from memory. Outcomes and releases are one command. Tables of faults alone (14) and in pairs (392) run through the whole service on virtual time; direct tests of keys, pages, writer and runner. The table's row for a runner that only its peers can not reach now expects the recorded outcome, since the page is read again.

--- a/src/thornspool/application/actions.py
+++ b/src/thornspool/application/actions.py
@@ -362,10 +362,8 @@
             self._start(self._ask_holder(call, command))
         elif isinstance(command, events.Dispatch):
             self._start(self._dispatch(call, command))
-        elif isinstance(command, events.RecordOutcome):
-            self._start(self._settle(_name_outcome(command)))
-        elif isinstance(command, events.ReleaseGrant):
-            self._start(self._settle(_name_release(command)))
+        elif isinstance(command, events.Settle):
+            self._start(self._settle(command.proposal))
 
     def _start(
         self, work: typing.Coroutine[typing.Any, typing.Any, None]
@@ -405,7 +403,7 @@
             command.holder,
             command.runner,
             command.runner_address,
-            min(left, self._settings.join_ms),
+            min(left, self._settings.join_ms) if command.wait else 0,
         )
         self._feed(events.HolderAnswered(command.attempt, report))
 
@@ -488,22 +486,3 @@
     parts = (request.service, request.operation)
     head = '\0'.join(parts).encode() + b'\0'
     return hashlib.blake2b(head + request.body, digest_size=16).hexdigest()
-
-
-def _name_outcome(command: events.RecordOutcome) -> messages.OutcomeRecord:
-    return messages.OutcomeRecord(
-        command.address.bucket,
-        command.address.slot,
-        command.name,
-        command.attempt,
-        records.trim_outcome(command.outcome),
-    )
-
-
-def _name_release(command: events.ReleaseGrant) -> messages.GrantRelease:
-    return messages.GrantRelease(
-        command.address.bucket,
-        command.address.slot,
-        command.name,
-        command.attempt,
-    )
--- a/src/thornspool/domain/actions/events.py
+++ b/src/thornspool/domain/actions/events.py
@@ -139,12 +139,17 @@
 
 @attrs.frozen
 class AskHolder:
-    """Ask the runner of another attempt how far that is."""
+    """Ask the runner of another attempt how far that is.
+
+    The first question does not wait for the attempt's end, so that a runner
+    that is gone is noticed long before the caller's deadline.
+    """
 
     attempt: str
     holder: str
     runner: str
     runner_address: str
+    wait: bool = False
 
 
 @attrs.frozen
@@ -157,22 +162,11 @@
 
 
 @attrs.frozen
-class RecordOutcome:
-    """Have the ledger record an outcome, until it is confirmed."""
+class Settle:
+    """Propose an outcome or a release until the ledger has settled it."""
 
     attempt: str
-    address: keys.PageAddress
-    name: str
-    outcome: records.Outcome
-
-
-@attrs.frozen
-class ReleaseGrant:
-    """Have the ledger release a voided attempt, until it is confirmed."""
-
-    attempt: str
-    address: keys.PageAddress
-    name: str
+    proposal: messages.OutcomeRecord | messages.GrantRelease
 
 
 @attrs.frozen
@@ -191,12 +185,4 @@
     running: str
 
 
-RunnerCommand = (
-    RequestGrant
-    | AskHolder
-    | Dispatch
-    | RecordOutcome
-    | ReleaseGrant
-    | Answer
-    | Join
-)
+RunnerCommand = RequestGrant | AskHolder | Dispatch | Settle | Answer | Join
--- a/src/thornspool/domain/actions/runner.py
+++ b/src/thornspool/domain/actions/runner.py
@@ -55,6 +55,7 @@
     deadline: int
     phase: events.Phase = events.Phase.ASKING
     holder: str = ''
+    question: events.AskHolder | None = None
     fencing_token: int = 0
     uncertain: bool = False
     granted: bool = False
@@ -230,14 +231,21 @@
         attempt.phase = events.Phase.JOINING
         attempt.holder = record.attempt
         attempt.uncertain = record.uncertain
-        return [
-            events.AskHolder(
-                attempt.request.attempt,
-                record.attempt,
-                record.runner,
-                record.runner_address,
-            )
-        ]
+        attempt.question = events.AskHolder(
+            attempt.request.attempt,
+            record.attempt,
+            record.runner,
+            record.runner_address,
+        )
+        return [attempt.question]
+
+    def _ask_again(self, attempt: _Attempt, now: int) -> _Commands:
+        """Wait for a holder that has said that its attempt is running."""
+        assert attempt.question is not None
+        attempt.asks += 1
+        if now >= attempt.deadline or attempt.asks > self._settings.max_asks:
+            return self._end_unknown(attempt, results.UNKNOWN_RUNNING)
+        return [attrs.evolve(attempt.question, wait=True)]
 
     def _take_report(
         self, attempt: _Attempt, event: events.HolderAnswered, now: int
@@ -250,7 +258,7 @@
             assert report.outcome is not None
             return self._take_outcome(attempt, report.outcome, now)
         if report.state is messages.AttemptState.RUNNING:
-            return self._ask_ledger(attempt, '', False, now)
+            return self._ask_again(attempt, now)
         if report.state is messages.AttemptState.VOID:
             if attempt.uncertain and not attempt.request.deduplicates:
                 return self._end_unknown(attempt, results.UNKNOWN_ANSWER_LOST)
@@ -370,10 +378,14 @@
         result = _say_not_run(attempt, reason, retry_after_ms)
         self._pending.add(attempt.request.attempt)
         request = attempt.request
-        release = events.ReleaseGrant(
-            request.attempt, request.address, request.name
+        release = messages.GrantRelease(
+            request.address.bucket,
+            request.address.slot,
+            request.name,
+            request.attempt,
         )
-        return [*self._forget(attempt, result), release]
+        settle = events.Settle(request.attempt, release)
+        return [*self._forget(attempt, result), settle]
 
     def _end(
         self,
@@ -385,11 +397,16 @@
         attempt.phase = events.Phase.DONE
         attempt.outcome = outcome
         request = attempt.request
+        record = messages.OutcomeRecord(
+            request.address.bucket,
+            request.address.slot,
+            request.name,
+            request.attempt,
+            records.trim_outcome(outcome),
+        )
         return [
             events.Answer(request.attempt, result),
-            events.RecordOutcome(
-                request.attempt, request.address, request.name, outcome
-            ),
+            events.Settle(request.attempt, record),
         ]
 
     def _end_unknown(self, attempt: _Attempt, reason: str) -> _Commands:
--- a/src/thornspool/domain/actions/writer.py
+++ b/src/thornspool/domain/actions/writer.py
@@ -302,7 +302,7 @@
             if decision.changed or name in drafted:
                 drafted.add(name)
                 batch.append((waiting, decision.verdict))
-            elif _needs_read(waiting):
+            elif not (waiting.read or _is_final(decision.verdict)):
                 stale.append(waiting)
             else:
                 replies.append(Reply(waiting.number, decision.verdict))
@@ -342,17 +342,19 @@
         return [Wake(at)]
 
 
-def _needs_read(waiting: _Waiting) -> bool:
-    """Return whether a proposal that changes nothing may not be confirmed.
+def _is_final(verdict: messages.Verdict) -> bool:
+    """Return whether a verdict holds on every later page, too.
 
-    The page in memory may be older than a grant that another entry wrote.
-    An outcome confirmed on such a page would be forgotten by its runner and
-    be nowhere; the next sender would be told "never ran" and run it again.
-    A page that was read after the proposal came can not be that old.
+    The page in memory may be older than what other entries wrote. An
+    outcome whose grant is missing there would be confirmed, be forgotten by
+    its runner and be nowhere: the next sender would be told "never ran" and
+    run it again. A grant that is long released would still be found there,
+    and its key be held for good. So every verdict that no write proves and
+    that may change needs a page that was read after its proposal came.
     """
-    if isinstance(waiting.proposal, messages.GrantRequest):
-        return False
-    return not waiting.read
+    if isinstance(verdict, messages.RecordFound):
+        return verdict.record.state is records.RecordState.DONE
+    return isinstance(verdict, messages.GrantGiven | messages.RecordDropped)
 
 
 def _give_up(waiting: _Waiting, retry_after_ms: int) -> Reply:
--- a/tests/application/builders.py
+++ b/tests/application/builders.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import collections
 import random
 import typing
 
@@ -25,6 +26,30 @@
     network: fakes.FakeNetwork
     services: fakes.FakeServices
     entries: list[actions.ActionService]
+    view: fakes.FakeMembers
+    settings: actions.ActionSettings | None = None
+
+    def restart(self, number: int) -> None:
+        """Start an entry anew at the address that it had or will have."""
+        made = builders.build_member(
+            f'entry-{number}',
+            incarnation=f'entry-{number}-{len(self.entries)}',
+        )
+        self.view.members = (
+            *(m for m in self.view.members if m.host != made.host),
+            made,
+        )
+        service = actions.ActionService(
+            self.clock,
+            self.platform,
+            fakes.FakePeers(self.network, made),
+            self.services,
+            self.view,
+            made,
+            random.Random(len(self.entries)),
+            self.settings,
+        )
+        self.entries[number : number + 1] = [service]
 
     def build_request(
         self, seed: int = 1, **changes: typing.Any
@@ -58,28 +83,23 @@
     size: int = 3, settings: actions.ActionSettings | None = None
 ) -> Fleet:
     """Build entries that share one platform and one network."""
-    clock = builders.FakeClock()
-    platform = fakes.FakePlatform()
-    network = fakes.FakeNetwork()
-    services = fakes.FakeServices()
-    members = tuple(
-        builders.build_member(f'entry-{number}') for number in range(size)
+    fleet = Fleet(
+        builders.FakeClock(),
+        fakes.FakePlatform(),
+        fakes.FakeNetwork(),
+        fakes.FakeServices(),
+        [],
+        fakes.FakeMembers(()),
+        settings,
     )
-    view = fakes.FakeMembers(members)
-    entries = [
-        actions.ActionService(
-            clock,
-            platform,
-            fakes.FakePeers(network, member),
-            services,
-            view,
-            member,
-            random.Random(number),
-            settings,
-        )
-        for number, member in enumerate(members)
-    ]
-    return Fleet(clock, platform, network, services, entries)
+    for number in range(size):
+        fleet.restart(number)
+    return fleet
+
+
+def slow_down(fleet: Fleet) -> None:
+    """Have the first target run its next call and answer it late."""
+    fleet.services.faults['http://booking-1'] = collections.deque(['slow'])
 
 
 def count_kinds(results: Iterable[actions.ActionResult]) -> dict[str, int]:
--- a/tests/application/fakes.py
+++ b/tests/application/fakes.py
@@ -7,6 +7,8 @@
 import selectors
 import typing
 
+from structlog import testing
+
 from thornspool.application import exceptions
 from thornspool.application import ports
 
@@ -51,8 +53,11 @@
     clock: builders.FakeClock,
     work: typing.Coroutine[typing.Any, typing.Any, typing.Any],
 ) -> typing.Any:
-    """Run a coroutine to its end in virtual time."""
-    with asyncio.Runner(loop_factory=lambda: VirtualLoop(clock)) as runner:
+    """Run a coroutine to its end in virtual time, with its logs kept in."""
+    with (
+        testing.capture_logs(),
+        asyncio.Runner(loop_factory=lambda: VirtualLoop(clock)) as runner,
+    ):
         return runner.run(work)
 
 
--- a/tests/application/test_actions.py
+++ b/tests/application/test_actions.py
@@ -3,14 +3,15 @@
 from __future__ import annotations
 
 import asyncio
+import collections
+import itertools
 import typing
 import unittest
 
 from tests.application import builders
 from tests.application import fakes
-
-if typing.TYPE_CHECKING:
-    from thornspool.application import actions
+from thornspool.application import actions
+from thornspool.domain.actions import results
 
 
 class ActionServiceTest(unittest.TestCase):
@@ -33,3 +34,228 @@
         self.assertEqual(1, len({answer.body for answer in told}))
         self.assertEqual(1, sum(not answer.replayed for answer in told))
         self.assertEqual([1], list(fleet.services.executions.values()))
+
+    def test_single_faults_have_known_outcomes(self) -> None:
+        """Each fault alone, then the caller sends again elsewhere.
+
+        The three columns are what the first call is told, what the second
+        one is told once the fault is over, and how often the action ran.
+        """
+        done, unknown, not_run = 'ActionDone', 'ActionUnknown', 'ActionNotRun'
+        table = {
+            'none': (done, done, 1),
+            'write lost, done': (done, done, 1),
+            'write lost, late': (done, done, 1),
+            'write lost, never': (done, done, 1),
+            'writes lost, never': (done, done, 1),
+            'platform down': (not_run, done, 1),
+            'writer silent': (done, done, 1),
+            'grant reply lost': (done, done, 1),
+            'target refused': (done, done, 1),
+            'targets refused': (not_run, done, 1),
+            'answer lost': (unknown, unknown, 1),
+            'answer lost, not run': (unknown, unknown, 0),
+            'target slow': (unknown, done, 1),
+            'runner cut off': (unknown, done, 1),
+        }
+        self.assertEqual(set(FAULTS), set(table))
+        for name, expected in table.items():
+            with self.subTest(name):
+                first, second, ran = send_twice([name])
+                told = (type(first).__name__, type(second).__name__, ran)
+                self.assertEqual(expected, told)
+
+    def test_faults_in_pairs_keep_what_must_hold(self) -> None:
+        """Two faults at once, for both kinds of operations.
+
+        A payout must not run twice, "not run" must be true, and a key that
+        was answered "not run" must run when it is sent again.
+        """
+        pairs = itertools.product(FAULTS, FAULTS, (False, True))
+        for first_fault, second_fault, deduplicates in pairs:
+            with self.subTest(f'{first_fault} and {second_fault}'):
+                first, second, ran = send_twice(
+                    [first_fault, second_fault], deduplicates
+                )
+                self.assertLessEqual(ran, 1)
+                self.assertNotIsInstance(second, actions.ActionNotRun)
+                if isinstance(first, actions.ActionNotRun):
+                    self.assertIsInstance(second, actions.ActionDone)
+                if deduplicates:
+                    self.assertIsInstance(second, actions.ActionDone)
+
+    def test_same_key_with_another_body_is_refused(self) -> None:
+        """A caller's bug uses one key for two payouts."""
+        fleet = builders.build_fleet()
+
+        async def work() -> None:
+            await fleet.entries[0].run(fleet.build_request())
+            other = fleet.build_request(body=b'{"sum": 2}')
+            for entry in fleet.entries:
+                told = await entry.run(other)
+                self.assertIsInstance(told, actions.ActionRefused)
+
+        fakes.run(fleet.clock, work())
+        self.assertEqual(1, fleet.services.executions.total())
+
+    def test_restarted_entry_does_not_answer_for_the_old_one(self) -> None:
+        """An entry dies while its call runs, and starts at its address.
+
+        The new process knows nothing of the call. Taken for "never ran",
+        its silence would let the hold be placed twice.
+        """
+        fleet = builders.build_fleet()
+        builders.slow_down(fleet)
+        fleet.services.slow_ms = 60_000
+
+        async def work() -> actions.ActionResult:
+            request = fleet.build_request(deadline=fleet.clock.now() + 500)
+            await fleet.entries[0].run(request)
+            fleet.restart(0)
+            return await fleet.entries[1].run(fleet.build_request())
+
+        told = fakes.run(fleet.clock, work())
+        assert isinstance(told, actions.ActionUnknown)
+        self.assertEqual(results.UNKNOWN_RUNNER_GONE, told.reason)
+        self.assertEqual(1, fleet.services.executions.total())
+
+    def test_outage_refuses_at_once_and_is_probed(self) -> None:
+        """The platform is down for long; callers must not wait for it."""
+        fleet = builders.build_fleet(1)
+        fleet.platform.down = True
+
+        async def work() -> None:
+            (entry,) = fleet.entries
+            await entry.run(fleet.build_request(1))
+            for seed in range(2, 100):
+                before = fleet.clock.now()
+                told = await entry.run(fleet.build_request(seed))
+                assert isinstance(told, actions.ActionNotRun)
+                self.assertGreater(told.retry_after_ms, 0)
+                self.assertEqual(before, fleet.clock.now())
+            self.assertEqual(1, fleet.platform.reads)
+            fleet.platform.down = False
+            await asyncio.sleep(2.5)
+            told_later = await entry.run(fleet.build_request(2))
+            self.assertIsInstance(told_later, actions.ActionDone)
+
+        fakes.run(fleet.clock, work())
+
+    def test_look_up_tells_what_is_on_record(self) -> None:
+        fleet = builders.build_fleet()
+        fleet.services.faults['http://booking-1'] = collections.deque(['slow'])
+
+        async def work() -> list[str]:
+            entry, other, _ = fleet.entries
+            request = fleet.build_request()
+            reasons = []
+            for wait in (0, 0.2, 3):
+                await asyncio.sleep(wait)
+                told = await other.look_up('swan', request.key)
+                reasons.append(getattr(told, 'reason', 'done'))
+                if not wait:
+                    running = asyncio.ensure_future(entry.run(request))
+            await running
+            return reasons
+
+        self.assertEqual(
+            [results.UNKNOWN_NO_RECORD, results.UNKNOWN_RUNNING, 'done'],
+            fakes.run(fleet.clock, work()),
+        )
+
+
+def queue_writes(*faults: str) -> typing.Callable[[builders.Fleet], None]:
+    """Return a fault of the next writes."""
+    return lambda fleet: fleet.platform.faults.extend(faults)
+
+
+def queue_calls(**faults: str) -> typing.Callable[[builders.Fleet], None]:
+    """Return faults of the next calls to targets, by number of target."""
+
+    def apply(fleet: builders.Fleet) -> None:
+        for target, fault in faults.items():
+            queued = fleet.services.faults.setdefault(
+                f'http://booking-{target[1:]}', collections.deque()
+            )
+            queued.append(fault)
+
+    return apply
+
+
+def take_platform_down(fleet: builders.Fleet) -> None:
+    fleet.platform.down = True
+
+
+def cut_writers(fleet: builders.Fleet) -> None:
+    fleet.network.cut.update(f'tcp://entry-{n}:7000' for n in (1, 2))
+
+
+def lose_replies(fleet: builders.Fleet) -> None:
+    fleet.network.lose_replies.add('GrantRequest')
+
+
+def cut_runner(fleet: builders.Fleet) -> None:
+    queue_calls(t1='slow')(fleet)
+    loop = asyncio.get_running_loop()
+    loop.call_later(0.5, fleet.network.cut.add, 'tcp://entry-0:7000')
+    loop.call_later(0.5, take_platform_down, fleet)
+
+
+FAULTS: dict[str, typing.Callable[[builders.Fleet], None]] = {
+    'none': lambda fleet: None,
+    'write lost, done': queue_writes('unknown-done'),
+    'write lost, late': queue_writes('unknown-late'),
+    'write lost, never': queue_writes('unknown-never'),
+    'writes lost, never': queue_writes(*['unknown-never'] * 3),
+    'platform down': take_platform_down,
+    'writer silent': cut_writers,
+    'grant reply lost': lose_replies,
+    'target refused': queue_calls(t1='refused'),
+    'targets refused': queue_calls(t1='refused', t2='refused'),
+    'answer lost': queue_calls(t1='lost'),
+    'answer lost, not run': queue_calls(t1='lost-before'),
+    'target slow': queue_calls(t1='slow'),
+    'runner cut off': cut_runner,
+}
+
+
+def send_twice(
+    faults: list[str], deduplicates: bool = False
+) -> tuple[actions.ActionResult, actions.ActionResult, int]:
+    """Send a key under faults, then again through another entry.
+
+    Returns
+    -------
+    tuple
+        Both results and the number of executions. The runner that is cut
+        off stays so; every other fault is over before the second call.
+    """
+    fleet = builders.build_fleet()
+    fleet.services.deduplicates = deduplicates
+    fleet.services.slow_ms = 1_500
+
+    async def work() -> tuple[actions.ActionResult, actions.ActionResult]:
+        for fault in faults:
+            FAULTS[fault](fleet)
+        first = await fleet.entries[0].run(
+            fleet.build_request(
+                deduplicates=deduplicates, deadline=fleet.clock.now() + 1_400
+            )
+        )
+        if isinstance(first, actions.ActionNotRun):
+            assert not fleet.services.executions
+        await asyncio.sleep(2)
+        fleet.platform.down = False
+        fleet.platform.faults.clear()
+        fleet.services.faults.clear()
+        fleet.network.lose_replies.clear()
+        if 'runner cut off' not in faults:
+            fleet.network.cut.clear()
+        await asyncio.sleep(6)
+        second = await fleet.entries[1].run(
+            fleet.build_request(deduplicates=deduplicates)
+        )
+        return first, second
+
+    first, second = fakes.run(fleet.clock, work())
+    return first, second, fleet.services.executions.total()
--- a/tests/domain/actions/world.py
+++ b/tests/domain/actions/world.py
@@ -62,6 +62,7 @@
         self.numbers = itertools.count(1)
         self.entries = [self._create() for _ in range(size)]
         self.key_of: dict[str, str] = {}
+        self.digest_of: dict[str, str] = {}
         self.executions: dict[str, list[str]] = {}
         self.lost: set[str] = set()
         self.denied: set[str] = set()
@@ -82,6 +83,7 @@
         if entry.frozen:
             return attempt
         self.key_of[attempt] = key
+        self.digest_of[attempt] = digest
         event = events.ActionRequested(
             attempt,
             keys.PageAddress(0, SLOTS[key]),
@@ -185,25 +187,8 @@
                 self.ask_holder(entry, command)
             elif isinstance(command, events.Dispatch):
                 self.call(entry, command.attempt)
-            elif isinstance(command, events.RecordOutcome):
-                address = command.address
-                outcome = messages.OutcomeRecord(
-                    address.bucket,
-                    address.slot,
-                    command.name,
-                    command.attempt,
-                    command.outcome,
-                )
-                self.settle_later(entry, outcome)
-            elif isinstance(command, events.ReleaseGrant):
-                address = command.address
-                release = messages.GrantRelease(
-                    address.bucket,
-                    address.slot,
-                    command.name,
-                    command.attempt,
-                )
-                self.settle_later(entry, release)
+            elif isinstance(command, events.Settle):
+                self.settle_later(entry, command.proposal)
 
     def settle_later(self, entry: Entry, proposal: messages.Proposal) -> None:
         entry.unsettled[proposal.attempt] = proposal
@@ -212,7 +197,7 @@
 
     def request(self, entry: Entry, command: events.RequestGrant) -> None:
         key = self.key_of[command.attempt]
-        digest = entry.runner._attempts[command.attempt].request.digest
+        digest = self.digest_of[command.attempt]
         request = messages.GrantRequest(
             0,
             SLOTS[key],
@@ -383,6 +368,8 @@
         self.told[command.attempt] = result
         if isinstance(result, results.ActionDone):
             assert result.body == ran[0].encode(), f'{key}: {result}'
+            bodies = {self.digest_of[a] for a in (ran[0], command.attempt)}
+            assert len(bodies) == 1, f'{command.attempt} got {ran[0]}'
         if isinstance(result, results.ActionNotRun):
             self.denied.add(command.attempt)
             assert command.attempt not in ran, f'{command.attempt} had run'
