--- /dev/null
+++ b/tests/application/fleet.py
@@ -0,0 +1,87 @@
+"""Builders of several entries in one process, with messages that fail."""
+
+from __future__ import annotations
+
+import typing
+
+from tests import builders
+from thornspool.application import exceptions
+from thornspool.application import ports
+
+Handler = typing.Callable[[str, typing.Any], typing.Awaitable[typing.Any]]
+
+
+class FakeView:
+    def __init__(self, members: tuple[ports.Member, ...]) -> None:
+        self.members = members
+
+    def list_members(self) -> tuple[ports.Member, ...]:
+        return self.members
+
+    def find(self, incarnation: str) -> ports.Member | None:
+        for member in self.members:
+            if member.incarnation == incarnation:
+                return member
+        return None
+
+
+class FakeNetwork:
+    """Carries messages; loses requests, replies and told ones on demand."""
+
+    def __init__(self) -> None:
+        self.handlers: dict[str, dict[type, Handler]] = {}
+        self.gone: set[str] = set()
+        self.lose_replies = 0
+        self.lose_tells = 0
+        self.told: list[tuple[str, str, typing.Any]] = []
+        self.failing: set[str] = set()
+        self.asked = 0
+
+    async def deliver(self) -> None:
+        """Hand over what was told, in order."""
+        while self.told:
+            sender, address, message = self.told.pop(0)
+            handler = self.handlers.get(address, {}).get(type(message))
+            if handler is not None and address not in self.gone:
+                await handler(sender, message)
+
+
+class FakePeers:
+    def __init__(self, network: FakeNetwork, member: ports.Member) -> None:
+        self._network = network
+        self._me = member
+        network.handlers[member.peer_address] = {}
+
+    def handle(self, message_type: type, handler: Handler) -> None:
+        handlers = self._network.handlers[self._me.peer_address]
+        handlers[message_type] = handler
+
+    async def ask(
+        self, peer_address: str, message: typing.Any, timeout_ms: int
+    ) -> typing.Any:
+        network = self._network
+        network.asked += 1
+        if peer_address in network.gone:
+            network.failing.add(self._me.incarnation)
+            raise exceptions.PeerUnreachable('no answer')
+        handler = network.handlers[peer_address][type(message)]
+        reply = await handler(self._me.incarnation, message)
+        if network.lose_replies > 0:
+            network.lose_replies -= 1
+            network.failing.add(self._me.incarnation)
+            raise exceptions.PeerUnreachable('reply lost')
+        network.failing.discard(self._me.incarnation)
+        return reply
+
+    def tell(self, peer_address: str, message: typing.Any) -> None:
+        if self._network.lose_tells > 0:
+            self._network.lose_tells -= 1
+            return
+        sender = self._me.incarnation
+        self._network.told.append((sender, peer_address, message))
+
+
+def build_members(count: int) -> tuple[ports.Member, ...]:
+    return tuple(
+        builders.build_member(f'entry-{number:03}') for number in range(count)
+    )
