--- a/src/thornspool/domain/limits/concurrency.py
+++ b/src/thornspool/domain/limits/concurrency.py
@@ -22,7 +22,7 @@
 _DECREASE = 0.9
 _SMOOTHING = 0.1
 _BASELINE_DOWN = 0.2
-_BASELINE_UP = 0.001
+_BASELINE_UP = 0.005
 _LEAST_LIMIT = 1.0
 _LARGEST_LIMIT = 4096.0
 _LEAST_RETRY_MS = 50
@@ -47,6 +47,8 @@
         Recent time of requests.
     cut_at : int
         Monotonic milliseconds of the last cut.
+    samples : int
+        Requests learnt from.
     """
 
     limit: float = 16.0
@@ -55,6 +57,7 @@
     baseline: float = 1.0
     latency_ms: float = 0.0
     cut_at: int = 0
+    samples: int = 0
 
     def admit(
         self, estimated_ms: int, deadline: int, now: int
@@ -89,11 +92,7 @@
         busy = self.in_flight >= self.limit / 2
         self.in_flight = max(0, self.in_flight - 1)
         elapsed = now - started
-        stretch = elapsed / max(1, estimated_ms)
-        self.latency_ms += _SMOOTHING * (elapsed - self.latency_ms)
-        self.stretch += _SMOOTHING * (stretch - self.stretch)
-        rate = _BASELINE_DOWN if stretch < self.baseline else _BASELINE_UP
-        self.baseline += rate * (stretch - self.baseline)
+        self._learn(elapsed, elapsed / max(1, estimated_ms))
         usual = max(_LEAST_BASELINE, self.baseline)
         if not succeeded or self.stretch > SLOW_FACTOR * usual:
             self._cut(started, now)
@@ -101,6 +100,17 @@
             grown = self.limit + 1.0 / max(self.limit, 1.0)
             self.limit = min(_LARGEST_LIMIT, grown)
 
+    def _learn(self, elapsed: int, stretch: float) -> None:
+        self.samples += 1
+        smoothing = max(_SMOOTHING, 1.0 / self.samples)
+        self.latency_ms += smoothing * (elapsed - self.latency_ms)
+        self.stretch += smoothing * (stretch - self.stretch)
+        # Compared with the smoothed value: single quick requests would pull
+        # the baseline under the average, and every request would look slow.
+        falls = self.stretch < self.baseline
+        rate = _BASELINE_DOWN if falls else _BASELINE_UP
+        self.baseline += rate * (self.stretch - self.baseline)
+
     def _cut(self, started: int, now: int) -> None:
         # Requests that started before the last cut tell of the time before
         # it; cutting for each of them would cut one overload many times.
--- /dev/null
+++ b/tools/bench_load.py
@@ -0,0 +1,218 @@
+"""Measure the decisions under load by a small discrete-event driver.
+
+It drives admission's adaptive bound and the retry budget as the daemon
+does, in simulated time, with seeds that it prints. It opens no socket.
+"""
+
+from __future__ import annotations
+
+import functools
+import heapq
+import json
+import random
+import typing
+
+import attrs
+
+from thornspool.domain.limits import concurrency
+from thornspool.domain.limits import messages as limit_messages
+from thornspool.domain.retries import budget as budgets
+from thornspool.domain.retries import decisions
+from thornspool.domain.retries import messages as retry_messages
+
+if typing.TYPE_CHECKING:
+    from collections.abc import Callable
+
+LOADS = (0.5, 1.0, 1.5, 2.0, 3.0)
+WRONG_FACTORS = (0.25, 0.5, 2.0, 4.0)
+SEEDS = (1, 2, 3)
+
+ENTRIES = 6
+SERVERS = 40
+SERVICE_MS = 200
+DEADLINE_MS = 1000
+DURATION_MS = 60_000
+WARM_UP_MS = 10_000
+
+RETRY_RATE_PER_S = 200
+RETRY_HEALTHY_MS = 10_000
+RETRY_DEAD_MS = 10_000
+
+_MS_PER_S = 1000.0
+
+
+@attrs.define
+class _Load:
+    """Targets with one queue, fed by entries that decide alone."""
+
+    random: random.Random
+    rate: float
+    limited: bool
+    estimate_ms: int = SERVICE_MS
+    now: int = 0
+    good: int = 0
+    refused: int = 0
+    offered: int = 0
+    busy: int = 0
+    order: int = 0
+    queue: list[tuple[int, int]] = attrs.field(factory=list)
+    events: list[tuple[int, int, Callable[[], None]]] = attrs.field(
+        factory=list
+    )
+    entries: list[concurrency.GroupLimit] = attrs.field(
+        factory=lambda: [concurrency.GroupLimit() for _ in range(ENTRIES)]
+    )
+
+    def run(self) -> None:
+        self.plan(0, self.arrive)
+        while self.events:
+            self.now, _, action = heapq.heappop(self.events)
+            if self.now > DURATION_MS:
+                return
+            action()
+
+    def plan(self, delay: float, action: Callable[[], None]) -> None:
+        self.order += 1
+        event = (self.now + round(delay), self.order, action)
+        heapq.heappush(self.events, event)
+
+    def arrive(self) -> None:
+        self.plan(self.random.expovariate(self.rate), self.arrive)
+        index = self.random.randrange(ENTRIES)
+        counted = self.now >= WARM_UP_MS
+        self.offered += counted
+        if self.limited:
+            answer = self.entries[index].admit(
+                self.estimate_ms, self.now + DEADLINE_MS, self.now
+            )
+            if isinstance(answer, limit_messages.Refused):
+                self.refused += counted
+                return
+        self.queue.append((index, self.now))
+        self.serve()
+
+    def serve(self) -> None:
+        if self.busy >= SERVERS or not self.queue:
+            return
+        index, started = self.queue.pop(0)
+        self.busy += 1
+        self.plan(
+            self.random.uniform(0.5, 1.5) * SERVICE_MS,
+            lambda: self.finish(index, started),
+        )
+
+    def finish(self, index: int, started: int) -> None:
+        self.busy -= 1
+        in_time = self.now - started <= DEADLINE_MS
+        self.good += in_time and self.now >= WARM_UP_MS
+        if self.limited:
+            self.entries[index].finish(
+                started, self.estimate_ms, in_time, self.now
+            )
+        self.serve()
+
+
+def measure_goodput(
+    load: float, limited: bool, seed: int, estimate_ms: int = SERVICE_MS
+) -> float:
+    """Measure answers in time as a share of capacity.
+
+    Parameters
+    ----------
+    load : float
+        Offered requests over capacity.
+    limited : bool
+        Whether admission bounds what is in flight.
+    seed : int
+        Seed of arrivals and service times.
+    estimate_ms : int, optional
+        What callers say a request takes; the truth is `SERVICE_MS`.
+    """
+    capacity = SERVERS / SERVICE_MS
+    draws = random.Random(seed)
+    run = _Load(draws, load * capacity, limited, estimate_ms)
+    run.run()
+    return run.good / (capacity * (DURATION_MS - WARM_UP_MS))
+
+
+def measure_attempts(budgeted: bool, seed: int) -> float:
+    """Measure attempts per request while a target group is dead.
+
+    The group serves well first, then refuses every connection.
+
+    Parameters
+    ----------
+    budgeted : bool
+        Whether the retry budget holds.
+    seed : int
+        Seed of the backoff.
+    """
+    draw = random.Random(seed).random
+    budget = budgets.build_budget(0)
+    interval = round(_MS_PER_S / RETRY_RATE_PER_S)
+    for now in range(0, RETRY_HEALTHY_MS, interval):
+        budget.record_success(now)
+    end = RETRY_HEALTHY_MS + RETRY_DEAD_MS
+    waiting = [(now, 1) for now in range(RETRY_HEALTHY_MS, end, interval)]
+    requests = len(waiting)
+    attempts = 0
+    while waiting:
+        now, number = heapq.heappop(waiting)
+        attempts += 1
+        if not budgeted:
+            budget.bucket.level = budget.bucket.burst
+        failure = retry_messages.Failure(
+            retry_messages.Fate.NOT_RUN, True, number, now + DURATION_MS
+        )
+        answer = decisions.decide(failure, budget, now, draw())
+        if isinstance(answer, retry_messages.Retry):
+            heapq.heappush(waiting, (now + answer.delay_ms, number + 1))
+    return attempts / requests
+
+
+def _average(measure: Callable[[int], float]) -> float:
+    values = [measure(seed) for seed in SEEDS]
+    return round(sum(values) / len(values), 3)
+
+
+def measure_load() -> dict[str, typing.Any]:
+    """Measure goodput under load, and attempts under a dead target group.
+
+    Returns
+    -------
+    dict
+        ``seeds``; ``goodput_at_load``: load to share of capacity answered
+        in time, with admission; ``goodput_unlimited_at_load``: without;
+        ``goodput_wrong_estimate``: at twice the capacity, for estimates
+        that are wrong by a factor; ``attempts_per_request``: with and
+        without the retry budget.
+    """
+    goodput = {}
+    unlimited = {}
+    for load in LOADS:
+        limited = functools.partial(measure_goodput, load, True)
+        goodput[str(load)] = _average(limited)
+        free = functools.partial(measure_goodput, load, False)
+        unlimited[str(load)] = _average(free)
+    wrong = {}
+    for factor in WRONG_FACTORS:
+        estimated = functools.partial(
+            measure_goodput, 2.0, True, estimate_ms=round(SERVICE_MS * factor)
+        )
+        wrong[str(factor)] = _average(estimated)
+    return {
+        'seeds': list(SEEDS),
+        'goodput_at_load': goodput,
+        'goodput_unlimited_at_load': unlimited,
+        'goodput_wrong_estimate': wrong,
+        'attempts_per_request': {
+            'with_budget': _average(functools.partial(measure_attempts, True)),
+            'without_budget': _average(
+                functools.partial(measure_attempts, False)
+            ),
+        },
+    }
+
+
+if __name__ == '__main__':
+    print(json.dumps(measure_load(), indent=2))
