Run the whole path as separate processes

Cause: the parts had no process around them. Change: the entry puts peers, membership, configuration, actions, calls, generation, admission and both interfaces together; /metrics; the tool runs as a module.

--- a/src/thornspool/adapters/operators/handlers.py
+++ b/src/thornspool/adapters/operators/handlers.py
@@ -50,7 +50,7 @@
         Takes workspace and key, returns the action's record as an ``attrs``
         instance, or None if there is none.
     build_report : callable
-        Returns the report as an ``attrs`` instance.
+        Gathers the report, an ``attrs`` instance.
     """
 
     clock: clocks.Clock
@@ -59,7 +59,7 @@
     tokens: Sequence[settings.Token]
     drain: Callable[[], Awaitable[None]]
     look_up_action: Callable[[str, str], Awaitable[typing.Any]]
-    build_report: Callable[[], typing.Any]
+    build_report: Callable[[], Awaitable[typing.Any]]
 
 
 def make_handlers(
@@ -69,7 +69,7 @@
     tokens: Sequence[settings.Token],
     drain: Callable[[], Awaitable[None]],
     look_up_action: Callable[[str, str], Awaitable[typing.Any]],
-    build_report: Callable[[], typing.Any],
+    build_report: Callable[[], Awaitable[typing.Any]],
 ) -> list[tuple[str, type[web.RequestHandler], dict[str, typing.Any]]]:
     """Return the routes of the operators' interface for tornado.
 
@@ -227,9 +227,9 @@
 class ReportHandler(OperatorHandler):
     """Shows the report of this entry."""
 
-    def get(self) -> None:
+    async def get(self) -> None:
         """Answer the report."""
-        self.answer(self.context.build_report())
+        self.answer(await self.context.build_report())
 
 
 class UnknownHandler(OperatorHandler):
--- /dev/null
+++ b/src/thornspool/application/gates.py
@@ -0,0 +1,106 @@
+"""Whether a request is taken now: limits, deadlines and quarantine."""
+
+from __future__ import annotations
+
+import typing
+
+import attrs
+import xxhash
+
+from thornspool.application import intake
+from thornspool.application import requests
+from thornspool.domain.limits import messages as limit_messages
+
+if typing.TYPE_CHECKING:
+    from thornspool import clock
+    from thornspool.application import admission
+
+FIRST_UNIT_MS = 5.0
+_SMOOTHING = 0.1
+
+
+@attrs.define
+class Pace:
+    """Milliseconds of one unit of work, from what finished of late.
+
+    A unit is one token of a generation, or one call.
+    """
+
+    unit_ms: float = FIRST_UNIT_MS
+
+    def estimate(self, units: int) -> int:
+        """Return the expected milliseconds of some units."""
+        return max(1, int(self.unit_ms * units))
+
+    def learn(self, units: int, duration_ms: int) -> None:
+        """Note what some units took."""
+        change = duration_ms / max(1, units) - self.unit_ms
+        self.unit_ms += _SMOOTHING * change
+
+
+class Gatekeeper:
+    """Admits work, or refuses it before anything runs.
+
+    Parameters
+    ----------
+    clock : clock.Clock
+        Source of time.
+    service : admission.AdmissionService
+        Limits across entries and bounds of target groups.
+    """
+
+    def __init__(
+        self, clock: clock.Clock, service: admission.AdmissionService
+    ) -> None:
+        self._clock = clock
+        self._service = service
+        self._paces: dict[str, Pace] = {}
+
+    def admit(self, work: intake.Work) -> intake.Ticket:
+        """Admit a piece of work.
+
+        Raises
+        ------
+        requests.RequestRefused
+            Names the reason and when to come back.
+        """
+        pace = self._paces.setdefault(work.group, Pace())
+        admitted = self._service.admit(
+            work.workspace,
+            work.group,
+            pace.estimate(max(1, work.tokens)),
+            work.deadline,
+            self._clock.now(),
+        )
+        if isinstance(admitted, limit_messages.Refused):
+            reason = f'Refused for its {admitted.reason.value}.'
+            raise requests.RequestRefused(reason, admitted.retry_after_ms)
+        return _Place(self._clock, self._service, pace, admitted.ticket)
+
+
+class _Place:
+    """The place of one admitted request."""
+
+    def __init__(
+        self,
+        clock: clock.Clock,
+        service: admission.AdmissionService,
+        pace: Pace,
+        ticket: limit_messages.Ticket,
+    ) -> None:
+        self._clock = clock
+        self._service = service
+        self._pace = pace
+        self._ticket = ticket
+
+    def finish(self, tokens: int, good: bool, duration_ms: int) -> None:
+        """Give the place back and learn from the request."""
+        if good:
+            self._pace.learn(tokens, duration_ms)
+        now = self._clock.now()
+        self._service.finish(self._ticket, good, tokens, now)
+
+
+def fingerprint_content(content: str) -> str:
+    """Return the digest by which a request that is sent again is known."""
+    return xxhash.xxh3_128_hexdigest(content.encode())
--- /dev/null
+++ b/src/thornspool/console/__main__.py
@@ -0,0 +1,10 @@
+"""Runs the tool as ``python -m thornspool.console``."""
+
+from __future__ import annotations
+
+import sys
+
+from thornspool.console import application
+
+if __name__ == '__main__':
+    sys.exit(application.main())
