--- a/src/thornspool/adapters/targets/loads.py
+++ b/src/thornspool/adapters/targets/loads.py
@@ -64,7 +64,8 @@
             request_timeout=TIMEOUT_MS / 1000,
         )
         try:
-            response = await self._client.fetch(request)
+            # A target that leaves answers 409 with its report.
+            response = await self._client.fetch(request, raise_error=False)
             body = msgspec.json.decode(response.body, type=LoadBody)
         except (OSError, httpclient.HTTPError, msgspec.DecodeError) as error:
             reason = f'No load report of {target.name}: {error}.'
