--- a/src/thornspool/adapters/operators/publishing.py
+++ b/src/thornspool/adapters/operators/publishing.py
@@ -8,7 +8,7 @@
 
 from thornspool.adapters.operators import bodies
 from thornspool.adapters.operators import exceptions
-from thornspool.application import configuration
+from thornspool.application import configuration_results
 from thornspool.domain.configuration import documents
 from thornspool.domain.configuration import files
 from thornspool.domain.configuration import problems
@@ -19,6 +19,8 @@
     from thornspool import settings
 
 _MAX_ID_LENGTH = 100
+_MAX_AUTHOR_LENGTH = 100
+_MAX_MESSAGE_LENGTH = 500
 
 
 def read_body(body: bytes) -> bodies.PublicationBody:
@@ -41,6 +43,16 @@
             'The publication has no usable id.',
             f'Send a new UUID; at most {_MAX_ID_LENGTH} characters.',
         )
+    too_long = (
+        len(decoded.author) > _MAX_AUTHOR_LENGTH
+        or len(decoded.message) > _MAX_MESSAGE_LENGTH
+    )
+    if too_long:
+        raise exceptions.BadRequest(
+            'The author or the message is too long.',
+            f'Send at most {_MAX_AUTHOR_LENGTH} and {_MAX_MESSAGE_LENGTH} '
+            'characters.',
+        )
     return decoded
 
 
@@ -68,10 +80,11 @@
 
 
 def describe_result(
-    publication: publications.Publication, result: configuration.PublishResult
-) -> configuration.Accepted | bodies.ProblemBody:
+    publication: publications.Publication,
+    result: configuration_results.PublishResult,
+) -> configuration_results.Accepted | bodies.ProblemBody:
     """Return the body that tells a publication's outcome."""
-    if isinstance(result, configuration.Accepted):
+    if isinstance(result, configuration_results.Accepted):
         return result
     if isinstance(result, publishing.Undecided):
         return _describe_undecided(publication, result)
--- a/src/thornspool/domain/configuration/publications.py
+++ b/src/thornspool/domain/configuration/publications.py
@@ -161,7 +161,26 @@
     broken = _check_merged(contents, changes)
     if broken:
         return Invalid(broken)
-    return _build_plan(contents, publication, changes, wall)
+    plan = _build_plan(contents, publication, changes, wall)
+    too_large = tuple(_check_sizes(plan))
+    return Invalid(too_large) if too_large else plan
+
+
+def _check_sizes(plan: Plan) -> Iterator[problems.Problem]:
+    """Refuse what the platform would not store, and say so in time."""
+    for digest, value in plan.values.items():
+        if len(value) <= storage.VALUE_LIMIT:
+            continue
+        bucket = storage.decode_bucket(digest, value)
+        sizes = {key: len(repr(bucket[key].document)) for key in bucket}
+        largest = max(sizes, key=sizes.__getitem__)
+        yield problems.Problem(
+            str(largest),
+            '$',
+            'too-large',
+            'Split this document; those stored with it come to '
+            f'{len(value)} bytes, and {storage.VALUE_LIMIT} are allowed.',
+        )
 
 
 _Changes = dict[documents.DocumentKey, 'documents.Document | None']
--- a/src/thornspool/domain/configuration/storage.py
+++ b/src/thornspool/domain/configuration/storage.py
@@ -17,6 +17,7 @@
 if typing.TYPE_CHECKING:
     from collections.abc import Mapping
 
+VALUE_LIMIT = 1_000_000
 _DIGEST_BYTES = 16
 _KEY_PREFIX = 'configuration/bucket/'
 
--- a/tests/application/configuration_builders.py
+++ b/tests/application/configuration_builders.py
@@ -70,6 +70,7 @@
     slow: bool = False
     stale: int = 0
     write: str = 'done'
+    write_prefix: str = ''
     peers_up: bool = True
     corrupt: bool = False
     thawed: asyncio.Event = attrs.field(factory=asyncio.Event)
@@ -120,6 +121,8 @@
         self.writes.append(key)
         await self._cross()
         fate = self._faults.write
+        if not key.startswith(self._faults.write_prefix):
+            fate = 'done'
         if fate == 'late':
             asyncio.get_running_loop().call_later(
                 LATE_MS / 1000,
--- a/tests/application/test_configuration_fuzzing.py
+++ b/tests/application/test_configuration_fuzzing.py
@@ -17,11 +17,12 @@
 from structlog import testing
 
 from tests.application import configuration_builders as make
-from thornspool.application import configuration
+from thornspool.application import configuration_results
 from thornspool.domain.configuration import documents
 from thornspool.domain.configuration import head as heads
 from thornspool.domain.configuration import publications
 from thornspool.domain.configuration import publishing
+from thornspool.domain.configuration import storage
 
 NAMES = ('alpha', 'beta', 'gamma')
 MODEL = documents.DocumentKey(documents.DocumentKind.MODEL, 'draft')
@@ -32,6 +33,7 @@
     'slow': (False, True),
     'stale': (0, 1, 3),
     'write': ('done', 'lost', 'late', 'never'),
+    'write_prefix': ('', 'configuration/bucket', heads.HEAD_KEY),
     'peers_up': (True, False),
     'corrupt': (False, True),
 }
@@ -43,7 +45,7 @@
     """A publication as one entry was asked for it."""
 
     publication: publications.Publication
-    task: asyncio.Task[configuration.PublishResult]
+    task: asyncio.Task[configuration_results.PublishResult]
 
 
 def _build_model() -> tuple[documents.Document, documents.Document]:
@@ -104,6 +106,18 @@
         )
         self.publish(at, lag, additions, ())
 
+    @stateful.rule(
+        first=strategies.integers(0, 9),
+        second=strategies.integers(0, 9),
+        name=strategies.sampled_from(NAMES),
+        fate=strategies.sampled_from(FAULTS['write']),
+    )
+    def race(self, first: int, second: int, name: str, fate: str) -> None:
+        """Two operators change one document, and an answer may get lost."""
+        self.entries[first % len(self.entries)].faults.write = fate
+        self.publish(first, 0, (make.build_workspace(name, 5),), ())
+        self.publish(second, 0, (make.build_workspace(name, 6),), ())
+
     @stateful.rule(at=strategies.integers(0, 9), remove=strategies.booleans())
     def change_model(self, at: int, remove: bool) -> None:
         if remove:
@@ -171,20 +185,20 @@
     def send(self, at: int, publication: publications.Publication) -> None:
         entry = self.entries[at % len(self.entries)]
 
-        async def start() -> asyncio.Task[configuration.PublishResult]:
+        async def start() -> asyncio.Task[configuration_results.PublishResult]:
             return asyncio.create_task(self._call(entry, publication))
 
         self.calls.append(Call(publication, self.runner.run(start())))
 
     async def _call(
         self, entry: make.Entry, publication: publications.Publication
-    ) -> configuration.PublishResult:
+    ) -> configuration_results.PublishResult:
         result = await entry.service.publish(publication)
-        if isinstance(result, configuration.Accepted):
+        if isinstance(result, configuration_results.Accepted):
             self._check_report(result)
         return result
 
-    def _check_report(self, result: configuration.Accepted) -> None:
+    def _check_report(self, result: configuration_results.Accepted) -> None:
         versions = {
             one.member.incarnation: one.service.version()
             for one in self.entries
@@ -207,6 +221,7 @@
             assert len(ids) == len(set(ids)), 'accepted twice'
             publication = self._find_publication(ids[-1])
             self._check_conflict(publication)
+            self._check_buckets(head)
             self.truth.append(_fold(self.truth[-1], publication))
             _check_references(self.truth[-1])
 
@@ -217,6 +232,16 @@
             if call.publication.id == name
         )
 
+    def _check_buckets(self, head: heads.Head) -> None:
+        for digest in filter(None, head.buckets):
+            key = storage.format_bucket_key(digest)
+            value = self.cluster.platform.read(key).value
+            assert value or self._is_past(head), 'bucket missing'
+
+    def _is_past(self, head: heads.Head) -> bool:
+        value = self.cluster.platform.read(heads.HEAD_KEY).value
+        return heads.decode_head(value).version > head.version
+
     def _check_conflict(self, publication: publications.Publication) -> None:
         """Refuse a change since the base to anything but the same content."""
         for name, document in _list_changes(publication):
@@ -264,16 +289,19 @@
             name = call.publication.id
             result = call.task.result()
             refused[name] = refused.get(name, True) and _is_refused(result)
-            if isinstance(result, configuration.Accepted) and name in records:
+            if (
+                isinstance(result, configuration_results.Accepted)
+                and name in records
+            ):
                 assert result.version >= records[name].version
         wrong = [name for name in refused if refused[name] and name in records]
         assert not wrong, f'{wrong} refused and in force'
 
 
-def _is_refused(result: configuration.PublishResult) -> bool:
+def _is_refused(result: configuration_results.PublishResult) -> bool:
     if isinstance(result, publishing.Undecided):
         return not result.written
-    return not isinstance(result, configuration.Accepted)
+    return not isinstance(result, configuration_results.Accepted)
 
 
 def _list_changes(
--- /dev/null
+++ b/tests/domain/configuration/test_storage.py
@@ -0,0 +1,113 @@
+"""Buckets and heads as bytes, and their sizes."""
+
+from __future__ import annotations
+
+import random
+import unittest
+
+from tests.application import configuration_builders as make
+from thornspool.domain.configuration import contents as whole
+from thornspool.domain.configuration import documents
+from thornspool.domain.configuration import exceptions
+from thornspool.domain.configuration import head as heads
+from thornspool.domain.configuration import publications
+from thornspool.domain.configuration import storage
+
+DESIGN_WORKSPACES = 14_000
+SEED = 7
+
+
+def _build_incompressible(rng: random.Random) -> documents.Workspace:
+    """Build a workspace whose text hardly compresses."""
+    models = tuple(f'{rng.getrandbits(240):060x}' for _ in range(12))
+    limits = documents.Limits(rng.random(), rng.random(), 100)
+    return documents.Workspace(f'{rng.getrandbits(240):060x}', models, limits)
+
+
+class BucketTest(unittest.TestCase):
+    def test_bucket_keeps_documents_and_removals(self) -> None:
+        workspace = make.build_workspace('alpha', 2)
+        gone = documents.DocumentKey(documents.DocumentKind.TARGET, 'gone')
+        bucket = {
+            documents.identify(workspace): storage.StoredDocument(
+                4, workspace
+            ),
+            gone: storage.StoredDocument(3, None),
+        }
+        value = storage.encode_bucket(bucket)
+        digest = storage.compute_digest(value)
+        self.assertEqual(bucket, storage.decode_bucket(digest, value))
+
+    def test_other_bytes_are_refused(self) -> None:
+        """A bucket was emptied, or a peer answers with another one."""
+        right, wrong = (
+            storage.encode_bucket(
+                {
+                    documents.identify(one): storage.StoredDocument(1, one),
+                }
+            )
+            for one in map(make.build_workspace, ('alpha', 'beta'))
+        )
+        digest = storage.compute_digest(right)
+        for name, value in {'empty': b'', 'another': wrong}.items():
+            with (
+                self.subTest(name),
+                self.assertRaises(exceptions.DigestMismatch),
+            ):
+                storage.decode_bucket(digest, value)
+
+    def test_damaged_values_are_refused(self) -> None:
+        """Someone else wrote to the key, or a newer program did."""
+        newer = heads.encode_head(heads.Head(format=heads.FORMAT + 1))
+        for value in (b'?', newer):
+            with (
+                self.subTest(value=value),
+                self.assertRaises(exceptions.MalformedValue),
+            ):
+                heads.decode_head(value)
+        digest = storage.compute_digest(b'?')
+        with self.assertRaises(exceptions.MalformedValue):
+            storage.decode_bucket(digest, b'?')
+
+    def test_design_size_fits_the_platform(self) -> None:
+        """Names are random, so that compression cannot flatter the sizes."""
+        rng = random.Random(SEED)
+        workspaces = tuple(
+            _build_incompressible(rng) for _ in range(DESIGN_WORKSPACES)
+        )
+        by_kind = whole.copy_by_kind(documents.Snapshot())
+        by_kind[documents.DocumentKind.MODEL].update(
+            {
+                name: documents.Model(name, '1', 1, ())
+                for one in workspaces
+                for name in one.models
+            }
+        )
+        known = whole.build_snapshot(0, by_kind)
+        plan = publications.plan_publication(
+            whole.Contents(snapshot=known),
+            make.build_publication('all', 0, *workspaces),
+            0,
+        )
+        assert isinstance(plan, publications.Plan)
+        sizes = [len(value) for value in plan.values.values()]
+        self.assertEqual(heads.BUCKET_COUNT, len(sizes))
+        self.assertLess(max(sizes) * 4, storage.VALUE_LIMIT)
+
+    def test_fullest_head_fits_the_platform(self) -> None:
+        rng = random.Random(SEED)
+        names = tuple(f'service/{rng.getrandbits(240):060x}' for _ in range(8))
+        record = heads.Record('i' * 100, 1, 'a' * 100, 1, 'm' * 500, names, 8)
+        digests = tuple(
+            f'{rng.getrandbits(128):032x}' for _ in range(heads.BUCKET_COUNT)
+        )
+        head = heads.Head(
+            1,
+            digests,
+            (record,) * heads.HISTORY_LENGTH,
+            digests[: heads.RETIRED_LENGTH],
+        )
+        self.assertEqual(head, heads.decode_head(heads.encode_head(head)))
+        self.assertLess(
+            len(heads.msgspec.json.encode(head)), storage.VALUE_LIMIT
+        )
