Test the operators' interface and the tool over HTTP

Cause: exit codes and problem details are what scripts and people go by.

A new entry now asks for contact at once: the test of a fresh entry printed 'Tuples differ: (0, 0) != (1, 0)', since it counted as isolated for its first half second.

--- a/src/thornspool/application/configuration_following.py
+++ b/src/thornspool/application/configuration_following.py
@@ -163,14 +163,16 @@
         that is gone, and it ends for as long as the platform is down.
         """
         while True:
-            await asyncio.sleep(self._timing.probe_interval / 1000)
-            last = self._puller.last_contact
-            silence = self._timing.probe_after
-            if last is not None and self._clock.now() - last < silence:
-                continue
-            if not await self._ask(''):
+            if self._is_silent() and not await self._ask(''):
                 with contextlib.suppress(exceptions.ApplicationError):
                     await self._puller.read_platform_head()
+            await asyncio.sleep(self._timing.probe_interval / 1000)
+
+    def _is_silent(self) -> bool:
+        last = self._puller.last_contact
+        if last is None:
+            return True
+        return self._clock.now() - last >= self._timing.probe_after
 
     async def _ask(self, address: str) -> bool:
         """Ask one peer, or any; tell whether it went well."""
--- /dev/null
+++ b/tests/adapters/operators/builders.py
@@ -0,0 +1,93 @@
+"""An entry that serves operators over HTTP."""
+
+from __future__ import annotations
+
+import json
+import typing
+import unittest
+
+import attrs
+from structlog import testing
+from tornado import httpclient
+from tornado import httpserver
+from tornado import testing as tornado_testing
+from tornado import web
+
+from tests.application import configuration_builders as make
+from thornspool import clock
+from thornspool import settings
+from thornspool.adapters.operators import handlers
+from thornspool.application import exceptions
+
+SECRET = 'secret-of-all'
+LIMITED = 'secret-of-alpha'
+ALPHA = {'kind': 'workspace', 'name': 'alpha'}
+Answer = tuple[int, str, typing.Any]
+
+
+@attrs.frozen
+class _Record:
+    state: str
+
+
+class OperatorsCase(unittest.IsolatedAsyncioTestCase):
+    """An entry whose operators' interface is served on a port of its own."""
+
+    async def asyncSetUp(self) -> None:
+        self.logs = testing.capture_logs()
+        self.logs.__enter__()
+        self.addCleanup(self.logs.__exit__, None, None, None)
+        self.drained = 0
+        cluster = make.Cluster(make.asyncio.get_running_loop())
+        self.addAsyncCleanup(cluster.stop)
+        self.entry = cluster.add_entry('one')
+        application = web.Application(self.make_routes())
+        self.server = httpserver.HTTPServer(application)
+        socket, port = tornado_testing.bind_unused_port()
+        self.server.add_sockets([socket])
+        self.addCleanup(self.server.stop)
+        self.url = f'http://127.0.0.1:{port}'
+
+    def make_routes(self) -> list[typing.Any]:
+        async def drain() -> None:
+            self.drained += 1
+
+        async def look_up(workspace: str, key: str) -> _Record | None:
+            if key == 'down':
+                raise exceptions.PlatformError('No answer.')
+            return _Record('done') if key == 'known' else None
+
+        return handlers.make_handlers(
+            clock.Clock(),
+            self.entry.service,
+            self.entry.view,
+            (
+                settings.Token('operator', SECRET),
+                settings.Token('team-a', LIMITED, ('alpha',)),
+            ),
+            drain,
+            look_up,
+            lambda: _Record('fine'),
+        )
+
+    async def send(
+        self, path: str, body: object = None, token: str = SECRET
+    ) -> Answer:
+        response = await httpclient.AsyncHTTPClient().fetch(
+            f'{self.url}{path}',
+            method='GET' if body is None else 'POST',
+            body=None if body is None else json.dumps(body),
+            headers={'Authorization': f'Bearer {token}'},
+            raise_error=False,
+        )
+        value = json.loads(response.body) if response.body else None
+        return response.code, response.headers['Content-Type'], value
+
+    async def publish(self, token: str = SECRET, **changes: object) -> Answer:
+        body: dict[str, object] = {
+            'id': 'p1',
+            'base_version': 0,
+            'documents': [ALPHA],
+        }
+        body.update(changes)
+        return await self.send('/v1/publications', body, token)
