Run keys that are bound to one entry while the platform is down

Cause: the platform can be down for long stretches, and until it is back every action is refused. A hold lost that way is as bad as a doubled one.

Ruled out: agreement among entries without the platform, which would be a second coordination service; and running ordinary keys from memory, since two entries that can not see the ledger could both run one.

Change: an entry mints keys that name its incarnation as their only possible runner. They need no agreement; the outcome is kept in that process's memory, and a horizon that never moves back refuses keys whose outcome was forgotten. Other entries point to the owner; when it is gone the answer is "outcome unknown" for good.

--- a/src/thornspool/application/actions.py
+++ b/src/thornspool/application/actions.py
@@ -161,6 +161,7 @@
         self._clock = clock
         self._peers = peers
         self._services = services
+        self._members = members
         self._member = member
         self._random = random_source
         self._settings = settings or ActionSettings()
@@ -204,6 +205,9 @@
             )
         except actions_exceptions.KeyRefused as error:
             return results.ActionRefused(str(error))
+        if key.incarnation not in ('', self._member.incarnation):
+            return self._point_elsewhere(key)
+        self._runner.move_horizon(self._clock.wall())
         event = self._describe(request, key)
         answered: asyncio.Future[results.ActionResult] = (
             asyncio.get_running_loop().create_future()
@@ -235,17 +239,36 @@
             parsed = keys.parse_key(workspace, key, self._clock.wall())
         except actions_exceptions.KeyRefused as error:
             return results.ActionRefused(str(error))
+        if parsed.incarnation:
+            return self._look_up_bound(parsed)
         address = keys.locate_page(parsed, self._settings.layout)
         try:
             page = await self._ledger.read(address)
         except exceptions.PlatformError:
-            return self._say_unknown(results.UNKNOWN_LEDGER)
+            return self._say_unknown(results.UNKNOWN_UNCHECKED)
         if page.slot > address.slot:
             return self._say_unknown(results.UNKNOWN_DROPPED)
         if page.slot < address.slot:
             return self._say_unknown(results.UNKNOWN_NO_RECORD)
         return await self._look_up_record(page.records.get(parsed.name))
 
+    def mint_key(self) -> str:
+        """Make a key that only this process may ever run.
+
+        For callers during an outage of the platform: such a key needs no
+        agreement. It has to be sent to this entry, and when this process
+        ends, what became of the key can not be told.
+
+        Returns
+        -------
+        str
+            A UUID version 7 and this process's incarnation.
+        """
+        identifier = identifiers.make_uuid7(
+            self._clock.wall(), self._random.getrandbits(74)
+        )
+        return keys.format_bound_key(identifier, self._member.incarnation)
+
     async def drain(self, timeout_ms: int) -> bool:
         """Wait for attempts in flight and records that are not settled.
 
@@ -271,6 +294,14 @@
             )
         return not self.open_count
 
+    def _point_elsewhere(self, key: keys.ActionKey) -> results.ActionResult:
+        """Answer for a key that is bound to another process."""
+        owner = self._members.find(key.incarnation)
+        if owner is None:
+            return self._say_unknown(results.UNKNOWN_RUNNER_GONE)
+        reason = f'{results.REFUSED_ELSEWHERE} It is at {owner.caller_url}.'
+        return results.ActionRefused(reason)
+
     def _describe(
         self, request: ActionRequest, key: keys.ActionKey
     ) -> events.ActionRequested:
@@ -286,6 +317,7 @@
             targets=len(request.targets),
             deduplicates=request.deduplicates,
             resent=request.resent,
+            bound_time=key.time if key.incarnation else 0,
         )
 
     async def _join(
@@ -315,6 +347,11 @@
         wait = self._settings.attempts.retry_after_ms
         return results.ActionUnknown(reason, wait)
 
+    def _look_up_bound(self, key: keys.ActionKey) -> results.ActionResult:
+        if key.incarnation != self._member.incarnation:
+            return self._point_elsewhere(key)
+        return self._runner.look_up_bound(key.name)
+
     async def _look_up_record(
         self, record: records.Record | None
     ) -> results.ActionResult:
--- a/src/thornspool/domain/actions/events.py
+++ b/src/thornspool/domain/actions/events.py
@@ -45,6 +45,9 @@
         Whether the operation runs a key at most once by itself.
     resent : bool
         Whether the caller says that it sent the key before.
+    bound_time : int
+        Time inside a key that is bound to this process, in milliseconds
+        since the Unix epoch; 0 for a key that the ledger decides on.
     """
 
     attempt: str
@@ -55,6 +58,7 @@
     targets: int = 1
     deduplicates: bool = False
     resent: bool = False
+    bound_time: int = 0
 
 
 @attrs.frozen
--- a/src/thornspool/domain/actions/keys.py
+++ b/src/thornspool/domain/actions/keys.py
@@ -11,6 +11,7 @@
 from thornspool.domain.actions import exceptions
 
 MAX_AHEAD_MS = 60_000
+_BOUND_MARK = '@'
 _MINT_HINT = 'Send a UUID version 7 made when the action was first wanted.'
 
 
@@ -42,14 +43,17 @@
     workspace : str
         Workspace that the key belongs to.
     text : str
-        The UUID in its canonical form.
+        The UUID in its canonical form, with what it is bound to.
     time : int
         Milliseconds since the Unix epoch, read from the key.
+    incarnation : str
+        Only process that may run the key; empty for an ordinary key.
     """
 
     workspace: str
     text: str
     time: int
+    incarnation: str = ''
 
     @property
     def name(self) -> str:
@@ -73,6 +77,23 @@
     slot: int
 
 
+def format_bound_key(identifier: uuid.UUID, incarnation: str) -> str:
+    """Return the text of a key that only one process may run."""
+    return f'{identifier}{_BOUND_MARK}{incarnation}'
+
+
+def split_bound_key(text: str) -> tuple[str, str]:
+    """Split a key into its UUID and the incarnation it is bound to.
+
+    Returns
+    -------
+    tuple of str
+        The second part is empty for an ordinary key.
+    """
+    identifier, _, incarnation = text.partition(_BOUND_MARK)
+    return identifier, incarnation
+
+
 def parse_key(workspace: str, text: str, wall: int) -> ActionKey:
     """Check a caller's key.
 
@@ -95,8 +116,9 @@
     KeyRefused
         When it is no UUID version 7 or lies too far in the future.
     """
+    plain, incarnation = split_bound_key(text)
     try:
-        identifier = uuid.UUID(text)
+        identifier = uuid.UUID(plain)
     except ValueError:
         raise exceptions.KeyRefused(
             'The idempotency key is not a UUID.', _MINT_HINT
@@ -113,7 +135,10 @@
             'The idempotency key lies more than 60 s in the future.',
             "Check the clock of the caller's host.",
         )
-    return ActionKey(workspace, str(identifier), time)
+    if not incarnation:
+        return ActionKey(workspace, str(identifier), time)
+    bound = format_bound_key(identifier, incarnation)
+    return ActionKey(workspace, bound, time, incarnation)
 
 
 def locate_page(key: ActionKey, layout: Layout) -> PageAddress:
--- a/src/thornspool/domain/actions/results.py
+++ b/src/thornspool/domain/actions/results.py
@@ -35,13 +35,20 @@
     'The key is too old and its record was dropped; it never runs again. '
     'Check with the service before using a new key.'
 )
-UNKNOWN_LEDGER = (
-    'An earlier call with this key may have run, and the platform can not '
-    'be reached; ask again with the same key.'
+UNKNOWN_UNCHECKED = (
+    'An earlier call with this key may have run, and that could not be '
+    'checked now; ask again with the same key.'
 )
 UNKNOWN_NO_RECORD = (
     'No call with this key is on record; one may still be on its way.'
 )
+REFUSED_ELSEWHERE = (
+    'The key is bound to another entry; send it there, it runs nowhere else.'
+)
+REFUSED_EXPIRED = (
+    'The key is bound to this entry and too old; it never runs again. '
+    'Check with the service before using a new key.'
+)
 REFUSED_REUSED = (
     'The key was used for another request; send a new key for a new action.'
 )
--- a/src/thornspool/domain/actions/runner.py
+++ b/src/thornspool/domain/actions/runner.py
@@ -13,6 +13,7 @@
 
 import attrs
 
+from thornspool.domain.actions import bound
 from thornspool.domain.actions import events
 from thornspool.domain.actions import messages
 from thornspool.domain.actions import records
@@ -39,12 +40,15 @@
         Most questions to holders and to the ledger for one attempt.
     retry_after_ms : int
         When callers are told to come back.
+    bound : bound.BoundSettings
+        Bounds of keys bound to this process.
     """
 
     max_attempts: int = 4_096
     max_sends: int = 3
     max_asks: int = 16
     retry_after_ms: int = 500
+    bound: bound.BoundSettings = attrs.field(factory=bound.BoundSettings)
 
 
 @attrs.define
@@ -79,6 +83,7 @@
         self._attempts: dict[str, _Attempt] = {}
         self._by_name: dict[str, str] = {}
         self._pending: set[str] = set()
+        self._bound = bound.BoundKeys(self._settings.bound)
         self._handlers: dict[type, Callable[..., _Commands]] = {
             events.LedgerAnswered: self._take_verdict,
             events.LedgerSilent: self._take_silence,
@@ -111,15 +116,39 @@
         if running is not None:
             return self._join(self._attempts[running], event)
         if now >= event.deadline:
-            return [_refuse(event.attempt, results.NOT_RUN_DEADLINE, 0)]
+            return [_refuse(event, results.NOT_RUN_DEADLINE, 0)]
         if not event.targets:
             wait = self._settings.retry_after_ms
-            return [_refuse(event.attempt, results.NOT_RUN_TARGETS, wait)]
-        if self.open_count >= self._settings.max_attempts:
+            return [_refuse(event, results.NOT_RUN_TARGETS, wait)]
+        known = self._bound.decide(event) if event.bound_time else None
+        if known is not None:
+            return [events.Answer(event.attempt, known)]
+        full = event.bound_time and self._bound.full
+        if full or self.open_count >= self._settings.max_attempts:
             wait = self._settings.retry_after_ms
-            return [_refuse(event.attempt, results.NOT_RUN_BUSY, wait)]
-        self._attempts[event.attempt] = _Attempt(event, event.deadline)
+            return [_refuse(event, results.NOT_RUN_BUSY, wait)]
+        return self._begin(event)
+
+    def move_horizon(self, wall: int) -> None:
+        """Forget bound keys that are too old; ``wall`` is calendar time."""
+        self._bound.move_horizon(wall)
+
+    def look_up_bound(self, name: str) -> results.ActionResult:
+        """Tell what is known of a key bound to this process."""
+        if name in self._by_name:
+            wait = self._settings.retry_after_ms
+            return results.ActionUnknown(results.UNKNOWN_RUNNING, wait)
+        return self._bound.look_up(name)
+
+    def _begin(self, event: events.ActionRequested) -> _Commands:
+        attempt = _Attempt(event, event.deadline)
+        self._attempts[event.attempt] = attempt
         self._by_name[event.name] = event.attempt
+        if event.bound_time:
+            # No other process may run this key, so nobody has to agree.
+            attempt.granted = True
+            attempt.fencing_token = 1
+            return self._dispatch(attempt)
         return [events.RequestGrant(event.attempt)]
 
     def handle(self, event: events.RunnerEvent, now: int) -> _Commands:
@@ -376,6 +405,8 @@
         if attempt.uncertain and attempt.granted:
             return self._end(attempt, records.LOST, self._say_lost())
         result = _say_not_run(attempt, reason, retry_after_ms)
+        if attempt.request.bound_time:
+            return self._forget(attempt, result)
         self._pending.add(attempt.request.attempt)
         request = attempt.request
         release = messages.GrantRelease(
@@ -394,6 +425,9 @@
         result: results.ActionResult,
     ) -> _Commands:
         """Keep an outcome in memory until the ledger has it."""
+        if attempt.request.bound_time:
+            self._bound.keep(attempt.request, outcome)
+            return self._forget(attempt, result)
         attempt.phase = events.Phase.DONE
         attempt.outcome = outcome
         request = attempt.request
@@ -440,11 +474,17 @@
 ) -> results.ActionResult:
     """Say "not run" unless an earlier attempt is known that may have run."""
     if attempt.uncertain or (attempt.holder and not attempt.granted):
-        return results.ActionUnknown(results.UNKNOWN_LEDGER, retry_after_ms)
+        return results.ActionUnknown(results.UNKNOWN_UNCHECKED, retry_after_ms)
     if attempt.request.resent and not attempt.granted:
-        return results.ActionUnknown(results.UNKNOWN_LEDGER, retry_after_ms)
+        return results.ActionUnknown(results.UNKNOWN_UNCHECKED, retry_after_ms)
     return results.ActionNotRun(reason, retry_after_ms, attempt.granted)
 
 
-def _refuse(attempt: str, reason: str, wait: int) -> events.Answer:
-    return events.Answer(attempt, results.ActionNotRun(reason, wait))
+def _refuse(
+    event: events.ActionRequested, reason: str, wait: int
+) -> events.Answer:
+    """Refuse a call that was not even looked up."""
+    if event.resent:
+        unknown = results.ActionUnknown(results.UNKNOWN_UNCHECKED, wait)
+        return events.Answer(event.attempt, unknown)
+    return events.Answer(event.attempt, results.ActionNotRun(reason, wait))
--- a/tests/application/test_actions.py
+++ b/tests/application/test_actions.py
@@ -141,6 +141,46 @@
 
         fakes.run(fleet.clock, work())
 
+    def test_bound_key_runs_in_an_outage_at_its_entry_only(self) -> None:
+        """The platform is down for hours and a hold can not wait.
+
+        A key minted by an entry runs there without the platform; anywhere
+        else it must not, or two entries could place the hold.
+        """
+        fleet = builders.build_fleet()
+        fleet.platform.down = True
+
+        async def work() -> None:
+            owner, other, _ = fleet.entries
+            for fault in ('', 'refused', 'lost'):
+                fleet.services.faults = {
+                    f'http://booking-{n}': collections.deque([fault])
+                    for n in (1, 2)
+                }
+                key = owner.mint_key()
+                request = fleet.build_request(key=key)
+                told = [await owner.run(request) for _ in range(3)]
+                told.append(await owner.look_up('swan', key))
+                kinds[fault] = builders.count_kinds(told)
+                ran = fleet.services.executions[key]
+                self.assertEqual(1, ran)
+                refused = await other.run(request)
+                assert isinstance(refused, actions.ActionRefused)
+                self.assertIn('http://entry-0:8000', refused.reason)
+            fleet.clock.advance(930_000)
+            late = await owner.run(fleet.build_request(key=key))
+            self.assertIsInstance(late, actions.ActionRefused)
+            self.assertEqual(1, fleet.services.executions[key])
+
+        kinds: dict[str, dict[str, int]] = {}
+        fakes.run(fleet.clock, work())
+        expected = {
+            '': {'ActionDone': 4},
+            'refused': {'ActionNotRun': 1, 'ActionDone': 3},
+            'lost': {'ActionUnknown': 4},
+        }
+        self.assertEqual(expected, kinds)
+
     def test_look_up_tells_what_is_on_record(self) -> None:
         fleet = builders.build_fleet()
         fleet.services.faults['http://booking-1'] = collections.deque(['slow'])
--- a/tests/domain/actions/test_runner.py
+++ b/tests/domain/actions/test_runner.py
@@ -164,3 +164,6 @@
         down = messages.LedgerUnavailable('a1', 200, False)
         told = find_result(made.handle(events.LedgerAnswered('a1', down), 1))
         self.assertIsInstance(told, results.ActionUnknown)
+        late = builders.build_requested('a2', resent=True, deadline=0)
+        told = find_result(made.request(late, 1))
+        self.assertIsInstance(told, results.ActionUnknown)
