Keep one malformed page from stopping the other actions

Cause: a value that is no ledger page counted as an outage of the platform, so one bad value refused the actions of every page; an error that nobody expected left a page's writer waiting for good.

Change: a malformed page is refused by itself; any other error of a read or a write counts as no answer.

--- a/src/thornspool/application/exceptions.py
+++ b/src/thornspool/application/exceptions.py
@@ -13,6 +13,10 @@
     """The platform gave no answer within the time allowed."""
 
 
+class LedgerMalformed(PlatformError):
+    """A key of the ledger holds something that is no ledger page."""
+
+
 class PeerUnreachable(ApplicationError):
     """A peer gave no reply in time; it may still handle the message."""
 
--- a/src/thornspool/application/ledger.py
+++ b/src/thornspool/application/ledger.py
@@ -27,6 +27,8 @@
 
 logger = structlog.get_logger(__name__)
 
+_MALFORMED_WAIT_MS = 5_000
+
 
 @attrs.define
 class _Desk:
@@ -171,22 +173,28 @@
         try:
             return records.decode_page(found.value), found.version
         except actions_exceptions.PageMalformed as error:
-            raise exceptions.PlatformError(
+            raise exceptions.LedgerMalformed(
                 f'The value of {key} is not a ledger page.', str(error)
             ) from error
 
     async def _carry_out_read(self, desk: _Desk) -> None:
         try:
             page, version = await self._read(desk.address)
-        except exceptions.PlatformError as error:
+        except exceptions.LedgerMalformed as error:
+            # One bad value must not stop the actions of all other pages.
+            logger.error('ledger_page_malformed', reason=str(error))
+            self._feed(desk, writer.ReadFailed(_MALFORMED_WAIT_MS))
+        except Exception as error:
+            # Also of errors that nobody expected: a read without an end
+            # would hold every later action of the page for good.
             now = self._clock.now()
             self._breaker.record_failure(now)
             logger.warning('ledger_read_failed', reason=str(error))
             wait = self._breaker.read_wait(now)
             self._feed(desk, writer.ReadFailed(wait))
-            return
-        self._breaker.record_success()
-        self._feed(desk, writer.PageRead(page, version))
+        else:
+            self._breaker.record_success()
+            self._feed(desk, writer.PageRead(page, version))
 
     async def _carry_out_write(
         self, desk: _Desk, command: writer.WritePage
@@ -197,7 +205,9 @@
             written = await self._platform.put(
                 key, value, command.expected_version
             )
-        except exceptions.PlatformError:
+        except Exception as error:
+            # As with a read, and the write may have been sent before.
+            logger.warning('ledger_write_failed', reason=str(error))
             written = ports.WriteUnknown()
         if not isinstance(written, ports.WriteUnknown):
             self._breaker.record_success()
--- a/tests/application/test_actions.py
+++ b/tests/application/test_actions.py
@@ -11,6 +11,7 @@
 from tests.application import builders
 from tests.application import fakes
 from thornspool.application import actions
+from thornspool.application import ports
 from thornspool.domain.actions import results
 
 
@@ -141,6 +142,28 @@
 
         fakes.run(fleet.clock, work())
 
+    def test_malformed_page_stops_its_own_keys_only(self) -> None:
+        """Somebody writes rubbish into one of the ledger's keys."""
+        fleet = builders.build_fleet(1)
+        keys = [f'ledger/{bucket}/{{}}' for bucket in range(4)]
+
+        async def work() -> list[actions.ActionResult]:
+            (entry,) = fleet.entries
+            await entry.run(fleet.build_request(1))
+            (key,) = fleet.platform.values
+            number = key.rpartition('/')[2]
+            for bad in keys[:2]:
+                fleet.platform.values[bad.format(number)] = ports.Versioned(
+                    b'rubbish', 9
+                )
+            requests = [fleet.build_request(seed) for seed in range(2, 42)]
+            return await asyncio.gather(*map(entry.run, requests))
+
+        kinds = builders.count_kinds(fakes.run(fleet.clock, work()))
+        self.assertEqual({'ActionDone', 'ActionNotRun'}, set(kinds))
+        self.assertGreater(kinds['ActionDone'], 10)
+        self.assertGreater(kinds['ActionNotRun'], 5)
+
     def test_bound_key_runs_in_an_outage_at_its_entry_only(self) -> None:
         """The platform is down for hours and a hold can not wait.
 
