Keep a report to the workspaces of the token that asks

Cause: the report is gathered from all entries, so its builder waits, and a token of one team read the figures of every team. Change: the builder is a coroutine that takes the token's workspaces. Proof seen to fail: with all workspaces passed on, the row of the limited token failed.

--- a/src/thornspool/adapters/operators/handlers.py
+++ b/src/thornspool/adapters/operators/handlers.py
@@ -30,6 +30,11 @@
 logger = structlog.get_logger(__name__)
 
 
+BuildReport = typing.Callable[
+    [tuple[str, ...] | None], 'Awaitable[typing.Any]'
+]
+
+
 @attrs.frozen
 class Context:
     """What the handlers work with.
@@ -50,7 +55,8 @@
         Takes workspace and key, returns the action's record as an ``attrs``
         instance, or None if there is none.
     build_report : callable
-        Gathers the report, an ``attrs`` instance.
+        Takes the workspaces to report on, None for all; gathers the report,
+        an ``attrs`` instance.
     """
 
     clock: clocks.Clock
@@ -59,7 +65,7 @@
     tokens: Sequence[settings.Token]
     drain: Callable[[], Awaitable[None]]
     look_up_action: Callable[[str, str], Awaitable[typing.Any]]
-    build_report: Callable[[], Awaitable[typing.Any]]
+    build_report: BuildReport
 
 
 def make_handlers(
@@ -69,7 +75,7 @@
     tokens: Sequence[settings.Token],
     drain: Callable[[], Awaitable[None]],
     look_up_action: Callable[[str, str], Awaitable[typing.Any]],
-    build_report: Callable[[], Awaitable[typing.Any]],
+    build_report: BuildReport,
 ) -> list[tuple[str, type[web.RequestHandler], dict[str, typing.Any]]]:
     """Return the routes of the operators' interface for tornado.
 
@@ -229,7 +235,8 @@
 
     async def get(self) -> None:
         """Answer the report."""
-        self.answer(await self.context.build_report())
+        workspaces = self.token.workspaces
+        self.answer(await self.context.build_report(workspaces))
 
 
 class UnknownHandler(OperatorHandler):
--- a/src/thornspool/application/objectives.py
+++ b/src/thornspool/application/objectives.py
@@ -129,8 +129,16 @@
                 good = milliseconds <= bound
                 self._add(subject, int(good), int(not good))
 
-    async def report(self) -> BurnReport:
-        """Gather the counts of all entries and work out every burn."""
+    async def report(
+        self, workspaces: tuple[str, ...] | None = None
+    ) -> BurnReport:
+        """Gather the counts of all entries and work out every burn.
+
+        Parameters
+        ----------
+        workspaces : tuple of str, optional
+            Workspaces to report on; all when left out.
+        """
         others = [
             member
             for member in self._members.list_members()
@@ -146,7 +154,11 @@
             windows_ms=burn.WINDOWS_MS,
             entries_asked=len(others) + 1,
             entries_answered=len(answered),
-            burns=self._assess(answered),
+            burns=tuple(
+                one
+                for one in self._assess(answered)
+                if workspaces is None or one.subject.workspace in workspaces
+            ),
         )
 
     def _add(self, subject: burn.Subject, good: int, bad: int) -> None:
--- a/tests/adapters/operators/builders.py
+++ b/tests/adapters/operators/builders.py
@@ -57,6 +57,9 @@
                 raise exceptions.PlatformError('No answer.')
             return _Record('done') if key == 'known' else None
 
+        async def report(workspaces: object) -> _Record:
+            return _Record(str(workspaces))
+
         return handlers.make_handlers(
             clock.Clock(),
             self.entry.service,
@@ -67,7 +70,7 @@
             ),
             drain,
             look_up,
-            lambda: _Record('fine'),
+            report,
         )
 
     async def send(
--- a/tests/adapters/operators/test_handlers.py
+++ b/tests/adapters/operators/test_handlers.py
@@ -113,3 +113,12 @@
                 status, _, _ = await self.send(path, body, token)
                 self.assertEqual(expected, status)
         self.assertEqual(1, self.drained)
+
+    async def test_a_report_is_kept_to_the_workspaces_of_a_token(self) -> None:
+        for token, seen in (
+            (builders.LIMITED, "('alpha',)"),
+            (builders.SECRET, 'None'),
+        ):
+            with self.subTest(token=token):
+                _, _, value = await self.send('/v1/report', None, token)
+                self.assertIn(seen, str(value))
