Catch forgotten removals and unchecked bucket writes in tests

Cause: two broken mechanisms still passed every test.

Change: the test of removals rewrites the very bucket that remembers one; fault cases and fuzzing check that each accepted head refers to buckets that can be read; a measurement of racing operators.

Planning on an old head changes nothing that a test sees: the compare-and-swap refuses it, so that check only saves calls.

--- a/tests/application/configuration_builders.py
+++ b/tests/application/configuration_builders.py
@@ -68,6 +68,7 @@
 
     platform_up: bool = True
     slow: bool = False
+    jitter_s: float = 0.0
     stale: int = 0
     write: str = 'done'
     write_prefix: str = ''
@@ -102,9 +103,12 @@
 class PlatformClient:
     """The platform as one entry sees it."""
 
-    def __init__(self, shared: SharedPlatform, faults: Faults) -> None:
+    def __init__(
+        self, shared: SharedPlatform, faults: Faults, seed: str
+    ) -> None:
         self._shared = shared
         self._faults = faults
+        self._rng = random.Random(seed)
         self.reads: list[str] = []
         self.writes: list[str] = []
 
@@ -155,7 +159,8 @@
     async def _cross(self) -> None:
         """Let the call reach the platform, or fail as the faults say."""
         await self._faults.thawed.wait()
-        await asyncio.sleep(0.002)
+        jitter = self._rng.uniform(0, self._faults.jitter_s)
+        await asyncio.sleep(0.002 + jitter)
         if self._faults.slow:
             await asyncio.sleep(SLOW_MS / 1000)
         if not self._faults.platform_up:
@@ -223,7 +228,7 @@
     ) -> None:
         self.faults = Faults()
         self.links = PeerLinks(cluster, self.faults)
-        self.platform = PlatformClient(cluster.platform, self.faults)
+        self.platform = PlatformClient(cluster.platform, self.faults, name)
         self.view = View()
         self.applied: list[documents.Snapshot] = []
         self.member = builders.build_member(name, incarnation=name)
--- a/tests/application/test_configuration.py
+++ b/tests/application/test_configuration.py
@@ -11,6 +11,7 @@
 from thornspool.domain.configuration import head as heads
 from thornspool.domain.configuration import publications
 from thornspool.domain.configuration import publishing
+from thornspool.domain.configuration import storage
 
 BUCKET_PREFIX = 'configuration/bucket'
 IN_FORCE_S = 4
@@ -21,6 +22,16 @@
     return len(heads.decode_head(value).history)
 
 
+def _list_absent(cluster: make.Cluster) -> list[str]:
+    """Return the buckets that the head refers to and nobody can read."""
+    head = heads.decode_head(cluster.platform.read(heads.HEAD_KEY).value)
+    return [
+        digest
+        for digest in filter(None, head.buckets)
+        if not cluster.platform.read(storage.format_bucket_key(digest)).value
+    ]
+
+
 async def _publish(
     entry: make.Entry, name: str, mark: float, base: int = 0
 ) -> configuration_results.PublishResult:
@@ -124,6 +135,7 @@
             result = await task
             self.assertIsInstance(result, outcome)
             self.assertEqual(records, _count_records(cluster))
+            self.assertEqual([], _list_absent(cluster))
             if isinstance(result, publishing.Undecided):
                 self.assertEqual(
                     heads.HEAD_KEY in entry.platform.writes, result.written
--- a/tests/application/test_configuration_fuzzing.py
+++ b/tests/application/test_configuration_fuzzing.py
@@ -111,10 +111,14 @@
         second=strategies.integers(0, 9),
         name=strategies.sampled_from(NAMES),
         fate=strategies.sampled_from(FAULTS['write']),
+        prefix=strategies.sampled_from(FAULTS['write_prefix']),
     )
-    def race(self, first: int, second: int, name: str, fate: str) -> None:
+    def race(
+        self, first: int, second: int, name: str, fate: str, prefix: str
+    ) -> None:
         """Two operators change one document, and an answer may get lost."""
-        self.entries[first % len(self.entries)].faults.write = fate
+        faults = self.entries[first % len(self.entries)].faults
+        faults.write, faults.write_prefix = fate, prefix
         self.publish(first, 0, (make.build_workspace(name, 5),), ())
         self.publish(second, 0, (make.build_workspace(name, 6),), ())
 
--- a/tests/domain/configuration/test_publications.py
+++ b/tests/domain/configuration/test_publications.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import itertools
 import unittest
 
 from tests.application import configuration_builders as make
@@ -9,10 +10,24 @@
 from thornspool.domain.configuration import documents
 from thornspool.domain.configuration import head as heads
 from thornspool.domain.configuration import publications
+from thornspool.domain.configuration import storage
 
 ALPHA = documents.DocumentKey(documents.DocumentKind.WORKSPACE, 'alpha')
 
 
+def _find_neighbour() -> str:
+    """Return the name of a workspace that shares alpha's bucket."""
+    index = storage.assign_bucket(ALPHA)
+    for number in itertools.count():
+        key = documents.DocumentKey(ALPHA.kind, f'n{number}')
+        if storage.assign_bucket(key) == index:
+            return key.name
+    raise AssertionError
+
+
+NEIGHBOUR = _find_neighbour()
+
+
 def _publish(
     contents: whole.Contents,
     base: int,
@@ -93,7 +108,7 @@
         for mark in range(heads.HISTORY_LENGTH + 1):
             planned = _publish(contents, 1, alpha)
             self.assertIsInstance(planned, conflict)
-            contents = _accept(contents, make.build_workspace('beta', mark))
+            contents = _accept(contents, make.build_workspace(NEIGHBOUR, mark))
         self.assertIsInstance(_publish(contents, 1, alpha), conflict)
         now = contents.head.version
         self.assertIsInstance(
@@ -103,8 +118,8 @@
     def test_removed_document_is_forgotten_after_the_history(self) -> None:
         contents = self.removed
         for mark in range(heads.HISTORY_LENGTH + 1):
-            contents = _accept(contents, make.build_workspace('beta', mark))
-        self.assertIsNotNone(contents.find(ALPHA))
+            contents = _accept(contents, make.build_workspace(NEIGHBOUR, mark))
+        self.assertIsNone(contents.find(ALPHA))
         again = _accept(contents, make.build_workspace('alpha', 1))
         stored = again.find(ALPHA)
         assert stored is not None
