--- a/src/thornspool/domain/configuration/publications.py
+++ b/src/thornspool/domain/configuration/publications.py
@@ -14,6 +14,7 @@
 from thornspool.domain.configuration import storage
 
 if typing.TYPE_CHECKING:
+    from collections.abc import Iterable
     from collections.abc import Iterator
 
 
@@ -263,6 +264,9 @@
         else:
             by_kind[key.kind][key.name] = document
     merged = whole.build_snapshot(contents.head.version + 1, by_kind)
+    kept = [one for one in changes.values() if one is not None]
+    if len(kept) == len(changes) and not _has_target(kept):
+        return rules.check_documents(merged, kept)
     broken = rules.check_snapshot(merged)
     if not broken:
         return ()
@@ -270,6 +274,15 @@
     return tuple(problem for problem in broken if problem not in before)
 
 
+def _has_target(changed: Iterable[documents.Document]) -> bool:
+    """Tell whether documents that refer to these may break a rule now.
+
+    References go by name, so only a removal or a target of another kind can
+    break the rules of a document that was not published.
+    """
+    return any(isinstance(one, documents.Target) for one in changed)
+
+
 def _build_plan(
     contents: whole.Contents,
     publication: Publication,
--- a/src/thornspool/domain/configuration/rules.py
+++ b/src/thornspool/domain/configuration/rules.py
@@ -9,6 +9,7 @@
 
 if typing.TYPE_CHECKING:
     from collections.abc import Collection
+    from collections.abc import Iterable
     from collections.abc import Iterator
 
 
@@ -22,13 +23,35 @@
     snapshot : Snapshot
         The configuration as it would be in force.
     """
+    every: tuple[documents.Document, ...] = (
+        *snapshot.workspaces.values(),
+        *snapshot.services.values(),
+        *snapshot.models.values(),
+    )
+    return check_documents(snapshot, every)
+
+
+def check_documents(
+    snapshot: documents.Snapshot, checked: Iterable[documents.Document]
+) -> tuple[problems.Problem, ...]:
+    """Return the broken rules of some documents of a configuration.
+
+    Parameters
+    ----------
+    snapshot : Snapshot
+        The configuration that they refer to.
+    checked : iterable of Document
+        The documents to check; targets refer to nothing.
+    """
     found: list[problems.Problem] = []
-    for workspace in snapshot.workspaces.values():
-        found.extend(_check_workspace(snapshot, workspace))
-    for service in snapshot.services.values():
-        found.extend(_check_service(snapshot, service))
-    for model in snapshot.models.values():
-        found.extend(_check_model(snapshot, model))
+    for document in checked:
+        match document:
+            case documents.Workspace():
+                found.extend(_check_workspace(snapshot, document))
+            case documents.Service():
+                found.extend(_check_service(snapshot, document))
+            case documents.Model():
+                found.extend(_check_model(snapshot, document))
     return tuple(found)
 
 
--- a/tests/domain/configuration/test_publications.py
+++ b/tests/domain/configuration/test_publications.py
@@ -5,6 +5,8 @@
 import itertools
 import unittest
 
+import attrs
+
 from tests.application import configuration_builders as make
 from thornspool.domain.configuration import contents as whole
 from thornspool.domain.configuration import documents
@@ -126,7 +128,7 @@
         self.assertEqual(again.head.version, stored.version)
 
     def test_rules_hold_for_the_merged_result(self) -> None:
-        """One operator removes a model that another begins to use."""
+        """One operator removes what another uses, or begins to use."""
         target = documents.Target(
             'e', documents.TargetKind.ENGINE, 'h', 'f', 'http://127.0.0.1:1'
         )
@@ -134,9 +136,18 @@
         with_model = _accept(whole.Contents(), target, model)
         key = documents.identify(model)
         without = _accept(with_model, removals=(key,))
-        planned = _publish(without, 1, documents.Workspace('a', ('m',)))
-        assert isinstance(planned, publications.Invalid)
-        self.assertEqual('unknown-model', planned.problems[0].rule)
+        user = documents.Workspace('a', ('m',))
+        in_use = _accept(with_model, user)
+        service = attrs.evolve(target, kind=documents.TargetKind.SERVICE)
+        cases = {
+            'unknown-model': _publish(without, 1, user),
+            'unknown-model ': _publish(in_use, 2, removals=(key,)),
+            'target-kind': _publish(in_use, 2, service),
+        }
+        for rule, planned in cases.items():
+            with self.subTest(rule):
+                assert isinstance(planned, publications.Invalid)
+                self.assertEqual(rule.strip(), planned.problems[0].rule)
 
     def test_replaced_buckets_become_garbage_after_a_while(self) -> None:
         contents = self.changed
