--- a/tests/domain/configuration/test_publications.py
+++ b/tests/domain/configuration/test_publications.py
@@ -2,17 +2,34 @@
 
 from __future__ import annotations
 
+import itertools
 import unittest
 
+import attrs
+
 from tests.application import configuration_builders as make
 from thornspool.domain.configuration import contents as whole
 from thornspool.domain.configuration import documents
 from thornspool.domain.configuration import head as heads
 from thornspool.domain.configuration import publications
+from thornspool.domain.configuration import storage
 
 ALPHA = documents.DocumentKey(documents.DocumentKind.WORKSPACE, 'alpha')
 
 
+def _find_neighbour() -> str:
+    """Return the name of a workspace that shares alpha's bucket."""
+    index = storage.assign_bucket(ALPHA)
+    for number in itertools.count():
+        key = documents.DocumentKey(ALPHA.kind, f'n{number}')
+        if storage.assign_bucket(key) == index:
+            return key.name
+    raise AssertionError
+
+
+NEIGHBOUR = _find_neighbour()
+
+
 def _publish(
     contents: whole.Contents,
     base: int,
@@ -93,7 +110,7 @@
         for mark in range(heads.HISTORY_LENGTH + 1):
             planned = _publish(contents, 1, alpha)
             self.assertIsInstance(planned, conflict)
-            contents = _accept(contents, make.build_workspace('beta', mark))
+            contents = _accept(contents, make.build_workspace(NEIGHBOUR, mark))
         self.assertIsInstance(_publish(contents, 1, alpha), conflict)
         now = contents.head.version
         self.assertIsInstance(
@@ -103,15 +120,15 @@
     def test_removed_document_is_forgotten_after_the_history(self) -> None:
         contents = self.removed
         for mark in range(heads.HISTORY_LENGTH + 1):
-            contents = _accept(contents, make.build_workspace('beta', mark))
-        self.assertIsNotNone(contents.find(ALPHA))
+            contents = _accept(contents, make.build_workspace(NEIGHBOUR, mark))
+        self.assertIsNone(contents.find(ALPHA))
         again = _accept(contents, make.build_workspace('alpha', 1))
         stored = again.find(ALPHA)
         assert stored is not None
         self.assertEqual(again.head.version, stored.version)
 
     def test_rules_hold_for_the_merged_result(self) -> None:
-        """One operator removes a model that another begins to use."""
+        """One operator removes what another uses, or begins to use."""
         target = documents.Target(
             'e', documents.TargetKind.ENGINE, 'h', 'f', 'http://127.0.0.1:1'
         )
@@ -119,9 +136,18 @@
         with_model = _accept(whole.Contents(), target, model)
         key = documents.identify(model)
         without = _accept(with_model, removals=(key,))
-        planned = _publish(without, 1, documents.Workspace('a', ('m',)))
-        assert isinstance(planned, publications.Invalid)
-        self.assertEqual('unknown-model', planned.problems[0].rule)
+        user = documents.Workspace('a', ('m',))
+        in_use = _accept(with_model, user)
+        service = attrs.evolve(target, kind=documents.TargetKind.SERVICE)
+        cases = {
+            'unknown-model': _publish(without, 1, user),
+            'unknown-model ': _publish(in_use, 2, removals=(key,)),
+            'target-kind': _publish(in_use, 2, service),
+        }
+        for rule, planned in cases.items():
+            with self.subTest(rule):
+                assert isinstance(planned, publications.Invalid)
+                self.assertEqual(rule.strip(), planned.problems[0].rule)
 
     def test_replaced_buckets_become_garbage_after_a_while(self) -> None:
         contents = self.changed
