Learn link times from engines' own timings; measure the planner

Links were learnt from the time between tokens (normalised least mean squares over the route), and time spent in queues was put down to links: a link inside one failure domain was believed to need 110 ms, and one with 5.3 s of queue 0.6 ms.

Ruled out: better weights for the same sums; queue and link can't be told apart from their sum. Engines now time the way to the next stage and say so with every sixteenth token; what was learnt fades, so that an avoided link is tried again.

--- a/src/thornspool/application/generation.py
+++ b/src/thornspool/application/generation.py
@@ -190,7 +190,7 @@
     ) -> generation_messages.GenerationEvent:
         if self._attempt is not None:
             now = self._context.clock.now()
-            self._attempt.note_tokens(len(command.texts), now)
+            self._attempt.note_tokens(now)
         return generation_messages.Tokens(command.first_index, command.texts)
 
     def _fail(
--- a/src/thornspool/application/generation_attempts.py
+++ b/src/thornspool/application/generation_attempts.py
@@ -12,7 +12,6 @@
 from thornspool.application import exceptions
 from thornspool.application import generation_exceptions
 from thornspool.application import generation_flights
-from thornspool.application import generation_planning
 from thornspool.domain.pipelines import affinity
 from thornspool.domain.pipelines import messages
 
@@ -21,6 +20,7 @@
 
     from thornspool import clock as clock_module
     from thornspool.application import generation_messages
+    from thornspool.application import generation_planning
     from thornspool.domain.pipelines import frames as frames_module
 
 _CANCEL_TIMEOUT_MS = 2_000
@@ -131,7 +131,6 @@
         self._call = call
         self._tell = tell
         self._route = call.route
-        self._pace = generation_planning.Pace()
         self._started_at = context.clock.now()
         self._seen_at = -1
         self._task: asyncio.Task[None] | None = None
@@ -146,23 +145,21 @@
         self._task = asyncio.get_running_loop().create_task(self._run())
         self._context.keep(self._task)
 
-    def note_tokens(self, count: int, now: int) -> None:
+    def note_tokens(self, now: int) -> None:
         """Learn from verified tokens."""
         planning = self._context.planning
         if self._seen_at < 0:
             prefix = affinity.compute_prefix(self._call.request.prompt)
             planning.note_prefix(self._route, prefix, now)
         self._seen_at = now
-        interval = self._pace.add(count, now)
-        if interval is not None:
-            planning.note_pace(self._route, interval)
 
     def blame(self, command: messages.Cancel) -> None:
         """Tell who failed, and learn from a stall."""
         context = self._context
         if command.reason is messages.Reason.STALLED and self._seen_at >= 0:
-            waited = context.clock.now() - self._seen_at
-            context.planning.note_stall(self._route, waited)
+            now = context.clock.now()
+            waited = now - self._seen_at
+            context.planning.note_stall(self._route, waited, now)
         if not command.suspect:
             return
         context.hooks.note_failure(command.suspect, command.reason)
@@ -218,4 +215,8 @@
             return
         if frames[-1].loads:
             self._context.hooks.note_loads(frames[-1].loads)
+        if frames[-1].hops:
+            now = self._context.clock.now()
+            planning = self._context.planning
+            planning.note_hops(self._route, frames[-1].hops, now)
         self._tell(messages.FramesReceived(self._call.attempt, frames))
--- a/src/thornspool/application/generation_planning.py
+++ b/src/thornspool/application/generation_planning.py
@@ -23,7 +23,6 @@
 
 _PER_RANGE = 16
 _PREFILL_MS = 200.0
-_PACE_TOKENS = 16
 
 
 @attrs.frozen
@@ -141,7 +140,7 @@
         usable = planner.list_usable(stages, targets, self._targets, left_out)
         costs = planner.Costs(
             stage=lambda stage: self._price(wish, stage, now),
-            link=self.links.read,
+            link=lambda first, second: self.links.read(first, second, now),
             favourite=lambda layers: self.affinity.find(wish.prefix, layers),
         )
         return planner.plan_route(
@@ -175,34 +174,15 @@
             layers = (stage.first_layer, stage.end_layer)
             self.affinity.note(prefix, layers, stage.target, now)
 
-    def note_pace(self, route: routes.Route, interval_ms: float) -> None:
-        """Learn links from the time between two tokens of a route."""
-        steps = route.cost_ms - self._sum_links(route)
-        self.links.observe(route, interval_ms, max(0.0, steps))
+    def note_hops(
+        self, route: routes.Route, hops: list[float], now: int
+    ) -> None:
+        """Learn links from the times between stages, in milliseconds."""
+        for link, time_ms in zip(route.list_links(), hops, strict=False):
+            self.links.note_hop(*link, time_ms, now)
 
-    def note_stall(self, route: routes.Route, waited_ms: float) -> None:
+    def note_stall(
+        self, route: routes.Route, waited_ms: float, now: int
+    ) -> None:
         """Learn links from a wait without a token."""
-        self.links.observe_stall(route, waited_ms)
-
-    def _sum_links(self, route: routes.Route) -> float:
-        return sum(self.links.read(*link) for link in route.list_links())
-
-
-class Pace:
-    """Time between tokens of one attempt, told now and then."""
-
-    def __init__(self) -> None:
-        self._since = -1
-        self._tokens = 0
-
-    def add(self, tokens: int, now: int) -> float | None:
-        """Add tokens; return the mean interval once there are enough."""
-        if self._since < 0:
-            self._since = now
-            return None
-        self._tokens += tokens
-        if self._tokens < _PACE_TOKENS:
-            return None
-        interval = (now - self._since) / self._tokens
-        self._since, self._tokens = now, 0
-        return interval
+        self.links.note_stall(route, waited_ms, now)
--- a/src/thornspool/domain/pipelines/frames.py
+++ b/src/thornspool/domain/pipelines/frames.py
@@ -68,6 +68,8 @@
         Target that a failure names.
     loads : list of StageLoad
         Loads of the route's stages, on frames that end an attempt.
+    hops : list of float
+        Milliseconds of the way from each stage to the next, on some frames.
     """
 
     request: str = ''
@@ -79,6 +81,7 @@
     failed: str = ''
     target: str = ''
     loads: list[StageLoad] = attrs.field(factory=list)
+    hops: list[float] = attrs.field(factory=list)
 
 
 class FrameReader:
--- a/src/thornspool/domain/pipelines/links.py
+++ b/src/thornspool/domain/pipelines/links.py
@@ -1,25 +1,36 @@
-"""Link times between failure domains, learnt from the pace of tokens.
+"""Link times between failure domains, learnt from what engines time.
 
-Engines do not report links. What an entry sees is the time between two
-tokens, which is the step times of the route's stages plus its links. Each
-sighting moves the links of the route a part of the way to explaining it
-(normalised least mean squares; Widrow and Hoff, 1960).
+Engines time the way of their work to the next stage and say so now and then
+in their streams. A link that is found slow is avoided, and one that is
+avoided is not timed any more; so what was learnt fades towards the time that
+the link is known or guessed to have, and the link is tried again.
 """
 
 from __future__ import annotations
 
 import typing
 
+import attrs
+
 if typing.TYPE_CHECKING:
     from thornspool.domain.pipelines import routes
 
 Link = tuple[str, str]
 
-_RATE = 0.3
+_SHARE = 0.2
+_HALF_LIFE_MS = 15_000
 _SAME_DOMAIN_MS = 0.1
 _UNSEEN_MS = 0.5
 
 
+@attrs.frozen
+class _Learnt:
+    """A learnt time and when it was learnt."""
+
+    time: float
+    at: int
+
+
 class LinkTimes:
     """One-way times of links, in milliseconds.
 
@@ -30,43 +41,46 @@
     """
 
     def __init__(self, known: dict[Link, float] | None = None) -> None:
-        self._times: dict[Link, float] = dict(known or {})
+        self._known: dict[Link, float] = dict(known or {})
+        self._learnt: dict[Link, _Learnt] = {}
 
-    def read(self, first: str, second: str) -> float:
-        """Return the time of a link; a guess before it was ever seen."""
-        known = self._times.get((first, second))
-        if known is not None:
-            return known
-        return _SAME_DOMAIN_MS if first == second else _UNSEEN_MS
+    def read(self, first: str, second: str, now: int) -> float:
+        """Return the time of a link in milliseconds."""
+        usual = self._read_usual(first, second)
+        learnt = self._learnt.get((first, second))
+        if learnt is None:
+            return usual
+        weight = 0.5 ** ((now - learnt.at) / _HALF_LIFE_MS)
+        return float(weight * learnt.time + (1 - weight) * usual)
 
-    def observe(
-        self, route: routes.Route, interval_ms: float, steps_ms: float
+    def note_hop(
+        self, first: str, second: str, time_ms: float, now: int
     ) -> None:
-        """Take in the time between two tokens of a route.
-
-        Parameters
-        ----------
-        route : routes.Route
-            Route of the tokens.
-        interval_ms : float
-            Time between them.
-        steps_ms : float
-            Part of it that the stages are expected to need.
+        """Take in a time that was measured on a link."""
+        before = self.read(first, second, now)
+        if (first, second) not in self._learnt:
+            before = time_ms
+        time = before + _SHARE * (time_ms - before)
+        self._learnt[first, second] = _Learnt(time, now)
+
+    def note_stall(
+        self, route: routes.Route, waited_ms: float, now: int
+    ) -> None:
+        """Take in that no token came along a route for so long.
+
+        Any link of the route may be the reason, and none is timed while
+        nothing arrives; so each is taken to need its part of the wait.
         """
         links = route.list_links()
-        times = [self.read(*link) for link in links]
-        error = interval_ms - steps_ms - sum(times)
-        # A share by the square of the time: a slow link explains a change
-        # better than a fast one, so that one bad link does not spoil the
-        # figures of the good ones that it was seen with.
-        weights = [time * time + 1e-6 for time in times]
-        total = sum(weights)
-        for link, time, weight in zip(links, times, weights, strict=True):
-            moved = time + _RATE * error * weight / total
-            self._times[link] = max(0.0, moved)
-
-    def observe_stall(self, route: routes.Route, waited_ms: float) -> None:
-        """Take in that no token came for so long; it only raises times."""
-        expected = sum(self.read(*link) for link in route.list_links())
-        if waited_ms > expected:
-            self.observe(route, waited_ms, 0.0)
+        part = waited_ms / len(links)
+        for first, second in links:
+            time = max(part, self.read(first, second, now))
+            self._learnt[first, second] = _Learnt(time, now)
+
+    def _read_usual(self, first: str, second: str) -> float:
+        if first == second:
+            return _SAME_DOMAIN_MS
+        known = self._known.get((first, second))
+        if known is None:
+            known = self._known.get((second, first), _UNSEEN_MS)
+        return known
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -13,6 +13,7 @@
 import json
 import os
 import sys
+import time
 import typing
 
 import attrs
@@ -35,6 +36,7 @@
 _FORWARD_TIMEOUT_S = 30.0
 _FAST_BURST = 64
 _PEERS = 64
+_HOPS_EVERY = 16
 _ENCODER = msgspec.json.Encoder()
 
 
@@ -44,6 +46,10 @@
     return f'{digest.hexdigest()} '
 
 
+def _read_ms() -> float:
+    return time.monotonic() * 1000
+
+
 class Engine:
     """One engine: its batch, its neighbours, its faults."""
 
@@ -83,6 +89,7 @@
         self, work: engine_messages.Forward
     ) -> engine_messages.Forwarded:
         """Run tokens through this stage and those behind it."""
+        begun = _read_ms()
         self.batch.admit(work.request, work.attempt, work.known)
         if not work.known:
             await self.batch.warm(work.prompt)
@@ -96,11 +103,17 @@
         )
         load = self.batch.read_load()
         if len(work.route) == 1:
-            return engine_messages.Forwarded([own], [load])
-        following = attrs.evolve(work, route=work.route[1:])
-        behind = await self._send(following)
+            taken = _read_ms() - begun
+            return engine_messages.Forwarded([own], [load], taken, [])
+        sent = _read_ms()
+        behind = await self._send(attrs.evolve(work, route=work.route[1:]))
+        answered = _read_ms()
+        hop = answered - sent - behind.taken_ms
         return engine_messages.Forwarded(
-            [own, *behind.receipts], [load, *behind.loads]
+            [own, *behind.receipts],
+            [load, *behind.loads],
+            answered - begun,
+            [hop, *behind.hops],
         )
 
     async def _send(
@@ -225,6 +238,8 @@
                 )
                 for position in range(index, index + count)
             ]
+            if index % _HOPS_EVERY == 0:
+                frames[-1] = attrs.evolve(frames[-1], hops=passed.hops)
             await self._write(self.engine.faults.spoil(frames))
             index += count
         end = engine_messages.End(order.request, order.attempt, index, loads)
--- a/standins/engine_messages.py
+++ b/standins/engine_messages.py
@@ -71,10 +71,16 @@
 
 @attrs.frozen
 class Forwarded:
-    """Answer of ``POST /v1/forward``."""
+    """Answer of ``POST /v1/forward``.
+
+    ``taken_ms`` is the time from its arrival to this answer, and ``hops``
+    the times of the ways between the stages behind.
+    """
 
     receipts: list[tuple[int, int, str]]
     loads: list[Load]
+    taken_ms: float
+    hops: list[float]
 
 
 @attrs.frozen
@@ -94,6 +100,7 @@
     index: int
     token: str
     receipts: list[tuple[int, int, str]]
+    hops: list[float] = attrs.field(factory=list)
 
 
 @attrs.frozen
--- /dev/null
+++ b/tools/bench_throughput.py
@@ -0,0 +1,247 @@
+"""Measure the planner's throughput against the maximum-flow bound.
+
+A small discrete-event driver: entries plan routes with loads that lag,
+engines of mixed kinds run steps of a bounded batch, links differ a
+hundredfold in time and rate. Nothing but the placement differs between the
+policies that are compared.
+"""
+
+from __future__ import annotations
+
+import collections
+import functools
+import heapq
+import itertools
+import json
+import random
+import typing
+
+import attrs
+
+from thornspool.domain.targets import messages
+from tools import throughput_policies
+from tools import throughput_world
+
+if typing.TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from thornspool.domain.pipelines import routes
+
+SEEDS = (1, 2, 3)
+
+_ENTRIES = 6
+_REPORT_MS = 500
+_REPORT_LAG_MS = 250
+_WARM_MS = 10_000
+_END_MS = 25_000
+_TOKENS = (40, 120)
+_CROWDING = 3.0
+_TYPICAL_CYCLE_MS = 100.0
+_HOPS_EVERY = 16
+
+BuildPolicy = typing.Callable[
+    [throughput_world.World, throughput_policies.LaggingView, int],
+    throughput_policies.Policy,
+]
+
+POLICIES: dict[str, BuildPolicy] = {
+    'thornspool': throughput_policies.PlannerPolicy,
+    'least_loaded': throughput_policies.build_least_loaded,
+    'round_robin': throughput_policies.build_round_robin,
+}
+
+
+@attrs.define(eq=False)
+class _Engine:
+    """An engine: its queue and what its batch holds."""
+
+    name: str
+    step_ms: float
+    max_batch: int
+    queue: collections.deque[_Request] = attrs.field(factory=collections.deque)
+    batch: list[_Request] = attrs.field(factory=list)
+
+
+@attrs.define(eq=False)
+class _Request:
+    """A request: where it is on its route and how much is left."""
+
+    entry: int
+    route: routes.Route
+    left: int
+    position: int = 0
+    hops: list[float] = attrs.field(factory=list)
+
+
+class Driver:
+    """A run of one policy in one world, event by event.
+
+    Parameters
+    ----------
+    world : throughput_world.World
+        Engines and links.
+    build_policy : callable
+        Builds the policy of an entry.
+    seed : int
+        Seed of the lengths of answers and of the policies.
+    """
+
+    def __init__(
+        self,
+        world: throughput_world.World,
+        build_policy: BuildPolicy,
+        seed: int,
+    ) -> None:
+        self.tokens = 0
+        self._world = world
+        self._random = random.Random(seed)
+        self._view = throughput_policies.LaggingView()
+        self._policies = [
+            build_policy(world, self._view, seed * 100 + entry)
+            for entry in range(_ENTRIES)
+        ]
+        self._engines = {
+            name: _Engine(name, step_ms, max_batch)
+            for name, (step_ms, max_batch) in world.kinds.items()
+        }
+        self._link_free: dict[tuple[str, str], float] = {}
+        self._events: list[tuple[float, int, Callable[[], None]]] = []
+        self._order = itertools.count()
+        self._now = 0.0
+
+    def run(self, requests: int) -> float:
+        """Keep some requests in flight; return tokens a millisecond."""
+        for number in range(requests):
+            # Callers do not all start at once; the reports of the first
+            # ones are there when the others come.
+            begin = self._random.uniform(0, _WARM_MS / 2)
+            entry = number % _ENTRIES
+            self._at(begin, functools.partial(self._begin, entry))
+        self._at(0.0, self._report)
+        while self._events and self._now < _END_MS:
+            self._now, _, act = heapq.heappop(self._events)
+            act()
+        return self.tokens / (_END_MS - _WARM_MS)
+
+    def _at(self, time: float, act: Callable[[], None]) -> None:
+        heapq.heappush(self._events, (time, next(self._order), act))
+
+    def _report(self) -> None:
+        reports = [
+            messages.LoadReport(
+                engine.name,
+                int(self._now + _REPORT_LAG_MS),
+                messages.Readiness.READY,
+                len(engine.batch),
+                len(engine.queue),
+                engine.max_batch,
+                engine.step_ms,
+            )
+            for engine in self._engines.values()
+        ]
+        self._at(
+            self._now + _REPORT_LAG_MS, lambda: self._view.publish(reports)
+        )
+        self._at(self._now + _REPORT_MS, self._report)
+
+    def _begin(self, entry: int) -> None:
+        route = self._policies[entry].plan(int(self._now))
+        length = self._random.randint(*_TOKENS)
+        self._arrive(_Request(entry, route, length))
+
+    def _arrive(self, request: _Request) -> None:
+        target = request.route.stages[request.position].target
+        engine = self._engines[target]
+        engine.queue.append(request)
+        if not engine.batch:
+            self._start_step(engine)
+
+    def _start_step(self, engine: _Engine) -> None:
+        count = min(engine.max_batch, len(engine.queue))
+        engine.batch = [engine.queue.popleft() for _ in range(count)]
+        if engine.batch:
+            self._at(
+                self._now + engine.step_ms, lambda: self._end_step(engine)
+            )
+
+    def _end_step(self, engine: _Engine) -> None:
+        batch, engine.batch = engine.batch, []
+        for request in batch:
+            self._move_on(request)
+        if not engine.batch:
+            self._start_step(engine)
+
+    def _move_on(self, request: _Request) -> None:
+        stages = request.route.stages
+        here = stages[request.position].failure_domain
+        if request.position + 1 < len(stages):
+            request.position += 1
+            there = stages[request.position].failure_domain
+            arrival = self._cross(here, there)
+            request.hops.append(arrival - self._now)
+            self._at(arrival, lambda: self._arrive(request))
+            return
+        # The way back carries a token and no activations, so it takes time
+        # but no part of the link's rate.
+        back = throughput_world.read_link_ms(here, stages[0].failure_domain)
+        self._at(self._now + back, lambda: self._end_token(request))
+
+    def _cross(self, here: str, there: str) -> float:
+        """Return when something sent now arrives, behind what is sent."""
+        free = max(self._now, self._link_free.get((here, there), 0.0))
+        free += 1 / throughput_world.read_link_rate(here, there)
+        self._link_free[here, there] = free
+        return free + throughput_world.read_link_ms(here, there)
+
+    def _end_token(self, request: _Request) -> None:
+        policy = self._policies[request.entry]
+        if self._now >= _WARM_MS:
+            self.tokens += 1
+        if request.left % _HOPS_EVERY == 0:
+            policy.note_hops(request.route, request.hops, int(self._now))
+        request.hops = []
+        request.left -= 1
+        if request.left:
+            request.position = 0
+            self._arrive(request)
+            return
+        policy.end(request.route)
+        self._begin(request.entry)
+
+
+def measure_seed(seed: int) -> dict[str, float]:
+    """Measure each policy in the world of one seed."""
+    world = throughput_world.build_world(seed)
+    bound = world.compute_bound()
+    requests = int(bound * _TYPICAL_CYCLE_MS * _CROWDING)
+    shares = {
+        name: round(Driver(world, build, seed).run(requests) / bound, 3)
+        for name, build in POLICIES.items()
+    }
+    return {
+        'seed': seed,
+        'bound_tokens_per_s': round(bound * 1000),
+        'requests': requests,
+        **shares,
+    }
+
+
+def measure_throughput() -> dict[str, typing.Any]:
+    """Measure throughput as a share of the maximum-flow bound.
+
+    Returns
+    -------
+    dict
+        ``throughput_to_bound`` with the mean share of each policy, and
+        ``runs`` with the figures and the seed of each run.
+    """
+    runs = [measure_seed(seed) for seed in SEEDS]
+    means = {
+        name: round(sum(run[name] for run in runs) / len(runs), 3)
+        for name in POLICIES
+    }
+    return {'throughput_to_bound': means, 'runs': runs}
+
+
+if __name__ == '__main__':
+    print(json.dumps(measure_throughput(), indent=2))
