--- a/src/thornspool/domain/actions/runner.py
+++ b/src/thornspool/domain/actions/runner.py
@@ -13,6 +13,7 @@
 
 import attrs
 
+from thornspool.domain.actions import attempts
 from thornspool.domain.actions import bound
 from thornspool.domain.actions import events
 from thornspool.domain.actions import messages
@@ -51,24 +52,6 @@
     bound: bound.BoundSettings = attrs.field(factory=bound.BoundSettings)
 
 
-@attrs.define
-class _Attempt:
-    """One attempt that has not been forgotten."""
-
-    request: events.ActionRequested
-    deadline: int
-    phase: events.Phase = events.Phase.ASKING
-    holder: str = ''
-    question: events.AskHolder | None = None
-    fencing_token: int = 0
-    uncertain: bool = False
-    granted: bool = False
-    target: int = 0
-    sends: int = 0
-    asks: int = 0
-    outcome: records.Outcome | None = None
-
-
 class Runner:
     """State of all attempts of one entry.
 
@@ -80,7 +63,7 @@
 
     def __init__(self, settings: RunnerSettings | None = None) -> None:
         self._settings = settings or RunnerSettings()
-        self._attempts: dict[str, _Attempt] = {}
+        self._attempts: dict[str, attempts.Attempt] = {}
         self._by_name: dict[str, str] = {}
         self._pending: set[str] = set()
         self._bound = bound.BoundKeys(self._settings.bound)
@@ -116,17 +99,17 @@
         if running is not None:
             return self._join(self._attempts[running], event)
         if now >= event.deadline:
-            return [_refuse(event, results.NOT_RUN_DEADLINE, 0)]
+            return [attempts.refuse(event, results.NOT_RUN_DEADLINE, 0)]
         if not event.targets:
             wait = self._settings.retry_after_ms
-            return [_refuse(event, results.NOT_RUN_TARGETS, wait)]
+            return [attempts.refuse(event, results.NOT_RUN_TARGETS, wait)]
         known = self._bound.decide(event) if event.bound_time else None
         if known is not None:
             return [events.Answer(event.attempt, known)]
         full = event.bound_time and self._bound.full
         if full or self.open_count >= self._settings.max_attempts:
             wait = self._settings.retry_after_ms
-            return [_refuse(event, results.NOT_RUN_BUSY, wait)]
+            return [attempts.refuse(event, results.NOT_RUN_BUSY, wait)]
         return self._begin(event)
 
     def move_horizon(self, wall: int) -> None:
@@ -141,7 +124,7 @@
         return self._bound.look_up(name)
 
     def _begin(self, event: events.ActionRequested) -> _Commands:
-        attempt = _Attempt(event, event.deadline)
+        attempt = attempts.Attempt(event, event.deadline)
         self._attempts[event.attempt] = attempt
         self._by_name[event.name] = event.attempt
         if event.bound_time:
@@ -197,7 +180,7 @@
         )
 
     def _join(
-        self, attempt: _Attempt, event: events.ActionRequested
+        self, attempt: attempts.Attempt, event: events.ActionRequested
     ) -> _Commands:
         if attempt.request.digest != event.digest:
             refused = results.ActionRefused(results.REFUSED_REUSED)
@@ -206,7 +189,7 @@
         return [events.Join(event.attempt, attempt.request.attempt)]
 
     def _take_verdict(
-        self, attempt: _Attempt, event: events.LedgerAnswered, now: int
+        self, attempt: attempts.Attempt, event: events.LedgerAnswered, now: int
     ) -> _Commands:
         if attempt.phase is not events.Phase.ASKING:
             return []
@@ -220,7 +203,7 @@
         return self._refuse_verdict(attempt, verdict)
 
     def _take_grant(
-        self, attempt: _Attempt, given: messages.GrantGiven, now: int
+        self, attempt: attempts.Attempt, given: messages.GrantGiven, now: int
     ) -> _Commands:
         attempt.granted = True
         attempt.fencing_token = given.fencing_token
@@ -231,7 +214,7 @@
             return self._void(attempt, results.NOT_RUN_DEADLINE)
         return self._dispatch(attempt)
 
-    def _dispatch(self, attempt: _Attempt) -> _Commands:
+    def _dispatch(self, attempt: attempts.Attempt) -> _Commands:
         attempt.phase = events.Phase.DISPATCHED
         attempt.sends += 1
         return [
@@ -241,7 +224,7 @@
         ]
 
     def _take_record(
-        self, attempt: _Attempt, record: records.Record, now: int
+        self, attempt: attempts.Attempt, record: records.Record, now: int
     ) -> _Commands:
         if record.state is records.RecordState.VOIDED:
             return self._void(attempt, results.NOT_RUN_DEADLINE)
@@ -252,7 +235,7 @@
         return self._ask_holder(attempt, record, now)
 
     def _ask_holder(
-        self, attempt: _Attempt, record: records.Record, now: int
+        self, attempt: attempts.Attempt, record: records.Record, now: int
     ) -> _Commands:
         attempt.asks += 1
         if now >= attempt.deadline or attempt.asks > self._settings.max_asks:
@@ -268,7 +251,7 @@
         )
         return [attempt.question]
 
-    def _ask_again(self, attempt: _Attempt, now: int) -> _Commands:
+    def _ask_again(self, attempt: attempts.Attempt, now: int) -> _Commands:
         """Wait for a holder that has said that its attempt is running."""
         assert attempt.question is not None
         attempt.asks += 1
@@ -277,7 +260,7 @@
         return [attrs.evolve(attempt.question, wait=True)]
 
     def _take_report(
-        self, attempt: _Attempt, event: events.HolderAnswered, now: int
+        self, attempt: attempts.Attempt, event: events.HolderAnswered, now: int
     ) -> _Commands:
         report = event.report
         joining = attempt.phase is events.Phase.JOINING
@@ -298,7 +281,7 @@
         return self._ask_ledger(attempt, attempt.holder, True, now)
 
     def _take_outcome(
-        self, attempt: _Attempt, outcome: records.Outcome, now: int
+        self, attempt: attempts.Attempt, outcome: records.Outcome, now: int
     ) -> _Commands:
         if outcome.known:
             return self._forget(attempt, results.replay(outcome))
@@ -307,7 +290,11 @@
         return self._end_unknown(attempt, results.UNKNOWN_ANSWER_LOST)
 
     def _ask_ledger(
-        self, attempt: _Attempt, displaces: str, uncertain: bool, now: int
+        self,
+        attempt: attempts.Attempt,
+        displaces: str,
+        uncertain: bool,
+        now: int,
     ) -> _Commands:
         attempt.asks += 1
         if now >= attempt.deadline or attempt.asks > self._settings.max_asks:
@@ -319,7 +306,7 @@
         ]
 
     def _refuse_unavailable(
-        self, attempt: _Attempt, verdict: messages.LedgerUnavailable
+        self, attempt: attempts.Attempt, verdict: messages.LedgerUnavailable
     ) -> _Commands:
         wait = verdict.retry_after_ms
         commands = self._void(attempt, results.NOT_RUN_LEDGER, wait)
@@ -331,7 +318,7 @@
         return [c for c in commands if isinstance(c, events.Answer)]
 
     def _refuse_verdict(
-        self, attempt: _Attempt, verdict: messages.Verdict
+        self, attempt: attempts.Attempt, verdict: messages.Verdict
     ) -> _Commands:
         if isinstance(verdict, messages.KeyReused):
             refused = results.ActionRefused(results.REFUSED_REUSED)
@@ -340,7 +327,7 @@
             return self._refuse_full(attempt)
         return self._end_unknown(attempt, results.UNKNOWN_DROPPED)
 
-    def _refuse_full(self, attempt: _Attempt) -> _Commands:
+    def _refuse_full(self, attempt: attempts.Attempt) -> _Commands:
         """Refuse for want of room; the page showed that nothing ran."""
         if attempt.uncertain:
             return self._end_unknown(attempt, results.UNKNOWN_ANSWER_LOST)
@@ -349,14 +336,14 @@
         return self._forget(attempt, result)
 
     def _take_silence(
-        self, attempt: _Attempt, event: events.LedgerSilent, now: int
+        self, attempt: attempts.Attempt, event: events.LedgerSilent, now: int
     ) -> _Commands:
         if attempt.phase is not events.Phase.ASKING:
             return []
         return self._void(attempt, results.NOT_RUN_LEDGER)
 
     def _take_answer(
-        self, attempt: _Attempt, event: events.TargetAnswered, now: int
+        self, attempt: attempts.Attempt, event: events.TargetAnswered, now: int
     ) -> _Commands:
         if attempt.phase is not events.Phase.DISPATCHED:
             return []
@@ -367,7 +354,10 @@
         return self._end(attempt, outcome, done)
 
     def _take_unreached(
-        self, attempt: _Attempt, event: events.TargetUnreached, now: int
+        self,
+        attempt: attempts.Attempt,
+        event: events.TargetUnreached,
+        now: int,
     ) -> _Commands:
         if attempt.phase is not events.Phase.DISPATCHED:
             return []
@@ -379,7 +369,7 @@
         return self._void(attempt, results.NOT_RUN_TARGETS)
 
     def _take_lost(
-        self, attempt: _Attempt, event: events.TargetLost, now: int
+        self, attempt: attempts.Attempt, event: events.TargetLost, now: int
     ) -> _Commands:
         if attempt.phase is not events.Phase.DISPATCHED:
             return []
@@ -392,7 +382,7 @@
         return self._end(attempt, records.LOST, self._say_lost())
 
     def _take_deadline(
-        self, attempt: _Attempt, event: events.DeadlinePassed, now: int
+        self, attempt: attempts.Attempt, event: events.DeadlinePassed, now: int
     ) -> _Commands:
         if now < attempt.deadline:
             return []
@@ -403,30 +393,24 @@
         return []
 
     def _void(
-        self, attempt: _Attempt, reason: str, retry_after_ms: int = -1
+        self, attempt: attempts.Attempt, reason: str, retry_after_ms: int = -1
     ) -> _Commands:
         """Give an attempt up before a byte of it was written."""
         if retry_after_ms < 0:
             retry_after_ms = self._settings.retry_after_ms
         if attempt.uncertain and attempt.granted:
             return self._end(attempt, records.LOST, self._say_lost())
-        result = _say_not_run(attempt, reason, retry_after_ms)
+        result = attempts.say_not_run(attempt, reason, retry_after_ms)
         if attempt.request.bound_time:
             return self._forget(attempt, result)
-        self._pending.add(attempt.request.attempt)
-        request = attempt.request
-        release = messages.GrantRelease(
-            request.address.bucket,
-            request.address.slot,
-            request.name,
-            request.attempt,
-        )
-        settle = events.Settle(request.attempt, release)
+        name = attempt.request.attempt
+        self._pending.add(name)
+        settle = events.Settle(name, attempts.build_release(attempt))
         return [*self._forget(attempt, result), settle]
 
     def _end(
         self,
-        attempt: _Attempt,
+        attempt: attempts.Attempt,
         outcome: records.Outcome,
         result: results.ActionResult,
     ) -> _Commands:
@@ -436,25 +420,21 @@
             return self._forget(attempt, result)
         attempt.phase = events.Phase.DONE
         attempt.outcome = outcome
-        request = attempt.request
-        record = messages.OutcomeRecord(
-            request.address.bucket,
-            request.address.slot,
-            request.name,
-            request.attempt,
-            records.trim_outcome(outcome),
-        )
+        name = attempt.request.attempt
+        record = attempts.build_outcome(attempt, outcome)
         return [
-            events.Answer(request.attempt, result),
-            events.Settle(request.attempt, record),
+            events.Answer(name, result),
+            events.Settle(name, record),
         ]
 
-    def _end_unknown(self, attempt: _Attempt, reason: str) -> _Commands:
+    def _end_unknown(
+        self, attempt: attempts.Attempt, reason: str
+    ) -> _Commands:
         wait = self._settings.retry_after_ms
         return self._forget(attempt, results.ActionUnknown(reason, wait))
 
     def _forget(
-        self, attempt: _Attempt, result: results.ActionResult
+        self, attempt: attempts.Attempt, result: results.ActionResult
     ) -> _Commands:
         name = attempt.request.attempt
         del self._attempts[name]
@@ -473,24 +453,3 @@
             del self._attempts[event.attempt]
             del self._by_name[attempt.request.name]
         return []
-
-
-def _say_not_run(
-    attempt: _Attempt, reason: str, retry_after_ms: int
-) -> results.ActionResult:
-    """Say "not run" unless an earlier attempt is known that may have run."""
-    if attempt.uncertain or (attempt.holder and not attempt.granted):
-        return results.ActionUnknown(results.UNKNOWN_UNCHECKED, retry_after_ms)
-    if attempt.request.resent and not attempt.granted:
-        return results.ActionUnknown(results.UNKNOWN_UNCHECKED, retry_after_ms)
-    return results.ActionNotRun(reason, retry_after_ms, attempt.granted)
-
-
-def _refuse(
-    event: events.ActionRequested, reason: str, wait: int
-) -> events.Answer:
-    """Refuse a call that was not even looked up."""
-    if event.resent:
-        unknown = results.ActionUnknown(results.UNKNOWN_UNCHECKED, wait)
-        return events.Answer(event.attempt, unknown)
-    return events.Answer(event.attempt, results.ActionNotRun(reason, wait))
--- a/tests/application/fakes.py
+++ b/tests/application/fakes.py
@@ -129,6 +129,7 @@
         self.latency_ms = latency_ms
         self.nodes: dict[str, FakePeers] = {}
         self.cut: set[str] = set()
+        self.lose: set[str] = set()
         self.lose_replies: set[str] = set()
 
 
@@ -169,7 +170,8 @@
         network = self._network
         await asyncio.sleep(network.latency_ms / 1000)
         away = {address, self.member.peer_address} & network.cut
-        if away or address not in network.nodes:
+        lost = type(message).__name__ in network.lose
+        if away or lost or address not in network.nodes:
             await asyncio.Event().wait()
         node = network.nodes[address]
         handler = node._handlers[type(message)]
--- a/tests/application/test_actions.py
+++ b/tests/application/test_actions.py
@@ -12,6 +12,7 @@
 from tests.application import builders
 from tests.application import fakes
 from thornspool.application import actions
+from thornspool.application import ledger_router
 from thornspool.application import ports
 from thornspool.domain.actions import keys
 from thornspool.domain.actions import results
@@ -38,6 +39,29 @@
         self.assertEqual(1, sum(not answer.replayed for answer in told))
         self.assertEqual([1], list(fleet.services.executions.values()))
 
+    def test_entries_that_write_one_page_at_once_run_it_once(self) -> None:
+        """No entry hears the preferred writer, so each writes by itself.
+
+        All read the same version; if more than one of their writes took
+        effect, the hold would be placed by each of them.
+        """
+        impatient = ledger_router.RouterSettings(ask_ms=10)
+        fleet = builders.build_fleet(
+            settings=actions.ActionSettings(router=impatient)
+        )
+        fleet.network.lose.add('GrantRequest')
+        fleet.platform.latency_ms = 30
+
+        async def work() -> list[actions.ActionResult]:
+            request = fleet.build_request()
+            return await asyncio.gather(
+                *(entry.run(request) for entry in fleet.entries)
+            )
+
+        kinds = builders.count_kinds(fakes.run(fleet.clock, work()))
+        self.assertEqual({'ActionDone': 3}, kinds)
+        self.assertEqual(1, fleet.services.executions.total())
+
     def test_single_faults_have_known_outcomes(self) -> None:
         """Each fault alone, then the caller sends again elsewhere.
 
