Add the quarantine of requests that crash targets

Cause: now and then a request crashes each target that runs it, and its caller sends it again; without a memory shared by all entries it takes down one target after another.

Weighed: counting deaths for each request, running suspects quite alone, parting targets among entries; see docs/design/load.md.

A failed form: whoever was on trial when a target died was condemned at once. Stateful fuzzing, with the comparison of records switched off, printed "i3 condemned": an entry that had not heard of the suspects ran the cause beside the innocent's trial. Now the deaths are told, and every entry draws the verdict from them after a second and anew when late news come.

--- /dev/null
+++ b/src/thornspool/application/quarantine.py
@@ -0,0 +1,297 @@
+"""Quarantine of requests that crash targets, over all entries."""
+
+from __future__ import annotations
+
+import asyncio
+import typing
+
+import structlog
+
+from thornspool.application import exceptions
+from thornspool.application import ports
+from thornspool.domain.limits import ownership
+from thornspool.domain.quarantine import messages
+from thornspool.domain.quarantine import records
+from thornspool.domain.quarantine import reservations
+
+if typing.TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Iterable
+
+    from thornspool import clock as clock_module
+
+ASK_TIMEOUT_MS = 500
+COMPARE_INTERVAL_MS = 3000
+SETTLE_MS = 5000
+"""A new owner keeps nothing until reservations it cannot know of ended."""
+
+DEFAULT_TRIAL_MS = 60_000
+MAX_TOLD_RECORDS = 256
+_FIRST_PEERS = 3
+_MS_PER_S = 1000.0
+
+logger = structlog.get_logger()
+
+
+class QuarantineService:
+    """Keeps requests that crash targets from running again.
+
+    Parameters
+    ----------
+    members : MemberView
+        The entries in view.
+    incarnation : str
+        This entry's own.
+    peers : Peers
+        Messages between entries.
+    clock : thornspool.clock.Clock
+        Time.
+    draw : callable
+        Returns random numbers from 0 to 1, to choose peers.
+    """
+
+    def __init__(
+        self,
+        members: ports.MemberView,
+        incarnation: str,
+        peers: ports.Peers,
+        clock: clock_module.Clock,
+        draw: Callable[[], float],
+    ) -> None:
+        self._members = members
+        self._incarnation = incarnation
+        self._peers = peers
+        self._clock = clock
+        self._draw = draw
+        self._records = records.QuarantineRecords(incarnation)
+        self._reservations = reservations.Reservations()
+        self._trials: dict[str, str] = {}
+        self._view: tuple[str, ...] = ()
+        self._view_changed_at = clock.now()
+        peers.handle(messages.QuarantineNews, self._take_news)
+        peers.handle(messages.QuarantineDigest, self._answer_digest)
+        peers.handle(messages.ReservationRequest, self._answer_reservation)
+        peers.handle(messages.ReservationRelease, self._take_release)
+
+    def check(self, fingerprint: str) -> messages.Verdict:
+        """Say whether a request may run; asked before it is placed."""
+        return self._records.check(fingerprint, self._clock.now())
+
+    async def may_run_on(
+        self,
+        fingerprint: str,
+        target: str,
+        longest_ms: int = DEFAULT_TRIAL_MS,
+    ) -> bool:
+        """Say whether a request may run on a target now.
+
+        A suspect needs the target and itself kept for this run, which
+        takes a message to the entry that owns each name. After True,
+        `start` and `finish` must follow.
+
+        Parameters
+        ----------
+        fingerprint : str
+            The request.
+        target : str
+            Name of the target.
+        longest_ms : int, optional
+            Longest time of the run, in milliseconds.
+        """
+        verdict = self.check(fingerprint)
+        if isinstance(verdict, messages.Clear):
+            return True
+        if isinstance(verdict, messages.Condemned):
+            return False
+        if self._records.is_awaiting_verdict(fingerprint, self._clock.now()):
+            return False
+        if fingerprint in self._trials or target in self._trials.values():
+            return False
+        self._trials[fingerprint] = target
+        names = _name_trial(fingerprint, target)
+        for name in names:
+            if not await self._reserve(name, longest_ms):
+                self._end_trial(fingerprint)
+                return False
+        # The verdict may have changed while the owners were asked.
+        if isinstance(self.check(fingerprint), messages.Condemned):
+            self._end_trial(fingerprint)
+            return False
+        return True
+
+    def start(self, fingerprint: str, target: str) -> None:
+        """Note that a request starts on a target."""
+        if self._trials.get(fingerprint) == target:
+            logger.info(
+                'quarantine_trial', fingerprint=fingerprint, target=target
+            )
+
+    def finish(self, fingerprint: str, target: str, succeeded: bool) -> None:
+        """Note that a request ended on a target.
+
+        Parameters
+        ----------
+        fingerprint : str
+            The request.
+        target : str
+            Name of the target.
+        succeeded : bool
+            Whether the target ran it to its end and lives; this clears a
+            suspect.
+        """
+        if self._trials.get(fingerprint) == target:
+            self._end_trial(fingerprint)
+        if not succeeded:
+            return
+        news = self._records.note_finish(fingerprint, self._clock.now())
+        if news is not None:
+            self._tell_all(news)
+
+    def note_death(self, target: str, fingerprints: Iterable[str]) -> None:
+        """Note that a target died, and what was in flight on it from here.
+
+        Called before `finish` of these requests.
+        """
+        in_flight = frozenset(fingerprints)
+        on_trial = frozenset(
+            one for one in in_flight if self._trials.get(one) == target
+        )
+        logger.warning(
+            'quarantine_death',
+            target=target,
+            in_flight=len(in_flight),
+            on_trial=len(on_trial),
+        )
+        news = self._records.note_death(
+            target, in_flight, on_trial, self._clock.now()
+        )
+        self._tell_all(news)
+
+    async def start_up(self) -> None:
+        """Ask a few peers for what they know before serving."""
+        others = self._list_others()[:_FIRST_PEERS]
+        await asyncio.gather(*(self._compare(one) for one in others))
+
+    async def compare_once(self) -> None:
+        """Compare with one random peer, for news that was lost."""
+        self._refresh_view()
+        others = self._list_others()
+        if others:
+            await self._compare(others[int(self._draw() * len(others))])
+
+    async def run(self) -> None:
+        """Ask at the start, then compare from time to time."""
+        await self.start_up()
+        while True:
+            await asyncio.sleep(COMPARE_INTERVAL_MS / _MS_PER_S)
+            await self.compare_once()
+
+    async def _compare(self, peer: ports.Member) -> None:
+        digest = self._records.compute_digest(self._clock.now())
+        try:
+            news = await self._peers.ask(
+                peer.peer_address,
+                messages.QuarantineDigest(digest),
+                ASK_TIMEOUT_MS,
+            )
+        except exceptions.PeerUnreachable:
+            return
+        self._records.merge(news, self._clock.now())
+
+    def _tell_all(self, news: messages.QuarantineNews) -> None:
+        for member in self._list_others():
+            self._peers.tell(member.peer_address, news)
+
+    async def _reserve(self, name: str, ttl_ms: int) -> bool:
+        request = messages.ReservationRequest(name, self._incarnation, ttl_ms)
+        owner = ownership.find_owner(name, self._refresh_view())
+        if owner == self._incarnation:
+            reply = await self._answer_reservation(owner, request)
+            return reply.reserved
+        member = self._members.find(owner)
+        if member is None:
+            return False
+        try:
+            answer = await self._peers.ask(
+                member.peer_address, request, ASK_TIMEOUT_MS
+            )
+        except exceptions.PeerUnreachable:
+            return False
+        return bool(answer.reserved)
+
+    def _end_trial(self, fingerprint: str) -> None:
+        target = self._trials.pop(fingerprint)
+        request_name, target_name = _name_trial(fingerprint, target)
+        names = [target_name]
+        # After a death under its trial the request stays kept until the
+        # reservation ends: an entry that has not yet heard of the death
+        # would try it again and lose one more target.
+        if not self._records.is_awaiting_verdict(
+            fingerprint, self._clock.now()
+        ):
+            names.append(request_name)
+        for name in names:
+            release = messages.ReservationRelease(name, self._incarnation)
+            owner = ownership.find_owner(name, self._refresh_view())
+            member = self._members.find(owner)
+            if owner == self._incarnation or member is None:
+                self._reservations.release(name, self._incarnation)
+            else:
+                self._peers.tell(member.peer_address, release)
+
+    def _refresh_view(self) -> tuple[str, ...]:
+        view = tuple(
+            member.incarnation
+            for member in self._members.list_members()
+            if member.state is not ports.MemberState.DEAD
+        ) or (self._incarnation,)
+        if view != self._view:
+            self._view = view
+            self._view_changed_at = self._clock.now()
+        return view
+
+    def _list_others(self) -> list[ports.Member]:
+        return [
+            member
+            for member in self._members.list_members()
+            if member.incarnation != self._incarnation
+            and member.state is not ports.MemberState.DEAD
+        ]
+
+    async def _take_news(
+        self, _sender: str, news: messages.QuarantineNews
+    ) -> None:
+        self._records.merge(news, self._clock.now())
+
+    async def _answer_digest(
+        self, _sender: str, asked: messages.QuarantineDigest
+    ) -> messages.QuarantineNews:
+        now = self._clock.now()
+        if asked.digest == self._records.compute_digest(now):
+            return messages.QuarantineNews(())
+        return self._records.describe_latest(now, MAX_TOLD_RECORDS)
+
+    async def _answer_reservation(
+        self, _sender: str, asked: messages.ReservationRequest
+    ) -> messages.ReservationReply:
+        now = self._clock.now()
+        view = self._refresh_view()
+        owns = ownership.find_owner(asked.name, view) == self._incarnation
+        settled = len(view) == 1 or now - self._view_changed_at >= SETTLE_MS
+        reserved = (
+            owns
+            and settled
+            and self._reservations.reserve(
+                asked.name, asked.holder, asked.ttl_ms, now
+            )
+        )
+        return messages.ReservationReply(reserved)
+
+    async def _take_release(
+        self, _sender: str, release: messages.ReservationRelease
+    ) -> None:
+        self._reservations.release(release.name, release.holder)
+
+
+def _name_trial(fingerprint: str, target: str) -> tuple[str, str]:
+    return f'request {fingerprint}', f'target {target}'
--- /dev/null
+++ b/tests/application/test_quarantine.py
@@ -0,0 +1,337 @@
+"""Tests of the quarantine, by example and by stateful fuzzing."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import typing
+import unittest
+from unittest import mock
+
+from hypothesis import settings
+from hypothesis import stateful
+from hypothesis import strategies
+
+from tests import builders
+from tests.application import fleet
+from thornspool.application import ports
+from thornspool.application import quarantine
+from thornspool.domain.limits import ownership
+from thornspool.domain.quarantine import fingerprints
+from thornspool.domain.quarantine import messages
+from thornspool.domain.quarantine import records
+
+CRASHER = 'crasher'
+
+
+class Fleet:
+    """Entries and targets; the crasher kills each target that runs it."""
+
+    def __init__(self, count: int = 3) -> None:
+        self.clock = builders.FakeClock(now=1_000_000)
+        self.network = fleet.FakeNetwork()
+        self.members = fleet.build_members(count)
+        self.entries = [self.build_entry(one) for one in self.members]
+        self.running: list[tuple[int, str, str]] = []
+        self.killed: list[str] = []
+
+    def build_entry(
+        self, member: ports.Member
+    ) -> quarantine.QuarantineService:
+        view = fleet.FakeView(self.members)
+        service = quarantine.QuarantineService(
+            view,
+            member.incarnation,
+            fleet.FakePeers(self.network, member),
+            self.clock,
+            random.Random(1).random,
+        )
+        service._refresh_view()
+        return service
+
+    async def start(self, entry: int, request: str, target: str) -> bool:
+        service = self.entries[entry]
+        if not await service.may_run_on(request, target):
+            return False
+        service.start(request, target)
+        self.running.append((entry, request, target))
+        return True
+
+    def finish(self, index: int, succeeded: bool = True) -> None:
+        entry, request, target = self.running.pop(index)
+        self.entries[entry].finish(request, target, succeeded)
+
+    def kill(self, target: str) -> None:
+        """Have each entry see the death of a target."""
+        self.killed.append(target)
+        mine = [one for one in self.running if one[2] == target]
+        for entry in sorted({one[0] for one in mine}):
+            requests = [one[1] for one in mine if one[0] == entry]
+            self.entries[entry].note_death(target, requests)
+        for one in mine:
+            self.finish(self.running.index(one), succeeded=False)
+
+    def check(self, request: str) -> set[str]:
+        found = [one.check(request) for one in self.entries]
+        return {type(verdict).__name__ for verdict in found}
+
+
+@mock.patch.object(quarantine, 'logger')
+class QuarantineTest(unittest.IsolatedAsyncioTestCase):
+    async def test_second_death_condemns_at_every_entry(
+        self, _: mock.Mock
+    ) -> None:
+        """One request crashes each target that runs it, and is sent again.
+
+        Without the quarantine it would take down every target in turn.
+        """
+        subject = Fleet()
+        subject.clock.advance(quarantine.SETTLE_MS)
+        await subject.start(0, CRASHER, 't1')
+        await subject.start(1, 'innocent', 't1')
+        subject.kill('t1')
+        await subject.network.deliver()
+        self.assertEqual({'Suspect'}, subject.check(CRASHER))
+        self.assertEqual({'Suspect'}, subject.check('innocent'))
+        self.assertTrue(await subject.start(1, CRASHER, 't2'))
+        self.assertFalse(await subject.start(0, 'innocent', 't2'))
+        self.assertFalse(await subject.start(2, CRASHER, 't3'))
+        subject.kill('t2')
+        self.assertFalse(await subject.start(1, CRASHER, 't3'))
+        await subject.network.deliver()
+        subject.clock.advance(records.GRACE_MS)
+        self.assertEqual({'Condemned'}, subject.check(CRASHER))
+        self.assertFalse(await subject.start(2, CRASHER, 't3'))
+        self.assertTrue(await subject.start(0, 'innocent', 't3'))
+        subject.finish(0)
+        await subject.network.deliver()
+        self.assertEqual({'Clear'}, subject.check('innocent'))
+
+    async def test_starting_entry_learns_from_peers(
+        self, _: mock.Mock
+    ) -> None:
+        """An entry starts after the request was condemned.
+
+        It would run it again, and its caller has only to find the entry.
+        """
+        subject = Fleet()
+        subject.clock.advance(quarantine.SETTLE_MS)
+        for target in ('t1', 't2'):
+            await subject.start(0, CRASHER, target)
+            subject.kill(target)
+        await subject.network.deliver()
+        subject.clock.advance(records.GRACE_MS)
+        fresh = subject.build_entry(builders.build_member('entry-9'))
+        await fresh.start_up()
+        self.assertIsInstance(fresh.check(CRASHER), messages.Condemned)
+
+    async def test_lost_news_arrives_by_comparison(self, _: mock.Mock) -> None:
+        """The message that tells of a suspect is lost on its way."""
+        subject = Fleet(2)
+        subject.network.lose_tells = 1
+        await subject.start(0, CRASHER, 't1')
+        subject.kill('t1')
+        self.assertEqual({'Suspect', 'Clear'}, subject.check(CRASHER))
+        await subject.entries[1].compare_once()
+        self.assertEqual({'Suspect'}, subject.check(CRASHER))
+
+    async def test_lost_news_of_a_trial_cost_no_further_target(
+        self, _: mock.Mock
+    ) -> None:
+        """A target dies under a trial, and the others do not hear of it.
+
+        To them the request is a suspect that may be tried; that would kill
+        a third target.
+        """
+        subject = Fleet()
+        subject.clock.advance(quarantine.SETTLE_MS)
+        await subject.start(0, CRASHER, 't1')
+        subject.kill('t1')
+        await subject.network.deliver()
+        await subject.start(1, CRASHER, 't2')
+        subject.network.lose_tells = 2
+        subject.kill('t2')
+        await subject.network.deliver()
+        subject.clock.advance(records.GRACE_MS)
+        for entry in range(3):
+            self.assertFalse(await subject.start(entry, CRASHER, 't3'))
+
+    async def test_unreachable_owner_holds_a_suspect_back(
+        self, _: mock.Mock
+    ) -> None:
+        """The entry that keeps suspects apart does not answer.
+
+        Run without it, two suspects could meet on one target.
+        """
+        subject = Fleet()
+        subject.clock.advance(quarantine.SETTLE_MS)
+        names = [one.incarnation for one in subject.members]
+        request = next(
+            f'r{number}'
+            for number in range(100)
+            if ownership.find_owner(f'request r{number}', names) != names[0]
+        )
+        await subject.start(0, request, 't1')
+        subject.kill('t1')
+        for member in subject.members[1:]:
+            subject.network.gone.add(member.peer_address)
+        self.assertFalse(await subject.start(0, request, 't2'))
+        self.assertTrue(await subject.start(0, 'other', 't2'))
+
+
+class RecordsTest(unittest.TestCase):
+    def test_verdicts_expire(self) -> None:
+        known = records.QuarantineRecords('e')
+        known.note_death('t', frozenset({'a', 'b'}), frozenset({'a'}), 0)
+        known.note_death('u', frozenset({'c'}), frozenset(), 0)
+        now = records.GRACE_MS
+        found = [type(known.check(one, now)) for one in 'abc']
+        wanted = [messages.Condemned, messages.Clear, messages.Suspect]
+        self.assertEqual(wanted, found)
+        now = records.SUSPECT_TTL_MS
+        self.assertIsInstance(known.check('c', now), messages.Clear)
+        verdict = known.check('a', now)
+        left = records.CONDEMNED_TTL_MS - now
+        self.assertEqual(messages.Condemned(left), verdict)
+        now = records.CONDEMNED_TTL_MS
+        self.assertIsInstance(known.check('a', now), messages.Clear)
+        self.assertEqual(0, known.compute_digest(now))
+
+    def test_two_suspects_at_two_deaths_are_not_condemned(self) -> None:
+        """An entry has not heard of a suspect and runs it beside a trial.
+
+        Both were at both deaths, so neither can be condemned for them; the
+        news of the other entry may come after the verdict was drawn.
+        """
+        here = records.QuarantineRecords('e1')
+        there = records.QuarantineRecords('e2')
+        here.note_death('t', frozenset({'a', 'b'}), frozenset(), 0)
+        here.note_death('u', frozenset({'a'}), frozenset({'a'}), 2000)
+        news = there.note_death('u', frozenset({'b'}), frozenset(), 2001)
+        self.assertIsInstance(here.check('a', 2999), messages.Suspect)
+        self.assertIsInstance(here.check('a', 3000), messages.Condemned)
+        here.merge(news, 3001)
+        self.assertIsInstance(here.check('a', 3002), messages.Suspect)
+        here.note_death('v', frozenset({'b'}), frozenset({'b'}), 4000)
+        self.assertIsInstance(here.check('b', 5000), messages.Condemned)
+
+    def test_records_are_bounded_and_the_condemned_stay(self) -> None:
+        """A target with a very long queue dies, many times over."""
+        known = records.QuarantineRecords('e')
+        bad = frozenset({'bad'})
+        known.note_death('t', bad, bad, 0)
+        for number in range(records.MAX_RECORDS + 10):
+            known.note_death('u', frozenset({f'r{number}'}), frozenset(), 1)
+        now = records.GRACE_MS
+        told = known.describe_latest(now, 10**6)
+        self.assertEqual(records.MAX_RECORDS, len(told.records))
+        self.assertIsInstance(known.check('bad', now), messages.Condemned)
+
+    def test_fingerprint_keeps_parts_apart(self) -> None:
+        compute = fingerprints.compute_fingerprint
+        self.assertEqual(compute('w', 'm', b'x'), compute('w', 'm', b'x'))
+        self.assertNotEqual(compute('w', 'ma', b'x'), compute('wm', 'a', b'x'))
+        self.assertNotEqual(compute('w', 'm', b'ax'), compute('w', 'ma', b'x'))
+
+
+INNOCENTS = ('i1', 'i2', 'i3')
+REQUESTS = strategies.lists(
+    strategies.sampled_from([CRASHER, *INNOCENTS]), max_size=4
+)
+TARGETS = strategies.sampled_from(['t1', 't2', 't3'])
+ENTRIES = strategies.integers(0, 1)
+
+
+class QuarantineMachine(stateful.RuleBasedStateMachine):
+    """Oracle: few targets die and no innocent is ever condemned.
+
+    Once views agree on the suspect, it kills the targets that were running
+    copies of it, and one more at most.
+    """
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.silence = mock.patch.object(quarantine, 'logger')
+        self.silence.start()
+        self.loop = asyncio.new_event_loop()
+        self.fleet = Fleet(2)
+        self.fleet.clock.advance(quarantine.SETTLE_MS)
+        self.kills_left: int | None = None
+        self.lossy = False
+
+    def teardown(self) -> None:
+        self.silence.stop()
+        self.loop.close()
+
+    def _run(
+        self, coroutine: typing.Coroutine[typing.Any, typing.Any, typing.Any]
+    ) -> None:
+        self.loop.run_until_complete(coroutine)
+
+    @stateful.rule(entry=ENTRIES, requests=REQUESTS, on=TARGETS)
+    def start(self, entry: int, requests: list[str], on: str) -> None:
+        for request in requests:
+            self._run(self.fleet.start(entry, request, on))
+
+    @stateful.rule(on=TARGETS)
+    def crash(self, on: str) -> None:
+        """Have the crasher take effect on a target that runs it."""
+        if not any(one[1:] == (CRASHER, on) for one in self.fleet.running):
+            return
+        self.fleet.kill(on)
+        if self.kills_left is not None:
+            self.kills_left -= 1
+            assert self.kills_left >= 0, f'killed {self.fleet.killed}'
+
+    @stateful.rule(place=strategies.integers(0, 9))
+    def finish(self, place: int) -> None:
+        running = self.fleet.running
+        if place < len(running) and running[place][1] != CRASHER:
+            self.fleet.finish(place)
+
+    @stateful.rule()
+    def agree(self) -> None:
+        """Deliver all news; from then on the kills are counted."""
+        self._run(self.fleet.network.deliver())
+        if self.kills_left is None and 'Clear' not in self.fleet.check(
+            CRASHER
+        ):
+            copies = [one for one in self.fleet.running if one[1] == CRASHER]
+            on_trial = any(
+                one._trials.get(CRASHER) for one in self.fleet.entries
+            )
+            self.kills_left = len(copies) + (not on_trial)
+
+    @stateful.rule(elapsed=strategies.sampled_from([10, 500, 3000]))
+    def advance(self, elapsed: int) -> None:
+        """Let time pass; what is not lost arrives meanwhile."""
+        self._run(self.fleet.network.deliver())
+        self.fleet.clock.advance(elapsed)
+
+    @stateful.rule(lost=strategies.integers(1, 3))
+    def lose_news(self, lost: int) -> None:
+        self.fleet.network.lose_tells += lost
+        self.lossy = True
+
+    @stateful.rule()
+    def compare(self) -> None:
+        for entry in self.fleet.entries:
+            self._run(entry.compare_once())
+        self._check_innocents()
+
+    @stateful.invariant()
+    def innocents_are_not_condemned(self) -> None:
+        # Where news are lost, a verdict holds until the next comparison.
+        if not self.lossy:
+            self._check_innocents()
+
+    def _check_innocents(self) -> None:
+        for innocent in INNOCENTS:
+            verdicts = self.fleet.check(innocent)
+            assert 'Condemned' not in verdicts, f'{innocent} condemned'
+
+
+QuarantineMachine.TestCase.settings = settings(
+    max_examples=400, stateful_step_count=30, deadline=None, derandomize=True
+)
+QuarantineFuzzTest = QuarantineMachine.TestCase
