Serve rare callers of many entries without reports

Cause: the arithmetic for the design size showed that evenly spread callers of one of 14,000 workspaces come to one of 350 entries once in 1,300 s; the floor would not have refilled one token, so nearly every request would have been refused, with 60 s to wait, and reported. A report line and its grant were measured at 314 bytes; six of them a second, sent and answered, would have been over the 2 KB/s that control may use.

Change: half of the equal part as floor where that is less than a request in 20 s; reports only for what holds or needs a share; a refusal without a share asks to come back after a second; 3 lines a second.

--- a/src/thornspool/application/admission.py
+++ b/src/thornspool/application/admission.py
@@ -29,7 +29,7 @@
     from thornspool import clock as clock_module
 
 SHARE_INTERVAL_MS = 200
-REPORT_LINES_PER_S = 6.0
+REPORT_LINES_PER_S = 3.0
 REPORT_LINES_BURST = 24.0
 ASK_TIMEOUT_MS = 500
 
--- a/src/thornspool/domain/limits/limiter.py
+++ b/src/thornspool/domain/limits/limiter.py
@@ -9,12 +9,12 @@
 
 import typing
 
-import attrs
-
 from thornspool.domain.configuration import documents
 from thornspool.domain.limits import buckets
+from thornspool.domain.limits import demand
 from thornspool.domain.limits import messages
 from thornspool.domain.limits import shares
+from thornspool.domain.limits import workspaces
 
 if typing.TYPE_CHECKING:
     from collections.abc import Callable
@@ -25,33 +25,12 @@
 REPORT_INTERVAL_MS = 1000
 URGENT_INTERVAL_MS = 200
 IDLE_MS = 3000
+FOREVER_MS = 10**12
 CONCURRENCY_RETRY_MS = 200
 LARGEST_RETRY_MS = 60_000
-
-_SMOOTHING = 0.5
-_NO_SHARE = messages.Amounts()
-
-
-@attrs.define
-class _Workspace:
-    """What this entry knows of one workspace."""
-
-    limits: documents.Limits
-    requests: buckets.TokenBucket
-    tokens: buckets.TokenBucket
-    share: messages.Amounts | None = None
-    expires_at: int = 0
-    owner_lost: bool = False
-    in_flight: int = 0
-    demand: messages.Amounts = _NO_SHARE
-    offered: int = 0
-    refused: int = 0
-    charged: float = 0.0
-    mean_tokens: float = 0.0
-    peak: int = 0
-    counted_from: int = 0
-    reported_at: int | None = None
-    used_at: int = 0
+NO_SHARE_RETRY_MS = 1000
+"""A refusal brings a report, and a report a share; the floor's wait would
+send callers away for minutes."""
 
 
 class WorkspaceLimiter:
@@ -65,7 +44,7 @@
 
     def __init__(self, members: int = 1) -> None:
         self._members = members
-        self._workspaces: dict[str, _Workspace] = {}
+        self._workspaces: dict[str, workspaces.WorkspaceState] = {}
         # Reports look at these only; looking at thousands of idle ones
         # several times a second would cost more than all the rest.
         self._active: set[str] = set()
@@ -99,15 +78,15 @@
             None when it was admitted; `finish` must follow then.
         """
         state = self._find(workspace, limits, now)
-        state.offered += 1
+        state.meter.offered += 1
         state.used_at = now
         self._active.add(workspace)
         refused = self._check(state, now)
         if refused is not None:
-            state.refused += 1
+            state.meter.refused += 1
             return refused
         state.in_flight += 1
-        state.peak = max(state.peak, state.in_flight)
+        state.meter.peak = max(state.meter.peak, state.in_flight)
         return None
 
     def finish(self, workspace: str, tokens: int, now: int) -> None:
@@ -122,8 +101,7 @@
             return
         state.in_flight = max(0, state.in_flight - 1)
         _expire(state, self._set_rates, now)
-        state.charged += tokens
-        state.mean_tokens += _SMOOTHING * (tokens - state.mean_tokens)
+        state.meter.record_tokens(tokens)
         state.tokens.refill(now)
         state.tokens.level -= tokens
 
@@ -157,7 +135,7 @@
         due = [
             (self._workspaces[name].reported_at or 0, name)
             for name in self._active
-            if _is_due(self._workspaces[name], now)
+            if self._is_due(self._workspaces[name], now)
         ]
         due.sort()
         return tuple(self._report(name, now) for _, name in due[:most])
@@ -193,14 +171,14 @@
 
     def _find(
         self, workspace: str, limits: documents.Limits, now: int
-    ) -> _Workspace:
+    ) -> workspaces.WorkspaceState:
         state = self._workspaces.get(workspace)
         if state is None:
-            state = _Workspace(
+            state = workspaces.WorkspaceState(
                 limits,
+                demand.DemandMeter(now),
                 _build_cold_bucket(limits.requests_per_s, self._members, now),
                 _build_cold_bucket(limits.tokens_per_s, self._members, now),
-                counted_from=now,
             )
             self._workspaces[workspace] = state
             self._set_rates(state, now)
@@ -220,10 +198,12 @@
             self._active.discard(name)
             # A bucket that is not full must stay: built anew it would be
             # full, and callers could have its burst again and again.
-            if _is_as_new(state, now):
+            if workspaces.is_as_new(state, now):
                 del self._workspaces[name]
 
-    def _check(self, state: _Workspace, now: int) -> messages.Refused | None:
+    def _check(
+        self, state: workspaces.WorkspaceState, now: int
+    ) -> messages.Refused | None:
         limits = state.limits
         most = self._compute_concurrency(state)
         if limits.concurrency is not None and state.in_flight >= most:
@@ -233,15 +213,27 @@
         if limits.tokens_per_s is not None:
             wait = state.tokens.compute_wait(1.0, now)
             if wait != 0:
-                return _refuse(messages.Reason.TOKENS, wait)
+                return self._refuse(state, messages.Reason.TOKENS, wait)
         if limits.requests_per_s is not None:
             wait = state.requests.compute_wait(1.0, now)
             if wait != 0:
-                return _refuse(messages.Reason.REQUESTS, wait)
+                return self._refuse(state, messages.Reason.REQUESTS, wait)
             state.requests.take(1.0, now)
         return None
 
-    def _compute_concurrency(self, state: _Workspace) -> int:
+    def _refuse(
+        self,
+        state: workspaces.WorkspaceState,
+        reason: messages.Reason,
+        wait: int | None,
+    ) -> messages.Refused:
+        longest = LARGEST_RETRY_MS
+        if state.share is None and self._members > 1:
+            longest = NO_SHARE_RETRY_MS
+        wait = longest if wait is None else min(wait, longest)
+        return messages.Refused(reason, wait)
+
+    def _compute_concurrency(self, state: workspaces.WorkspaceState) -> int:
         limit = state.limits.concurrency or 0
         if self._members <= 1:
             return limit
@@ -251,54 +243,58 @@
             return max(1, limit // self._members)
         return 1
 
-    def _set_rates(self, state: _Workspace, now: int) -> None:
-        share = state.share or _NO_SHARE
-        limits = state.limits
-        self._set_rate(
-            state,
-            state.requests,
-            limits.requests_per_s,
-            share.requests_per_s,
-            now,
-        )
-        self._set_rate(
-            state,
-            state.tokens,
-            limits.tokens_per_s,
-            share.tokens_per_s,
-            now,
-        )
+    def _set_rates(self, state: workspaces.WorkspaceState, now: int) -> None:
+        for rate in workspaces.list_rates(state):
+            equal = rate.limit / max(1, self._members)
+            per_s = shares.compute_floor(
+                rate.limit, self._members, rate.sparse_per_s
+            )
+            if state.share is not None:
+                per_s = rate.share
+            elif state.owner_lost:
+                per_s = equal
+            burst = _compute_burst(max(per_s, equal))
+            rate.bucket.set_rate(per_s, burst, now)
+
+    def _is_due(self, state: workspaces.WorkspaceState, now: int) -> bool:
+        if state.limits == documents.Limits():
+            return False
+        since = now - state.reported_at if state.reported_at else FOREVER_MS
+        if state.meter.refused and since >= URGENT_INTERVAL_MS:
+            return True
+        if state.share is None and not self._needs_share(state):
+            return False
+        active = state.in_flight > 0 or now - state.used_at < IDLE_MS
+        return active and since >= REPORT_INTERVAL_MS
 
-    def _set_rate(
-        self,
-        state: _Workspace,
-        bucket: buckets.TokenBucket,
-        limit: float | None,
-        share: float,
-        now: int,
-    ) -> None:
-        if limit is None:
-            return
-        equal = limit / max(1, self._members)
-        rate = shares.compute_floor(limit, self._members)
-        if state.share is not None:
-            rate = share
-        elif state.owner_lost:
-            rate = equal
-        bucket.set_rate(rate, _compute_burst(max(rate, equal)), now)
+    def _needs_share(self, state: workspaces.WorkspaceState) -> bool:
+        """Say whether callers will soon be refused without a share.
+
+        Where an equal part is less than a request, a share for each single
+        caller would cost more messages than the requests themselves.
+        """
+        if state.limits.concurrency is not None and state.in_flight:
+            return True
+        return any(
+            rate.bucket.level < rate.bucket.burst / 2
+            for rate in workspaces.list_rates(state)
+            if not shares.is_sparse(
+                rate.limit, self._members, rate.sparse_per_s
+            )
+        )
 
     def _report(self, name: str, now: int) -> messages.WorkspaceDemand:
         state = self._workspaces[name]
         _expire(state, self._set_rates, now)
-        _measure(state, now)
         state.reported_at = now
-        held = state.share or _NO_SHARE
-        return messages.WorkspaceDemand(name, now, state.demand, held)
+        wanted = state.meter.read(state.in_flight, now)
+        held = state.share or workspaces.NO_SHARE
+        return messages.WorkspaceDemand(name, now, wanted, held)
 
 
 def _expire(
-    state: _Workspace,
-    set_rates: Callable[[_Workspace, int], None],
+    state: workspaces.WorkspaceState,
+    set_rates: Callable[[workspaces.WorkspaceState, int], None],
     now: int,
 ) -> None:
     """End a share that is over, from the time at which it was over."""
@@ -308,48 +304,6 @@
     set_rates(state, state.expires_at)
 
 
-def _is_as_new(state: _Workspace, now: int) -> bool:
-    for bucket in (state.requests, state.tokens):
-        bucket.refill(now)
-        if bucket.level < bucket.burst:
-            return False
-    return state.share is None
-
-
-def _is_due(state: _Workspace, now: int) -> bool:
-    if state.limits == documents.Limits():
-        return False
-    if state.reported_at is None:
-        return True
-    elapsed = now - state.reported_at
-    if state.refused and elapsed >= URGENT_INTERVAL_MS:
-        return True
-    active = state.in_flight > 0 or now - state.used_at < IDLE_MS
-    return active and elapsed >= REPORT_INTERVAL_MS
-
-
-def _measure(state: _Workspace, now: int) -> None:
-    """Turn what was counted since the last report into rates."""
-    seconds = max(now - state.counted_from, 1) / buckets.MS_PER_S
-    tokens = state.charged + state.refused * state.mean_tokens
-    wanted = max(state.peak, state.in_flight) + state.refused
-    weight = 1.0 if state.reported_at is None else _SMOOTHING
-    old = state.demand
-    state.demand = messages.Amounts(
-        _blend(old.requests_per_s, state.offered / seconds, weight),
-        _blend(old.tokens_per_s, tokens / seconds, weight),
-        _blend(old.concurrency, float(wanted), weight),
-    )
-    state.offered = state.refused = 0
-    state.charged = 0.0
-    state.peak = state.in_flight
-    state.counted_from = now
-
-
-def _blend(old: float, new: float, weight: float) -> float:
-    return old + weight * (new - old)
-
-
 def _compute_burst(rate_per_s: float) -> float:
     return max(1.0, BURST_S * rate_per_s)
 
@@ -359,9 +313,3 @@
 ) -> buckets.TokenBucket:
     equal = (limit or 0.0) / max(1, members)
     return buckets.build_bucket(equal, _compute_burst(equal), now)
-
-
-def _refuse(reason: messages.Reason, wait: int | None) -> messages.Refused:
-    if wait is None:
-        return messages.Refused(reason, LARGEST_RETRY_MS)
-    return messages.Refused(reason, min(wait, LARGEST_RETRY_MS))
--- a/src/thornspool/domain/limits/shares.py
+++ b/src/thornspool/domain/limits/shares.py
@@ -22,17 +22,43 @@
 FLOOR_SHARE = 0.05
 """Part of a rate limit that entries own without asking, all together."""
 
+SPARSE_FLOOR_SHARE = 0.5
+SPARSE_REQUESTS_PER_S = 0.05
+SPARSE_TOKENS_PER_S = 20.0
+"""Under these, one usual request is more than 20 s of an equal part."""
+
 GRANT_TTL_MS = 5000
 MAX_WORKSPACES = 20_000
 
 _LEAST_WEIGHT = 1e-9
 
 
-def compute_floor(limit: float, members: int) -> float:
-    """Compute what each entry may use of a rate without asking."""
+def compute_floor(limit: float, members: int, sparse_per_s: float) -> float:
+    """Compute what each entry may use of a rate without asking.
+
+    Where entries are many and a limit is small, callers come to an entry
+    once in many minutes. With the usual floor its one token would not be
+    back by then, and almost every request would be refused first.
+
+    Parameters
+    ----------
+    limit : float
+        Rate over all entries.
+    members : int
+        Number of entries.
+    sparse_per_s : float
+        Equal part under which the larger floor holds.
+    """
     if members <= 1:
         return limit
-    return FLOOR_SHARE * limit / members
+    sparse = is_sparse(limit, members, sparse_per_s)
+    share = SPARSE_FLOOR_SHARE if sparse else FLOOR_SHARE
+    return share * limit / members
+
+
+def is_sparse(limit: float, members: int, sparse_per_s: float) -> bool:
+    """Say whether an equal part is too small for a share each."""
+    return limit / max(1, members) < sparse_per_s
 
 
 @attrs.define
@@ -153,14 +179,19 @@
         )
 
     return messages.Amounts(
-        _split_rate(split('requests_per_s', limits.requests_per_s)),
-        _split_rate(split('tokens_per_s', limits.tokens_per_s)),
+        _split_rate(
+            split('requests_per_s', limits.requests_per_s),
+            SPARSE_REQUESTS_PER_S,
+        ),
+        _split_rate(
+            split('tokens_per_s', limits.tokens_per_s), SPARSE_TOKENS_PER_S
+        ),
         _split_count(split('concurrency', limits.concurrency)),
     )
 
 
-def _split_rate(split: _Split) -> float:
-    floor = compute_floor(split.limit, split.members)
+def _split_rate(split: _Split, sparse_per_s: float) -> float:
+    floor = compute_floor(split.limit, split.members, sparse_per_s)
     pool = split.limit - floor * split.members
     used = sum(max(0.0, held - floor) for held in split.other_holdings)
     wanted = _weigh(split) * pool
--- a/tests/domain/limits/test_limiter.py
+++ b/tests/domain/limits/test_limiter.py
@@ -65,3 +65,30 @@
         subject.collect(0, 9)
         subject.collect(limiter.IDLE_MS, 9)
         self.assertLessEqual(drain(subject, limiter.IDLE_MS), 2)
+
+    def test_first_refusal_sends_nobody_away_for_minutes(self) -> None:
+        """An entry without a share refuses, and asks for one at once.
+
+        Told to wait for the floor, the caller would stay away long after
+        the share has come.
+        """
+        subject = limiter.WorkspaceLimiter(350)
+        drain(subject, 0)
+        refused = subject.admit('w', LIMITS, 0)
+        assert refused is not None
+        self.assertEqual(limiter.NO_SHARE_RETRY_MS, refused.retry_after_ms)
+        self.assertEqual(1, len(subject.collect(0, 9)))
+
+    def test_rare_callers_of_many_entries_are_served_without_reports(
+        self,
+    ) -> None:
+        """Callers come to each of many entries once in many minutes.
+
+        Each would be refused first, and would cost a report.
+        """
+        subject = limiter.WorkspaceLimiter(350)
+        limits = documents.Limits(requests_per_s=1.0, tokens_per_s=1000.0)
+        for now in range(0, 20_000_000, 1_000_000):
+            self.assertIsNone(subject.admit('w', limits, now))
+            subject.finish('w', 350, now)
+            self.assertEqual((), subject.collect(now, 9))
--- a/tests/domain/limits/test_shares.py
+++ b/tests/domain/limits/test_shares.py
@@ -71,7 +71,9 @@
 
     @stateful.invariant()
     def stays_within_the_limits(self) -> None:
-        floor = shares.compute_floor(RATE, MEMBERS)
+        floor = shares.compute_floor(
+            RATE, MEMBERS, shares.SPARSE_REQUESTS_PER_S
+        )
         found = [self._find_share(one) for one in self.reporters]
         rate = sum(max(floor, one.requests_per_s) for one in found)
         assert rate <= RATE + 1e-6, f'{rate} requests/s shared out'
--- a/tools/bench_load.py
+++ b/tools/bench_load.py
@@ -10,11 +10,15 @@
 import heapq
 import json
 import random
+import time
 import typing
 
 import attrs
+import msgspec
 
+from thornspool.domain.configuration import documents
 from thornspool.domain.limits import concurrency
+from thornspool.domain.limits import limiter
 from thornspool.domain.limits import messages as limit_messages
 from thornspool.domain.retries import budget as budgets
 from thornspool.domain.retries import decisions
@@ -34,6 +38,7 @@
 DURATION_MS = 60_000
 WARM_UP_MS = 10_000
 
+ADMISSIONS = 200_000
 RETRY_RATE_PER_S = 200
 RETRY_HEALTHY_MS = 10_000
 RETRY_DEAD_MS = 10_000
@@ -170,6 +175,41 @@
     return attempts / requests
 
 
+def measure_report_bytes() -> dict[str, int]:
+    """Measure the encoded size of one report line and of one grant."""
+    amounts = limit_messages.Amounts(12.3456, 4567.891, 17.0)
+    line = limit_messages.WorkspaceDemand(
+        'workspace-12345', 1_234_567_890, amounts, amounts
+    )
+    grant = limit_messages.WorkspaceGrant(
+        'workspace-12345', 1_234_567_890, amounts, 5000
+    )
+    return {
+        'report_line': len(msgspec.msgpack.encode(line)),
+        'grant': len(msgspec.msgpack.encode(grant)),
+    }
+
+
+def measure_admission_us() -> float:
+    """Measure processor time of one admission and its end, microseconds.
+
+    The entry is one of 350 and has limits for each of 1,000 workspaces;
+    reports are collected as often as the daemon does.
+    """
+    subject = limiter.WorkspaceLimiter(350)
+    limits = documents.Limits(1000.0, 10**6, 1000)
+    started = time.process_time()
+    for number in range(ADMISSIONS):
+        now = number // 2
+        name = f'w{number % 1000}'
+        if subject.admit(name, limits, now) is None:
+            subject.finish(name, 1, now)
+        if number % 400 == 0:
+            subject.collect(now, 6)
+    used = time.process_time() - started
+    return round(used / ADMISSIONS * 1e6, 2)
+
+
 def _average(measure: Callable[[int], float]) -> float:
     values = [measure(seed) for seed in SEEDS]
     return round(sum(values) / len(values), 3)
@@ -185,7 +225,7 @@
         in time, with admission; ``goodput_unlimited_at_load``: without;
         ``goodput_wrong_estimate``: at twice the capacity, for estimates
         that are wrong by a factor; ``attempts_per_request``: with and
-        without the retry budget.
+        without the retry budget; ``message_bytes``; ``admission_us``.
     """
     goodput = {}
     unlimited = {}
@@ -205,6 +245,8 @@
         'goodput_at_load': goodput,
         'goodput_unlimited_at_load': unlimited,
         'goodput_wrong_estimate': wrong,
+        'message_bytes': measure_report_bytes(),
+        'admission_us': measure_admission_us(),
         'attempts_per_request': {
             'with_budget': _average(functools.partial(measure_attempts, True)),
             'without_budget': _average(
