Join readiness of targets, drains and quarantine to the entry

Cause: targets that leave or fail got new work, a stop cut requests, and a request that kills engines could be sent again. Change: the use cases of an entry are built in one module; targets are polled, failures and loads heard; a stop drains; condemned requests are refused; actions go to ready targets in a random order.

--- a/src/thornspool/application/calls.py
+++ b/src/thornspool/application/calls.py
@@ -7,17 +7,17 @@
 import attrs
 import structlog
 
+from thornspool.application import directory
 from thornspool.application import exceptions
 from thornspool.application import ports
-from thornspool.domain.targets import messages as target_messages
 
 if typing.TYPE_CHECKING:
     from collections.abc import Callable
     import random
 
     from thornspool import clock
-    from thornspool.application import directory
     from thornspool.domain.configuration import documents
+    from thornspool.domain.targets import messages as target_messages
 
 MAX_ATTEMPTS = 4
 RETRY_AFTER_MS = 1000
@@ -73,7 +73,7 @@
     note_success : callable
         Tells the budget of a service of a success.
     note_failure : callable
-        Tells of a target that failed, with a reason.
+        Tells of a target that failed, with the error.
     """
 
     def __init__(
@@ -84,7 +84,7 @@
         random_source: random.Random,
         take_retry: Callable[[str], bool],
         note_success: Callable[[str], None],
-        note_failure: Callable[[str, str], None],
+        note_failure: Callable[[str, exceptions.TargetError], None],
     ) -> None:
         self._clock = clock
         self._services = services
@@ -127,7 +127,7 @@
             except exceptions.TargetError as error:
                 ran |= not isinstance(error, exceptions.TargetNotReached)
                 failed = CallFailed(error.message, ran, RETRY_AFTER_MS)
-                self._note_failure(target.name, error.message)
+                self._note_failure(target.name, error)
                 logger.warning(
                     'call_failed', target=target.name, reason=error.message
                 )
@@ -140,17 +140,13 @@
         self, targets: tuple[documents.Target, ...], tried: set[str]
     ) -> documents.Target | None:
         """Choose the less loaded of two ready targets drawn at random."""
-        ready = [
-            target
-            for target in targets
-            if target.name not in tried
-            and self._targets.read_readiness(target.name)
-            is target_messages.Readiness.READY
-        ]
-        if not ready:
-            return None
-        drawn = self._random.sample(ready, min(2, len(ready)))
-        return min(drawn, key=lambda t: self._in_flight.get(t.name, 0))
+        left = tuple(one for one in targets if one.name not in tried)
+        drawn = directory.list_ready(left, self._targets, self._random)[:2]
+        return min(
+            drawn,
+            key=lambda one: self._in_flight.get(one.name, 0),
+            default=None,
+        )
 
     async def _send(
         self,
--- a/src/thornspool/application/directory.py
+++ b/src/thornspool/application/directory.py
@@ -7,8 +7,11 @@
 import attrs
 
 from thornspool.application import exceptions
+from thornspool.domain.targets import messages
 
 if typing.TYPE_CHECKING:
+    import random
+
     from thornspool.domain.configuration import documents
 
 
@@ -92,3 +95,27 @@
         if name in snapshot.targets
     )
     return ResolvedOperation(service, operation, targets)
+
+
+def list_ready(
+    targets: tuple[documents.Target, ...],
+    view: messages.TargetView,
+    random_source: random.Random,
+) -> tuple[documents.Target, ...]:
+    """Return the targets that may be given new work, in a random order.
+
+    Parameters
+    ----------
+    targets : tuple of documents.Target
+        Targets of a service.
+    view : messages.TargetView
+        What this entry believes of targets.
+    random_source : random.Random
+        Source of the order, so that entries do not all begin with the same.
+    """
+    ready = [
+        target
+        for target in targets
+        if view.read_readiness(target.name) is messages.Readiness.READY
+    ]
+    return tuple(random_source.sample(ready, len(ready)))
--- a/src/thornspool/application/gates.py
+++ b/src/thornspool/application/gates.py
@@ -5,17 +5,19 @@
 import typing
 
 import attrs
-import xxhash
 
 from thornspool.application import intake
 from thornspool.application import requests
 from thornspool.domain.limits import messages as limit_messages
+from thornspool.domain.quarantine import messages as quarantine_messages
 
 if typing.TYPE_CHECKING:
     from thornspool import clock
     from thornspool.application import admission
+    from thornspool.application import quarantine
 
 FIRST_UNIT_MS = 5.0
+_CONDEMNED = 'This request crashed the targets that ran it.'
 _SMOOTHING = 0.1
 
 
@@ -47,13 +49,19 @@
         Source of time.
     service : admission.AdmissionService
         Limits across entries and bounds of target groups.
+    quarantine_service : quarantine.QuarantineService
+        Knows the requests that crash what runs them.
     """
 
     def __init__(
-        self, clock: clock.Clock, service: admission.AdmissionService
+        self,
+        clock: clock.Clock,
+        service: admission.AdmissionService,
+        quarantine_service: quarantine.QuarantineService,
     ) -> None:
         self._clock = clock
         self._service = service
+        self._quarantine = quarantine_service
         self._paces: dict[str, Pace] = {}
 
     def admit(self, work: intake.Work) -> intake.Ticket:
@@ -64,6 +72,9 @@
         requests.RequestRefused
             Names the reason and when to come back.
         """
+        verdict = self._quarantine.check(work.fingerprint)
+        if isinstance(verdict, quarantine_messages.Condemned):
+            raise requests.RequestRefused(_CONDEMNED, verdict.retry_after_ms)
         pace = self._paces.setdefault(work.group, Pace())
         admitted = self._service.admit(
             work.workspace,
@@ -99,8 +110,3 @@
             self._pace.learn(tokens, duration_ms)
         now = self._clock.now()
         self._service.finish(self._ticket, good, tokens, now)
-
-
-def fingerprint_content(content: str) -> str:
-    """Return the digest by which a request that is sent again is known."""
-    return xxhash.xxh3_128_hexdigest(content.encode())
--- a/src/thornspool/application/intake.py
+++ b/src/thornspool/application/intake.py
@@ -10,6 +10,7 @@
 from thornspool.application import actions
 from thornspool.application import calls
 from thornspool.application import directory
+from thornspool.application import generation_attempts
 from thornspool.application import generation_messages as generation
 from thornspool.application import requests
 from thornspool.domain.actions import results
@@ -44,7 +45,8 @@
     group : str
         Model or service whose targets would run it.
     fingerprint : str
-        Names the content of the request.
+        Names the content of a model request; empty for calls, whose targets
+        do not die of what they are asked.
     deadline : int
         Monotonic milliseconds.
     tokens : int
@@ -90,11 +92,22 @@
 
 @attrs.frozen
 class Runners:
-    """The use cases that run requests."""
+    """The use cases that run requests.
+
+    Attributes
+    ----------
+    actions, calls, generation
+        One for each kind of request.
+    list_ready : callable
+        Returns those of some targets that may be given new work.
+    """
 
     actions: actions.ActionService
     calls: calls.CallService
     generation: generation_service.GenerationService
+    list_ready: Callable[
+        [tuple[documents.Target, ...]], tuple[documents.Target, ...]
+    ]
 
 
 class Intake:
@@ -222,7 +235,7 @@
         work = Work(
             request.workspace,
             request.model,
-            f'{request.model}\0{request.prompt}',
+            generation_attempts.fingerprint_request(wanted),
             wanted.deadline,
             request.max_tokens,
         )
@@ -245,8 +258,11 @@
         if operation.idempotent:
             called = await self._runners.calls.call(resolved, request.body)
             return _describe_call(called)
+        ready = self._runners.list_ready(resolved.targets)
         action = build_action(
-            request, resolved, self._clock.now() + operation.timeout_ms
+            request,
+            attrs.evolve(resolved, targets=ready),
+            self._clock.now() + operation.timeout_ms,
         )
         return await self._runners.actions.run(action)
 
@@ -257,11 +273,10 @@
         resolved: directory.ResolvedOperation,
     ) -> Iterator[_Run]:
         """Admit an operation."""
-        content = f'{request.operation}\0'.encode() + request.body
         work = Work(
             request.workspace,
             request.service,
-            content.decode(errors='replace'),
+            '',
             self._clock.now() + resolved.operation.timeout_ms,
             0,
         )
