Empty retired buckets also after the answer to the head was lost

Cause: a publication that was confirmed by the history forgot the buckets that its plan had pushed off the list, so they stayed in the platform.

Change: both ways to confirm return the plan's garbage.

Seen to fail: without the change the case of lost answers printed 'AssertionError: 4 != 0'. With it 51 tests of the configuration, its interface and the tool pass.

--- a/src/thornspool/domain/configuration/publishing.py
+++ b/src/thornspool/domain/configuration/publishing.py
@@ -194,8 +194,7 @@
         return attrs.evolve(progress, written=True), _write_head(
             progress.attempt
         )
-    garbage = (*progress.garbage, *plan.garbage)
-    return progress, Finish(Confirmed(plan.head.version), garbage)
+    return progress, _confirm(progress, plan.head.version)
 
 
 def give_up(progress: Progress, reason: str) -> Undecided:
@@ -203,6 +202,15 @@
     return Undecided(progress.written, reason)
 
 
+def _confirm(progress: Progress, version: int) -> Finish:
+    """Finish with what the accepted head no longer refers to as garbage."""
+    garbage = progress.garbage
+    attempt = progress.attempt
+    if attempt is not None and attempt.plan.head.version == version:
+        garbage = (*garbage, *attempt.plan.garbage)
+    return Finish(Confirmed(version), garbage)
+
+
 def _write_head(attempt: Attempt) -> WriteHead:
     return WriteHead(
         heads.encode_head(attempt.plan.head), attempt.expected_version
@@ -215,7 +223,7 @@
     head = event.contents.head
     record = head.find_record(progress.publication.id)
     if record is not None:
-        return progress, Finish(Confirmed(record.version), progress.garbage)
+        return progress, _confirm(progress, record.version)
     if progress.attempt is not None and progress.written:
         return _decide_on_open_attempt(progress, progress.attempt, event)
     return _plan(progress, event)
--- a/tests/application/test_configuration.py
+++ b/tests/application/test_configuration.py
@@ -170,10 +170,20 @@
         make.run_virtual(scenario)
 
     def test_garbage_is_emptied(self) -> None:
+        """Answers to writes get lost, and old buckets must still go."""
+        for fate in ('done', 'lost'):
+            with self.subTest(fate):
+                make.run_virtual(self._build_garbage_scenario(fate))
+
+    def _build_garbage_scenario(
+        self, fate: str
+    ) -> typing.Callable[[make.Cluster], typing.Awaitable[None]]:
         async def scenario(cluster: make.Cluster) -> None:
             entry = cluster.add_entry('one')
             for mark in range(heads.RETIRED_LENGTH + 5):
+                entry.faults.write = fate
                 await _publish(entry, 'alpha', mark, mark)
+            entry.faults.write = 'done'
             await asyncio.sleep(1)
             sizes = [
                 bool(cluster.platform.read(key).value)
@@ -182,7 +192,7 @@
             ]
             self.assertEqual(4, sizes.count(False))
 
-        make.run_virtual(scenario)
+        return scenario
 
 
 class ApplyTest(unittest.TestCase):
