Leave more to chance the older the load reports are

Change: the price of a stage is raised by up to four times itself, drawn at random, as its report loses weight.

--- a/src/thornspool/application/generation_planning.py
+++ b/src/thornspool/application/generation_planning.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import functools
 import typing
 
 import attrs
@@ -23,6 +24,7 @@
 
 _PER_RANGE = 16
 _PREFILL_MS = 200.0
+_SPREAD = 4.0
 
 
 @attrs.frozen
@@ -140,7 +142,9 @@
         usable = planner.list_usable(stages, targets, self._targets, left_out)
         costs = planner.Costs(
             stage=lambda stage: self._price(wish, stage, now),
-            link=lambda first, second: self.links.read(first, second, now),
+            link=functools.cache(
+                lambda first, second: self.links.read(first, second, now)
+            ),
             favourite=lambda layers: self.affinity.find(wish.prefix, layers),
         )
         return planner.plan_route(
@@ -151,6 +155,12 @@
         """Price a stage in milliseconds a token."""
         report = self._targets.read_load(stage.target)
         time = loads.estimate_time(report, self.own, stage.target, now)
+        # Entries that read the same old report would all prefer the same
+        # stages until the next one, and their queues would grow while
+        # others stood idle. The older the report, the more is left to
+        # chance.
+        doubt = 1 - loads.compute_trust(report, now)
+        time *= self._random.uniform(1, 1 + _SPREAD * doubt)
         layers = (stage.first_layer, stage.end_layer)
         warm = self.affinity.read_weight(
             wish.prefix, layers, stage.target, now
--- a/src/thornspool/domain/pipelines/loads.py
+++ b/src/thornspool/domain/pipelines/loads.py
@@ -56,6 +56,13 @@
         return own.now - own.at_report
 
 
+def compute_trust(report: messages.LoadReport | None, now: int) -> float:
+    """Return how far a report still holds, 0 to 1."""
+    if report is None:
+        return 0.0
+    return float(0.5 ** ((now - report.received_at) / _HALF_LIFE_MS))
+
+
 def estimate_time(
     report: messages.LoadReport | None, own: OwnRequests, target: str, now: int
 ) -> float:
@@ -79,7 +86,7 @@
     """
     if report is None:
         return _UNREPORTED_STEP_MS * (1 + own.read(target) / 16)
-    weight = 0.5 ** ((now - report.received_at) / _HALF_LIFE_MS)
+    weight = compute_trust(report, now)
     reported = report.running + report.waiting + own.read_since(report)
     present = max(0.0, weight * reported + (1 - weight) * own.read(target))
     batches = 1 + present / max(1, report.max_batch)
