--- /dev/null
+++ b/src/thornspool/application/generation_planning.py
@@ -0,0 +1,198 @@
+"""What an entry knows for planning routes, and what it learns on the way."""
+
+from __future__ import annotations
+
+import functools
+import typing
+
+import attrs
+
+from thornspool.domain.pipelines import affinity
+from thornspool.domain.pipelines import candidates
+from thornspool.domain.pipelines import exceptions
+from thornspool.domain.pipelines import links
+from thornspool.domain.pipelines import loads
+from thornspool.domain.pipelines import planner
+
+if typing.TYPE_CHECKING:
+    from collections.abc import Callable
+    import random
+
+    from thornspool.domain.configuration import documents
+    from thornspool.domain.pipelines import routes
+    from thornspool.domain.targets import messages as target_messages
+
+_PER_RANGE = 16
+_PREFILL_MS = 200.0
+_SPREAD = 4.0
+
+
+@attrs.frozen
+class Wish:
+    """What a route is planned for.
+
+    Attributes
+    ----------
+    model : documents.Model
+        The model, pinned for all attempts of a request.
+    prefix : int
+        Digest of the prompt's prefix.
+    tokens : int
+        Tokens still to generate.
+    excluded, avoided : frozenset of str
+        Targets never to use, and to use only if nothing else will do.
+    """
+
+    model: documents.Model
+    prefix: int
+    tokens: int
+    excluded: frozenset[str] = frozenset()
+    avoided: frozenset[str] = frozenset()
+
+
+@attrs.frozen
+class _Chosen:
+    """Candidates of a model and the document that they were chosen from."""
+
+    model: documents.Model
+    stages: list[documents.Stage]
+
+
+class Planning:
+    """Plans routes from the present view of targets.
+
+    Parameters
+    ----------
+    entry : str
+        Name of this entry's host.
+    snapshot : callable
+        Returns the configuration in force.
+    targets : target_messages.TargetView
+        Readiness and loads.
+    random_source : random.Random
+        Source of the draws.
+    link_times : links.LinkTimes, optional
+        Times of links to start from.
+    per_range : int
+        Candidate engines for each layer range.
+    """
+
+    def __init__(
+        self,
+        entry: str,
+        snapshot: Callable[[], documents.Snapshot],
+        targets: target_messages.TargetView,
+        random_source: random.Random,
+        link_times: links.LinkTimes | None = None,
+        per_range: int = _PER_RANGE,
+    ) -> None:
+        self.links = link_times or links.LinkTimes()
+        self.affinity = affinity.PrefixAffinity()
+        self.own = loads.OwnRequests()
+        self._entry = entry
+        self._snapshot = snapshot
+        self._targets = targets
+        self._random = random_source
+        self._per_range = per_range
+        self._chosen: dict[str, _Chosen] = {}
+
+    def find_model(self, name: str) -> documents.Model | None:
+        """Return a model of the configuration in force."""
+        return self._snapshot().models.get(name)
+
+    def list_candidates(self, model: documents.Model) -> list[documents.Stage]:
+        """Return the stages of a model that this entry considers."""
+        known = self._chosen.get(model.name)
+        if known is None or known.model is not model:
+            stages = candidates.choose_candidates(
+                self._entry, model, self._per_range
+            )
+            known = _Chosen(model, stages)
+            self._chosen[model.name] = known
+        return known.stages
+
+    def plan(self, wish: Wish, now: int) -> routes.Route:
+        """Plan a route, widening the choice until the layers are covered.
+
+        Raises
+        ------
+        NoPipeline
+            When no set of ready targets covers the model.
+        """
+        shunned = wish.excluded | wish.avoided
+        chosen = self.list_candidates(wish.model)
+        for stages, left_out in (
+            (chosen, shunned),
+            (list(wish.model.stages), shunned),
+        ):
+            try:
+                return self._plan(wish, stages, left_out, now)
+            except exceptions.NoPipeline:
+                continue
+        return self._plan(wish, list(wish.model.stages), wish.excluded, now)
+
+    def _plan(
+        self,
+        wish: Wish,
+        stages: list[documents.Stage],
+        left_out: frozenset[str],
+        now: int,
+    ) -> routes.Route:
+        targets = self._snapshot().targets
+        usable = planner.list_usable(stages, targets, self._targets, left_out)
+        costs = planner.Costs(
+            stage=lambda stage: self._price(wish, stage, now),
+            link=functools.cache(
+                lambda first, second: self.links.read(first, second, now)
+            ),
+            favourite=lambda layers: self.affinity.find(wish.prefix, layers),
+        )
+        return planner.plan_route(
+            wish.model, usable, targets, costs, self._random
+        )
+
+    def _price(self, wish: Wish, stage: documents.Stage, now: int) -> float:
+        """Price a stage in milliseconds a token."""
+        report = self._targets.read_load(stage.target)
+        time = loads.estimate_time(report, self.own, stage.target, now)
+        # Entries that read the same old report would all prefer the same
+        # stages until the next one, and their queues would grow while
+        # others stood idle. The older the report, the more is left to
+        # chance.
+        doubt = 1 - loads.compute_trust(report, now)
+        time *= self._random.uniform(1, 1 + _SPREAD * doubt)
+        layers = (stage.first_layer, stage.end_layer)
+        warm = self.affinity.read_weight(
+            wish.prefix, layers, stage.target, now
+        )
+        # A prefix is worked through once, so a long answer weighs it less.
+        return time + _PREFILL_MS * (1 - warm) / max(1, wish.tokens)
+
+    def start(self, route: routes.Route) -> None:
+        """Count an attempt on its targets."""
+        for target in route.list_targets():
+            self.own.add(target, 1)
+
+    def end(self, route: routes.Route) -> None:
+        """Stop counting an attempt on its targets."""
+        for target in route.list_targets():
+            self.own.add(target, -1)
+
+    def note_prefix(self, route: routes.Route, prefix: int, now: int) -> None:
+        """Remember where a prefix ran."""
+        for stage in route.stages:
+            layers = (stage.first_layer, stage.end_layer)
+            self.affinity.note(prefix, layers, stage.target, now)
+
+    def note_hops(
+        self, route: routes.Route, hops: list[float], now: int
+    ) -> None:
+        """Learn links from the times between stages, in milliseconds."""
+        for link, time_ms in zip(route.list_links(), hops, strict=False):
+            self.links.note_hop(*link, time_ms, now)
+
+    def note_stall(
+        self, route: routes.Route, waited_ms: float, now: int
+    ) -> None:
+        """Learn links from a wait without a token."""
+        self.links.note_stall(route, waited_ms, now)
