Report burn and print schemas; one form of problem for all files

Cause: the page of the burn report had no command, and settings were checked by a reader of their own. That reader took the last of two members with one name without a word, while the one of service files refuses them. Both readers had their own class of problem.

NaN is refused, which Python's reader takes and no bound of a schema refuses. A share such as 99.995% is no longer shown as 100.00%.

Ruled out: a third module for Problem; the domain's own has every field.

Not run: the page was not looked at in a browser; none is installed here.

--- a/src/thornspool/console/application.py
+++ b/src/thornspool/console/application.py
@@ -13,6 +13,8 @@
 from thornspool.console.commands import entries
 from thornspool.console.commands import history
 from thornspool.console.commands import publish
+from thornspool.console.commands import report
+from thornspool.console.commands import schema
 from thornspool.console.commands import status
 
 if typing.TYPE_CHECKING:
@@ -26,6 +28,8 @@
     drain.COMMAND,
     action.COMMAND,
     history.COMMAND,
+    report.COMMAND,
+    schema.COMMAND,
 )
 _EXIT_CODES = (
     'exit codes: 0 done; 1 a problem was found; 2 options, files or token '
--- a/src/thornspool/console/collecting.py
+++ b/src/thornspool/console/collecting.py
@@ -4,6 +4,8 @@
 
 import typing
 
+import attrs
+
 from thornspool.console import exceptions
 from thornspool.domain.configuration import files
 from thornspool.domain.configuration import problems
@@ -11,6 +13,7 @@
 if typing.TYPE_CHECKING:
     from collections.abc import Iterable
     from collections.abc import Iterator
+    from collections.abc import Sequence
     import pathlib
 
     from thornspool.console import base
@@ -49,24 +52,23 @@
     found: Iterable[problems.Problem],
 ) -> None:
     """Write every problem with file, place, rule and remedy."""
-    located = [files.locate_problem(one, collection.origins) for one in found]
+    write_problems(
+        console,
+        [files.locate_problem(one, collection.origins) for one in found],
+    )
+
+
+def write_problems(
+    console: base.Console, found: Sequence[problems.Problem]
+) -> None:
+    """Write problems whose files are known."""
     if console.as_json:
-        value = [
-            {
-                'file': one.file,
-                'document': one.document,
-                'path': one.path,
-                'rule': one.rule,
-                'remedy': one.remedy,
-            }
-            for one in located
-        ]
+        value = [attrs.asdict(one) for one in found]
         console.write_result({'problems': value}, ())
         return
-    for one in located:
-        place = one.file or one.document
-        console.write_error(f'{place}: {one.path}: {one.rule}: {one.remedy}')
-    console.write_error(f'{len(located)} problem(s); nothing was published.')
+    for one in found:
+        console.write_error(str(one))
+    console.write_error(f'{len(found)} problem(s); nothing was published.')
 
 
 def _list_files(paths: Iterable[pathlib.Path]) -> Iterator[pathlib.Path]:
--- a/src/thornspool/console/commands/check.py
+++ b/src/thornspool/console/commands/check.py
@@ -6,6 +6,7 @@
 import typing
 import uuid
 
+from thornspool import settings
 from thornspool.console import base
 from thornspool.console import client
 from thornspool.console import collecting
@@ -16,15 +17,27 @@
 
 if typing.TYPE_CHECKING:
     import argparse
+    from collections.abc import Iterable
+    from collections.abc import Sequence
+
+    from thornspool.domain.configuration import problems
 
 
 def _add_options(parser: argparse.ArgumentParser) -> None:
     parser.add_argument(
         'paths',
-        nargs='+',
+        nargs='*',
         type=pathlib.Path,
         help='service files, or directories that hold them',
     )
+    parser.add_argument(
+        '--settings',
+        action='append',
+        default=[],
+        type=pathlib.Path,
+        metavar='FILE',
+        help='settings of an entry to check; may be given many times',
+    )
     client.add_options(parser)
 
 
@@ -32,14 +45,45 @@
     options: argparse.Namespace, console: base.Console
 ) -> exceptions.ExitCode:
     """Check against the entry's documents if one is named, else alone."""
+    found = _check_settings(options.settings)
+    if options.settings and not options.paths:
+        return _report_settings(console, options.settings, found)
     collection = collecting.collect(options.paths)
-    if collection.problems:
-        collecting.report_problems(console, collection, collection.problems)
+    found.extend(collection.problems)
+    if found:
+        collecting.write_problems(console, found)
         return exceptions.ExitCode.PROBLEM
     check = _check_at_entry if options.url else _check_alone
     return check(options, console, collection)
 
 
+def _check_settings(
+    paths: Iterable[pathlib.Path],
+) -> list[problems.Problem]:
+    found: list[problems.Problem] = []
+    for path in paths:
+        try:
+            settings.read_settings(path)
+        except settings.SettingsError as error:
+            found.extend(error.problems)
+    return found
+
+
+def _report_settings(
+    console: base.Console,
+    paths: Sequence[pathlib.Path],
+    found: Sequence[problems.Problem],
+) -> exceptions.ExitCode:
+    if found:
+        collecting.write_problems(console, found)
+        return exceptions.ExitCode.PROBLEM
+    console.write_result(
+        {'settings': len(paths), 'problems': []},
+        [f'{len(paths)} settings file(s) are right.'],
+    )
+    return exceptions.ExitCode.OK
+
+
 def _check_alone(
     _options: argparse.Namespace,
     console: base.Console,
@@ -95,8 +139,8 @@
 
 COMMAND = base.Command(
     'check',
-    'Check service files and report every error; with --url, together with '
-    'the documents in force.',
+    'Check service files and settings and report every error; with --url, '
+    'files are checked together with the documents in force.',
     'thornspool check examples/swan-coast/services',
     _add_options,
     _run,
--- /dev/null
+++ b/src/thornspool/console/commands/schema.py
@@ -0,0 +1,36 @@
+"""The command that prints the schemas that the program checks against."""
+
+from __future__ import annotations
+
+import json
+import typing
+
+from thornspool import schemas
+from thornspool.console import base
+from thornspool.console import exceptions
+
+if typing.TYPE_CHECKING:
+    import argparse
+
+_NAMES = ('settings', 'service-file')
+
+
+def _add_options(parser: argparse.ArgumentParser) -> None:
+    parser.add_argument('name', choices=_NAMES, help='which schema')
+
+
+def _run(
+    options: argparse.Namespace, console: base.Console
+) -> exceptions.ExitCode:
+    schema = schemas.read_schema(options.name)
+    console.write_result(schema, [json.dumps(schema, indent=2)])
+    return exceptions.ExitCode.OK
+
+
+COMMAND = base.Command(
+    'schema',
+    'Print a JSON Schema that files are checked against, for editors.',
+    'thornspool schema service-file',
+    _add_options,
+    _run,
+)
--- a/src/thornspool/console/pages.py
+++ b/src/thornspool/console/pages.py
@@ -46,6 +46,17 @@
     return f'{minutes // 60} h' if minutes >= 60 else f'{minutes} min'
 
 
+def format_objective(one: burn.Burn) -> str:
+    """Return what is measured and the share that must be good.
+
+    Shares are written with as many digits as they have: 99.995% must not
+    show as 100.00%.
+    """
+    name = one.subject.indicator.value.replace('_', ' ')
+    percent = round(one.objective * 100, 6)
+    return f'{name} {max(f"{percent:.2f}", f"{percent:g}", key=len)}%'
+
+
 def render_burn_page(report: objectives.BurnReport) -> str:
     """Render a report.
 
@@ -87,13 +98,12 @@
 def _render_row(report: objectives.BurnReport, one: burn.Burn) -> str:
     """Render one subject."""
     subject = one.subject
-    name = subject.indicator.value.replace('_', ' ')
     colour = _COLOURS[one.severity]
     badge = f'<span class="badge" style="background:{colour}">'
     return (
         f'<tr><td>{html.escape(subject.workspace)}</td>'
         f'<td>{html.escape(subject.name)}</td>'
-        f'<td>{name} {one.objective:.2%}</td>'
+        f'<td>{format_objective(one)}</td>'
         f'<td class="number">{one.events[-1]:,}</td>'
         f'<td>{_render_plot(report.windows_ms, one, colour)}</td>'
         f'<td>{badge}{one.severity.value}</span></td></tr>'
--- a/src/thornspool/domain/configuration/files.py
+++ b/src/thornspool/domain/configuration/files.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import functools
-import json
 import re
 import typing
 
@@ -18,9 +17,6 @@
 if typing.TYPE_CHECKING:
     from collections.abc import Iterable
 
-Json = typing.Any
-"""A decoded JSON value."""
-
 _SCHEMA = 'service-file'
 _PLACE = re.compile(r' - at `(?P<place>.*)`$')
 
@@ -74,7 +70,7 @@
     """
 
     documents: tuple[documents.Document, ...]
-    raw: tuple[Json, ...]
+    raw: tuple[validation.Json, ...]
     origins: dict[str, Origin]
     problems: tuple[problems.Problem, ...]
 
@@ -84,7 +80,7 @@
     """What was collected so far."""
 
     documents: list[documents.Document] = attrs.field(factory=list)
-    raw: list[Json] = attrs.field(factory=list)
+    raw: list[validation.Json] = attrs.field(factory=list)
     origins: dict[str, Origin] = attrs.field(factory=dict)
     problems: list[problems.Problem] = attrs.field(factory=list)
 
@@ -97,10 +93,6 @@
         )
 
 
-class _RepeatedName(ValueError):
-    """A JSON object names a member twice."""
-
-
 def collect_documents(files: Iterable[SourceFile]) -> Collection:
     """Read service files and check each document against the schema.
 
@@ -111,26 +103,15 @@
     """
     collecting = _Collecting()
     for file in files:
-        try:
-            value = json.loads(file.text, object_pairs_hook=_build_object)
-        except _RepeatedName as error:
-            collecting.problems.append(
-                problems.Problem(
-                    '',
-                    '$',
-                    'repeated-member',
-                    f'Keep one of the members named "{error}".',
-                    file.path,
-                )
-            )
-        except json.JSONDecodeError as error:
-            collecting.problems.append(_report_syntax(file.path, error))
-        else:
-            _add_value(collecting, file.path, value)
+        value, found = validation.parse_json(file.path, file.text)
+        if found:
+            collecting.problems.extend(found)
+            continue
+        _add_value(collecting, file.path, value)
     return collecting.freeze()
 
 
-def read_documents(value: Json) -> Collection:
+def read_documents(value: validation.Json) -> Collection:
     """Check documents that arrive decoded, as in a publication's body.
 
     Parameters
@@ -158,26 +139,9 @@
     )
 
 
-def _build_object(pairs: list[tuple[str, Json]]) -> dict[str, Json]:
-    built: dict[str, Json] = {}
-    for name, value in pairs:
-        if name in built:
-            raise _RepeatedName(name)
-        built[name] = value
-    return built
-
-
-def _report_syntax(path: str, error: json.JSONDecodeError) -> problems.Problem:
-    return problems.Problem(
-        '',
-        '$',
-        'json',
-        f'Write JSON; line {error.lineno}, column {error.colno}: {error.msg}.',
-        path,
-    )
-
-
-def _add_value(collecting: _Collecting, file: str, value: Json) -> None:
+def _add_value(
+    collecting: _Collecting, file: str, value: validation.Json
+) -> None:
     if not isinstance(value, list):
         _add_document(collecting, Origin(file, '$'), value)
         return
@@ -186,7 +150,7 @@
 
 
 def _add_document(
-    collecting: _Collecting, origin: Origin, value: Json
+    collecting: _Collecting, origin: Origin, value: validation.Json
 ) -> None:
     address = _read_address(value)
     found = _check_schema(origin, address, value)
@@ -206,14 +170,14 @@
     collecting.raw.append(value)
 
 
-def _read_address(value: Json) -> str:
+def _read_address(value: validation.Json) -> str:
     if not isinstance(value, dict) or not value.get('name'):
         return ''
     return f'{value.get("kind")}/{value["name"]}'
 
 
 def _convert(
-    value: dict[str, Json],
+    value: dict[str, validation.Json],
 ) -> documents.Document | msgspec.ValidationError:
     """Turn a document that keeps the schema into its type.
 
@@ -232,26 +196,22 @@
 
 
 def _check_schema(
-    origin: Origin, address: str, value: Json
+    origin: Origin, address: str, value: validation.Json
 ) -> list[problems.Problem]:
     kind = value.get('kind') if isinstance(value, dict) else None
     found = validation.find_problems(
         origin.file, value, _choose_schema(str(kind))
     )
     return [
-        problems.Problem(
-            address,
-            _join_paths(origin.path, one.path),
-            'schema',
-            f'{one.hint} ({one.rule})',
-            origin.file,
+        attrs.evolve(
+            one, document=address, path=_join_paths(origin.path, one.path)
         )
         for one in found
     ]
 
 
 @functools.cache
-def _choose_schema(kind: str) -> dict[str, Json]:
+def _choose_schema(kind: str) -> dict[str, validation.Json]:
     """Return the schema of one kind, so that its errors name the place."""
     definitions = schemas.read_schema(_SCHEMA)['$defs']
     if kind in [one.value for one in documents.DocumentKind]:
--- a/src/thornspool/domain/configuration/problems.py
+++ b/src/thornspool/domain/configuration/problems.py
@@ -1,4 +1,4 @@
-"""What is wrong with a publication, where, and what to write instead."""
+"""What is wrong in a file or a publication, where, and what to write."""
 
 from __future__ import annotations
 
@@ -12,7 +12,8 @@
     Attributes
     ----------
     document : str
-        ``kind/name`` of the document; empty if it has no such address.
+        ``kind/name`` of the document; empty if it has no such address, as
+        in a settings file.
     path : str
         JSONPath of the place within the document, ``$`` for the whole;
         within the file, if there is one.
@@ -29,3 +30,7 @@
     rule: str
     remedy: str
     file: str = ''
+
+    def __str__(self) -> str:
+        place = self.file or self.document
+        return f'{place}: {self.path}: {self.rule}: {self.remedy}'
--- a/src/thornspool/settings.py
+++ b/src/thornspool/settings.py
@@ -14,6 +14,8 @@
 if typing.TYPE_CHECKING:
     import pathlib
 
+    from thornspool.domain.configuration import problems
+
 DEFAULT_BODY_LIMIT_BYTES = 8 * 1024 * 1024
 
 
@@ -22,13 +24,13 @@
 
     Parameters
     ----------
-    problems : tuple of validation.Problem
+    problems : tuple of problems.Problem
         At least one.
     """
 
-    def __init__(self, problems: tuple[validation.Problem, ...]) -> None:
-        super().__init__('\n'.join(str(problem) for problem in problems))
-        self.problems = problems
+    def __init__(self, found: tuple[problems.Problem, ...]) -> None:
+        super().__init__('\n'.join(str(problem) for problem in found))
+        self.problems = found
 
 
 @attrs.frozen
@@ -116,12 +118,12 @@
     SettingsError
         Names file, place, rule and what to write instead, for each problem.
     """
-    value, problems = validation.read_json(path)
-    if not problems:
+    value, found = validation.read_json(path)
+    if not found:
         schema = schemas.read_schema('settings')
-        problems = validation.find_problems(str(path), value, schema)
-    if problems:
-        raise SettingsError(problems)
+        found = validation.find_problems(str(path), value, schema)
+    if found:
+        raise SettingsError(found)
     settings = cattrs.structure(value, Settings)
     if settings.region:
         return settings
--- a/src/thornspool/validation.py
+++ b/src/thornspool/validation.py
@@ -2,11 +2,12 @@
 
 from __future__ import annotations
 
+import json
 import typing
 
-import attrs
 import jsonschema
-import msgspec
+
+from thornspool.domain.configuration import problems
 
 if typing.TYPE_CHECKING:
     import pathlib
@@ -14,32 +15,21 @@
     from jsonschema import exceptions as schema_exceptions
 
 
-@attrs.frozen
-class Problem:
-    """One thing wrong in a file.
+Json = typing.Any
+"""A decoded JSON value."""
 
-    Attributes
-    ----------
-    file : str
-        Path of the file.
-    path : str
-        Place in the file, JSONPath, ``$`` for the whole.
-    rule : str
-        What was expected and what was found.
-    hint : str
-        What to write instead.
-    """
 
-    file: str
-    path: str
-    rule: str
-    hint: str
+class _RepeatedName(ValueError):
+    """A JSON object names a member twice."""
 
-    def __str__(self) -> str:
-        return f'{self.file}: {self.path}: {self.rule}. {self.hint}'
 
+class _NotJson(ValueError):
+    """The text holds NaN or an infinity, which Python's reader takes."""
 
-def read_json(path: pathlib.Path) -> tuple[typing.Any, tuple[Problem, ...]]:
+
+def read_json(
+    path: pathlib.Path,
+) -> tuple[Json, tuple[problems.Problem, ...]]:
     """Read a JSON file.
 
     Parameters
@@ -53,19 +43,57 @@
         The value and no problem, or None and the problem.
     """
     try:
-        return msgspec.json.decode(path.read_bytes()), ()
-    except OSError as error:
-        hint = 'Name a file that exists and may be read.'
-        return None, (Problem(str(path), '$', str(error), hint),)
-    except msgspec.DecodeError as error:
-        hint = 'Write one JSON value, without comments.'
-        rule = f'not JSON: {error}'
-        return None, (Problem(str(path), '$', rule, hint),)
+        text = path.read_text('utf-8')
+    except (OSError, UnicodeDecodeError) as error:
+        remedy = f'Name a file in UTF-8 that may be read ({error}).'
+        return None, (_report(path, 'unreadable', remedy),)
+    return parse_json(str(path), text)
+
+
+def parse_json(
+    file: str, text: str
+) -> tuple[Json, tuple[problems.Problem, ...]]:
+    """Decode JSON text and refuse members that stand twice.
+
+    Decoders keep the last of two members with one name, so that the first
+    would be without effect and nobody would be told.
+
+    Parameters
+    ----------
+    file : str
+        Path of the file, for the messages.
+    text : str
+        What it holds.
+
+    Returns
+    -------
+    tuple
+        The value and no problem, or None and the problem.
+    """
+    try:
+        value = json.loads(
+            text,
+            object_pairs_hook=_build_object,
+            parse_constant=_refuse_constant,
+        )
+    except _RepeatedName as error:
+        remedy = f'Keep one of the members named "{error}".'
+        return None, (_report(file, 'repeated-member', remedy),)
+    except _NotJson as error:
+        remedy = f'Write a number; {error} is not JSON.'
+        return None, (_report(file, 'json', remedy),)
+    except json.JSONDecodeError as error:
+        remedy = (
+            f'Write JSON; line {error.lineno}, column {error.colno} is not '
+            f'JSON: {error.msg}.'
+        )
+        return None, (_report(file, 'json', remedy),)
+    return value, ()
 
 
 def find_problems(
-    file: str, value: typing.Any, schema: dict[str, typing.Any]
-) -> tuple[Problem, ...]:
+    file: str, value: Json, schema: dict[str, typing.Any]
+) -> tuple[problems.Problem, ...]:
     """Check a value against a schema and describe every error.
 
     Parameters
@@ -85,11 +113,37 @@
     validator = jsonschema.Draft202012Validator(schema)
     errors = sorted(validator.iter_errors(value), key=lambda e: e.json_path)
     return tuple(
-        Problem(file, error.json_path, error.message, _hint_for(error))
+        problems.Problem(
+            '',
+            error.json_path,
+            'schema',
+            f'{_hint_for(error)} ({error.message})',
+            file,
+        )
         for error in errors
     )
 
 
+def _build_object(pairs: list[tuple[str, Json]]) -> dict[str, Json]:
+    built: dict[str, Json] = {}
+    for name, value in pairs:
+        if name in built:
+            raise _RepeatedName(name)
+        built[name] = value
+    return built
+
+
+def _refuse_constant(name: str) -> typing.NoReturn:
+    """Refuse NaN, which no bound of a schema would refuse."""
+    raise _NotJson(name)
+
+
+def _report(
+    file: str | pathlib.Path, rule: str, remedy: str
+) -> problems.Problem:
+    return problems.Problem('', '$', rule, remedy, str(file))
+
+
 def _hint_for(error: schema_exceptions.ValidationError) -> str:
     """Say what to write instead."""
     schema = error.schema if isinstance(error.schema, dict) else {}
--- a/tests/adapters/operators/builders.py
+++ b/tests/adapters/operators/builders.py
@@ -18,6 +18,8 @@
 from thornspool import settings
 from thornspool.adapters.operators import handlers
 from thornspool.application import exceptions
+from thornspool.application import objectives
+from thornspool.domain.objectives import burn
 
 SECRET = 'secret-of-all'
 LIMITED = 'secret-of-alpha'
@@ -30,6 +32,31 @@
     state: str
 
 
+def build_report(*severities: burn.Severity) -> objectives.BurnReport:
+    """Build a report of two of three entries, one subject a severity.
+
+    Subjects at a lower severity have the higher rates.
+    """
+    rates = {
+        burn.Severity.NONE: (90.0, 20.0, 9.0, 2.0, 0.2),
+        burn.Severity.TICKET: (50.0, 8.0, 5.0, 3.0, 1.2),
+        burn.Severity.PAGE: (20.0, 17.5, 15.1, 7.0, 0.9),
+    }
+    burns = tuple(
+        burn.Burn(
+            burn.Subject('slots', f'{one.value}-1', burn.Indicator.LATENCY),
+            0.995,
+            rates[one],
+            (10, 60, 120, 720, 8640),
+            one,
+        )
+        for one in severities
+    )
+    return objectives.BurnReport(
+        1_790_000_000_000, burn.WINDOWS_MS, 3, 2, burns
+    )
+
+
 class OperatorsCase(unittest.IsolatedAsyncioTestCase):
     """An entry whose operators' interface is served on a port of its own."""
 
@@ -38,6 +65,7 @@
         self.logs.__enter__()
         self.addCleanup(self.logs.__exit__, None, None, None)
         self.drained = 0
+        self.burn_report: objectives.BurnReport | None = None
         cluster = make.Cluster(make.asyncio.get_running_loop())
         self.addAsyncCleanup(cluster.stop)
         self.entry = cluster.add_entry('one')
@@ -57,8 +85,8 @@
                 raise exceptions.PlatformError('No answer.')
             return _Record('done') if key == 'known' else None
 
-        async def report(workspaces: object) -> _Record:
-            return _Record(str(workspaces))
+        async def report(workspaces: object) -> typing.Any:
+            return self.burn_report or _Record(str(workspaces))
 
         return handlers.make_handlers(
             clock.Clock(),
--- a/tests/console/test_application.py
+++ b/tests/console/test_application.py
@@ -11,9 +11,12 @@
 
 from tornado import web
 
+from tests import builders as test_builders
 from tests.adapters.operators import builders
+from thornspool import schemas
 from thornspool.console import application
 from thornspool.console import base
+from thornspool.domain.objectives import burn
 
 EXAMPLES = pathlib.Path(__file__).parents[2] / 'examples'
 
@@ -151,3 +154,85 @@
                 application.main, ('history', '--json', *options)
             )
         self.assertEqual([], json.loads(text.getvalue())['history'])
+
+    async def test_report_shows_the_worst_first_and_pages(self) -> None:
+        """A service uses up its error budget within days.
+
+        Scripts go by the exit code; operators read the first line, also
+        when a short burst elsewhere has the higher rate.
+        """
+        page = self.directory / 'burn.html'
+        severities = list(burn.Severity)
+        cases = (
+            (severities, 1, ['page', 'ticket', 'none']),
+            (severities[:2], 0, ['ticket', 'none']),
+            ((), 0, []),
+        )
+        for shown, expected, order in cases:
+            with self.subTest(expected=order):
+                self.burn_report = builders.build_report(*shown)
+                code, out, err = await self._run_at_entry(
+                    'report', 'burn', '--html', str(page)
+                )
+                rows = [line.split()[0] for line in out.splitlines()[2:]]
+                self.assertEqual((expected, order), (code, rows))
+                self.assertIn('only 2 of 3 entries answered', err)
+                written = page.read_text()
+                places = [written.find(f'{one}-1</td>') for one in order]
+                self.assertEqual(sorted(places), places)
+                self.assertNotIn(-1, places)
+
+    async def test_report_as_json_and_without_a_place_for_the_page(
+        self,
+    ) -> None:
+        options = ('--url', self.url, '--token-file', self.token_file)
+        self.burn_report = builders.build_report(burn.Severity.TICKET)
+        command = ('report', 'burn', *options)
+        code, out, _ = await self._run(*command, as_json=True)
+        self.assertEqual(0, code)
+        self.assertEqual('ticket', json.loads(out)['burns'][0]['severity'])
+        code, _, err = await self._run(*command, '--html', '/nowhere/x.html')
+        self.assertEqual(2, code)
+        self.assertIn('--html', err)
+        self.burn_report = None
+        code, _, err = await self._run(*command)
+        self.assertEqual(4, code)
+        self.assertIn('no report on burn', err)
+
+    async def test_schema_prints_what_is_shipped(self) -> None:
+        for name in ('settings', 'service-file'):
+            with self.subTest(name):
+                code, out, err = await self._run('schema', name)
+                self.assertEqual((0, ''), (code, err))
+                self.assertEqual(schemas.read_schema(name), json.loads(out))
+
+    async def test_check_tells_what_is_wrong_in_settings(self) -> None:
+        """Settings are checked before a host is told to restart.
+
+        What is wrong in two files must be told at once, also a member that
+        stands twice, of which the daemon would take the last.
+        """
+        values = test_builders.build_settings()
+        good = self._write('good.json', json.dumps(values))
+        bad = self._write('bad.json', json.dumps({**values, 'host': 'A B'}))
+        text = json.dumps(values)[:-1] + ', "host": "x"}'
+        twice = self._write('twice.json', text)
+        code, out, _ = await self._run('check', '--settings', good)
+        self.assertEqual((0, '1 settings file(s) are right.\n'), (code, out))
+        names = [one for path in (bad, twice) for one in ('--settings', path)]
+        code, out, err = await self._run('check', *names)
+        self.assertEqual((1, ''), (code, out))
+        self.assertIn(f'{bad}: $.host: schema: Write text of the form', err)
+        self.assertIn(f'{twice}: $: repeated-member: Keep one', err)
+        self.assertIn('2 problem(s)', err)
+        code, out, _ = await self._run('check', *names, as_json=True)
+        found = json.loads(out)['problems']
+        self.assertEqual([bad, twice], [one['file'] for one in found])
+        document = self._write('document.json', '{"kind": "shop"}')
+        code, _, err = await self._run('check', document, *names)
+        self.assertEqual(1, code)
+        self.assertIn(f'{document}: $.kind: schema', err)
+        self.assertIn('3 problem(s)', err)
+        code, _, err = await self._run('check')
+        self.assertEqual(2, code)
+        self.assertIn('No service file was found.', err)
--- a/tests/domain/configuration/test_files.py
+++ b/tests/domain/configuration/test_files.py
@@ -107,10 +107,17 @@
         self.assertEqual(1, len(collection.documents))
 
     def test_unreadable_text_is_told(self) -> None:
-        """A name that stands twice would silently hide the first value."""
-        cases = {'json': '{', 'repeated-member': '{"kind": 1, "kind": 2}'}
-        for rule, text in cases.items():
-            with self.subTest(rule):
+        """A name that stands twice would silently hide the first value.
+
+        NaN would pass every bound, as a limit that never limits.
+        """
+        cases = (
+            ('json', '{'),
+            ('json', '{"kind": NaN}'),
+            ('repeated-member', '{"kind": 1, "kind": 2}'),
+        )
+        for rule, text in cases:
+            with self.subTest(text):
                 collection = files.collect_documents(
                     [files.SourceFile('a.json', text)]
                 )
