--- a/src/thornspool/adapters/servers.py
+++ b/src/thornspool/adapters/servers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import ssl
 import typing
 
@@ -11,6 +12,8 @@
 from thornspool import exceptions
 
 if typing.TYPE_CHECKING:
+    from collections.abc import Iterator
+
     from tornado import web
 
     from thornspool import settings
@@ -18,36 +21,71 @@
 BACKLOG = 1024
 DEFAULT_BODY_LIMIT_BYTES = 8 * 1024 * 1024
 _HEADROOM_BYTES = 65_536
+_PEM_HINT = (
+    'a key must belong to the certificate and have no password, and all '
+    'must be readable by the user that the entry runs as.'
+)
 
 
 class ListenError(exceptions.ThornspoolError):
     """A listener can't be opened."""
 
 
-def make_tls(tls: settings.Tls | None) -> ssl.SSLContext | None:
+def make_tls(tls: settings.Tls | None, name: str) -> ssl.SSLContext | None:
     """Make the TLS context of a listener.
 
     Parameters
     ----------
     tls : settings.Tls or None
         Paths of the PEM files; None for plain HTTP.
+    name : str
+        Member of the settings that holds ``tls``, for messages.
 
     Returns
     -------
     ssl.SSLContext or None
         TLS 1.2 or newer. With an authority, a client without a certificate
         of that authority is refused.
+
+    Raises
+    ------
+    ListenError
+        Names the member whose file can't be used.
     """
     if tls is None:
         return None
     context = ssl.create_default_context(ssl.Purpose.CLIENT_AUTH)
-    context.load_cert_chain(tls.certificate, tls.key)
+    # OpenSSL does not say which file of a chain is bad. So the certificate
+    # is read by itself first, and what fails after that is the key.
+    with _naming(f'{name}.tls.certificate', tls.certificate):
+        trial = ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER)
+        trial.load_verify_locations(tls.certificate)
+    with _naming(f'{name}.tls.key', tls.key):
+        context.load_cert_chain(tls.certificate, tls.key, _refuse_password)
     if tls.client_authority:
-        context.load_verify_locations(tls.client_authority)
+        with _naming(f'{name}.tls.client_authority', tls.client_authority):
+            context.load_verify_locations(tls.client_authority)
         context.verify_mode = ssl.CERT_REQUIRED
     return context
 
 
+@contextlib.contextmanager
+def _naming(member: str, path: str) -> Iterator[None]:
+    """Turn errors of a PEM file into one that names its member."""
+    try:
+        yield
+    except OSError as error:
+        raise ListenError(
+            f'The PEM file {path} can not be used: {error}.',
+            f'Correct "{member}" in the settings; {_PEM_HINT}',
+        ) from error
+
+
+def _refuse_password() -> str:
+    """Stand in for the prompt of OpenSSL, at which a daemon would hang."""
+    return ''
+
+
 class Listener:
     """An HTTP server on one address, bound before it answers.
 
@@ -59,6 +97,8 @@
         Paths of the PEM files.
     body_limit_bytes : int
         Larger request bodies are refused.
+    name : str
+        Member of the settings that it is described by, for messages.
 
     Raises
     ------
@@ -71,20 +111,21 @@
         listen: str,
         tls: settings.Tls | None,
         body_limit_bytes: int = DEFAULT_BODY_LIMIT_BYTES,
+        name: str = 'callers',
     ) -> None:
         self._address, _, port = listen.rpartition(':')
         self._scheme = 'https' if tls else 'http'
         self._body_limit_bytes = body_limit_bytes
         self._server: httpserver.HTTPServer | None = None
+        self._tls = make_tls(tls, name)
         try:
-            self._tls = make_tls(tls)
             self._sockets = netutil.bind_sockets(
                 int(port), self._address.strip('[]'), backlog=BACKLOG
             )
         except OSError as error:
             raise ListenError(
                 f'Can not listen on {listen}: {error}.',
-                'Correct "listen" or "tls" in the settings.',
+                f'Correct "{name}.listen" in the settings.',
             ) from error
 
     def read_url(self) -> str:
--- a/src/thornspool/console/client.py
+++ b/src/thornspool/console/client.py
@@ -9,6 +9,7 @@
 import typing
 
 import attrs
+import pycurl
 from tornado import curl_httpclient
 from tornado import httpclient
 
@@ -19,8 +20,18 @@
 
 URL_VARIABLE = 'THORNSPOOL_URL'
 TOKEN_VARIABLE = 'THORNSPOOL_TOKEN'  # noqa: S105
+AUTHORITY_VARIABLE = 'THORNSPOOL_CA_FILE'
 DEFAULT_TIMEOUT_S = 20.0
 _CONNECT_TIMEOUT_S = 5.0
+_CLOSED = (pycurl.E_GOT_NOTHING, pycurl.E_RECV_ERROR)
+_TLS = (
+    *_CLOSED,
+    pycurl.E_SSL_CONNECT_ERROR,
+    pycurl.E_SSL_CERTPROBLEM,
+    pycurl.E_PEER_FAILED_VERIFICATION,
+    pycurl.E_SSL_CACERT_BADFILE,
+)
+"""TLS 1.3 servers refuse a client after the handshake, when it reads."""
 
 
 @attrs.frozen
@@ -52,12 +63,37 @@
         type=pathlib.Path,
         help=f'file that holds the token; default: ${TOKEN_VARIABLE}',
     )
+    add_connection_options(parser)
+
+
+def add_connection_options(parser: argparse.ArgumentParser) -> None:
+    """Declare how an entry is reached, whichever address is asked."""
     parser.add_argument(
         '--timeout',
         type=float,
         default=DEFAULT_TIMEOUT_S,
         help='seconds to wait for an answer; default: %(default)s',
     )
+    parser.add_argument(
+        '--ca-file',
+        default=os.environ.get(AUTHORITY_VARIABLE, ''),
+        metavar='FILE',
+        help='PEM file of the authority that signed the certificates of '
+        f'entries; default: ${AUTHORITY_VARIABLE}, else those that the '
+        'system trusts',
+    )
+    parser.add_argument(
+        '--client-certificate',
+        default='',
+        metavar='FILE',
+        help='PEM file to show to entries that ask for a certificate',
+    )
+    parser.add_argument(
+        '--client-key',
+        default='',
+        metavar='FILE',
+        help='PEM file of the key of --client-certificate',
+    )
 
 
 def send(
@@ -84,23 +120,38 @@
         )
     headers = {'Authorization': f'Bearer {_read_token(options)}'}
     url = f'{options.url.rstrip("/")}{path}'
-    reply = fetch(url, method, headers, body, options.timeout)
+    reply = fetch(options, url, method, headers, body)
     if reply.status in (400, 401, 403):
         raise exceptions.BadUsage(read_detail(reply))
     return reply
 
 
 def fetch(
+    options: argparse.Namespace,
     url: str,
-    method: str,
-    headers: dict[str, str],
-    body: typing.Any,
-    timeout_s: float,
+    method: str = 'GET',
+    headers: dict[str, str] | None = None,
+    body: typing.Any = None,
 ) -> Reply:
     """Send one request.
 
+    Parameters
+    ----------
+    options : argparse.Namespace
+        What ``add_connection_options`` declares.
+    url : str
+        Whole address.
+    method : str, optional
+        HTTP method.
+    headers : dict of str to str, optional
+        Headers besides the type of the body.
+    body : JSON value, optional
+        Sent as JSON; nothing if left out.
+
     Raises
     ------
+    BadUsage
+        If a PEM file can't be read.
     Unreachable
         If no whole answer came in time.
     """
@@ -108,18 +159,22 @@
     request = httpclient.HTTPRequest(
         url,
         method=method,
-        headers={**headers, 'Content-Type': 'application/json'},
+        headers={**(headers or {}), 'Content-Type': 'application/json'},
         body=content,
         allow_nonstandard_methods=True,
         connect_timeout=_CONNECT_TIMEOUT_S,
-        request_timeout=timeout_s,
+        request_timeout=options.timeout,
+        ca_certs=_check_file(options.ca_file, '--ca-file'),
+        client_cert=_check_file(
+            options.client_certificate, '--client-certificate'
+        ),
+        client_key=_check_file(options.client_key, '--client-key'),
     )
     try:
         response = asyncio.run(_fetch(request))
     except (OSError, httpclient.HTTPError) as error:
         raise exceptions.Unreachable(
-            f'No answer from {url}: {error}.',
-            'Try another entry; "thornspool entries" lists them.',
+            f'No answer from {url}: {error}.', _advise(url, error)
         ) from error
     return Reply(response.code, _decode(url, response.body))
 
@@ -158,6 +213,34 @@
         client.close()
 
 
+def _advise(url: str, error: Exception) -> str:
+    """Say what to do; other entries have certificates of the same kind."""
+    number = getattr(error, 'errno', None)
+    if url.startswith('http:') and number in _CLOSED:
+        return 'Write https:// if the entry has TLS.'
+    if url.startswith('https:') and number in _TLS:
+        return (
+            'Name the authority of its certificate with --ca-file; if the '
+            'entry asks for a certificate, give --client-certificate and '
+            '--client-key.'
+        )
+    return 'Try another entry; "thornspool entries" lists them.'
+
+
+def _check_file(path: str, option: str) -> str | None:
+    """Return a path that may be read, None if none is given."""
+    if not path:
+        return None
+    try:
+        pathlib.Path(path).read_bytes()
+    except OSError as error:
+        raise exceptions.BadUsage(
+            f'The PEM file cannot be read: {error}.',
+            f'Name a file that may be read with {option}.',
+        ) from error
+    return path
+
+
 def _decode(url: str, body: bytes) -> typing.Any:
     if not body:
         return None
--- a/src/thornspool/console/commands/entries.py
+++ b/src/thornspool/console/commands/entries.py
@@ -22,12 +22,7 @@
         help='address of an entry for callers, for instance '
         f'http://127.0.0.1:8080; default: ${CALLERS_URL_VARIABLE}',
     )
-    parser.add_argument(
-        '--timeout',
-        type=float,
-        default=client.DEFAULT_TIMEOUT_S,
-        help='seconds to wait for an answer; default: %(default)s',
-    )
+    client.add_connection_options(parser)
 
 
 def _run(
@@ -39,8 +34,7 @@
             f'Give --callers-url or set {CALLERS_URL_VARIABLE}.',
         )
     url = f'{options.callers_url.rstrip("/")}/v1/entries'
-    reply = client.fetch(url, 'GET', {}, None, options.timeout)
-    value = client.expect_ok(reply)
+    value = client.expect_ok(client.fetch(options, url))
     console.write_result(value, _format(value))
     return exceptions.ExitCode.OK
 
--- a/src/thornspool/entry.py
+++ b/src/thornspool/entry.py
@@ -120,7 +120,9 @@
             settings.callers.body_limit_bytes,
         )
         self._operators = servers.Listener(
-            settings.operators.listen, settings.operators.tls
+            settings.operators.listen,
+            settings.operators.tls,
+            name='operators',
         )
         incarnation = f'{settings.host}-{self._make_identifier()}'
         self._peers = node.PeerNode(
