Let teams read what is theirs, and close a gap in what they may change

Cause: a limited token read the whole history, and documents in force could not be read at all, so that nobody had a base for a change. What a limited token may change was checked against the documents in force at the entry asked. An entry that lagged let a team take over a service that another team had just published: the publication waited for its base and was then accepted.

Change: GET /v1/documents in pages, GET .../versions/{version}/changes, and a history that is kept to a token's workspaces. A limited token's base has to be in force at the entry, so that whatever came later is a conflict.

Ruled out: rollback by version. The head keeps no list of the buckets of older versions, and one publication can push out all that are kept.

--- a/src/thornspool/adapters/operators/bodies.py
+++ b/src/thornspool/adapters/operators/bodies.py
@@ -11,6 +11,8 @@
 
 MEDIA_TYPE = 'application/json'
 PROBLEM_MEDIA_TYPE = 'application/problem+json'
+PAGE_LENGTH = 100
+LONGEST_PAGE = 200
 PROBLEM_TYPE_PREFIX = 'urn:thornspool:problem:'
 
 
@@ -90,6 +92,65 @@
     history: tuple[HistoryLine, ...]
 
 
+@attrs.frozen
+class Query:
+    """Query of ``GET /v1/documents``.
+
+    Attributes
+    ----------
+    kind, workspace : str
+        Which documents; empty for all that the token may read.
+    after : str
+        ``kind/name`` of the last document of the page before.
+    limit : int
+        Most documents of a page.
+    """
+
+    kind: str = ''
+    workspace: str = ''
+    after: str = ''
+    limit: int = PAGE_LENGTH
+
+
+@attrs.frozen
+class DocumentLine:
+    """A document in force.
+
+    Attributes
+    ----------
+    kind, name : str
+        Its address.
+    version : int
+        Version that last changed it.
+    document : dict
+        The document as a service file holds it.
+    """
+
+    kind: str
+    name: str
+    version: int
+    document: dict[str, typing.Any]
+
+
+@attrs.frozen
+class DocumentsBody:
+    """Answer to ``GET /v1/documents``.
+
+    Attributes
+    ----------
+    version : int
+        Version in force; the base of a publication that changes these.
+    documents : tuple of DocumentLine
+        A page of them.
+    following : str
+        What to send as ``after`` for the next page; empty at the end.
+    """
+
+    version: int
+    documents: tuple[DocumentLine, ...]
+    following: str
+
+
 @attrs.frozen
 class MemberLine:
     """One entry as this one knows it."""
--- a/src/thornspool/adapters/operators/handlers.py
+++ b/src/thornspool/adapters/operators/handlers.py
@@ -11,6 +11,7 @@
 
 from thornspool import exceptions as root_exceptions
 from thornspool.adapters.operators import bodies
+from thornspool.adapters.operators import browsing
 from thornspool.adapters.operators import exceptions
 from thornspool.adapters.operators import publishing
 from thornspool.adapters.operators import tokens as bearer
@@ -25,7 +26,6 @@
     from thornspool import settings
     from thornspool.application import configuration
     from thornspool.application import ports
-    from thornspool.domain.configuration import head as heads
 
 logger = structlog.get_logger(__name__)
 
@@ -96,6 +96,12 @@
     return [
         ('/v1/publications', PublicationsHandler, arguments),
         ('/v1/configuration', ConfigurationHandler, arguments),
+        (
+            '/v1/configuration/versions/([0-9]{1,18})/changes',
+            ChangesHandler,
+            arguments,
+        ),
+        ('/v1/documents', DocumentsHandler, arguments),
         ('/v1/status', StatusHandler, arguments),
         ('/v1/drain', DrainHandler, arguments),
         (
@@ -180,10 +186,44 @@
     def get(self) -> None:
         """Answer version and history."""
         service = self.context.service
-        history = tuple(_describe_record(one) for one in service.history())
+        history = browsing.describe_history(service.contents(), self.token)
         self.answer(bodies.ConfigurationBody(service.version(), history))
 
 
+class ChangesHandler(OperatorHandler):
+    """Shows what one version changed."""
+
+    def get(self, version: str) -> None:
+        """Answer its record."""
+        contents = self.context.service.contents()
+        self.answer(browsing.find_changes(contents, self.token, int(version)))
+
+
+class DocumentsHandler(OperatorHandler):
+    """Shows the documents in force."""
+
+    def get(self) -> None:
+        """Answer a page of them."""
+        query = bodies.Query(
+            self.get_query_argument('kind', ''),
+            self.get_query_argument('workspace', ''),
+            self.get_query_argument('after', ''),
+            self._read_limit(),
+        )
+        contents = self.context.service.contents()
+        self.answer(browsing.list_documents(contents, self.token, query))
+
+    def _read_limit(self) -> int:
+        text = self.get_query_argument('limit', str(bodies.PAGE_LENGTH))
+        limit = int(text) if text.isascii() and text.isdecimal() else 0
+        if 0 < limit <= bodies.LONGEST_PAGE:
+            return limit
+        raise exceptions.BadRequest(
+            f'"{text}" is not a length of a page.',
+            f'Write a number from 1 to {bodies.LONGEST_PAGE}.',
+        )
+
+
 class StatusHandler(OperatorHandler):
     """Shows the entries and the version in force at each."""
 
@@ -247,7 +287,7 @@
         super().prepare()
         raise exceptions.NotFound(
             f'There is nothing at {self.request.path}.',
-            'See docs/service-files.md for the addresses.',
+            'See docs/admin-api.md for the addresses.',
         )
 
 
@@ -266,18 +306,6 @@
     )
 
 
-def _describe_record(record: heads.Record) -> bodies.HistoryLine:
-    return bodies.HistoryLine(
-        record.version,
-        record.id,
-        record.author,
-        record.wall,
-        record.message,
-        record.changed,
-        record.changed_count,
-    )
-
-
 def _describe_member(member: ports.Member, behind: bool) -> bodies.MemberLine:
     return bodies.MemberLine(
         member.host,
--- a/src/thornspool/adapters/operators/publishing.py
+++ b/src/thornspool/adapters/operators/publishing.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from thornspool.adapters.operators import bodies
+from thornspool.adapters.operators import browsing
 from thornspool.adapters.operators import exceptions
 from thornspool.application import configuration_results
 from thornspool.domain.configuration import documents
@@ -157,12 +158,6 @@
 
 
 def _read_removal(removal: bodies.Removal) -> documents.DocumentKey:
-    try:
-        kind = documents.DocumentKind(removal.kind)
-    except ValueError as error:
-        kinds = ', '.join(one.value for one in documents.DocumentKind)
-        raise exceptions.BadRequest(
-            f'"{removal.kind}" is not a kind of document.',
-            f'Write one of: {kinds}.',
-        ) from error
-    return documents.DocumentKey(kind, removal.name)
+    return documents.DocumentKey(
+        browsing.read_kind(removal.kind), removal.name
+    )
--- a/src/thornspool/adapters/operators/tokens.py
+++ b/src/thornspool/adapters/operators/tokens.py
@@ -92,13 +92,24 @@
     A service counts to the workspace that it names and to the one that it
     named before. Models and targets are shared by all.
 
+    What this entry does not know of yet is no reason to allow it: whoever
+    owns a name now may have published it in a version that is not in force
+    here. A base that is in force here makes each such change a conflict.
+
     Raises
     ------
     Forbidden
         If it does.
+    Unavailable
+        If its base is not in force here yet.
     """
     if token.workspaces is None:
         return
+    if publication.base_version > snapshot.version:
+        raise exceptions.Unavailable(
+            f'Base version {publication.base_version} is not in force here.',
+            f'Version {snapshot.version} is; send it again in a few seconds.',
+        )
     for document in publication.additions:
         _check_key(token, snapshot, documents.identify(document))
         if isinstance(document, documents.Service):
--- a/src/thornspool/application/configuration.py
+++ b/src/thornspool/application/configuration.py
@@ -23,6 +23,7 @@
     from collections.abc import Callable
 
     from thornspool import clock as clocks
+    from thornspool.domain.configuration import contents as whole
     from thornspool.domain.configuration import documents
 
 logger = structlog.get_logger(__name__)
@@ -109,6 +110,10 @@
         """Return the latest publications, oldest first."""
         return self._store.contents.head.history
 
+    def contents(self) -> whole.Contents:
+        """Return the version in force here with the change of each."""
+        return self._store.contents
+
     def subscribe(
         self, callback: Callable[[documents.Snapshot], None]
     ) -> None:
--- a/src/thornspool/domain/configuration/files.py
+++ b/src/thornspool/domain/configuration/files.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import enum
 import functools
 import re
 import typing
@@ -124,6 +125,17 @@
     return collecting.freeze()
 
 
+def write_document(document: documents.Document) -> dict[str, typing.Any]:
+    """Return a document as a service file holds it, without defaults."""
+    kind = documents.identify(document).kind.value
+    value: dict[str, typing.Any] = attrs.asdict(
+        document, filter=_is_given, value_serializer=_serialize
+    )
+    if isinstance(document, documents.Target):
+        value['serves'] = value.pop('kind')
+    return {'kind': kind, **value}
+
+
 def locate_problem(
     problem: problems.Problem, origins: dict[str, Origin]
 ) -> problems.Problem:
@@ -139,6 +151,18 @@
     )
 
 
+def _is_given(attribute: attrs.Attribute[typing.Any], value: object) -> bool:
+    """Tell whether a value differs from what stands for its absence."""
+    factory = getattr(attribute.default, 'factory', None)
+    return bool(value != (factory() if factory else attribute.default))
+
+
+def _serialize(_instance: object, _attribute: object, value: object) -> object:
+    if isinstance(value, enum.Enum):
+        return value.value
+    return list(value) if isinstance(value, tuple) else value
+
+
 def _add_value(
     collecting: _Collecting, file: str, value: validation.Json
 ) -> None:
--- /dev/null
+++ b/tests/adapters/operators/test_browsing.py
@@ -0,0 +1,288 @@
+"""What teams may read and change through the operators' interface."""
+
+from __future__ import annotations
+
+import json
+import pathlib
+import typing
+
+from tests.adapters.operators import builders
+from thornspool.domain.configuration import files
+
+EXAMPLES = pathlib.Path(__file__).parents[3] / 'examples'
+BETA = {'kind': 'workspace', 'name': 'beta'}
+TARGET = {
+    'kind': 'target',
+    'name': 'plain-1',
+    'serves': 'service',
+    'host': 'h1',
+    'failure_domain': 'perth-a',
+    'url': 'http://127.0.0.1:9',
+}
+MODEL = {
+    'kind': 'model',
+    'name': 'writer',
+    'version': '1',
+    'layers': 2,
+    'stages': [{'target': 'engine-1', 'first_layer': 0, 'end_layer': 2}],
+}
+ENGINE = {**TARGET, 'name': 'engine-1', 'serves': 'engine'}
+
+
+def _service(name: str, workspace: str, timeout_ms: int = 100) -> typing.Any:
+    operation = {'name': 'do', 'idempotent': True, 'timeout_ms': timeout_ms}
+    return {
+        'kind': 'service',
+        'name': name,
+        'workspace': workspace,
+        'targets': ['plain-1'],
+        'operations': [operation],
+    }
+
+
+EVERYTHING = [
+    builders.ALPHA,
+    BETA,
+    _service('a-1', 'alpha'),
+    _service('b-1', 'beta'),
+    MODEL,
+    TARGET,
+    ENGINE,
+]
+MINE: dict[str, typing.Any] = {'token': builders.LIMITED}
+
+
+class TeamsTest(builders.OperatorsCase):
+    async def asyncSetUp(self) -> None:
+        await super().asyncSetUp()
+        status, _, _ = await self.publish(id='v1', documents=EVERYTHING)
+        self.assertEqual(200, status)
+
+    async def _list(self, query: str = '', **options: str) -> typing.Any:
+        status, _, value = await self.send(f'/v1/documents{query}', **options)
+        self.assertEqual(200, status, value)
+        lines = value['documents']
+        names = [f'{one["kind"]}/{one["name"]}' for one in lines]
+        return names, value
+
+    async def test_a_limited_token_changes_only_what_is_its_own(self) -> None:
+        """A team's pipeline publishes with a token of its workspace.
+
+        A mistake there must not change what other teams or all share.
+        """
+        own = _service('a-2', 'alpha')
+        moved = _service('a-1', 'beta')
+        taken = _service('b-1', 'alpha')
+        leaving = {**TARGET, 'leaving': True}
+        cases: tuple[tuple[str, list[typing.Any], list[str], int], ...] = (
+            ('own service', [own], [], 200),
+            ('own workspace', [{**builders.ALPHA, 'models': []}], [], 200),
+            ('own removal', [], ['service/a-2'], 200),
+            ('other workspace', [BETA], [], 403),
+            ('new workspace', [{**BETA, 'name': 'gamma'}], [], 403),
+            ('own and other', [own, BETA], [], 403),
+            ('service of another', [_service('b-2', 'beta')], [], 403),
+            ('own service given away', [moved], [], 403),
+            ('service taken over', [taken], [], 403),
+            ('target', [leaving], [], 403),
+            ('new target', [{**TARGET, 'name': 'mine'}], [], 403),
+            ('model', [{**MODEL, 'version': '2'}], [], 403),
+            ('removal of a target', [], ['target/plain-1'], 403),
+            ('removal of a model', [], ['model/writer'], 403),
+            ('removal of another service', [], ['service/b-1'], 403),
+            ('removal of a workspace', [], ['workspace/beta'], 403),
+        )
+        for name, additions, removed, expected in cases:
+            for dry_run in (True, False):
+                with self.subTest(name, dry_run=dry_run):
+                    pairs = [one.split('/') for one in removed]
+                    version = self.entry.service.version()
+                    status, _, value = await self.publish(
+                        id=name,
+                        base_version=version,
+                        documents=additions,
+                        removals=[
+                            {'kind': kind, 'name': one} for kind, one in pairs
+                        ],
+                        dry_run=dry_run,
+                        **MINE,
+                    )
+                    self.assertEqual(expected, status, value)
+        names, _ = await self._list()
+        self.assertEqual(7, len(names))
+
+    async def test_a_base_that_is_not_in_force_here_proves_nothing(
+        self,
+    ) -> None:
+        """The entry that is asked lags behind the one that was looked at.
+
+        Another team owns the name by now, and only entries that are ahead
+        know it. The check passes on what is in force here, and by the time
+        that the publication is decided its base has arrived here too.
+        """
+        service = self.entry.service
+        lagging = service.snapshot()
+        theirs = _service('c-1', 'beta')
+        await self.publish(id='2', base_version=1, documents=[theirs])
+        service.snapshot = lambda: lagging  # type: ignore[method-assign]
+        ours = _service('c-1', 'alpha')
+        status, _, value = await self.publish(
+            id='3', base_version=2, documents=[ours], **MINE
+        )
+        self.assertEqual(503, status, value)
+        self.assertIn('in a few seconds', value['detail'])
+        status, _, _ = await self.publish(
+            id='4', base_version=1, documents=[ours], **MINE
+        )
+        self.assertEqual(409, status)
+
+    async def test_documents_are_listed_with_their_last_change(self) -> None:
+        await self.publish(
+            id='v2', base_version=1, documents=[_service('b-1', 'beta', 7)]
+        )
+        everything = [f'{one["kind"]}/{one["name"]}' for one in EVERYTHING]
+        names, value = await self._list()
+        self.assertEqual(sorted(everything), sorted(names))
+        found = {one['name']: one for one in value['documents']}
+        self.assertEqual((2, ''), (value['version'], value['following']))
+        versions = [found[name]['version'] for name in ('a-1', 'b-1')]
+        self.assertEqual([1, 2], versions)
+        shown = [one['document'] for one in value['documents']]
+        self.assertCountEqual(
+            [_service('b-1', 'beta', 7), *EVERYTHING[:3], *EVERYTHING[4:]],
+            shown,
+        )
+        cases = (
+            ('?kind=target', {}, ['target/engine-1', 'target/plain-1']),
+            ('?workspace=beta', {}, ['workspace/beta', 'service/b-1']),
+            ('?workspace=beta&kind=service', {}, ['service/b-1']),
+            ('?workspace=nobody', {}, []),
+            ('', MINE, ['workspace/alpha', 'service/a-1']),
+            ('?kind=target', MINE, []),
+            ('?kind=model', MINE, []),
+            ('?workspace=alpha&kind=service', MINE, ['service/a-1']),
+        )
+        for query, options, expected in cases:
+            with self.subTest(query=query, options=options):
+                names, _ = await self._list(query, **options)
+                self.assertEqual(expected, names)
+
+    async def test_pages_hold_each_document_once(self) -> None:
+        everything, _ = await self._list()
+        for limit in range(1, 9):
+            with self.subTest(limit=limit):
+                seen, after = [], ''
+                for _ in EVERYTHING:
+                    names, value = await self._list(
+                        f'?limit={limit}&after={after}'
+                    )
+                    seen += names
+                    after = value['following']
+                    self.assertLessEqual(len(names), limit)
+                    if not after:
+                        break
+                self.assertEqual(everything, seen)
+
+    async def test_history_is_kept_to_what_is_the_tokens_own(self) -> None:
+        """Many teams publish; one looks at what became of its documents.
+
+        Records hold eight names, and the team's may be beyond them.
+        """
+        many = [_service(f'a-0{number}', 'beta') for number in range(9)]
+        changed = _service('a-1', 'alpha', 5)
+        await self.publish(id='2', base_version=1, documents=[*many, changed])
+        beta = {**BETA, 'limits': {'concurrency': 3}}
+        await self.publish(
+            id='3', base_version=2, documents=[beta], message='Secret of beta'
+        )
+        for token, expected in (
+            (
+                builders.LIMITED,
+                {1: ['service/a-1', 'workspace/alpha'], 2: ['service/a-1']},
+            ),
+            (builders.SECRET, {1: 7, 2: 8, 3: 1}),
+        ):
+            with self.subTest(token=token):
+                _, _, value = await self.send('/v1/configuration', token=token)
+                read = {
+                    one['version']: one['changed']
+                    if token == builders.LIMITED
+                    else len(one['changed'])
+                    for one in value['history']
+                }
+                self.assertEqual(expected, read)
+                beta_shown = 'Secret of beta' in str(value)
+                self.assertEqual(token == builders.SECRET, beta_shown)
+
+    async def test_addresses_by_token(self) -> None:
+        """A team tries what is not for it, or mistypes an address."""
+        changes = '/v1/configuration/versions/{}/changes'
+        beta = {**BETA, 'limits': {'concurrency': 3}}
+        await self.publish(id='2', base_version=1, documents=[beta])
+        cases: tuple[tuple[str, object, int, int], ...] = (
+            (changes.format(1), None, 200, 200),
+            (changes.format(2), None, 404, 200),
+            (changes.format(3), None, 404, 404),
+            (changes.format('x'), None, 404, 404),
+            ('/v1/documents?workspace=beta', None, 403, 200),
+            ('/v1/documents?kind=shop', None, 400, 400),
+            ('/v1/documents?after=shop/x', None, 400, 400),
+            ('/v1/documents?limit=0', None, 400, 400),
+            ('/v1/documents?limit=201', None, 400, 400),
+            ('/v1/documents?limit=x', None, 400, 400),
+            ('/v1/workspaces/alpha/actions/known', None, 200, 200),
+            ('/v1/workspaces/beta/actions/known', None, 403, 200),
+            ('/v1/drain', {}, 403, 202),
+        )
+        for path, body, limited, unlimited in cases:
+            for token, expected in (
+                (builders.LIMITED, limited),
+                (builders.SECRET, unlimited),
+                ('nobody-knows-this', 401),
+            ):
+                with self.subTest(path, token=token):
+                    status, _, _ = await self.send(path, body, token)
+                    self.assertEqual(expected, status)
+        self.assertEqual(1, self.drained)
+
+    async def test_files_of_an_earlier_version_are_published_again(
+        self,
+    ) -> None:
+        """A change turned out bad, and its author goes back in git.
+
+        There is no rollback on the server; what was added has to be named.
+        """
+        added = _service('a-2', 'alpha')
+        changed = _service('a-1', 'alpha', 5)
+        await self.publish(id='2', base_version=1, documents=[changed, added])
+        status, _, value = await self.publish(
+            id='3',
+            base_version=2,
+            documents=EVERYTHING,
+            removals=[{'kind': 'service', 'name': 'a-2'}],
+        )
+        self.assertEqual((200, 3), (status, value['version']))
+        _, value = await self._list()
+        shown = [one['document'] for one in value['documents']]
+        self.assertCountEqual(EVERYTHING, shown)
+        _, _, value = await self.send(
+            '/v1/configuration/versions/3/changes', token=builders.LIMITED
+        )
+        self.assertEqual(['service/a-1'], value['changed'])
+
+
+class WritingTest(builders.OperatorsCase):
+    async def test_what_is_shown_can_be_published_as_it_is(self) -> None:
+        """A default that is written out, or lost, would change documents."""
+        for name in ('swan-coast', 'spjaldamarkadur'):
+            with self.subTest(name):
+                paths = sorted((EXAMPLES / name / 'services').rglob('*.json'))
+                read = files.collect_documents(
+                    files.SourceFile(str(path), path.read_text())
+                    for path in paths
+                )
+                self.assertEqual((), read.problems)
+                written = [files.write_document(one) for one in read.documents]
+                again = files.read_documents(json.loads(json.dumps(written)))
+                self.assertEqual(read.documents, again.documents)
+                self.assertEqual((), again.problems)
