Show the state of an entry in its metrics

Cause: only requests and a few events were counted; nothing told whether an entry is isolated, lags, drains or loses sight of others, targets or platform.

Change: gauges and counters that are read when metrics are scraped, in readings.py, through add_gauge and add_counter with labels. States that do not occur are shown as 0, or their last value would stay.

Ruled out: a gauge of all quarantine verdicts. Verdicts are counted where they are given, and the records are counted.

--- a/src/thornspool/application/quarantine.py
+++ b/src/thornspool/application/quarantine.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import collections
 import typing
 
 import structlog
@@ -48,6 +49,11 @@
         Time.
     draw : callable
         Returns random numbers from 0 to 1, to choose peers.
+
+    Attributes
+    ----------
+    verdicts : collections.Counter of str
+        Verdicts given since the start, by name.
     """
 
     def __init__(
@@ -66,6 +72,7 @@
         self._records = records.QuarantineRecords(incarnation)
         self._reservations = reservations.Reservations()
         self._trials: dict[str, str] = {}
+        self.verdicts = collections.Counter(clear=0, suspect=0, condemned=0)
         self._view: tuple[str, ...] = ()
         self._view_changed_at = clock.now()
         peers.handle(messages.QuarantineNews, self._take_news)
@@ -75,7 +82,14 @@
 
     def check(self, fingerprint: str) -> messages.Verdict:
         """Say whether a request may run; asked before it is placed."""
-        return self._records.check(fingerprint, self._clock.now())
+        verdict = self._records.check(fingerprint, self._clock.now())
+        self.verdicts[type(verdict).__name__.lower()] += 1
+        return verdict
+
+    @property
+    def record_count(self) -> int:
+        """Number of requests that anything is known of."""
+        return self._records.count
 
     async def may_run_on(
         self,
--- a/src/thornspool/domain/quarantine/records.py
+++ b/src/thornspool/domain/quarantine/records.py
@@ -116,6 +116,11 @@
                 return messages.Suspect()
         return messages.Clear()
 
+    @property
+    def count(self) -> int:
+        """Number of requests that anything is known of."""
+        return len(self._records)
+
     def is_awaiting_verdict(self, fingerprint: str, now: int) -> bool:
         """Say whether its trial ended with a death a moment ago."""
         return any(
--- a/src/thornspool/entry.py
+++ b/src/thornspool/entry.py
@@ -13,6 +13,7 @@
 from thornspool import identifiers
 from thornspool import metrics as metrics_module
 from thornspool import parts
+from thornspool import readings
 from thornspool.adapters import servers
 from thornspool.adapters.callers import context
 from thornspool.adapters.callers import routes as caller_routes
@@ -138,7 +139,15 @@
             incarnation,
         )
         self._metrics = metrics_module.Metrics()
-        self._parts = parts.Parts(self._describe_outside(addresses))
+        outside = self._describe_outside(addresses)
+        self._parts = parts.Parts(outside)
+        readings.add_readings(
+            self._metrics,
+            self._clock,
+            self._parts,
+            outside.platform,
+            self._peers.traffic,
+        )
         self._answer()
         await self._parts.members.start(settings.peers.seeds)
         await self._parts.targets.start()
--- a/src/thornspool/metrics.py
+++ b/src/thornspool/metrics.py
@@ -5,11 +5,32 @@
 import typing
 
 import aioprometheus
+import attrs
+
+if typing.TYPE_CHECKING:
+    from collections.abc import Iterable
 
 _SECONDS = (0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5)
 _TOKEN_SECONDS = (0.005, 0.01, 0.02, 0.03, 0.049, 0.075, 0.1, 0.25, 0.5, 0.84)
 
-Reader = typing.Callable[[], float]
+
+@attrs.frozen
+class Reading:
+    """One value of a family.
+
+    Attributes
+    ----------
+    value : float
+        In the unit that the family's name ends with.
+    labels : dict of str to str
+        Every reading of a family has the same label names.
+    """
+
+    value: float
+    labels: dict[str, str] = attrs.field(factory=dict)
+
+
+Reader = typing.Callable[[], 'Iterable[Reading]']
 
 
 class Metrics:
@@ -42,7 +63,7 @@
             'thornspool_events_total',
             'Retries, refusals, target failures and the like, by name.',
         )
-        self._readers: dict[str, tuple[typing.Any, Reader]] = {}
+        self._readers: list[tuple[typing.Any, Reader]] = []
 
     def _counter(self, name: str, doc: str) -> typing.Any:
         return aioprometheus.Counter(name, doc, registry=self.registry)
@@ -55,17 +76,29 @@
         )
 
     def add_gauge(self, name: str, doc: str, read: Reader) -> None:
-        """Add a gauge whose value is read when metrics are scraped.
+        """Add a gauge whose values are read when metrics are scraped.
 
         Parameters
         ----------
         name, doc : str
             Name with its unit, and one sentence.
         read : callable
-            Returns the value.
+            Returns its readings, each time with the same labels.
         """
         gauge = aioprometheus.Gauge(name, doc, registry=self.registry)
-        self._readers[name] = (gauge, read)
+        self._readers.append((gauge, read))
+
+    def add_counter(self, name: str, doc: str, read: Reader) -> None:
+        """Add a counter that is kept elsewhere and read when scraped.
+
+        Parameters
+        ----------
+        name, doc : str
+            Name that ends with ``_total``, and one sentence.
+        read : callable
+            Returns its readings; none ever falls or goes away.
+        """
+        self._readers.append((self._counter(name, doc), read))
 
     def count_request(
         self, kind: str, workspace: str, outcome: str, milliseconds: int
@@ -106,7 +139,8 @@
         tuple of bytes and str
             The body and its content type.
         """
-        for gauge, read in self._readers.values():
-            gauge.set({}, read())
+        for family, read in self._readers:
+            for one in read():
+                family.set(one.labels, one.value)
         body, headers = aioprometheus.render(self.registry, accepts)
         return body, headers['Content-Type']
--- /dev/null
+++ b/src/thornspool/readings.py
@@ -0,0 +1,226 @@
+"""What operators watch of an entry, read when metrics are scraped."""
+
+from __future__ import annotations
+
+import collections
+import functools
+import typing
+
+from thornspool import metrics as metrics_module
+from thornspool.adapters.platform import http as http_platform
+from thornspool.application import ports
+from thornspool.domain.targets import messages as target_messages
+
+if typing.TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Iterable
+    from collections.abc import Iterator
+    from collections.abc import Mapping
+
+    from thornspool import clock as clock_module
+    from thornspool import parts as parts_module
+    from thornspool.adapters.peers import traffic as traffic_module
+
+_MS_PER_S = 1000
+
+
+def add_readings(
+    metrics: metrics_module.Metrics,
+    clock: clock_module.Clock,
+    parts: parts_module.Parts,
+    platform: ports.Platform,
+    traffic: traffic_module.Traffic,
+) -> None:
+    """Have an entry's state shown with its metrics.
+
+    Parameters
+    ----------
+    metrics : metrics_module.Metrics
+        Where it is added.
+    clock : clock_module.Clock
+        Source of time.
+    parts : parts_module.Parts
+        The use cases that know it.
+    platform : ports.Platform
+        The platform's client; only that over HTTP counts its calls.
+    traffic : traffic_module.Traffic
+        Counts of the messages between entries.
+    """
+    _add_configuration(metrics, clock, parts)
+    _add_work(metrics, parts)
+    _add_traffic(metrics, traffic)
+    if isinstance(platform, http_platform.HttpPlatform):
+        _add_platform(metrics, platform)
+
+
+def _add_configuration(
+    metrics: metrics_module.Metrics,
+    clock: clock_module.Clock,
+    parts: parts_module.Parts,
+) -> None:
+    """Add the version in force and what is known of entries and targets."""
+    applied = _Applied(clock)
+    parts.configuration.subscribe(lambda snapshot: applied.note())
+    metrics.add_gauge(
+        'thornspool_configuration_version',
+        'Version of the configuration in force here; 0 before the first.',
+        _read_one(parts.configuration.version),
+    )
+    metrics.add_gauge(
+        'thornspool_configuration_age_seconds',
+        'Time since it was applied here, or since the start before any.',
+        _read_one(applied.read_age),
+    )
+    metrics.add_gauge(
+        'thornspool_isolated',
+        '1 while neither the platform nor any other entry answers.',
+        _read_one(parts.is_isolated),
+    )
+    metrics.add_gauge(
+        'thornspool_ready',
+        '1 while this entry takes new work.',
+        _read_one(parts.is_ready),
+    )
+    metrics.add_gauge(
+        'thornspool_members',
+        'Entries by what this one believes of them, itself included.',
+        functools.partial(_read_members, parts),
+    )
+    metrics.add_gauge(
+        'thornspool_targets',
+        'Targets in force by whether they may be given new work.',
+        functools.partial(_read_targets, parts),
+    )
+
+
+def _add_work(
+    metrics: metrics_module.Metrics, parts: parts_module.Parts
+) -> None:
+    """Add what is in flight here, and what is kept from running."""
+    metrics.add_gauge(
+        'thornspool_requests_in_flight',
+        'Requests of callers that have not got their whole answer.',
+        _read_one(lambda: parts.drain.in_flight),
+    )
+    metrics.add_gauge(
+        'thornspool_attempts_open',
+        'Attempts and records of actions that are not settled.',
+        _read_one(lambda: parts.actions.open_count),
+    )
+    # Verdicts are counted where they are given: to ask for all of them at
+    # each scrape would hold up the loop, since one compares all records.
+    metrics.add_counter(
+        'thornspool_quarantine_verdicts_total',
+        'Verdicts on whether requests may run.',
+        lambda: _list_by('verdict', parts.quarantine.verdicts),
+    )
+    metrics.add_gauge(
+        'thornspool_quarantine_records',
+        'Requests that were in flight on a target that died.',
+        _read_one(lambda: parts.quarantine.record_count),
+    )
+
+
+def _add_traffic(
+    metrics: metrics_module.Metrics, traffic: traffic_module.Traffic
+) -> None:
+    """Add what is exchanged with other entries."""
+    metrics.add_counter(
+        'thornspool_peer_bytes_total',
+        'Bytes of messages between entries, without TCP and IP.',
+        functools.partial(_read_traffic, traffic, 'bytes'),
+    )
+    metrics.add_counter(
+        'thornspool_peer_messages_total',
+        'Messages between entries.',
+        functools.partial(_read_traffic, traffic, 'messages'),
+    )
+    metrics.add_counter(
+        'thornspool_peer_dropped_total',
+        'Messages between entries that were dropped.',
+        lambda: _list_by('reason', traffic.dropped),
+    )
+
+
+def _add_platform(
+    metrics: metrics_module.Metrics, platform: http_platform.HttpPlatform
+) -> None:
+    """Add calls to the platform."""
+    metrics.add_counter(
+        'thornspool_platform_calls_total',
+        'Calls that left for the platform.',
+        lambda: _list_by('kind', platform.calls),
+    )
+    metrics.add_counter(
+        'thornspool_platform_errors_total',
+        'Calls that failed, or that did not leave since it fails.',
+        lambda: _list_by('kind', platform.errors),
+    )
+
+
+class _Applied:
+    """When the version in force was applied."""
+
+    def __init__(self, clock: clock_module.Clock) -> None:
+        self._clock = clock
+        self._at = clock.now()
+
+    def note(self) -> None:
+        self._at = self._clock.now()
+
+    def read_age(self) -> float:
+        return (self._clock.now() - self._at) / _MS_PER_S
+
+
+def _read_one(read: Callable[[], float]) -> metrics_module.Reader:
+    """Return a reader of a family without labels."""
+    return lambda: (metrics_module.Reading(float(read())),)
+
+
+def _list_by(
+    label: str, values: Mapping[str, float]
+) -> list[metrics_module.Reading]:
+    return [
+        metrics_module.Reading(value, {label: name})
+        for name, value in values.items()
+    ]
+
+
+def _count_by(
+    label: str, known: Iterable[str], seen: Iterable[str]
+) -> list[metrics_module.Reading]:
+    """Count by a label; what is not seen is 0, or its last value stays."""
+    counts = collections.Counter(seen)
+    return _list_by(label, {name: counts[name] for name in known})
+
+
+def _read_members(
+    parts: parts_module.Parts,
+) -> list[metrics_module.Reading]:
+    return _count_by(
+        'state',
+        [one.value for one in ports.MemberState],
+        [one.state.value for one in parts.members.list_members()],
+    )
+
+
+def _read_targets(
+    parts: parts_module.Parts,
+) -> list[metrics_module.Reading]:
+    return _count_by(
+        'readiness',
+        [one.value for one in target_messages.Readiness],
+        [
+            parts.targets.read_readiness(name).value
+            for name in parts.configuration.snapshot().targets
+        ],
+    )
+
+
+def _read_traffic(
+    traffic: traffic_module.Traffic, unit: str
+) -> Iterator[metrics_module.Reading]:
+    for direction in ('sent', 'received'):
+        for kind, count in getattr(traffic, direction).items():
+            labels = {'direction': direction, 'kind': kind}
+            yield metrics_module.Reading(getattr(count, unit), labels)
--- /dev/null
+++ b/tests/test_readings.py
@@ -0,0 +1,118 @@
+"""What operators watch of an entry, without its process."""
+
+from __future__ import annotations
+
+import collections
+import types
+import unittest
+
+from tests import builders
+from thornspool import metrics as metrics_module
+from thornspool import readings
+from thornspool.adapters.peers import traffic as traffic_module
+from thornspool.adapters.platform import memory
+from thornspool.application import ports
+from thornspool.domain.targets import messages as target_messages
+
+READINESS = {
+    'up': target_messages.Readiness.READY,
+    'down': target_messages.Readiness.UNREACHABLE,
+    'gone': target_messages.Readiness.UNREACHABLE,
+}
+
+
+class ReadingsTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.clock = builders.FakeClock()
+        self.version = 0
+        self.members = [
+            builders.build_member('one'),
+            builders.build_member('two', state=ports.MemberState.SUSPECT),
+        ]
+        self.subscribers: list[object] = []
+        parts = types.SimpleNamespace(
+            configuration=types.SimpleNamespace(
+                subscribe=self.subscribers.append,
+                version=lambda: self.version,
+                snapshot=lambda: types.SimpleNamespace(targets=READINESS),
+            ),
+            is_isolated=lambda: False,
+            is_ready=lambda: True,
+            members=types.SimpleNamespace(list_members=lambda: self.members),
+            targets=types.SimpleNamespace(read_readiness=READINESS.get),
+            drain=types.SimpleNamespace(in_flight=3),
+            actions=types.SimpleNamespace(open_count=2),
+            quarantine=types.SimpleNamespace(
+                verdicts=collections.Counter(clear=5), record_count=4
+            ),
+        )
+        self.traffic = traffic_module.Traffic()
+        self.metrics = metrics_module.Metrics()
+        readings.add_readings(
+            self.metrics,
+            self.clock,
+            parts,  # type: ignore[arg-type]
+            memory.MemoryPlatform(self.clock),
+            self.traffic,
+        )
+
+    def _read(self) -> dict[str, float]:
+        body, _ = self.metrics.render()
+        lines = [one for one in body.decode().splitlines() if one[:1] != '#']
+        return {
+            name: float(value)
+            for name, value in (one.rsplit(' ', 1) for one in lines if one)
+        }
+
+    def test_age_starts_again_with_each_version(self) -> None:
+        name = 'thornspool_configuration_age_seconds'
+        self.clock.advance(1500)
+        self.assertEqual(1.5, self._read()[name])
+        for notify in self.subscribers:
+            notify(None)  # type: ignore[operator]
+        self.assertEqual(0, self._read()[name])
+        self.clock.advance(250)
+        self.assertEqual(0.25, self._read()[name])
+
+    def test_counts_by_state_fall_to_zero(self) -> None:
+        """An entry that was suspected is found to be dead.
+
+        A count that kept its last value would show one entry twice.
+        """
+        name = 'thornspool_members{{state="{}"}}'
+        read = self._read()
+        self.assertEqual(1, read[name.format('suspect')])
+        self.assertEqual(0, read[name.format('dead')])
+        self.members[1] = builders.build_member(
+            'two', state=ports.MemberState.DEAD
+        )
+        read = self._read()
+        self.assertEqual(0, read[name.format('suspect')])
+        self.assertEqual(1, read[name.format('dead')])
+
+    def test_each_value_is_read_from_where_it_is_kept(self) -> None:
+        self.version = 7
+        self.traffic.sent['Gossip'].add(40)
+        self.traffic.sent['Gossip'].add(2)
+        self.traffic.dropped['full'] += 1
+        expected = {
+            'thornspool_configuration_version': 7,
+            'thornspool_isolated': 0,
+            'thornspool_ready': 1,
+            'thornspool_requests_in_flight': 3,
+            'thornspool_attempts_open': 2,
+            'thornspool_quarantine_records': 4,
+            'thornspool_quarantine_verdicts_total{verdict="clear"}': 5,
+            'thornspool_targets{readiness="ready"}': 1,
+            'thornspool_targets{readiness="unreachable"}': 2,
+            'thornspool_targets{readiness="leaving"}': 0,
+            'thornspool_peer_bytes_total{direction="sent",kind="Gossip"}': 42,
+            'thornspool_peer_messages_total'
+            '{direction="sent",kind="Gossip"}': 2,
+            'thornspool_peer_dropped_total{reason="full"}': 1,
+        }
+        read = self._read()
+        self.assertEqual(expected, {name: read.get(name) for name in expected})
+        self.traffic.sent['Gossip'].add(1)
+        name = 'thornspool_peer_bytes_total{direction="sent",kind="Gossip"}'
+        self.assertEqual(43, self._read()[name])
