--- a/src/thornspool/console/commands/action.py
+++ b/src/thornspool/console/commands/action.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import base64
 import typing
 import urllib.parse
 
@@ -22,18 +23,31 @@
 def _run(
     options: argparse.Namespace, console: base.Console
 ) -> exceptions.ExitCode:
+    """Show the recorded answer, or the reason why there is none."""
     workspace = urllib.parse.quote(options.workspace, safe='')
     key = urllib.parse.quote(options.key, safe='')
     path = f'/v1/workspaces/{workspace}/actions/{key}'
     value = client.expect_ok(client.send(options, 'GET', path))
-    rows = [(name, value[name]) for name in value]
+    rows = [(name, _show(name, value[name])) for name in value]
     console.write_result(value, base.format_table(('FIELD', 'VALUE'), rows))
-    return exceptions.ExitCode.OK
+    if 'status' in value:
+        return exceptions.ExitCode.OK
+    return exceptions.ExitCode.PROBLEM
+
+
+def _show(name: str, value: typing.Any) -> typing.Any:
+    """Return a recorded body as text if it is any; bytes come as Base64."""
+    if name != 'body':
+        return value
+    try:
+        return base64.b64decode(value, validate=True).decode()
+    except (TypeError, ValueError):
+        return value
 
 
 COMMAND = base.Command(
     'action',
-    'Show what became of an action.',
+    'Show what became of an action; exit code 1 when no answer is recorded.',
     'thornspool action booking 019a3c1e-7d4e-7cc1-9f5e-2b8f3a6d1c10',
     _add_options,
     _run,
--- a/tests/adapters/operators/builders.py
+++ b/tests/adapters/operators/builders.py
@@ -19,11 +19,18 @@
 from thornspool.adapters.operators import handlers
 from thornspool.application import exceptions
 from thornspool.application import objectives
+from thornspool.domain.actions import results
 from thornspool.domain.objectives import burn
 
 SECRET = 'secret-of-all'
 LIMITED = 'secret-of-alpha'
 ALPHA = {'kind': 'workspace', 'name': 'alpha'}
+RECORDS = {
+    'known': results.ActionDone(200, 'text/plain', b'Slot 4', True),
+    'bytes': results.ActionDone(200, 'image/png', b'\xff\xfe', True),
+    'open': results.ActionUnknown('Still running.', 100),
+    'malformed': results.ActionRefused('No UUID.'),
+}
 Answer = tuple[int, str, typing.Any]
 
 
@@ -80,10 +87,10 @@
         async def drain() -> None:
             self.drained += 1
 
-        async def look_up(workspace: str, key: str) -> _Record | None:
+        async def look_up(workspace: str, key: str) -> typing.Any:
             if key == 'down':
                 raise exceptions.PlatformError('No answer.')
-            return _Record('done') if key == 'known' else None
+            return RECORDS.get(key)
 
         async def report(workspaces: object) -> typing.Any:
             return self.burn_report or _Record(str(workspaces))
--- a/tests/console/test_application.py
+++ b/tests/console/test_application.py
@@ -70,7 +70,8 @@
             ('history',): 'and 48 more  New shops',
             ('status',): 'perth-a  alive',
             ('check', path): 'are right on version 1',
-            ('action', 'alpha', 'known'): 'done',
+            ('action', 'alpha', 'known'): 'Slot 4',
+            ('action', 'alpha', 'bytes'): '//4=',
             ('drain',): 'takes no new work',
         }.items():
             with self.subTest(command):
@@ -135,6 +136,17 @@
                 self.assertEqual((expected, ''), (code, out))
                 self.assertTrue(err.startswith('thornspool: '))
 
+    async def test_an_action_without_an_answer_is_a_problem(self) -> None:
+        """A clerk asks whether an action ran, and that is not known.
+
+        A script that takes "unknown" for "done" would go on as if it had.
+        """
+        for key, told in (('open', 'Still running.'), ('malformed', 'UUID')):
+            with self.subTest(key):
+                code, out, _ = await self._run_at_entry('action', 'alpha', key)
+                self.assertEqual(1, code)
+                self.assertIn(told, out)
+
     async def test_unknown_outcome_names_the_id_to_send_again(self) -> None:
         """The entry cannot reach the platform; nobody knows the outcome."""
         self.entry.faults.platform_up = False
