Tell failures of capacity from endings that callers bring about

Cause: a test of the intake showed that a caller that leaves gave its place back as a failure, so that admission would lower the bound of a healthy target group; refusals by a workspace's own limit burned its objective. Ruled out: counting neither, which would hide drains and overload. Change: typed outcomes; callers' own endings count against nothing; what is noted of a request has a module of its own.

--- a/src/thornspool/application/gates.py
+++ b/src/thornspool/application/gates.py
@@ -7,6 +7,7 @@
 import attrs
 
 from thornspool.application import intake
+from thornspool.application import observation
 from thornspool.application import requests
 from thornspool.domain.limits import messages as limit_messages
 from thornspool.domain.quarantine import messages as quarantine_messages
@@ -17,6 +18,13 @@
     from thornspool.application import quarantine
 
 FIRST_UNIT_MS = 5.0
+_LIMITS = frozenset(
+    {
+        limit_messages.Reason.REQUESTS,
+        limit_messages.Reason.TOKENS,
+        limit_messages.Reason.CONCURRENCY,
+    }
+)
 _CONDEMNED = 'This request crashed the targets that ran it.'
 _SMOOTHING = 0.1
 
@@ -85,7 +93,11 @@
         )
         if isinstance(admitted, limit_messages.Refused):
             reason = f'Refused for its {admitted.reason.value}.'
-            raise requests.RequestRefused(reason, admitted.retry_after_ms)
+            raise requests.RequestRefused(
+                reason,
+                admitted.retry_after_ms,
+                by_limit=admitted.reason in _LIMITS,
+            )
         return _Place(self._clock, self._service, pace, admitted.ticket)
 
 
@@ -104,9 +116,18 @@
         self._pace = pace
         self._ticket = ticket
 
-    def finish(self, tokens: int, good: bool, duration_ms: int) -> None:
-        """Give the place back and learn from the request."""
-        if good:
+    def finish(
+        self, tokens: int, outcome: observation.Outcome, duration_ms: int
+    ) -> None:
+        """Give the place back and learn from the request.
+
+        A caller that leaves or sends what can't be taken says nothing of
+        capacity; taken for failures, such callers would lower the bound of
+        a healthy target group for everybody.
+        """
+        done = outcome is observation.Outcome.DONE
+        if done:
             self._pace.learn(tokens, duration_ms)
+        succeeded = done or outcome in observation.OF_CALLERS
         now = self._clock.now()
-        self._service.finish(self._ticket, good, tokens, now)
+        self._service.finish(self._ticket, succeeded, tokens, now)
--- a/src/thornspool/application/intake.py
+++ b/src/thornspool/application/intake.py
@@ -12,6 +12,7 @@
 from thornspool.application import directory
 from thornspool.application import generation_attempts
 from thornspool.application import generation_messages as generation
+from thornspool.application import observation
 from thornspool.application import requests
 from thornspool.domain.actions import results
 from thornspool.domain.objectives import burn
@@ -27,6 +28,7 @@
     from thornspool.application import objectives
     from thornspool.domain.configuration import documents
 
+GENERATION = 'generation'
 ISOLATED_RETRY_MS = 2000
 DRAINING_RETRY_MS = 100
 _ISOLATED = 'This entry reaches neither the platform nor any other entry.'
@@ -63,7 +65,9 @@
 class Ticket(typing.Protocol):
     """A place among the admitted; it has to be given back once."""
 
-    def finish(self, tokens: int, good: bool, duration_ms: int) -> None:
+    def finish(
+        self, tokens: int, outcome: observation.Outcome, duration_ms: int
+    ) -> None:
         """Give the place back and tell what became of the request."""
         ...
 
@@ -239,9 +243,11 @@
             wanted.deadline,
             request.max_tokens,
         )
-        with self._admit(work, 'generation') as run:
+        with self._admit(work, GENERATION) as run:
             events = self._runners.generation.stream(wanted)
-            watch = _TokenWatch(self._clock, self._metrics, self._objectives)
+            watch = observation.TokenWatch(
+                self._clock, self._metrics, self._objectives
+            )
             async with contextlib.aclosing(events):  # type: ignore[type-var]
                 async for event in events:
                     run.tokens += watch.see(request, event)
@@ -271,7 +277,7 @@
         self,
         request: requests.OperationRequest,
         resolved: directory.ResolvedOperation,
-    ) -> Iterator[_Run]:
+    ) -> Iterator[observation.Run]:
         """Admit an operation."""
         work = Work(
             request.workspace,
@@ -285,24 +291,27 @@
             yield run
 
     @contextlib.contextmanager
-    def _admit(self, work: Work, kind: str) -> Iterator[_Run]:
+    def _admit(self, work: Work, kind: str) -> Iterator[observation.Run]:
         """Take a request, or refuse it, and count it when it ends."""
         started = self._clock.now()
         try:
             self._check_open()
             ticket = self._gates.admit(work)
-        except requests.RequestRefused:
+        except requests.RequestRefused as refused:
             self._metrics.count_event('request_refused')
-            self._count(work, kind, 'refused', started)
+            outcome = observation.Outcome.REFUSED
+            if refused.by_limit:
+                outcome = observation.Outcome.LIMITED
+            self._count(work, kind, outcome, started)
             raise
-        run = _Run()
+        run = observation.Run()
         try:
             with self._track():
                 yield run
         finally:
-            outcome = _name_outcome(run.result)
+            outcome = observation.name_outcome(run.result)
             duration = self._clock.now() - started
-            ticket.finish(run.tokens, outcome == 'done', duration)
+            ticket.finish(run.tokens, outcome, duration)
             self._count(work, kind, outcome, started)
 
     def _check_open(self) -> None:
@@ -315,68 +324,27 @@
             raise requests.RequestRefused(_ISOLATED, ISOLATED_RETRY_MS)
 
     def _count(
-        self, work: Work, kind: str, outcome: str, started: int
+        self,
+        work: Work,
+        kind: str,
+        outcome: observation.Outcome,
+        started: int,
     ) -> None:
         """Count a request that ended."""
         duration = self._clock.now() - started
-        self._metrics.count_request(kind, work.workspace, outcome, duration)
-        if outcome == 'left':
-            return
-        self._objectives.record_outcome(
-            work.workspace, work.group, outcome == 'done'
+        self._metrics.count_request(
+            kind, work.workspace, outcome.value, duration
         )
-        if kind != 'generation' and outcome == 'done':
+        if outcome in observation.OF_CALLERS:
+            return
+        done = outcome is observation.Outcome.DONE
+        self._objectives.record_outcome(work.workspace, work.group, done)
+        if kind != GENERATION and done:
             self._objectives.record_time(
                 work.workspace, work.group, burn.Indicator.LATENCY, duration
             )
 
 
-class _Run:
-    """What is known of a request when it ends."""
-
-    def __init__(self) -> None:
-        self.result: typing.Any = None
-        self.tokens = 0
-
-
-class _TokenWatch:
-    """Times the tokens of one stream."""
-
-    def __init__(
-        self,
-        clock: clock.Clock,
-        metrics: metrics.Metrics,
-        objective_service: objectives.ObjectiveService,
-    ) -> None:
-        self._clock = clock
-        self._metrics = metrics
-        self._objectives = objective_service
-        self._started = clock.now()
-        self._last: int | None = None
-
-    def see(
-        self,
-        request: requests.ModelRequest,
-        event: generation.GenerationEvent,
-    ) -> int:
-        """Record the times of an event and return its number of tokens."""
-        if not isinstance(event, generation.Tokens):
-            return 0
-        now = self._clock.now()
-        workspace, model = request.workspace, request.model
-        if self._last is None:
-            waited = now - self._started
-            self._metrics.observe_first_token(workspace, waited)
-            indicator = burn.Indicator.FIRST_TOKEN
-        else:
-            waited = (now - self._last) // max(1, len(event.texts))
-            indicator = burn.Indicator.BETWEEN_TOKENS
-        self._objectives.record_time(workspace, model, indicator, waited)
-        self._metrics.observe_tokens(workspace, len(event.texts), waited)
-        self._last = now
-        return len(event.texts)
-
-
 def build_action(
     request: requests.OperationRequest,
     resolved: directory.ResolvedOperation,
@@ -417,20 +385,3 @@
     if called.ran:
         return results.ActionUnknown(called.reason, called.retry_after_ms)
     return results.ActionNotRun(called.reason, called.retry_after_ms, True)
-
-
-def _name_outcome(result: typing.Any) -> str:
-    """Return the label of an outcome in metrics."""
-    match result:
-        case results.ActionDone() | generation.Finished():
-            return 'done'
-        case results.ActionNotRun():
-            return 'not_run'
-        case results.ActionRefused():
-            return 'refused'
-        case results.ActionUnknown():
-            return 'unknown'
-        case generation.Failed():
-            return result.outcome.value.replace(' ', '_')
-        case _:
-            return 'left'
--- a/src/thornspool/application/requests.py
+++ b/src/thornspool/application/requests.py
@@ -71,11 +71,18 @@
         When to come back, in milliseconds.
     instead : tuple of str
         Addresses of entries to use instead of this one.
+    by_limit : bool
+        Whether a limit of the workspace stood against it.
     """
 
     def __init__(
-        self, reason: str, retry_after_ms: int, instead: tuple[str, ...] = ()
+        self,
+        reason: str,
+        retry_after_ms: int,
+        instead: tuple[str, ...] = (),
+        by_limit: bool = False,
     ) -> None:
         super().__init__(reason, f'Come back in {retry_after_ms} ms.')
         self.retry_after_ms = retry_after_ms
         self.instead = instead
+        self.by_limit = by_limit
