Split the stand-in engine into its stage, its handlers and its start

Change: engine_stage holds the work and the foretold tokens, engine_handlers the HTTP side, engine the command line. No behaviour changes.

--- a/tests/adapters/targets/test_engines.py
+++ b/tests/adapters/targets/test_engines.py
@@ -5,7 +5,7 @@
 import asyncio
 import unittest
 
-from standins import engine
+from standins import engine_stage
 from tests.standins import processes
 from thornspool.adapters.targets import engines
 from thornspool.application import exceptions
@@ -54,7 +54,9 @@
 
     async def test_hands_over_frames_in_order(self):
         await self.generate(resume=('x', 'y'))
-        expected = [engine.compute_token('Prompt', at) for at in (2, 3, 4)]
+        expected = [
+            engine_stage.compute_token('Prompt', at) for at in (2, 3, 4)
+        ]
         tokens = [frame.token for frame in self.frames[:-1]]
         self.assertEqual(tokens, expected)
         self.assertEqual(self.frames[-1].end, 5)
--- a/tests/application/test_generation.py
+++ b/tests/application/test_generation.py
@@ -6,7 +6,7 @@
 import random
 import unittest
 
-from standins import engine
+from standins import engine_stage
 from tests.domain.pipelines import builders
 from tests.standins import processes
 from thornspool import clock
@@ -102,7 +102,7 @@
     async def check_whole(self, service, request):
         texts, last = await self.collect(service, request)
         expected = [
-            engine.compute_token(request.prompt, index)
+            engine_stage.compute_token(request.prompt, index)
             for index in range(request.max_tokens)
         ]
         self.assertEqual(texts, expected)
