Keep the configuration loops alive and ask stragglers while publishing

Their loop had ended with 'max() arg is an empty sequence': a hint that came during the pause before the last one was followed woke the loop with nothing left. The error was kept in a task that nobody read. Ruled out: lost gossip, since the publisher knew the straggler's version; the platform's watch, since the other entries were woken by it. Change: the event is cleared where the hints are taken; a loop that an unexpected error ends begins again and says so; the entry logs a loop that ends. Publishers ask stragglers twice a second and entries announce a version as they apply it.

--- a/src/thornspool/application/configuration.py
+++ b/src/thornspool/application/configuration.py
@@ -28,6 +28,10 @@
 logger = structlog.get_logger(__name__)
 
 
+def _wait_for_gossip(version: int) -> None:
+    """Ask nobody."""
+
+
 class ConfigurationService:
     """Publishes configuration and keeps this entry's up to date.
 
@@ -62,6 +66,7 @@
         timing: configuration_following.Timing | None = None,
         conflicts: publications.FindConflicts = publications.find_conflicts,
     ) -> None:
+        self._ask_versions: Callable[[int], None] = _wait_for_gossip
         self._clock = clock
         self._platform = platform
         self._members = members
@@ -97,6 +102,17 @@
         peers.handle(messages.FetchHead, self._answer_head)
         peers.handle(messages.FetchBucket, self._answer_bucket)
 
+    def ask_stragglers_with(self, ask: Callable[[int], None]) -> None:
+        """Have entries asked that do not report a version yet.
+
+        Parameters
+        ----------
+        ask : callable
+            Takes the version; called twice a second while a publisher
+            waits, since gossip alone tells only after some seconds.
+        """
+        self._ask_versions = ask
+
     def snapshot(self) -> documents.Snapshot:
         """Return the documents in force here."""
         return self._store.contents.snapshot
@@ -216,10 +232,16 @@
     async def _await_in_force(
         self, version: int
     ) -> configuration_results.Accepted:
-        deadline = self._clock.now() + self._timing.in_force
+        now = self._clock.now()
+        deadline = now + self._timing.in_force
+        ask_at = now + self._timing.ask_interval
         report = self.report(version)
-        while report.stragglers and self._clock.now() < deadline:
+        while report.stragglers and now < deadline:
             await asyncio.sleep(self._timing.report_interval / 1000)
+            now = self._clock.now()
+            if now >= ask_at:
+                self._ask_versions(version)
+                ask_at = now + self._timing.ask_interval
             report = self.report(version)
         return report
 
--- a/src/thornspool/application/configuration_following.py
+++ b/src/thornspool/application/configuration_following.py
@@ -13,6 +13,8 @@
 from thornspool.domain.configuration import head as heads
 
 if typing.TYPE_CHECKING:
+    from collections.abc import Awaitable
+    from collections.abc import Callable
     import random
 
     from thornspool import clock as clocks
@@ -35,6 +37,8 @@
         Longest wait for all entries to report an accepted version.
     report_interval : int
         Time between two looks at what they report.
+    ask_interval : int
+        Time between two rounds of asking those that do not report yet.
     watch : int
         Longest wait of one watch at the platform.
     backoff, backoff_limit : int
@@ -53,6 +57,7 @@
     decide: int = 10_000
     in_force: int = 4_000
     report_interval: int = 100
+    ask_interval: int = 500
     watch: int = 20_000
     backoff: int = 200
     backoff_limit: int = 5_000
@@ -104,9 +109,21 @@
     async def run(self) -> None:
         """Follow until cancelled."""
         async with asyncio.TaskGroup() as group:
-            group.create_task(self._watch())
-            group.create_task(self._follow_hints())
-            group.create_task(self._keep_contact())
+            for loop in (self._watch, self._follow_hints, self._keep_contact):
+                group.create_task(self._keep_running(loop))
+
+    async def _keep_running(self, loop: Callable[[], Awaitable[None]]) -> None:
+        """Begin a loop again when an error that nobody expected ends it.
+
+        The entry would otherwise go on serving the version it has, and
+        publishers would see it as a straggler until somebody restarts it.
+        """
+        while True:
+            try:
+                await loop()
+            except Exception:
+                logger.exception('configuration_loop_failed')
+            await asyncio.sleep(self._timing.backoff / 1000)
 
     def hear_version(self, peer_address: str, version: int) -> None:
         """Note the version that a peer says is in force there."""
@@ -148,9 +165,11 @@
         """
         while True:
             await self._hint.wait()
-            self._hint.clear()
             delay = self._rng.uniform(0, self._timing.hint_delay)
             await asyncio.sleep(delay / 1000)
+            # Cleared where the hints are taken: one that came during the
+            # pause is among them and must not wake the loop again.
+            self._hint.clear()
             heard, self._heard = self._heard, {}
             address = max(heard, key=heard.__getitem__)
             if heard[address] > self._store.version:
--- a/src/thornspool/entry.py
+++ b/src/thornspool/entry.py
@@ -219,7 +219,9 @@
 
     def _run(self, work: Coroutine[typing.Any, typing.Any, None]) -> None:
         """Run a loop of the entry until it stops."""
-        self._tasks.append(asyncio.get_running_loop().create_task(work))
+        task = asyncio.get_running_loop().create_task(work)
+        task.add_done_callback(_log_end)
+        self._tasks.append(task)
 
     def _make_platform(self) -> ports.Platform:
         """Make the client of the platform that the settings name."""
@@ -245,3 +247,14 @@
     async def _begin_drain(self) -> None:
         """Start the drain that an operator asked for."""
         self._request_stop()
+
+
+def _log_end(task: asyncio.Task[typing.Any]) -> None:
+    """Log a loop that ended by an error.
+
+    Without it an entry goes on without, say, its configuration loop: it
+    serves an old version and nobody is told.
+    """
+    if task.cancelled() or task.exception() is None:
+        return
+    logger.error('loop_failed', exc_info=task.exception())
--- a/src/thornspool/parts.py
+++ b/src/thornspool/parts.py
@@ -104,6 +104,10 @@
             own.incarnation,
             outside.random_source,
         )
+        self.configuration.ask_stragglers_with(self.members.poll_versions)
+        self.configuration.subscribe(
+            lambda snapshot: self.members.announce_version()
+        )
         snapshot = self.configuration.snapshot
         self.objectives = objectives.ObjectiveService(
             clock, snapshot, peers, self.members, own.incarnation
