Write answers whole before an entry exits, and send kept connections away

Cause: a request counts as in flight until its result is known, not until its answer is written. Listener.stop closed every connection at once, so a caller that read slowly got a part of the answer to work that was done. And a drain never said "Connection: close": callers that keep connections noticed that an entry leaves only when it was gone.

Ruled out: counting in the handlers until finish(), which covers neither operators' requests nor the bytes that wait in the process; adding the header in each handler, which leaves closing to the caller.

Change: a listener knows which connections owe an answer (tornado asks for the next request of a connection when the last byte has been handed over) and closes when none does, after 30 s at most for callers that do not read. While an entry drains, its callers' connections close after their next answer.

--- a/src/thornspool/adapters/servers.py
+++ b/src/thornspool/adapters/servers.py
@@ -2,22 +2,32 @@
 
 from __future__ import annotations
 
+import asyncio
 import ssl
 import typing
 
+import structlog
 from tornado import httpserver
+from tornado import httputil
 from tornado import netutil
 
 from thornspool import exceptions
 
 if typing.TYPE_CHECKING:
+    from collections.abc import Awaitable
+    from collections.abc import Callable
+
     from tornado import web
 
     from thornspool import settings
 
 BACKLOG = 1024
 DEFAULT_BODY_LIMIT_BYTES = 8 * 1024 * 1024
+ANSWER_TIMEOUT_MS = 30_000
 _HEADROOM_BYTES = 65_536
+_CHECK_S = 0.02
+
+logger = structlog.get_logger(__name__)
 
 
 class ListenError(exceptions.ThornspoolError):
@@ -48,6 +58,58 @@
     return context
 
 
+class _Request(httputil.HTTPMessageDelegate):
+    """Counts a connection as busy once the head of a request was read."""
+
+    def __init__(
+        self,
+        inner: httputil.HTTPMessageDelegate,
+        note_busy: Callable[[], None],
+    ) -> None:
+        self._inner = inner
+        self._note_busy = note_busy
+
+    def headers_received(
+        self,
+        start_line: httputil.RequestStartLine | httputil.ResponseStartLine,
+        headers: httputil.HTTPHeaders,
+    ) -> Awaitable[None] | None:
+        self._note_busy()
+        return self._inner.headers_received(start_line, headers)
+
+    def data_received(self, chunk: bytes) -> Awaitable[None] | None:
+        return self._inner.data_received(chunk)
+
+    def finish(self) -> None:
+        self._inner.finish()
+
+    def on_connection_close(self) -> None:
+        self._inner.on_connection_close()
+
+
+class _Server(httpserver.HTTPServer):
+    """An HTTP server that knows which connections owe an answer."""
+
+    def initialize(self, *arguments: typing.Any, **named: typing.Any) -> None:
+        super().initialize(*arguments, **named)
+        self.busy: set[object] = set()
+
+    def start_request(
+        self, server_conn: object, request_conn: httputil.HTTPConnection
+    ) -> httputil.HTTPMessageDelegate:
+        # tornado waits for the next request of a connection only when the
+        # last byte of the answer before has been handed to the system.
+        self.busy.discard(server_conn)
+        return _Request(
+            super().start_request(server_conn, request_conn),
+            lambda: self.busy.add(server_conn),
+        )
+
+    def on_close(self, server_conn: object) -> None:
+        self.busy.discard(server_conn)
+        super().on_close(server_conn)
+
+
 class Listener:
     """An HTTP server on one address, bound before it answers.
 
@@ -75,7 +137,7 @@
         self._address, _, port = listen.rpartition(':')
         self._scheme = 'https' if tls else 'http'
         self._body_limit_bytes = body_limit_bytes
-        self._server: httpserver.HTTPServer | None = None
+        self._server: _Server | None = None
         try:
             self._tls = make_tls(tls)
             self._sockets = netutil.bind_sockets(
@@ -94,7 +156,7 @@
 
     def start(self, application: web.Application) -> None:
         """Answer with an application."""
-        self._server = httpserver.HTTPServer(
+        self._server = _Server(
             application,
             ssl_options=self._tls,
             max_body_size=self._body_limit_bytes,
@@ -102,8 +164,35 @@
         )
         self._server.add_sockets(self._sockets)
 
-    async def stop(self) -> None:
-        """Accept nothing more and close what is open."""
+    def send_away(self) -> None:
+        """Answer on, but close each connection after its next answer.
+
+        Clients that keep connections would otherwise notice that this
+        entry leaves only when it is gone: a request that they send at that
+        moment is lost, and they can not tell whether it ran.
+        """
         if self._server is not None:
-            self._server.stop()
-            await self._server.close_all_connections()
+            self._server.conn_params.no_keep_alive = True
+
+    async def stop(self, timeout_ms: int = ANSWER_TIMEOUT_MS) -> None:
+        """Accept nothing more, write what is owed, close what is open.
+
+        Parameters
+        ----------
+        timeout_ms : int, optional
+            Longest wait for callers that read their answers slowly or not
+            at all.
+        """
+        if self._server is None:
+            return
+        self._server.stop()
+        # A request counts as run before its answer has left the process.
+        # Closed at once, a caller that reads slowly would get a part of the
+        # answer to work that was done.
+        try:
+            async with asyncio.timeout(timeout_ms / 1000):
+                while self._server.busy:
+                    await asyncio.sleep(_CHECK_S)
+        except TimeoutError:
+            logger.warning('answers_cut', count=len(self._server.busy))
+        await self._server.close_all_connections()
--- a/src/thornspool/entry.py
+++ b/src/thornspool/entry.py
@@ -153,6 +153,7 @@
         that this process is gone, since nobody else can record them.
         """
         self._parts.drain.begin()
+        self._callers.send_away()
         await self._parts.drain.wait_drained()
         if not await self._parts.actions.drain(SETTLE_TIMEOUT_MS):
             logger.warning('outcomes_not_recorded')
