Refuse work after a long stop until the configuration is the latest

Cause: an entry that was stopped for longer than 5 s counts as isolated and refuses work until somebody answers. Any answer ended that: the head of a publication that was not pulled yet, an answer that had waited in the sockets since before the stop, a bucket. Requests that had waited too were then run under the configuration of before.

Ruled out: counting contact only after a version is in force for everybody, which would make a whole fleet refuse work while a large publication is slow to pull.

Change: while an entry is not isolated every answer counts, as before. Once it is, only a comparison that leaves it with the latest version does: a peer's or the platform's head, pulled and in force. Reading the platform's head for contact now adopts it as well.

Left: two entries that wake at the same moment may take each other for up to date.

--- a/src/thornspool/application/configuration.py
+++ b/src/thornspool/application/configuration.py
@@ -77,6 +77,7 @@
             self._store,
             self._rng,
             incarnation,
+            self._timing.isolation,
         )
         self._publisher = configuration_publishing.Publisher(
             clock,
--- a/src/thornspool/application/configuration_following.py
+++ b/src/thornspool/application/configuration_following.py
@@ -122,10 +122,11 @@
                 seen = await self._platform.watch(
                     heads.HEAD_KEY, self._platform_version, self._timing.watch
                 )
-                self._puller.note_contact()
+                self._puller.note_answer()
                 if seen is not None:
                     await self._puller.adopt(seen.value)
                     self._platform_version = seen.version
+                    self._puller.note_current()
             except exceptions.ApplicationError as error:
                 await self._back_off(error)
             else:
@@ -165,7 +166,7 @@
         while True:
             if self._is_silent() and not await self._ask(''):
                 with contextlib.suppress(exceptions.ApplicationError):
-                    await self._puller.read_platform_head()
+                    await self._puller.follow_platform()
             await asyncio.sleep(self._timing.probe_interval / 1000)
 
     def _is_silent(self) -> bool:
--- a/src/thornspool/application/configuration_pulling.py
+++ b/src/thornspool/application/configuration_pulling.py
@@ -52,6 +52,15 @@
         For the choice among peers.
     incarnation : str
         This entry's own, which is not asked.
+    isolation_ms : int
+        Silence after which an answer alone no longer shows that the
+        version in force here is the latest.
+
+    Attributes
+    ----------
+    last_contact : int or None
+        Monotonic milliseconds when the platform or a peer last answered;
+        None before the first answer.
     """
 
     def __init__(
@@ -63,7 +72,9 @@
         store: configuration_store.Store,
         rng: random.Random,
         incarnation: str,
+        isolation_ms: int,
     ) -> None:
+        self._isolation_ms = isolation_ms
         self._clock = clock
         self._platform = platform
         self._peers = peers
@@ -73,16 +84,45 @@
         self._incarnation = incarnation
         self.last_contact: int | None = None
 
-    def note_contact(self) -> None:
-        """Note that the platform or a peer has answered just now."""
+    def note_current(self) -> None:
+        """Note that the version in force here was the latest just now."""
         self.last_contact = self._clock.now()
 
+    def note_answer(self) -> None:
+        """Note an answer that may be old or tell of a later version.
+
+        A process that was stopped for long finds old answers in its
+        sockets, and learns of publications before it has pulled them. Were
+        that enough to end its isolation, it would run requests under a
+        configuration that operators had replaced long ago.
+        """
+        last = self.last_contact
+        if last is None:
+            return
+        if self._clock.now() - last <= self._isolation_ms:
+            self.last_contact = self._clock.now()
+
     async def read_platform_head(self) -> ports.Versioned:
         """Read the head from the platform."""
         answer = await self._platform.get(heads.HEAD_KEY)
-        self.note_contact()
+        self.note_answer()
         return answer
 
+    async def follow_platform(self) -> None:
+        """Compare versions with the platform and pull if it is ahead.
+
+        Raises
+        ------
+        PlatformError
+            If it does not answer.
+        PullFailed
+            If its version cannot be had whole.
+        """
+        answer = await self.read_platform_head()
+        if answer.value:
+            await self.adopt(answer.value)
+        self.note_current()
+
     async def ask_any_peer(self) -> None:
         """Compare versions with one peer and pull if it is ahead.
 
@@ -110,9 +150,10 @@
         reply: messages.HeadReply = await self._peers.ask(
             address, question, ASK_TIMEOUT_MS
         )
-        self.note_contact()
+        self.note_answer()
         if reply.value:
             await self.adopt(reply.value, address)
+        self.note_current()
 
     async def adopt(self, value: bytes, preferred: str = '') -> None:
         """Pull what an encoded head refers to and put it in force.
@@ -182,7 +223,7 @@
             )
         except exceptions.PeerUnreachable:
             return b''
-        self.note_contact()
+        self.note_answer()
         return _verify(digest, reply.value, address)
 
     async def _read_bucket(self, digest: str) -> bytes:
@@ -191,7 +232,7 @@
             answer = await self._platform.get(key)
         except exceptions.PlatformError:
             return b''
-        self.note_contact()
+        self.note_answer()
         return _verify(digest, answer.value, 'platform')
 
     def _list_likely_peers(self, version: int, preferred: str) -> list[str]:
