Advise on TLS also when a refusal is noticed while sending

Cause: a test of the refusal of clients without certificate failed in 1 of 6 runs on a loaded machine: "'--client-certificate' not found in ... Send failure: Connection reset by peer". With TLS 1.3 the server refuses after the client's part of the handshake, and the client may still be sending then. So the tool advised to try another entry, which has the same kind of certificate.

Change: the error of sending counts as those of receiving do.

--- a/src/thornspool/console/client.py
+++ b/src/thornspool/console/client.py
@@ -23,7 +23,11 @@
 AUTHORITY_VARIABLE = 'THORNSPOOL_CA_FILE'
 DEFAULT_TIMEOUT_S = 20.0
 _CONNECT_TIMEOUT_S = 5.0
-_CLOSED = (pycurl.E_GOT_NOTHING, pycurl.E_RECV_ERROR)
+_CLOSED = (
+    pycurl.E_GOT_NOTHING,
+    pycurl.E_RECV_ERROR,
+    pycurl.E_SEND_ERROR,
+)
 _TLS = (
     *_CLOSED,
     pycurl.E_SSL_CONNECT_ERROR,
@@ -31,7 +35,8 @@
     pycurl.E_PEER_FAILED_VERIFICATION,
     pycurl.E_SSL_CACERT_BADFILE,
 )
-"""TLS 1.3 servers refuse a client after the handshake, when it reads."""
+"""TLS 1.3 servers refuse a client after its part of the handshake, so that
+it is told when it reads the answer or, if that is sooner, while it sends."""
 
 
 @attrs.frozen
