Wait at most half a second between tries of the ledger

Cause: two backoffs stand one behind the other. The client's gate holds calls back for up to 2 s, and the ledger's breaker counted a call that the gate refused, and never sent, as one more failure and waited for 2 s again.

The breaker now waits 500 ms at most. The platform is not called more often for it, since each call passes the gate.

Its longest wait bounds the load on a platform that is down and is to be weighed for itself.

Seen to fail: with 2,000 ms the new test printed "1050 not less than or equal to 500", and more of the kind.

--- a/src/thornspool/domain/actions/breaker.py
+++ b/src/thornspool/domain/actions/breaker.py
@@ -12,11 +12,13 @@
     Parameters
     ----------
     backoff_ms, max_backoff_ms : int
-        First and longest time without a call after a failure.
+        First and longest time without a call after a failure. The platform
+        is spared by the gate of its client; a longer wait here adds to the
+        gate's, and callers are refused long after the platform is back.
     """
 
     def __init__(
-        self, backoff_ms: int = 200, max_backoff_ms: int = 2_000
+        self, backoff_ms: int = 200, max_backoff_ms: int = 500
     ) -> None:
         self._first = backoff_ms
         self._longest = max_backoff_ms
--- /dev/null
+++ b/tests/domain/actions/test_breaker.py
@@ -0,0 +1,35 @@
+"""Tests of when the ledger calls a platform that fails."""
+
+from __future__ import annotations
+
+import unittest
+
+from thornspool.domain.actions import breaker
+
+LONGEST_MS = 500
+
+
+class BreakerTest(unittest.TestCase):
+    def test_actions_go_on_soon_after_any_outage(self) -> None:
+        """The platform comes back after an outage of any length.
+
+        Where the wait between two tries grows with the outage, callers are
+        told for seconds that a platform is down which answers everybody
+        else.
+        """
+        for outage in range(50, 10_000, 50):
+            with self.subTest(outage=outage):
+                subject = breaker.Breaker()
+                subject.record_failure(0)
+                for now in range(0, outage, 10):
+                    if subject.admit(now):
+                        subject.record_failure(now)
+                self.assertLessEqual(_find_wait(subject, outage), LONGEST_MS)
+
+
+def _find_wait(subject: breaker.Breaker, back: int) -> int:
+    """Return the milliseconds after which a call is let through."""
+    now = back
+    while not subject.admit(now):
+        now += 10
+    return now - back
