Expose the bytes that entries exchange as a metric

thornspool_peer_bytes_total tells bytes by direction and kind of message, from the counts that the peers' node kept already. Without it nobody sees what control costs a node until its network is full.

--- a/src/thornspool/adapters/peers/traffic.py
+++ b/src/thornspool/adapters/peers/traffic.py
@@ -45,3 +45,12 @@
     dropped: collections.Counter[str] = attrs.field(
         factory=collections.Counter
     )
+
+    def list_bytes(self) -> list[tuple[dict[str, str], float]]:
+        """Return the bytes by direction and kind, as labels and values."""
+        directions = {'sent': self.sent, 'received': self.received}
+        return [
+            ({'direction': direction, 'kind': kind}, float(count.bytes))
+            for direction, counts in directions.items()
+            for kind, count in counts.items()
+        ]
--- a/src/thornspool/entry.py
+++ b/src/thornspool/entry.py
@@ -136,6 +136,11 @@
             incarnation,
         )
         self._metrics = metrics_module.Metrics()
+        self._metrics.add_counts(
+            'thornspool_peer_bytes_total',
+            'Bytes of messages between entries, without TCP and IP.',
+            self._peers.traffic.list_bytes,
+        )
         self._parts = parts.Parts(self._describe_outside(addresses))
         self._answer()
         await self._parts.members.start(settings.peers.seeds)
--- a/src/thornspool/metrics.py
+++ b/src/thornspool/metrics.py
@@ -10,6 +10,7 @@
 _TOKEN_SECONDS = (0.005, 0.01, 0.02, 0.03, 0.049, 0.075, 0.1, 0.25, 0.5, 0.84)
 
 Reader = typing.Callable[[], float]
+LabelledReader = typing.Callable[[], list[tuple[dict[str, str], float]]]
 
 
 class Metrics:
@@ -43,6 +44,7 @@
             'Retries, refusals, target failures and the like, by name.',
         )
         self._readers: dict[str, tuple[typing.Any, Reader]] = {}
+        self._counts: list[tuple[typing.Any, LabelledReader]] = []
 
     def _counter(self, name: str, doc: str) -> typing.Any:
         return aioprometheus.Counter(name, doc, registry=self.registry)
@@ -67,6 +69,18 @@
         gauge = aioprometheus.Gauge(name, doc, registry=self.registry)
         self._readers[name] = (gauge, read)
 
+    def add_counts(self, name: str, doc: str, read: LabelledReader) -> None:
+        """Add a counter whose values are read when metrics are scraped.
+
+        Parameters
+        ----------
+        name, doc : str
+            Name with its unit, and one sentence.
+        read : callable
+            Returns labels with their values, which never fall.
+        """
+        self._counts.append((self._counter(name, doc), read))
+
     def count_request(
         self, kind: str, workspace: str, outcome: str, milliseconds: int
     ) -> None:
@@ -108,5 +122,8 @@
         """
         for gauge, read in self._readers.values():
             gauge.set({}, read())
+        for counter, read_counts in self._counts:
+            for labels, value in read_counts():
+                counter.set(labels, value)
         body, headers = aioprometheus.render(self.registry, accepts)
         return body, headers['Content-Type']
