--- /dev/null
+++ b/tools/bench_control.py
@@ -0,0 +1,191 @@
+"""Measure what control costs a node at rest, in bytes and processor time.
+
+Real: entry processes on loopback with stand-ins of targets, no callers; the
+bytes are those that each entry counts in what it sends to and receives
+from the others, the processor time is that of ``/proc``. Simulated: gossip
+of a fleet of the design size, by ``tools.bench_membership``.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import pathlib
+import re
+import sys
+import typing
+
+import attrs
+
+from tools import bench_deployment
+from tools import bench_membership
+from tools import processes
+
+ENTRIES = 9
+CHAINS = 21
+WINDOW_S = 20.0
+CALM_S = 10.0
+FLEET = 350
+TICKS_PER_S = os.sysconf('SC_CLK_TCK')
+PAGE_BYTES = os.sysconf('SC_PAGE_SIZE')
+
+_BYTES = re.compile(
+    r'^thornspool_peer_bytes_total\{([^}]*)\} ([0-9.e+]+)$', re.MULTILINE
+)
+_LABEL = re.compile(r'(\w+)="([^"]*)"')
+
+Figures = dict[str, typing.Any]
+
+
+@attrs.frozen
+class Usage:
+    """What a process used so far.
+
+    Attributes
+    ----------
+    cpu_s : float
+        Processor time.
+    memory_bytes : int
+        Resident memory.
+    peer_bytes : dict of tuple of str to float
+        By direction and kind.
+    """
+
+    cpu_s: float
+    memory_bytes: int
+    peer_bytes: dict[tuple[str, str], float]
+
+
+def read_cpu_s(pid: int) -> float:
+    """Return the processor time of a process, in seconds."""
+    text = pathlib.Path(f'/proc/{pid}/stat').read_text()
+    # The command in parentheses may hold spaces.
+    fields = text.rpartition(')')[2].split()
+    return (int(fields[11]) + int(fields[12])) / TICKS_PER_S
+
+
+def read_memory_bytes(pid: int) -> int:
+    """Return the resident memory of a process."""
+    fields = pathlib.Path(f'/proc/{pid}/statm').read_text().split()
+    return int(fields[1]) * PAGE_BYTES
+
+
+def parse_peer_bytes(text: str) -> dict[tuple[str, str], float]:
+    """Read the bytes by direction and kind out of the metrics."""
+    found = {}
+    for labels, value in _BYTES.findall(text):
+        named = dict(_LABEL.findall(labels))
+        found[named['direction'], named['kind']] = float(value)
+    return found
+
+
+async def read_usage(
+    session: bench_deployment.Session, entry: processes.Process
+) -> Usage:
+    """Read what an entry used so far."""
+    url = f'{entry.ready["operators"]}/metrics'
+    response = await session.send('GET', url)
+    pid = entry.popen.pid
+    return Usage(
+        read_cpu_s(pid),
+        read_memory_bytes(pid),
+        parse_peer_bytes(response.body.decode()),
+    )
+
+
+def compare(before: Usage, after: Usage, seconds: float) -> Figures:
+    """Return what an entry used a second between two readings."""
+    rates = {
+        label: (value - before.peer_bytes.get(label, 0.0)) / seconds
+        for label, value in after.peer_bytes.items()
+    }
+    kinds = {
+        f'{direction} {kind}': round(rate, 1)
+        for (direction, kind), rate in sorted(rates.items())
+        if rate
+    }
+    return {
+        'sent': sum(rate for (way, _), rate in rates.items() if way == 'sent'),
+        'received': sum(
+            rate for (way, _), rate in rates.items() if way == 'received'
+        ),
+        'cpu_percent': (after.cpu_s - before.cpu_s) / seconds * 100,
+        'memory_megabytes': after.memory_bytes / 1e6,
+        'kinds': kinds,
+    }
+
+
+async def _measure_rest(deployment: bench_deployment.Deployment) -> Figures:
+    """Read every entry twice while no caller sends anything."""
+    session = bench_deployment.Session()
+    entries = deployment.entries
+    try:
+        await bench_deployment.publish(
+            session, entries[0], deployment.documents, 0
+        )
+        await bench_deployment.wait_settled(session, deployment)
+        await asyncio.sleep(CALM_S)
+        loop = asyncio.get_running_loop()
+        started = loop.time()
+        before = [await read_usage(session, one) for one in entries]
+        await asyncio.sleep(WINDOW_S)
+        after = [await read_usage(session, one) for one in entries]
+        seconds = loop.time() - started
+    finally:
+        session.close()
+    used = [
+        compare(first, last, seconds)
+        for first, last in zip(before, after, strict=True)
+    ]
+    return {
+        'entries': len(entries),
+        'targets': len(deployment.targets),
+        'seconds': round(seconds, 1),
+        **{
+            f'{name}_{what}': round(function(one[name] for one in used), 3)
+            for name in ('sent', 'received', 'cpu_percent', 'memory_megabytes')
+            for what, function in (('mean', _compute_mean), ('max', max))
+        },
+        'kinds_of_first_entry': used[0]['kinds'],
+    }
+
+
+def _compute_mean(values: typing.Iterable[float]) -> float:
+    listed = list(values)
+    return sum(listed) / len(listed)
+
+
+def measure_rest(entries: int = ENTRIES, chains: int = CHAINS) -> Figures:
+    """Measure real entries at rest; two engines a chain, two services.
+
+    Returns
+    -------
+    Figures
+        ``sent`` and ``received`` in bytes a second of messages between
+        entries, without TCP and IP; processor time in percent of a core.
+    """
+    with processes.open_processes() as scope:
+        deployment = bench_deployment.start_deployment(scope, entries, chains)
+        return asyncio.run(_measure_rest(deployment))
+
+
+def measure_control() -> dict[str, Figures]:
+    """Measure the real part and the simulated part."""
+    return {
+        'real': measure_rest(),
+        'simulated_gossip': {
+            'members': FLEET,
+            **bench_membership.measure_rest(FLEET),
+        },
+    }
+
+
+def main() -> int:
+    """Print one JSON object."""
+    print(json.dumps(measure_control()))
+    return 0
+
+
+if __name__ == '__main__':
+    sys.exit(main())
--- a/tools/bench_membership.py
+++ b/tools/bench_membership.py
@@ -325,6 +325,19 @@
     return {name: round(value, 3) for name, value in figures.items()}
 
 
+def measure_rest(size: int) -> dict[str, float]:
+    """Measure a fleet of one size at rest, after its start has settled.
+
+    Returns
+    -------
+    dict of str to float
+        A part of :func:`measure_size`, in a fraction of its time.
+    """
+    fleet = Fleet(size)
+    figures = _measure_start(fleet) | _measure_idle(fleet)
+    return {name: round(value, 3) for name, value in figures.items()}
+
+
 def measure_membership() -> dict[str, dict[str, float]]:
     """Measure every size of the fleet.
 
