Measure what a real entry process spends, and describe the measurements

make capacity now takes slopes of one entry process as well: processor time of a call, an action, a token and a polled target, memory at rest and of a stream; and bytes and processor time of a round of gossip at four sizes.

Found on the way: a lone entry with eight callers of actions answers 503 "the platform can not be reached" while the platform is up. It writes every page itself, up to 80 writes a second, and its client lets 50 calls a second through. The measurement sends two actions at once for that reason.

--- a/tools/bench_deployment.py
+++ b/tools/bench_deployment.py
@@ -95,15 +95,14 @@
             raise ConnectionError(f'{url}: {response.code} {response.error}')
         return json.loads(response.body)
 
-    async def act(self, entry_url: str, key: str, resent: bool = False) -> int:
-        """Send an action and return the status of its answer."""
+    async def act(
+        self, entry_url: str, key: str, resent: bool = False
+    ) -> httpclient.HTTPResponse:
+        """Send an action; its status is 200 when it ran."""
         headers = {'Idempotency-Key': key}
         if resent:
             headers['Idempotency-Resent'] = 'true'
-        response = await self.send(
-            'POST', entry_url + ACTION_PATH, b'{}', headers
-        )
-        return response.code
+        return await self.send('POST', entry_url + ACTION_PATH, b'{}', headers)
 
 
 @attrs.define
--- a/tools/capacity.py
+++ b/tools/capacity.py
@@ -1,7 +1,9 @@
 """Measures the slopes behind docs/CAPACITY.md and prints them as JSON.
 
-Each slope is taken at three sizes or more in this process: bytes of memory
-by tracemalloc, processor time by ``time.process_time``.
+Each slope is taken at three sizes or more: in this process (bytes of memory
+by tracemalloc, processor time by ``time.process_time``), of a real entry
+process by ``tools.capacity_processes``, and of simulated gossip by
+``tools.bench_membership``.
 """
 
 from __future__ import annotations
@@ -25,6 +27,7 @@
 from thornspool.domain.pipelines import planner
 from thornspool.domain.targets import messages as target_messages
 from tools import bench_membership
+from tools import capacity_processes
 
 SEED = 20261202
 WORKSPACE_SIZES = (1_000, 4_000, 14_000)
@@ -35,6 +38,7 @@
 LAYERS = 48
 PLANS = 200
 EDITS = 10
+MS_PER_PERCENT = 10.0
 
 Build = typing.Callable[[int], typing.Any]
 
@@ -52,7 +56,7 @@
     values : tuple of float
         The quantity at each size.
     slope : float
-        By least squares, in units for each further thing.
+        By least squares, in units for each further thing; 0 for one size.
     """
 
     unit: str
@@ -65,6 +69,8 @@
     unit: str, sizes: tuple[int, ...], values: tuple[float, ...]
 ) -> Measured:
     """Fit a line through the values of a quantity."""
+    if len(sizes) == 1:
+        return Measured(unit, sizes, values, 0.0)
     mean_size = sum(sizes) / len(sizes)
     mean_value = sum(values) / len(values)
     above = sum(
@@ -298,6 +304,20 @@
     }
 
 
+def fit_gossip(
+    gossip: dict[str, dict[str, float]],
+) -> dict[str, Measured]:
+    """Fit what a node spends for each round of gossip, one a second."""
+    sizes = tuple(int(size) for size in gossip)
+    found = gossip.values()
+    sent = tuple(one['sent_bytes_per_s'] for one in found)
+    processor = tuple(one['cpu_percent'] * MS_PER_PERCENT for one in found)
+    return {
+        'gossip_bytes_per_round_by_member': fit_slope('bytes', sizes, sent),
+        'gossip_cpu_per_round_by_member': fit_slope('ms', sizes, processor),
+    }
+
+
 def measure_slopes() -> dict[str, typing.Any]:
     """Measure everything.
 
@@ -306,14 +326,21 @@
     dict of str to Measured or figures
         By name; sizes and values as measured.
     """
-    slopes: dict[str, typing.Any] = {
+    slopes: dict[str, Measured] = {
         **measure_configuration(),
         **measure_ledger(),
         **measure_planning(),
         **measure_state(),
     }
+    for name, (
+        unit,
+        (sizes, values),
+    ) in capacity_processes.measure_processes().items():
+        slopes[name] = fit_slope(unit, sizes, values)
+    gossip = bench_membership.measure_membership()
+    slopes.update(fit_gossip(gossip))
     figures = {name: attrs.asdict(one) for name, one in slopes.items()}
-    figures['gossip'] = bench_membership.measure_membership()
+    figures['gossip'] = gossip
     return figures
 
 
