Measure an entry process with one request at a time

With eight at once on a busy machine the adaptive bound of admission refused calls (503, "Refused for its overload"), and the run ended. The processor time of a request does not depend on how many are in flight.

--- a/tools/capacity_processes.py
+++ b/tools/capacity_processes.py
@@ -24,13 +24,13 @@
 
 CALL_SIZES = (200, 600, 1_800)
 ACTION_SIZES = (50, 100, 200)
-TOKEN_SIZES = (2_000, 6_000, 18_000)
+TOKEN_SIZES = (1_000, 3_000, 9_000)
 STREAM_SIZES = (4, 8, 16)
 TARGET_SIZES = (43, 200, 690)
-PARALLEL = 8
-PARALLEL_ACTIONS = 2
-"""More would use up the calls that one entry may send to the platform, as
-a lone entry writes every page of the ledger itself."""
+PARALLEL = 1
+"""More could be refused: calls by the adaptive bound when the machine is
+busy, actions because a lone entry, which writes every page of the ledger
+itself, uses up the calls that it may send to the platform."""
 STREAM_TOKENS = 20_000
 PATIENCE_MS = 300_000
 HOLD_S = 2.0
@@ -100,9 +100,7 @@
             raise ConnectionError(f'{response.code} {response.error}')
 
 
-async def _repeat(
-    work: Callable[[], Awaitable[None]], count: int, parallel: int
-) -> None:
+async def _repeat(work: Callable[[], Awaitable[None]], count: int) -> None:
     """Do something many times, a few at once."""
     left = iter(range(count))
 
@@ -110,21 +108,20 @@
         for _ in left:
             await work()
 
-    await asyncio.gather(*(go_on() for _ in range(parallel)))
+    await asyncio.gather(*(go_on() for _ in range(PARALLEL)))
 
 
 async def _measure_cpu(
     measurer: Measurer,
     work: Callable[[], Awaitable[None]],
     sizes: tuple[int, ...],
-    parallel: int,
 ) -> Series:
     """Measure processor time of the entry by the number of requests."""
-    await _repeat(work, parallel, parallel)
+    await _repeat(work, PARALLEL)
     values = []
     for size in sizes:
         before = measurer.read_cpu_ms()
-        await _repeat(work, size, parallel)
+        await _repeat(work, size)
         values.append(measurer.read_cpu_ms() - before)
     return sizes, tuple(values)
 
@@ -248,12 +245,8 @@
         at_rest = measurer.read_memory()
         await bench_deployment.publish(session, entry, make_documents(urls), 0)
         await asyncio.sleep(HOLD_S)
-        calls = await _measure_cpu(
-            measurer, measurer.call, CALL_SIZES, PARALLEL
-        )
-        acts = await _measure_cpu(
-            measurer, measurer.act, ACTION_SIZES, PARALLEL_ACTIONS
-        )
+        calls = await _measure_cpu(measurer, measurer.call, CALL_SIZES)
+        acts = await _measure_cpu(measurer, measurer.act, ACTION_SIZES)
         return {
             'entry_memory_at_rest': ('bytes', ((1,), (at_rest,))),
             'entry_cpu_by_call': ('ms', calls),
