--- a/src/thornspool/adapters/servers.py
+++ b/src/thornspool/adapters/servers.py
@@ -2,11 +2,8 @@
 
 from __future__ import annotations
 
-<<<<<<< HEAD
 import asyncio
-=======
 import contextlib
->>>>>>> part/configuration
 import ssl
 import typing
 
@@ -18,12 +15,9 @@
 from thornspool import exceptions
 
 if typing.TYPE_CHECKING:
-<<<<<<< HEAD
     from collections.abc import Awaitable
     from collections.abc import Callable
-=======
     from collections.abc import Iterator
->>>>>>> part/configuration
 
     from tornado import web
 
@@ -33,16 +27,13 @@
 DEFAULT_BODY_LIMIT_BYTES = 8 * 1024 * 1024
 ANSWER_TIMEOUT_MS = 30_000
 _HEADROOM_BYTES = 65_536
-<<<<<<< HEAD
 _CHECK_S = 0.02
 
 logger = structlog.get_logger(__name__)
-=======
 _PEM_HINT = (
     'a key must belong to the certificate and have no password, and all '
     'must be readable by the user that the entry runs as.'
 )
->>>>>>> part/configuration
 
 
 class ListenError(exceptions.ThornspoolError):
@@ -87,7 +78,6 @@
     return context
 
 
-<<<<<<< HEAD
 class _Request(httputil.HTTPMessageDelegate):
     """Counts a connection as busy once the head of a request was read."""
 
@@ -138,7 +128,8 @@
     def on_close(self, server_conn: object) -> None:
         self.busy.discard(server_conn)
         super().on_close(server_conn)
-=======
+
+
 @contextlib.contextmanager
 def _naming(member: str, path: str) -> Iterator[None]:
     """Turn errors of a PEM file into one that names its member."""
@@ -154,7 +145,6 @@
 def _refuse_password() -> str:
     """Stand in for the prompt of OpenSSL, at which a daemon would hang."""
     return ''
->>>>>>> part/configuration
 
 
 class Listener:
@@ -187,12 +177,8 @@
         self._address, _, port = listen.rpartition(':')
         self._scheme = 'https' if tls else 'http'
         self._body_limit_bytes = body_limit_bytes
-<<<<<<< HEAD
         self._server: _Server | None = None
-=======
-        self._server: httpserver.HTTPServer | None = None
         self._tls = make_tls(tls, name)
->>>>>>> part/configuration
         try:
             self._sockets = netutil.bind_sockets(
                 int(port), self._address.strip('[]'), backlog=BACKLOG
