Tell callers whether the key was checked, and mint bound keys

Cause: the use cases knew three things that HTTP did not pass on: bound keys could not be had at all; "not run" did not say whether it is true of the key or of this call only; a replay whose body was not kept looked like an empty whole answer.

Change: POST /v1/workspaces/{workspace}/keys; `key_checked` in problems of actions, false for refusals that are decided without the ledger (limit, drain, isolation); a replay without its body keeps the service's status, has `Idempotency-Body-Kept: false` and a problem with outcome "done" as its body. Ruled out: the header alone, since a caller that does not know it stores the empty body as the answer; a 4xx or 5xx status, since the action succeeded and a caller that takes it for a failure books again. The title of a problem no longer fails for statuses that have no name, which services may send. Intake.mint_key refuses while the entry would not run the key. context.py, intake.py and problems.py got the port, the use case and the member.

Seen to fail: refusals without key_checked: "AssertionError: False is not None"; NotRun always checked: "AssertionError: False is not True"; `whole` ignored: "KeyError: 'Idempotency-Body-Kept'".

--- a/src/thornspool/adapters/callers/context.py
+++ b/src/thornspool/adapters/callers/context.py
@@ -22,6 +22,10 @@
         """Run an operation; returns an action result."""
         ...
 
+    def mint_key(self, workspace: str) -> str:
+        """Make a key that only this process may run."""
+        ...
+
     async def look_up(self, workspace: str, key: str) -> typing.Any:
         """Tell what became of an action; returns an action result."""
         ...
--- a/src/thornspool/adapters/callers/handlers.py
+++ b/src/thornspool/adapters/callers/handlers.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 import contextlib
+import http
 import typing
 
+import attrs
 import msgspec
 
 from thornspool.adapters import problems
@@ -22,6 +24,18 @@
 JSON = 'application/json'
 RESENT_HEADER = 'Idempotency-Resent'
 REPLAYED_HEADER = 'Idempotency-Replayed'
+BODY_KEPT_HEADER = 'Idempotency-Body-Kept'
+_BODY_NOT_KEPT = (
+    'The action ran once and the service answered with status {status}; the '
+    'body was too long to be kept. Ask the service for it.'
+)
+
+
+@attrs.frozen
+class MintedKey:
+    """A key that only this entry's process may run."""
+
+    key: str
 
 
 class CallerHandler(problems.ProblemHandler):
@@ -97,11 +111,24 @@
             body=self.read_body(),
             resent=self.request.headers.get(RESENT_HEADER) == 'true',
         )
-        with translate_errors():
+        # A refusal here was decided without a look at the ledger, so an
+        # earlier send of the key may have run.
+        key_checked = False if request.key else None
+        with translate_errors(key_checked):
             result = await self.context.requests.run_operation(request)
         write_result(self, result)
 
 
+class KeysHandler(CallerHandler):
+    """``POST .../keys``: a key bound to this entry, for outages."""
+
+    def post(self, workspace: str) -> None:
+        """Answer with a new key."""
+        with translate_errors():
+            key = self.context.requests.mint_key(workspace)
+        self.write_json(MintedKey(key), http.HTTPStatus.CREATED)
+
+
 class ActionHandler(CallerHandler):
     """``GET .../actions/{key}``: what became of an action."""
 
@@ -113,9 +140,14 @@
 
 
 @contextlib.contextmanager
-def translate_errors() -> Iterator[None]:
+def translate_errors(key_checked: bool | None = None) -> Iterator[None]:
     """Turn errors of use cases into problems.
 
+    Parameters
+    ----------
+    key_checked : bool, optional
+        What refusals say of the idempotency key.
+
     Raises
     ------
     problems.ProblemError
@@ -127,6 +159,8 @@
         problem = find_problem(error)
         if problem is None:
             raise
+        if isinstance(error, requests.RequestRefused):
+            problem = attrs.evolve(problem, key_checked=key_checked)
         raise problems.ProblemError(problem) from error
 
 
@@ -173,17 +207,36 @@
         handler.set_status(result.status)
         handler.set_header('Content-Type', result.content_type)
         handler.set_header(REPLAYED_HEADER, str(result.replayed).lower())
-        handler.finish(result.body)
+        if result.whole:
+            handler.finish(result.body)
+        else:
+            _write_without_body(handler, result.status)
         return
     problems.write_problem(handler, _describe_result(result))
 
 
+def _write_without_body(handler: web.RequestHandler, status: int) -> None:
+    """End a replay whose body is gone.
+
+    An empty body of the service's own media type could be taken for the
+    whole answer, so a problem that says "done" stands in for it.
+    """
+    handler.set_header(BODY_KEPT_HEADER, 'false')
+    detail = _BODY_NOT_KEPT.format(status=status)
+    problems.write_problem(
+        handler, problems.Problem(status, detail, problems.Outcome.DONE)
+    )
+
+
 def _describe_result(result: typing.Any) -> problems.Problem:
     """Return the problem that stands for a result without an answer."""
     match result:
         case actions.ActionNotRun():
             return problems.Problem(
-                503, result.reason, retry_after_ms=result.retry_after_ms
+                503,
+                result.reason,
+                retry_after_ms=result.retry_after_ms,
+                key_checked=result.key_checked,
             )
         case actions.ActionUnknown():
             return problems.Problem(
@@ -191,6 +244,7 @@
                 result.reason,
                 problems.Outcome.UNKNOWN,
                 result.retry_after_ms,
+                key_checked=False,
             )
         case _:
-            return problems.Problem(422, result.reason)
+            return problems.Problem(422, result.reason, key_checked=False)
--- a/src/thornspool/adapters/callers/routes.py
+++ b/src/thornspool/adapters/callers/routes.py
@@ -45,6 +45,7 @@
                 handlers.OperationHandler,
                 needs,
             ),
+            (f'{_WORKSPACE}/keys', handlers.KeysHandler, needs),
             (
                 f'{_WORKSPACE}/actions/([^/]+)',
                 handlers.ActionHandler,
--- a/src/thornspool/adapters/problems.py
+++ b/src/thornspool/adapters/problems.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import enum
-import http
+import http.client
 import math
 import typing
 
@@ -41,6 +41,9 @@
         When to come back; None when coming back does not help.
     instead : tuple of str
         Addresses of entries to use instead of this one.
+    key_checked : bool or None
+        Whether the outcome holds for the idempotency key, too; None where
+        no key is concerned.
     """
 
     status: int
@@ -48,6 +51,7 @@
     outcome: Outcome = Outcome.NOT_RUN
     retry_after_ms: int | None = None
     instead: tuple[str, ...] = ()
+    key_checked: bool | None = None
 
 
 class ProblemError(Exception):
@@ -62,7 +66,7 @@
     """Return the members of the JSON object of a problem."""
     members: dict[str, typing.Any] = {
         'type': 'about:blank',
-        'title': http.HTTPStatus(problem.status).phrase,
+        'title': http.client.responses.get(problem.status, 'Unknown'),
         'status': problem.status,
         'detail': problem.detail,
         'outcome': problem.outcome.value,
@@ -71,6 +75,8 @@
         members['retry_after_ms'] = problem.retry_after_ms
     if problem.instead:
         members['instead'] = problem.instead
+    if problem.key_checked is not None:
+        members['key_checked'] = problem.key_checked
     return members
 
 
--- a/src/thornspool/application/intake.py
+++ b/src/thornspool/application/intake.py
@@ -192,6 +192,30 @@
                 return results.ActionUnknown(reason, refused.retry_after_ms)
             raise
 
+    def mint_key(self, workspace: str) -> str:
+        """Make a key that only this process may ever run.
+
+        Parameters
+        ----------
+        workspace : str
+            Workspace of the caller.
+
+        Returns
+        -------
+        str
+            For the ``Idempotency-Key`` of one action sent to this entry.
+
+        Raises
+        ------
+        requests.RequestRefused
+            This entry would not run the key: it drains or is isolated.
+        exceptions.UnknownName
+            No such workspace is in force.
+        """
+        directory.find_workspace(self._snapshot(), workspace)
+        self._check_open()
+        return self._runners.actions.mint_key()
+
     async def look_up(self, workspace: str, key: str) -> results.ActionResult:
         """Tell what became of an action; also while draining."""
         directory.find_workspace(self._snapshot(), workspace)
--- a/tests/adapters/callers/test_routes.py
+++ b/tests/adapters/callers/test_routes.py
@@ -19,6 +19,8 @@
 GENERATE = '/v1/workspaces/swan-coast/models/drafter/generate'
 HOLD = '/v1/workspaces/swan-coast/services/slots/hold'
 
+KEYS = '/v1/workspaces/swan-coast/keys'
+
 # path, body, status, part of the detail
 BAD_INPUT = (
     (GENERATE, b'{"prompt": ', 400, 'not a request for text'),
@@ -45,6 +47,17 @@
     (ValueError('unforeseen'), 500, 'unknown', None),
 )
 
+# result or error of the use case, key, key_checked of the problem
+KEY_CHECKED = (
+    (results.ActionNotRun('busy', 1200, True), 'k', True),
+    (results.ActionNotRun('busy', 1200, False), 'k', False),
+    (results.ActionUnknown('lost', 3000), 'k', False),
+    (results.ActionRefused('reused'), 'k', False),
+    (requests.RequestRefused('limit', 400), 'k', False),
+    (requests.RequestRefused('limit', 400), '', None),
+    (exceptions.UnknownName('service', 'x'), 'k', None),
+)
+
 
 class FakeRequests:
     """Use cases that answer what a test puts in."""
@@ -62,6 +75,12 @@
             raise self.result
         return self.result
 
+    def mint_key(self, workspace):
+        self.calls.append(workspace)
+        if isinstance(self.result, Exception):
+            raise self.result
+        return 'key@entry-1'
+
     async def look_up(self, workspace, key):
         return await self.run_operation((workspace, key))
 
@@ -140,6 +159,49 @@
         self.assertEqual('false', answer.headers['Idempotency-Replayed'])
         self.assertEqual('k', self.requests.calls[0].key)
 
+    def test_problems_of_actions_tell_whether_the_key_was_checked(self):
+        """A call is refused while an earlier send of its key has run.
+
+        A caller that takes "not run" for a statement about the key books
+        again under a new key and holds two slots.
+        """
+        for result, key, checked in KEY_CHECKED:
+            with self.subTest(result=result, key=key):
+                self.requests.result = result
+                headers = {'Idempotency_Key': key} if key else {}
+                problem = json.loads(self.post(HOLD, b'{}', **headers).body)
+                self.assertIs(checked, problem.get('key_checked'))
+
+    def test_a_replay_without_its_body_is_not_taken_for_a_whole_one(self):
+        """A long answer was recorded without its body, and is replayed.
+
+        The caller would store an empty answer as that of the service.
+        """
+        self.requests.result = results.ActionDone(
+            201, 'text/plain', b'', True, False
+        )
+        answer = self.post(HOLD, b'{}', Idempotency_Key='k')
+        self.assertEqual(201, answer.code)
+        self.assertEqual('true', answer.headers['Idempotency-Replayed'])
+        self.assertEqual('false', answer.headers['Idempotency-Body-Kept'])
+        self.assertEqual(
+            'application/problem+json', answer.headers['Content-Type']
+        )
+        self.assertEqual('done', json.loads(answer.body)['outcome'])
+
+    def test_keys_bound_to_the_entry_are_made(self) -> None:
+        answer = self.post(KEYS, b'')
+        self.assertEqual(201, answer.code)
+        self.assertEqual({'key': 'key@entry-1'}, json.loads(answer.body))
+        self.assertEqual(['swan-coast'], self.requests.calls)
+        for error, status in (
+            (requests.RequestRefused('drain', 100), 503),
+            (exceptions.UnknownName('workspace', 'x'), 404),
+        ):
+            with self.subTest(error=error):
+                self.requests.result = error
+                self.assertEqual(status, self.post(KEYS, b'').code)
+
     def test_a_drain_names_entries_to_use_instead(self) -> None:
         self.requests.result = requests.RequestRefused(
             'drain', 0, ('http://10.0.0.1:8000',)
