Prove actions and configuration with real processes

Cause: at most once and "never reverts" were fuzzed in virtual time, but not shown with processes that are killed, frozen and woken.

Waits poll a condition; nothing is asserted about the clock; executions are counted at the services. Keys are made 20 s ahead, since a key over 500 ms old counts as sent before and a busy machine takes that long now and then.

--- /dev/null
+++ b/tests/processes/deployment.py
@@ -0,0 +1,389 @@
+"""A small deployment of processes: platform, plain services and entries."""
+
+from __future__ import annotations
+
+import asyncio
+import concurrent.futures
+import json
+import random
+import re
+import typing
+from urllib import parse
+
+import attrs
+from tornado import httpclient
+
+from thornspool import clock
+from thornspool import identifiers
+from thornspool.domain.configuration import head
+from tools import processes
+from tools import requester
+
+if typing.TYPE_CHECKING:
+    from collections.abc import Awaitable
+    from collections.abc import Callable
+
+WORKSPACE = 'slots'
+SERVICE = 'booking'
+SERVICES = ('booking-1', 'booking-2')
+DOMAINS = ('perth-a', 'perth-b', 'perth-c')
+HOLD = 'hold'
+QUICK = 'quick-hold'
+TIMEOUTS_MS = {HOLD: 5_000, QUICK: 1_000}
+BODY = b'{"slot": 7}'
+HEAD_PATH = f'/v1/kv/{parse.quote(head.HEAD_KEY, safe="")}'
+WAIT_S = 15.0
+POLL_S = 0.03
+KEY_AHEAD_MS = 20_000
+"""Keys lie this far ahead, so that none counts as sent before because a busy
+machine took half a second to send it."""
+
+_APPLIED = re.compile(r'event=configuration_applied.* version=(\d+)')
+_random = random.Random(20)
+
+Document = dict[str, typing.Any]
+
+
+@attrs.frozen
+class Reply:
+    """What a caller was told of an action.
+
+    Attributes
+    ----------
+    status : int
+        HTTP status.
+    outcome : str
+        ``done``, ``not run`` or ``unknown``.
+    body : bytes
+        Whole body.
+    headers : dict of str to str
+        Headers of the answer.
+    key_checked : bool or None
+        As the problem says.
+    """
+
+    status: int
+    outcome: str
+    body: bytes
+    headers: dict[str, str]
+    key_checked: bool | None = None
+
+
+@attrs.define
+class Deployment:
+    """Processes of one test, and what its callers and operators do."""
+
+    scope: processes.Processes
+    platform: processes.Process
+    services: tuple[processes.Process, ...]
+    entries: list[processes.Process]
+
+    async def act(
+        self,
+        entry: int,
+        key: str,
+        body: bytes = BODY,
+        operation: str = HOLD,
+        resent: bool = False,
+    ) -> Reply:
+        """Send an action through an entry.
+
+        Raises
+        ------
+        ConnectionError
+            When no whole answer came.
+        """
+        path = f'/v1/workspaces/{WORKSPACE}/services/{SERVICE}/{operation}'
+        headers = {'Idempotency-Key': key}
+        if resent:
+            headers['Idempotency-Resent'] = 'true'
+        url = self.entries[entry].ready['callers'] + path
+        try:
+            answer = await requester.send_async('POST', url, body, headers)
+        except httpclient.HTTPClientError as error:
+            raise ConnectionError(str(error)) from error
+        return _read_reply(answer)
+
+    async def mint_key(self, entry: int) -> str:
+        """Return a key bound to an entry."""
+        path = f'/v1/workspaces/{WORKSPACE}/keys'
+        url = self.entries[entry].ready['callers'] + path
+        answer = await requester.send_async('POST', url, b'')
+        key: str = answer.read_json()['key']
+        return key
+
+    async def act_until_done(self, key: str, **options: typing.Any) -> Reply:
+        """Send a key again and again, by turns, until it is answered."""
+        replies: list[Reply] = []
+
+        async def is_done() -> bool:
+            entry = len(replies) % len(self.entries)
+            replies.append(
+                await self.act(entry, key, resent=bool(replies), **options)
+            )
+            return replies[-1].outcome == 'done'
+
+        await wait_until(is_done, f'key {key} runs')
+        return replies[-1]
+
+    async def set_faults(self, **faults: typing.Any) -> None:
+        """Replace the faults of the platform."""
+        await _order(self.platform, 'faults', faults)
+
+    async def set_behaviour(self, **behaviour: typing.Any) -> None:
+        """Replace the behaviour of all services."""
+        for service in self.services:
+            await _order(service, 'behaviour', behaviour)
+
+    async def count_platform(self, kind: str) -> int:
+        """Return the number of the platform's calls of a kind."""
+        counts = await _read(self.platform, '/control/counts')
+        return int(counts.get(kind, 0))
+
+    async def count_executions(self, key: str) -> int:
+        """Add up how often the services executed a key."""
+        counts = [await _read(one, '/control/counts') for one in self.services]
+        return sum(one['executions'].get(key, 0) for one in counts)
+
+    async def count_calls(self) -> int:
+        """Add up all calls that reached the services."""
+        counts = [await _read(one, '/control/counts') for one in self.services]
+        return sum(one['calls'] for one in counts)
+
+    async def count_running(self) -> int:
+        """Add up the calls that the services carry out now."""
+        loads = [await _read(one, '/v1/load') for one in self.services]
+        return sum(one['running'] for one in loads)
+
+    async def wait_idle(self) -> None:
+        """Wait until no service carries out a call."""
+
+        async def is_idle() -> bool:
+            return await self.count_running() == 0
+
+        await wait_until(is_idle, 'services are idle')
+
+    async def publish(
+        self,
+        entry: int,
+        name: str,
+        documents: list[Document],
+        base_version: int = 0,
+    ) -> requester.Answer:
+        """Publish documents through an entry under an id of this name."""
+        body = {
+            'id': name,
+            'author': 'test',
+            'base_version': base_version,
+            'documents': documents,
+        }
+        return await self._ask_operators(
+            entry, 'POST', 'publications', json.dumps(body).encode()
+        )
+
+    async def read_configuration(self, entry: int) -> Document:
+        """Return version and history as an entry knows them."""
+        answer = await self._ask_operators(entry, 'GET', 'configuration')
+        read: Document = answer.read_json()
+        return read
+
+    async def read_version(self, entry: int) -> int:
+        """Return the version in force at an entry."""
+        return int((await self.read_configuration(entry))['version'])
+
+    async def wait_version(self, entry: int, version: int) -> None:
+        """Wait until an entry has a version in force."""
+
+        async def is_there() -> bool:
+            return await self.read_version(entry) >= version
+
+        await wait_until(is_there, f'version {version} at entry {entry}')
+
+    def read_applied(self, entry: int) -> list[int]:
+        """Return the versions that an entry logged as put in force."""
+        found = _APPLIED.findall(self.entries[entry].read_log())
+        return [int(version) for version in found]
+
+    async def read_head(self) -> bytes:
+        """Return the head of the configuration that the platform holds."""
+        url = self.platform.ready['url'] + HEAD_PATH
+        return (await requester.send_async('GET', url)).body
+
+    async def write_head(self, value: bytes, times: int) -> None:
+        """Write a head to the platform, as a restore would, repeatedly.
+
+        Each write raises the platform's version of the head by one, so that
+        the watches of entries end.
+        """
+        url = self.platform.ready['url'] + HEAD_PATH
+        tag = {'If-None-Match': '*'}
+        for _ in range(times):
+            answer = await requester.send_async('PUT', url, value, tag)
+            tag = {'If-Match': answer.headers['Etag']}
+
+    async def wait_joined(self) -> None:
+        """Wait until every entry holds all of them for alive."""
+        for number in range(len(self.entries)):
+
+            async def knows_all(entry: int = number) -> bool:
+                answer = await self._ask_operators(entry, 'GET', 'status')
+                members = answer.read_json()['members']
+                alive = [one for one in members if one['state'] == 'alive']
+                return len(alive) >= len(self.entries)
+
+            await wait_until(knows_all, f'entry {number} knows all')
+
+    async def start_entry(self) -> int:
+        """Start another entry and return its number."""
+        entry = await asyncio.to_thread(
+            _start_entry,
+            self.scope,
+            self.platform,
+            len(self.entries),
+            self.entries[0].ready['peers'],
+        )
+        self.entries.append(entry)
+        return len(self.entries) - 1
+
+    async def _ask_operators(
+        self, entry: int, method: str, path: str, body: bytes | None = None
+    ) -> requester.Answer:
+        return await requester.send_async(
+            method,
+            f'{self.entries[entry].ready["operators"]}/v1/{path}',
+            body,
+            {'Authorization': f'Bearer {processes.OPERATOR_TOKEN}'},
+        )
+
+
+def start_deployment(scope: processes.Processes) -> Deployment:
+    """Start a platform, two services and three entries."""
+    with concurrent.futures.ThreadPoolExecutor() as pool:
+        platform, *services = pool.map(
+            lambda command: scope.start(*command),
+            [
+                ('platform', 'standins.platform'),
+                *((n, 'standins.service', '--name', n) for n in SERVICES),
+            ],
+        )
+        first = _start_entry(scope, platform, 0, '')
+        seed = first.ready['peers']
+        others = pool.map(
+            lambda number: _start_entry(scope, platform, number, seed), (1, 2)
+        )
+        return Deployment(scope, platform, tuple(services), [first, *others])
+
+
+async def prepare(deployment: Deployment) -> int:
+    """Publish the documents and return their version, in force everywhere."""
+    await deployment.wait_joined()
+    answer = await deployment.publish(0, 'first', make_documents(deployment))
+    version = int(answer.read_json()['version'])
+    for entry in range(len(deployment.entries)):
+        await deployment.wait_version(entry, version)
+    return version
+
+
+def make_documents(deployment: Deployment) -> list[Document]:
+    """Make one workspace with one service of two targets."""
+    targets = [
+        {
+            'kind': 'target',
+            'name': process.name,
+            'serves': 'service',
+            'host': process.name,
+            'failure_domain': DOMAINS[0],
+            'url': process.ready['url'],
+        }
+        for process in deployment.services
+    ]
+    service = {
+        'kind': 'service',
+        'name': SERVICE,
+        'workspace': WORKSPACE,
+        'targets': list(SERVICES),
+        'operations': [
+            {'name': name, 'idempotent': False, 'timeout_ms': timeout}
+            for name, timeout in TIMEOUTS_MS.items()
+        ],
+    }
+    return [make_workspace(WORKSPACE), *targets, service]
+
+
+def make_workspace(name: str, requests_per_s: int = 10_000) -> Document:
+    """Make a workspace with a limit."""
+    limits = {'requests_per_s': requests_per_s}
+    return {'kind': 'workspace', 'name': name, 'limits': limits}
+
+
+def make_key() -> str:
+    """Make an idempotency key."""
+    wall = read_wall() + KEY_AHEAD_MS
+    return str(identifiers.make_uuid7(wall, _random.getrandbits(74)))
+
+
+def read_wall() -> int:
+    """Return milliseconds since the Unix epoch."""
+    return clock.Clock().wall()
+
+
+async def wait_until(
+    condition: Callable[[], Awaitable[bool]], what: str
+) -> None:
+    """Poll a condition.
+
+    Raises
+    ------
+    AssertionError
+        When it does not hold in time.
+    """
+    try:
+        async with asyncio.timeout(WAIT_S):
+            while not await condition():
+                await asyncio.sleep(POLL_S)
+    except TimeoutError:
+        raise AssertionError(f'Waited in vain until {what}.') from None
+
+
+def _start_entry(
+    scope: processes.Processes,
+    platform: processes.Process,
+    number: int,
+    seed: str,
+) -> processes.Process:
+    return scope.start_entry(
+        f'perth-{number + 1}',
+        failure_domain=DOMAINS[number % len(DOMAINS)],
+        region='perth',
+        peers={'listen': '127.0.0.1:0', 'seeds': [seed] if seed else []},
+        platform={'kind': 'http', 'url': platform.ready['url']},
+    )
+
+
+def _read_reply(answer: requester.Answer) -> Reply:
+    if 'problem+json' not in answer.headers.get('Content-Type', ''):
+        return Reply(answer.status, 'done', answer.body, answer.headers)
+    problem = answer.read_json()
+    return Reply(
+        answer.status,
+        problem['outcome'],
+        answer.body,
+        answer.headers,
+        problem.get('key_checked'),
+    )
+
+
+async def _order(
+    process: processes.Process, name: str, values: Document
+) -> None:
+    url = f'{process.ready["url"]}/control/{name}'
+    body = json.dumps(values).encode()
+    answer = await requester.send_async('POST', url, body)
+    if answer.status != 200:
+        raise AssertionError(f'{process.name} refused {values}.')
+
+
+async def _read(process: processes.Process, path: str) -> Document:
+    url = process.ready['url'] + path
+    read: Document = (await requester.send_async('GET', url)).read_json()
+    return read
