Freeze the runner with its grant in the ledger

Cause: a trial on a copy, in which a silent runner's key is given to the next sender, passed test_a_runner_frozen_before_its_call: the page was written by another entry, whose answer came too late for the frozen one to run anything.

Change: the key is one whose page the frozen entry writes itself, and the test goes on only when the page stands in the platform, so the answer to the write waits in the frozen process's socket.

--- a/tests/processes/deployment.py
+++ b/tests/processes/deployment.py
@@ -15,6 +15,7 @@
 
 from thornspool import clock
 from thornspool import identifiers
+from thornspool.domain.actions import keys
 from thornspool.domain.configuration import head
 from tools import processes
 from tools import requester
@@ -31,7 +32,6 @@
 QUICK = 'quick-hold'
 TIMEOUTS_MS = {HOLD: 5_000, QUICK: 1_000}
 BODY = b'{"slot": 7}'
-HEAD_PATH = f'/v1/kv/{parse.quote(head.HEAD_KEY, safe="")}'
 WAIT_S = 15.0
 POLL_S = 0.03
 KEY_AHEAD_MS = 20_000
@@ -204,10 +204,10 @@
         found = _APPLIED.findall(self.entries[entry].read_log())
         return [int(version) for version in found]
 
-    async def read_head(self) -> bytes:
-        """Return the head of the configuration that the platform holds."""
-        url = self.platform.ready['url'] + HEAD_PATH
-        return (await requester.send_async('GET', url)).body
+    async def read_value(self, key: str) -> bytes:
+        """Return what the platform holds under a key; nothing if nothing."""
+        answer = await requester.send_async('GET', self._build_url(key))
+        return answer.body
 
     async def write_head(self, value: bytes, times: int) -> None:
         """Write a head to the platform, as a restore would, repeatedly.
@@ -215,7 +215,7 @@
         Each write raises the platform's version of the head by one, so that
         the watches of entries end.
         """
-        url = self.platform.ready['url'] + HEAD_PATH
+        url = self._build_url(head.HEAD_KEY)
         tag = {'If-None-Match': '*'}
         for _ in range(times):
             answer = await requester.send_async('PUT', url, value, tag)
@@ -245,6 +245,10 @@
         self.entries.append(entry)
         return len(self.entries) - 1
 
+    def _build_url(self, key: str) -> str:
+        quoted = parse.quote(key, safe='')
+        return f'{self.platform.ready["url"]}/v1/kv/{quoted}'
+
     async def _ask_operators(
         self, entry: int, method: str, path: str, body: bytes | None = None
     ) -> requester.Answer:
@@ -318,13 +322,14 @@
 
 def make_key() -> str:
     """Make an idempotency key."""
-    wall = read_wall() + KEY_AHEAD_MS
+    wall = clock.Clock().wall() + KEY_AHEAD_MS
     return str(identifiers.make_uuid7(wall, _random.getrandbits(74)))
 
 
-def read_wall() -> int:
-    """Return milliseconds since the Unix epoch."""
-    return clock.Clock().wall()
+def locate_page(key: str) -> keys.PageAddress:
+    """Return the ledger page of a key."""
+    parsed = keys.parse_key(WORKSPACE, key, clock.Clock().wall())
+    return keys.locate_page(parsed, keys.Layout())
 
 
 async def wait_until(
--- a/tests/processes/test_actions.py
+++ b/tests/processes/test_actions.py
@@ -50,6 +50,31 @@
 
         await deployments.wait_until(is_written, 'a page is written')
 
+    def make_keys_of(self, writer: int) -> list[str]:
+        """Make keys of pages that an entry is asked first to write."""
+        names = [one.ready['incarnation'] for one in self.deployment.entries]
+        members = [ports.Member(name, '', '', '', '', '') for name in names]
+        found = []
+        while len(found) < BURST:
+            key = deployments.make_key()
+            page = deployments.locate_page(key)
+            chosen = ledger_router.choose_writer(
+                members, page.bucket, page.slot
+            )
+            if chosen.incarnation == names[writer]:
+                found.append(key)
+        return found
+
+    async def wait_granted(self, key) -> None:
+        """Wait until the page of a key stands in the platform."""
+        page = deployments.locate_page(key)
+        path = keys.format_page_key(page, keys.Layout())
+
+        async def is_granted():
+            return bool(await self.deployment.read_value(path))
+
+        await deployments.wait_until(is_granted, 'the grant stands')
+
     async def check_ran_once_at_most(self, key, replies) -> None:
         """Compare executions with everything that callers were told."""
         await self.deployment.wait_idle()
@@ -117,7 +142,7 @@
         await self.freeze_runner(deployments.QUICK)
 
     async def freeze_runner(self, operation: str) -> None:
-        deployment, key = self.deployment, deployments.make_key()
+        deployment, key = self.deployment, self.make_keys_of(0)[0]
         before = await deployment.count_platform('put')
         await deployment.set_faults(slow_ms=400)
         first = asyncio.create_task(
@@ -126,6 +151,7 @@
         await self.wait_written(before)
         deployment.entries[0].send_signal(signal.SIGSTOP)
         await deployment.set_faults()
+        await self.wait_granted(key)
         again = [
             await deployment.act(1, key, operation=operation, resent=True)
         ]
@@ -281,21 +307,3 @@
             return await self.deployment.count_calls() > 0
 
         await deployments.wait_until(is_called, 'a first call arrives')
-
-    def make_keys_of(self, writer: int) -> list[str]:
-        """Make keys of pages that an entry is asked first to write."""
-        names = [one.ready['incarnation'] for one in self.deployment.entries]
-        members = [ports.Member(name, '', '', '', '', '') for name in names]
-        found = []
-        while len(found) < BURST:
-            key = deployments.make_key()
-            parsed = keys.parse_key(
-                deployments.WORKSPACE, key, deployments.read_wall()
-            )
-            page = keys.locate_page(parsed, keys.Layout())
-            chosen = ledger_router.choose_writer(
-                members, page.bucket, page.slot
-            )
-            if chosen.incarnation == names[writer]:
-                found.append(key)
-        return found
--- a/tests/processes/test_configuration.py
+++ b/tests/processes/test_configuration.py
@@ -7,6 +7,7 @@
 import unittest
 
 from tests.processes import deployment as deployments
+from thornspool.domain.configuration import head
 from tools import processes
 
 ALL = (0, 1, 2)
@@ -151,7 +152,7 @@
         Entries that followed it would drop limits and targets.
         """
         deployment = self.deployment
-        backup = await deployment.read_head()
+        backup = await deployment.read_value(head.HEAD_KEY)
         await self.publish(0, 'newer', ('slots', 100))
         await self.check_in_force(self.version + 1)
         url = deployment.platform.ready['url']
