Restore old buckets with the old head, and send a lost publication late

With older versions accepted, the restored head changed nothing, since its buckets could not be had; with the history not looked at, the publication sent again was "unchanged".

Change: the backup has its buckets; another operator changes the same document before the lost publication is sent again.

--- a/tests/processes/deployment.py
+++ b/tests/processes/deployment.py
@@ -16,7 +16,6 @@
 from thornspool import clock
 from thornspool import identifiers
 from thornspool.domain.actions import keys
-from thornspool.domain.configuration import head
 from tools import processes
 from tools import requester
 
@@ -209,13 +208,13 @@
         answer = await requester.send_async('GET', self._build_url(key))
         return answer.body
 
-    async def write_head(self, value: bytes, times: int) -> None:
-        """Write a head to the platform, as a restore would, repeatedly.
+    async def write_value(self, key: str, value: bytes, times: int) -> None:
+        """Write a key that the platform lacks, as a restore would.
 
-        Each write raises the platform's version of the head by one, so that
-        the watches of entries end.
+        Each further write raises the platform's version of it by one, so
+        that the watches of entries end.
         """
-        url = self._build_url(head.HEAD_KEY)
+        url = self._build_url(key)
         tag = {'If-None-Match': '*'}
         for _ in range(times):
             answer = await requester.send_async('PUT', url, value, tag)
--- a/tests/processes/test_configuration.py
+++ b/tests/processes/test_configuration.py
@@ -8,6 +8,7 @@
 
 from tests.processes import deployment as deployments
 from thornspool.domain.configuration import head
+from thornspool.domain.configuration import storage
 from tools import processes
 
 ALL = (0, 1, 2)
@@ -78,7 +79,8 @@
         """The platform takes the head and the connection breaks.
 
         A publisher that wrote again, or gave up, would have it accepted
-        twice, or refused and in force.
+        twice, or refused and in force; one that is sent again after another
+        operator's change must neither undo that nor be called a conflict.
         """
         await self.deployment.set_faults(lose_writes=2)
         for entry in (0, 1):
@@ -87,6 +89,12 @@
             accepted = answer.read_json()['version']
             self.assertEqual(self.version + 1, accepted)
         await self.check_in_force(self.version + 1)
+        changed = [deployments.make_workspace('slots', 300)]
+        await self.deployment.publish(1, 'after', changed, self.version + 1)
+        answer = await self.publish(2, 'lost', ('slots', 100))
+        self.assertEqual(200, answer.status)
+        self.assertEqual(self.version + 1, answer.read_json()['version'])
+        await self.check_in_force(self.version + 2)
         for entry in ALL:
             accepted = await self.read_history(entry)
             self.assertEqual(1, accepted.count('lost'))
@@ -152,7 +160,7 @@
         Entries that followed it would drop limits and targets.
         """
         deployment = self.deployment
-        backup = await deployment.read_value(head.HEAD_KEY)
+        backup = await self.read_backup()
         await self.publish(0, 'newer', ('slots', 100))
         await self.check_in_force(self.version + 1)
         url = deployment.platform.ready['url']
@@ -167,11 +175,21 @@
         started = await deployment.start_entry()
         await self.check_in_force(self.version + 1)
         watches = await deployment.count_platform('watch')
-        await deployment.write_head(backup, RESTORES)
+        for key, value in backup.items():
+            times = RESTORES if key == head.HEAD_KEY else 1
+            await deployment.write_value(key, value, times)
         await self.wait_watched(watches)
         await deployment.wait_version(started, self.version + 1)
         await self.check_in_force(self.version + 1)
 
+    async def read_backup(self) -> dict[str, bytes]:
+        """Return head and buckets of the configuration, the head last."""
+        value = await self.deployment.read_value(head.HEAD_KEY)
+        digests = set(head.decode_head(value).buckets) - {''}
+        names = [storage.format_bucket_key(digest) for digest in digests]
+        read = {key: await self.deployment.read_value(key) for key in names}
+        return {**read, head.HEAD_KEY: value}
+
     async def wait_watched(self, before) -> None:
         """Wait until every entry has asked the platform again."""
         entries = len(self.deployment.entries)
