Wake the frozen runner before its write is past its timeout

Cause: with a silent runner's key given to the next sender, the test of the frozen runner still passed: on waking, its own write was past its timeout, so it read the page again and found the other's grant.

Change: the platform is slow by 100 ms, not 400, so the answer to the write is taken when the process wakes.

--- a/tests/processes/test_actions.py
+++ b/tests/processes/test_actions.py
@@ -16,6 +16,9 @@
 from tools import processes
 
 BURST = 60
+SLOW_MS = 100
+"""Long enough to freeze a writer during its write; short enough that its
+write is not past its timeout when it wakes after another's call."""
 ALL = (0, 1, 2)
 
 
@@ -144,7 +147,7 @@
     async def freeze_runner(self, operation: str) -> None:
         deployment, key = self.deployment, self.make_keys_of(0)[0]
         before = await deployment.count_platform('put')
-        await deployment.set_faults(slow_ms=400)
+        await deployment.set_faults(slow_ms=SLOW_MS)
         first = asyncio.create_task(
             deployment.act(0, key, operation=operation)
         )
