--- a/tests/processes/test_configuration.py
+++ b/tests/processes/test_configuration.py
@@ -157,7 +157,8 @@
     async def test_a_platform_that_forgot_takes_no_entry_back(self) -> None:
         """The platform starts again empty, then with an old backup.
 
-        Entries that followed it would drop limits and targets.
+        Entries that followed it would drop limits and targets, and a
+        publication planned on it would undo what was accepted.
         """
         deployment = self.deployment
         backup = await self.read_backup()
@@ -172,6 +173,9 @@
             *('--port', url.rpartition(':')[2]),
         )
         await self.wait_watched(0)
+        publishing = asyncio.create_task(
+            self.publish(1, 'undone', ('brief', 100))
+        )
         started = await deployment.start_entry()
         await self.check_in_force(self.version + 1)
         watches = await deployment.count_platform('watch')
@@ -180,6 +184,7 @@
             await deployment.write_value(key, value, times)
         await self.wait_watched(watches)
         await deployment.wait_version(started, self.version + 1)
+        self.assertEqual(503, (await publishing).status)
         await self.check_in_force(self.version + 1)
 
     async def read_backup(self) -> dict[str, bytes]:
