Run suspects of crashing engines on trial, alone on their route

Cause: gates refused condemned requests, but nobody told quarantine of trials in generation, so no death was ever one of a trial and nothing was condemned. A prompt that crashes engines ended one engine for each send and retry.

Ruled out: asking may_run_on once a target, since a trial held one target only, and the second stage of a route would have been refused to its own request. may_run_on_all keeps the request's name and all targets of a route, in one order of names everywhere; may_run_on calls it.

A condemned request ends with Failed, the reason CONDEMNED and the time that the verdict lasts. Deaths are told before the trial ends. A clear request costs one look-up. The stand-in crashes on prompts that hold <crash>, and tells a stage that took no connection before it had the attempt as "not reached": told as "lost" it would be laid to an innocent.

Conclusion: at most two engines die of one prompt that is sent in turn. Sends at the same moment through several entries, before any has heard of a death, can still cost one engine each.

--- a/src/thornspool/application/generation.py
+++ b/src/thornspool/application/generation.py
@@ -13,6 +13,7 @@
 from thornspool.application import generation_attempts
 from thornspool.application import generation_messages
 from thornspool.application import generation_planning
+from thornspool.application import generation_trials
 from thornspool.domain.pipelines import affinity
 from thornspool.domain.pipelines import exceptions as pipeline_exceptions
 from thornspool.domain.pipelines import messages
@@ -22,6 +23,7 @@
     from collections.abc import AsyncIterator
 
     from thornspool import clock as clock_module
+    from thornspool.domain.pipelines import routes
 
 logger = structlog.get_logger(__name__)
 
@@ -130,6 +132,7 @@
         self._commands = collections.deque()
         self._attempt: generation_attempts.Attempt | None = None
         self._may_have_run = False
+        self._retry_after_ms = _RETRY_AFTER_MS
 
     async def follow(
         self,
@@ -138,7 +141,11 @@
         self._commands.extend(self._begin())
         while True:
             while self._commands:
-                event = self._carry_out(self._commands.popleft())
+                command = self._commands.popleft()
+                if isinstance(command, messages.Replan):
+                    await self._start(command)
+                    continue
+                event = self._carry_out(command)
                 if event is not None:
                     yield event
             if self._verifier.over:
@@ -179,10 +186,8 @@
             return generation_messages.Finished(command.count)
         if isinstance(command, messages.GiveUp):
             return self._fail(command.reason)
-        if isinstance(command, messages.Cancel):
-            self._leave(command)
-        else:
-            self._start(command)
+        assert isinstance(command, messages.Cancel)
+        self._leave(command)
         return None
 
     def _deliver(
@@ -208,7 +213,7 @@
             delivered=delivered,
         )
         return generation_messages.Failed(
-            reason, outcome, _RETRY_AFTER_MS, delivered
+            reason, outcome, self._retry_after_ms, delivered
         )
 
     def _leave(self, command: messages.Cancel) -> None:
@@ -226,28 +231,57 @@
         attempt.blame(command)
         self._stop(cancel=True)
 
-    def _start(self, command: messages.Replan) -> None:
-        """Plan and send the next attempt."""
-        assert self._model is not None
+    async def _start(self, command: messages.Replan) -> None:
+        """Plan and send the next attempt, or give up."""
         context, request = self._context, self._request
-        now = context.clock.now()
         resume = tuple(self._verifier.tokens)
+        try:
+            route = await generation_trials.find_route(
+                context.hooks.trials,
+                context.hooks.fingerprint(request),
+                lambda busy: self._plan(command, busy),
+                context.clock,
+                request.deadline,
+            )
+        except pipeline_exceptions.NoPipeline:
+            self._give_up(messages.Reason.NO_PIPELINE)
+            return
+        except generation_trials.TimeSpent:
+            self._give_up(messages.Reason.DEADLINE)
+            return
+        if isinstance(route, generation_trials.Condemned):
+            self._retry_after_ms = route.retry_after_ms
+            self._give_up(messages.Reason.CONDEMNED)
+            return
+        self._send(command.attempt, route, resume)
+
+    def _plan(
+        self, command: messages.Replan, busy: frozenset[str]
+    ) -> routes.Route:
+        """Plan a route; busy targets are used only if nothing else will do."""
+        assert self._model is not None
         wish = generation_planning.Wish(
             self._model,
             self._prefix,
-            request.max_tokens - len(resume),
+            self._request.max_tokens - len(self._verifier.tokens),
             command.excluded,
-            command.avoided,
+            command.avoided | busy,
         )
-        try:
-            route = context.planning.plan(wish, now)
-        except pipeline_exceptions.NoPipeline:
-            reason = messages.Reason.NO_PIPELINE
-            self._commands.extend(self._verifier.give_up(reason))
-            return
+        return self._context.planning.plan(wish, self._context.clock.now())
+
+    def _give_up(self, reason: messages.Reason) -> None:
+        self._commands.extend(self._verifier.give_up(reason))
+
+    def _send(
+        self, attempt: int, route: routes.Route, resume: tuple[str, ...]
+    ) -> None:
+        """Send an attempt."""
+        assert self._model is not None
+        context, request = self._context, self._request
+        now = context.clock.now()
         call = generation_messages.GenerateCall(
             request,
-            command.attempt,
+            attempt,
             self._model.version,
             self._model.adapter,
             route,
--- a/src/thornspool/application/generation_attempts.py
+++ b/src/thornspool/application/generation_attempts.py
@@ -12,6 +12,7 @@
 from thornspool.application import exceptions
 from thornspool.application import generation_exceptions
 from thornspool.application import generation_flights
+from thornspool.application import generation_trials
 from thornspool.domain.pipelines import affinity
 from thornspool.domain.pipelines import messages
 
@@ -59,6 +60,8 @@
         Told the loads that stages sent along with an answer.
     fingerprint : callable
         Names the content of a request.
+    trials : generation_trials.Trials
+        Says whether a request may run, and is told of its runs.
     """
 
     take_retry: Callable[[], bool] = lambda: True
@@ -70,6 +73,9 @@
     fingerprint: Callable[[generation_messages.GenerationRequest], str] = (
         fingerprint_request
     )
+    trials: generation_trials.Trials = attrs.field(
+        factory=generation_trials.NoTrials
+    )
 
 
 class Context:
@@ -141,6 +147,8 @@
 
     def start(self) -> None:
         """Send it."""
+        for target in self._flight.targets:
+            self._context.hooks.trials.start(self._flight.fingerprint, target)
         self._context.planning.start(self._route)
         self._task = asyncio.get_running_loop().create_task(self._run())
         self._context.keep(self._task)
@@ -167,9 +175,19 @@
             context.flights.report_death(command.suspect, self._flight)
 
     def stop(self, cancel: bool) -> None:
-        """Stop counting it, and cancel it at every stage unless it is done."""
+        """Stop counting it, and cancel it at every stage unless it is done.
+
+        Comes after `blame`: a death under a trial has to be told before the
+        trial ends, or it would not count as the trial's.
+        """
         self._context.planning.end(self._route)
         self._context.flights.end(self._flight)
+        trials, fingerprint = (
+            self._context.hooks.trials,
+            self._flight.fingerprint,
+        )
+        for target in self._flight.targets:
+            trials.finish(fingerprint, target, succeeded=not cancel)
         if not cancel:
             return
         if self._task is not None:
--- a/src/thornspool/application/quarantine.py
+++ b/src/thornspool/application/quarantine.py
@@ -65,7 +65,7 @@
         self._draw = draw
         self._records = records.QuarantineRecords(incarnation)
         self._reservations = reservations.Reservations()
-        self._trials: dict[str, str] = {}
+        self._trials: dict[str, tuple[str, ...]] = {}
         self._view: tuple[str, ...] = ()
         self._view_changed_at = clock.now()
         peers.handle(messages.QuarantineNews, self._take_news)
@@ -85,16 +85,28 @@
     ) -> bool:
         """Say whether a request may run on a target now.
 
-        A suspect needs the target and itself kept for this run, which
+        As `may_run_on_all`, for one target.
+        """
+        return await self.may_run_on_all(fingerprint, (target,), longest_ms)
+
+    async def may_run_on_all(
+        self,
+        fingerprint: str,
+        targets: tuple[str, ...],
+        longest_ms: int = DEFAULT_TRIAL_MS,
+    ) -> bool:
+        """Say whether a request may run on all of some targets now.
+
+        A suspect needs the targets and itself kept for this run, which
         takes a message to the entry that owns each name. After True,
-        `start` and `finish` must follow.
+        `start` and `finish` must follow for each target.
 
         Parameters
         ----------
         fingerprint : str
             The request.
-        target : str
-            Name of the target.
+        targets : tuple of str
+            Names of the targets; the stages of one route.
         longest_ms : int, optional
             Longest time of the run, in milliseconds.
         """
@@ -105,23 +117,38 @@
             return False
         if self._records.is_awaiting_verdict(fingerprint, self._clock.now()):
             return False
-        if fingerprint in self._trials or target in self._trials.values():
+        if fingerprint in self._trials or self._is_on_trial(targets):
             return False
-        self._trials[fingerprint] = target
-        names = _name_trial(fingerprint, target)
-        for name in names:
-            if not await self._reserve(name, longest_ms):
+        self._trials[fingerprint] = targets
+        kept = False
+        try:
+            kept = await self._reserve_all(fingerprint, targets, longest_ms)
+        finally:
+            # Also when the caller left while the owners were asked: targets
+            # kept for nobody would hold up the other suspects.
+            if not kept:
                 self._end_trial(fingerprint)
+        return kept
+
+    def _is_on_trial(self, targets: tuple[str, ...]) -> bool:
+        return any(
+            one in on_trial
+            for on_trial in self._trials.values()
+            for one in targets
+        )
+
+    async def _reserve_all(
+        self, fingerprint: str, targets: tuple[str, ...], longest_ms: int
+    ) -> bool:
+        for name in _name_trial(fingerprint, targets):
+            if not await self._reserve(name, longest_ms):
                 return False
         # The verdict may have changed while the owners were asked.
-        if isinstance(self.check(fingerprint), messages.Condemned):
-            self._end_trial(fingerprint)
-            return False
-        return True
+        return not isinstance(self.check(fingerprint), messages.Condemned)
 
     def start(self, fingerprint: str, target: str) -> None:
         """Note that a request starts on a target."""
-        if self._trials.get(fingerprint) == target:
+        if target in self._trials.get(fingerprint, ()):
             logger.info(
                 'quarantine_trial', fingerprint=fingerprint, target=target
             )
@@ -137,9 +164,9 @@
             Name of the target.
         succeeded : bool
             Whether the target ran it to its end and lives; this clears a
-            suspect.
+            suspect. The first call of it ends the trial on all targets.
         """
-        if self._trials.get(fingerprint) == target:
+        if target in self._trials.get(fingerprint, ()):
             self._end_trial(fingerprint)
         if not succeeded:
             return
@@ -154,7 +181,7 @@
         """
         in_flight = frozenset(fingerprints)
         on_trial = frozenset(
-            one for one in in_flight if self._trials.get(one) == target
+            one for one in in_flight if target in self._trials.get(one, ())
         )
         logger.warning(
             'quarantine_death',
@@ -220,9 +247,8 @@
         return bool(answer.reserved)
 
     def _end_trial(self, fingerprint: str) -> None:
-        target = self._trials.pop(fingerprint)
-        request_name, target_name = _name_trial(fingerprint, target)
-        names = [target_name]
+        targets = self._trials.pop(fingerprint)
+        request_name, *names = _name_trial(fingerprint, targets)
         # After a death under its trial the request stays kept until the
         # reservation ends: an entry that has not yet heard of the death
         # would try it again and lose one more target.
@@ -293,5 +319,8 @@
         self._reservations.release(release.name, release.holder)
 
 
-def _name_trial(fingerprint: str, target: str) -> tuple[str, str]:
-    return f'request {fingerprint}', f'target {target}'
+def _name_trial(fingerprint: str, targets: tuple[str, ...]) -> list[str]:
+    # In one order everywhere, or two suspects could each hold a target that
+    # the other waits for.
+    named = [f'target {target}' for target in sorted(targets)]
+    return [f'request {fingerprint}', *named]
--- a/src/thornspool/parts.py
+++ b/src/thornspool/parts.py
@@ -160,6 +160,7 @@
             note_failure=self._note_engine_failure,
             note_death=self.quarantine.note_death,
             note_loads=self._hear_loads,
+            trials=self.quarantine,
         )
         self.generation = generation.GenerationService(
             clock, self.engines, planning, hooks
--- a/standins/engine_stage.py
+++ b/standins/engine_stage.py
@@ -4,10 +4,12 @@
 
 import asyncio
 import hashlib
+import os
 import time
 
 import attrs
 import msgspec
+import pycurl
 from tornado import curl_httpclient
 from tornado import httpclient
 
@@ -16,6 +18,8 @@
 from standins import engine_messages
 
 CONFLICT = 409
+CRASH_MARKER = '<crash>'
+"""A prompt that holds it ends each engine that computes a token of it."""
 
 _OK = 200
 _FORWARD_TIMEOUT_S = 30.0
@@ -78,6 +82,8 @@
         await self.batch.compute(
             work.request, work.attempt, work.index, work.count, work.priority
         )
+        if CRASH_MARKER in work.prompt:
+            os._exit(1)
         own = (
             self.settings.first_layer,
             self.settings.end_layer,
@@ -112,7 +118,8 @@
                 raise_error=False,
             )
         except httpclient.HTTPError as error:
-            raise engine_batch.Refused('lost', stage.target) from error
+            state = _name_failure(work, error)
+            raise engine_batch.Refused(state, stage.target) from error
         if response.code == CONFLICT:
             refusal = msgspec.json.decode(
                 response.body, type=engine_messages.Refusal
@@ -137,3 +144,17 @@
                 body=body,
                 raise_error=False,
             )
+
+
+def _name_failure(
+    work: engine_messages.Forward, error: httpclient.HTTPError
+) -> str:
+    """Tell a stage that was gone before the work from one that died of it.
+
+    Were both told as a death, an innocent request sent to a stage that died
+    earlier would be blamed for a death of its own.
+    """
+    errno = getattr(error, 'errno', None)
+    if not work.known and errno == pycurl.E_COULDNT_CONNECT:
+        return 'not reached'
+    return 'lost'
--- a/tests/application/test_generation.py
+++ b/tests/application/test_generation.py
@@ -15,7 +15,9 @@
 from thornspool.application import generation_attempts
 from thornspool.application import generation_messages
 from thornspool.application import generation_planning
+from thornspool.application import generation_trials
 from thornspool.domain.pipelines import messages
+from thornspool.domain.quarantine import messages as quarantine_messages
 
 STAGES = {
     'a-head': (0, 8),
@@ -26,6 +28,25 @@
 REASONS = messages.Reason
 
 
+class RecordedTrials(generation_trials.NoTrials):
+    """Takes down what it is told; the first verdicts are put in."""
+
+    def __init__(self, *verdicts):
+        self.verdicts = list(verdicts)
+        self.told = []
+
+    def check(self, fingerprint):
+        if self.verdicts:
+            return self.verdicts.pop(0)
+        return super().check(fingerprint)
+
+    def start(self, fingerprint, target):
+        self.told.append(('start', target))
+
+    def finish(self, fingerprint, target, succeeded):
+        self.told.append(('finish', target, succeeded))
+
+
 class GenerationCase(unittest.IsolatedAsyncioTestCase):
     """Two engines for each half of a model; those of domain a are faster."""
 
@@ -165,6 +186,59 @@
                     )
                     self.assertEqual(self.deaths, [(target, prints)])
 
+    async def test_death_is_told_before_the_end_of_its_trial(self):
+        """An engine dies under a request that runs on trial.
+
+        Told after the trial's end, the death would not count as the
+        trial's, and the request would go on to kill engines.
+        """
+        self.start_engines()
+        self.engines['a-tail'].order(die_after=5, die_when='before')
+        trials = RecordedTrials()
+        service = self.build_service(
+            trials=trials,
+            note_death=lambda *death: trials.told.append(('death', death[0])),
+        )
+        await self.check_whole(service, self.build_request())
+        self.assertEqual(
+            trials.told[:5],
+            [
+                ('start', 'a-head'),
+                ('start', 'a-tail'),
+                ('death', 'a-tail'),
+                ('finish', 'a-head', False),
+                ('finish', 'a-tail', False),
+            ],
+        )
+        ends = [told for told in trials.told if told[0] == 'finish']
+        self.assertEqual([end[2] for end in ends], [False, False, True, True])
+
+    async def test_condemned_request_ends_in_its_retries(self):
+        """A request is condemned between two of its attempts.
+
+        A further attempt would cost an engine. The caller is told at once
+        what came, and for how long the verdict stands.
+        """
+        self.start_engines()
+        self.engines['a-tail'].order(die_after=5, die_when='before')
+        verdicts = (
+            quarantine_messages.Clear(),
+            quarantine_messages.Condemned(70_000),
+        )
+        trials = RecordedTrials(*verdicts, verdicts[1])
+        service = self.build_service(trials=trials)
+        texts, last = await self.collect(service, self.build_request())
+        self.assertEqual(
+            last,
+            generation_messages.Failed(
+                REASONS.CONDEMNED,
+                generation_messages.Outcome.UNKNOWN,
+                70_000,
+                len(texts),
+            ),
+        )
+        self.assertEqual(self.list_indexes('b-head', 'r'), [])
+
     async def test_death_under_many_requests_is_told_once(self):
         """One engine dies with several requests in flight.
 
--- /dev/null
+++ b/tests/application/test_generation_trials.py
@@ -0,0 +1,170 @@
+"""Tests of running suspects apart, with the quarantine of two entries."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import unittest
+from unittest import mock
+
+from tests import builders
+from tests.application import fleet
+from thornspool.application import generation_trials
+from thornspool.application import quarantine
+from thornspool.domain.pipelines import exceptions
+from thornspool.domain.pipelines import routes
+from thornspool.domain.quarantine import records
+
+CRASHER = 'crasher'
+INNOCENT = 'innocent'
+WAIT_MS = 2_000
+
+
+def build_route(*targets):
+    """Build a route of one layer a stage."""
+    return routes.Route(
+        tuple(
+            routes.RouteStage(
+                target, f'http://{target}', 'a', place, place + 1
+            )
+            for place, target in enumerate(targets)
+        )
+    )
+
+
+@mock.patch.object(quarantine, 'logger')
+class FindRouteTest(unittest.IsolatedAsyncioTestCase):
+    def setUp(self):
+        self.clock = builders.FakeClock(now=1_000_000)
+        self.network = fleet.FakeNetwork()
+        members = fleet.build_members(2)
+        self.services = [
+            quarantine.QuarantineService(
+                fleet.FakeView(members),
+                member.incarnation,
+                fleet.FakePeers(self.network, member),
+                self.clock,
+                random.Random(1).random,
+            )
+            for member in members
+        ]
+        for service in self.services:
+            service._refresh_view()
+        self.clock.advance(quarantine.SETTLE_MS)
+        patched = mock.patch.object(generation_trials, 'POLL_MS', 1)
+        patched.start()
+        self.addCleanup(patched.stop)
+
+    async def kill(self, target, *fingerprints, entry=0):
+        self.services[entry].note_death(target, fingerprints)
+        await self.network.deliver()
+
+    async def find(self, fingerprint, *choices, entry=0, wait_ms=WAIT_MS):
+        """Find a route, planning the choices in turn."""
+        planned = []
+
+        def plan(busy):
+            planned.append(busy)
+            return build_route(*choices[min(len(planned), len(choices)) - 1])
+
+        found = await generation_trials.find_route(
+            self.services[entry],
+            fingerprint,
+            plan,
+            self.clock,
+            self.clock.now() + wait_ms,
+        )
+        self.busy = planned
+        return found
+
+    def finish(self, fingerprint, route, succeeded, entry=0):
+        for target in route.list_targets():
+            self.services[entry].finish(fingerprint, target, succeeded)
+
+    async def test_clear_request_asks_nobody(self, _):
+        """Almost all requests are harmless; a trial would slow each one."""
+        route = await self.find('fresh', ('a', 'b'))
+        self.assertEqual(route.list_targets(), ('a', 'b'))
+        self.assertEqual(self.network.asked, 0)
+
+    async def test_two_suspects_never_share_a_stage(self, _):
+        """Two requests were on an engine that died; one of them killed it.
+
+        If both ran on one engine again, nobody could tell which of them
+        kills the next one, and the innocent might be condemned. Each stage
+        of the route counts, not only the first.
+        """
+        await self.kill('dead', CRASHER, INNOCENT)
+        await self.find(CRASHER, ('a', 'c'))
+        for entry in (0, 1):
+            with self.subTest(entry=entry):
+                route = await self.find(
+                    INNOCENT, ('b', 'c'), ('b', 'd'), entry=entry
+                )
+                self.assertEqual(route.list_targets(), ('b', 'd'))
+                self.assertEqual(self.busy[1], frozenset(('b', 'c')))
+                self.finish(INNOCENT, route, succeeded=False, entry=entry)
+                await self.network.deliver()
+
+    async def test_refused_trial_gives_back_what_it_held(self, _):
+        """A suspect got one of its two stages and was refused the other.
+
+        Were the first kept for it, the other suspects would wait for a
+        request that never runs.
+        """
+        await self.kill('dead', CRASHER, INNOCENT, 'third')
+        await self.find(CRASHER, ('c',))
+        await self.find(INNOCENT, ('b', 'c'), ('d',), entry=1)
+        await self.network.deliver()
+        route = await self.find('third', ('b',), ('none',), entry=0)
+        self.assertEqual(route.list_targets(), ('b',))
+
+    async def test_caller_that_leaves_frees_the_targets(self, _):
+        """The caller leaves while the owners of the names are asked."""
+        await self.kill('dead', CRASHER, INNOCENT)
+        service = self.services[0]
+        leaving = mock.AsyncMock(side_effect=asyncio.CancelledError)
+        service._reserve, reserve = leaving, service._reserve
+        with self.assertRaises(asyncio.CancelledError):
+            await self.find(CRASHER, ('a',))
+        service._reserve = reserve
+        route = await self.find(INNOCENT, ('a',), ('none',))
+        self.assertEqual(route.list_targets(), ('a',))
+
+    async def test_death_under_trial_ends_the_retries(self, _):
+        """A prompt crashes the engine of its trial too.
+
+        Its own retries must stop there: each would cost one more engine.
+        The caller learns when to come back.
+        """
+        await self.kill('dead', CRASHER)
+        route = await self.find(CRASHER, ('a', 'b'))
+        await self.kill('b', CRASHER)
+        self.finish(CRASHER, route, succeeded=False)
+        for entry in (0, 1):
+            with self.assertRaises(generation_trials.TimeSpent):
+                await self.find(CRASHER, ('c',), entry=entry, wait_ms=20)
+        self.clock.advance(records.GRACE_MS)
+        for entry in (0, 1):
+            found = await self.find(CRASHER, ('c',), entry=entry)
+            self.assertIsInstance(found, generation_trials.Condemned)
+            self.assertGreater(found.retry_after_ms, 0)
+
+    async def test_wait_ends_with_the_deadline(self, _):
+        """The only route is taken by another suspect for longer."""
+        await self.kill('dead', CRASHER, INNOCENT)
+        await self.find(CRASHER, ('a',))
+        with self.assertRaises(generation_trials.TimeSpent):
+            await self.find(INNOCENT, ('a',), wait_ms=20)
+
+    async def test_no_route_is_told_at_once(self, _):
+        """No ready target holds some layer; waiting would not help."""
+        await self.kill('dead', CRASHER)
+        with self.assertRaises(exceptions.NoPipeline):
+            await generation_trials.find_route(
+                self.services[0],
+                CRASHER,
+                mock.Mock(side_effect=exceptions.NoPipeline('no')),
+                self.clock,
+                self.clock.now() + WAIT_MS,
+            )
--- /dev/null
+++ b/tests/processes/test_quarantine.py
@@ -0,0 +1,68 @@
+"""A prompt that crashes engines, through entries and engines as processes."""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+
+from standins import engine_stage
+from tests.processes import builders
+from thornspool.application import quarantine
+
+HEADS = tuple(f'e{number}-head' for number in range(5))
+TAILS = tuple(f'e{number}-tail' for number in range(3))
+CRASHING = f'Sum up the cargo. {engine_stage.CRASH_MARKER}'
+SENT_AGAIN = 9
+INNOCENTS = 20
+COUNT = 250
+REFUSED = 503
+
+
+class QuarantineTest(unittest.IsolatedAsyncioTestCase):
+    def setUp(self):
+        self.cluster = builders.open_cluster(self, 3, HEADS + TAILS)
+
+    def list_left(self):
+        """Return the requests that an engine died under, by the logs."""
+        lines = [
+            line
+            for entry in self.cluster.entries
+            for line in entry.read_log().splitlines()
+            if 'event=attempt_left' in line and 'STAGE_LOST' in line
+        ]
+        return {line.partition('request=')[2].split()[0] for line in lines}
+
+    async def test_prompt_that_crashes_engines_costs_two_at_most(self):
+        """A prompt makes each engine that runs it crash.
+
+        Its caller sends it again and again, to whichever entry. Without a
+        quarantine that takes down one engine after another, until nobody
+        is served. Requests that shared an engine with it must not be
+        refused for it: their callers get whole answers, after a pause.
+        """
+        cluster = self.cluster
+        # An entry that came to own a name keeps nothing for so long.
+        await asyncio.sleep(quarantine.SETTLE_MS / 1000 + 1)
+        prompts = [f'Innocent {number}' for number in range(INNOCENTS)]
+        innocents = asyncio.create_task(
+            cluster.ask_many(prompts, max_tokens=COUNT)
+        )
+        await asyncio.sleep(0.6)
+        answers = [
+            await cluster.ask(CRASHING, entry) for entry in range(SENT_AGAIN)
+        ]
+        whole = await innocents
+        dead = cluster.list_dead()
+        self.assertGreaterEqual(len(dead), 1)
+        self.assertLessEqual(len(dead), 2, dead)
+        for prompt, answer in zip(prompts, whole, strict=True):
+            builders.check_whole(self, prompt, answer, COUNT)
+        for answer in answers:
+            self.assertEqual(answer.status, REFUSED, answer.body)
+        problem = answers[-1].read_json()
+        self.assertIn('crashed', problem['detail'])
+        self.assertGreater(problem['retry_after_ms'], 60_000)
+        self.assertGreaterEqual(len(self.list_left()), 2)
+        # What runs on says that the rest of the engines still serves.
+        later = await cluster.ask('Later', 1)
+        builders.check_whole(self, 'Later', later)
