Take attachments with a request for text, and names that match the path

Cause: the samples of spjaldamarkadur carry attachments, workspace and model in the body; all three were refused as unknown members.

They are passed to the first engine with each attempt and are part of the fingerprint, which now precedes each part by its length. workspace and model in a body must match the path: a body that differs is a mistake, and taking either name silently would run it under somebody else's limits. The checks of bodies moved from streams.py to generate_bodies.py.

Conclusion: the stand-in's tokens do not depend on attachments, so no test shows that an engine uses them; one shows that they are sent.

--- a/src/thornspool/adapters/callers/streams.py
+++ b/src/thornspool/adapters/callers/streams.py
@@ -6,29 +6,16 @@
 import contextlib
 import typing
 
-import attrs
 import msgspec
 from tornado import iostream
 
 from thornspool.adapters import problems
+from thornspool.adapters.callers import generate_bodies
 from thornspool.adapters.callers import handlers
 from thornspool.application import generation_messages as generation
 from thornspool.application import requests
 
 EVENT_STREAM = 'text/event-stream'
-MAX_TOKENS_LIMIT = 32_768
-MAX_TIMEOUT_MS = 600_000
-DEFAULT_TIMEOUT_MS = 60_000
-
-
-@attrs.frozen
-class GenerateBody:
-    """Body of a request for generated text; members as in docs/api.md."""
-
-    prompt: str
-    max_tokens: int = 256
-    priority: int = 0
-    timeout_ms: int = DEFAULT_TIMEOUT_MS
 
 
 class GenerateHandler(handlers.CallerHandler):
@@ -60,16 +47,15 @@
         self, workspace: str, model: str
     ) -> requests.ModelRequest:
         """Check the body."""
+        content = self.request.body
         try:
-            body = msgspec.json.decode(self.request.body, type=GenerateBody)
+            body = generate_bodies.decode_body(content)
         except msgspec.DecodeError as error:
             detail = f'The body is not a request for text: {error}.'
             raise problems.ProblemError(
                 problems.Problem(400, detail)
             ) from error
-        known = {field.name for field in attrs.fields(GenerateBody)}
-        unknown = set(msgspec.json.decode(self.request.body)) - known
-        problem = _find_body_problem(body, unknown)
+        problem = generate_bodies.find_problem(content, body, workspace, model)
         if problem:
             raise problems.ProblemError(problems.Problem(400, problem))
         return requests.ModelRequest(
@@ -80,6 +66,7 @@
             max_tokens=body.max_tokens,
             priority=body.priority,
             timeout_ms=body.timeout_ms,
+            attachments=body.attachments,
         )
 
     async def _answer_stream(self, request: requests.ModelRequest) -> None:
@@ -117,18 +104,6 @@
             raise problems.ProblemError(_describe_failure(event))
 
 
-def _find_body_problem(body: GenerateBody, unknown: set[str]) -> str:
-    """Return what is wrong with the values of a body, or nothing."""
-    if unknown:
-        names = ', '.join(sorted(unknown))
-        return f'Unknown members: {names}. Remove them.'
-    if not 1 <= body.max_tokens <= MAX_TOKENS_LIMIT:
-        return f'max_tokens must be from 1 to {MAX_TOKENS_LIMIT}.'
-    if not 1 <= body.timeout_ms <= MAX_TIMEOUT_MS:
-        return f'timeout_ms must be from 1 to {MAX_TIMEOUT_MS}.'
-    return ''
-
-
 def _describe_failure(event: generation.Failed) -> problems.Problem:
     """Return the problem that stands for a failed generation."""
     return problems.Problem(
--- a/src/thornspool/adapters/targets/engine_messages.py
+++ b/src/thornspool/adapters/targets/engine_messages.py
@@ -8,6 +8,7 @@
 import msgspec
 
 if typing.TYPE_CHECKING:
+    from thornspool.application import attachments
     from thornspool.application import generation_messages
 
 
@@ -51,6 +52,8 @@
         Longest answer, resumed tokens included.
     priority : int
         Higher goes first.
+    attachments : tuple of attachments.Attachment
+        Files that come with the prompt.
     """
 
     request: str
@@ -63,6 +66,7 @@
     resume: tuple[str, ...]
     max_tokens: int
     priority: int
+    attachments: tuple[attachments.Attachment, ...]
 
 
 @attrs.frozen
@@ -104,6 +108,7 @@
             resume=call.resume,
             max_tokens=request.max_tokens,
             priority=request.priority,
+            attachments=request.attachments,
         )
     )
 
--- a/src/thornspool/application/generation_attempts.py
+++ b/src/thornspool/application/generation_attempts.py
@@ -7,7 +7,7 @@
 import typing
 
 import attrs
-import xxhash
+import msgspec
 
 from thornspool.application import exceptions
 from thornspool.application import generation_exceptions
@@ -15,6 +15,7 @@
 from thornspool.application import generation_trials
 from thornspool.domain.pipelines import affinity
 from thornspool.domain.pipelines import messages
+from thornspool.domain.quarantine import fingerprints
 
 if typing.TYPE_CHECKING:
     from collections.abc import Callable
@@ -31,8 +32,10 @@
     request: generation_messages.GenerationRequest,
 ) -> str:
     """Name a request's content, the same each time it is sent again."""
-    content = '\0'.join((request.workspace, request.model, request.prompt))
-    return xxhash.xxh3_128_hexdigest(content.encode())
+    content = msgspec.json.encode((request.prompt, request.attachments))
+    return fingerprints.compute_fingerprint(
+        request.workspace, request.model, content
+    )
 
 
 def _ignore_failure(target: str, reason: messages.Reason) -> None:
--- a/src/thornspool/application/intake.py
+++ b/src/thornspool/application/intake.py
@@ -235,6 +235,7 @@
             max_tokens=request.max_tokens,
             priority=request.priority,
             deadline=self._clock.now() + request.timeout_ms,
+            attachments=request.attachments,
         )
         work = Work(
             request.workspace,
--- a/src/thornspool/application/requests.py
+++ b/src/thornspool/application/requests.py
@@ -2,10 +2,15 @@
 
 from __future__ import annotations
 
+import typing
+
 import attrs
 
 from thornspool.application import exceptions
 
+if typing.TYPE_CHECKING:
+    from thornspool.application import attachments
+
 
 @attrs.frozen
 class OperationRequest:
@@ -49,6 +54,8 @@
         Higher ones go first.
     timeout_ms : int
         Bound on the whole answer, in milliseconds.
+    attachments : tuple of attachments.Attachment
+        Files that the model sees along with the prompt.
     """
 
     request_id: str
@@ -58,6 +65,7 @@
     max_tokens: int
     priority: int
     timeout_ms: int
+    attachments: tuple[attachments.Attachment, ...] = ()
 
 
 class RequestRefused(exceptions.ApplicationError):
--- a/standins/engine_messages.py
+++ b/standins/engine_messages.py
@@ -15,6 +15,16 @@
     end_layer: int
 
 
+@attrs.frozen
+class Attachment:
+    """A file that comes with a prompt; one of the last two is empty."""
+
+    kind: str
+    media_type: str
+    reference: str
+    data: str
+
+
 @attrs.frozen
 class Generate:
     """Body of ``POST /v1/generate``."""
@@ -29,6 +39,7 @@
     resume: list[str]
     max_tokens: int
     priority: int
+    attachments: list[Attachment] = attrs.field(factory=list)
 
 
 @attrs.frozen
--- a/tests/adapters/callers/test_routes.py
+++ b/tests/adapters/callers/test_routes.py
@@ -28,6 +28,8 @@
     (GENERATE, b'{"prompt": "a", "max_tokens": "9"}', 400, 'int'),
     (GENERATE, b'{"prompt": "a", "timeout_ms": 0}', 400, 'timeout_ms'),
     (GENERATE, b'{"prompt": "a", "promt": "b"}', 400, 'promt'),
+    (GENERATE, b'{"prompt": "a", "workspace": "b"}', 400, 'in the path'),
+    (GENERATE, b'{"prompt": "a", "model": "b"}', 400, 'in the path'),
     (HOLD, b'{"slot": ', 400, 'not JSON'),
     (HOLD, b'', 400, 'not JSON'),
     (HOLD, b'{"nested": {"open": [1, 2}', 400, 'not JSON'),
--- a/tests/adapters/targets/test_engines.py
+++ b/tests/adapters/targets/test_engines.py
@@ -3,12 +3,18 @@
 from __future__ import annotations
 
 import asyncio
+import json
 import unittest
 
+import attrs
+
 from standins import engine_stage
 from tests.standins import processes
+from thornspool.adapters.targets import engine_messages
 from thornspool.adapters.targets import engines
+from thornspool.application import attachments
 from thornspool.application import exceptions
+from thornspool.application import generation_attempts
 from thornspool.application import generation_exceptions
 from thornspool.application import generation_messages
 from thornspool.domain.pipelines import routes
@@ -62,6 +68,38 @@
         self.assertEqual(self.frames[-1].end, 5)
         self.assertEqual(self.frames[-1].loads[0].target, 'a-1')
 
+    async def test_attachments_reach_the_engine(self):
+        given = attachments.Attachment('photo', 'image/jpeg', 'front.jpg')
+        request = attrs.evolve(self.build_call().request, attachments=(given,))
+        await self.generate(request=request)
+        self.assertEqual(self.frames[-1].end, 5)
+        body = engine_messages.encode_generate(
+            self.build_call(request=request)
+        )
+        self.assertEqual(
+            json.loads(body)['attachments'], [attrs.asdict(given)]
+        )
+
+    async def test_attachments_name_another_request(self):
+        """One of two requests with one prompt crashes engines by its photo.
+
+        With one fingerprint the other would be refused for it.
+        """
+        plain = self.build_call().request
+        names = {
+            generation_attempts.fingerprint_request(
+                attrs.evolve(
+                    plain,
+                    attachments=tuple(
+                        attachments.Attachment('photo', 'image/jpeg', each)
+                        for each in references
+                    ),
+                )
+            )
+            for references in ((), ('a',), ('b',), ('a', 'b'), ('b', 'a'))
+        }
+        self.assertEqual(len(names), 5)
+
     async def test_failures_get_their_error(self):
         """An engine refuses, dies, has gone or takes too long.
 
