--- a/src/thornspool/adapters/servers.py
+++ b/src/thornspool/adapters/servers.py
@@ -28,13 +28,13 @@
 ANSWER_TIMEOUT_MS = 30_000
 _HEADROOM_BYTES = 65_536
 _CHECK_S = 0.02
+
+logger = structlog.get_logger(__name__)
 _PEM_HINT = (
     'a key must belong to the certificate and have no password, and all '
     'must be readable by the user that the entry runs as.'
 )
 
-logger = structlog.get_logger(__name__)
-
 
 class ListenError(exceptions.ThornspoolError):
     """A listener can't be opened."""
@@ -78,23 +78,6 @@
     return context
 
 
-@contextlib.contextmanager
-def _naming(member: str, path: str) -> Iterator[None]:
-    """Turn errors of a PEM file into one that names its member."""
-    try:
-        yield
-    except OSError as error:
-        raise ListenError(
-            f'The PEM file {path} can not be used: {error}.',
-            f'Correct "{member}" in the settings; {_PEM_HINT}',
-        ) from error
-
-
-def _refuse_password() -> str:
-    """Stand in for the prompt of OpenSSL, at which a daemon would hang."""
-    return ''
-
-
 class _Request(httputil.HTTPMessageDelegate):
     """Counts a connection as busy once the head of a request was read."""
 
@@ -147,6 +130,23 @@
         super().on_close(server_conn)
 
 
+@contextlib.contextmanager
+def _naming(member: str, path: str) -> Iterator[None]:
+    """Turn errors of a PEM file into one that names its member."""
+    try:
+        yield
+    except OSError as error:
+        raise ListenError(
+            f'The PEM file {path} can not be used: {error}.',
+            f'Correct "{member}" in the settings; {_PEM_HINT}',
+        ) from error
+
+
+def _refuse_password() -> str:
+    """Stand in for the prompt of OpenSSL, at which a daemon would hang."""
+    return ''
+
+
 class Listener:
     """An HTTP server on one address, bound before it answers.
 
