End streams of callers that hang without reading

Cause: the deadline of a model request counts while tokens are waited for, not while they are written. A caller that hung with its connection open held its request for ever: its place, its engines, and the exit of an entry that drains, whose wait has no limit but the deadlines of its requests.

Ruled out: a limit on the drain, which would cut honest requests.

Change: the whole answer has to be taken 5 s after the deadline, or the connection is closed and the work behind it cancelled.

Seen to fail without it: the test waited 20 s for the stream to be closed, then TimeoutError. Passes now in under 1 s.

--- a/src/thornspool/adapters/callers/streams.py
+++ b/src/thornspool/adapters/callers/streams.py
@@ -8,6 +8,7 @@
 
 import attrs
 import msgspec
+import structlog
 from tornado import iostream
 
 from thornspool.adapters import problems
@@ -19,6 +20,9 @@
 MAX_TOKENS_LIMIT = 32_768
 MAX_TIMEOUT_MS = 600_000
 DEFAULT_TIMEOUT_MS = 60_000
+READ_GRACE_MS = 5_000
+
+logger = structlog.get_logger(__name__)
 
 
 @attrs.frozen
@@ -41,11 +45,21 @@
         request = self._read_request(workspace, model)
         self._task = asyncio.current_task()
         accepted = self.request.headers.get('Accept', EVENT_STREAM)
+        # The deadline counts while tokens are waited for, not while they are
+        # written: a caller that hangs without reading would hold its place
+        # and its engines for ever, and an entry that drains would never
+        # exit.
+        limit_s = (request.timeout_ms + READ_GRACE_MS) / 1000
         try:
-            if handlers.JSON in accepted:
-                await self._answer_whole(request)
-            else:
-                await self._answer_stream(request)
+            async with asyncio.timeout(limit_s):
+                if handlers.JSON in accepted:
+                    await self._answer_whole(request)
+                else:
+                    await self._answer_stream(request)
+        except TimeoutError:
+            logger.info('caller_does_not_read', request=request.request_id)
+            connection: typing.Any = self.request.connection
+            connection.close()
         except (iostream.StreamClosedError, asyncio.CancelledError):
             # The caller left; leaving the scope of the iterator has told
             # every stage to stop, so that no accelerator works for nobody.
