Test that an entry catches up before it takes work again

Unit test of the change to isolation: an entry that was cut off hears of a version that it can not pull yet.

--- a/tests/application/test_configuration.py
+++ b/tests/application/test_configuration.py
@@ -13,6 +13,9 @@
 from thornspool.domain.configuration import publishing
 from thornspool.domain.configuration import storage
 
+if typing.TYPE_CHECKING:
+    from thornspool.application import ports
+
 BUCKET_PREFIX = 'configuration/bucket'
 IN_FORCE_S = 4
 
@@ -32,6 +35,18 @@
     ]
 
 
+def _hide_buckets(
+    cluster: make.Cluster,
+) -> dict[str, list[ports.Versioned]]:
+    """Take the buckets away from the platform; returns them."""
+    values = cluster.platform.values
+    return {
+        key: values.pop(key)
+        for key in list(values)
+        if key.startswith(BUCKET_PREFIX)
+    }
+
+
 async def _publish(
     entry: make.Entry, name: str, mark: float, base: int = 0
 ) -> configuration_results.PublishResult:
@@ -261,6 +276,35 @@
 
         make.run_virtual(scenario)
 
+    def test_woken_entry_takes_no_work_before_it_has_caught_up(self) -> None:
+        """A host stops while operators publish, and wakes.
+
+        It hears of the version at once but can not pull it yet. If the
+        answer alone ended its isolation, it would run requests under what
+        operators had replaced.
+        """
+
+        async def scenario(cluster: make.Cluster) -> None:
+            first = cluster.add_entry('one')
+            woken = cluster.add_entry('two')
+            await _publish(first, 'alpha', 0)
+            woken.faults.platform_up = woken.faults.peers_up = False
+            await _publish(first, 'alpha', 1, 1)
+            await asyncio.sleep(6)
+            self.assertTrue(woken.service.is_isolated(cluster.clock.now()))
+            hidden = _hide_buckets(cluster)
+            woken.faults.platform_up = True
+            await asyncio.sleep(3)
+            self.assertEqual(1, woken.service.version())
+            self.assertTrue(woken.service.is_isolated(cluster.clock.now()))
+            cluster.platform.values.update(hidden)
+            woken.faults.peers_up = True
+            await asyncio.sleep(IN_FORCE_S)
+            self.assertEqual(2, woken.service.version())
+            self.assertFalse(woken.service.is_isolated(cluster.clock.now()))
+
+        make.run_virtual(scenario)
+
     def test_frozen_entry_wakes_to_the_latest_version(self) -> None:
         """A host stops for a while and several versions pass.
 
