Let callers keep no list of an entry that hears nobody

Cause: an entry that leaves answers for 18 s, the 15 s for which callers keep a list and 3 s for the news. A process that is stopped meanwhile does not hear the news; the first thing that it sees when it wakes are requests that waited, and it gave its old list away for 15 s more. Callers would be led to an address that refuses them.

Ruled out: a longer drain, which no length would make right; refusing the list, which leaves callers without any address.

Change: with no word of another entry for over 3 s, and others on the list, keep_ms is 0, so that a list is never kept past 18 s from when it was true.

Seen to fail: "0 != 15000" in the unit test, "15000 != 0" from a process that was stopped while another was killed. Both pass now, and over 60 s of three healthy entries (fake clock) keep_ms never was 0.

--- a/src/thornspool/application/membership.py
+++ b/src/thornspool/application/membership.py
@@ -31,6 +31,7 @@
 MIN_READ_MS = 10_000
 READ_MS_PER_MEMBER = 100
 KEEP_MS = 15_000
+FRESH_MS = 3000
 
 logger = structlog.get_logger(__name__)
 
@@ -69,7 +70,7 @@
     entries : tuple of Entry
         Entries to use, sorted by URL.
     keep_ms : int
-        How long the answer may be kept.
+        How long the answer may be kept; 0 while no other entry is heard.
     leaving : tuple of str
         URLs of entries that leave; not to be used for new requests.
     """
@@ -128,6 +129,7 @@
         )
         self._listed: tuple[ports.Member, ...] = ()
         self._listed_revision = -1
+        self._heard_at = clock.now()
         self._tasks: list[asyncio.Task[None]] = []
         for message_type in messages.MESSAGE_TYPES:
             peers.handle(message_type, self._receive)
@@ -229,10 +231,20 @@
         leaving.difference_update(entry.url for entry in staying)
         return EntriesAnswer(
             tuple(sorted(staying, key=lambda entry: entry.url)),
-            KEEP_MS,
+            self._choose_keep(len(members)),
             tuple(sorted(leaving)),
         )
 
+    def _choose_keep(self, members: int) -> int:
+        # An entry that leaves stays for as long as callers may keep a list
+        # that was true when it began to. A process that was stopped
+        # meanwhile wakes with an older list; kept as long, it would lead
+        # callers to an address that refuses them.
+        silent_ms = self._clock.now() - self._heard_at
+        if members > 1 and silent_ms > FRESH_MS:
+            return 0
+        return KEEP_MS
+
     async def refresh_seeds(self, seeds: tuple[str, ...] = ()) -> None:
         """Read the platform's list and take its addresses as seeds."""
         try:
@@ -247,6 +259,7 @@
 
     async def _receive(self, sender: str, message: typing.Any) -> None:
         now = self._clock.now()
+        self._heard_at = now
         self._carry_out(self._machine.receive(sender, message, now))
 
     def _carry_out(self, commands: Iterable[messages.Command]) -> None:
--- a/tests/application/test_membership.py
+++ b/tests/application/test_membership.py
@@ -140,6 +140,25 @@
         await self.run_for(20_000)
         self.assertEqual(3, len(self.entries[0].service.list_members()))
 
+    async def test_list_of_a_process_that_was_stopped_is_not_kept(
+        self,
+    ) -> None:
+        """A process is stopped while another entry leaves, and wakes.
+
+        The first thing that it sees are requests that waited. Kept for the
+        full time, the list that it holds would lead callers to an address
+        that refuses them by then.
+        """
+        await self.form()
+        first = self.entries[0].service
+        for _ in range(60):
+            await self.run_for(1000)
+            self.assertEqual(membership.KEEP_MS, first.list_entries().keep_ms)
+        self.clock.advance(10_000)
+        self.assertEqual(0, first.list_entries().keep_ms)
+        await self.run_for(1000)
+        self.assertEqual(membership.KEEP_MS, first.list_entries().keep_ms)
+
     async def test_leaving_entry_is_told_to_callers_as_leaving(self) -> None:
         await self.form()
         self.entries[0].service.announce_leaving()
--- a/tests/processes/load.py
+++ b/tests/processes/load.py
@@ -266,6 +266,15 @@
         """Start one call of the operation "read"."""
         return asyncio.run_coroutine_threadsafe(self._call(url), self._loop)
 
+    def start_list(self, url: str) -> concurrent.futures.Future[Json]:
+        """Start to ask an entry which addresses to use."""
+        return asyncio.run_coroutine_threadsafe(self._list(url), self._loop)
+
+    async def _list(self, url: str) -> Json:
+        response = await self._client.fetch(f'{url}/v1/entries')
+        answer: Json = json.loads(response.body)
+        return answer
+
     def stop(self) -> None:
         """Let every caller get its last answer."""
         self._stopping = True
--- a/tests/processes/test_leaving.py
+++ b/tests/processes/test_leaving.py
@@ -269,11 +269,16 @@
                 late = [
                     work.start_call(frozen.ready['callers']) for _ in range(20)
                 ]
+                listed = work.start_list(frozen.ready['callers'])
                 time.sleep(0.5)
                 frozen.send_signal(signal.SIGCONT)
                 began = time.monotonic()
+                old = listed.result(load.WAIT_S)
                 answers = [one.result(load.WAIT_S) for one in late]
             self.assertEqual([a for a in answers if a[0] == 'whole'], [])
+            urls = [one['url'] for one in old['entries']]
+            if killed.ready['callers'] in urls:
+                self.assertEqual(old['keep_ms'], 0)
             back = load.wait_until(
                 'woken entry listed', lambda: agree(fleet.entries[:3])
             )
