Let a watch that probes the platform end at once

Cause: while the gate backs off it lets one call through as a probe and holds all others until that one ends. When the probe was the watch of the configuration's head, it ended only with news or after 20 s.

A watch now asks without waiting while the gate backs off, and its follower watches again at once. Nothing else changes.

Seen to fail: without the change the new test printed "b'wait_ms=0 ' not found in b'GET /v1/kv/k?after=1&wait_ms=20000".

--- a/src/thornspool/adapters/platform/gate.py
+++ b/src/thornspool/adapters/platform/gate.py
@@ -66,6 +66,11 @@
         self._blocked_until = 0
         self._probing = False
 
+    @property
+    def is_backing_off(self) -> bool:
+        """Whether the next call is a probe, and others wait for its end."""
+        return self._failures >= _FAILURES_BEFORE_BACKOFF
+
     def enter(self, now: int) -> int:
         """Let a call through.
 
@@ -84,7 +89,7 @@
         PlatformError
             When it may not leave in time; nothing was sent.
         """
-        backing_off = self._failures >= _FAILURES_BEFORE_BACKOFF
+        backing_off = self.is_backing_off
         blocked = max(0, self._blocked_until - now) if backing_off else 0
         patience_ms = self._settings.patience_ms
         if blocked > patience_ms or (backing_off and self._probing):
--- a/src/thornspool/adapters/platform/http.py
+++ b/src/thornspool/adapters/platform/http.py
@@ -142,6 +142,11 @@
         self, key: str, after_version: int, timeout_ms: int
     ) -> ports.Versioned | None:
         """Wait until a key is past a version; None when time is up."""
+        # As a probe a watch would hold back every other call until it ends,
+        # up to 20 s after the platform is back: actions would be refused
+        # while it answers. Without a wait the probe tells at once.
+        if self._gate.is_backing_off:
+            timeout_ms = 0
         query = urllib.parse.urlencode(
             {'after': after_version, 'wait_ms': timeout_ms}
         )
--- a/tests/adapters/platform/test_http.py
+++ b/tests/adapters/platform/test_http.py
@@ -15,6 +15,7 @@
 
 DONE = b'HTTP/1.1 204 No Content\r\nETag: "7"\r\n\r\n'
 CONFLICT = b'HTTP/1.1 412 Precondition Failed\r\nContent-Length: 0\r\n\r\n'
+NO_NEWS = b'HTTP/1.1 304 Not Modified\r\n\r\n'
 FAILED = b'HTTP/1.1 503 Unavailable\r\nContent-Length: 0\r\n\r\n'
 
 
@@ -112,6 +113,25 @@
         self.assertEqual(2, platform.calls['get'])
         self.assertEqual(20, platform.errors['get'])
 
+    async def test_watch_as_a_probe_does_not_wait(self) -> None:
+        """After an outage the first call that passes is a watch.
+
+        While it waits for news, for up to 20 s, every other call is held
+        back as long as it is the probe. Callers' actions are refused with
+        the platform being up.
+        """
+        replies = [None, None, NO_NEWS, NO_NEWS]
+        async with broken.open_broken(replies) as server:
+            platform = build_platform(self, server.url)
+            for _ in range(2):
+                with self.assertRaises(exceptions.PlatformError):
+                    await platform.get('k')
+            platform._clock.advance(10_000)
+            self.assertIsNone(await platform.watch('k', 1, 20_000))
+            self.assertIsNone(await platform.watch('k', 1, 20_000))
+        self.assertIn(b'wait_ms=0 ', server.requests[2])
+        self.assertIn(b'wait_ms=20000 ', server.requests[3])
+
     async def test_budget_bounds_calls(self) -> None:
         """A defect asks the platform in a loop.
 
