--- a/src/thornspool/application/requests.py
+++ b/src/thornspool/application/requests.py
@@ -2,10 +2,15 @@
 
 from __future__ import annotations
 
+import typing
+
 import attrs
 
 from thornspool.application import exceptions
 
+if typing.TYPE_CHECKING:
+    from thornspool.application import attachments
+
 
 @attrs.frozen
 class OperationRequest:
@@ -49,6 +54,8 @@
         Higher ones go first.
     timeout_ms : int
         Bound on the whole answer, in milliseconds.
+    attachments : tuple of attachments.Attachment
+        Files that the model sees along with the prompt.
     """
 
     request_id: str
@@ -58,6 +65,7 @@
     max_tokens: int
     priority: int
     timeout_ms: int
+    attachments: tuple[attachments.Attachment, ...] = ()
 
 
 class RequestRefused(exceptions.ApplicationError):
@@ -71,11 +79,18 @@
         When to come back, in milliseconds.
     instead : tuple of str
         Addresses of entries to use instead of this one.
+    by_limit : bool
+        Whether a limit of the workspace stood against it.
     """
 
     def __init__(
-        self, reason: str, retry_after_ms: int, instead: tuple[str, ...] = ()
+        self,
+        reason: str,
+        retry_after_ms: int,
+        instead: tuple[str, ...] = (),
+        by_limit: bool = False,
     ) -> None:
         super().__init__(reason, f'Come back in {retry_after_ms} ms.')
         self.retry_after_ms = retry_after_ms
         self.instead = instead
+        self.by_limit = by_limit
--- a/src/thornspool/entry.py
+++ b/src/thornspool/entry.py
@@ -13,6 +13,7 @@
 from thornspool import identifiers
 from thornspool import metrics as metrics_module
 from thornspool import parts
+from thornspool import readings
 from thornspool.adapters import servers
 from thornspool.adapters.callers import context
 from thornspool.adapters.callers import routes as caller_routes
@@ -120,7 +121,9 @@
             settings.callers.body_limit_bytes,
         )
         self._operators = servers.Listener(
-            settings.operators.listen, settings.operators.tls
+            settings.operators.listen,
+            settings.operators.tls,
+            name='operators',
         )
         incarnation = f'{settings.host}-{self._make_identifier()}'
         self._peers = node.PeerNode(
@@ -136,12 +139,15 @@
             incarnation,
         )
         self._metrics = metrics_module.Metrics()
-        self._metrics.add_counts(
-            'thornspool_peer_bytes_total',
-            'Bytes of messages between entries, without TCP and IP.',
-            self._peers.traffic.list_bytes,
+        outside = self._describe_outside(addresses)
+        self._parts = parts.Parts(outside)
+        readings.add_readings(
+            self._metrics,
+            self._clock,
+            self._parts,
+            outside.platform,
+            self._peers.traffic,
         )
-        self._parts = parts.Parts(self._describe_outside(addresses))
         self._answer()
         await self._parts.members.start(settings.peers.seeds)
         await self._parts.targets.start()
@@ -158,6 +164,7 @@
         that this process is gone, since nobody else can record them.
         """
         self._parts.drain.begin()
+        self._callers.send_away()
         await self._parts.drain.wait_drained()
         if not await self._parts.actions.drain(SETTLE_TIMEOUT_MS):
             logger.warning('outcomes_not_recorded')
@@ -224,7 +231,9 @@
 
     def _run(self, work: Coroutine[typing.Any, typing.Any, None]) -> None:
         """Run a loop of the entry until it stops."""
-        self._tasks.append(asyncio.get_running_loop().create_task(work))
+        task = asyncio.get_running_loop().create_task(work)
+        task.add_done_callback(_log_end)
+        self._tasks.append(task)
 
     def _make_platform(self) -> ports.Platform:
         """Make the client of the platform that the settings name."""
@@ -250,3 +259,14 @@
     async def _begin_drain(self) -> None:
         """Start the drain that an operator asked for."""
         self._request_stop()
+
+
+def _log_end(task: asyncio.Task[typing.Any]) -> None:
+    """Log a loop that ended by an error.
+
+    Without it an entry goes on without, say, its configuration loop: it
+    serves an old version and nobody is told.
+    """
+    if task.cancelled() or task.exception() is None:
+        return
+    logger.error('loop_failed', exc_info=task.exception())
--- a/src/thornspool/parts.py
+++ b/src/thornspool/parts.py
@@ -104,6 +104,10 @@
             own.incarnation,
             outside.random_source,
         )
+        self.configuration.ask_stragglers_with(self.members.poll_versions)
+        self.configuration.subscribe(
+            lambda snapshot: self.members.announce_version()
+        )
         snapshot = self.configuration.snapshot
         self.objectives = objectives.ObjectiveService(
             clock, snapshot, peers, self.members, own.incarnation
@@ -160,6 +164,7 @@
             note_failure=self._note_engine_failure,
             note_death=self.quarantine.note_death,
             note_loads=self._hear_loads,
+            trials=self.quarantine,
         )
         self.generation = generation.GenerationService(
             clock, self.engines, planning, hooks
--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+import functools
 import unittest
 
 from thornspool import metrics
+from thornspool import readings
 from thornspool.adapters.peers import traffic
 
 
@@ -13,15 +15,16 @@
         subject = metrics.Metrics()
         counted = traffic.Traffic()
         name = 'thornspool_peer_bytes_total'
-        subject.add_counts(name, 'Bytes.', counted.list_bytes)
+        read = functools.partial(readings._read_traffic, counted, 'bytes')
+        subject.add_counter(name, 'Bytes.', read)
         counted.sent['membership.Ping'].add(40)
         subject.render()
         counted.sent['membership.Ping'].add(2)
         counted.received['membership.Ack'].add(7)
         lines = subject.render()[0].decode().splitlines()
         self.assertIn(
-            f'{name}{{direction="sent",kind="membership.Ping"}} 42.0', lines
+            f'{name}{{direction="sent",kind="membership.Ping"}} 42', lines
         )
         self.assertIn(
-            f'{name}{{direction="received",kind="membership.Ack"}} 7.0', lines
+            f'{name}{{direction="received",kind="membership.Ack"}} 7', lines
         )
