Share a deployment among process tests that end no entry

Cause: 20 tests with a deployment each took 111 s on a busy machine. One of them spent up to 2.4 s making keys, until the clock came to a slot of which the wanted entry writes a page.

Change: tests that end or freeze no entry share one; each publishes limits of its own, since a shared one at first made "two operators" publish what was in force already, which is accepted unchanged ("[200, 409] != [200, 200]"). Keys are tried over several slots. The processes are ended also when the start of a deployment fails half-way.

--- a/tests/processes/deployment.py
+++ b/tests/processes/deployment.py
@@ -8,6 +8,7 @@
 import random
 import re
 import typing
+import unittest
 from urllib import parse
 
 import attrs
@@ -259,6 +260,40 @@
         )
 
 
+class FreshCase(unittest.IsolatedAsyncioTestCase):
+    """Tests that each have a deployment of their own."""
+
+    async def asyncSetUp(self) -> None:
+        opened = processes.open_processes()
+        scope = opened.__enter__()
+        self.addCleanup(opened.__exit__, None, None, None)
+        self.deployment = await asyncio.to_thread(start_deployment, scope)
+        self.version = await prepare(self.deployment)
+
+
+class SharedCase(unittest.IsolatedAsyncioTestCase):
+    """Tests that end no entry and share one deployment."""
+
+    deployment: Deployment
+
+    @classmethod
+    def setUpClass(cls) -> None:
+        opened = processes.open_processes()
+        scope = opened.__enter__()
+        cls.addClassCleanup(opened.__exit__, None, None, None)
+        cls.deployment = start_deployment(scope)
+        asyncio.run(prepare(cls.deployment))
+
+    async def asyncSetUp(self) -> None:
+        await self.deployment.set_faults()
+        self.version = max(
+            [
+                await self.deployment.read_version(entry)
+                for entry in range(len(self.deployment.entries))
+            ]
+        )
+
+
 def start_deployment(scope: processes.Processes) -> Deployment:
     """Start a platform, two services and three entries."""
     with concurrent.futures.ThreadPoolExecutor() as pool:
@@ -319,9 +354,9 @@
     return {'kind': 'workspace', 'name': name, 'limits': limits}
 
 
-def make_key() -> str:
-    """Make an idempotency key."""
-    wall = clock.Clock().wall() + KEY_AHEAD_MS
+def make_key(ahead_ms: int = KEY_AHEAD_MS) -> str:
+    """Make an idempotency key that lies ahead of now."""
+    wall = clock.Clock().wall() + ahead_ms
     return str(identifiers.make_uuid7(wall, _random.getrandbits(74)))
 
 
--- a/tests/processes/test_actions.py
+++ b/tests/processes/test_actions.py
@@ -7,40 +7,41 @@
 
 import asyncio
 import signal
-import unittest
 
 from tests.processes import deployment as deployments
 from thornspool.application import ledger_router
 from thornspool.application import ports
 from thornspool.domain.actions import keys
-from tools import processes
 
 BURST = 60
+CANDIDATES = 400
+AHEAD_MS = range(20_000, 55_000, 2_500)
+"""One for each slot, since a slot may have no page of the wanted writer."""
 SLOW_MS = 100
 """Long enough to freeze a writer during its write; short enough that its
 write is not past its timeout when it wakes after another's call."""
 ALL = (0, 1, 2)
 
 
-class Base(unittest.IsolatedAsyncioTestCase):
-    """Opens a deployment for each test."""
+class Actions:
+    """What the tests of shared and of fresh deployments have in common."""
 
     check_fencing = True
 
     async def asyncSetUp(self) -> None:
-        opened = processes.open_processes()
-        self.deployment = await asyncio.to_thread(
-            deployments.start_deployment, opened.__enter__()
-        )
-        self.addCleanup(opened.__exit__, None, None, None)
-        await deployments.prepare(self.deployment)
+        await super().asyncSetUp()
         await self.behave()
+        self.calls_before = await self.deployment.count_calls()
 
     async def behave(self, **behaviour) -> None:
         await self.deployment.set_behaviour(
             check_fencing=self.check_fencing, **behaviour
         )
 
+    async def count_calls(self) -> int:
+        """Return the number of calls that reached the services in a test."""
+        return await self.deployment.count_calls() - self.calls_before
+
     async def wait_called(self) -> None:
         async def is_called():
             return await self.deployment.count_running() == 1
@@ -54,19 +55,22 @@
         await deployments.wait_until(is_written, 'a page is written')
 
     def make_keys_of(self, writer: int) -> list[str]:
-        """Make keys of pages that an entry is asked first to write."""
+        """Make keys of one page that an entry is asked first to write."""
         names = [one.ready['incarnation'] for one in self.deployment.entries]
         members = [ports.Member(name, '', '', '', '', '') for name in names]
-        found = []
-        while len(found) < BURST:
-            key = deployments.make_key()
-            page = deployments.locate_page(key)
-            chosen = ledger_router.choose_writer(
-                members, page.bucket, page.slot
-            )
-            if chosen.incarnation == names[writer]:
-                found.append(key)
-        return found
+        for ahead_ms in AHEAD_MS:
+            found: dict[keys.PageAddress, list[str]] = {}
+            for _ in range(CANDIDATES):
+                key = deployments.make_key(ahead_ms)
+                page = deployments.locate_page(key)
+                found.setdefault(page, []).append(key)
+            for page, group in found.items():
+                chosen = ledger_router.choose_writer(
+                    members, page.bucket, page.slot
+                )
+                if chosen.incarnation == names[writer] and group[BURST:]:
+                    return group[:BURST]
+        raise AssertionError('No page is written by this entry.')
 
     async def wait_granted(self, key) -> None:
         """Wait until the page of a key stands in the platform."""
@@ -82,7 +86,7 @@
         """Compare executions with everything that callers were told."""
         await self.deployment.wait_idle()
         executions = await self.deployment.count_executions(key)
-        calls = await self.deployment.count_calls()
+        calls = await self.count_calls()
         self.assertEqual(executions, calls)
         self.assertLessEqual(calls, 1)
         outcomes = [reply.outcome for reply in replies]
@@ -92,22 +96,8 @@
             self.assertEqual(1, calls)
 
 
-class DuplicatesTest(Base):
-    """The same key through several entries, with fencing tokens checked."""
-
-    async def test_one_key_through_three_entries_at_once_runs_once(self):
-        """A caller's client sends an action through three entries at once.
-
-        Without agreement each would run it, and three slots are held.
-        """
-        key = deployments.make_key()
-        await self.behave(slow_ms=200)
-        replies = await asyncio.gather(
-            *(self.deployment.act(entry, key) for entry in ALL)
-        )
-        self.assertEqual([200] * 3, [reply.status for reply in replies])
-        self.assertEqual(1, len({reply.body for reply in replies}))
-        self.assertEqual(1, await self.deployment.count_calls())
+class RunnersTest(Actions, deployments.FreshCase):
+    """Runners that die or freeze, with fencing tokens checked."""
 
     async def test_a_runner_killed_in_mid_call_is_not_replaced(self) -> None:
         """The entry dies while the service works on the action.
@@ -129,7 +119,7 @@
         await self.deployment.wait_idle()
         replies.append(await self.deployment.act(1, key, resent=True))
         self.assertEqual(['unknown'] * 3, [one.outcome for one in replies])
-        self.assertEqual(1, await self.deployment.count_calls())
+        self.assertEqual(1, await self.count_calls())
         self.assertEqual(1, await self.deployment.count_executions(key))
 
     async def test_a_runner_frozen_before_its_call_runs_nothing_twice(self):
@@ -170,14 +160,33 @@
         await self.check_ran_once_at_most(key, replies)
 
 
-class UnfencedDuplicatesTest(DuplicatesTest):
+class UnfencedRunnersTest(RunnersTest):
     """The same with a service that ignores fencing tokens."""
 
     check_fencing = False
 
 
-class FaultsTest(Base):
-    """Faults of the platform, the service and the page's writer."""
+class FaultsTest(Actions, deployments.SharedCase):
+    """Faults of callers, the platform and the service."""
+
+    async def test_one_key_through_three_entries_at_once_runs_once(self):
+        """A caller's client sends an action through three entries at once.
+
+        Without agreement each would run it, and three slots are held.
+        """
+        for check_fencing in (True, False):
+            with self.subTest(check_fencing=check_fencing):
+                key = deployments.make_key()
+                await self.deployment.set_behaviour(
+                    check_fencing=check_fencing, slow_ms=200
+                )
+                before = await self.count_calls()
+                replies = await asyncio.gather(
+                    *(self.deployment.act(entry, key) for entry in ALL)
+                )
+                self.assertEqual([200] * 3, [one.status for one in replies])
+                self.assertEqual(1, len({one.body for one in replies}))
+                self.assertEqual(before + 1, await self.count_calls())
 
     async def test_an_outage_of_the_platform_costs_no_key(self) -> None:
         """The platform is away, and comes back.
@@ -191,7 +200,7 @@
         self.assertEqual((503, 'not run'), (reply.status, reply.outcome))
         self.assertIs(False, reply.key_checked)
         self.assertIn('Retry-After', reply.headers)
-        self.assertEqual(0, await deployment.count_calls())
+        self.assertEqual(0, await self.count_calls())
         bound = await deployment.mint_key(0)
         self.assertEqual(422, (await deployment.act(1, bound)).status)
         self.assertEqual('done', (await deployment.act(0, bound)).outcome)
@@ -199,7 +208,7 @@
         await deployment.set_faults()
         await deployment.act_until_done(key)
         self.assertEqual(1, await deployment.count_executions(key))
-        self.assertEqual(2, await deployment.count_calls())
+        self.assertEqual(2, await self.count_calls())
 
     async def test_lost_and_late_writes_run_nothing_twice(self) -> None:
         """The platform takes a write and its answer is lost, or is late.
@@ -236,7 +245,7 @@
         ]
         self.assertEqual([504] * 6, [reply.status for reply in replies])
         self.assertEqual({'unknown'}, {reply.outcome for reply in replies})
-        self.assertEqual(1, await self.deployment.count_calls())
+        self.assertEqual(1, await self.count_calls())
 
     async def test_a_key_used_for_another_body_is_refused(self) -> None:
         """A caller's fault gives two actions one key.
@@ -248,7 +257,11 @@
         for entry in ALL:
             reply = await self.deployment.act(entry, key, b'{"slot": 8}')
             self.assertEqual((422, 'not run'), (reply.status, reply.outcome))
-        self.assertEqual(1, await self.deployment.count_calls())
+        self.assertEqual(1, await self.count_calls())
+
+
+class WritersTest(Actions, deployments.FreshCase):
+    """Writers of pages that die or freeze."""
 
     async def test_the_writer_of_a_page_dies_under_a_burst(self) -> None:
         """The entry that writes a page dies while keys of it come in.
@@ -303,10 +316,10 @@
         for key in burst[:30]:
             await deployment.act_until_done(key)
             self.assertEqual(1, await deployment.count_executions(key))
-        self.assertEqual(30, await deployment.count_calls())
+        self.assertEqual(30, await self.count_calls())
 
     async def wait_called_first(self) -> None:
         async def is_called():
-            return await self.deployment.count_calls() > 0
+            return await self.count_calls() > 0
 
         await deployments.wait_until(is_called, 'a first call arrives')
--- a/tests/processes/test_configuration.py
+++ b/tests/processes/test_configuration.py
@@ -4,26 +4,18 @@
 
 import asyncio
 import signal
-import unittest
 
 from tests.processes import deployment as deployments
 from thornspool.domain.configuration import head
 from thornspool.domain.configuration import storage
-from tools import processes
 
 ALL = (0, 1, 2)
 RESTORES = 30
 """More writes than the first platform has seen, so that watches end."""
 
 
-class ConfigurationTest(unittest.IsolatedAsyncioTestCase):
-    async def asyncSetUp(self) -> None:
-        opened = processes.open_processes()
-        self.deployment = await asyncio.to_thread(
-            deployments.start_deployment, opened.__enter__()
-        )
-        self.addCleanup(opened.__exit__, None, None, None)
-        self.version = await deployments.prepare(self.deployment)
+class Configuration:
+    """What the tests of shared and of fresh deployments have in common."""
 
     async def publish(self, entry, name, *limits):
         """Publish limits of workspaces of the same name or names."""
@@ -50,6 +42,14 @@
         self.assertTrue(applied)
         self.assertEqual(sorted(set(applied)), applied)
 
+
+class PublicationsTest(Configuration, deployments.SharedCase):
+    """Publications that meet each other and faults of the platform.
+
+    They share a deployment, so each sets limits of its own: a publication of
+    what is in force already changes nothing and meets nobody.
+    """
+
     async def test_two_operators_at_once(self) -> None:
         """Two operators publish through two entries at the same moment.
 
@@ -57,8 +57,8 @@
         without a word; where they do not, nobody should have to repeat.
         """
         answers = await asyncio.gather(
-            self.publish(0, 'same-a', ('slots', 100)),
-            self.publish(1, 'same-b', ('slots', 200)),
+            self.publish(0, 'same-a', ('slots', 101)),
+            self.publish(1, 'same-b', ('slots', 102)),
         )
         self.assertEqual([200, 409], sorted(one.status for one in answers))
         (refused,) = (one for one in answers if one.status == 409)
@@ -66,8 +66,8 @@
         self.assertEqual(['workspace/slots'], names)
         await self.check_in_force(self.version + 1)
         answers = await asyncio.gather(
-            self.publish(0, 'other-a', ('brief', 100)),
-            self.publish(1, 'other-b', ('draft', 100)),
+            self.publish(0, 'other-a', ('brief', 103)),
+            self.publish(1, 'other-b', ('draft', 104)),
         )
         self.assertEqual([200, 200], [one.status for one in answers])
         await self.check_in_force(self.version + 3)
@@ -84,14 +84,14 @@
         """
         await self.deployment.set_faults(lose_writes=2)
         for entry in (0, 1):
-            answer = await self.publish(entry, 'lost', ('slots', 100))
+            answer = await self.publish(entry, 'lost', ('slots', 105))
             self.assertEqual(200, answer.status)
             accepted = answer.read_json()['version']
             self.assertEqual(self.version + 1, accepted)
         await self.check_in_force(self.version + 1)
-        changed = [deployments.make_workspace('slots', 300)]
+        changed = [deployments.make_workspace('slots', 106)]
         await self.deployment.publish(1, 'after', changed, self.version + 1)
-        answer = await self.publish(2, 'lost', ('slots', 100))
+        answer = await self.publish(2, 'lost', ('slots', 105))
         self.assertEqual(200, answer.status)
         self.assertEqual(self.version + 1, answer.read_json()['version'])
         await self.check_in_force(self.version + 2)
@@ -99,6 +99,24 @@
             accepted = await self.read_history(entry)
             self.assertEqual(1, accepted.count('lost'))
 
+    async def test_old_answers_of_the_platform_take_no_entry_back(self):
+        """Reads of the platform are behind while an operator publishes.
+
+        A plan on an old version would undo what was accepted after it.
+        """
+        await self.publish(0, 'newer', ('slots', 107))
+        await self.deployment.set_faults(stale_reads=3)
+        answer = await self.publish(1, 'newest', ('brief', 108))
+        self.assertEqual(200, answer.status)
+        await self.check_in_force(self.version + 2)
+        self.assertLessEqual(
+            {'newer', 'newest'}, set(await self.read_history(2))
+        )
+
+
+class OutagesTest(Configuration, deployments.FreshCase):
+    """Entries that start or freeze, and a platform that is down or forgets."""
+
     async def test_an_outage_during_a_publication_and_a_start(self) -> None:
         """The platform is away when an operator publishes and a host starts.
 
@@ -140,20 +158,6 @@
         applied = self.deployment.read_applied(2)
         self.assertEqual(self.version + 3, applied[-1])
 
-    async def test_old_answers_of_the_platform_take_no_entry_back(self):
-        """Reads of the platform are behind while an operator publishes.
-
-        A plan on an old version would undo what was accepted after it.
-        """
-        await self.publish(0, 'newer', ('slots', 100))
-        await self.deployment.set_faults(stale_reads=3)
-        answer = await self.publish(1, 'newest', ('brief', 100))
-        self.assertEqual(200, answer.status)
-        await self.check_in_force(self.version + 2)
-        self.assertLessEqual(
-            {'newer', 'newest'}, set(await self.read_history(2))
-        )
-
     async def test_a_platform_that_forgot_takes_no_entry_back(self) -> None:
         """The platform starts again empty, then with an old backup.
 
