--- a/src/thornspool/adapters/callers/generate_bodies.py
+++ b/src/thornspool/adapters/callers/generate_bodies.py
@@ -10,7 +10,7 @@
 import attrs
 import msgspec
 
-from thornspool.application import attachments
+from thornspool.application import generation_attachments
 
 MAX_TOKENS_LIMIT = 32_768
 MAX_TIMEOUT_MS = 600_000
@@ -31,7 +31,7 @@
     max_tokens: int = 256
     priority: int = 0
     timeout_ms: int = DEFAULT_TIMEOUT_MS
-    attachments: tuple[attachments.Attachment, ...] = ()
+    attachments: tuple[generation_attachments.Attachment, ...] = ()
     workspace: str | None = None
     model: str | None = None
 
@@ -85,7 +85,7 @@
     """Return members that mean nothing, by their path in the body."""
     unknown = set(raw) - _list_names(GenerateBody)
     for place, one in enumerate(raw.get('attachments', ())):
-        strange = set(one) - _list_names(attachments.Attachment)
+        strange = set(one) - _list_names(generation_attachments.Attachment)
         unknown |= {f'attachments[{place}].{name}' for name in strange}
     return sorted(unknown)
 
@@ -95,7 +95,7 @@
 
 
 def _find_attachments_problem(
-    given: tuple[attachments.Attachment, ...],
+    given: tuple[generation_attachments.Attachment, ...],
 ) -> str:
     if len(given) > MAX_ATTACHMENTS:
         return f'There are more than {MAX_ATTACHMENTS} attachments.'
@@ -113,7 +113,7 @@
     return ''
 
 
-def _find_attachment_problem(one: attachments.Attachment) -> str:
+def _find_attachment_problem(one: generation_attachments.Attachment) -> str:
     texts = (one.kind, one.media_type, one.reference)
     if max(map(len, texts)) > MAX_TEXT_CHARACTERS:
         return (
--- a/src/thornspool/adapters/targets/engine_messages.py
+++ b/src/thornspool/adapters/targets/engine_messages.py
@@ -8,7 +8,7 @@
 import msgspec
 
 if typing.TYPE_CHECKING:
-    from thornspool.application import attachments
+    from thornspool.application import generation_attachments
     from thornspool.application import generation_messages
 
 
@@ -52,7 +52,7 @@
         Longest answer, resumed tokens included.
     priority : int
         Higher goes first.
-    attachments : tuple of attachments.Attachment
+    attachments : tuple of generation_attachments.Attachment
         Files that come with the prompt.
     """
 
@@ -66,7 +66,7 @@
     resume: tuple[str, ...]
     max_tokens: int
     priority: int
-    attachments: tuple[attachments.Attachment, ...]
+    attachments: tuple[generation_attachments.Attachment, ...]
 
 
 @attrs.frozen
--- a/src/thornspool/application/generation_messages.py
+++ b/src/thornspool/application/generation_messages.py
@@ -10,7 +10,7 @@
 if typing.TYPE_CHECKING:
     from collections.abc import Callable
 
-    from thornspool.application import attachments
+    from thornspool.application import generation_attachments
     from thornspool.domain.pipelines import frames
     from thornspool.domain.pipelines import messages
     from thornspool.domain.pipelines import routes
@@ -36,7 +36,7 @@
         Higher goes first at the engines.
     deadline : int
         Monotonic milliseconds at which the request is given up.
-    attachments : tuple of attachments.Attachment
+    attachments : tuple of generation_attachments.Attachment
         Files that the model sees along with the prompt.
     """
 
@@ -47,7 +47,7 @@
     max_tokens: int
     priority: int
     deadline: int
-    attachments: tuple[attachments.Attachment, ...] = ()
+    attachments: tuple[generation_attachments.Attachment, ...] = ()
 
 
 class Outcome(enum.Enum):
--- a/src/thornspool/application/requests.py
+++ b/src/thornspool/application/requests.py
@@ -9,7 +9,7 @@
 from thornspool.application import exceptions
 
 if typing.TYPE_CHECKING:
-    from thornspool.application import attachments
+    from thornspool.application import generation_attachments
 
 
 @attrs.frozen
@@ -54,7 +54,7 @@
         Higher ones go first.
     timeout_ms : int
         Bound on the whole answer, in milliseconds.
-    attachments : tuple of attachments.Attachment
+    attachments : tuple of generation_attachments.Attachment
         Files that the model sees along with the prompt.
     """
 
@@ -65,7 +65,7 @@
     max_tokens: int
     priority: int
     timeout_ms: int
-    attachments: tuple[attachments.Attachment, ...] = ()
+    attachments: tuple[generation_attachments.Attachment, ...] = ()
 
 
 class RequestRefused(exceptions.ApplicationError):
--- a/tests/adapters/targets/test_engines.py
+++ b/tests/adapters/targets/test_engines.py
@@ -12,8 +12,8 @@
 from tests.standins import processes
 from thornspool.adapters.targets import engine_messages
 from thornspool.adapters.targets import engines
-from thornspool.application import attachments
 from thornspool.application import exceptions
+from thornspool.application import generation_attachments
 from thornspool.application import generation_attempts
 from thornspool.application import generation_exceptions
 from thornspool.application import generation_messages
@@ -69,7 +69,9 @@
         self.assertEqual(self.frames[-1].loads[0].target, 'a-1')
 
     async def test_attachments_reach_the_engine(self):
-        given = attachments.Attachment('photo', 'image/jpeg', 'front.jpg')
+        given = generation_attachments.Attachment(
+            'photo', 'image/jpeg', 'front.jpg'
+        )
         request = attrs.evolve(self.build_call().request, attachments=(given,))
         await self.generate(request=request)
         self.assertEqual(self.frames[-1].end, 5)
@@ -91,7 +93,9 @@
                 attrs.evolve(
                     plain,
                     attachments=tuple(
-                        attachments.Attachment('photo', 'image/jpeg', each)
+                        generation_attachments.Attachment(
+                            'photo', 'image/jpeg', each
+                        )
                         for each in references
                     ),
                 )
