Measure the relay of a whole entry process at one token a chunk

Cause: bench_relay measured the use case and the client alone, without server-sent events, admission, counting and the caller's connection.

Change: measure_entry_relay() runs entry, stand-in and caller as three processes and divides the tokens by the entry's processor time.

--- a/tools/bench_relay.py
+++ b/tools/bench_relay.py
@@ -8,6 +8,8 @@
 
 import asyncio
 import json
+import os
+import pathlib
 import random
 import subprocess
 import sys
@@ -20,6 +22,9 @@
 from thornspool.application import generation_planning
 from thornspool.domain.configuration import documents
 from thornspool.domain.targets import messages as target_messages
+from tools import demo
+from tools import processes
+from tools import requester
 
 _STREAMS = 8
 _TOKENS = 25_000
@@ -126,5 +131,115 @@
     }
 
 
+def measure_entry_relay(tokens: int = _TOKENS // 5) -> dict[str, float]:
+    """Measure a whole entry process at one token a chunk.
+
+    The entry, a stand-in engine without a step time and the caller are three
+    processes; the caller is this one. The entry writes server-sent events.
+
+    Parameters
+    ----------
+    tokens : int
+        Tokens of each of the streams.
+
+    Returns
+    -------
+    dict of str to float
+        ``tokens``; ``tokens_per_s`` of the wall clock, with the stand-in's
+        pace in it; ``tokens_per_core_s`` of the entry's processor time.
+    """
+    with processes.open_processes() as scope:
+        engine = scope.start(
+            'engine-1',
+            'standins.engine',
+            *('--name', 'engine-1', '--step-ms', '0', '--burst', '1'),
+            *('--end-layer', str(_LAYERS)),
+        )
+        entry = scope.start_entry('host-1')
+        _publish(scope, entry, engine)
+        asyncio.run(_ask_all(entry, 100))
+        before, wall = _read_processor_s(entry), time.monotonic()
+        count = asyncio.run(_ask_all(entry, tokens))
+        wall = time.monotonic() - wall
+        processor = _read_processor_s(entry) - before
+    return {
+        'tokens': count,
+        'tokens_per_s': round(count / wall),
+        'tokens_per_core_s': round(count / processor),
+    }
+
+
+def _publish(
+    scope: processes.Processes,
+    entry: processes.Process,
+    engine: processes.Process,
+) -> None:
+    """Publish one workspace, one model and the engine that holds it."""
+    folder = scope.folder / 'services'
+    folder.mkdir()
+    listed = (
+        {'kind': 'workspace', 'name': 'brokers', 'models': ['text']},
+        {
+            'kind': 'target',
+            'name': 'engine-1',
+            'serves': 'engine',
+            'host': 'host-2',
+            'failure_domain': 'perth-a',
+            'url': engine.ready['url'],
+        },
+        {
+            'kind': 'model',
+            'name': 'text',
+            'version': '1',
+            'layers': _LAYERS,
+            'stages': [
+                {
+                    'target': 'engine-1',
+                    'first_layer': 0,
+                    'end_layer': _LAYERS,
+                }
+            ],
+        },
+    )
+    for document in listed:
+        path = folder / f'{document["name"]}.json'
+        path.write_text(json.dumps(document))
+    deployment = demo.Deployment(scope, {}, (entry,))
+    demo.run_tool(deployment, 'publish', str(folder))
+
+
+async def _ask_all(entry: processes.Process, tokens: int) -> int:
+    """Read all streams at once and check the end of each."""
+    url = (
+        entry.ready['callers'] + '/v1/workspaces/brokers/models/text/generate'
+    )
+    answers = await asyncio.gather(
+        *(
+            requester.send_async(
+                'POST',
+                url,
+                json.dumps(
+                    {'prompt': f'Prompt {number}', 'max_tokens': tokens}
+                ).encode(),
+            )
+            for number in range(_STREAMS)
+        )
+    )
+    for answer in answers:
+        end = requester.read_events(answer.body)[-1]
+        if end != ('end', {'count': tokens}):
+            raise RuntimeError(f'The answer is not whole: {end}.')
+    return tokens * len(answers)
+
+
+def _read_processor_s(process: processes.Process) -> float:
+    """Read the processor time of a process, in seconds (proc(5))."""
+    path = pathlib.Path(f'/proc/{process.popen.pid}/stat')
+    fields = path.read_text().rpartition(')')[2].split()
+    ticks = int(fields[11]) + int(fields[12])
+    return ticks / os.sysconf('SC_CLK_TCK')
+
+
 if __name__ == '__main__':
-    print(json.dumps(measure_relay(), indent=2))
+    measured = {**measure_relay(), 'entry': measure_entry_relay()}
+    print(json.dumps(measured, indent=2))
