--- a/standins/engine_faults.py
+++ b/standins/engine_faults.py
@@ -11,6 +11,9 @@
 if typing.TYPE_CHECKING:
     from collections.abc import Callable
 
+_CROSSED = 'crossed '
+_LATE = 'late '
+
 Frames = list[engine_messages.Frame]
 
 
@@ -48,11 +51,16 @@
 
 
 def _cross(frame: engine_messages.Frame) -> Frames:
-    return [attrs.evolve(frame, request='request-of-another-caller')]
+    # With a text of its own: were it taken, the caller's text would be wrong.
+    return [
+        attrs.evolve(
+            frame, request='request-of-another-caller', token=_CROSSED
+        )
+    ]
 
 
 def _repeat_late(frame: engine_messages.Frame) -> Frames:
-    late = attrs.evolve(frame, attempt=frame.attempt - 1)
+    late = attrs.evolve(frame, attempt=frame.attempt - 1, token=_LATE)
     return [late, frame]
 
 
--- a/tests/processes/builders.py
+++ b/tests/processes/builders.py
@@ -158,11 +158,11 @@
         )
 
 
-def open_cluster(case, entries, engines, **options):
+def open_cluster(add_cleanup, entries, engines, **options):
     """Start a cluster that ends with its test; not from a running loop."""
     scope = processes.open_processes()
     opened = scope.__enter__()
-    case.addCleanup(scope.__exit__, None, None, None)
+    add_cleanup(scope.__exit__, None, None, None)
     return Cluster(opened, entries, engines, **options)
 
 
--- a/tests/processes/test_quarantine.py
+++ b/tests/processes/test_quarantine.py
@@ -20,7 +20,7 @@
 
 class QuarantineTest(unittest.IsolatedAsyncioTestCase):
     def setUp(self):
-        self.cluster = builders.open_cluster(self, 3, HEADS + TAILS)
+        self.cluster = builders.open_cluster(self.addCleanup, 3, HEADS + TAILS)
 
     def list_left(self):
         """Return the requests that an engine died under, by the logs."""
