Follow the stand-in's tokens to their new module in the load of tests

Cause: after the merge no stream of the load was checked; compute_token has moved to standins.engine_stage, and the planned stop and the leaving of targets failed.

--- a/tests/processes/load.py
+++ b/tests/processes/load.py
@@ -15,7 +15,7 @@
 from tornado import curl_httpclient
 from tornado import httpclient
 
-from standins import engine
+from standins import engine_stage
 from thornspool import clock
 from thornspool import identifiers
 from tools import processes
@@ -338,7 +338,7 @@
             if name == 'tokens'
             for text in data['texts']
         ]
-        wanted = [engine.compute_token(prompt, i) for i in range(tokens)]
+        wanted = [engine_stage.compute_token(prompt, i) for i in range(tokens)]
         if texts != wanted or events[-1] != ('end', {'count': tokens}):
             return 'cut', f'{len(texts)} tokens, then {events[-1]}', ''
         return 'whole', response.headers['X-Request-Id'], ''
