Estimate each operation by itself and start bounds slowly

Cause: slow and fast operations of one service shared one estimate, so each slow answer looked delayed and cut the bound of the service; and a bound that starts at 16 grew by a sixteenth an answer, so callers that gathered on the entries that stay were refused for overload. Ruled out: a larger first bound, which 350 entries would multiply. Change: the time of a request is learnt for each operation; until its first cut a bound grows by one with each answer. Proof seen to fail: with one estimate for a service, the new test saw 144 ms for an operation of 300 ms.

--- a/src/thornspool/application/gates.py
+++ b/src/thornspool/application/gates.py
@@ -83,7 +83,10 @@
         verdict = self._quarantine.check(work.fingerprint)
         if isinstance(verdict, quarantine_messages.Condemned):
             raise requests.RequestRefused(_CONDEMNED, verdict.retry_after_ms)
-        pace = self._paces.setdefault(work.group, Pace())
+        # Slow and fast operations of one service share its targets but not
+        # their times. With one estimate for both, every slow one would look
+        # delayed and cut the bound of the service.
+        pace = self._paces.setdefault(work.kind, Pace())
         admitted = self._service.admit(
             work.workspace,
             work.group,
--- a/src/thornspool/application/intake.py
+++ b/src/thornspool/application/intake.py
@@ -53,6 +53,9 @@
         Monotonic milliseconds.
     tokens : int
         Most tokens that it may generate; 0 for calls.
+    kind : str
+        Names work that takes about as long: the model, or the operation
+        within its service.
     """
 
     workspace: str
@@ -60,6 +63,7 @@
     fingerprint: str
     deadline: int
     tokens: int
+    kind: str
 
 
 class Ticket(typing.Protocol):
@@ -267,6 +271,7 @@
             generation_attempts.fingerprint_request(wanted),
             wanted.deadline,
             request.max_tokens,
+            request.model,
         )
         with self._admit(work, GENERATION) as run:
             events = self._runners.generation.stream(wanted)
@@ -310,6 +315,7 @@
             '',
             self._clock.now() + resolved.operation.timeout_ms,
             0,
+            f'{request.service}/{request.operation}',
         )
         kind = 'call' if resolved.operation.idempotent else 'action'
         with self._admit(work, kind) as run:
--- a/src/thornspool/domain/limits/concurrency.py
+++ b/src/thornspool/domain/limits/concurrency.py
@@ -104,8 +104,13 @@
         if not succeeded or self._is_delayed(estimated_ms):
             self._cut(started, now)
         elif busy:
-            grown = self.limit + 1.0 / max(self.limit, 1.0)
-            self.limit = min(_LARGEST_LIMIT, grown)
+            # Until the first cut nothing is known of the capacity, and the
+            # bound doubles with each round of answers (slow start). Grown by
+            # a little only, callers that gather on a new entry, or on those
+            # that stay when others leave, would be refused for overload
+            # though the targets are idle.
+            step = 1.0 if self.cut_at == 0 else 1.0 / max(self.limit, 1.0)
+            self.limit = min(_LARGEST_LIMIT, self.limit + step)
 
     def _is_delayed(self, estimated_ms: int) -> bool:
         """Tell whether requests wait much longer than on idle targets."""
--- a/tests/application/test_gates.py
+++ b/tests/application/test_gates.py
@@ -5,6 +5,8 @@
 import types
 import unittest
 
+import attrs
+
 from tests import builders
 from thornspool.application import gates
 from thornspool.application import intake
@@ -13,7 +15,7 @@
 from thornspool.domain.limits import messages as limits
 from thornspool.domain.quarantine import messages as quarantine
 
-WORK = intake.Work('swan-coast', 'drafter', 'f', 60_000, 40)
+WORK = intake.Work('swan-coast', 'drafter', 'f', 60_000, 40, 'drafter')
 TICKET = limits.Ticket('swan-coast', 'drafter', 0, 200)
 
 # Reason of admission and whether the workspace's own limit stood against it.
@@ -92,3 +94,21 @@
         self.keeper.admit(WORK)
         self.assertEqual(200, self.estimates[0])
         self.assertAlmostEqual(800, self.estimates[-1], delta=10)
+
+    def test_operations_of_one_service_have_their_own_times(self) -> None:
+        """A service has an operation of 5 ms and one of 300 ms.
+
+        With one estimate for both, each slow answer looked delayed: the
+        bound of the service fell to one call, and callers were refused for
+        overload under almost no load.
+        """
+        slow = intake.Work('swan-coast', 'slots', '', 9000, 0, 'slots/hold')
+        fast = attrs.evolve(slow, kind='slots/status')
+        for _ in range(80):
+            for work, took in ((slow, 300), (fast, 5)):
+                place = self.keeper.admit(work)
+                place.finish(0, observation.Outcome.DONE, took)
+        self.keeper.admit(slow)
+        self.keeper.admit(fast)
+        self.assertAlmostEqual(300, self.estimates[-2], delta=5)
+        self.assertAlmostEqual(5, self.estimates[-1], delta=1)
