Leave a route that slows within the bound on a stall

Ruled out: a shorter bound on stalls, which a batch with a long prompt trips. Change: a stream learns its usual time between chunks; a wait of 20 times that, 400 ms at least, leaves the route once in a request and only with a retry to spend. Proofs seen to fail: without the bound, with leaving again and again, with a spent budget ending the request, and with a bound of twice the usual time, one test each failed.

--- a/src/thornspool/application/generation_attempts.py
+++ b/src/thornspool/application/generation_attempts.py
@@ -26,6 +26,7 @@
     from thornspool.domain.pipelines import frames as frames_module
 
 _CANCEL_TIMEOUT_MS = 2_000
+_WAITS = frozenset({messages.Reason.STALLED, messages.Reason.SLOWED})
 
 
 def fingerprint_request(
@@ -167,7 +168,7 @@
     def blame(self, command: messages.Cancel) -> None:
         """Tell who failed, and learn from a stall."""
         context = self._context
-        if command.reason is messages.Reason.STALLED and self._seen_at >= 0:
+        if command.reason in _WAITS and self._seen_at >= 0:
             now = context.clock.now()
             waited = now - self._seen_at
             context.planning.note_stall(self._route, waited, now)
--- a/src/thornspool/domain/pipelines/messages.py
+++ b/src/thornspool/domain/pipelines/messages.py
@@ -20,6 +20,7 @@
     ENDED_SHORT = 'the stream ended without its count'
     MALFORMED = 'the stream holds bytes that are no frame'
     STALLED = 'no token came within the bound'
+    SLOWED = 'tokens come far slower than before'
     STAGE_LOST = 'a stage stopped answering'
     REFUSED = 'a target refuses new work'
     NOT_REACHED = 'a target could not be reached'
--- a/src/thornspool/domain/pipelines/verifier.py
+++ b/src/thornspool/domain/pipelines/verifier.py
@@ -14,6 +14,7 @@
 import attrs
 
 from thornspool.domain.pipelines import messages
+from thornspool.domain.pipelines import pace
 
 if typing.TYPE_CHECKING:
     from collections.abc import Callable
@@ -78,6 +79,9 @@
         self._excluded: set[str] = set()
         self._avoided: set[str] = set()
         self._stalled_at = bounds.deadline
+        self._pace = pace.StreamPace()
+        self._slow_at: int | None = None
+        self._left_slow = False
 
     def handle(
         self, event: messages.Event, now: int
@@ -110,7 +114,8 @@
 
     def read_wake(self) -> int:
         """Return when ``TimePassed`` is due, in monotonic milliseconds."""
-        return min(self._stalled_at, self._bounds.deadline)
+        due = min(self._stalled_at, self._bounds.deadline)
+        return due if self._slow_at is None else min(due, self._slow_at)
 
     def give_up(self, reason: messages.Reason) -> list[messages.Command]:
         """End the request, for instance when no route can be planned."""
@@ -122,6 +127,7 @@
         self.route = route
         self._receipts = route.build_receipts()
         self._stalled_at = now + self._bounds.first_token_ms
+        self._pace.begin()
         return []
 
     def _receive(
@@ -137,6 +143,7 @@
         commands: list[messages.Command] = []
         if len(self.tokens) > first:
             self._stalled_at = now + self._bounds.between_tokens_ms
+            self._note_pace(now)
             texts = tuple(self.tokens[first:])
             commands.append(messages.Deliver(first, texts))
         if unpassed is not None:
@@ -191,30 +198,64 @@
             return []
         return self._resume(event.reason, event.target)
 
+    def _note_pace(self, now: int) -> None:
+        """Learn from a chunk, and say when the next one would be too late."""
+        self._pace.note(now)
+        bound = self._pace.compute_bound()
+        self._slow_at = None
+        if bound is not None and not self._left_slow:
+            self._slow_at = now + int(bound)
+
     def _check_time(self, now: int) -> list[messages.Command]:
-        if self.route is None or now < self._stalled_at:
+        if self.route is None:
+            return []
+        if now >= self._stalled_at:
+            return self._resume(messages.Reason.STALLED, '')
+        if self._slow_at is not None and now >= self._slow_at:
+            return self._leave_slow()
+        return []
+
+    def _leave_slow(self) -> list[messages.Command]:
+        """Leave a route that slowed, once in a request and if it is paid.
+
+        Unlike a stall it ends no request: without a retry to spend, the
+        tokens that still come are better than none. Once, since a host that
+        is slow by itself would make all its requests wander.
+        """
+        self._slow_at = None
+        self._left_slow = True
+        if not self._take_retry():
             return []
-        return self._resume(messages.Reason.STALLED, '')
+        return self._leave(messages.Reason.SLOWED, '')
 
     def _resume(
         self, reason: messages.Reason, suspect: str
     ) -> list[messages.Command]:
-        """Leave the attempt and have the rest computed by another route."""
+        """Leave the attempt for another route, if that can be paid."""
         assert self.route is not None
         if suspect not in self.route.list_targets():
             suspect = ''
+        # Each unpaid try excludes a target, so there are only so many.
+        paid = reason not in _UNPAID or not suspect
+        if paid and not self._take_retry():
+            cancel = messages.Cancel(self.attempt, self.route, reason, suspect)
+            return [cancel, *self._end(messages.Reason.NO_RETRY)]
+        return self._leave(reason, suspect)
+
+    def _leave(
+        self, reason: messages.Reason, suspect: str
+    ) -> list[messages.Command]:
+        """Have the rest computed by another route."""
+        assert self.route is not None
         cancel = messages.Cancel(self.attempt, self.route, reason, suspect)
         if suspect:
             self._excluded.add(suspect)
         else:
             self._avoided.update(self.route.list_targets())
-        # Each unpaid try excludes a target, so there are only so many.
-        paid = reason not in _UNPAID or not suspect
-        if paid and not self._take_retry():
-            return [cancel, *self._end(messages.Reason.NO_RETRY)]
         self.attempt += 1
         self.route = None
         self._stalled_at = self._bounds.deadline
+        self._slow_at = None
         excluded = frozenset(self._excluded)
         avoided = frozenset(self._avoided)
         return [cancel, messages.Replan(self.attempt, excluded, avoided)]
--- a/tests/domain/pipelines/test_verifier.py
+++ b/tests/domain/pipelines/test_verifier.py
@@ -133,6 +133,59 @@
         self.assertEqual(early, [])
         self.assertEqual(cancel.reason, REASONS.STALLED)
 
+    def stream(self, intervals, first=0, attempt=0, start=0):
+        """Receive tokens; returns the time and the commands that were due."""
+        now = start
+        commands = []
+        for index, interval in enumerate(intervals, first):
+            wake = self.verifier.read_wake()
+            if wake < now + interval:
+                commands += self.verifier.handle(messages.TimePassed(), wake)
+            now += interval
+            if self.verifier.attempt != attempt:
+                return now, commands
+            frame = self.build(index, attempt=attempt)
+            self.receive(frame, attempt=attempt, now=now)
+        return now, commands
+
+    def test_a_link_that_slows_within_the_bound_is_left_once(self):
+        """A link slows from 5 to 500 ms; each token still comes in time.
+
+        No error shows and no stall: a draft of seconds takes minutes.
+        """
+        bounds = verifier.Bounds(10**6, 1_000, 1_000)
+        self.verifier = verifier.Verifier('r', bounds, self.take_retry)
+        self.verifier.handle(messages.Started(ROUTE), 0)
+        now, commands = self.stream([5] * 20 + [500] * 20)
+        cancel, replan = commands
+        self.assertEqual(cancel.reason, REASONS.SLOWED)
+        self.assertEqual(replan.avoided, frozenset(ROUTE.list_targets()))
+        self.verifier.handle(messages.Started(ROUTE), now)
+        _, commands = self.stream([500] * 20, 20, 1, now)
+        self.assertEqual(commands, [])
+
+    def test_a_slow_link_without_a_retry_ends_nothing(self):
+        """A link slows and the retry budget is spent.
+
+        Slow tokens are better than a request that ends with an error.
+        """
+        bounds = verifier.Bounds(10**6, 1_000, 1_000)
+        self.retries = 0
+        self.verifier = verifier.Verifier('r', bounds, self.take_retry)
+        self.verifier.handle(messages.Started(ROUTE), 0)
+        _, commands = self.stream([5] * 20 + [500] * 20)
+        self.assertEqual(commands, [])
+        self.assertEqual(len(self.verifier.tokens), 40)
+
+    def test_usual_variation_is_not_slow(self):
+        """Batches and prompts of others hold tokens up for a moment."""
+        bounds = verifier.Bounds(10**6, 1_000, 1_000)
+        self.verifier = verifier.Verifier('r', bounds, self.take_retry)
+        self.verifier.handle(messages.Started(ROUTE), 0)
+        _, commands = self.stream([5, 30, 20, 5, 300, 10] * 10)
+        self.assertEqual(commands, [])
+        self.assertEqual(self.retries, 2)
+
     def test_ends_explicitly(self):
         """No retry is left, or the deadline passes.
 
--- a/tests/processes/test_streams.py
+++ b/tests/processes/test_streams.py
@@ -139,6 +139,22 @@
         for name in ENGINES:
             await self.set_links(name, tails, 0)
 
+    async def test_link_that_slows_within_the_bound(self):
+        """A link goes from no delay to 500 ms, under the bound on a stall.
+
+        Every token still comes, so nothing seems wrong but the time: 400
+        tokens take minutes unless the route is left.
+        """
+        tails = [one for one in ENGINES if one.endswith('tail')]
+        asked = asyncio.create_task(
+            self.cluster.ask_many(['Slowed a little'], max_tokens=400)
+        )
+        name = await self.find_engine('head')
+        await self.set_links(name, tails, 500)
+        await self.check_all(['Slowed a little'], await asked, 400)
+        self.assertTrue(self.count_reason('SLOWED'))
+        await self.set_links(name, tails, 0)
+
     async def set_links(self, name, targets, link_ms):
         links = dict.fromkeys(targets, link_ms)
         await self.cluster.order(name, link_ms=links)
