--- a/tests/processes/test_streams.py
+++ b/tests/processes/test_streams.py
@@ -42,6 +42,13 @@
                     return name
         raise AssertionError(f'No {half} works.')
 
+    def count_reason(self, reason):
+        return sum(
+            f'reason={reason}' in line
+            for entry in self.cluster.entries
+            for line in entry.read_log().splitlines()
+        )
+
     async def count_tokens(self, name):
         counts = await self.cluster.read_counts(name)
         return sum(len(count['indexes']) for count in counts)
@@ -111,13 +118,6 @@
         self.assertEqual(self.cluster.list_dead(), [killed])
         self.assertTrue(self.count_reason('STALLED'))
 
-    def count_reason(self, reason):
-        return sum(
-            f'reason={reason}' in line
-            for entry in self.cluster.entries
-            for line in entry.read_log().splitlines()
-        )
-
 
 class StreamTest(StreamCase):
     async def test_link_that_slows_a_hundredfold(self):
