Hold a woken entry's list back until news after its wake

Cause: the process test of freezes failed once: a woken entry gave out its old list to be kept for 15 s. Messages that had waited in its sockets were read first and counted as heard. Ruled out: the limit of 3 s itself; the test's list held the killed entry. Change: an entry notices that it was stopped, and takes what it reads within 500 ms of its wake for old.

--- a/src/thornspool/application/membership.py
+++ b/src/thornspool/application/membership.py
@@ -32,6 +32,7 @@
 READ_MS_PER_MEMBER = 100
 KEEP_MS = 15_000
 FRESH_MS = 3000
+WAKE_MS = 500
 
 logger = structlog.get_logger(__name__)
 
@@ -130,6 +131,8 @@
         self._listed: tuple[ports.Member, ...] = ()
         self._listed_revision = -1
         self._heard_at = clock.now()
+        self._running_at = clock.now()
+        self._woke_at = clock.now() - WAKE_MS
         self._tasks: list[asyncio.Task[None]] = []
         for message_type in messages.MESSAGE_TYPES:
             peers.handle(message_type, self._receive)
@@ -182,6 +185,7 @@
 
     def tick(self) -> None:
         """Do what is due; the loop calls it ten times a second."""
+        self._note_running()
         self.announce_version()
         self._carry_out(self._machine.tick(self._clock.now()))
 
@@ -240,6 +244,7 @@
         # that was true when it began to. A process that was stopped
         # meanwhile wakes with an older list; kept as long, it would lead
         # callers to an address that refuses them.
+        self._note_running()
         silent_ms = self._clock.now() - self._heard_at
         if members > 1 and silent_ms > FRESH_MS:
             return 0
@@ -259,9 +264,23 @@
 
     async def _receive(self, sender: str, message: typing.Any) -> None:
         now = self._clock.now()
-        self._heard_at = now
+        self._note_running()
+        if now - self._woke_at >= WAKE_MS:
+            self._heard_at = now
         self._carry_out(self._machine.receive(sender, message, now))
 
+    def _note_running(self) -> None:
+        """Notice that this process was stopped for a while.
+
+        Messages that waited in its sockets are read first when it wakes.
+        They tell of the time before; taken for news, the old list would be
+        given out to be kept.
+        """
+        now = self._clock.now()
+        if now - self._running_at > FRESH_MS:
+            self._woke_at = now
+        self._running_at = now
+
     def _carry_out(self, commands: Iterable[messages.Command]) -> None:
         for command in commands:
             match command:
