Keep one fake of the view of members

Cause: two test modules had the same class. Change: the fleet of tests uses the one of tests/application/fakes.py. Measured: the tests of quarantine, trials and admission pass.

--- a/tests/application/fleet.py
+++ b/tests/application/fleet.py
@@ -5,26 +5,13 @@
 import typing
 
 from tests import builders
+from tests.application import fakes
 from thornspool.application import exceptions
 from thornspool.application import ports
 
 Handler = typing.Callable[[str, typing.Any], typing.Awaitable[typing.Any]]
 
 
-class FakeView:
-    def __init__(self, members: tuple[ports.Member, ...]) -> None:
-        self.members = members
-
-    def list_members(self) -> tuple[ports.Member, ...]:
-        return self.members
-
-    def find(self, incarnation: str) -> ports.Member | None:
-        for member in self.members:
-            if member.incarnation == incarnation:
-                return member
-        return None
-
-
 class FakeNetwork:
     """Carries messages; loses requests, replies and told ones on demand."""
 
--- a/tests/application/test_admission.py
+++ b/tests/application/test_admission.py
@@ -13,6 +13,7 @@
 from hypothesis import strategies
 
 from tests import builders
+from tests.application import fakes
 from tests.application import fleet
 from thornspool.application import admission
 from thornspool.domain.configuration import documents
@@ -31,7 +32,7 @@
         self.members = fleet.build_members(count)
         workspace = documents.Workspace('w', limits=limits)
         snapshot = documents.Snapshot(1, {'w': workspace})
-        self.views = [fleet.FakeView(self.members) for _ in self.members]
+        self.views = [fakes.FakeMembers(self.members) for _ in self.members]
         draw = random.Random(1).random
         self.entries = [
             admission.AdmissionService(
--- a/tests/application/test_generation_trials.py
+++ b/tests/application/test_generation_trials.py
@@ -8,6 +8,7 @@
 from unittest import mock
 
 from tests import builders
+from tests.application import fakes
 from tests.application import fleet
 from thornspool.application import generation_trials
 from thornspool.application import quarantine
@@ -40,7 +41,7 @@
         members = fleet.build_members(2)
         self.services = [
             quarantine.QuarantineService(
-                fleet.FakeView(members),
+                fakes.FakeMembers(members),
                 member.incarnation,
                 fleet.FakePeers(self.network, member),
                 self.clock,
--- a/tests/application/test_quarantine.py
+++ b/tests/application/test_quarantine.py
@@ -13,6 +13,7 @@
 from hypothesis import strategies
 
 from tests import builders
+from tests.application import fakes
 from tests.application import fleet
 from thornspool.application import ports
 from thornspool.application import quarantine
@@ -38,7 +39,7 @@
     def build_entry(
         self, member: ports.Member
     ) -> quarantine.QuarantineService:
-        view = fleet.FakeView(self.members)
+        view = fakes.FakeMembers(self.members)
         service = quarantine.QuarantineService(
             view,
             member.incarnation,
