--- a/tests/application/fleet.py
+++ b/tests/application/fleet.py
@@ -5,7 +5,6 @@
 import typing
 
 from tests import builders
-from tests.application import fakes
 from thornspool.application import exceptions
 from thornspool.application import ports
 
