Name the members that probe in one's place relays

Cause: the settings had another word than the messages for them. Measured: the tests of membership pass.

--- a/src/thornspool/domain/membership/machine.py
+++ b/src/thornspool/domain/membership/machine.py
@@ -119,7 +119,7 @@
         if not self.own.is_live:
             return []
         self._check_pause(now)
-        self._help_slow_probes(now)
+        self._relay_slow_probes(now)
         for incarnation in self._probes.take_failed(now):
             self._beliefs.suspect(incarnation, now)
         self._beliefs.expire(now)
@@ -264,18 +264,18 @@
         )
         self._ping(record, sequence)
 
-    def _help_slow_probes(self, now: int) -> None:
+    def _relay_slow_probes(self, now: int) -> None:
         address = self.own.identity.peer_address
         for sequence, probe in self._probes.list_slow(now):
             others = partners.list_live_others(self.view, probe.target)
-            for helper in partners.sample(
-                others, self.settings.helpers, self._random
+            for relay in partners.sample(
+                others, self.settings.relays, self._random
             ):
-                gossip = self._beliefs.tell(helper.incarnation)
+                gossip = self._beliefs.tell(relay.incarnation)
                 request = messages.PingRequest(
                     sequence, address, probe.target, gossip
                 )
-                self._send(helper, request)
+                self._send(relay, request)
 
     def _check_pause(self, now: int) -> None:
         """Give everybody the time back that this process slept.
--- a/src/thornspool/domain/membership/settings.py
+++ b/src/thornspool/domain/membership/settings.py
@@ -17,7 +17,7 @@
         Wait for the acknowledgement before others are asked to probe.
     probe_timeout_ms : int
         Wait from the start of a probe until the member is suspected.
-    helpers : int
+    relays : int
         Members asked to probe in one's place.
     suspicion_ms : int
         Time a suspect has to refute; longer than two spreads of gossip.
@@ -49,7 +49,7 @@
     period_ms: int = 1000
     direct_timeout_ms: int = 500
     probe_timeout_ms: int = 1500
-    helpers: int = 3
+    relays: int = 3
     suspicion_ms: int = 3000
     dead_memory_ms: int = 30 * 60 * 1000
     sync_period_ms: int = 10_000
