--- a/src/thornspool/console/pages.py
+++ b/src/thornspool/console/pages.py
@@ -36,7 +36,8 @@
 td.number { font-variant-numeric: tabular-nums; text-align: right; }
 .badge { color: #fff; border-radius: 4px; padding: .1rem .5rem;
   font-size: .8rem; }
-svg text { font: 10px system-ui, sans-serif; fill: #555b63; }
+svg text { font: 10px system-ui, sans-serif; fill: #555b63;
+  paint-order: stroke; stroke: #fff; stroke-width: 3px; }
 """
 
 
@@ -132,9 +133,9 @@
     line = _BASE - _scale(1.0)
     return (
         f'<svg width="{_WIDTH}" height="{_HEIGHT}" role="img" '
-        f'aria-label="burn rates">{"".join(bars)}'
+        f'aria-label="burn rates">'
         f'<line x1="0" x2="{_WIDTH}" y1="{line:.1f}" y2="{line:.1f}" '
-        'stroke="#1c1f23" stroke-dasharray="3 3"/></svg>'
+        f'stroke="#1c1f23" stroke-dasharray="3 3"/>{"".join(bars)}</svg>'
     )
 
 
