--- a/tests/processes/test_leaving.py
+++ b/tests/processes/test_leaving.py
@@ -30,6 +30,8 @@
 class PlannedStopTest(unittest.TestCase):
     """Operators stop entries on purpose, every day."""
 
+    each = 1
+
     def test_entries_leave_under_load_without_a_cut(self) -> None:
         """Two of four entries are stopped while callers use all of them.
 
@@ -47,11 +49,11 @@
     def stop_two(self, fleet: load.Fleet, work: load.Load) -> dict[str, float]:
         """Stop two entries; returns seconds until each thing was seen."""
         stopped, left = fleet.entries[:2], fleet.entries[2:]
-        # All callers may come to one entry. Together they stay under the 16
-        # requests that it lets to a group of targets before it has learnt
-        # more, so that any refusal without other entries is a fault here.
+        # All callers may come to one entry, and each refusal without other
+        # entries to use is a fault here.
         for entry in fleet.entries:
-            work.start(entry.ready['callers'], stream=2, call=1, action=1)
+            url = entry.ready['callers']
+            work.start(url, stream=2, call=self.each, action=self.each)
         time.sleep(1.0)
         kept = Kept(stopped[0])
         self.assertNotIn('close', kept.ask())
@@ -107,7 +109,7 @@
             ),
         )
         show({'new entry listed, configured': time.monotonic() - began})
-        work.start(url, stream=1, call=1, action=1)
+        work.start(url, stream=1, call=self.each, action=self.each)
         load.wait_until(
             'new entry takes each kind of work',
             lambda: (
@@ -172,6 +174,12 @@
             self.assertIn('drain_done', entry.read_log())
 
 
+class HeavierPlannedStopTest(PlannedStopTest):
+    """The same with twice the calls and actions of each caller."""
+
+    each = 2
+
+
 class TargetTest(unittest.TestCase):
     """Hosts of targets are restarted or replaced, 400 on an ordinary day."""
 
