Learn what targets take without learning it from their overload

The estimate of a request followed every answer, delayed ones too, from 5 ms a token on: first answers looked sixty times too slow and cut the bound; a replayed outcome, the wait for a grant and answers that ended early counted as times of the targets. Worse, under overload the estimate rose to the deadline, everything was refused for it and nothing was learnt again. Ruled out: noise of the machine alone; the refusals came from bounds cut before the entries left. Raising the least delay or the first bound hides it only. Change: one aggregate holds the bound and the usual times of each kind of work, learnt at the target (calls, actions) or from the wait for the first token; the usual time rises under load with five minutes' time constant only. Tests: the cases of estimates given wrong are replaced by operations of 50 to 400 ms in one group (estimates are learnt now), with and without reports; of outcomes, a failed call no longer cuts the bound unless its target did not answer in time, checked in a table of what is learnt. The planned stop runs with the load as first written, so the lighter copy of it is gone.

--- a/src/thornspool/application/action_runs.py
+++ b/src/thornspool/application/action_runs.py
@@ -228,6 +228,7 @@
         request = call.request
         service_call = ports.ServiceCall(
             url=request.targets[command.target].url,
+            service=request.service,
             operation=request.operation,
             workspace=request.workspace,
             key=request.key,
--- a/src/thornspool/application/admission.py
+++ b/src/thornspool/application/admission.py
@@ -56,6 +56,8 @@
         Time of the reports of other entries.
     draw : callable
         Returns random numbers from 0 to 1, to spread retries.
+    read_capacity : callable
+        Returns what the ready targets of a group report, by its name.
     """
 
     def __init__(
@@ -66,6 +68,7 @@
         peers: ports.Peers,
         clock: clock_module.Clock,
         draw: Callable[[], float],
+        read_capacity: Callable[[str], messages.Capacity],
     ) -> None:
         self._configuration = configuration
         self._members = members
@@ -73,6 +76,7 @@
         self._peers = peers
         self._clock = clock
         self._draw = draw
+        self._read_capacity = read_capacity
         self._limiter = limiter.WorkspaceLimiter()
         self._ledger = shares.ShareLedger()
         self._groups: dict[str, concurrency.GroupLimit] = {}
@@ -87,12 +91,7 @@
         peers.handle(messages.DemandReport, self._answer_report)
 
     def admit(
-        self,
-        workspace: str,
-        subject: str,
-        estimated_ms: int,
-        deadline: int,
-        now: int,
+        self, workspace: str, asked: messages.Asked, now: int
     ) -> messages.Admitted | messages.Refused:
         """Admit a request, or refuse it before anything was run.
 
@@ -100,12 +99,8 @@
         ----------
         workspace : str
             Workspace of the caller.
-        subject : str
-            Model or service, the target group that will serve it.
-        estimated_ms : int
-            Expected time on an idle target, in milliseconds.
-        deadline : int
-            Monotonic milliseconds by which the caller wants the answer.
+        asked : messages.Asked
+            The request.
         now : int
             Monotonic milliseconds.
 
@@ -118,36 +113,50 @@
         refused = self._limiter.admit(workspace, limits, now)
         if refused is not None:
             return self._spread(refused)
-        group = self._groups.setdefault(subject, concurrency.GroupLimit())
-        refused = group.admit(estimated_ms, deadline, now)
+        group = self._find_group(asked.group)
+        capacity = self._read_capacity(asked.group)
+        group.hear_capacity(capacity, len(self._view), now)
+        refused = group.admit(asked, now)
         if refused is not None:
             self._limiter.withdraw(workspace, now)
             return self._spread(refused)
-        ticket = messages.Ticket(workspace, subject, now, estimated_ms)
-        return messages.Admitted(ticket)
+        return messages.Admitted(messages.Ticket(workspace, asked, now))
+
+    def observe(
+        self, group: str, kind: str, duration_ms: int, now: int
+    ) -> None:
+        """Learn from an answer of a target, or from its first token."""
+        self._find_group(group).observe(kind, duration_ms, now)
 
-    def finish(
-        self, ticket: messages.Ticket, succeeded: bool, tokens: int, now: int
+    def observe_rest(
+        self, ticket: messages.Ticket, units: int, duration_ms: int, now: int
     ) -> None:
+        """Learn from the tokens after the first of a whole answer."""
+        asked = ticket.asked
+        group = self._find_group(asked.group)
+        group.observe_rest(asked.kind, units, duration_ms, now)
+
+    def note_late(self, group: str, started: int, now: int) -> None:
+        """Take in that a target did not answer in time."""
+        self._find_group(group).note_late(started, now)
+
+    def finish(self, ticket: messages.Ticket, tokens: int, now: int) -> None:
         """End an admitted request.
 
         Parameters
         ----------
         ticket : Ticket
             From `admit`.
-        succeeded : bool
-            False when it was late or failed for want of capacity.
         tokens : int
             Tokens generated, charged to the workspace.
         now : int
             Monotonic milliseconds.
         """
         self._limiter.finish(ticket.workspace, tokens, now)
-        group = self._groups.get(ticket.subject)
-        if group is not None:
-            group.finish(
-                ticket.admitted_at, ticket.estimated_ms, succeeded, now
-            )
+        self._find_group(ticket.asked.group).release()
+
+    def _find_group(self, name: str) -> concurrency.GroupLimit:
+        return self._groups.setdefault(name, concurrency.GroupLimit())
 
     async def share_demand(self, now: int) -> None:
         """Report what is due to the owners and take their grants into use.
--- a/src/thornspool/application/calls.py
+++ b/src/thornspool/application/calls.py
@@ -158,6 +158,7 @@
         """Send one attempt and count it while it is in flight."""
         call = ports.ServiceCall(
             url=target.url,
+            service=resolved.service.name,
             operation=resolved.operation.name,
             workspace=resolved.service.workspace,
             key='',
--- a/src/thornspool/application/gates.py
+++ b/src/thornspool/application/gates.py
@@ -4,8 +4,6 @@
 
 import typing
 
-import attrs
-
 from thornspool.application import intake
 from thornspool.application import observation
 from thornspool.application import requests
@@ -17,7 +15,6 @@
     from thornspool.application import admission
     from thornspool.application import quarantine
 
-FIRST_UNIT_MS = 5.0
 _LIMITS = frozenset(
     {
         limit_messages.Reason.REQUESTS,
@@ -26,26 +23,6 @@
     }
 )
 _CONDEMNED = 'This request crashed the targets that ran it.'
-_SMOOTHING = 0.1
-
-
-@attrs.define
-class Pace:
-    """Milliseconds of one unit of work, from what finished of late.
-
-    A unit is one token of a generation, or one call.
-    """
-
-    unit_ms: float = FIRST_UNIT_MS
-
-    def estimate(self, units: int) -> int:
-        """Return the expected milliseconds of some units."""
-        return max(1, int(self.unit_ms * units))
-
-    def learn(self, units: int, duration_ms: int) -> None:
-        """Note what some units took."""
-        change = duration_ms / max(1, units) - self.unit_ms
-        self.unit_ms += _SMOOTHING * change
 
 
 class Gatekeeper:
@@ -70,7 +47,6 @@
         self._clock = clock
         self._service = service
         self._quarantine = quarantine_service
-        self._paces: dict[str, Pace] = {}
 
     def admit(self, work: intake.Work) -> intake.Ticket:
         """Admit a piece of work.
@@ -83,16 +59,11 @@
         verdict = self._quarantine.check(work.fingerprint)
         if isinstance(verdict, quarantine_messages.Condemned):
             raise requests.RequestRefused(_CONDEMNED, verdict.retry_after_ms)
-        # Slow and fast operations of one service share its targets but not
-        # their times. With one estimate for both, every slow one would look
-        # delayed and cut the bound of the service.
-        pace = self._paces.setdefault(work.kind, Pace())
+        asked = limit_messages.Asked(
+            work.group, work.kind, max(0, work.tokens - 1), work.deadline
+        )
         admitted = self._service.admit(
-            work.workspace,
-            work.group,
-            pace.estimate(max(1, work.tokens)),
-            work.deadline,
-            self._clock.now(),
+            work.workspace, asked, self._clock.now()
         )
         if isinstance(admitted, limit_messages.Refused):
             reason = f'Refused for its {admitted.reason.value}.'
@@ -101,7 +72,8 @@
                 admitted.retry_after_ms,
                 by_limit=admitted.reason in _LIMITS,
             )
-        return _Place(self._clock, self._service, pace, admitted.ticket)
+        is_stream = work.tokens > 0
+        return _Place(self._clock, self._service, admitted.ticket, is_stream)
 
 
 class _Place:
@@ -111,26 +83,54 @@
         self,
         clock: clock.Clock,
         service: admission.AdmissionService,
-        pace: Pace,
         ticket: limit_messages.Ticket,
+        is_stream: bool,
     ) -> None:
         self._clock = clock
         self._service = service
-        self._pace = pace
         self._ticket = ticket
+        self._is_stream = is_stream
+        self._first_at: int | None = None
 
-    def finish(
-        self, tokens: int, outcome: observation.Outcome, duration_ms: int
-    ) -> None:
+    def note_first_token(self) -> None:
+        """Learn from the wait for the first token, while others wait too."""
+        asked, now = self._ticket.asked, self._clock.now()
+        self._first_at = now
+        waited = now - self._ticket.admitted_at
+        self._service.observe(asked.group, asked.kind, waited, now)
+
+    def finish(self, tokens: int, outcome: observation.Outcome) -> None:
         """Give the place back and learn from the request.
 
-        A caller that leaves or sends what can't be taken says nothing of
-        capacity; taken for failures, such callers would lower the bound of
-        a healthy target group for everybody.
+        Of streams only: calls and actions are timed at the targets. Callers
+        that leave or send what can't be taken say nothing of capacity, and
+        would lower the bound of a healthy target group for everybody.
         """
-        done = outcome is observation.Outcome.DONE
-        if done:
-            self._pace.learn(tokens, duration_ms)
-        succeeded = done or outcome in observation.OF_CALLERS
         now = self._clock.now()
-        self._service.finish(self._ticket, succeeded, tokens, now)
+        if self._first_at is not None:
+            self._learn_rest(self._first_at, tokens, outcome, now)
+        elif self._is_late(outcome, now):
+            ticket = self._ticket
+            self._service.note_late(
+                ticket.asked.group, ticket.admitted_at, now
+            )
+        self._service.finish(self._ticket, tokens, now)
+
+    def _learn_rest(
+        self,
+        first_at: int,
+        tokens: int,
+        outcome: observation.Outcome,
+        now: int,
+    ) -> None:
+        if outcome is not observation.Outcome.DONE:
+            return
+        rest_ms = now - first_at
+        self._service.observe_rest(self._ticket, tokens - 1, rest_ms, now)
+
+    def _is_late(self, outcome: observation.Outcome, now: int) -> bool:
+        """Tell whether a stream did not even begin before its deadline."""
+        failed = outcome not in observation.OF_CALLERS
+        return (
+            self._is_stream and failed and now >= self._ticket.asked.deadline
+        )
--- a/src/thornspool/application/intake.py
+++ b/src/thornspool/application/intake.py
@@ -14,6 +14,7 @@
 from thornspool.application import generation_messages as generation
 from thornspool.application import observation
 from thornspool.application import requests
+from thornspool.application import timed_services
 from thornspool.domain.actions import results
 from thornspool.domain.objectives import burn
 
@@ -69,9 +70,11 @@
 class Ticket(typing.Protocol):
     """A place among the admitted; it has to be given back once."""
 
-    def finish(
-        self, tokens: int, outcome: observation.Outcome, duration_ms: int
-    ) -> None:
+    def note_first_token(self) -> None:
+        """Tell that the first token of a stream has come."""
+        ...
+
+    def finish(self, tokens: int, outcome: observation.Outcome) -> None:
         """Give the place back and tell what became of the request."""
         ...
 
@@ -280,7 +283,7 @@
             )
             async with contextlib.aclosing(events):  # type: ignore[type-var]
                 async for event in events:
-                    run.tokens += watch.see(request, event)
+                    run.add_tokens(watch.see(request, event))
                     run.result = event
                     yield event
 
@@ -315,7 +318,7 @@
             '',
             self._clock.now() + resolved.operation.timeout_ms,
             0,
-            f'{request.service}/{request.operation}',
+            timed_services.name_kind(request.service, request.operation),
         )
         kind = 'call' if resolved.operation.idempotent else 'action'
         with self._admit(work, kind) as run:
@@ -335,14 +338,13 @@
                 outcome = observation.Outcome.LIMITED
             self._count(work, kind, outcome, started)
             raise
-        run = observation.Run()
+        run = observation.Run(ticket.note_first_token)
         try:
             with self._track():
                 yield run
         finally:
             outcome = observation.name_outcome(run.result)
-            duration = self._clock.now() - started
-            ticket.finish(run.tokens, outcome, duration)
+            ticket.finish(run.tokens, outcome)
             self._count(work, kind, outcome, started)
 
     def _check_open(self) -> None:
--- a/src/thornspool/application/observation.py
+++ b/src/thornspool/application/observation.py
@@ -10,6 +10,8 @@
 from thornspool.domain.objectives import burn
 
 if typing.TYPE_CHECKING:
+    from collections.abc import Callable
+
     from thornspool import clock
     from thornspool import metrics
     from thornspool.application import objectives
@@ -33,11 +35,24 @@
 
 
 class Run:
-    """What is known of a request when it ends."""
+    """What is known of a request when it ends.
+
+    Parameters
+    ----------
+    note_first_token : callable
+        Told once that tokens come.
+    """
 
-    def __init__(self) -> None:
+    def __init__(self, note_first_token: Callable[[], None]) -> None:
         self.result: typing.Any = None
         self.tokens = 0
+        self._note_first_token = note_first_token
+
+    def add_tokens(self, count: int) -> None:
+        """Count tokens that were handed over."""
+        if self.tokens == 0 and count:
+            self._note_first_token()
+        self.tokens += count
 
 
 class TokenWatch:
--- a/src/thornspool/application/ports.py
+++ b/src/thornspool/application/ports.py
@@ -232,6 +232,8 @@
     ----------
     url : str
         ``http://ip:port`` of the target.
+    service : str
+        Service that the target serves.
     operation : str
         Operation to call.
     workspace : str
@@ -247,6 +249,7 @@
     """
 
     url: str
+    service: str
     operation: str
     workspace: str
     key: str
--- a/src/thornspool/domain/limits/messages.py
+++ b/src/thornspool/domain/limits/messages.py
@@ -230,6 +230,45 @@
     retry_after_ms: int
 
 
+@attrs.frozen
+class Capacity:
+    """What the ready targets of a group say of themselves, added up.
+
+    Attributes
+    ----------
+    slots : float
+        Requests that they can run at once; 0 if none has said.
+    waiting : float
+        Requests in their queues.
+    """
+
+    slots: float = 0.0
+    waiting: float = 0.0
+
+
+@attrs.frozen
+class Asked:
+    """A request that waits to be admitted to a target group.
+
+    Attributes
+    ----------
+    group : str
+        Model or service, whose targets will run it.
+    kind : str
+        Names work that takes about as long: the model, or the operation
+        within its service.
+    units : int
+        Most tokens after the first; 0 for a call.
+    deadline : int
+        Monotonic milliseconds by which the caller wants the answer.
+    """
+
+    group: str
+    kind: str
+    units: int
+    deadline: int
+
+
 @attrs.frozen
 class Ticket:
     """An admitted request, handed back when it ends.
@@ -238,18 +277,15 @@
     ----------
     workspace : str
         Workspace of the caller.
-    subject : str
-        Model or service.
+    asked : Asked
+        What was admitted.
     admitted_at : int
         Monotonic milliseconds.
-    estimated_ms : int
-        Expected time on an idle target, in milliseconds.
     """
 
     workspace: str
-    subject: str
+    asked: Asked
     admitted_at: int
-    estimated_ms: int
 
 
 @attrs.frozen
--- a/src/thornspool/parts.py
+++ b/src/thornspool/parts.py
@@ -12,6 +12,7 @@
 from thornspool.application import actions
 from thornspool.application import admission
 from thornspool.application import calls
+from thornspool.application import capacity
 from thornspool.application import configuration
 from thornspool.application import directory
 from thornspool.application import drain
@@ -25,6 +26,7 @@
 from thornspool.application import objectives
 from thornspool.application import quarantine
 from thornspool.application import targets
+from thornspool.application import timed_services
 from thornspool.domain.retries import budget
 from thornspool.domain.targets import messages as target_messages
 
@@ -131,25 +133,37 @@
         clock, draw = outside.clock, outside.random_source.random
         incarnation = outside.own.incarnation
         self.admission = admission.AdmissionService(
-            snapshot, self.members, incarnation, outside.peers, clock, draw
+            snapshot,
+            self.members,
+            incarnation,
+            outside.peers,
+            clock,
+            draw,
+            capacity.CapacityReader(clock, snapshot, self.targets).read,
         )
         self.quarantine = quarantine.QuarantineService(
             self.members, incarnation, outside.peers, clock, draw
         )
         self.services = services.HttpServices()
+        timed = timed_services.TimedServices(
+            clock,
+            self.services,
+            self.admission.observe,
+            self.admission.note_late,
+        )
         self.engines = engines.CurlEngines()
         self.actions = actions.ActionService(
             clock,
             outside.platform,
             outside.peers,
-            self.services,
+            timed,
             self.members,
             outside.own,
             outside.random_source,
         )
         self.calls = calls.CallService(
             clock,
-            self.services,
+            timed,
             self.targets,
             outside.random_source,
             self._take_retry,
--- a/tests/adapters/targets/test_services.py
+++ b/tests/adapters/targets/test_services.py
@@ -25,6 +25,7 @@
 def build_call(url: str, **changes: typing.Any) -> ports.ServiceCall:
     values: dict[str, typing.Any] = {
         'url': url,
+        'service': 'booking',
         'operation': 'hold',
         'workspace': 'swan',
         'key': 'key-1',
--- a/tests/application/test_admission.py
+++ b/tests/application/test_admission.py
@@ -21,6 +21,7 @@
 from thornspool.domain.limits import shares
 
 FAR = 10**9
+ASKED = messages.Asked('m', 'm', 0, FAR)
 
 
 class Fleet:
@@ -42,6 +43,7 @@
                 fleet.FakePeers(self.network, member),
                 self.clock,
                 draw,
+                lambda group: messages.Capacity(),
             )
             for member, view in zip(self.members, self.views, strict=True)
         ]
@@ -51,7 +53,7 @@
     def offer(self, entry: int, count: int, keep: bool = False) -> None:
         now = self.clock.now()
         for _ in range(count):
-            answer = self.entries[entry].admit('w', 'm', 10, FAR, now)
+            answer = self.entries[entry].admit('w', ASKED, now)
             if isinstance(answer, messages.Refused):
                 continue
             self.admitted[entry] += 1
@@ -62,7 +64,7 @@
     def finish(self, index: int, tokens: int = 0) -> None:
         entry, ticket = self.tickets.pop(index)
         now = self.clock.now()
-        self.entries[entry].finish(ticket, True, tokens, now)
+        self.entries[entry].finish(ticket, tokens, now)
 
     async def step(self) -> None:
         self.clock.advance(admission.SHARE_INTERVAL_MS)
@@ -165,7 +167,9 @@
     def test_late_request_is_refused_at_once(self, _: mock.Mock) -> None:
         subject = Fleet(1, documents.Limits())
         now = subject.clock.now()
-        answer = subject.entries[0].admit('w', 'm', 500, now + 499, now)
+        subject.entries[0].observe('m', 'm', 500, now)
+        asked = messages.Asked('m', 'm', 0, now + 499)
+        answer = subject.entries[0].admit('w', asked, now)
         assert isinstance(answer, messages.Refused)
         self.assertIs(messages.Reason.DEADLINE, answer.reason)
         self.assertGreater(answer.retry_after_ms, 0)
@@ -199,7 +203,7 @@
         entry._limiter.collect = count  # type: ignore[method-assign]
         for _ in range(seconds * 5):
             for name in many:
-                entry.admit(name, 'm', 10, FAR, subject.clock.now())
+                entry.admit(name, ASKED, subject.clock.now())
             await subject.step()
         allowed = seconds * admission.REPORT_LINES_PER_S
         self.assertLessEqual(lines, allowed + admission.REPORT_LINES_BURST)
--- a/tests/application/test_gates.py
+++ b/tests/application/test_gates.py
@@ -16,7 +16,9 @@
 from thornspool.domain.quarantine import messages as quarantine
 
 WORK = intake.Work('swan-coast', 'drafter', 'f', 60_000, 40, 'drafter')
-TICKET = limits.Ticket('swan-coast', 'drafter', 0, 200)
+TICKET = limits.Ticket(
+    'swan-coast', limits.Asked('drafter', 'drafter', 39, 60_000), 0
+)
 
 # Reason of admission and whether the workspace's own limit stood against it.
 REASONS = (
@@ -27,13 +29,21 @@
     (limits.Reason.DEADLINE, False),
 )
 
-# Outcome and whether admission counts it against capacity.
+# Tokens asked for, milliseconds to the first token or None, to the end,
+# outcome, and what admission learns: the time of the first token, that of the
+# rest, and whether the targets were late.
 ENDINGS = (
-    (observation.Outcome.DONE, False),
-    (observation.Outcome.LEFT, False),
-    (observation.Outcome.REJECTED, False),
-    (observation.Outcome.NOT_RUN, True),
-    (observation.Outcome.UNKNOWN, True),
+    (40, 300, 2300, observation.Outcome.DONE, 300, (39, 2000), False),
+    (40, 300, 2300, observation.Outcome.LEFT, 300, None, False),
+    (40, 300, 60_000, observation.Outcome.UNKNOWN, 300, None, False),
+    (40, None, 60_000, observation.Outcome.UNKNOWN, None, None, True),
+    (40, None, 60_000, observation.Outcome.NOT_RUN, None, None, True),
+    (40, None, 60_000, observation.Outcome.LEFT, None, None, False),
+    (40, None, 10, observation.Outcome.REJECTED, None, None, False),
+    (40, None, 900, observation.Outcome.NOT_RUN, None, None, False),
+    (0, None, 60_000, observation.Outcome.NOT_RUN, None, None, False),
+    (0, None, 60_000, observation.Outcome.UNKNOWN, None, None, False),
+    (0, None, 5, observation.Outcome.DONE, None, None, False),
 )
 
 
@@ -42,20 +52,37 @@
         self.clock = builders.FakeClock()
         self.verdict = quarantine.Clear()
         self.answer = limits.Admitted(TICKET)
-        self.estimates = []
-        self.finished = []
+        self.asked = []
+        self.forget()
         self.keeper = gates.Gatekeeper(
             self.clock,
-            types.SimpleNamespace(admit=self.admit, finish=self.finish),
+            self,
             types.SimpleNamespace(check=lambda fingerprint: self.verdict),
         )
 
-    def admit(self, workspace, subject, estimated_ms, deadline, now):
-        self.estimates.append(estimated_ms)
+    def forget(self) -> None:
+        self.first, self.rest = None, None
+        self.late, self.finished = False, []
+
+    def admit(self, workspace, asked, now):
+        self.asked.append(asked)
+        if isinstance(self.answer, limits.Admitted):
+            return attrs.evolve(
+                self.answer, ticket=limits.Ticket(workspace, asked, now)
+            )
         return self.answer
 
-    def finish(self, ticket, succeeded, tokens, now) -> None:
-        self.finished.append(succeeded)
+    def observe(self, group, kind, duration_ms, now) -> None:
+        self.first = duration_ms
+
+    def observe_rest(self, ticket, units, duration_ms, now) -> None:
+        self.rest = (units, duration_ms)
+
+    def note_late(self, group, started, now) -> None:
+        self.late = True
+
+    def finish(self, ticket, tokens, now) -> None:
+        self.finished.append(tokens)
 
     def test_reasons_of_refusal_are_passed_on(self) -> None:
         for reason, by_limit in REASONS:
@@ -75,40 +102,35 @@
         with self.assertRaises(requests.RequestRefused) as caught:
             self.keeper.admit(WORK)
         self.assertEqual(9_000, caught.exception.retry_after_ms)
-        self.assertEqual([], self.estimates)
+        self.assertEqual([], self.asked)
 
-    def test_only_failures_count_against_capacity(self) -> None:
-        """Callers leave while everything is well.
+    def test_only_what_targets_take_is_learnt(self) -> None:
+        """Callers leave, the platform is down, keys are answered again.
 
-        If that lowered the bound of the group, others would be refused.
-        """
-        for outcome, failed in ENDINGS:
-            with self.subTest(outcome=outcome):
-                self.keeper.admit(WORK).finish(1, outcome, 10)
-                self.assertEqual(not failed, self.finished[-1])
-
-    def test_estimates_follow_what_tokens_took(self) -> None:
-        for _ in range(80):
-            place = self.keeper.admit(WORK)
-            place.finish(40, observation.Outcome.DONE, 40 * 20)
-        self.keeper.admit(WORK)
-        self.assertEqual(200, self.estimates[0])
-        self.assertAlmostEqual(800, self.estimates[-1], delta=10)
-
-    def test_operations_of_one_service_have_their_own_times(self) -> None:
-        """A service has an operation of 5 ms and one of 300 ms.
-
-        With one estimate for both, each slow answer looked delayed: the
-        bound of the service fell to one call, and callers were refused for
-        overload under almost no load.
+        If that changed the bound of a target group, callers of targets that
+        are well would be refused. Calls and actions are timed at the target
+        instead; of a stream only the wait for its first token counts.
         """
-        slow = intake.Work('swan-coast', 'slots', '', 9000, 0, 'slots/hold')
-        fast = attrs.evolve(slow, kind='slots/status')
-        for _ in range(80):
-            for work, took in ((slow, 300), (fast, 5)):
+        for case in ENDINGS:
+            with self.subTest(case=case):
+                tokens, first_ms, end_ms, outcome, *learnt = case
+                self.forget()
+                began = self.clock.now()
+                work = attrs.evolve(
+                    WORK, tokens=tokens, deadline=began + 60_000
+                )
                 place = self.keeper.admit(work)
-                place.finish(0, observation.Outcome.DONE, took)
-        self.keeper.admit(slow)
-        self.keeper.admit(fast)
-        self.assertAlmostEqual(300, self.estimates[-2], delta=5)
-        self.assertAlmostEqual(5, self.estimates[-1], delta=1)
+                if first_ms is not None:
+                    self.clock.advance(first_ms)
+                    place.note_first_token()
+                self.clock.advance(began + end_ms - self.clock.now())
+                place.finish(tokens, outcome)
+                self.assertEqual(learnt, [self.first, self.rest, self.late])
+                self.assertEqual([tokens], self.finished)
+
+    def test_kinds_of_work_are_passed_on(self) -> None:
+        work = attrs.evolve(WORK, group='slots', kind='slots/hold', tokens=0)
+        self.keeper.admit(work)
+        self.assertEqual(
+            [limits.Asked('slots', 'slots/hold', 0, 60_000)], self.asked
+        )
--- a/tests/application/test_intake.py
+++ b/tests/application/test_intake.py
@@ -65,8 +65,12 @@
 
     def __init__(self) -> None:
         self.finished = []
+        self.first_tokens = 0
 
-    def finish(self, tokens, outcome, duration_ms) -> None:
+    def note_first_token(self) -> None:
+        self.first_tokens += 1
+
+    def finish(self, tokens, outcome) -> None:
         self.finished.append((tokens, outcome.value))
 
 
@@ -222,6 +226,7 @@
             self.objectives.times,
         )
         self.assertEqual([(3, 'done')], self.ticket.finished)
+        self.assertEqual(1, self.ticket.first_tokens)
 
     async def test_a_caller_that_leaves_gives_its_place_back(self) -> None:
         """A caller closes its connection in the middle of an answer.
--- a/tests/processes/test_leaving.py
+++ b/tests/processes/test_leaving.py
@@ -22,6 +22,9 @@
     from collections.abc import Iterator
 
 EXIT_S = 45.0
+EACH = 2
+"""Calls and actions of the callers of each entry."""
+
 MUCH = 10
 SHOWN = 5
 Leave = typing.Callable[..., None]
@@ -30,8 +33,6 @@
 class PlannedStopTest(unittest.TestCase):
     """Operators stop entries on purpose, every day."""
 
-    each = 1
-
     def test_entries_leave_under_load_without_a_cut(self) -> None:
         """Two of four entries are stopped while callers use all of them.
 
@@ -53,7 +54,7 @@
         # entries to use is a fault here.
         for entry in fleet.entries:
             url = entry.ready['callers']
-            work.start(url, stream=2, call=self.each, action=self.each)
+            work.start(url, stream=2, call=EACH, action=EACH)
         time.sleep(1.0)
         kept = Kept(stopped[0])
         self.assertNotIn('close', kept.ask())
@@ -109,7 +110,7 @@
             ),
         )
         show({'new entry listed, configured': time.monotonic() - began})
-        work.start(url, stream=1, call=self.each, action=self.each)
+        work.start(url, stream=1, call=EACH, action=EACH)
         load.wait_until(
             'new entry takes each kind of work',
             lambda: (
@@ -174,12 +175,6 @@
             self.assertIn('drain_done', entry.read_log())
 
 
-class HeavierPlannedStopTest(PlannedStopTest):
-    """The same with twice the calls and actions of each caller."""
-
-    each = 2
-
-
 class TargetTest(unittest.TestCase):
     """Hosts of targets are restarted or replaced, 400 on an ordinary day."""
 
--- a/tools/bench_load.py
+++ b/tools/bench_load.py
@@ -29,7 +29,10 @@
     from collections.abc import Callable
 
 LOADS = (0.5, 1.0, 1.5, 2.0, 3.0)
-WRONG_FACTORS = (0.25, 0.5, 2.0, 4.0)
+ONE_KIND = (1.0,)
+MIXED_KINDS = (0.25, 0.5, 1.25, 2.0)
+"""Service times of one group's operations over `SERVICE_MS`; mean 1."""
+
 SEEDS = (1, 2, 3)
 
 ENTRIES = 6
@@ -37,6 +40,7 @@
 SERVICE_MS = 200
 DEADLINE_MS = 1000
 DURATION_MS = 60_000
+REPORT_MS = 1500
 WARM_UP_MS = 10_000
 
 ADMISSIONS = 200_000
@@ -48,6 +52,16 @@
 _INCARNATION = 'entry-100-019adf00-0000-7000-8000-000000000000'
 
 
+@attrs.frozen
+class _Job:
+    """A request at the entry that took it, and what it costs a server."""
+
+    entry: int
+    kind: str
+    service_ms: float
+    started: int
+
+
 @attrs.define
 class _Load:
     """Targets with one queue, fed by entries that decide alone."""
@@ -55,14 +69,16 @@
     random: random.Random
     rate: float
     limited: bool
-    estimate_ms: int = SERVICE_MS
+    kinds: tuple[float, ...] = ONE_KIND
+    reported: bool = True
     now: int = 0
-    good: int = 0
+    good: float = 0.0
+    waits: list[int] = attrs.field(factory=list)
     refused: int = 0
     offered: int = 0
     busy: int = 0
     order: int = 0
-    queue: list[tuple[int, int]] = attrs.field(factory=list)
+    queue: list[_Job] = attrs.field(factory=list)
     events: list[tuple[int, int, Callable[[], None]]] = attrs.field(
         factory=list
     )
@@ -72,6 +88,8 @@
 
     def run(self) -> None:
         self.plan(0, self.arrive)
+        if self.reported:
+            self.plan(0, self.report)
         while self.events:
             self.now, _, action = heapq.heappop(self.events)
             if self.now > DURATION_MS:
@@ -88,41 +106,80 @@
         index = self.random.randrange(ENTRIES)
         counted = self.now >= WARM_UP_MS
         self.offered += counted
-        if self.limited:
-            answer = self.entries[index].admit(
-                self.estimate_ms, self.now + DEADLINE_MS, self.now
-            )
-            if isinstance(answer, limit_messages.Refused):
-                self.refused += counted
-                return
-        self.queue.append((index, self.now))
+        kind = self.random.randrange(len(self.kinds))
+        job = _Job(index, str(kind), self.kinds[kind] * SERVICE_MS, self.now)
+        if self.limited and self.refuse(job):
+            self.refused += counted
+            return
+        self.queue.append(job)
         self.serve()
 
+    def report(self) -> None:
+        self.plan(REPORT_MS, self.report)
+        capacity = limit_messages.Capacity(SERVERS, len(self.queue))
+        for entry in self.entries:
+            entry.hear_capacity(capacity, ENTRIES, self.now)
+
+    def refuse(self, job: _Job) -> bool:
+        asked = limit_messages.Asked(
+            'group', job.kind, 0, self.now + DEADLINE_MS
+        )
+        answer = self.entries[job.entry].admit(asked, self.now)
+        return isinstance(answer, limit_messages.Refused)
+
     def serve(self) -> None:
         if self.busy >= SERVERS or not self.queue:
             return
-        index, started = self.queue.pop(0)
+        job = self.queue.pop(0)
         self.busy += 1
         self.plan(
-            self.random.uniform(0.5, 1.5) * SERVICE_MS,
-            lambda: self.finish(index, started),
+            self.random.uniform(0.5, 1.5) * job.service_ms,
+            lambda: self.finish(job),
         )
 
-    def finish(self, index: int, started: int) -> None:
+    def finish(self, job: _Job) -> None:
         self.busy -= 1
-        in_time = self.now - started <= DEADLINE_MS
-        self.good += in_time and self.now >= WARM_UP_MS
+        waited = self.now - job.started
+        in_time = waited <= DEADLINE_MS
+        counted = self.now >= WARM_UP_MS
+        self.good += (in_time and counted) * job.service_ms / SERVICE_MS
+        if counted:
+            self.waits.append(waited)
         if self.limited:
-            self.entries[index].finish(
-                started, self.estimate_ms, in_time, self.now
-            )
+            entry = self.entries[job.entry]
+            if in_time:
+                entry.observe(job.kind, waited, self.now)
+            else:
+                entry.note_late(job.started, self.now)
+            entry.release()
         self.serve()
 
 
-def measure_goodput(
-    load: float, limited: bool, seed: int, estimate_ms: int = SERVICE_MS
-) -> float:
-    """Measure answers in time as a share of capacity.
+@attrs.frozen
+class Served:
+    """What became of a load.
+
+    Attributes
+    ----------
+    goodput : float
+        Answers in time as a share of capacity.
+    wait_p50_ms, wait_p95_ms : float
+        Time of all answers, late ones included.
+    """
+
+    goodput: float
+    wait_p50_ms: float
+    wait_p95_ms: float
+
+
+def measure_served(
+    load: float,
+    limited: bool,
+    seed: int,
+    kinds: tuple[float, ...] = ONE_KIND,
+    reported: bool = True,
+) -> Served:
+    """Measure what becomes of an offered load.
 
     Parameters
     ----------
@@ -132,14 +189,26 @@
         Whether admission bounds what is in flight.
     seed : int
         Seed of arrivals and service times.
-    estimate_ms : int, optional
-        What callers say a request takes; the truth is `SERVICE_MS`.
+    kinds : tuple of float, optional
+        Service times of the operations asked for, over `SERVICE_MS`.
+    reported : bool, optional
+        Whether the servers report their load, each `REPORT_MS`.
     """
     capacity = SERVERS / SERVICE_MS
     draws = random.Random(seed)
-    run = _Load(draws, load * capacity, limited, estimate_ms)
+    run = _Load(draws, load * capacity, limited, kinds, reported)
     run.run()
-    return run.good / (capacity * (DURATION_MS - WARM_UP_MS))
+    waits = sorted(run.waits)
+    return Served(
+        run.good / (capacity * (DURATION_MS - WARM_UP_MS)),
+        waits[len(waits) // 2],
+        waits[len(waits) * 95 // 100],
+    )
+
+
+def measure_goodput(load: float, limited: bool, seed: int) -> float:
+    """Measure answers in time as a share of capacity."""
+    return measure_served(load, limited, seed).goodput
 
 
 def measure_attempts(budgeted: bool, seed: int) -> float:
@@ -243,6 +312,25 @@
     return round(sum(values) / len(values), 3)
 
 
+def _measure_wait(load: float, seed: int) -> float:
+    return measure_served(load, True, seed).wait_p95_ms
+
+
+def _measure_loads(
+    limited: bool = True,
+    kinds: tuple[float, ...] = ONE_KIND,
+    reported: bool = True,
+) -> dict[str, float]:
+    """Return the mean goodput of the seeds at each load."""
+
+    def measure(load: float, seed: int) -> float:
+        return measure_served(load, limited, seed, kinds, reported).goodput
+
+    return {
+        str(load): _average(functools.partial(measure, load)) for load in LOADS
+    }
+
+
 def measure_load() -> dict[str, typing.Any]:
     """Measure goodput under load, and attempts under a dead target group.
 
@@ -250,29 +338,23 @@
     -------
     dict
         ``seeds``; ``goodput_at_load``: load to share of capacity answered
-        in time, with admission; ``goodput_unlimited_at_load``: without;
-        ``goodput_wrong_estimate``: at twice the capacity, for estimates
-        that are wrong by a factor; ``attempts_per_request``: with and
-        without the retry budget; ``message_bytes``; ``admission_us``.
+        in time, with admission; ``wait_p95_ms_at_load``: their time;
+        ``goodput_unlimited_at_load``: without admission;
+        ``goodput_mixed_at_load``: operations of different times;
+        ``goodput_unreported_at_load``: servers that report no load;
+        ``attempts_per_request``: with and without the retry budget;
+        ``message_bytes``; ``admission_us``.
     """
-    goodput = {}
-    unlimited = {}
-    for load in LOADS:
-        limited = functools.partial(measure_goodput, load, True)
-        goodput[str(load)] = _average(limited)
-        free = functools.partial(measure_goodput, load, False)
-        unlimited[str(load)] = _average(free)
-    wrong = {}
-    for factor in WRONG_FACTORS:
-        estimated = functools.partial(
-            measure_goodput, 2.0, True, estimate_ms=round(SERVICE_MS * factor)
-        )
-        wrong[str(factor)] = _average(estimated)
     return {
         'seeds': list(SEEDS),
-        'goodput_at_load': goodput,
-        'goodput_unlimited_at_load': unlimited,
-        'goodput_wrong_estimate': wrong,
+        'goodput_at_load': _measure_loads(),
+        'wait_p95_ms_at_load': {
+            str(load): _average(functools.partial(_measure_wait, load))
+            for load in LOADS
+        },
+        'goodput_unlimited_at_load': _measure_loads(limited=False),
+        'goodput_mixed_at_load': _measure_loads(kinds=MIXED_KINDS),
+        'goodput_unreported_at_load': _measure_loads(reported=False),
         'message_bytes': measure_report_bytes(),
         'admission_us': measure_admission_us(),
         'attempts_per_request': {
