Work out what pipelines can run, and measure model requests under load

Refusals came far too early: the equal part counted the batches of one layer range, though a stream is in one stage at a time, and requests that wait for the next step of a batch counted as a queue.

--- a/src/thornspool/application/admission.py
+++ b/src/thornspool/application/admission.py
@@ -24,6 +24,7 @@
 
 if typing.TYPE_CHECKING:
     from collections.abc import Callable
+    from collections.abc import Mapping
     from collections.abc import Sequence
 
     from thornspool import clock as clock_module
@@ -90,6 +91,11 @@
         self._refresh_view(clock.now())
         peers.handle(messages.DemandReport, self._answer_report)
 
+    @property
+    def groups(self) -> Mapping[str, concurrency.GroupLimit]:
+        """The bound of each model and service that was asked for."""
+        return self._groups
+
     def admit(
         self, workspace: str, asked: messages.Asked, now: int
     ) -> messages.Admitted | messages.Refused:
--- a/src/thornspool/application/capacity.py
+++ b/src/thornspool/application/capacity.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import itertools
 import typing
 
 import attrs
@@ -17,8 +18,38 @@
     from thornspool.domain.configuration import documents
 
 FRESH_MS = 500
+STEP_WAIT = 0.5
+"""Part of a step that a token waits for, on average, where it comes from
+another stage: it arrives while a step runs."""
+
 Capacity = limit_messages.Capacity
-_UNKNOWN = Capacity()
+_LEAST_STEP_MS = 0.1
+
+
+@attrs.frozen
+class _Report:
+    max_batch: float
+    waiting: float
+    step_ms: float
+
+
+@attrs.frozen
+class _Span:
+    """Layers held by the same stages.
+
+    Attributes
+    ----------
+    rate : float
+        Tokens a millisecond that all of them compute.
+    time_ms : float
+        Time of one token in these layers.
+    waiting : float
+        Requests in their queues.
+    """
+
+    rate: float
+    time_ms: float
+    waiting: float
 
 
 @attrs.frozen
@@ -62,8 +93,8 @@
         Returns
         -------
         limit_messages.Capacity
-            For a model, the layer with the fewest slots and the one with
-            the longest queue, since each request needs all of them.
+            For a model, what its pipelines can run, and the longest of the
+            queues before any of its layers.
         """
         now = self._clock.now()
         known = self._readings.get(group)
@@ -76,29 +107,19 @@
         snapshot = self._snapshot()
         service = snapshot.services.get(group)
         if service is not None:
-            return _add_up(self._read_targets(service.targets).values())
-        model = snapshot.models.get(group)
-        return _UNKNOWN if model is None else self._compute_model(model)
-
-    def _compute_model(self, model: documents.Model) -> Capacity:
-        targets = self._read_targets(stage.target for stage in model.stages)
-        ends = {stage.end_layer for stage in model.stages}
-        borders = {stage.first_layer for stage in model.stages} | ends
-        layers = [
-            _add_up(
-                targets.get(stage.target, _UNKNOWN)
-                for stage in model.stages
-                if stage.first_layer <= layer < stage.end_layer
+            reports = self._read_reports(service.targets)
+            return Capacity(
+                sum(one.max_batch for one in reports.values()),
+                sum(one.waiting for one in reports.values()),
             )
-            for layer in borders
-            if layer < model.layers
-        ]
-        return Capacity(
-            min((one.slots for one in layers), default=0.0),
-            max((one.waiting for one in layers), default=0.0),
+        model = snapshot.models.get(group)
+        if model is None:
+            return Capacity()
+        return _compute_pipelines(
+            model, self._read_reports(stage.target for stage in model.stages)
         )
 
-    def _read_targets(self, names: Iterable[str]) -> dict[str, Capacity]:
+    def _read_reports(self, names: Iterable[str]) -> dict[str, _Report]:
         """Return the report of each ready target.
 
         An entry hears of the load of some targets only; the others of the
@@ -109,26 +130,87 @@
             for name in dict.fromkeys(names)
             if self._targets.read_readiness(name) is messages.Readiness.READY
         ]
-        reports = {name: self._targets.read_load(name) for name in ready}
+        loads = {name: self._targets.read_load(name) for name in ready}
         known = {
-            name: Capacity(float(report.max_batch), float(report.waiting))
-            for name, report in reports.items()
-            if report is not None
+            name: _Report(
+                float(one.max_batch), float(one.waiting), one.step_ms
+            )
+            for name, one in loads.items()
+            if one is not None
         }
+        if not known:
+            return {}
         mean = _compute_mean(known.values())
         return {name: known.get(name, mean) for name in ready}
 
 
-def _add_up(parts: Iterable[Capacity]) -> Capacity:
-    listed = list(parts)
-    return Capacity(
-        sum(one.slots for one in listed), sum(one.waiting for one in listed)
+def _compute_pipelines(
+    model: documents.Model, reports: dict[str, _Report]
+) -> Capacity:
+    """Add up what pipelines over all layers of a model can run.
+
+    A stream is in one stage at a time. So many run at once as tokens can
+    leave the slowest layers in the time that one token takes through all of
+    them (Little's law).
+    """
+    cuts = {0, model.layers}
+    for stage in model.stages:
+        cuts |= {stage.first_layer, stage.end_layer}
+    spans = [
+        _compute_span(model, reports, first, end)
+        for first, end in itertools.pairwise(sorted(cuts))
+    ]
+    if not all(spans):
+        return Capacity()
+    time_ms = sum(one.time_ms for one in spans if one)
+    slots = min(one.rate for one in spans if one) * time_ms
+    return Capacity(slots, max(one.waiting for one in spans if one))
+
+
+def _compute_span(
+    model: documents.Model,
+    reports: dict[str, _Report],
+    first: int,
+    end: int,
+) -> _Span | None:
+    """Sum up layers that are held by the same stages; None if by none."""
+    found = [
+        (stage, reports[stage.target])
+        for stage in model.stages
+        if stage.first_layer <= first
+        and end <= stage.end_layer
+        and stage.target in reports
+    ]
+    if not found:
+        return None
+    times = [
+        _compute_time(model, stage, report.step_ms, end - first)
+        for stage, report in found
+    ]
+    return _Span(
+        rate=sum(
+            one.max_batch / max(one.step_ms, _LEAST_STEP_MS)
+            for _, one in found
+        ),
+        time_ms=sum(times) / len(times),
+        # What waits for the next step of a batch is no queue.
+        waiting=sum(max(0.0, one.waiting - one.max_batch) for _, one in found),
     )
 
 
-def _compute_mean(parts: Iterable[Capacity]) -> Capacity:
-    listed = list(parts)
-    if not listed:
-        return _UNKNOWN
-    total = _add_up(listed)
-    return Capacity(total.slots / len(listed), total.waiting / len(listed))
+def _compute_time(
+    model: documents.Model, stage: documents.Stage, step_ms: float, layers: int
+) -> float:
+    """Compute the time of one token in some of a stage's layers."""
+    held = stage.end_layer - stage.first_layer
+    wait = 0.0 if held == model.layers else STEP_WAIT
+    return step_ms * (1.0 + wait) * layers / held
+
+
+def _compute_mean(reports: Iterable[_Report]) -> _Report:
+    listed = list(reports)
+    return _Report(
+        sum(one.max_batch for one in listed) / len(listed),
+        sum(one.waiting for one in listed) / len(listed),
+        sum(one.step_ms for one in listed) / len(listed),
+    )
--- a/src/thornspool/domain/limits/concurrency.py
+++ b/src/thornspool/domain/limits/concurrency.py
@@ -70,6 +70,11 @@
     cut_at: int = 0
     kinds: dict[str, paces.WorkPace] = attrs.field(factory=dict)
 
+    @property
+    def bound(self) -> int:
+        """Most requests in flight that are admitted now."""
+        return max(_LEAST_LIMIT, int(self.limit), int(self.share))
+
     def hear_capacity(
         self, capacity: messages.Capacity, entries: int, now: int
     ) -> None:
@@ -111,7 +116,7 @@
             return messages.Refused(
                 messages.Reason.DEADLINE, self._compute_retry(pace)
             )
-        if self.in_flight >= self._read_bound():
+        if self.in_flight >= self.bound:
             return messages.Refused(
                 messages.Reason.OVERLOAD, self._compute_retry(pace)
             )
@@ -135,12 +140,10 @@
         now : int
             Monotonic milliseconds.
         """
-        pace = self._find(kind)
+        pace = self._find(kind).first
         busy = self._is_busy()
-        stretch = pace.first.learn(duration_ms, busy, now)
-        bounded = min(stretch, LARGEST_STRETCH)
-        self.stretch += _SMOOTHING * (bounded - self.stretch)
-        if self._is_delayed(pace):
+        self._note_stretch(pace.learn(duration_ms, busy, now))
+        if self._is_delayed(pace.usual_ms):
             self._cut(now - duration_ms, now)
         elif busy and not self.is_full:
             self._grow()
@@ -148,9 +151,18 @@
     def observe_rest(
         self, kind: str, units: int, duration_ms: int, now: int
     ) -> None:
-        """Learn from the tokens after the first of a whole answer."""
+        """Learn from the tokens after the first of a whole answer.
+
+        Engines that take turns between streams show a queue in the time
+        between tokens, not in the wait for the first.
+        """
+        if units < 1:
+            return
         pace = self._find(kind)
-        pace.learn_rest(units, duration_ms, self._is_busy(), now)
+        stretch = pace.learn_rest(units, duration_ms, self._is_busy(), now)
+        self._note_stretch(stretch)
+        if self._is_delayed(units * pace.unit.usual_ms):
+            self._cut(now - duration_ms, now)
 
     def note_late(self, started: int, now: int) -> None:
         """Take in that a target did not answer in time."""
@@ -159,15 +171,16 @@
     def _find(self, kind: str) -> paces.WorkPace:
         return self.kinds.setdefault(kind, paces.WorkPace())
 
-    def _read_bound(self) -> int:
-        return max(_LEAST_LIMIT, int(self.limit), int(self.share))
-
     def _is_busy(self) -> bool:
-        return self.in_flight >= self._read_bound() / 2
+        return self.in_flight >= self.bound / 2
+
+    def _note_stretch(self, stretch: float) -> None:
+        bounded = min(stretch, LARGEST_STRETCH)
+        self.stretch += _SMOOTHING * (bounded - self.stretch)
 
-    def _is_delayed(self, pace: paces.WorkPace) -> bool:
+    def _is_delayed(self, usual_ms: float) -> bool:
         """Tell whether answers wait much longer than on idle targets."""
-        delay_ms = (self.stretch - 1.0) * pace.first.usual_ms
+        delay_ms = (self.stretch - 1.0) * usual_ms
         return self.stretch > paces.SLOW_FACTOR and delay_ms > LEAST_DELAY_MS
 
     def _grow(self) -> None:
@@ -194,12 +207,12 @@
         made of old measurements alone would refuse everything after an
         overload, measure nothing and never recover.
         """
-        load = min(1.0, self.in_flight / self._read_bound())
+        load = min(1.0, self.in_flight / self.bound)
         delay = max(0.0, self.stretch - 1.0) * load * pace.first.usual_ms
         return pace.estimate(units) + delay
 
     def _compute_retry(self, pace: paces.WorkPace) -> int:
-        bound = self._read_bound()
+        bound = self.bound
         per_request = self.stretch * pace.first.usual_ms / bound
         excess = max(1.0, self.in_flight - bound + 1.0)
         return max(_LEAST_RETRY_MS, int(per_request * excess))
--- a/src/thornspool/domain/limits/paces.py
+++ b/src/thornspool/domain/limits/paces.py
@@ -115,13 +115,18 @@
 
     def learn_rest(
         self, units: int, duration_ms: int, may_queue: bool, now: int
-    ) -> None:
-        """Take in the tokens after the first of a whole answer."""
-        if units < 1:
-            return
-        self.unit.learn(duration_ms / units, may_queue, now)
+    ) -> float:
+        """Take in the tokens after the first of a whole answer.
+
+        Returns
+        -------
+        float
+            Their time over the usual one; 1 for the first answer.
+        """
+        stretch = self.unit.learn(duration_ms / units, may_queue, now)
         weight = max(_SMOOTHING, 1.0 / self.unit.samples)
         self.units += weight * (units - self.units)
+        return stretch
 
     def estimate(self, units: int) -> float:
         """Return the milliseconds of an answer on targets without a queue.
--- a/src/thornspool/readings.py
+++ b/src/thornspool/readings.py
@@ -102,6 +102,28 @@
         'Requests of callers that have not got their whole answer.',
         _read_one(lambda: parts.drain.in_flight),
     )
+    metrics.add_gauge(
+        'thornspool_group_in_flight_requests',
+        'Requests in flight by the model or service that runs them.',
+        lambda: _list_by(
+            'group',
+            {
+                name: group.in_flight
+                for name, group in parts.admission.groups.items()
+            },
+        ),
+    )
+    metrics.add_gauge(
+        'thornspool_group_bound_requests',
+        'Requests in flight past which more are refused for overload.',
+        lambda: _list_by(
+            'group',
+            {
+                name: group.bound
+                for name, group in parts.admission.groups.items()
+            },
+        ),
+    )
     metrics.add_gauge(
         'thornspool_attempts_open',
         'Attempts and records of actions that are not settled.',
--- a/tests/domain/limits/test_concurrency.py
+++ b/tests/domain/limits/test_concurrency.py
@@ -154,6 +154,22 @@
         self.assertLess(group.limit, 11.0)
         self.assertEqual(4.0, modest.limit)
 
+    def test_slow_tokens_cut_though_first_tokens_are_quick(self) -> None:
+        """Engines take turns between all streams that they were given.
+
+        Each first token comes at once, and each answer takes ever longer.
+        """
+        group = concurrency.GroupLimit()
+        now = teach(group, [100] * 20)
+        for _ in range(20):
+            group.observe_rest(KIND, 40, 40 * 50, now)
+        group.in_flight = 16
+        before = group.limit
+        for _ in range(40):
+            now += 10_000
+            group.observe_rest(KIND, 40, 40 * 150, now)
+        self.assertLess(group.limit, before / 2)
+
     def test_retry_of_a_refusal_grows_with_the_excess(self) -> None:
         group = concurrency.GroupLimit()
         now = teach(group, [400] * 20)
--- a/tests/processes/test_metrics.py
+++ b/tests/processes/test_metrics.py
@@ -20,6 +20,8 @@
     'thornspool_members': 'gauge',
     'thornspool_targets': 'gauge',
     'thornspool_requests_in_flight': 'gauge',
+    'thornspool_group_in_flight_requests': 'gauge',
+    'thornspool_group_bound_requests': 'gauge',
     'thornspool_attempts_open': 'gauge',
     'thornspool_quarantine_records': 'gauge',
     'thornspool_quarantine_verdicts_total': 'counter',
--- a/tests/test_readings.py
+++ b/tests/test_readings.py
@@ -12,6 +12,7 @@
 from thornspool.adapters.peers import traffic as traffic_module
 from thornspool.adapters.platform import memory
 from thornspool.application import ports
+from thornspool.domain.limits import concurrency
 from thornspool.domain.targets import messages as target_messages
 
 READINESS = {
@@ -40,6 +41,9 @@
             is_ready=lambda: True,
             members=types.SimpleNamespace(list_members=lambda: self.members),
             targets=types.SimpleNamespace(read_readiness=READINESS.get),
+            admission=types.SimpleNamespace(
+                groups={'slots': concurrency.GroupLimit(40.0, in_flight=6)}
+            ),
             drain=types.SimpleNamespace(in_flight=3),
             actions=types.SimpleNamespace(open_count=2),
             quarantine=types.SimpleNamespace(
@@ -100,6 +104,8 @@
             'thornspool_isolated': 0,
             'thornspool_ready': 1,
             'thornspool_requests_in_flight': 3,
+            'thornspool_group_in_flight_requests{group="slots"}': 6,
+            'thornspool_group_bound_requests{group="slots"}': 40,
             'thornspool_attempts_open': 2,
             'thornspool_quarantine_records': 4,
             'thornspool_quarantine_verdicts_total{verdict="clear"}': 5,
--- a/tools/bench.py
+++ b/tools/bench.py
@@ -14,6 +14,7 @@
 
 from tools import bench_actions
 from tools import bench_control
+from tools import bench_goodput
 from tools import bench_latency
 from tools import bench_load
 from tools import bench_membership
@@ -78,6 +79,11 @@
     return {'goodput_at_load': whole['goodput_at_load'], 'load': whole}
 
 
+def run_goodput() -> Figures:
+    """Run the measurement of model requests under load."""
+    return {'model_load': bench_goodput.measure_goodput()}
+
+
 def run_recovery() -> Figures:
     """Run the measurement of recovery from kills and outages."""
     return {'recovery_ms': bench_recovery.measure_recovery(RECOVERIES)}
@@ -107,6 +113,7 @@
     'throughput': run_throughput,
     'actions': run_actions,
     'load': run_load,
+    'goodput': run_goodput,
     'recovery': run_recovery,
     'configuration': run_configuration,
     'control': run_control,
@@ -119,6 +126,7 @@
         'throughput': list(bench_throughput.SEEDS),
         'load': list(bench_load.SEEDS),
         'actions': list(bench_actions.RATES),
+        'goodput': [bench_goodput.SEED],
         'recovery': [bench_recovery.SEED],
         'membership': [bench_membership.SEED + bench_control.FLEET],
     }
--- a/tools/bench_deployment.py
+++ b/tools/bench_deployment.py
@@ -27,7 +27,8 @@
 MODEL = 'text'
 LAYERS = 32
 STAGES = ((0, 16), (16, LAYERS))
-STEP_MS = '4'
+STEP_MS = 4
+BATCH = 16
 SERVICES = 2
 DOMAINS = ('perth-a', 'perth-b', 'perth-c')
 MAX_CLIENTS = 200
@@ -123,6 +124,8 @@
         What was published at first.
     started : int
         Entries started so far.
+    step_ms, batch : int
+        Time of an engine's step and its largest batch.
     """
 
     scope: processes.Processes
@@ -131,6 +134,8 @@
     entries: list[processes.Process] = attrs.field(factory=list)
     documents: list[Document] = attrs.field(factory=list)
     started: int = 0
+    step_ms: int = STEP_MS
+    batch: int = BATCH
 
     def start_entry(self) -> processes.Process:
         """Start one more entry, which knows those that live."""
@@ -155,7 +160,8 @@
         engine = self.scope.start(
             name,
             'standins.engine',
-            *('--name', name, '--port', str(port), '--step-ms', STEP_MS),
+            *('--name', name, '--port', str(port)),
+            *('--step-ms', str(self.step_ms), '--max-batch', str(self.batch)),
             *('--first-layer', str(first), '--end-layer', str(end)),
         )
         self.targets[name] = engine
@@ -171,11 +177,15 @@
 
 
 def start_deployment(
-    scope: processes.Processes, entries: int, chains: int
+    scope: processes.Processes,
+    entries: int,
+    chains: int,
+    step_ms: int = STEP_MS,
+    batch: int = BATCH,
 ) -> Deployment:
     """Start platform, targets and entries; nothing is published yet."""
     platform = scope.start('platform', 'standins.platform')
-    deployment = Deployment(scope, platform)
+    deployment = Deployment(scope, platform, step_ms=step_ms, batch=batch)
     for number in range(SERVICES):
         name = f'{SERVICE}-{number}'
         deployment.targets[name] = scope.start(
