Index deaths by target for verdicts of the quarantine

Cause: a verdict on a suspect looked through all records twice, for another suspect at the same deaths and for a condemned one that explains a death. Ruled out: an index of all requests of a target alone; a target that dies with a long queue leaves thousands of suspects there, and the scan would be as long. The index lists only those that died under a trial on the target or were at another death too. Change: domain/quarantine/index.py, kept with the records. Seen to fail: with the index leaving out requests of two deaths, test_verdicts_are_those_of_a_scan printed 'Suspect() != Condemned(retry_after_ms=3300000)'.

--- a/src/thornspool/domain/quarantine/records.py
+++ b/src/thornspool/domain/quarantine/records.py
@@ -13,6 +13,7 @@
 import attrs
 import xxhash
 
+from thornspool.domain.quarantine import index
 from thornspool.domain.quarantine import messages
 
 SUSPECT_TTL_MS = 600_000
@@ -28,7 +29,9 @@
 
 
 @attrs.frozen
-class _Death:
+class Death:
+    """A death as this entry knows it; ``at`` is by its own clock."""
+
     target: str
     reporter: str
     sequence: int
@@ -38,7 +41,7 @@
 
 @attrs.frozen
 class _Record:
-    deaths: tuple[_Death, ...]
+    deaths: tuple[Death, ...]
     cleared_at: int | None = None
 
 
@@ -55,6 +58,7 @@
         self._incarnation = incarnation
         self._sequence = 0
         self._records: dict[str, _Record] = {}
+        self._index = index.DeathIndex()
 
     def note_death(
         self,
@@ -83,7 +87,7 @@
         """
         self._sequence += 1
         for name in sorted(in_flight):
-            death = _Death(
+            death = Death(
                 target,
                 self._incarnation,
                 self._sequence,
@@ -132,7 +136,7 @@
         """Take in what another entry knows."""
         for told in news.records:
             deaths = tuple(
-                _Death(
+                Death(
                     one.target,
                     one.reporter,
                     one.sequence,
@@ -161,7 +165,7 @@
             digest ^= xxhash.xxh3_64_intdigest(text.encode())
         return digest
 
-    def _list_deaths(self, fingerprint: str) -> list[_Death]:
+    def _list_deaths(self, fingerprint: str) -> list[Death]:
         record = self._records.get(fingerprint)
         if record is None:
             return []
@@ -173,7 +177,7 @@
         ]
 
     def _compute_sentence(
-        self, fingerprint: str, deaths: list[_Death], now: int
+        self, fingerprint: str, deaths: list[Death], now: int
     ) -> int:
         """Compute for how long a request is condemned; 0 if it is not."""
         for death in reversed(deaths):
@@ -184,17 +188,17 @@
                 return left
         return 0
 
-    def _is_ambiguous(self, fingerprint: str, death: _Death) -> bool:
+    def _is_ambiguous(self, fingerprint: str, death: Death) -> bool:
         """Say whether another suspect was on the target that died."""
         return any(
             _shares_two_deaths(self._list_deaths(name), death)
-            for name in self._records
+            for name in self._index.list_repeated(death.target)
             if name != fingerprint
         )
 
-    def _is_explained(self, death: _Death, now: int) -> bool:
+    def _is_explained(self, death: Death, now: int) -> bool:
         """Say whether a death was that of a condemned request's trial."""
-        for name in self._records:
+        for name in self._index.list_tried(death.target):
             deaths = self._list_deaths(name)
             causes = [one for one in deaths if one.on_trial]
             if any(_are_same(one, death) for one in causes) and (
@@ -204,17 +208,23 @@
         return False
 
     def _merge(self, fingerprint: str, new: _Record, now: int) -> None:
-        old = self._records.pop(fingerprint, _Record(()))
+        old = self._pop(fingerprint)
         known = {(one.reporter, one.sequence): one for one in new.deaths}
         known.update({(one.reporter, one.sequence): one for one in old.deaths})
         deaths = sorted(known.values(), key=_get_time)[-MAX_DEATHS:]
-        self._records[fingerprint] = _Record(
-            tuple(deaths), _take_later(old.cleared_at, new.cleared_at)
-        )
+        cleared_at = _take_later(old.cleared_at, new.cleared_at)
+        self._records[fingerprint] = _Record(tuple(deaths), cleared_at)
+        self._index.add(fingerprint, deaths)
         if len(self._records) > MAX_RECORDS:
             self._drop_expired(now)
         while len(self._records) > MAX_RECORDS:
-            del self._records[self._find_least()]
+            self._pop(self._find_least())
+
+    def _pop(self, fingerprint: str) -> _Record:
+        """Take a record out; an empty one when there is none."""
+        record = self._records.pop(fingerprint, _Record(()))
+        self._index.discard(fingerprint, record.deaths)
+        return record
 
     def _find_least(self) -> str:
         """Return the oldest without a trial's death, or else the oldest."""
@@ -241,29 +251,31 @@
         A clearance is kept as long as the suspicion that it ends, since
         peers that missed it still hold and pass on the suspicion.
         """
-        self._records = {
-            name: record
+        expired = [
+            name
             for name, record in self._records.items()
-            if any(_is_live(one, now) for one in record.deaths)
-        }
+            if not any(_is_live(one, now) for one in record.deaths)
+        ]
+        for name in expired:
+            self._pop(name)
 
 
-def _shares_two_deaths(deaths: list[_Death], death: _Death) -> bool:
+def _shares_two_deaths(deaths: list[Death], death: Death) -> bool:
     here = [one for one in deaths if _are_same(one, death)]
     return bool(here) and len(here) < len(deaths)
 
 
-def _are_same(one: _Death, other: _Death) -> bool:
+def _are_same(one: Death, other: Death) -> bool:
     near = abs(one.at - other.at) < SAME_DEATH_MS
     return one.target == other.target and near
 
 
-def _is_live(death: _Death, now: int) -> bool:
+def _is_live(death: Death, now: int) -> bool:
     ttl_ms = CONDEMNED_TTL_MS if death.on_trial else SUSPECT_TTL_MS
     return death.at + ttl_ms > now
 
 
-def _get_time(death: _Death) -> int:
+def _get_time(death: Death) -> int:
     return death.at
 
 
