Tell a broken connection to a service from a late answer

Cause: the quarantine of plain services has to know whether a target died under a call. An answer that is lost told only that no whole answer came, which a slow target gives as well. Ruled out: counting every lost answer (a payout that times out twice would be condemned); the load report as the only witness, since a busy target leaves it unanswered and sheds connections at the same time. A call may ask for a connection of its own, so that a broken one can't have been broken before.

--- a/src/thornspool/adapters/platform/exceptions.py
+++ b/src/thornspool/adapters/platform/exceptions.py
@@ -15,3 +15,7 @@
 
 class AnswerLost(TransportError):
     """The request may have been sent; no whole answer came back."""
+
+
+class ConnectionBroken(AnswerLost):
+    """The connection ended under the request; it did not time out."""
--- a/src/thornspool/adapters/platform/transport.py
+++ b/src/thornspool/adapters/platform/transport.py
@@ -33,6 +33,18 @@
     }
 )
 
+_BROKEN = frozenset(
+    {
+        # A kept connection broke and libcurl found no listener to send the
+        # request to once more.
+        pycurl.E_COULDNT_CONNECT,
+        pycurl.E_GOT_NOTHING,
+        pycurl.E_PARTIAL_FILE,
+        pycurl.E_RECV_ERROR,
+        pycurl.E_SEND_ERROR,
+    }
+)
+
 
 @attrs.frozen
 class Call:
@@ -103,7 +115,8 @@
         NotSent
             When not one byte was written.
         AnswerLost
-            When a byte may have been written and no whole answer came.
+            When a byte may have been written and no whole answer came;
+            ``ConnectionBroken`` when the connection ended under it.
         """
         await self._take_connection(wait_ms)
         sending = _Sending(call.repeatable)
@@ -121,6 +134,8 @@
         except (httpclient.HTTPError, ValueError) as error:
             if _was_never_sent(error, sending):
                 raise exceptions.NotSent(str(error)) from error
+            if _is_broken(error):
+                raise exceptions.ConnectionBroken(str(error)) from error
             raise exceptions.AnswerLost(str(error)) from error
 
     def close(self) -> None:
@@ -193,3 +208,10 @@
     if not isinstance(error, curl_httpclient.CurlError):
         return False
     return not sending.begun and error.errno in _BEFORE_SENDING
+
+
+def _is_broken(error: Exception) -> bool:
+    """Tell whether the other side, or the way to it, ended a connection."""
+    if not isinstance(error, curl_httpclient.CurlError):
+        return False
+    return error.errno in _BROKEN
--- a/src/thornspool/adapters/targets/services.py
+++ b/src/thornspool/adapters/targets/services.py
@@ -56,14 +56,15 @@
         TargetLeaving
             When the target refused the call to leave, before running it.
         TargetAnswerLost
-            When a byte may have been written and no whole answer came.
+            When a byte may have been written and no whole answer came;
+            ``TargetConnectionBroken`` when the connection ended under it.
         """
         request = transport.Call(
             _build_url(call),
             'POST',
             call.timeout_ms,
             # Only a call without a key may be sent twice by libcurl.
-            repeatable=not call.key,
+            repeatable=not (call.key or call.alone),
             headers=_build_headers(call),
             body=call.body,
         )
@@ -75,7 +76,10 @@
                 'Nothing was run; send the request again.',
             ) from error
         except platform_exceptions.AnswerLost as error:
-            raise exceptions.TargetAnswerLost(
+            lost = exceptions.TargetAnswerLost
+            if isinstance(error, platform_exceptions.ConnectionBroken):
+                lost = exceptions.TargetConnectionBroken
+            raise lost(
                 f'The target at {call.url} gave no whole answer: {error}.',
                 'It may have run; ask for the outcome of its key.',
             ) from error
--- a/src/thornspool/application/exceptions.py
+++ b/src/thornspool/application/exceptions.py
@@ -33,6 +33,14 @@
     """The call was sent, in part or whole, and no whole answer came back."""
 
 
+class TargetConnectionBroken(TargetAnswerLost):
+    """The connection ended under the call; the target may have died."""
+
+
+class TargetHeldBack(TargetNotReached):
+    """The call is suspected of crashing targets and was not sent."""
+
+
 class TargetLeaving(TargetNotReached):
     """The target refused the call because it leaves; it ran nothing."""
 
--- a/src/thornspool/application/ports.py
+++ b/src/thornspool/application/ports.py
@@ -244,6 +244,13 @@
         Request body, JSON.
     timeout_ms : int
         Longest time for the whole answer.
+    target : str
+        Name of the target.
+    fingerprint : str
+        Names what is asked, whatever the key; empty when it is not known.
+    alone : bool
+        Whether the call needs a connection of its own, so that a broken one
+        can't have been broken before.
     """
 
     url: str
@@ -253,6 +260,9 @@
     fencing_token: int
     body: bytes
     timeout_ms: int
+    target: str = ''
+    fingerprint: str = ''
+    alone: bool = False
 
 
 @attrs.frozen
@@ -279,7 +289,8 @@
 
     ``call`` raises ``TargetNotReached`` when not one byte was written and
     ``TargetAnswerLost`` when a byte may have been written and no whole
-    answer came back.
+    answer came back, of which ``TargetConnectionBroken`` says that the
+    connection ended under the call.
     """
 
     async def call(self, call: ServiceCall) -> ServiceAnswer:
--- a/tests/adapters/targets/test_services.py
+++ b/tests/adapters/targets/test_services.py
@@ -84,6 +84,46 @@
                         await self.services.call(build_call(server.url))
                     self.assertEqual(1, len(server.requests))
 
+    async def test_a_broken_connection_differs_from_a_late_answer(self):
+        """A target ends in the middle of a call, or only takes too long.
+
+        A payout that is merely slow must never count as one that crashed
+        its target; it would be refused for an hour.
+        """
+        cases: dict[str, tuple[typing.Any, bool]] = {
+            'closed': (None, True),
+            'within the body': (broken.CUT, True),
+            'end not told': (ENDLESS, False),
+            'no HTTP': (b'hello\r\n\r\n', False),
+        }
+        for name, (reply, is_broken) in cases.items():
+            with self.subTest(name):
+                async with broken.open_broken([reply]) as server:
+                    self.assertEqual(is_broken, await self.is_broken(server))
+        with self.subTest('late'), broken.open_port(8) as url:
+            with self.assertRaises(exceptions.TargetAnswerLost) as caught:
+                await self.services.call(build_call(url))
+            self.assertIs(exceptions.TargetAnswerLost, type(caught.exception))
+
+    async def is_broken(self, server) -> bool:
+        with self.assertRaises(exceptions.TargetAnswerLost) as caught:
+            await self.services.call(build_call(server.url))
+        return isinstance(caught.exception, exceptions.TargetConnectionBroken)
+
+    async def test_a_call_alone_is_sent_once(self) -> None:
+        """A kept connection was broken before a suspect was sent over it.
+
+        Its target did not die under that call, which would be condemned.
+        """
+        replies = [broken.DONE, None, broken.DONE]
+        async with broken.open_broken(replies, close=False) as server:
+            await self.services.call(build_call(server.url, key=''))
+            with self.assertRaises(exceptions.TargetConnectionBroken):
+                await self.services.call(
+                    build_call(server.url, key='', alone=True)
+                )
+            self.assertEqual(2, len(server.requests))
+
     async def test_closed_at_accept_counts_as_lost(self) -> None:
         """The target closes each connection as soon as it accepts it.
 
