Quarantine calls of plain services that crash their targets

Cause: the quarantine knew model requests only. A status read that crashes what runs it took up to four targets in one go, and a payout one more with each new key of its caller. Ruled out: counting every lost answer or an unanswered load report as a death (docs/design/load.md has the table); all calls in flight as suspects, since one that is sent while the target is already dead would be laid to it; a check of actions at the grant in domain/actions, since the wait for a target belongs before the grant and the last look right before the first byte. Calls carry a fingerprint of workspace, service, operation and body. A suspect waits for a target of its own, an action does so before its grant; a target may be sent to only if no death under the same body is known at that moment; a broken connection and a refusal after it make one death for all calls that broke. Condemned calls are refused at admission. find_route takes any placement, not routes alone. tests/application/test_intake.py: the fake of calls takes the fingerprint that it is given now; nothing else changed there. Sends at the same moment through several entries still cost one each.

--- a/src/thornspool/application/action_requests.py
+++ b/src/thornspool/application/action_requests.py
@@ -40,6 +40,8 @@
         Longest time for the target's whole answer.
     resent : bool
         Whether the caller says that it sent the key before.
+    fingerprint : str
+        Names what is asked, whatever the key; empty when it is not known.
     """
 
     workspace: str
@@ -52,6 +54,7 @@
     deduplicates: bool = False
     timeout_ms: int = 2_000
     resent: bool = False
+    fingerprint: str = ''
 
 
 @attrs.frozen
--- a/src/thornspool/application/action_runs.py
+++ b/src/thornspool/application/action_runs.py
@@ -226,14 +226,17 @@
 
     async def _dispatch(self, call: _Call, command: events.Dispatch) -> None:
         request = call.request
+        target = request.targets[command.target]
         service_call = ports.ServiceCall(
-            url=request.targets[command.target].url,
+            url=target.url,
             operation=request.operation,
             workspace=request.workspace,
             key=request.key,
             fencing_token=command.fencing_token,
             body=request.body,
             timeout_ms=request.timeout_ms,
+            target=target.name,
+            fingerprint=request.fingerprint,
         )
         attempt = command.attempt
         try:
--- a/src/thornspool/application/calls.py
+++ b/src/thornspool/application/calls.py
@@ -10,6 +10,7 @@
 from thornspool.application import directory
 from thornspool.application import exceptions
 from thornspool.application import ports
+from thornspool.application import service_trials
 
 if typing.TYPE_CHECKING:
     from collections.abc import Callable
@@ -74,6 +75,8 @@
         Tells the budget of a service of a success.
     note_failure : callable
         Tells of a target that failed, with the error.
+    trials : service_trials.Trials, optional
+        Keeps calls that crash targets from running.
     """
 
     def __init__(
@@ -85,6 +88,7 @@
         take_retry: Callable[[str], bool],
         note_success: Callable[[str], None],
         note_failure: Callable[[str, exceptions.TargetError], None],
+        trials: service_trials.Trials | None = None,
     ) -> None:
         self._clock = clock
         self._services = services
@@ -93,10 +97,14 @@
         self._take_retry = take_retry
         self._note_success = note_success
         self._note_failure = note_failure
+        self._trials = trials or service_trials.NoTrials()
         self._in_flight: dict[str, int] = {}
 
     async def call(
-        self, resolved: directory.ResolvedOperation, body: bytes
+        self,
+        resolved: directory.ResolvedOperation,
+        body: bytes,
+        fingerprint: str = '',
     ) -> CallResult:
         """Call an operation until a target answers or the budget is spent.
 
@@ -106,6 +114,8 @@
             An idempotent operation.
         body : bytes
             Request body, JSON.
+        fingerprint : str, optional
+            Names what is asked.
 
         Returns
         -------
@@ -118,12 +128,24 @@
         failed = CallFailed('No target is ready.', False, RETRY_AFTER_MS)
         name = resolved.service.name
         while len(tried) < MAX_ATTEMPTS and self._clock.now() < deadline:
-            target = self._choose(resolved.targets, tried)
-            if target is None or (tried and not self._take_retry(name)):
+            if tried and not self._take_retry(name):
                 break
+            try:
+                target = await self._find_target(
+                    resolved, fingerprint, tried, deadline
+                )
+            except service_trials.NoTarget:
+                break
+            except service_trials.Refused as refused:
+                return CallFailed(refused.reason, ran, refused.retry_after_ms)
             tried.add(target.name)
             try:
-                answer = await self._send(target, resolved, body, deadline)
+                answer = await self._send(
+                    target, resolved, body, fingerprint, deadline
+                )
+            except exceptions.TargetHeldBack as error:
+                failed = CallFailed(error.message, ran, RETRY_AFTER_MS)
+                continue
             except exceptions.TargetError as error:
                 ran |= not isinstance(error, exceptions.TargetNotReached)
                 failed = CallFailed(error.message, ran, RETRY_AFTER_MS)
@@ -136,6 +158,22 @@
             return CallAnswered(answer)
         return failed
 
+    async def _find_target(
+        self,
+        resolved: directory.ResolvedOperation,
+        fingerprint: str,
+        tried: set[str],
+        deadline: int,
+    ) -> documents.Target:
+        """Find a target for the next attempt; a suspect waits for its own."""
+        return await service_trials.find_target(
+            self._trials,
+            fingerprint,
+            lambda busy: self._choose(resolved.targets, tried | busy),
+            self._clock,
+            deadline,
+        )
+
     def _choose(
         self, targets: tuple[documents.Target, ...], tried: set[str]
     ) -> documents.Target | None:
@@ -153,6 +191,7 @@
         target: documents.Target,
         resolved: directory.ResolvedOperation,
         body: bytes,
+        fingerprint: str,
         deadline: int,
     ) -> ports.ServiceAnswer:
         """Send one attempt and count it while it is in flight."""
@@ -164,6 +203,8 @@
             fencing_token=0,
             body=body,
             timeout_ms=max(1, deadline - self._clock.now()),
+            target=target.name,
+            fingerprint=fingerprint,
         )
         self._in_flight[target.name] = self._in_flight.get(target.name, 0) + 1
         try:
--- a/src/thornspool/application/generation_trials.py
+++ b/src/thornspool/application/generation_trials.py
@@ -13,7 +13,6 @@
     from collections.abc import Callable
 
     from thornspool import clock as clock_module
-    from thornspool.domain.pipelines import routes
 
 POLL_MS = 100
 """Between two tries to get a suspect's targets for it alone."""
@@ -34,8 +33,8 @@
         """Say whether a request may run on some targets now."""
         ...
 
-    def start(self, fingerprint: str, target: str) -> None:
-        """Note that a request starts on a target."""
+    def start(self, fingerprint: str, target: str) -> bool:
+        """Note that a request starts on a target; True if on trial."""
         ...
 
     def finish(self, fingerprint: str, target: str, succeeded: bool) -> None:
@@ -56,8 +55,9 @@
         """Say that a request may run."""
         return True
 
-    def start(self, fingerprint: str, target: str) -> None:
-        """Take note of nothing."""
+    def start(self, fingerprint: str, target: str) -> bool:
+        """Say that the request is on no trial."""
+        return False
 
     def finish(self, fingerprint: str, target: str, succeeded: bool) -> None:
         """Take note of nothing."""
@@ -76,6 +76,17 @@
     retry_after_ms: int
 
 
+class Placement(typing.Protocol):
+    """Targets that a request would run on, as a route is."""
+
+    def list_targets(self) -> tuple[str, ...]:
+        """Return the names of the targets."""
+        ...
+
+
+Placed = typing.TypeVar('Placed', bound=Placement)
+
+
 class TimeSpent(Exception):
     """The deadline came before the request's targets were free."""
 
@@ -83,10 +94,11 @@
 async def find_route(
     trials: Trials,
     fingerprint: str,
-    plan: Callable[[frozenset[str]], routes.Route],
+    plan: Callable[[frozenset[str]], Placed],
     clock: clock_module.Clock,
     deadline: int,
-) -> routes.Route | Condemned:
+    keep_ms: int = 0,
+) -> Placed | Condemned:
     """Plan a route that a request may run on now, or wait for one.
 
     Parameters
@@ -101,11 +113,14 @@
         Source of time.
     deadline : int
         Monotonic milliseconds after which the wait ends.
+    keep_ms : int, optional
+        Least time for which the request and its targets are kept, for
+        runs that may outlast the deadline.
 
     Returns
     -------
-    routes.Route or Condemned
-        `finish` must follow for each target of a route.
+    Placement or Condemned
+        What was planned; `finish` must follow for each target of it.
 
     Raises
     ------
@@ -119,7 +134,7 @@
     try:
         async with asyncio.timeout(left_ms / _MS_PER_S):
             return await _wait_for_trial(
-                trials, fingerprint, plan, clock, deadline
+                trials, fingerprint, plan, clock, deadline, keep_ms
             )
     except TimeoutError as error:
         raise TimeSpent from error
@@ -128,10 +143,11 @@
 async def _wait_for_trial(
     trials: Trials,
     fingerprint: str,
-    plan: Callable[[frozenset[str]], routes.Route],
+    plan: Callable[[frozenset[str]], Placed],
     clock: clock_module.Clock,
     deadline: int,
-) -> routes.Route | Condemned:
+    keep_ms: int,
+) -> Placed | Condemned:
     """Try until the request is alone on a route, or condemned."""
     busy: frozenset[str] = frozenset()
     while True:
@@ -140,7 +156,7 @@
             return Condemned(verdict.retry_after_ms)
         route = plan(busy)
         targets = route.list_targets()
-        longest_ms = max(1, deadline - clock.now())
+        longest_ms = max(1, deadline - clock.now(), keep_ms)
         if await trials.may_run_on_all(fingerprint, targets, longest_ms):
             return route
         busy = frozenset(targets)
--- a/src/thornspool/application/intake.py
+++ b/src/thornspool/application/intake.py
@@ -14,8 +14,11 @@
 from thornspool.application import generation_messages as generation
 from thornspool.application import observation
 from thornspool.application import requests
+from thornspool.application import service_trials
 from thornspool.domain.actions import results
 from thornspool.domain.objectives import burn
+from thornspool.domain.quarantine import fingerprints
+from thornspool.domain.quarantine import messages as quarantine_messages
 
 if typing.TYPE_CHECKING:
     from collections.abc import AsyncIterator
@@ -34,6 +37,7 @@
 _ISOLATED = 'This entry reaches neither the platform nor any other entry.'
 _DRAINING = 'This entry is leaving; use another one.'
 _RESENT = 'The key was sent before and this entry can not look it up now.'
+_MAY_RUN = frozenset({results.UNKNOWN_NO_RECORD, results.UNKNOWN_UNCHECKED})
 
 
 @attrs.frozen
@@ -47,8 +51,7 @@
     group : str
         Model or service whose targets would run it.
     fingerprint : str
-        Names the content of a model request; empty for calls, whose targets
-        do not die of what they are asked.
+        Names the content of the request.
     deadline : int
         Monotonic milliseconds.
     tokens : int
@@ -108,6 +111,8 @@
         One for each kind of request.
     list_ready : callable
         Returns those of some targets that may be given new work.
+    trials : service_trials.Trials
+        Keeps calls that crash targets from running.
     """
 
     actions: actions.ActionService
@@ -116,6 +121,9 @@
     list_ready: Callable[
         [tuple[documents.Target, ...]], tuple[documents.Target, ...]
     ]
+    trials: service_trials.Trials = attrs.field(
+        factory=service_trials.NoTrials
+    )
 
 
 class Intake:
@@ -193,11 +201,7 @@
                 return result
         except requests.RequestRefused as refused:
             if request.resent and not resolved.operation.idempotent:
-                # "Not run" would be read as a statement about the key, which
-                # an earlier send may have run; the caller would then book
-                # again under a new key.
-                reason = f'{_RESENT} {refused.message}'
-                return results.ActionUnknown(reason, refused.retry_after_ms)
+                return _say_unknown(refused.message, refused.retry_after_ms)
             raise
 
     def mint_key(self, workspace: str) -> str:
@@ -290,17 +294,71 @@
         resolved: directory.ResolvedOperation,
     ) -> results.ActionResult:
         """Run an admitted operation in the way that is safe for it."""
-        operation = resolved.operation
-        if operation.idempotent:
-            called = await self._runners.calls.call(resolved, request.body)
+        fingerprint = _fingerprint(request)
+        if resolved.operation.idempotent:
+            called = await self._runners.calls.call(
+                resolved, request.body, fingerprint
+            )
             return _describe_call(called)
-        ready = self._runners.list_ready(resolved.targets)
-        action = build_action(
-            request,
-            attrs.evolve(resolved, targets=ready),
-            self._clock.now() + operation.timeout_ms,
+        deadline = self._clock.now() + resolved.operation.timeout_ms
+
+        def list_ready() -> tuple[documents.Target, ...]:
+            return self._runners.list_ready(resolved.targets)
+
+        if await self._is_settled(request, resolved, fingerprint):
+            return await self._run_action(
+                request, resolved, list_ready(), deadline
+            )
+        try:
+            async with service_trials.hold_targets(
+                self._runners.trials,
+                fingerprint,
+                list_ready,
+                self._clock,
+                deadline,
+            ) as targets:
+                return await self._run_action(
+                    request, resolved, targets, deadline
+                )
+        except service_trials.Refused as refused:
+            if request.resent:
+                return _say_unknown(refused.reason, refused.retry_after_ms)
+            return results.ActionNotRun(refused.reason, refused.retry_after_ms)
+
+    async def _run_action(
+        self,
+        request: requests.OperationRequest,
+        resolved: directory.ResolvedOperation,
+        targets: tuple[documents.Target, ...],
+        deadline: int,
+    ) -> results.ActionResult:
+        usable = attrs.evolve(resolved, targets=targets)
+        return await self._runners.actions.run(
+            build_action(request, usable, deadline)
+        )
+
+    async def _is_settled(
+        self,
+        request: requests.OperationRequest,
+        resolved: directory.ResolvedOperation,
+        fingerprint: str,
+    ) -> bool:
+        """Tell whether a suspect's key has an end that no trial changes.
+
+        Its caller would otherwise wait for targets only to be told what
+        the first call came to. If the key is not settled after all, its
+        call is held back before it is sent.
+        """
+        verdict = self._runners.trials.check(fingerprint)
+        if isinstance(verdict, quarantine_messages.Clear):
+            return False
+        known = await self._runners.actions.look_up(
+            request.workspace, request.key
         )
-        return await self._runners.actions.run(action)
+        if not isinstance(known, results.ActionUnknown):
+            return True
+        may_run = known.reason in _MAY_RUN or resolved.operation.deduplicates
+        return not may_run
 
     @contextlib.contextmanager
     def _admit_operation(
@@ -312,7 +370,7 @@
         work = Work(
             request.workspace,
             request.service,
-            '',
+            _fingerprint(request),
             self._clock.now() + resolved.operation.timeout_ms,
             0,
             f'{request.service}/{request.operation}',
@@ -403,9 +461,25 @@
         deduplicates=resolved.operation.deduplicates,
         timeout_ms=resolved.operation.timeout_ms,
         resent=request.resent,
+        fingerprint=_fingerprint(request),
+    )
+
+
+def _fingerprint(request: requests.OperationRequest) -> str:
+    return fingerprints.fingerprint_call(
+        request.workspace, request.service, request.operation, request.body
     )
 
 
+def _say_unknown(reason: str, retry_after_ms: int) -> results.ActionUnknown:
+    """Answer for a key that was sent before and can't be looked up now.
+
+    "Not run" would be read as a statement about the key, which an earlier
+    send may have run; the caller would then book again under a new key.
+    """
+    return results.ActionUnknown(f'{_RESENT} {reason}', retry_after_ms)
+
+
 def _describe_call(called: calls.CallResult) -> results.ActionResult:
     """Return the result that stands for an idempotent call."""
     if isinstance(called, calls.CallAnswered):
--- a/src/thornspool/application/quarantine.py
+++ b/src/thornspool/application/quarantine.py
@@ -6,6 +6,7 @@
 import collections
 import typing
 
+import attrs
 import structlog
 
 from thornspool.application import exceptions
@@ -34,6 +35,14 @@
 logger = structlog.get_logger()
 
 
+@attrs.define(eq=False)
+class _Trial:
+    """Targets that are kept for one suspect."""
+
+    targets: tuple[str, ...]
+    started: bool = False
+
+
 class QuarantineService:
     """Keeps requests that crash targets from running again.
 
@@ -71,7 +80,7 @@
         self._draw = draw
         self._records = records.QuarantineRecords(incarnation)
         self._reservations = reservations.Reservations()
-        self._trials: dict[str, tuple[str, ...]] = {}
+        self._trials: dict[str, _Trial] = {}
         self.verdicts = collections.Counter(clear=0, suspect=0, condemned=0)
         self._view: tuple[str, ...] = ()
         self._view_changed_at = clock.now()
@@ -133,7 +142,7 @@
             return False
         if fingerprint in self._trials or self._is_on_trial(targets):
             return False
-        self._trials[fingerprint] = targets
+        self._trials[fingerprint] = _Trial(targets)
         kept = False
         try:
             kept = await self._reserve_all(fingerprint, targets, longest_ms)
@@ -146,8 +155,8 @@
 
     def _is_on_trial(self, targets: tuple[str, ...]) -> bool:
         return any(
-            one in on_trial
-            for on_trial in self._trials.values()
+            one in trial.targets
+            for trial in self._trials.values()
             for one in targets
         )
 
@@ -160,12 +169,48 @@
         # The verdict may have changed while the owners were asked.
         return not isinstance(self.check(fingerprint), messages.Condemned)
 
-    def start(self, fingerprint: str, target: str) -> None:
-        """Note that a request starts on a target."""
-        if target in self._trials.get(fingerprint, ()):
-            logger.info(
-                'quarantine_trial', fingerprint=fingerprint, target=target
-            )
+    def may_send(self, fingerprint: str, target: str) -> bool:
+        """Say whether a call may be sent to a target at this moment.
+
+        Asked once more just before the first byte: a target may have died
+        under the same request while the call waited for its grant. A trial
+        is for one sending.
+        """
+        verdict = self._records.check(fingerprint, self._clock.now())
+        if isinstance(verdict, messages.Clear):
+            return True
+        trial = self._find_trial(fingerprint, target)
+        is_condemned = isinstance(verdict, messages.Condemned)
+        return trial is not None and not trial.started and not is_condemned
+
+    def start(self, fingerprint: str, target: str) -> bool:
+        """Note that a request starts on a target.
+
+        Returns
+        -------
+        bool
+            Whether it runs on trial there.
+        """
+        trial = self._find_trial(fingerprint, target)
+        if trial is None:
+            return False
+        trial.started = True
+        logger.info('quarantine_trial', fingerprint=fingerprint, target=target)
+        return True
+
+    def find_trial(self, fingerprint: str) -> object | None:
+        """Return what `give_up` needs; None if the request is on no trial."""
+        return self._trials.get(fingerprint)
+
+    def give_up(self, fingerprint: str, trial: object) -> None:
+        """End a trial that never started; any other is left as it is."""
+        kept = self._trials.get(fingerprint)
+        if kept is trial and kept is not None and not kept.started:
+            self._end_trial(fingerprint)
+
+    def _find_trial(self, fingerprint: str, target: str) -> _Trial | None:
+        trial = self._trials.get(fingerprint)
+        return trial if trial and target in trial.targets else None
 
     def finish(self, fingerprint: str, target: str, succeeded: bool) -> None:
         """Note that a request ended on a target.
@@ -180,10 +225,13 @@
             Whether the target ran it to its end and lives; this clears a
             suspect. The first call of it ends the trial on all targets.
         """
-        if target in self._trials.get(fingerprint, ()):
+        if self._find_trial(fingerprint, target):
             self._end_trial(fingerprint)
-        if not succeeded:
-            return
+        if succeeded:
+            self.clear(fingerprint)
+
+    def clear(self, fingerprint: str) -> None:
+        """Note that a target ran a request to its end and lives."""
         news = self._records.note_finish(fingerprint, self._clock.now())
         if news is not None:
             self._tell_all(news)
@@ -195,7 +243,7 @@
         """
         in_flight = frozenset(fingerprints)
         on_trial = frozenset(
-            one for one in in_flight if target in self._trials.get(one, ())
+            one for one in in_flight if self._find_trial(one, target)
         )
         logger.warning(
             'quarantine_death',
@@ -261,7 +309,7 @@
         return bool(answer.reserved)
 
     def _end_trial(self, fingerprint: str) -> None:
-        targets = self._trials.pop(fingerprint)
+        targets = self._trials.pop(fingerprint).targets
         request_name, *names = _name_trial(fingerprint, targets)
         # After a death under its trial the request stays kept until the
         # reservation ends: an entry that has not yet heard of the death
--- a/src/thornspool/domain/quarantine/fingerprints.py
+++ b/src/thornspool/domain/quarantine/fingerprints.py
@@ -5,6 +5,17 @@
 import xxhash
 
 
+def fingerprint_call(
+    workspace: str, service: str, operation: str, body: bytes
+) -> str:
+    """Compute the fingerprint of a call to a plain service.
+
+    Its idempotency key has no part in it: a caller that sends a payout
+    again under a new key sends what crashed the target.
+    """
+    return compute_fingerprint(workspace, f'{service}/{operation}', body)
+
+
 def compute_fingerprint(workspace: str, model: str, body: bytes) -> str:
     """Compute the fingerprint of a request.
 
--- a/src/thornspool/parts.py
+++ b/src/thornspool/parts.py
@@ -8,6 +8,7 @@
 
 from thornspool.adapters.targets import engines
 from thornspool.adapters.targets import loads
+from thornspool.adapters.targets import probes
 from thornspool.adapters.targets import services
 from thornspool.application import actions
 from thornspool.application import admission
@@ -24,6 +25,7 @@
 from thornspool.application import membership
 from thornspool.application import objectives
 from thornspool.application import quarantine
+from thornspool.application import service_trials
 from thornspool.application import targets
 from thornspool.domain.retries import budget
 from thornspool.domain.targets import messages as target_messages
@@ -137,24 +139,31 @@
             self.members, incarnation, outside.peers, clock, draw
         )
         self.services = services.HttpServices()
+        watched = service_trials.WatchedServices(
+            self.services,
+            self.quarantine,
+            probes.is_refusing,
+            self.targets.note_failure,
+        )
         self.engines = engines.CurlEngines()
         self.actions = actions.ActionService(
             clock,
             outside.platform,
             outside.peers,
-            self.services,
+            watched,
             self.members,
             outside.own,
             outside.random_source,
         )
         self.calls = calls.CallService(
             clock,
-            self.services,
+            watched,
             self.targets,
             outside.random_source,
             self._take_retry,
             self._record_success,
             self._note_call_failure,
+            self.quarantine,
         )
         planning = generation_planning.Planning(
             outside.own.host, snapshot, self.targets, outside.random_source
@@ -191,6 +200,7 @@
             lambda listed: directory.list_ready(
                 listed, self.targets, outside.random_source
             ),
+            self.quarantine,
         )
         return intake.Intake(
             outside.clock,
--- /dev/null
+++ b/tests/application/crash_builders.py
@@ -0,0 +1,250 @@
+"""Builders of entries before services whose targets die of some calls."""
+
+from __future__ import annotations
+
+import asyncio
+import collections
+import contextlib
+import random
+import types
+import typing
+
+import attrs
+
+from tests import builders
+from tests.application import builders as application_builders
+from tests.application import fakes
+from thornspool import metrics
+from thornspool.application import actions
+from thornspool.application import calls
+from thornspool.application import directory
+from thornspool.application import exceptions
+from thornspool.application import gates
+from thornspool.application import intake
+from thornspool.application import ports
+from thornspool.application import quarantine
+from thornspool.application import requests
+from thornspool.application import service_trials
+from thornspool.domain.configuration import documents
+from thornspool.domain.quarantine import fingerprints
+from thornspool.domain.targets import messages
+
+if typing.TYPE_CHECKING:
+    from thornspool.domain.actions import results
+
+WORKSPACE = 'swan-coast'
+MARKER = b'crash'
+CRASHER = b'{"note": "crash"}'
+INNOCENT = b'{"note": "fine"}'
+TIMEOUT_MS = 2_000
+OPERATIONS = (
+    documents.Operation('status', True, TIMEOUT_MS),
+    documents.Operation('hold', False, TIMEOUT_MS),
+    documents.Operation('pay', False, TIMEOUT_MS, deduplicates=True),
+)
+
+
+class CrashingServices:
+    """Targets of a service; a body with the marker ends the one it runs on.
+
+    ``breaking`` is how many of the next calls lose their connection to a
+    target that lives on; ``unreachable`` hosts answer nothing more once a
+    target on them has died.
+    """
+
+    def __init__(self) -> None:
+        self.crash_ms = 3
+        self.latency_ms = 5
+        self.breaking = 0
+        self.unreachable = False
+        self.dead: list[str] = []
+        self.executions: collections.Counter[bytes] = collections.Counter()
+        self.reached: collections.Counter[str] = collections.Counter()
+        self._ends: dict[str, asyncio.Event] = {}
+
+    async def call(self, call: ports.ServiceCall) -> ports.ServiceAnswer:
+        """Run a call; its connection breaks when the target dies."""
+        if call.url in self.dead:
+            raise exceptions.TargetNotReached('Connection refused.')
+        self.reached[call.key] += 1
+        end = self._ends.setdefault(call.url, asyncio.Event())
+        if self.breaking:
+            self.breaking -= 1
+            raise exceptions.TargetConnectionBroken('Connection reset.')
+        crashes = MARKER in call.body
+        delay = self.crash_ms if crashes else self.latency_ms
+        try:
+            await asyncio.wait_for(end.wait(), delay / 1000)
+        except TimeoutError:
+            if not crashes:
+                self.executions[call.body] += 1
+                return ports.ServiceAnswer(200, 'application/json', call.body)
+            self.dead.append(call.url)
+            end.set()
+        raise exceptions.TargetConnectionBroken('Connection reset.')
+
+    async def is_refusing(self, url: str) -> bool:
+        """Tell what a probe of a target would."""
+        await asyncio.sleep(0.001)
+        return url in self.dead and not self.unreachable
+
+
+class _Targets:
+    """Holds every target for ready that did not fail here."""
+
+    def __init__(self) -> None:
+        self.failed: set[str] = set()
+
+    def read_readiness(self, target: str) -> messages.Readiness:
+        failed = target in self.failed
+        states = messages.Readiness
+        return states.UNREACHABLE if failed else states.READY
+
+    def read_load(self, target: str) -> None:
+        return None
+
+    def note_failure(self, target: str, reason: typing.Any) -> None:
+        self.failed.add(target)
+
+
+@attrs.define
+class Entry:
+    """One entry: its intake and what a test looks at."""
+
+    intake: intake.Intake
+    quarantine: quarantine.QuarantineService
+    targets: _Targets
+    actions: actions.ActionService
+
+
+class CrashFleet:
+    """Entries before one service, in virtual time.
+
+    Parameters
+    ----------
+    entries, targets : int
+        How many.
+    """
+
+    def __init__(self, entries: int = 3, targets: int = 8) -> None:
+        self.clock = builders.FakeClock(now=1_000_000)
+        self.network = fakes.FakeNetwork()
+        self.platform = fakes.FakePlatform()
+        self.services = CrashingServices()
+        self.seed = 0
+        self._tasks: list[asyncio.Future[None]] = []
+        names = tuple(f'slots-{number}' for number in range(targets))
+        self.snapshot = documents.Snapshot(
+            1,
+            workspaces={WORKSPACE: documents.Workspace(WORKSPACE)},
+            services={
+                'slots': documents.Service(
+                    'slots', WORKSPACE, names, OPERATIONS
+                )
+            },
+            targets={
+                name: application_builders.build_target(name) for name in names
+            },
+        )
+        members = tuple(
+            builders.build_member(f'entry-{number}')
+            for number in range(entries)
+        )
+        view = fakes.FakeMembers(members)
+        self.entries = [self._build_entry(one, view) for one in members]
+        self.clock.advance(quarantine.SETTLE_MS)
+
+    def _build_entry(
+        self, member: ports.Member, view: fakes.FakeMembers
+    ) -> Entry:
+        peers = fakes.FakePeers(self.network, member)
+        rng = random.Random(member.incarnation)
+        targets = _Targets()
+        kept = quarantine.QuarantineService(
+            view, member.incarnation, peers, self.clock, rng.random
+        )
+        kept._refresh_view()
+        watched = service_trials.WatchedServices(
+            self.services,
+            kept,
+            self.services.is_refusing,
+            targets.note_failure,
+        )
+        action_service = actions.ActionService(
+            self.clock, self.platform, peers, watched, view, member, rng
+        )
+        call_service = calls.CallService(
+            self.clock,
+            watched,
+            targets,
+            rng,
+            lambda name: True,
+            lambda name: None,
+            targets.note_failure,
+            kept,
+        )
+        runners = intake.Runners(
+            action_service,
+            call_service,
+            None,  # type: ignore[arg-type]
+            lambda listed: directory.list_ready(listed, targets, rng),
+            kept,
+        )
+        taking = intake.Intake(
+            self.clock,
+            lambda: self.snapshot,
+            intake.Gates(
+                gates.Gatekeeper(self.clock, _build_open(), kept).admit,
+                lambda: True,
+                lambda: False,
+                tuple,
+            ),
+            runners,
+            contextlib.nullcontext,
+            metrics.Metrics(),
+            types.SimpleNamespace(  # type: ignore[arg-type]
+                record_outcome=lambda *_: None, record_time=lambda *_: None
+            ),
+        )
+        return Entry(taking, kept, targets, action_service)
+
+    def start(self) -> None:
+        """Have the entries compare what they know, until the loop ends."""
+        for entry in self.entries:
+            task = asyncio.ensure_future(entry.quarantine.run())
+            self._tasks.append(task)
+
+    async def send(
+        self,
+        entry: int,
+        body: bytes = CRASHER,
+        operation: str = 'status',
+        key: str = '',
+        resent: bool = False,
+    ) -> results.ActionResult | requests.RequestRefused:
+        """Send a call under a new key, or under the one that is given."""
+        self.seed += 1
+        key = key or builders.build_key(self.seed, self.clock.wall())
+        request = requests.OperationRequest(
+            WORKSPACE, 'slots', operation, key, body, resent
+        )
+        try:
+            return await self.entries[entry].intake.run_operation(request)
+        except requests.RequestRefused as refused:
+            return refused
+
+    def check(self, body: bytes, operation: str = 'status') -> set[str]:
+        """Return the verdicts of all entries on a call."""
+        named = fingerprints.fingerprint_call(
+            WORKSPACE, 'slots', operation, body
+        )
+        found = [one.quarantine.check(named) for one in self.entries]
+        return {type(verdict).__name__ for verdict in found}
+
+
+def _build_open() -> typing.Any:
+    """Build an admission that refuses nothing."""
+    return types.SimpleNamespace(
+        admit=lambda *_: types.SimpleNamespace(ticket=None),
+        finish=lambda *_: None,
+    )
--- a/tests/application/test_intake.py
+++ b/tests/application/test_intake.py
@@ -131,7 +131,7 @@
         self.ran.append(request)
         return self.result
 
-    async def run_call(self, resolved, body):
+    async def run_call(self, resolved, body, fingerprint):
         self.ran.append(resolved)
         return self.called
 
