--- a/src/thornspool/application/calls.py
+++ b/src/thornspool/application/calls.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import collections
+import contextlib
 import typing
 
 import attrs
@@ -10,9 +12,11 @@
 from thornspool.application import directory
 from thornspool.application import exceptions
 from thornspool.application import ports
+from thornspool.application import service_trials
 
 if typing.TYPE_CHECKING:
     from collections.abc import Callable
+    from collections.abc import Iterator
     import random
 
     from thornspool import clock
@@ -20,6 +24,9 @@
     from thornspool.domain.targets import messages as target_messages
 
 MAX_ATTEMPTS = 4
+MARGIN = 2
+"""Calls that a new call's first target may have more than its second."""
+
 RETRY_AFTER_MS = 1000
 
 logger = structlog.get_logger()
@@ -74,6 +81,8 @@
         Tells the budget of a service of a success.
     note_failure : callable
         Tells of a target that failed, with the error.
+    trials : service_trials.Trials, optional
+        Keeps calls that crash targets from running.
     """
 
     def __init__(
@@ -85,6 +94,7 @@
         take_retry: Callable[[str], bool],
         note_success: Callable[[str], None],
         note_failure: Callable[[str, exceptions.TargetError], None],
+        trials: service_trials.Trials | None = None,
     ) -> None:
         self._clock = clock
         self._services = services
@@ -93,10 +103,15 @@
         self._take_retry = take_retry
         self._note_success = note_success
         self._note_failure = note_failure
-        self._in_flight: dict[str, int] = {}
+        self._trials = trials or service_trials.NoTrials()
+        self._in_flight: collections.Counter[str] = collections.Counter()
+        self._asked: collections.Counter[str] = collections.Counter()
 
     async def call(
-        self, resolved: directory.ResolvedOperation, body: bytes
+        self,
+        resolved: directory.ResolvedOperation,
+        body: bytes,
+        fingerprint: str = '',
     ) -> CallResult:
         """Call an operation until a target answers or the budget is spent.
 
@@ -106,6 +121,8 @@
             An idempotent operation.
         body : bytes
             Request body, JSON.
+        fingerprint : str, optional
+            Names what is asked.
 
         Returns
         -------
@@ -118,12 +135,24 @@
         failed = CallFailed('No target is ready.', False, RETRY_AFTER_MS)
         name = resolved.service.name
         while len(tried) < MAX_ATTEMPTS and self._clock.now() < deadline:
-            target = self._choose(resolved.targets, tried)
-            if target is None or (tried and not self._take_retry(name)):
+            if tried and not self._take_retry(name):
                 break
+            try:
+                target = await self._find_target(
+                    resolved, fingerprint, tried, deadline
+                )
+            except service_trials.NoTarget:
+                break
+            except service_trials.Refused as refused:
+                return CallFailed(refused.reason, ran, refused.retry_after_ms)
             tried.add(target.name)
             try:
-                answer = await self._send(target, resolved, body, deadline)
+                answer = await self._send(
+                    target, resolved, body, fingerprint, deadline
+                )
+            except exceptions.TargetHeldBack as error:
+                failed = CallFailed(error.message, ran, RETRY_AFTER_MS)
+                continue
             except exceptions.TargetError as error:
                 ran |= not isinstance(error, exceptions.TargetNotReached)
                 failed = CallFailed(error.message, ran, RETRY_AFTER_MS)
@@ -136,23 +165,52 @@
             return CallAnswered(answer)
         return failed
 
+    async def _find_target(
+        self,
+        resolved: directory.ResolvedOperation,
+        fingerprint: str,
+        tried: set[str],
+        deadline: int,
+    ) -> documents.Target:
+        """Find a target for the next attempt; a suspect waits for its own."""
+        return await service_trials.find_target(
+            self._trials,
+            fingerprint,
+            lambda busy: self._choose(
+                resolved.targets, tried | busy, fingerprint
+            ),
+            self._clock,
+            deadline,
+        )
+
     def _choose(
-        self, targets: tuple[documents.Target, ...], tried: set[str]
+        self,
+        targets: tuple[documents.Target, ...],
+        tried: set[str],
+        fingerprint: str,
     ) -> documents.Target | None:
-        """Choose the less loaded of two ready targets drawn at random."""
+        """Choose the less loaded of two ready targets.
+
+        They are drawn at random for a call that ran of late. For a new one
+        all entries draw the same two, and the first of them is taken unless
+        it has clearly more to do; and always beside the same call.
+        """
         left = tuple(one for one in targets if one.name not in tried)
-        drawn = directory.list_ready(left, self._targets, self._random)[:2]
-        return min(
-            drawn,
-            key=lambda one: self._in_flight.get(one.name, 0),
-            default=None,
-        )
+        ready = directory.list_ready(left, self._targets, self._random)
+        drawn = service_trials.rank(self._trials, fingerprint, ready)[:2]
+        is_new = not self._trials.is_proven(fingerprint)
+        if len(drawn) < 2 or (is_new and self._asked[fingerprint]):
+            return next(iter(drawn), None)
+        first, second = (self._in_flight[one.name] for one in drawn)
+        margin = MARGIN if is_new else 0
+        return drawn[0] if first <= second + margin else drawn[1]
 
     async def _send(
         self,
         target: documents.Target,
         resolved: directory.ResolvedOperation,
         body: bytes,
+        fingerprint: str,
         deadline: int,
     ) -> ports.ServiceAnswer:
         """Send one attempt and count it while it is in flight."""
@@ -165,9 +223,22 @@
             fencing_token=0,
             body=body,
             timeout_ms=max(1, deadline - self._clock.now()),
+            target=target.name,
+            fingerprint=fingerprint,
         )
-        self._in_flight[target.name] = self._in_flight.get(target.name, 0) + 1
-        try:
+        with self._count(target.name, fingerprint):
             return await self._services.call(call)
+
+    @contextlib.contextmanager
+    def _count(self, target: str, fingerprint: str) -> Iterator[None]:
+        """Count an attempt while it is in flight."""
+        self._in_flight[target] += 1
+        self._asked[fingerprint] += 1
+        try:
+            yield
         finally:
-            self._in_flight[target.name] -= 1
+            self._in_flight[target] -= 1
+            self._asked[fingerprint] -= 1
+            # Unlike targets, requests are without number.
+            if not self._asked[fingerprint]:
+                del self._asked[fingerprint]
--- a/src/thornspool/parts.py
+++ b/src/thornspool/parts.py
@@ -8,6 +8,7 @@
 
 from thornspool.adapters.targets import engines
 from thornspool.adapters.targets import loads
+from thornspool.adapters.targets import probes
 from thornspool.adapters.targets import services
 from thornspool.application import actions
 from thornspool.application import admission
@@ -25,6 +26,7 @@
 from thornspool.application import membership
 from thornspool.application import objectives
 from thornspool.application import quarantine
+from thornspool.application import service_trials
 from thornspool.application import targets
 from thornspool.application import timed_services
 from thornspool.domain.retries import budget
@@ -151,24 +153,31 @@
             self.admission.observe,
             self.admission.note_late,
         )
+        watched = service_trials.WatchedServices(
+            timed,
+            self.quarantine,
+            probes.is_refusing,
+            self.targets.note_failure,
+        )
         self.engines = engines.CurlEngines()
         self.actions = actions.ActionService(
             clock,
             outside.platform,
             outside.peers,
-            timed,
+            watched,
             self.members,
             outside.own,
             outside.random_source,
         )
         self.calls = calls.CallService(
             clock,
-            timed,
+            watched,
             self.targets,
             outside.random_source,
             self._take_retry,
             self._record_success,
             self._note_call_failure,
+            self.quarantine,
         )
         planning = generation_planning.Planning(
             outside.own.host, snapshot, self.targets, outside.random_source
@@ -205,6 +214,7 @@
             lambda listed: directory.list_ready(
                 listed, self.targets, outside.random_source
             ),
+            self.quarantine,
         )
         return intake.Intake(
             outside.clock,
