Fail questions to an entry as soon as its connection closes

Cause: an entry that dies closes its connections at once, but nng hides it: whoever asked it waits for the whole timeout. Traces of `page_owner` (actions begun after the kill of the page's first writer) showed 300 ms of asking in each sample, and once more for those that asked just after the kill.

Ruled out: a shorter timeout alone (a writer that is merely slow would be passed over each time the platform is slow); nng's statistics (not in pynng); failing every question until nng reconnects (a process that comes back at the address would be refused for up to its pause of 1 s; an existing test of the contract caught it).

Change: a pipe that closes is told to the loop, and open questions to its address fail at once. A later question to it first tries a TCP connection: refused, it fails at once; taken, the peer is dialled afresh. Sockets that are closed from here are not taken for lost.

Cost when the peer lives and only the connection broke: the reply comes late and is dropped, and the asker writes the page itself: one write attempt more, or a conflict and a read. A question about an attempt's runner then says "gone" once, so that its caller hears "outcome unknown" instead of joining. No decision rests on it: compare-and-swap decides. One TCP connection more for each question to a peer that is lost.

Seen to fail: open questions left alone, or no look at the connection: TimeoutError in test_question_fails_when_its_peer_dies; loss not noted: test_closed_connection_is_told_and_known; own closing taken for a loss: test_connection_closed_from_here_is_not_lost.

--- a/src/thornspool/adapters/peers/links.py
+++ b/src/thornspool/adapters/peers/links.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import asyncio
 import collections
 import typing
+import urllib.parse
 
 import attrs
 import pynng
@@ -11,6 +13,8 @@
 from thornspool.adapters.peers import exceptions
 
 if typing.TYPE_CHECKING:
+    from collections.abc import Callable
+
     from thornspool import clock
 
 MAX_LINKS = 400
@@ -32,10 +36,20 @@
         connects.
     unheard_since : int or None
         When the first message was sent after the peer was last heard.
+    was_lost : bool
+        Whether a connection of it was closed by the other side, or broke.
+    is_dropped : bool
+        Whether it was closed from here.
     """
 
     socket: pynng.Push0
     unheard_since: int | None = None
+    was_lost: bool = False
+    is_dropped: bool = False
+
+
+def _ignore_loss(address: str) -> None:
+    """Take note of nothing."""
 
 
 class Links:
@@ -47,11 +61,20 @@
         Source of time.
     max_links : int
         Most sockets kept open.
+    note_lost : callable
+        Told the address of a peer whose connection closed; called on a
+        thread of nng's.
     """
 
-    def __init__(self, clock: clock.Clock, max_links: int = MAX_LINKS) -> None:
+    def __init__(
+        self,
+        clock: clock.Clock,
+        max_links: int = MAX_LINKS,
+        note_lost: Callable[[str], None] = _ignore_loss,
+    ) -> None:
         self._clock = clock
         self._max_links = max_links
+        self._note_lost = note_lost
         self._links: collections.OrderedDict[str, _Link]
         self._links = collections.OrderedDict()
 
@@ -100,10 +123,19 @@
         link = self._links.get(address)
         return link is not None and bool(link.socket.pipes)
 
+    def is_lost(self, address: str) -> bool:
+        """Return whether a peer's connection closed and is not back.
+
+        A peer that was never connected is not lost: it may be connecting.
+        """
+        link = self._links.get(address)
+        return link is not None and link.was_lost and not link.socket.pipes
+
     def drop(self, address: str) -> None:
         """Close the socket of a peer; what waits in it is lost."""
         link = self._links.pop(address, None)
         if link is not None:
+            link.is_dropped = True
             link.socket.close()
 
     def close(self) -> None:
@@ -146,6 +178,8 @@
             reconnect_time_min=RECONNECT_MIN_MS,
             reconnect_time_max=RECONNECT_MAX_MS,
         )
+        link = _Link(socket)
+        socket.add_post_pipe_remove_cb(lambda _: self._lose(address, link))
         try:
             socket.dial(address, block=False)
         except pynng.NNGException as error:
@@ -154,10 +188,41 @@
                 f'{address} cannot be dialled: {error}.',
                 'Use tcp://ip:port.',
             ) from error
-        link = _Link(socket)
         self._links[address] = link
         return link
 
+    def _lose(self, address: str, link: _Link) -> None:
+        """Note that a connection closed; runs on a thread of nng's."""
+        if link.is_dropped:
+            return
+        link.was_lost = True
+        self._note_lost(address)
+
+
+async def is_listening(address: str, timeout_ms: int) -> bool:
+    """Tell whether a peer takes connections.
+
+    nng dials in the background and says nothing of a refusal, so a message
+    to a process that is gone would wait for its reply for the whole timeout.
+
+    Parameters
+    ----------
+    address : str
+        ``tcp://ip:port``.
+    timeout_ms : int
+        Longest wait, in milliseconds.
+    """
+    parts = urllib.parse.urlsplit(address)
+    try:
+        async with asyncio.timeout(timeout_ms / 1000):
+            _, writer = await asyncio.open_connection(
+                parts.hostname, parts.port
+            )
+    except OSError:
+        return False
+    writer.close()
+    return True
+
 
 def _is_dead(link: _Link, now: int) -> bool:
     return _is_silent(link, now) and not link.socket.pipes
--- a/src/thornspool/adapters/peers/node.py
+++ b/src/thornspool/adapters/peers/node.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import itertools
 import typing
 
@@ -80,7 +81,7 @@
         self._incarnation = incarnation
         self._address = listen_address
         self._registry = registry or registries.default
-        self._links = links.Links(clock, max_links)
+        self._links = links.Links(clock, max_links, self._hear_loss)
         self._max_handling = max_handling
         self._handlers: dict[type, ports.Handler] = {}
         self._questions: dict[int, _Question] = {}
@@ -88,6 +89,7 @@
         self._handling: set[asyncio.Task[None]] = set()
         self._socket: pynng.Pull0 | None = None
         self._receiver: asyncio.Task[None] | None = None
+        self._loop: asyncio.AbstractEventLoop | None = None
         own_types = (messages.HandlerFailed, messages.NoReply)
         for message_type in (*own_types, *message_types):
             self._registry.register(message_type)
@@ -124,6 +126,7 @@
             ) from error
         self._address = f'tcp://{listener.local_address}'
         self._socket = socket
+        self._loop = asyncio.get_running_loop()
         self._receiver = asyncio.create_task(self._receive(socket))
         return self._address
 
@@ -168,8 +171,9 @@
         ------
         PeerUnreachable
             No reply in time, or the peer failed to handle the message, or
-            nothing could be sent.
+            nothing could be sent, or its connection closed.
         """
+        await self._renew(peer_address, timeout_ms)
         number = next(self._numbers)
         future = asyncio.get_running_loop().create_future()
         self._questions[number] = _Question(peer_address, future)
@@ -190,6 +194,32 @@
         finally:
             del self._questions[number]
 
+    async def _renew(self, address: str, timeout_ms: int) -> None:
+        """Dial a peer whose connection closed anew, if it listens."""
+        if not self._links.is_lost(address):
+            return
+        if not await links.is_listening(address, timeout_ms):
+            raise _build_lost(address)
+        if self._links.is_lost(address):
+            self._links.drop(address)
+
+    def _hear_loss(self, address: str) -> None:
+        """Have the loop take in a loss; runs on a thread of nng's."""
+        if self._loop is None:
+            return
+        # A connection may close after the loop did, when the process ends.
+        with contextlib.suppress(RuntimeError):
+            self._loop.call_soon_threadsafe(self._fail_questions, address)
+
+    def _fail_questions(self, address: str) -> None:
+        # A process that dies answers nothing, and who asked it would wait
+        # for the whole timeout, for instance an action for its grant.
+        # When only the connection broke, the reply comes late and is
+        # dropped: whoever asks must bear that with a timeout as well.
+        for question in self._questions.values():
+            if question.address == address and not question.future.done():
+                question.future.set_exception(_build_lost(address))
+
     def _note_timeout(self, peer_address: str) -> None:
         # Messages queued for a peer that is down would be delivered when
         # something listens there again, long after their senders gave up.
@@ -321,6 +351,12 @@
         logger.warning('peer_message_dropped', why=why, **fields)
 
 
+def _build_lost(address: str) -> application_exceptions.PeerUnreachable:
+    return application_exceptions.PeerUnreachable(
+        f'The connection to {address} closed.', 'Try another entry.'
+    )
+
+
 def _fail(future: asyncio.Future[typing.Any], reason: str) -> None:
     if future.done():
         return
--- a/tests/adapters/peers/test_links.py
+++ b/tests/adapters/peers/test_links.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import threading
 import unittest
 
 import pynng
@@ -15,7 +16,10 @@
 class LinksTest(unittest.TestCase):
     def setUp(self) -> None:
         self.clock = builders.FakeClock()
-        self.links = links.Links(self.clock)
+        self.lost = threading.Semaphore(0)
+        self.links = links.Links(
+            self.clock, note_lost=lambda _: self.lost.release()
+        )
         self.addCleanup(self.links.close)
         self.socket = pynng.Pull0(recv_timeout=RECEIVE_TIMEOUT_MS)
         self.addCleanup(self.socket.close)
@@ -57,3 +61,28 @@
                 self.clock.advance(wait)
                 self.assertEqual(kept, self.send() is first)
                 self.links.note_heard(self.address)
+
+    def test_closed_connection_is_told_and_known(self) -> None:
+        """A host dies and its connections are closed by the system.
+
+        Whoever asked it something would wait for the whole timeout.
+        """
+        self.send()
+        self.assertFalse(self.links.is_lost(self.address))
+        self.socket.close()
+        self.assertTrue(self.lost.acquire(timeout=RECEIVE_TIMEOUT_MS / 1000))
+        while self.links.is_connected(self.address):
+            pass
+        self.assertTrue(self.links.is_lost(self.address))
+
+    def test_connection_closed_from_here_is_not_lost(self) -> None:
+        """A socket is replaced though its peer lives.
+
+        Questions that were sent by it would fail, though their replies
+        still come.
+        """
+        self.send()
+        self.links.drop(self.address)
+        self.links.close()
+        self.assertFalse(self.lost.acquire(blocking=False))
+        self.assertFalse(self.links.is_lost(self.address))
--- a/tests/adapters/peers/test_node.py
+++ b/tests/adapters/peers/test_node.py
@@ -17,6 +17,7 @@
 
 PATIENCE_MS = 5000
 SHORT_MS = 150
+NEVER_MS = 600_000
 
 
 async def answer(sender: str, question: builders.Question) -> builders.Answer:
@@ -57,6 +58,22 @@
             self.replier.address, builders.Question(number), timeout_ms
         )
 
+    async def test_question_fails_when_its_peer_dies(self) -> None:
+        """An entry dies while others wait for its answers.
+
+        They would wait for the whole timeout, and their callers with them,
+        though the connection was closed at once.
+        """
+        self.replier.handle(builders.Question, freeze)
+        waiting = asyncio.create_task(self.ask(1, NEVER_MS))
+        await wait_until(lambda: self.replier.traffic.received)
+        await self.replier.stop()
+        async with asyncio.timeout(PATIENCE_MS / 1000):
+            with self.assertRaises(application_exceptions.PeerUnreachable):
+                await waiting
+            with self.assertRaises(application_exceptions.PeerUnreachable):
+                await self.ask(2, NEVER_MS)
+
     async def send_raw(self, data: bytes) -> None:
         socket = pynng.Push0()
         socket.dial(self.replier.address)
