Know a lost connection by nng's events alone

Cause: pynng tells of a closed pipe before it takes the pipe off its list. A question between the two found the pipe still listed and waited for its whole timeout; the wake-up of the loop lets that happen.

Change: the flag alone counts; a pipe that is added clears it.

--- a/src/thornspool/adapters/peers/links.py
+++ b/src/thornspool/adapters/peers/links.py
@@ -36,15 +36,15 @@
         connects.
     unheard_since : int or None
         When the first message was sent after the peer was last heard.
-    was_lost : bool
-        Whether a connection of it was closed by the other side, or broke.
+    is_lost : bool
+        Whether its last connection was closed by the other side, or broke.
     is_dropped : bool
         Whether it was closed from here.
     """
 
     socket: pynng.Push0
     unheard_since: int | None = None
-    was_lost: bool = False
+    is_lost: bool = False
     is_dropped: bool = False
 
 
@@ -129,7 +129,7 @@
         A peer that was never connected is not lost: it may be connecting.
         """
         link = self._links.get(address)
-        return link is not None and link.was_lost and not link.socket.pipes
+        return link is not None and link.is_lost
 
     def drop(self, address: str) -> None:
         """Close the socket of a peer; what waits in it is lost."""
@@ -179,6 +179,7 @@
             reconnect_time_max=RECONNECT_MAX_MS,
         )
         link = _Link(socket)
+        socket.add_post_pipe_connect_cb(lambda _: _regain(link))
         socket.add_post_pipe_remove_cb(lambda _: self._lose(address, link))
         try:
             socket.dial(address, block=False)
@@ -195,10 +196,15 @@
         """Note that a connection closed; runs on a thread of nng's."""
         if link.is_dropped:
             return
-        link.was_lost = True
+        link.is_lost = True
         self._note_lost(address)
 
 
+def _regain(link: _Link) -> None:
+    """Note that a connection stands; runs on a thread of nng's."""
+    link.is_lost = False
+
+
 async def is_listening(address: str, timeout_ms: int) -> bool:
     """Tell whether a peer takes connections.
 
