Don't take a writer that keeps an outcome back for a silent one

Cause: a page's writer keeps outcomes and releases back for up to 500 ms, so that they share the write of a grant; who proposed one gave up after 300 ms, passed the writer over for 5 s and wrote the page itself. Seen in the logs of `page_owner`: "late reply" with `actions.ChangeRecorded` some 200 ms after most kills, and also without a kill at low rates.

Change: the wait for an outcome or a release is longer by the time that it may be kept back. No caller waits for either. A writer that dies silently now costs an outcome 800 ms instead of 300 before it is written elsewhere.

--- a/src/thornspool/application/ledger_router.py
+++ b/src/thornspool/application/ledger_router.py
@@ -25,11 +25,15 @@
     ----------
     ask_ms : int
         Longest wait for the preferred writer before this entry writes.
+    lazy_ms : int
+        Longest time that a writer keeps outcomes and releases back for a
+        grant to share its write; not less than ``lazy_ms`` of its pace.
     avoid_ms : int
         How long a silent writer is passed over.
     """
 
     ask_ms: int = 300
+    lazy_ms: int = 500
     avoid_ms: int = 5_000
 
 
@@ -127,6 +131,17 @@
             return None
         return _widen(verdict, asked)
 
+    def _find_wait(self, proposal: messages.Proposal) -> int:
+        """Return the longest wait for an answer that is no sign of failure.
+
+        An outcome is kept back by its writer to share a write. Who gave up
+        before that would take the writer for silent and pass it over, and
+        two entries would write the page against each other.
+        """
+        if isinstance(proposal, messages.GrantRequest):
+            return self._settings.ask_ms
+        return self._settings.ask_ms + self._settings.lazy_ms
+
     def _choose(self, proposal: messages.Proposal) -> ports.Member | None:
         """Return the preferred writer, None for this entry itself."""
         now = self._clock.now()
@@ -150,7 +165,7 @@
         proposal: messages.Proposal,
         timeout_ms: int,
     ) -> messages.Verdict | None:
-        wait = min(self._settings.ask_ms, timeout_ms)
+        wait = min(self._find_wait(proposal), timeout_ms)
         try:
             verdict: messages.Verdict = await self._peers.ask(
                 preferred.peer_address, proposal, wait
