Turn to a page's next writer together when the first one dies

Cause: the entries that asked a writer which died each wrote the page themselves. One write a round is accepted, the others are refused by version and wait 50 ms for their next write; with four entries that is up to four rounds for one action. It was the rest of `page_owner` after the wait for the dead writer was gone (about 130 ms, up to 320 ms).

Ruled out: a shorter time between writes after a refusal (more calls to the platform from every entry, and still one winner a round).

Change: the entry asks the writer that rendezvous hashing puts next, within the same 300 ms in all. So after a death, which is known at once, all turn to one entry that writes for them together. After a silence no time is left and the entry writes itself, as before.

Cost: a second question when the first was refused; none when a writer is slow. Calls to the platform fall: one writer instead of several.

Seen to fail: one writer asked only, `2 != 1` (died, two died).

--- a/src/thornspool/application/ledger_router.py
+++ b/src/thornspool/application/ledger_router.py
@@ -17,6 +17,9 @@
     from thornspool.application import ledger
 
 
+_WRITERS_ASKED = 2
+
+
 @attrs.frozen
 class RouterSettings:
     """Bounds of a router.
@@ -24,7 +27,7 @@
     Attributes
     ----------
     ask_ms : int
-        Longest wait for the preferred writer before this entry writes.
+        Longest wait for other writers before this entry writes.
     lazy_ms : int
         Longest time that a writer keeps outcomes and releases back for a
         grant to share its write; not less than ``lazy_ms`` of its pace.
@@ -116,12 +119,9 @@
             written then.
         """
         end = self._clock.now() + timeout_ms
-        preferred = self._choose(proposal)
-        asked = preferred is not None
-        if preferred is not None:
-            verdict = await self._ask(preferred, proposal, timeout_ms)
-            if verdict is not None and not _is_unavailable(verdict):
-                return verdict
+        verdict, asked = await self._ask_writers(proposal, timeout_ms)
+        if verdict is not None:
+            return verdict
         left = max(end - self._clock.now(), 1)
         try:
             verdict = await asyncio.wait_for(
@@ -131,6 +131,37 @@
             return None
         return _widen(verdict, asked)
 
+    async def _ask_writers(
+        self, proposal: messages.Proposal, timeout_ms: int
+    ) -> tuple[messages.Verdict | None, bool]:
+        """Ask the preferred writer and, if time is left, the one after it.
+
+        When a writer dies, everybody who asked it learns so at once. If
+        each then wrote the page itself, all but one would be refused by
+        version, round after round; the next writer takes them together.
+
+        Returns
+        -------
+        tuple
+            The verdict, None if there is none, and whether anybody was
+            asked.
+        """
+        end = self._clock.now() + min(timeout_ms, self._find_wait(proposal))
+        asked = False
+        for _ in range(_WRITERS_ASKED):
+            left = end - self._clock.now()
+            preferred = self._choose(proposal)
+            if preferred is None or left <= 0:
+                break
+            asked = True
+            verdict = await self._ask(preferred, proposal, left)
+            if verdict is None:
+                continue
+            if _is_unavailable(verdict):
+                break
+            return verdict, asked
+        return None, asked
+
     def _find_wait(self, proposal: messages.Proposal) -> int:
         """Return the longest wait for an answer that is no sign of failure.
 
@@ -165,10 +196,9 @@
         proposal: messages.Proposal,
         timeout_ms: int,
     ) -> messages.Verdict | None:
-        wait = min(self._find_wait(proposal), timeout_ms)
         try:
             verdict: messages.Verdict = await self._peers.ask(
-                preferred.peer_address, proposal, wait
+                preferred.peer_address, proposal, timeout_ms
             )
         except exceptions.PeerUnreachable:
             # A paused entry would cost each of its pages' actions a wait.
--- a/tests/application/test_ledger_router.py
+++ b/tests/application/test_ledger_router.py
@@ -66,6 +66,27 @@
 
 
 class LedgerRouterTest(unittest.TestCase):
+    def test_who_writes_when_the_preferred_writer_is_gone(self) -> None:
+        """An entry that writes a page first dies or freezes.
+
+        After a death everybody knows at once; if each wrote by itself, most
+        would be refused by version and their callers wait for rounds of
+        writes. After a silence there is no time left for another one.
+        """
+        table = (
+            ('lives', 0, 0, 1, 0),
+            ('died', 1, 0, 2, 0),
+            ('two died', 2, 0, 2, 1),
+            ('silent', 1, TIMEOUT_MS, 1, 1),
+        )
+        for name, gone, silence_ms, asked, wrote_here in table:
+            with self.subTest(name):
+                writers = Writers(gone, silence_ms)
+                writers.run(GRANT)
+                self.assertEqual(asked, len({a for a, _ in writers.asked}))
+                self.assertEqual(asked, len(writers.asked))
+                self.assertEqual(wrote_here, writers.wrote_here)
+
     def test_kept_back_outcome_is_no_sign_of_a_silent_writer(self) -> None:
         """A writer keeps an outcome back to share the write of a grant.
 
