Don't count calls that the gate held back as failures of the platform

Cause: logs of the outages show the ledger's breaker and the client's gate out of step. The breaker let a read go, the gate refused it for another, say, 117 ms without asking the platform, and the breaker took that for a failure and closed for 500 ms more. Long samples of `platform` sat in two or three of these.

Change: the gate's refusal is an error of its own with the time to wait, and the breaker closes for that time, at most 500 ms. While another call is the probe it is 50 ms.

Cost: none to the platform, since only the gate lets calls out, and its rate is unchanged.

Seen to fail: held back taken for a failure, `False is not true`.

--- a/src/thornspool/adapters/platform/gate.py
+++ b/src/thornspool/adapters/platform/gate.py
@@ -20,6 +20,8 @@
     from collections.abc import Callable
 
 _FAILURES_BEFORE_BACKOFF = 2
+_PROBE_MS = 50
+"""When to ask again while a probe is on its way."""
 
 
 @attrs.frozen
@@ -94,10 +96,7 @@
         blocked = max(0, self._blocked_until - now) if backing_off else 0
         patience_ms = self._settings.patience_ms
         if blocked > patience_ms or (backing_off and self._probing):
-            raise exceptions.PlatformError(
-                'The platform fails; calls to it are held back.',
-                f'Try again in {max(blocked, patience_ms)} ms.',
-            )
+            raise exceptions.PlatformHeldBack(max(blocked, _PROBE_MS))
         wait = self._find_bucket(now).reserve(1.0, now, patience_ms)
         if wait is None:
             raise exceptions.PlatformError(
--- a/src/thornspool/application/exceptions.py
+++ b/src/thornspool/application/exceptions.py
@@ -13,6 +13,23 @@
     """The platform gave no answer within the time allowed."""
 
 
+class PlatformHeldBack(PlatformError):
+    """Nothing was sent: the platform failed lately and is being spared.
+
+    Attributes
+    ----------
+    retry_after_ms : int
+        When a call may be let through, in milliseconds.
+    """
+
+    def __init__(self, retry_after_ms: int) -> None:
+        super().__init__(
+            'The platform fails; calls to it are held back.',
+            f'Try again in {retry_after_ms} ms.',
+        )
+        self.retry_after_ms = retry_after_ms
+
+
 class LedgerMalformed(PlatformError):
     """A key of the ledger holds something that is no ledger page."""
 
--- a/src/thornspool/application/ledger.py
+++ b/src/thornspool/application/ledger.py
@@ -184,6 +184,11 @@
             # One bad value must not stop the actions of all other pages.
             logger.error('ledger_page_malformed', reason=str(error))
             self._feed(desk, writer.ReadFailed(_MALFORMED_WAIT_MS))
+        except exceptions.PlatformHeldBack as error:
+            now = self._clock.now()
+            self._breaker.record_held_back(now, error.retry_after_ms)
+            wait = self._breaker.read_wait(now)
+            self._feed(desk, writer.ReadFailed(wait))
         except Exception as error:
             # Also of errors that nobody expected: a read without an end
             # would hold every later action of the page for good.
--- a/src/thornspool/domain/actions/breaker.py
+++ b/src/thornspool/domain/actions/breaker.py
@@ -50,6 +50,17 @@
         self._backoff = min(max(self._backoff * 2, self._first), self._longest)
         self._closed_at = now + self._backoff
 
+    def record_held_back(self, now: int, wait_ms: int) -> None:
+        """Take in that a call was held back before it was sent.
+
+        It says nothing new of the platform. Taken for a failure, it would
+        close the way for longer than the client itself does, and callers
+        would be refused after the platform is back.
+        """
+        self._probing = False
+        self._backoff = max(self._backoff, self._first)
+        self._closed_at = now + min(wait_ms, self._longest)
+
     def record_success(self) -> None:
         """Take in that the platform answered."""
         self._probing = False
--- a/tests/domain/actions/test_breaker.py
+++ b/tests/domain/actions/test_breaker.py
@@ -26,6 +26,22 @@
                         subject.record_failure(now)
                 self.assertLessEqual(_find_wait(subject, outage), LONGEST_MS)
 
+    def test_call_that_was_held_back_is_no_failure(self) -> None:
+        """The client holds calls back for a moment longer.
+
+        Counted as failures of the platform, refusals of our own would close
+        the ledger for longer each time, up to the longest wait, though
+        nobody asked the platform.
+        """
+        subject = breaker.Breaker()
+        subject.record_failure(0)
+        for now in range(200, 600, 50):
+            self.assertTrue(subject.admit(now))
+            self.assertFalse(subject.admit(now))
+            subject.record_held_back(now, 50)
+        subject.record_held_back(600, 10 * LONGEST_MS)
+        self.assertEqual(LONGEST_MS, _find_wait(subject, 600))
+
 
 def _find_wait(subject: breaker.Breaker, back: int) -> int:
     """Return the milliseconds after which a call is let through."""
