End an outage of the platform at all entries as soon as one sees it end

Cause: after an outage of 2 s each entry found out alone, by its own next call, and the gate of its client held calls back for up to 2 s with full jitter; nothing called before a caller's action did, and the ledger's breaker added up to 500 ms. Seen in the times of the first answered read of each entry after the return.

Change: while calls are held back the entry itself probes, at the pace of its gate. The ledger's breaker opens with it. The longest wait of the gate is 250 ms, or 5 ms for each entry counted when the platform last answered, so that a fleet probes 400 times a second at most, however large.

Ruled out: a shorter cap for all (350 entries at 250 ms are 2,800 reads a second, over the platform's 2,000); telling all entries from one (350 messages from a node whose control budget is 2 KB/s).

Cost: one probe each 125 ms on average by each of up to 50 entries in an outage (1 s before, and only with callers).

--- a/src/thornspool/adapters/platform/gate.py
+++ b/src/thornspool/adapters/platform/gate.py
@@ -39,13 +39,18 @@
         Longest wait of a call at the gate, in milliseconds.
     backoff_base_ms, backoff_cap_ms : int
         Bounds of the wait after failures, in milliseconds.
+    backoff_ms_per_entry : int
+        What each entry adds to the longest wait, if that is more than the
+        cap: all entries together send the same number of probes, however
+        many they are. Five milliseconds make 400 a second.
     """
 
     calls_per_s: float = 150.0
     burst: float = 100.0
     patience_ms: int = 100
     backoff_base_ms: int = 50
-    backoff_cap_ms: int = 2000
+    backoff_cap_ms: int = 250
+    backoff_ms_per_entry: int = 5
 
 
 class Gate:
@@ -68,6 +73,7 @@
         self._failures = 0
         self._blocked_until = 0
         self._probing = False
+        self._entries = 0
 
     @property
     def is_backing_off(self) -> bool:
@@ -106,10 +112,29 @@
         self._probing = backing_off
         return max(wait, blocked)
 
-    def record_success(self) -> None:
-        """Note an answer of the platform, of whatever content."""
+    def read_backoff(self, now: int) -> int | None:
+        """Return the milliseconds until a probe may leave, if any must."""
+        if not self.is_backing_off:
+            return None
+        return max(0, self._blocked_until - now)
+
+    def end_backoff(self) -> None:
+        """Let the next call leave at once, as a probe."""
+        self._blocked_until = 0
+
+    def record_success(self, entries: int = 0) -> None:
+        """Note an answer of the platform, of whatever content.
+
+        Parameters
+        ----------
+        entries : int, optional
+            How many entries there are; counted while the platform answers,
+            since a view that shrinks in an outage would make each entry ask
+            as if it were alone.
+        """
         self._failures = 0
         self._probing = False
+        self._entries = entries
 
     def record_failure(self, now: int) -> None:
         """Note a call without an answer, or one answered by a 5xx."""
@@ -120,7 +145,7 @@
         delay = backoff.compute_delay(
             self._failures - _FAILURES_BEFORE_BACKOFF,
             self._settings.backoff_base_ms,
-            self._settings.backoff_cap_ms,
+            self._find_cap(),
             self._draw(),
         )
         self._blocked_until = max(self._blocked_until, now + delay)
@@ -129,6 +154,11 @@
         """Forget a call that was cancelled before its outcome was known."""
         self._probing = False
 
+    def _find_cap(self) -> int:
+        """Return the longest wait after a failure, in milliseconds."""
+        by_entries = self._entries * self._settings.backoff_ms_per_entry
+        return max(self._settings.backoff_cap_ms, by_entries)
+
     def _find_bucket(self, now: int) -> buckets.TokenBucket:
         if self._bucket is None:
             self._bucket = buckets.build_bucket(
--- a/src/thornspool/adapters/platform/http.py
+++ b/src/thornspool/adapters/platform/http.py
@@ -32,6 +32,8 @@
 _LARGEST_ANSWER = 4_000_000
 _WATCH_MARGIN_MS = 1000
 _MS_PER_S = 1000.0
+_PROBE_KEY = 'probe'
+"""Does not exist, so that its answer is short."""
 _TRY_LATER = 'Try again later; status shows the platform as down.'
 
 
@@ -94,6 +96,9 @@
         self._settings = settings
         self._clock = clock
         self._gate = gate.Gate(settings.gate, draw)
+        self._count_entries: Callable[[], int] = lambda: 0
+        self._note_failing: Callable[[], None] = lambda: None
+        self._note_back: Callable[[], None] = lambda: None
         self._client = transport.Client(settings.max_calls, _LARGEST_ANSWER)
         self._watches = transport.Client(settings.max_watches, _LARGEST_ANSWER)
 
@@ -102,6 +107,29 @@
         self._client.close()
         self._watches.close()
 
+    def follow_outages(
+        self,
+        count_entries: Callable[[], int],
+        note_failing: Callable[[], None],
+        note_back: Callable[[], None],
+    ) -> None:
+        """Name what counts the entries and what is told of an outage."""
+        self._count_entries = count_entries
+        self._note_failing = note_failing
+        self._note_back = note_back
+
+    def read_backoff(self) -> int | None:
+        """Return the milliseconds until a call may leave, if any is held."""
+        return self._gate.read_backoff(self._clock.now())
+
+    def end_backoff(self) -> None:
+        """Let the next call leave at once."""
+        self._gate.end_backoff()
+
+    async def probe(self) -> None:
+        """Call the platform for its answer alone."""
+        await self.get(_PROBE_KEY)
+
     async def get(self, key: str) -> ports.Versioned:
         """Read a key; version 0 and no bytes when it does not exist."""
         read = self._build_read(self._build_url(key))
@@ -217,12 +245,20 @@
         if response.code >= 500:
             self._record_failure(kind)
         else:
-            self._gate.record_success()
+            self._record_success()
         return response
 
+    def _record_success(self) -> None:
+        was_backing_off = self._gate.is_backing_off
+        self._gate.record_success(self._count_entries())
+        if was_backing_off:
+            self._note_back()
+
     def _record_failure(self, kind: str) -> None:
         self.errors[kind] += 1
         self._gate.record_failure(self._clock.now())
+        if self._gate.is_backing_off:
+            self._note_failing()
 
 
 def _build_precondition(expected_version: int) -> dict[str, str]:
--- a/src/thornspool/application/actions.py
+++ b/src/thornspool/application/actions.py
@@ -97,6 +97,10 @@
         """Number of attempts and records that are not settled."""
         return self._runs.runner.open_count
 
+    def note_platform_back(self) -> None:
+        """Take in that an outage of the platform is over."""
+        self._ledger.note_platform_back()
+
     async def run(self, request: ActionRequest) -> results.ActionResult:
         """Run an action, or join, replay or refuse it.
 
--- a/src/thornspool/application/ledger.py
+++ b/src/thornspool/application/ledger.py
@@ -107,6 +107,10 @@
         finally:
             self._breaker.end_probe()
 
+    def note_platform_back(self) -> None:
+        """Let proposals through again: the platform answered somebody."""
+        self._breaker.record_success()
+
     async def read(self, address: keys.PageAddress) -> records.Page:
         """Read a page as the platform has it now.
 
--- a/src/thornspool/application/ports.py
+++ b/src/thornspool/application/ports.py
@@ -134,6 +134,38 @@
 """Takes the sender's incarnation and a message, returns the reply."""
 
 
+class FailingPlatform(typing.Protocol):
+    """How outages of the platform are followed at its client."""
+
+    def follow_outages(
+        self,
+        count_entries: Callable[[], int],
+        note_failing: Callable[[], None],
+        note_back: Callable[[], None],
+    ) -> None:
+        """Name what counts the entries and what is told of an outage.
+
+        ``note_failing`` is called when calls begin to be held back,
+        ``note_back`` at the first answer after that.
+        """
+        ...
+
+    def read_backoff(self) -> int | None:
+        """Return the milliseconds until a call may leave.
+
+        None while calls are not held back.
+        """
+        ...
+
+    def end_backoff(self) -> None:
+        """Let the next call leave at once."""
+        ...
+
+    async def probe(self) -> None:
+        """Call the platform for its answer alone."""
+        ...
+
+
 class Peers(typing.Protocol):
     """Messages between entries; delivery is at most once and unordered.
 
--- a/src/thornspool/entry.py
+++ b/src/thornspool/entry.py
@@ -23,6 +23,7 @@
 from thornspool.adapters.platform import http as http_platform
 from thornspool.adapters.platform import memory
 from thornspool.application import objectives
+from thornspool.application import outages
 from thornspool.application import ports
 from thornspool.domain.actions import messages as action_messages
 from thornspool.domain.configuration import messages as configuration_messages
@@ -100,6 +101,7 @@
         self._random = random_source
         self._request_stop = request_stop
         self._tasks: list[asyncio.Task[typing.Any]] = []
+        self._outages: outages.OutageService | None = None
 
     async def start(self) -> Addresses:
         """Listen, join the other entries and take the configuration.
@@ -141,6 +143,7 @@
         self._metrics = metrics_module.Metrics()
         outside = self._describe_outside(addresses)
         self._parts = parts.Parts(outside)
+        self._follow_outages(outside)
         readings.add_readings(
             self._metrics,
             self._clock,
@@ -173,6 +176,8 @@
         await self._operators.stop()
         await self._parts.targets.stop()
         await self._parts.members.stop()
+        if self._outages is not None:
+            await self._outages.stop()
         for task in self._tasks:
             task.cancel()
         for task in self._tasks:
@@ -245,6 +250,20 @@
             self._random.random,
         )
 
+    def _follow_outages(self, outside: parts.Outside) -> None:
+        """Have outages of the platform end at all entries together."""
+        if not isinstance(outside.platform, http_platform.HttpPlatform):
+            return
+        self._outages = outages.OutageService(
+            self._clock,
+            outside.platform,
+            outside.peers,
+            self._parts.members,
+            outside.own.incarnation,
+            self._random,
+            self._parts.actions.note_platform_back,
+        )
+
     def _make_identifier(self) -> str:
         """Make an identifier that carries its time."""
         bits = self._random.getrandbits(74)
--- a/tests/adapters/platform/test_gate.py
+++ b/tests/adapters/platform/test_gate.py
@@ -39,6 +39,24 @@
         guard.record_success()
         self.assertEqual([0, 0], [guard.enter(now), guard.enter(now)])
 
+    def test_probes_of_a_fleet_do_not_grow_with_it(self) -> None:
+        """The platform fails for a long time before a large fleet.
+
+        Probing as often as a small one would keep it down; 400 calls a
+        second are a fifth of what it takes.
+        """
+        settings = gate.GateSettings()
+        for entries in (1, 9, 50, 350, 1_000):
+            with self.subTest(entries):
+                guard = gate.Gate(settings, lambda: 0.5)
+                guard.record_success(entries)
+                for _ in range(20):
+                    guard.record_failure(0)
+                wait = guard.read_backoff(0)
+                self.assertIsNotNone(wait)
+                self.assertLessEqual(entries * 1000 / (wait or 1), 401)
+                self.assertLessEqual(wait or 0, max(125, entries * 2.5))
+
     def test_cancelled_probe_frees_the_gate(self) -> None:
         """A caller gives up while its call is the probe.
 
