Ask a page's writer whether it works on a proposal before writing instead

Cause: a writer without an answer for 300 ms was taken for dead. A host that vanishes cost 300 ms, and then rounds of writes against each other; a platform that answers in 150 ms made all writers look dead, so that every entry wrote every page and most writes were refused by version.

Tried and left: a wait that follows the answers as TCP's timer does (RFC 6298, 120 to 300 ms).

Change: after 60 ms without an answer the writer is asked whether the proposal is open there, and again after 120, 240 and 480 ms more. Whoever says yes is waited for; who says no (a message was lost) is asked once more; who says nothing for 100 ms is passed over, and the next writer is asked. The word decides nothing: compare-and-swap does.

Cost: two small messages for a question that is open for more than 60 ms. When a live writer is paused for over 160 ms, one proposal is written twice. An entry whose own way to the platform is cut is noticed by its first "not available" (about 1 s) and no longer after 300 ms.

--- a/src/thornspool/application/ledger_router.py
+++ b/src/thornspool/application/ledger_router.py
@@ -9,6 +9,7 @@
 import xxhash
 
 from thornspool.application import exceptions
+from thornspool.application import ledger_asking
 from thornspool.application import ports
 from thornspool.domain.actions import messages
 
@@ -27,17 +28,16 @@
     Attributes
     ----------
     ask_ms : int
-        Longest wait for other writers before this entry writes.
-    lazy_ms : int
-        Longest time that a writer keeps outcomes and releases back for a
-        grant to share its write; not less than ``lazy_ms`` of its pace.
+        Longest wait for a reply that needs no work.
     avoid_ms : int
         How long a silent writer is passed over.
     """
 
     ask_ms: int = 300
-    lazy_ms: int = 500
     avoid_ms: int = 5_000
+    asking: ledger_asking.AskingSettings = attrs.field(
+        factory=ledger_asking.AskingSettings
+    )
 
 
 def choose_writer(
@@ -87,18 +87,14 @@
         settings: RouterSettings,
     ) -> None:
         self._clock = clock
-        self._peers = peers
         self._members = members
         self._member = member
         self._local = local
         self._settings = settings
         self._avoided: dict[str, int] = {}
-        for message_type in (
-            messages.GrantRequest,
-            messages.OutcomeRecord,
-            messages.GrantRelease,
-        ):
-            peers.handle(message_type, self._serve)
+        self._asking = ledger_asking.LedgerAsking(
+            clock, peers, local, settings.asking
+        )
 
     async def propose(
         self, proposal: messages.Proposal, timeout_ms: int
@@ -146,7 +142,7 @@
             The verdict, None if there is none, and whether anybody was
             asked.
         """
-        end = self._clock.now() + min(timeout_ms, self._find_wait(proposal))
+        end = self._clock.now() + timeout_ms
         asked = False
         for _ in range(_WRITERS_ASKED):
             left = end - self._clock.now()
@@ -162,17 +158,6 @@
             return verdict, asked
         return None, asked
 
-    def _find_wait(self, proposal: messages.Proposal) -> int:
-        """Return the longest wait for an answer that is no sign of failure.
-
-        An outcome is kept back by its writer to share a write. Who gave up
-        before that would take the writer for silent and pass it over, and
-        two entries would write the page against each other.
-        """
-        if isinstance(proposal, messages.GrantRequest):
-            return self._settings.ask_ms
-        return self._settings.ask_ms + self._settings.lazy_ms
-
     def _choose(self, proposal: messages.Proposal) -> ports.Member | None:
         """Return the preferred writer, None for this entry itself."""
         now = self._clock.now()
@@ -197,7 +182,7 @@
         timeout_ms: int,
     ) -> messages.Verdict | None:
         try:
-            verdict: messages.Verdict = await self._peers.ask(
+            return await self._asking.ask(
                 preferred.peer_address, proposal, timeout_ms
             )
         except exceptions.PeerUnreachable:
@@ -205,12 +190,6 @@
             until = self._clock.now() + self._settings.avoid_ms
             self._avoided[preferred.incarnation] = until
             return None
-        return verdict
-
-    async def _serve(
-        self, sender: str, proposal: messages.Proposal
-    ) -> messages.Verdict:
-        return await self._local.propose(proposal)
 
 
 def _is_unavailable(verdict: messages.Verdict) -> bool:
--- a/src/thornspool/domain/actions/messages.py
+++ b/src/thornspool/domain/actions/messages.py
@@ -181,6 +181,30 @@
     wait_ms: int
 
 
+@attrs.frozen
+class ProposalQuery:
+    """Asks a writer whether it works on a proposal of an attempt."""
+
+    attempt: str
+
+
+@attrs.frozen
+class ProposalReport:
+    """A writer's word on a proposal.
+
+    Attributes
+    ----------
+    attempt : str
+        The attempt.
+    is_open : bool
+        Whether the proposal waits there for its verdict. False when it never
+        came, or was decided.
+    """
+
+    attempt: str
+    is_open: bool
+
+
 class AttemptState(enum.Enum):
     """What a runner says of an attempt."""
 
@@ -223,4 +247,6 @@
     LedgerUnavailable,
     AttemptQuery,
     AttemptReport,
+    ProposalQuery,
+    ProposalReport,
 )
--- a/tests/application/test_actions.py
+++ b/tests/application/test_actions.py
@@ -62,6 +62,35 @@
         self.assertEqual({'ActionDone': 3}, kinds)
         self.assertEqual(1, fleet.services.executions.total())
 
+    def test_slow_platform_gets_no_more_writes_than_a_fast_one(self) -> None:
+        """The platform answers slowly for a long time.
+
+        If entries took the writer of a page for dead and wrote it
+        themselves, they would refuse each other's writes, and callers would
+        be told "not run" though the platform is up.
+        """
+        for latency_ms in (3, 150, 400):
+            with self.subTest(latency_ms):
+                fleet = builders.build_fleet(9)
+                fleet.platform.latency_ms = latency_ms
+
+                async def work(
+                    fleet: builders.Fleet = fleet,
+                ) -> list[actions.ActionResult]:
+                    running = []
+                    for seed in range(90):
+                        entry = fleet.entries[seed % 9]
+                        request = fleet.build_request(seed)
+                        running.append(asyncio.create_task(entry.run(request)))
+                        await asyncio.sleep(0.01)
+                    return await asyncio.gather(*running)
+
+                told = fakes.run(fleet.clock, work())
+                self.assertEqual(
+                    {'ActionDone': 90}, builders.count_kinds(told)
+                )
+                self.assertLessEqual(fleet.platform.writes, 90)
+
     def test_single_faults_have_known_outcomes(self) -> None:
         """Each fault alone, then the caller sends again elsewhere.
 
--- a/tests/domain/actions/test_messages.py
+++ b/tests/domain/actions/test_messages.py
@@ -29,6 +29,8 @@
             messages.LedgerUnavailable('a1', 200, True),
             messages.AttemptQuery('a1', 'r1', 200),
             messages.AttemptReport('a1', messages.AttemptState.GONE),
+            messages.ProposalQuery('a1'),
+            messages.ProposalReport('a1', True),
         )
         self.assertEqual(messages.MESSAGE_TYPES, tuple(map(type, examples)))
         for message in examples:
