Leave a route whose stage is silent without waiting for the slow bound

Cause: a host that vanishes sends no reset, so its streams sat in the bound on slow tokens, 400 ms, in each sample of `stage_silent`. Nobody was told of the stage either: the next requests could be planned over it until two polls, up to 1.5 s apart, had failed.

Ruled out: a shorter bound on slow tokens (a batch with a long prompt trips it); blaming the silent stage for good (when all engines are busy, requests would end for want of a pipeline).

Change: 150 ms without a token (three times the objective) have each stage of the route asked for its load, with 100 ms to answer; one question serves all who wait for the same target. If one says nothing, the route is left as a slow one is: once in a request, only with a retry, its targets used only if nothing else is left. The silence counts as a failed poll.

Cost: one load report a stage for each gap of 150 ms. An engine that is merely too busy to answer for 250 ms costs one request its retry and the computation since the last token; engines that answer cost nothing but the question. How often real engines do is not measured.

Tests changed: three of the verifier leave the new command out before they compare, and the one on usual variation counts it. Seen to fail: silence not heeded `False != True`, old word heeded `True != False`.

--- a/src/thornspool/application/generation.py
+++ b/src/thornspool/application/generation.py
@@ -210,10 +210,17 @@
             return generation_messages.Finished(command.count)
         if isinstance(command, messages.GiveUp):
             return self._fail(command.reason)
+        if isinstance(command, messages.CheckStages):
+            self._check_stages()
+            return None
         assert isinstance(command, messages.Cancel)
         self._leave(command)
         return None
 
+    def _check_stages(self) -> None:
+        if self._attempt is not None:
+            self._attempt.check_stages()
+
     def _deliver(
         self, command: messages.Deliver
     ) -> generation_messages.GenerationEvent:
--- a/src/thornspool/application/generation_attempts.py
+++ b/src/thornspool/application/generation_attempts.py
@@ -18,6 +18,7 @@
 from thornspool.domain.quarantine import fingerprints
 
 if typing.TYPE_CHECKING:
+    from collections.abc import Awaitable
     from collections.abc import Callable
 
     from thornspool import clock as clock_module
@@ -47,6 +48,11 @@
     """Take note of nothing."""
 
 
+async def _hold_for_answering(target: str) -> bool:
+    """Take a target for one that answers."""
+    return True
+
+
 @attrs.frozen
 class Hooks:
     """What the use case asks and tells the rest of the entry.
@@ -62,6 +68,8 @@
         each death.
     note_loads : callable
         Told the loads that stages sent along with an answer.
+    is_answering : coroutine function
+        Asks a target whether it answers.
     fingerprint : callable
         Names the content of a request.
     trials : generation_trials.Trials
@@ -74,6 +82,7 @@
         generation_flights.ignore_death
     )
     note_loads: Callable[[list[frames_module.StageLoad]], None] = _ignore_loads
+    is_answering: Callable[[str], Awaitable[bool]] = _hold_for_answering
     fingerprint: Callable[[generation_messages.GenerationRequest], str] = (
         fingerprint_request
     )
@@ -165,6 +174,19 @@
             planning.note_prefix(self._route, prefix, now)
         self._seen_at = now
 
+    def check_stages(self) -> None:
+        """Ask all stages whether they answer, and tell when one does not."""
+        loop = asyncio.get_running_loop()
+        self._context.keep(loop.create_task(self._check_stages()))
+
+    async def _check_stages(self) -> None:
+        is_answering = self._context.hooks.is_answering
+        answers = await asyncio.gather(
+            *(is_answering(target) for target in self._route.list_targets())
+        )
+        if not all(answers):
+            self._tell(messages.StageSilent(self._call.attempt))
+
     def blame(self, command: messages.Cancel) -> None:
         """Tell who failed, and learn from a stall."""
         context = self._context
--- a/src/thornspool/application/targets.py
+++ b/src/thornspool/application/targets.py
@@ -27,6 +27,7 @@
 POLL_MS = 1500
 POLL_JITTER = 0.1
 POLL_TIMEOUT_MS = 1000
+CHECK_TIMEOUT_MS = 100
 POLLERS = 2
 MAX_POLLS_IN_FLIGHT = 32
 CHECKS_PER_S = 2
@@ -88,7 +89,8 @@
         self._version: int | None = None
         self._poll_at: dict[str, int] = {}
         self._check_credit = 0.0
-        self._polls: set[asyncio.Task[None]] = set()
+        self._polls: set[asyncio.Task[bool]] = set()
+        self._checks: dict[str, asyncio.Future[bool]] = {}
         self._tells: set[asyncio.Task[None]] = set()
         self._told: dict[str, int] = {}
         self._task: asyncio.Task[None] | None = None
@@ -101,7 +103,11 @@
 
     async def stop(self) -> None:
         """Stop polling."""
-        tasks = [*self._polls, *self._tells]
+        tasks: list[asyncio.Future[typing.Any]] = [
+            *self._polls,
+            *self._tells,
+            *self._checks.values(),
+        ]
         if self._task is not None:
             tasks.append(self._task)
         self._task = None
@@ -166,13 +172,28 @@
         for target in self._list_due(now):
             self._start_poll(target, now)
 
-    async def poll(self, target: str) -> None:
-        """Ask one target for its load."""
+    async def is_answering(self, target: str) -> bool:
+        """Ask a target at once, for somebody who waits for it.
+
+        Many wait for the same target when it is silent; one question serves
+        them all.
+        """
+        check = self._checks.get(target)
+        if check is None:
+            check = asyncio.ensure_future(self.poll(target, CHECK_TIMEOUT_MS))
+            self._checks[target] = check
+            check.add_done_callback(lambda _: self._checks.pop(target))
+        return await asyncio.shield(check)
+
+    async def poll(
+        self, target: str, timeout_ms: int = POLL_TIMEOUT_MS
+    ) -> bool:
+        """Ask one target for its load and return whether it answered."""
         document = self._read_snapshot().targets.get(target)
         if document is None:
-            return
+            return False
         try:
-            async with asyncio.timeout(POLL_TIMEOUT_MS / 1000):
+            async with asyncio.timeout(timeout_ms / 1000):
                 report = await self._fetch_load(document)
         except exceptions.TargetNotReached as error:
             self._note_failure(target, str(error), is_certain=True)
@@ -180,6 +201,8 @@
             self._note_failure(target, str(error), is_certain=False)
         else:
             self.hear_load(report)
+            return True
+        return False
 
     # What is known.
 
@@ -299,7 +322,7 @@
         self._polls.add(task)
         task.add_done_callback(self._finish_poll)
 
-    def _finish_poll(self, task: asyncio.Task[None]) -> None:
+    def _finish_poll(self, task: asyncio.Task[bool]) -> None:
         self._polls.discard(task)
         if not task.cancelled() and task.exception() is not None:
             logger.error('target_poll_failed', exc_info=task.exception())
--- a/src/thornspool/domain/pipelines/messages.py
+++ b/src/thornspool/domain/pipelines/messages.py
@@ -79,6 +79,13 @@
     target: str = ''
 
 
+@attrs.frozen
+class StageSilent:
+    """A stage of an attempt did not answer when it was checked."""
+
+    attempt: int
+
+
 @attrs.frozen
 class TimePassed:
     """Nothing happened until now."""
@@ -167,5 +174,10 @@
     avoided: frozenset[str]
 
 
-Event = Started | FramesReceived | StreamClosed | TimePassed
-Command = Deliver | Finish | GiveUp | Cancel | Replan
+@attrs.frozen
+class CheckStages:
+    """Ask each stage of the present attempt whether it answers."""
+
+
+Event = Started | FramesReceived | StreamClosed | StageSilent | TimePassed
+Command = Deliver | Finish | GiveUp | Cancel | Replan | CheckStages
--- a/src/thornspool/domain/pipelines/verifier.py
+++ b/src/thornspool/domain/pipelines/verifier.py
@@ -46,12 +46,16 @@
     slow_token_ms : int
         Wait for a further frame that is far too long, though tokens may
         still come: eight times the objective of 49 ms.
+    check_token_ms : int
+        Wait for a further frame after which the stages are asked whether
+        they answer: three times the objective.
     """
 
     deadline: int
     first_token_ms: int = 5_000
     between_tokens_ms: int = 1_000
     slow_token_ms: int = 400
+    check_token_ms: int = 150
 
 
 class Verifier:
@@ -84,6 +88,7 @@
         self._stalled_at = bounds.deadline
         self._slow_at: int | None = None
         self._left_slow = False
+        self._is_checked = False
 
     def handle(
         self, event: messages.Event, now: int
@@ -112,12 +117,23 @@
             return self._close(event)
         if isinstance(event, messages.Started):
             return self._start(event.route, now)
+        if isinstance(event, messages.StageSilent):
+            return self._take_silence(event)
         return self._check_time(now)
 
     def read_wake(self) -> int:
         """Return when ``TimePassed`` is due, in monotonic milliseconds."""
         due = min(self._stalled_at, self._bounds.deadline)
-        return due if self._slow_at is None else min(due, self._slow_at)
+        if self._slow_at is None:
+            return due
+        return min(due, self._slow_at if self._is_checked else self._check_at)
+
+    @property
+    def _check_at(self) -> int:
+        """When the stages are to be checked, if a slow frame counts."""
+        assert self._slow_at is not None
+        bounds = self._bounds
+        return self._slow_at - bounds.slow_token_ms + bounds.check_token_ms
 
     def give_up(self, reason: messages.Reason) -> list[messages.Command]:
         """End the request, for instance when no route can be planned."""
@@ -146,6 +162,7 @@
             self._stalled_at = now + self._bounds.between_tokens_ms
             if not self._left_slow:
                 self._slow_at = now + self._bounds.slow_token_ms
+                self._is_checked = False
             texts = tuple(self.tokens[first:])
             commands.append(messages.Deliver(first, texts))
         if unpassed is not None:
@@ -205,10 +222,24 @@
             return []
         if now >= self._stalled_at:
             return self._resume(messages.Reason.STALLED, '')
-        if self._slow_at is not None and now >= self._slow_at:
+        if self._slow_at is None:
+            return []
+        if now >= self._slow_at:
             return self._leave_slow()
+        if not self._is_checked and now >= self._check_at:
+            self._is_checked = True
+            return [messages.CheckStages()]
         return []
 
+    def _take_silence(
+        self, event: messages.StageSilent
+    ) -> list[messages.Command]:
+        # A token may have come since the check, and then all stages live.
+        waits = self._slow_at is not None and self._is_checked
+        if event.attempt != self.attempt or not waits:
+            return []
+        return self._leave_slow()
+
     def _leave_slow(self) -> list[messages.Command]:
         """Leave a route that slowed, once in a request and if it is paid.
 
--- a/src/thornspool/parts.py
+++ b/src/thornspool/parts.py
@@ -164,6 +164,7 @@
             note_failure=self._note_engine_failure,
             note_death=self.quarantine.note_death,
             note_loads=self._hear_loads,
+            is_answering=self.targets.is_answering,
             trials=self.quarantine,
         )
         self.generation = generation.GenerationService(
--- a/tests/domain/pipelines/test_verifier.py
+++ b/tests/domain/pipelines/test_verifier.py
@@ -138,8 +138,7 @@
         now = start
         commands = []
         for index, interval in enumerate(intervals, first):
-            wake = self.verifier.read_wake()
-            if wake < now + interval:
+            while (wake := self.verifier.read_wake()) < now + interval:
                 commands += self.verifier.handle(messages.TimePassed(), wake)
             now += interval
             if self.verifier.attempt != attempt:
@@ -148,6 +147,11 @@
             self.receive(frame, attempt=attempt, now=now)
         return now, commands
 
+    def leave_out_checks(self, commands):
+        """Return the commands that a caller may notice."""
+        check = messages.CheckStages()
+        return [command for command in commands if command != check]
+
     def test_a_link_that_slows_within_the_bound_is_left_once(self):
         """A link slows from 5 to 500 ms; each token still comes in time.
 
@@ -157,7 +161,7 @@
         self.verifier = verifier.Verifier('r', bounds, self.take_retry)
         self.verifier.handle(messages.Started(ROUTE), 0)
         now, commands = self.stream([500] * 20)
-        cancel, replan = commands
+        cancel, replan = self.leave_out_checks(commands)
         self.assertEqual(cancel.reason, REASONS.SLOWED)
         self.assertEqual(replan.avoided, frozenset(ROUTE.list_targets()))
         self.verifier.handle(messages.Started(ROUTE), now)
@@ -175,16 +179,43 @@
         self.verifier = verifier.Verifier('r', bounds, self.take_retry)
         self.verifier.handle(messages.Started(ROUTE), 0)
         _, commands = self.stream([5] * 20 + [500] * 20)
-        self.assertEqual(commands, [])
+        self.assertEqual(self.leave_out_checks(commands), [])
         self.assertEqual(len(self.verifier.tokens), 40)
 
+    def test_a_silent_stage_is_left_before_its_route_is_slow(self):
+        """The host of a stage vanishes; its connections stay open.
+
+        A token is late for the same time as on a slow link, but the stage
+        does not answer. Word of it that is old must not end the attempt.
+        """
+        bounds = verifier.Bounds(10**6, 1_000, 1_000)
+        for name, token_after, attempt, left in (
+            ('silent', False, 0, True),
+            ('token came', True, 0, False),
+            ('former attempt', False, -1, False),
+        ):
+            with self.subTest(name):
+                self.setUp()
+                self.verifier = verifier.Verifier('r', bounds, self.take_retry)
+                self.verifier.handle(messages.Started(ROUTE), 0)
+                self.receive(self.build(0), now=10)
+                due = self.verifier.handle(messages.TimePassed(), 160)
+                self.assertEqual(due, [messages.CheckStages()])
+                self.assertEqual(self.verifier.read_wake(), 410)
+                if token_after:
+                    self.receive(self.build(1), now=170)
+                silence = messages.StageSilent(attempt)
+                commands = self.verifier.handle(silence, 180)
+                self.assertEqual(bool(commands), left)
+
     def test_usual_variation_is_not_slow(self):
         """Batches and prompts of others hold tokens up for a moment."""
         bounds = verifier.Bounds(10**6, 1_000, 1_000)
         self.verifier = verifier.Verifier('r', bounds, self.take_retry)
         self.verifier.handle(messages.Started(ROUTE), 0)
         _, commands = self.stream([5, 30, 20, 5, 300, 10] * 10)
-        self.assertEqual(commands, [])
+        self.assertEqual(self.leave_out_checks(commands), [])
+        self.assertEqual(commands, [messages.CheckStages()] * 10)
         self.assertEqual(self.retries, 2)
 
     def test_ends_explicitly(self):
