Move what is done about a held key out of the runner

Cause: the runner mixed its events with the dialogue with a key's holder.

Behaviour and tests are unchanged: tests of actions pass.

--- a/src/thornspool/domain/actions/runner.py
+++ b/src/thornspool/domain/actions/runner.py
@@ -17,6 +17,7 @@
 from thornspool.domain.actions import bound
 from thornspool.domain.actions import endings
 from thornspool.domain.actions import events
+from thornspool.domain.actions import joining
 from thornspool.domain.actions import messages
 from thornspool.domain.actions import records
 from thornspool.domain.actions import results
@@ -65,10 +66,11 @@
         self._memory = endings.AttemptMemory(
             self._settings.retry_after_ms, self._settings.bound
         )
+        self._joining = joining.Joining(self._memory, self._settings.max_asks)
         self._handlers: dict[type, Callable[..., endings.Commands]] = {
             events.LedgerAnswered: self._take_verdict,
             events.LedgerSilent: self._take_silence,
-            events.HolderAnswered: self._take_report,
+            events.HolderAnswered: self._joining.take_report,
             events.TargetAnswered: self._take_answer,
             events.TargetUnreached: self._take_unreached,
             events.TargetLost: self._take_lost,
@@ -209,85 +211,8 @@
         if record.state is records.RecordState.DONE:
             assert record.outcome is not None
             attempt.holder = record.attempt
-            return self._take_outcome(attempt, record.outcome, now)
-        return self._ask_holder(attempt, record, now)
-
-    def _ask_holder(
-        self, attempt: attempts.Attempt, record: records.Record, now: int
-    ) -> endings.Commands:
-        attempt.asks += 1
-        if now >= attempt.deadline or attempt.asks > self._settings.max_asks:
-            return self._memory.end_unknown(attempt, results.UNKNOWN_RUNNING)
-        attempt.phase = events.Phase.JOINING
-        attempt.holder = record.attempt
-        attempt.uncertain = record.uncertain
-        attempt.question = events.AskHolder(
-            attempt.request.attempt,
-            record.attempt,
-            record.runner,
-            record.runner_address,
-        )
-        return [attempt.question]
-
-    def _ask_again(
-        self, attempt: attempts.Attempt, now: int
-    ) -> endings.Commands:
-        """Wait for a holder that has said that its attempt is running."""
-        assert attempt.question is not None
-        attempt.asks += 1
-        if now >= attempt.deadline or attempt.asks > self._settings.max_asks:
-            return self._memory.end_unknown(attempt, results.UNKNOWN_RUNNING)
-        return [attrs.evolve(attempt.question, wait=True)]
-
-    def _take_report(
-        self, attempt: attempts.Attempt, event: events.HolderAnswered, now: int
-    ) -> endings.Commands:
-        report = event.report
-        joining = attempt.phase is events.Phase.JOINING
-        if not joining or report.attempt != attempt.holder:
-            return []
-        if report.state is messages.AttemptState.DONE:
-            assert report.outcome is not None
-            return self._take_outcome(attempt, report.outcome, now)
-        if report.state is messages.AttemptState.RUNNING:
-            return self._ask_again(attempt, now)
-        if report.state is messages.AttemptState.VOID:
-            if attempt.uncertain and not attempt.request.deduplicates:
-                return self._memory.end_unknown(
-                    attempt, results.UNKNOWN_ANSWER_LOST
-                )
-            held = attempt.holder
-            return self._ask_ledger(attempt, held, attempt.uncertain, now)
-        if not attempt.request.deduplicates:
-            return self._memory.end_unknown(
-                attempt, results.UNKNOWN_RUNNER_GONE
-            )
-        return self._ask_ledger(attempt, attempt.holder, True, now)
-
-    def _take_outcome(
-        self, attempt: attempts.Attempt, outcome: records.Outcome, now: int
-    ) -> endings.Commands:
-        if outcome.known:
-            return self._memory.forget(attempt, results.replay(outcome))
-        if attempt.request.deduplicates:
-            return self._ask_ledger(attempt, attempt.holder, True, now)
-        return self._memory.end_unknown(attempt, results.UNKNOWN_ANSWER_LOST)
-
-    def _ask_ledger(
-        self,
-        attempt: attempts.Attempt,
-        displaces: str,
-        uncertain: bool,
-        now: int,
-    ) -> endings.Commands:
-        attempt.asks += 1
-        if now >= attempt.deadline or attempt.asks > self._settings.max_asks:
-            return self._memory.end_unknown(attempt, results.UNKNOWN_RUNNING)
-        attempt.phase = events.Phase.ASKING
-        attempt.uncertain = uncertain
-        return [
-            events.RequestGrant(attempt.request.attempt, displaces, uncertain)
-        ]
+            return self._joining.take_outcome(attempt, record.outcome, now)
+        return self._joining.ask_holder(attempt, record, now)
 
     def _refuse_unavailable(
         self, attempt: attempts.Attempt, verdict: messages.LedgerUnavailable
