Move what one write holds out of the page writer

Cause: writer.py mixed the turns of reading and writing with the decisions on a queue of proposals.

Change: `batches.decide` decides a queue on one page; the writer keeps the turns.

--- a/src/thornspool/domain/actions/writer.py
+++ b/src/thornspool/domain/actions/writer.py
@@ -19,6 +19,7 @@
 
 import attrs
 
+from thornspool.domain.actions import batches
 from thornspool.domain.actions import messages
 from thornspool.domain.actions import pages
 from thornspool.domain.actions import records
@@ -146,17 +147,6 @@
     WRITING = 'writing'
 
 
-@attrs.define
-class _Waiting:
-    """A proposal that has no verdict yet."""
-
-    number: int
-    proposal: messages.Proposal
-    since: int
-    written: bool = False
-    read: bool = False
-
-
 class PageWriter:
     """State of one page's writer on one entry.
 
@@ -182,8 +172,8 @@
         self._phase = _Phase.IDLE
         self._page: records.Page | None = None
         self._version = 0
-        self._queue: list[_Waiting] = []
-        self._batch: list[tuple[_Waiting, messages.Verdict]] = []
+        self._queue: list[batches.Waiting] = []
+        self._batch: list[batches.Verdict] = []
         self._draft_page = records.EMPTY_PAGE
         self._stale = False
         self._next_write_at = 0
@@ -229,7 +219,7 @@
                 event.proposal.attempt, self._pace.max_age_ms, False
             )
             return [Reply(event.number, verdict)]
-        self._queue.append(_Waiting(event.number, event.proposal, now))
+        self._queue.append(batches.Waiting(event.number, event.proposal, now))
         return self._advance(now)
 
     def _settle(self, event: WriterEvent) -> None:
@@ -246,12 +236,12 @@
         # Refused or unanswered: the page has another version now or may
         # get one, so all of the batch is decided again after a read.
         self._page = None
-        self._queue = [waiting for waiting, _ in self._batch] + self._queue
+        self._queue = [one.waiting for one in self._batch] + self._queue
         self._batch = []
 
     def _confirm(self) -> list[WriterCommand]:
         replies: list[WriterCommand] = [
-            Reply(waiting.number, verdict) for waiting, verdict in self._batch
+            Reply(one.waiting.number, one.verdict) for one in self._batch
         ]
         self._batch = []
         return replies
@@ -289,41 +279,23 @@
         write_at = self._plan_write()
         if now < write_at:
             return self._wake(write_at)
-        draft = pages.Draft(page, self._slot, self._max_bytes)
-        replies: list[WriterCommand] = []
-        batch = []
-        stale = []
-        drafted: set[str] = set()
-        for waiting in self._queue:
-            name = waiting.proposal.name
-            decision = draft.apply(waiting.proposal)
-            # The verdict on a second request for a key of the same batch
-            # is true only once the batch is written.
-            if decision.changed or name in drafted:
-                drafted.add(name)
-                batch.append((waiting, decision.verdict))
-            elif not (waiting.read or _is_final(decision.verdict)):
-                stale.append(waiting)
-            else:
-                replies.append(Reply(waiting.number, decision.verdict))
-        self._queue = stale
-        self._stale = bool(stale)
-        if not batch:
-            self._page = None if stale else page
+        batch = batches.decide(self._queue, page, self._slot, self._max_bytes)
+        replies: list[WriterCommand] = [
+            Reply(one.waiting.number, one.verdict) for one in batch.settled
+        ]
+        self._queue = batch.stale
+        self._stale = bool(batch.stale)
+        if not batch.written:
+            self._page = None if batch.stale else page
             return replies + self._advance(now)
-        return replies + self._write(draft, batch, now)
+        return replies + self._write(batch, now)
 
-    def _write(
-        self,
-        draft: pages.Draft,
-        batch: list[tuple[_Waiting, messages.Verdict]],
-        now: int,
-    ) -> list[WriterCommand]:
+    def _write(self, batch: batches.Batch, now: int) -> list[WriterCommand]:
         self._phase = _Phase.WRITING
-        self._batch = batch
-        for waiting, _ in batch:
-            waiting.written = True
-        self._draft_page = draft.build_page()
+        self._batch = batch.written
+        for one in batch.written:
+            one.waiting.written = True
+        self._draft_page = batch.page
         self._next_write_at = now + self._pace.write_ms
         return [WritePage(self._draft_page, self._version)]
 
@@ -342,22 +314,7 @@
         return [Wake(at)]
 
 
-def _is_final(verdict: messages.Verdict) -> bool:
-    """Return whether a verdict holds on every later page, too.
-
-    The page in memory may be older than what other entries wrote. An
-    outcome whose grant is missing there would be confirmed, be forgotten by
-    its runner and be nowhere: the next sender would be told "never ran" and
-    run it again. A grant that is long released would still be found there,
-    and its key be held for good. So every verdict that no write proves and
-    that may change needs a page that was read after its proposal came.
-    """
-    if isinstance(verdict, messages.RecordFound):
-        return verdict.record.state is records.RecordState.DONE
-    return isinstance(verdict, messages.GrantGiven | messages.RecordDropped)
-
-
-def _give_up(waiting: _Waiting, retry_after_ms: int) -> Reply:
+def _give_up(waiting: batches.Waiting, retry_after_ms: int) -> Reply:
     verdict = messages.LedgerUnavailable(
         waiting.proposal.attempt, retry_after_ms, waiting.written
     )
