--- a/src/thornspool/application/targets.py
+++ b/src/thornspool/application/targets.py
@@ -28,6 +28,7 @@
 POLL_JITTER = 0.1
 POLL_TIMEOUT_MS = 1000
 CHECK_TIMEOUT_MS = 100
+CHECK_INTERVAL_MS = 2000
 POLLERS = 2
 MAX_POLLS_IN_FLIGHT = 32
 CHECKS_PER_S = 2
@@ -91,6 +92,7 @@
         self._check_credit = 0.0
         self._polls: set[asyncio.Task[bool]] = set()
         self._checks: dict[str, asyncio.Future[bool]] = {}
+        self._answered_at: dict[str, int] = {}
         self._tells: set[asyncio.Task[None]] = set()
         self._told: dict[str, int] = {}
         self._task: asyncio.Task[None] | None = None
@@ -176,15 +178,27 @@
         """Ask a target at once, for somebody who waits for it.
 
         Many wait for the same target when it is silent; one question serves
-        them all.
+        them all. One that answered is not asked again for a while: when all
+        targets are overloaded, every entry waits for every one of them, and
+        their questions would add to the load.
         """
+        answered_at = self._answered_at.get(target)
+        now = self._clock.now()
+        if answered_at is not None and now - answered_at < CHECK_INTERVAL_MS:
+            return True
         check = self._checks.get(target)
         if check is None:
-            check = asyncio.ensure_future(self.poll(target, CHECK_TIMEOUT_MS))
+            check = asyncio.ensure_future(self._check(target))
             self._checks[target] = check
             check.add_done_callback(lambda _: self._checks.pop(target))
         return await asyncio.shield(check)
 
+    async def _check(self, target: str) -> bool:
+        answers = await self.poll(target, CHECK_TIMEOUT_MS)
+        if answers:
+            self._answered_at[target] = self._clock.now()
+        return answers
+
     async def poll(
         self, target: str, timeout_ms: int = POLL_TIMEOUT_MS
     ) -> bool:
@@ -245,7 +259,13 @@
             return
         self._version = snapshot.version
         names = snapshot.targets.keys()
-        for table in (self._known, self._loads, self._told, self._poll_at):
+        for table in (
+            self._known,
+            self._loads,
+            self._told,
+            self._poll_at,
+            self._answered_at,
+        ):
             for name in table.keys() - names:
                 del table[name]
         self._assignment.set_tasks(names)
--- a/src/thornspool/domain/pipelines/messages.py
+++ b/src/thornspool/domain/pipelines/messages.py
@@ -21,6 +21,7 @@
     MALFORMED = 'the stream holds bytes that are no frame'
     STALLED = 'no token came within the bound'
     SLOWED = 'tokens come far slower than before'
+    SILENT = 'a stage does not answer when it is asked'
     STAGE_LOST = 'a stage stopped answering'
     REFUSED = 'a target refuses new work'
     NOT_REACHED = 'a target could not be reached'
--- a/tests/application/test_targets.py
+++ b/tests/application/test_targets.py
@@ -241,6 +241,27 @@
             Readiness.UNREACHABLE, service.read_readiness('engine-0')
         )
 
+    async def test_one_question_serves_all_who_wait_for_a_target(self) -> None:
+        """A target vanishes, or is overloaded with all others.
+
+        Every request that waits for it would ask it, and the questions of
+        all entries would add to the load that made them wait.
+        """
+        service = self.entries[0].service
+        for is_silent in (False, True):
+            with self.subTest(is_silent=is_silent):
+                self.world.polls = 0
+                if is_silent:
+                    self.world.clock.advance(targets.CHECK_INTERVAL_MS)
+                    lost = exceptions.TargetAnswerLost('silent')
+                    self.world.errors['engine-0'] = lost
+                for _ in range(2):
+                    answers = await asyncio.gather(
+                        *(service.is_answering('engine-0') for _ in range(9))
+                    )
+                    self.assertEqual({not is_silent}, set(answers))
+                self.assertEqual(2 if is_silent else 1, self.world.polls)
+
     async def test_polls_are_bounded(self) -> None:
         """Every target is down at once and comes back.
 
