--- a/tools/bench.py
+++ b/tools/bench.py
@@ -25,7 +25,15 @@
     from collections.abc import Callable
     from collections.abc import Sequence
 
-RECOVERIES = ('stage', 'entry', 'page_owner', 'platform')
+RECOVERIES = (
+    'stage',
+    'stage_silent',
+    'start_silent',
+    'entry',
+    'page_owner',
+    'page_owner_silent',
+    'platform',
+)
 RELAY_VARIANT = 'bursts'
 
 Figures = dict[str, typing.Any]
