--- a/src/thornspool/application/ledger_router.py
+++ b/src/thornspool/application/ledger_router.py
@@ -9,6 +9,7 @@
 import xxhash
 
 from thornspool.application import exceptions
+from thornspool.application import ledger_asking
 from thornspool.application import ports
 from thornspool.domain.actions import messages
 
@@ -17,6 +18,9 @@
     from thornspool.application import ledger
 
 
+_WRITERS_ASKED = 2
+
+
 @attrs.frozen
 class RouterSettings:
     """Bounds of a router.
@@ -24,13 +28,16 @@
     Attributes
     ----------
     ask_ms : int
-        Longest wait for the preferred writer before this entry writes.
+        Longest wait for a reply that needs no work.
     avoid_ms : int
         How long a silent writer is passed over.
     """
 
     ask_ms: int = 300
     avoid_ms: int = 5_000
+    asking: ledger_asking.AskingSettings = attrs.field(
+        factory=ledger_asking.AskingSettings
+    )
 
 
 def choose_writer(
@@ -80,18 +87,14 @@
         settings: RouterSettings,
     ) -> None:
         self._clock = clock
-        self._peers = peers
         self._members = members
         self._member = member
         self._local = local
         self._settings = settings
         self._avoided: dict[str, int] = {}
-        for message_type in (
-            messages.GrantRequest,
-            messages.OutcomeRecord,
-            messages.GrantRelease,
-        ):
-            peers.handle(message_type, self._serve)
+        self._asking = ledger_asking.LedgerAsking(
+            clock, peers, local, settings.asking
+        )
 
     async def propose(
         self, proposal: messages.Proposal, timeout_ms: int
@@ -112,12 +115,9 @@
             written then.
         """
         end = self._clock.now() + timeout_ms
-        preferred = self._choose(proposal)
-        asked = preferred is not None
-        if preferred is not None:
-            verdict = await self._ask(preferred, proposal, timeout_ms)
-            if verdict is not None and not _is_unavailable(verdict):
-                return verdict
+        verdict, asked = await self._ask_writers(proposal, timeout_ms)
+        if verdict is not None:
+            return verdict
         left = max(end - self._clock.now(), 1)
         try:
             verdict = await asyncio.wait_for(
@@ -127,6 +127,37 @@
             return None
         return _widen(verdict, asked)
 
+    async def _ask_writers(
+        self, proposal: messages.Proposal, timeout_ms: int
+    ) -> tuple[messages.Verdict | None, bool]:
+        """Ask the preferred writer and, if time is left, the one after it.
+
+        When a writer dies, everybody who asked it learns so at once. If
+        each then wrote the page itself, all but one would be refused by
+        version, round after round; the next writer takes them together.
+
+        Returns
+        -------
+        tuple
+            The verdict, None if there is none, and whether anybody was
+            asked.
+        """
+        end = self._clock.now() + timeout_ms
+        asked = False
+        for _ in range(_WRITERS_ASKED):
+            left = end - self._clock.now()
+            preferred = self._choose(proposal)
+            if preferred is None or left <= 0:
+                break
+            asked = True
+            verdict = await self._ask(preferred, proposal, left)
+            if verdict is None:
+                continue
+            if _is_unavailable(verdict):
+                break
+            return verdict, asked
+        return None, asked
+
     def _choose(self, proposal: messages.Proposal) -> ports.Member | None:
         """Return the preferred writer, None for this entry itself."""
         now = self._clock.now()
@@ -150,22 +181,15 @@
         proposal: messages.Proposal,
         timeout_ms: int,
     ) -> messages.Verdict | None:
-        wait = min(self._settings.ask_ms, timeout_ms)
         try:
-            verdict: messages.Verdict = await self._peers.ask(
-                preferred.peer_address, proposal, wait
+            return await self._asking.ask(
+                preferred.peer_address, proposal, timeout_ms
             )
         except exceptions.PeerUnreachable:
             # A paused entry would cost each of its pages' actions a wait.
             until = self._clock.now() + self._settings.avoid_ms
             self._avoided[preferred.incarnation] = until
             return None
-        return verdict
-
-    async def _serve(
-        self, sender: str, proposal: messages.Proposal
-    ) -> messages.Verdict:
-        return await self._local.propose(proposal)
 
 
 def _is_unavailable(verdict: messages.Verdict) -> bool:
--- a/src/thornspool/application/targets.py
+++ b/src/thornspool/application/targets.py
@@ -27,6 +27,8 @@
 POLL_MS = 1500
 POLL_JITTER = 0.1
 POLL_TIMEOUT_MS = 1000
+CHECK_TIMEOUT_MS = 100
+CHECK_INTERVAL_MS = 2000
 POLLERS = 2
 MAX_POLLS_IN_FLIGHT = 32
 CHECKS_PER_S = 2
@@ -88,7 +90,9 @@
         self._version: int | None = None
         self._poll_at: dict[str, int] = {}
         self._check_credit = 0.0
-        self._polls: set[asyncio.Task[None]] = set()
+        self._polls: set[asyncio.Task[bool]] = set()
+        self._checks: dict[str, asyncio.Future[bool]] = {}
+        self._answered_at: dict[str, int] = {}
         self._tells: set[asyncio.Task[None]] = set()
         self._told: dict[str, int] = {}
         self._task: asyncio.Task[None] | None = None
@@ -101,7 +105,11 @@
 
     async def stop(self) -> None:
         """Stop polling."""
-        tasks = [*self._polls, *self._tells]
+        tasks: list[asyncio.Future[typing.Any]] = [
+            *self._polls,
+            *self._tells,
+            *self._checks.values(),
+        ]
         if self._task is not None:
             tasks.append(self._task)
         self._task = None
@@ -166,13 +174,40 @@
         for target in self._list_due(now):
             self._start_poll(target, now)
 
-    async def poll(self, target: str) -> None:
-        """Ask one target for its load."""
+    async def is_answering(self, target: str) -> bool:
+        """Ask a target at once, for somebody who waits for it.
+
+        Many wait for the same target when it is silent; one question serves
+        them all. One that answered is not asked again for a while: when all
+        targets are overloaded, every entry waits for every one of them, and
+        their questions would add to the load.
+        """
+        answered_at = self._answered_at.get(target)
+        now = self._clock.now()
+        if answered_at is not None and now - answered_at < CHECK_INTERVAL_MS:
+            return True
+        check = self._checks.get(target)
+        if check is None:
+            check = asyncio.ensure_future(self._check(target))
+            self._checks[target] = check
+            check.add_done_callback(lambda _: self._checks.pop(target))
+        return await asyncio.shield(check)
+
+    async def _check(self, target: str) -> bool:
+        answers = await self.poll(target, CHECK_TIMEOUT_MS)
+        if answers:
+            self._answered_at[target] = self._clock.now()
+        return answers
+
+    async def poll(
+        self, target: str, timeout_ms: int = POLL_TIMEOUT_MS
+    ) -> bool:
+        """Ask one target for its load and return whether it answered."""
         document = self._read_snapshot().targets.get(target)
         if document is None:
-            return
+            return False
         try:
-            async with asyncio.timeout(POLL_TIMEOUT_MS / 1000):
+            async with asyncio.timeout(timeout_ms / 1000):
                 report = await self._fetch_load(document)
         except exceptions.TargetNotReached as error:
             self._note_failure(target, str(error), is_certain=True)
@@ -180,6 +215,8 @@
             self._note_failure(target, str(error), is_certain=False)
         else:
             self.hear_load(report)
+            return True
+        return False
 
     # What is known.
 
@@ -222,7 +259,13 @@
             return
         self._version = snapshot.version
         names = snapshot.targets.keys()
-        for table in (self._known, self._loads, self._told, self._poll_at):
+        for table in (
+            self._known,
+            self._loads,
+            self._told,
+            self._poll_at,
+            self._answered_at,
+        ):
             for name in table.keys() - names:
                 del table[name]
         self._assignment.set_tasks(names)
@@ -299,7 +342,7 @@
         self._polls.add(task)
         task.add_done_callback(self._finish_poll)
 
-    def _finish_poll(self, task: asyncio.Task[None]) -> None:
+    def _finish_poll(self, task: asyncio.Task[bool]) -> None:
         self._polls.discard(task)
         if not task.cancelled() and task.exception() is not None:
             logger.error('target_poll_failed', exc_info=task.exception())
--- a/src/thornspool/domain/pipelines/messages.py
+++ b/src/thornspool/domain/pipelines/messages.py
@@ -21,6 +21,7 @@
     MALFORMED = 'the stream holds bytes that are no frame'
     STALLED = 'no token came within the bound'
     SLOWED = 'tokens come far slower than before'
+    SILENT = 'a stage does not answer when it is asked'
     STAGE_LOST = 'a stage stopped answering'
     REFUSED = 'a target refuses new work'
     NOT_REACHED = 'a target could not be reached'
@@ -79,6 +80,13 @@
     target: str = ''
 
 
+@attrs.frozen
+class StageSilent:
+    """A stage of an attempt did not answer when it was checked."""
+
+    attempt: int
+
+
 @attrs.frozen
 class TimePassed:
     """Nothing happened until now."""
@@ -167,5 +175,10 @@
     avoided: frozenset[str]
 
 
-Event = Started | FramesReceived | StreamClosed | TimePassed
-Command = Deliver | Finish | GiveUp | Cancel | Replan
+@attrs.frozen
+class CheckStages:
+    """Ask each stage of the present attempt whether it answers."""
+
+
+Event = Started | FramesReceived | StreamClosed | StageSilent | TimePassed
+Command = Deliver | Finish | GiveUp | Cancel | Replan | CheckStages
