Send short frames with a version between entries

Cause: at the design size frames were four fifths of a report of limits: 97 of 158 bytes around the body of a question and 142 of 203 around that of a reply went to incarnation, address, kind and recipient as text. Nor could a frame be told from one of another release.

Ruled out: naming sender and address once a connection. pynng dials again by itself, what was sent meanwhile is lost, and a receiver restarted at the same address would get frames of a sender that it can't name. It would save some 30 of the remaining bytes.

Change: one byte of version, the UUID of an incarnation as 16 bytes, an address as the bytes of its numbers, kinds as numbers fixed in kinds.py (never given again), the recipient of a reply as a digest of 8 bytes. An unknown version is dropped, counted and logged once; an unknown number is refused like any unknown kind and the asker told. The simulated fleet gets incarnations that name their host, as real ones do, since others are not packed. Releases before this one and after it don't understand each other.

The table of bad bytes has its short and wrong arrays behind the version now, or they would be refused before they were decoded; three rows joined. The late reply names its asker by digest, since that is what travels.

--- a/src/thornspool/adapters/peers/exceptions.py
+++ b/src/thornspool/adapters/peers/exceptions.py
@@ -13,6 +13,23 @@
     """Bytes that are no frame, or a body that does not fit its type."""
 
 
+class UnknownVersion(PeersError):
+    """A frame of a format that this release does not read.
+
+    Parameters
+    ----------
+    version : int
+        Its version.
+    """
+
+    def __init__(self, version: int) -> None:
+        super().__init__(
+            f'A frame has version {version}, which this release cannot read.',
+            'Roll out a release that reads it before one that sends it.',
+        )
+        self.version = version
+
+
 class UnknownKind(PeersError):
     """A message of a type that nobody registered in this process."""
 
--- a/src/thornspool/adapters/peers/frames.py
+++ b/src/thornspool/adapters/peers/frames.py
@@ -1,13 +1,31 @@
-"""What one message on a socket between two entries carries."""
+"""What one message on a socket between two entries carries.
+
+A byte with the version of the format comes first, then a MessagePack array.
+New releases roll out entry by entry, so a format is changed in two releases:
+the first one reads the next version, the second one sends it. An entry drops
+a frame of a version that it does not know, counts it and logs the version
+once; nobody is told, since who sent it can't be read.
+"""
 
 from __future__ import annotations
 
+import typing
+
 import attrs
 import msgspec
 
 from thornspool.adapters.peers import exceptions
+from thornspool.adapters.peers import kinds
+from thornspool.adapters.peers import packing
 
 NO_CORRELATION = 0
+NO_RECIPIENT = b''
+VERSION = 1
+
+_PREFIX = bytes([VERSION])
+_HIGHEST_VERSION = 15
+"""Text, TLS and MessagePack arrays begin with larger bytes, so that another
+program at the port is not taken for a newer release."""
 
 
 @attrs.frozen
@@ -24,11 +42,11 @@
         Registered name of the body's type.
     correlation : int
         Number of the question, 0 for a message that wants no reply.
-    recipient : str
-        For a reply, the incarnation that asked; empty otherwise. A process
-        that restarts at the same address numbers its questions from one
-        again, and without this field a late reply to its predecessor would
-        be taken for the answer to another question.
+    recipient : bytes
+        For a reply, the digest of the incarnation that asked; empty
+        otherwise. A process that restarts at the same address numbers its
+        questions from one again, and without this field a late reply to its
+        predecessor would be taken for the answer to another question.
     body : bytes
         The encoded message.
     """
@@ -37,21 +55,29 @@
     address: str
     kind: str
     correlation: int
-    recipient: str
+    recipient: bytes
     body: bytes
 
 
 _encoder = msgspec.msgpack.Encoder()
-_decoder = msgspec.msgpack.Decoder(tuple[str, str, str, int, str, bytes])
+_decoder = msgspec.msgpack.Decoder(
+    tuple[str, bytes, bytes, int | str, int, bytes, bytes]
+)
 
 
 def encode(frame: Frame) -> bytes:
-    """Encode a frame as a MessagePack array, to spare the field names."""
-    return _encoder.encode(
+    """Encode a frame.
+
+    Raises
+    ------
+    MalformedFrame
+        The sender's address has no IP number.
+    """
+    return _PREFIX + _encoder.encode(
         (
-            frame.sender,
-            frame.address,
-            frame.kind,
+            *packing.pack_incarnation(frame.sender),
+            packing.pack_address(frame.address),
+            kinds.pack_kind(frame.kind),
             frame.correlation,
             frame.recipient,
             frame.body,
@@ -64,12 +90,33 @@
 
     Raises
     ------
+    UnknownVersion
+        A release that knows another format sent it.
     MalformedFrame
         The bytes are no frame.
     """
+    version = data[0] if data else 0
+    if version != VERSION:
+        _refuse(version, len(data))
     try:
-        return Frame(*_decoder.decode(data))
+        host, identifier, address, kind, correlation, recipient, body = (
+            _decoder.decode(data[1:])
+        )
     except msgspec.MsgspecError as error:
         raise exceptions.MalformedFrame(
             f'{len(data)} bytes are no frame: {error}.'
         ) from error
+    return Frame(
+        packing.unpack_incarnation(host, identifier),
+        packing.unpack_address(address),
+        kinds.unpack_kind(kind),
+        correlation,
+        recipient,
+        body,
+    )
+
+
+def _refuse(version: int, size: int) -> typing.NoReturn:
+    if 0 < version <= _HIGHEST_VERSION:
+        raise exceptions.UnknownVersion(version)
+    raise exceptions.MalformedFrame(f'{size} bytes are no frame.')
--- /dev/null
+++ b/src/thornspool/adapters/peers/kinds.py
@@ -0,0 +1,68 @@
+"""Numbers that stand for kinds of messages on the wire.
+
+A number is never given to another kind, also when its kind is no longer
+sent: entries of two releases run side by side for hours, and the older one
+would decode a body of the new kind as one of the old. A new kind takes the
+next free number; one that is gone moves its number to ``RETIRED``.
+"""
+
+from __future__ import annotations
+
+NUMBERS: dict[str, int] = {
+    'adapters.peers.HandlerFailed': 1,
+    'adapters.peers.NoReply': 2,
+    'membership.Ping': 3,
+    'membership.Ack': 4,
+    'membership.PingRequest': 5,
+    'membership.News': 6,
+    'membership.SyncRequest': 7,
+    'membership.SyncReply': 8,
+    'actions.GrantRequest': 9,
+    'actions.OutcomeRecord': 10,
+    'actions.GrantRelease': 11,
+    'actions.GrantGiven': 12,
+    'actions.RecordFound': 13,
+    'actions.KeyReused': 14,
+    'actions.RecordDropped': 15,
+    'actions.PageFull': 16,
+    'actions.ChangeRecorded': 17,
+    'actions.LedgerUnavailable': 18,
+    'actions.AttemptQuery': 19,
+    'actions.AttemptReport': 20,
+    'configuration.FetchHead': 21,
+    'configuration.HeadReply': 22,
+    'configuration.FetchBucket': 23,
+    'configuration.BucketReply': 24,
+    'limits.DemandReport': 25,
+    'limits.GrantReply': 26,
+    'quarantine.QuarantineNews': 27,
+    'quarantine.QuarantineDigest': 28,
+    'quarantine.ReservationRequest': 29,
+    'quarantine.ReservationReply': 30,
+    'quarantine.ReservationRelease': 31,
+    'targets.TargetNews': 32,
+    'targets.HostNews': 33,
+    'objectives.CountsAsked': 34,
+    'objectives.CountsReply': 35,
+}
+
+RETIRED: frozenset[int] = frozenset()
+"""Numbers of kinds that no release sends any more."""
+
+_NAMES = {number: kind for kind, number in NUMBERS.items()}
+
+
+def pack_kind(kind: str) -> int | str:
+    """Return the number of a kind, or its name if it has none."""
+    return NUMBERS.get(kind, kind)
+
+
+def unpack_kind(packed: int | str) -> str:
+    """Return the kind that a number or a name stands for.
+
+    A number of a newer release gives a name that nobody registers, so that
+    the message is refused like one of any unknown kind, and its asker told.
+    """
+    if isinstance(packed, str):
+        return packed
+    return _NAMES.get(packed, f'number {packed}')
--- a/src/thornspool/adapters/peers/node.py
+++ b/src/thornspool/adapters/peers/node.py
@@ -14,6 +14,7 @@
 from thornspool.adapters.peers import frames
 from thornspool.adapters.peers import links
 from thornspool.adapters.peers import messages
+from thornspool.adapters.peers import packing
 from thornspool.adapters.peers import registry as registries
 from thornspool.adapters.peers import traffic
 from thornspool.application import exceptions as application_exceptions
@@ -25,6 +26,9 @@
     from thornspool.application import ports
 
 MAX_HANDLING = 1024
+UNKNOWN_VERSION = 'unknown version'
+"""Reason under which frames of other releases are counted as dropped."""
+
 _RECEIVE_BUFFER = 256
 _BATCH = 64
 _STOP_TIMEOUT_S = 1.0
@@ -78,6 +82,8 @@
     ) -> None:
         self.traffic = traffic.Traffic()
         self._incarnation = incarnation
+        self._digest = packing.digest_incarnation(incarnation)
+        self._unknown_versions: set[int] = set()
         self._address = listen_address
         self._registry = registry or registries.default
         self._links = links.Links(clock, max_links)
@@ -201,7 +207,7 @@
         address: str,
         message: typing.Any,
         correlation: int = frames.NO_CORRELATION,
-        recipient: str = '',
+        recipient: bytes = frames.NO_RECIPIENT,
     ) -> None:
         kind, body = self._registry.encode(message)
         frame = frames.Frame(
@@ -241,6 +247,9 @@
     def _take(self, data: bytes) -> None:
         try:
             frame = frames.decode(data)
+        except exceptions.UnknownVersion as error:
+            self._drop_version(error)
+            return
         except exceptions.MalformedFrame as error:
             self._drop('not understood', reason=str(error))
             return
@@ -268,7 +277,7 @@
 
     def _settle(self, frame: frames.Frame, message: typing.Any) -> None:
         question = self._questions.get(frame.correlation)
-        if question is None or frame.recipient != self._incarnation:
+        if question is None or frame.recipient != self._digest:
             self._drop('late reply', peer=frame.address, kind=frame.kind)
             return
         if question.future.done():
@@ -312,10 +321,25 @@
         if frame.correlation == frames.NO_CORRELATION:
             return
         try:
-            self._send(frame.address, reply, frame.correlation, frame.sender)
+            self._send(
+                frame.address,
+                reply,
+                frame.correlation,
+                packing.digest_incarnation(frame.sender),
+            )
         except exceptions.PeersError as error:
             self._drop('not sent', peer=frame.address, reason=str(error))
 
+    def _drop_version(self, error: exceptions.UnknownVersion) -> None:
+        # While releases run side by side each of hundreds of entries may
+        # send such frames several times a second; an operator has to see
+        # that, and a line for each would fill the log.
+        if error.version in self._unknown_versions:
+            self.traffic.dropped[UNKNOWN_VERSION] += 1
+            return
+        self._unknown_versions.add(error.version)
+        self._drop(UNKNOWN_VERSION, reason=str(error))
+
     def _drop(self, why: str, **fields: object) -> None:
         self.traffic.dropped[why] += 1
         logger.warning('peer_message_dropped', why=why, **fields)
--- a/src/thornspool/adapters/peers/registry.py
+++ b/src/thornspool/adapters/peers/registry.py
@@ -1,4 +1,4 @@
-"""Message types and the kind names that stand for them on the wire."""
+"""Message types and the kind names that stand for them."""
 
 from __future__ import annotations
 
@@ -52,6 +52,11 @@
         self._by_type: dict[type, Registration] = {}
         self._encoder = msgspec.msgpack.Encoder()
 
+    @property
+    def kinds(self) -> frozenset[str]:
+        """The kind names of the registered types."""
+        return frozenset(self._by_kind)
+
     def register(self, message_type: type) -> str:
         """Add a message type; adding one again changes nothing.
 
--- a/tests/adapters/peers/test_node.py
+++ b/tests/adapters/peers/test_node.py
@@ -4,15 +4,20 @@
 
 import asyncio
 import unittest
+from unittest import mock
 
 import msgspec
 import pynng
+from structlog import testing
 
 from tests.adapters.peers import builders
 from thornspool.adapters.peers import exceptions
 from thornspool.adapters.peers import frames
+from thornspool.adapters.peers import kinds
 from thornspool.adapters.peers import links
 from thornspool.adapters.peers import node
+from thornspool.adapters.peers import packing
+from thornspool.adapters.peers import registry
 from thornspool.application import exceptions as application_exceptions
 
 PATIENCE_MS = 5000
@@ -166,12 +171,23 @@
         encode = msgspec.msgpack.encode
         body = encode({'number': 'not a number'})
         kind = self.asker._registry.register(builders.Question)
-        frame = frames.Frame('x', 'tcp://127.0.0.1:1', kind, 0, '', body)
+        frame = frames.Frame('x', 'tcp://127.0.0.1:1', kind, 0, b'', body)
+        former = encode(['x', 'tcp://127.0.0.1:1', kind, 0, '', body])
+        prefix = frames.encode(frame)[:1]
         table = (
             ('empty', b''),
             ('text', b'GET / HTTP/1.1\r\n\r\n'),
-            ('short array', encode(['x', 1])),
-            ('wrong types', encode([1, 2, 3, 4, 5, 6])),
+            ('without a version', former),
+            ('short array', prefix + encode(['x', 1])),
+            ('wrong types', prefix + encode([1, 2, 3, 4, 5, 6, 7])),
+            (
+                'no identifier',
+                prefix + encode(['x', b'12', bytes(6), 3, 0, b'', body]),
+            ),
+            (
+                'no address',
+                prefix + encode(['x', b'', bytes(7), 3, 0, b'', body]),
+            ),
             ('wrong body', frames.encode(frame)),
         )
         for count, (name, data) in enumerate(table, start=1):
@@ -185,6 +201,45 @@
                 )
                 self.assertEqual(builders.Answer(1), await self.ask(1))
 
+    async def test_frames_of_another_version_are_counted_and_logged_once(
+        self,
+    ) -> None:
+        """A newer release rolls out and its entries send another format.
+
+        An entry that read it as its own would act on what was never meant,
+        and one that logged each frame would drown its operator.
+        """
+        frame = frames.Frame('x', 'tcp://127.0.0.1:1', 'k', 0, b'', b'')
+        newer = bytes([frames.VERSION + 1]) + frames.encode(frame)[1:]
+        dropped = self.replier.traffic.dropped
+        with testing.capture_logs() as logged:
+            for _ in range(3):
+                await self.send_raw(newer)
+            await wait_until(lambda: dropped[node.UNKNOWN_VERSION] == 3)
+        self.assertEqual(
+            [node.UNKNOWN_VERSION], [event['why'] for event in logged]
+        )
+        self.assertEqual(builders.Answer(1), await self.ask(1))
+
+    async def test_unknown_number_is_refused_and_the_asker_told(self) -> None:
+        """A newer release asks with a kind that this one has never heard of.
+
+        Its asker must hear so at once instead of waiting out its timeout.
+        """
+        number = 1 + max(kinds.NUMBERS.values())
+        with (
+            mock.patch.dict(kinds.NUMBERS, {'builders.Unheard': number}),
+            mock.patch.object(
+                registry, 'name_kind', return_value='builders.Unheard'
+            ),
+            self.assertRaisesRegex(
+                application_exceptions.PeerUnreachable, f'number {number}'
+            ),
+        ):
+            await self.asker.ask(
+                self.replier.address, builders.Unheard(1), 60_000
+            )
+
     async def test_peer_that_comes_back_is_reached_again(self) -> None:
         """A peer is killed and another process starts at its address.
 
@@ -221,7 +276,12 @@
         await asyncio.sleep(0)
         kind, body = self.asker._registry.encode(builders.Answer(99))
         late = frames.Frame(
-            'replier', self.replier.address, kind, 1, 'former', body
+            'replier',
+            self.replier.address,
+            kind,
+            1,
+            packing.digest_incarnation('former'),
+            body,
         )
         socket = pynng.Push0()
         socket.dial(self.asker.address)
--- a/tools/bench_load.py
+++ b/tools/bench_load.py
@@ -16,6 +16,7 @@
 import attrs
 
 from thornspool.adapters.peers import frames
+from thornspool.adapters.peers import packing
 from thornspool.adapters.peers import registry
 from thornspool.domain.configuration import documents
 from thornspool.domain.limits import concurrency
@@ -197,7 +198,7 @@
     replies = [
         _encode_frame(
             limit_messages.pack_reply(line.sequence, 5000, [grant] * count),
-            _INCARNATION,
+            packing.digest_incarnation(_INCARNATION),
         )
         for count in (1, 2)
     ]
@@ -209,7 +210,7 @@
     }
 
 
-def _encode_frame(message: object, recipient: str = '') -> int:
+def _encode_frame(message: object, recipient: bytes = b'') -> int:
     """Return the bytes of a message in its frame."""
     kind, body = registry.Registry().encode(message)
     frame = frames.Frame(
--- a/tools/bench_membership.py
+++ b/tools/bench_membership.py
@@ -82,9 +82,11 @@
         """Add a node that knows three others."""
         number = next(self._numbers)
         address = f'tcp://10.1.{number // 250}.{number % 250 + 1}:7400'
+        host = f'entry-{number:03}'
+        identifier = uuid.UUID(int=self._random.getrandbits(128))
         identity = messages.Identity(
-            str(uuid.UUID(int=self._random.getrandbits(128))),
-            f'entry-{number:03}',
+            f'{host}-{identifier}',
+            host,
             f'perth-{number % 7}',
             'perth',
             address,
@@ -165,7 +167,7 @@
     def _send(self, node: Node, command: messages.Send) -> None:
         kind, body = self._registry.encode(command.message)
         sender = node.machine.own.incarnation
-        frame = frames.Frame(sender, node.address, kind, 0, '', body)
+        frame = frames.Frame(sender, node.address, kind, 0, b'', body)
         data = frames.encode(frame)
         node.bytes += len(data)
         node.sent += 1
