Learn how engines do from the pace of own streams

Cause: plans rest on load reports, and these are to become rare: inside ended answers they come to 4 KB a second at an entry of the design size.

Change: an attempt times each 16 tokens, the first ones left out; what the pace is over or under the sum that was expected of the route, links taken off, is put down to its stages in proportion to their times. It counts as far as the load report does not, halves each 5 s and lowers the factor of chance.

--- a/src/thornspool/application/generation_attempts.py
+++ b/src/thornspool/application/generation_attempts.py
@@ -15,6 +15,7 @@
 from thornspool.application import generation_trials
 from thornspool.domain.pipelines import affinity
 from thornspool.domain.pipelines import messages
+from thornspool.domain.pipelines import stage_times
 from thornspool.domain.quarantine import fingerprints
 
 if typing.TYPE_CHECKING:
@@ -143,6 +144,7 @@
         self._route = call.route
         self._started_at = context.clock.now()
         self._seen_at = -1
+        self._meter = stage_times.PaceMeter()
         self._task: asyncio.Task[None] | None = None
         self._flight = context.flights.start(
             context.hooks.fingerprint(call.request),
@@ -237,8 +239,11 @@
             return
         if frames[-1].loads:
             self._context.hooks.note_loads(frames[-1].loads)
+        now = self._context.clock.now()
+        planning = self._context.planning
         if frames[-1].hops:
-            now = self._context.clock.now()
-            planning = self._context.planning
             planning.note_hops(self._route, frames[-1].hops, now)
+        pace = self._meter.count(len(frames), now)
+        if pace is not None:
+            planning.note_pace(self._route, pace, now)
         self._tell(messages.FramesReceived(self._call.attempt, frames))
--- a/src/thornspool/application/generation_planning.py
+++ b/src/thornspool/application/generation_planning.py
@@ -13,6 +13,7 @@
 from thornspool.domain.pipelines import links
 from thornspool.domain.pipelines import loads
 from thornspool.domain.pipelines import planner
+from thornspool.domain.pipelines import stage_times
 
 if typing.TYPE_CHECKING:
     from collections.abc import Callable
@@ -89,6 +90,7 @@
         self.links = link_times or links.LinkTimes()
         self.affinity = affinity.PrefixAffinity()
         self.own = loads.OwnRequests()
+        self._stage_times = stage_times.StageTimes()
         self._entry = entry
         self._snapshot = snapshot
         self._targets = targets
@@ -153,14 +155,13 @@
 
     def _price(self, wish: Wish, stage: documents.Stage, now: int) -> float:
         """Price a stage in milliseconds a token."""
-        report = self._targets.read_load(stage.target)
-        time = loads.estimate_time(report, self.own, stage.target, now)
+        estimate = self._estimate(stage.target, now)
         # Entries that read the same old report would all prefer the same
         # stages until the next one, and their queues would grow while
         # others stood idle. The older the report, the more is left to
         # chance.
-        doubt = 1 - loads.compute_trust(report, now)
-        time *= self._random.uniform(1, 1 + _SPREAD * doubt)
+        most = 1 + _SPREAD * estimate.doubt
+        time = estimate.time * self._random.uniform(1, most)
         layers = (stage.first_layer, stage.end_layer)
         warm = self.affinity.read_weight(
             wish.prefix, layers, stage.target, now
@@ -168,6 +169,12 @@
         # A prefix is worked through once, so a long answer weighs it less.
         return time + _PREFILL_MS * (1 - warm) / max(1, wish.tokens)
 
+    def _estimate(self, target: str, now: int) -> stage_times.Estimate:
+        report = self._targets.read_load(target)
+        time = loads.estimate_time(report, self.own, target, now)
+        trust = loads.compute_trust(report, now)
+        return self._stage_times.refine(target, time, trust, now)
+
     def start(self, route: routes.Route) -> None:
         """Count an attempt on its targets."""
         for target in route.list_targets():
@@ -191,6 +198,18 @@
         for link, time_ms in zip(route.list_links(), hops, strict=False):
             self.links.note_hop(*link, time_ms, now)
 
+    def note_pace(self, route: routes.Route, pace: float, now: int) -> None:
+        """Learn stages from the milliseconds between tokens of a stream."""
+        expected = [
+            (target, self._estimate(target, now).time)
+            for target in route.list_targets()
+        ]
+        between = sum(
+            self.links.read(first, second, now)
+            for first, second in route.list_links()
+        )
+        self._stage_times.note_pace(expected, pace - between, now)
+
     def note_stall(
         self, route: routes.Route, waited_ms: float, now: int
     ) -> None:
--- a/tests/application/test_generation.py
+++ b/tests/application/test_generation.py
@@ -202,6 +202,29 @@
         )
         self.assertEqual(reasons, [REASONS.STAGE_LOST])
 
+    async def test_pace_is_learnt_from_each_attempt(self):
+        """Load reports are rare, so streams tell how engines do.
+
+        The wait for a new route is no pace of the engines on it.
+        """
+        self.snapshot = builders.build_snapshot(STAGES)
+        self.view = builders.FakeTargetView()
+        service = self.build_service()
+        service._context.engines = BacklogEngines(breaks_at=7)
+        learnt = []
+        self.planning.note_pace = lambda *told: learnt.append(told)
+        await self.check_whole_backlog(service, max_tokens=40)
+        self.assertEqual(len(learnt), 2)
+        for route, pace, _ in learnt:
+            self.assertEqual(len(route.stages), 2)
+            self.assertGreaterEqual(pace, 0)
+
+    async def check_whole_backlog(self, service, max_tokens):
+        request = self.build_request(max_tokens=max_tokens)
+        texts, last = await self.collect(service, request)
+        self.assertEqual(texts, [f't{index}' for index in range(max_tokens)])
+        self.assertEqual(last, generation_messages.Finished(max_tokens))
+
 
 class GenerationServiceTest(GenerationCase):
     async def test_whole_answer_through_two_stages(self):
--- a/tests/application/test_generation_planning.py
+++ b/tests/application/test_generation_planning.py
@@ -78,3 +78,21 @@
         fresh, old = shares
         self.assertGreater(fresh, 0.28)
         self.assertLess(old, 0.22)
+
+    def test_pace_of_own_streams_counts_where_reports_are_old(self):
+        """An engine slows down and its last report is of long ago.
+
+        Its streams crawl. An entry that waited for the next report would
+        send it more.
+        """
+        for name in self.snapshot.targets:
+            self.view.loads[name] = builders.build_load(name)
+        chosen = collections.Counter()
+        for seed in range(200):
+            planning = self.build_planning(seed)
+            for number in range(6):
+                route = builders.build_route(f'a-{number}')
+                pace = 100.0 if number == 3 else 10.0
+                planning.note_pace(route, pace, 20_000)
+            chosen[self.plan(planning, 20_000)] += 1
+        self.assertEqual(chosen['a-3'], 0)
--- a/tools/bench_throughput.py
+++ b/tools/bench_throughput.py
@@ -18,6 +18,7 @@
 
 import attrs
 
+from thornspool.domain.pipelines import stage_times
 from thornspool.domain.targets import messages
 from tools import throughput_policies
 from tools import throughput_world
@@ -90,6 +91,7 @@
     left: int
     position: int = 0
     hops: list[float] = attrs.field(factory=list)
+    meter: stage_times.PaceMeter = attrs.field(factory=stage_times.PaceMeter)
 
 
 class Driver:
@@ -222,6 +224,9 @@
             self.tokens += 1
         if request.left % _HOPS_EVERY == 0:
             policy.note_hops(request.route, request.hops, int(self._now))
+        pace = request.meter.count(1, int(self._now))
+        if pace is not None:
+            policy.note_pace(request.route, pace, int(self._now))
         request.hops = []
         request.left -= 1
         if request.left:
--- a/tools/throughput_policies.py
+++ b/tools/throughput_policies.py
@@ -55,6 +55,10 @@
         """Take note of the times of links."""
         ...
 
+    def note_pace(self, route: routes.Route, pace: float, now: int) -> None:
+        """Take note of the milliseconds between tokens."""
+        ...
+
 
 class PlannerPolicy:
     """The planner of an entry."""
@@ -70,6 +74,7 @@
             random.Random(seed),
         )
         self.note_hops = self._planning.note_hops
+        self.note_pace = self._planning.note_pace
         self.end = self._planning.end
 
     def plan(self, now: int) -> routes.Route:
@@ -125,6 +130,9 @@
     ) -> None:
         """Take note of nothing."""
 
+    def note_pace(self, route: routes.Route, pace: float, now: int) -> None:
+        """Take note of nothing."""
+
 
 def build_least_loaded(
     world: throughput_world.World, view: LaggingView, seed: int
