Ask engines for loads and times of links, seldom

Cause: loads came inside each ended answer, 42 a second at an entry of the design size or 4 KB, and times of links on one token in 16, 232 lists a second: each by itself over the 2 KB a second that all control may spend.

Change: `tell` in the body of a generate names loads or hops and is left out otherwise. An entry asks for loads where what it knows of a target is older than 10 s, for 0.25 answers a second at most, and for hops where a link was learnt more than 4 s ago, for 3. What was asked lately counts as known.

Seen to fail with the mechanism broken: no bound a second, fresh loads asked for, what was asked not remembered or never forgotten, the way back counted as timed, `tell` sent always, and no `tell` from the use case.

Tests changed: the stand-in's and the client's tests that read loads off any answer ask for them now, and see that they are absent unasked.

A load is 95 bytes in a route of four and hops are 25 (msgspec, stand-in's form): 102 and 123 bytes a second with the questions, in place of 4 KB and more.

--- a/src/thornspool/adapters/targets/engine_messages.py
+++ b/src/thornspool/adapters/targets/engine_messages.py
@@ -10,6 +10,7 @@
 if typing.TYPE_CHECKING:
     from thornspool.application import generation_attachments
     from thornspool.application import generation_messages
+    from thornspool.domain.pipelines import questions
 
 
 @attrs.frozen
@@ -54,6 +55,9 @@
         Higher goes first.
     attachments : tuple of generation_attachments.Attachment
         Files that come with the prompt.
+    tell : tuple of str or UnsetType
+        What to tell along with the answer, ``loads`` or ``hops``; left out
+        for nothing, as in most calls.
     """
 
     request: str
@@ -67,6 +71,7 @@
     max_tokens: int
     priority: int
     attachments: tuple[generation_attachments.Attachment, ...]
+    tell: tuple[str, ...] | msgspec.UnsetType
 
 
 @attrs.frozen
@@ -109,10 +114,17 @@
             max_tokens=request.max_tokens,
             priority=request.priority,
             attachments=request.attachments,
+            tell=_name_told(call.tell),
         )
     )
 
 
+def _name_told(tell: questions.Tell) -> tuple[str, ...] | msgspec.UnsetType:
+    wanted = ((tell.loads, 'loads'), (tell.hops, 'hops'))
+    names = tuple(name for is_wanted, name in wanted if is_wanted)
+    return names or msgspec.UNSET
+
+
 def encode_cancel(request_id: str, attempt: int) -> bytes:
     """Encode a cancel."""
     return msgspec.json.encode(CancelBody(request_id, attempt))
--- a/src/thornspool/application/generation.py
+++ b/src/thornspool/application/generation.py
@@ -311,6 +311,7 @@
             route,
             resume,
             max(1, request.deadline - now),
+            context.planning.choose_tell(route, now),
         )
         self._verifier.handle(messages.Started(route), now)
         self._attempt = generation_attempts.Attempt(
--- a/src/thornspool/application/generation_messages.py
+++ b/src/thornspool/application/generation_messages.py
@@ -7,6 +7,8 @@
 
 import attrs
 
+from thornspool.domain.pipelines import questions
+
 if typing.TYPE_CHECKING:
     from collections.abc import Callable
 
@@ -130,6 +132,8 @@
         Tokens verified so far; the engine goes on after them.
     timeout_ms : int
         Longest time for the whole stream.
+    tell : questions.Tell
+        What the engines are asked to tell along with it.
     """
 
     request: GenerationRequest
@@ -139,6 +143,7 @@
     route: routes.Route
     resume: tuple[str, ...]
     timeout_ms: int
+    tell: questions.Tell = questions.NOTHING
 
 
 class Engines(typing.Protocol):
--- a/src/thornspool/application/generation_planning.py
+++ b/src/thornspool/application/generation_planning.py
@@ -13,6 +13,7 @@
 from thornspool.domain.pipelines import links
 from thornspool.domain.pipelines import loads
 from thornspool.domain.pipelines import planner
+from thornspool.domain.pipelines import questions
 from thornspool.domain.pipelines import stage_times
 
 if typing.TYPE_CHECKING:
@@ -26,6 +27,9 @@
 _PER_RANGE = 16
 _PREFILL_MS = 200.0
 _SPREAD = 4.0
+_LOADS_AGE_MS = 10_000
+_HOPS_AGE_MS = 4_000
+_USUAL_LIMITS = questions.Limits()
 
 
 @attrs.frozen
@@ -76,6 +80,8 @@
         Times of links to start from.
     per_range : int
         Candidate engines for each layer range.
+    limits : questions.Limits, optional
+        How often engines are asked to tell loads and times of links.
     """
 
     def __init__(
@@ -86,11 +92,16 @@
         random_source: random.Random,
         link_times: links.LinkTimes | None = None,
         per_range: int = _PER_RANGE,
+        limits: questions.Limits = _USUAL_LIMITS,
     ) -> None:
         self.links = link_times or links.LinkTimes()
         self.affinity = affinity.PrefixAffinity()
         self.own = loads.OwnRequests()
         self._stage_times = stage_times.StageTimes()
+        self._loads_asking = questions.Asking(
+            _LOADS_AGE_MS, limits.loads_per_s
+        )
+        self._hops_asking = questions.Asking(_HOPS_AGE_MS, limits.hops_per_s)
         self._entry = entry
         self._snapshot = snapshot
         self._targets = targets
@@ -191,6 +202,31 @@
             layers = (stage.first_layer, stage.end_layer)
             self.affinity.note(prefix, layers, stage.target, now)
 
+    def choose_tell(self, route: routes.Route, now: int) -> questions.Tell:
+        """Choose what the engines of a route are asked to tell.
+
+        At the size to design for, loads with each answer and times of links
+        with one token in sixteen were several times all that control may
+        spend.
+        """
+        loads_known = [
+            (target, self._read_reported_at(target))
+            for target in route.list_targets()
+        ]
+        # Nobody times the way back to the first stage.
+        hops_known = [
+            (link, self.links.read_learnt_at(*link))
+            for link in route.list_links()[:-1]
+        ]
+        return questions.Tell(
+            self._loads_asking.ask(loads_known, now),
+            self._hops_asking.ask(hops_known, now),
+        )
+
+    def _read_reported_at(self, target: str) -> int | None:
+        report = self._targets.read_load(target)
+        return None if report is None else report.received_at
+
     def note_hops(
         self, route: routes.Route, hops: list[float], now: int
     ) -> None:
--- a/src/thornspool/domain/pipelines/links.py
+++ b/src/thornspool/domain/pipelines/links.py
@@ -53,6 +53,11 @@
         weight = 0.5 ** ((now - learnt.at) / _HALF_LIFE_MS)
         return float(weight * learnt.time + (1 - weight) * usual)
 
+    def read_learnt_at(self, first: str, second: str) -> int | None:
+        """Return when the time of a link was learnt last."""
+        learnt = self._learnt.get((first, second))
+        return None if learnt is None else learnt.at
+
     def note_hop(
         self, first: str, second: str, time_ms: float, now: int
     ) -> None:
--- a/standins/engine_messages.py
+++ b/standins/engine_messages.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import attrs
+import msgspec
 
 
 @attrs.frozen
@@ -27,7 +28,11 @@
 
 @attrs.frozen
 class Generate:
-    """Body of ``POST /v1/generate``."""
+    """Body of ``POST /v1/generate``.
+
+    ``tell`` names what to tell along with the answer; other names than
+    ``loads`` and ``hops`` are passed over.
+    """
 
     request: str
     attempt: int
@@ -40,6 +45,7 @@
     max_tokens: int
     priority: int
     attachments: list[Attachment] = attrs.field(factory=list)
+    tell: list[str] = attrs.field(factory=list)
 
 
 @attrs.frozen
@@ -111,7 +117,7 @@
     index: int
     token: str
     receipts: list[tuple[int, int, str]]
-    hops: list[float] = attrs.field(factory=list)
+    hops: list[float] | msgspec.UnsetType = msgspec.UNSET
 
 
 @attrs.frozen
@@ -121,7 +127,7 @@
     request: str
     attempt: int
     end: int
-    loads: list[Load]
+    loads: list[Load] | msgspec.UnsetType = msgspec.UNSET
 
 
 @attrs.frozen
--- a/tests/adapters/targets/test_engines.py
+++ b/tests/adapters/targets/test_engines.py
@@ -17,6 +17,7 @@
 from thornspool.application import generation_attempts
 from thornspool.application import generation_exceptions
 from thornspool.application import generation_messages
+from thornspool.domain.pipelines import questions
 from thornspool.domain.pipelines import routes
 
 
@@ -66,6 +67,13 @@
         tokens = [frame.token for frame in self.frames[:-1]]
         self.assertEqual(tokens, expected)
         self.assertEqual(self.frames[-1].end, 5)
+
+    async def test_loads_come_only_when_asked_for(self):
+        """Loads with every answer were twice the bytes that control has."""
+        await self.generate()
+        self.assertEqual(self.frames[-1].loads, [])
+        asked = questions.Tell(loads=True, hops=True)
+        await self.generate(attempt=1, tell=asked)
         self.assertEqual(self.frames[-1].loads[0].target, 'a-1')
 
     async def test_attachments_reach_the_engine(self):
--- a/tests/application/test_generation_planning.py
+++ b/tests/application/test_generation_planning.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 import collections
+import functools
 import random
 import unittest
 
 from tests.domain.pipelines import builders
 from thornspool.application import generation_planning
 from thornspool.domain.pipelines import exceptions
+from thornspool.domain.pipelines import questions
 from thornspool.domain.targets import messages
 
 
@@ -96,3 +98,33 @@
                 planning.note_pace(route, pace, 20_000)
             chosen[self.plan(planning, 20_000)] += 1
         self.assertEqual(chosen['a-3'], 0)
+
+    def test_asks_of_old_loads_and_links_and_only_so_often(self):
+        """Engines told their loads with each answer.
+
+        At the size to design for that was more than control may spend.
+        """
+        planning = self.build_planning(
+            limits=questions.Limits(loads_per_s=0.5, hops_per_s=2.0)
+        )
+        route = builders.build_route('a-1', 'b-1')
+        other = builders.build_route('a-3', 'b-3')
+        fresh = builders.build_route('a-2', 'b-2')
+        check = functools.partial(self.check_tell, planning)
+        check(0, route, questions.Tell(loads=True, hops=True))
+        check(100, other, questions.NOTHING)
+        check(500, route, questions.NOTHING)
+        check(2_000, other, questions.Tell(loads=True))
+        check(5_000, route, questions.Tell(hops=True))
+        planning.note_hops(route, [1.0], 6_000)
+        check(9_100, other, questions.NOTHING)
+        for name in ('a-2', 'b-2'):
+            self.view.loads[name] = builders.build_load(
+                name, received_at=29_999
+            )
+        check(30_000, fresh, questions.Tell(hops=True))
+        check(32_000, route, questions.Tell(loads=True))
+
+    def check_tell(self, planning, now, route, tell):
+        with self.subTest(now):
+            self.assertEqual(planning.choose_tell(route, now), tell)
--- a/tools/throughput_policies.py
+++ b/tools/throughput_policies.py
@@ -7,6 +7,7 @@
 import typing
 
 from thornspool.application import generation_planning
+from thornspool.domain.pipelines import questions
 from thornspool.domain.pipelines import routes
 from thornspool.domain.targets import messages
 from tools import throughput_world
@@ -17,6 +18,7 @@
     from thornspool.domain.configuration import documents
 
 _EXPECTED_TOKENS = 80
+_USUAL_LIMITS = questions.Limits()
 
 
 class LaggingView:
@@ -26,8 +28,8 @@
         self._reports: dict[str, messages.LoadReport] = {}
 
     def publish(self, reports: list[messages.LoadReport]) -> None:
-        """Replace the reports."""
-        self._reports = {report.target: report for report in reports}
+        """Take in reports in place of older ones."""
+        self._reports.update({report.target: report for report in reports})
 
     def read_readiness(self, target: str) -> messages.Readiness:
         """Return that every target is ready."""
@@ -45,6 +47,10 @@
         """Choose a route."""
         ...
 
+    def choose_tell(self, route: routes.Route, now: int) -> questions.Tell:
+        """Choose what engines are asked to tell."""
+        ...
+
     def end(self, route: routes.Route) -> None:
         """Take note that a request is over."""
         ...
@@ -64,7 +70,11 @@
     """The planner of an entry."""
 
     def __init__(
-        self, world: throughput_world.World, view: LaggingView, seed: int
+        self,
+        world: throughput_world.World,
+        view: LaggingView,
+        seed: int,
+        limits: questions.Limits = _USUAL_LIMITS,
     ) -> None:
         self._world = world
         self._planning = generation_planning.Planning(
@@ -72,7 +82,9 @@
             lambda: world.snapshot,
             view,
             random.Random(seed),
+            limits=limits,
         )
+        self.choose_tell = self._planning.choose_tell
         self.note_hops = self._planning.note_hops
         self.note_pace = self._planning.note_pace
         self.end = self._planning.end
@@ -122,6 +134,10 @@
             boundary = stage.end_layer
         return routes.Route(tuple(stages))
 
+    def choose_tell(self, route: routes.Route, now: int) -> questions.Tell:
+        """Ask nothing."""
+        return questions.NOTHING
+
     def end(self, route: routes.Route) -> None:
         """Take note of nothing."""
 
