Measure an entry at the pace of the design size

Ruled out: 186 streams of one model. Admission bounds the requests in flight for each model from 16 on and learns only from answers that ended, so long streams are refused. The design has 12 models, and 15 or 16 streams of each are taken at once; callers come back when they are refused. Engines in steps: all streams of one would get their tokens in the same moment, where an entry of the design has 2 or 3 streams of an engine.

Change: member `pace` of the bench; callers in processes of their own, so that the time at which a token is read doesn't wait for 185 others in the process that measures; `--pace-ms` of the stand-in engine. A stream that is not whole gives no figure but an error.

Proof: with the checks of a whole answer taken out, the test of an answer that is not whole fails in 6 cases; with the look-back over the cut of a chunk taken out, the test of the recorder fails.

--- a/standins/engine.py
+++ b/standins/engine.py
@@ -41,6 +41,7 @@
     parser.add_argument('--burst', type=int, default=0)
     parser.add_argument('--load-lag-ms', type=int, default=200)
     parser.add_argument('--cache-size', type=int, default=64)
+    parser.add_argument('--pace-ms', type=float, default=0.0)
     return parser.parse_args(arguments)
 
 
@@ -57,6 +58,7 @@
         burst=options.burst or default,
         load_lag_ms=options.load_lag_ms,
         cache_size=options.cache_size,
+        pace_ms=options.pace_ms,
     )
 
 
--- a/standins/engine_batch.py
+++ b/standins/engine_batch.py
@@ -5,6 +5,7 @@
 import asyncio
 import collections
 import os
+import time
 import typing
 
 import attrs
@@ -47,6 +48,7 @@
     burst: int
     load_lag_ms: int
     cache_size: int
+    pace_ms: float = 0.0
 
 
 @attrs.frozen(eq=False)
@@ -79,6 +81,8 @@
         self._prefixes: collections.OrderedDict[str, None]
         self._prefixes = collections.OrderedDict()
         self._indexes: dict[tuple[str, int], list[int]] = {}
+        self._due: collections.OrderedDict[tuple[str, int], float]
+        self._due = collections.OrderedDict()
 
     def admit(self, request: str, attempt: int, known: bool) -> None:
         """Take an attempt in, or raise ``Refused``."""
@@ -116,10 +120,26 @@
             raise Refused('cancelled', self.settings.name)
         done = asyncio.get_running_loop().create_future()
         work = _Work(request, attempt, index, count, priority, done)
-        self._waiting.append(work)
-        self._wake.set()
+        if self.settings.pace_ms:
+            await self._wait_turn(work)
+            self._finish(work)
+        else:
+            self._waiting.append(work)
+            self._wake.set()
         await done
 
+    async def _wait_turn(self, work: _Work) -> None:
+        """Wait until a stream's next token is due.
+
+        Each is due a pace after the one before was, not after it was sent;
+        or the time that sending takes would slow the stream down.
+        """
+        key = work.request, work.attempt
+        now = time.monotonic()
+        due = self._due.get(key, now) + self.settings.pace_ms / 1000
+        _remember(self._due, key, due)
+        await asyncio.sleep(due - now)
+
     async def warm(self, prompt: str) -> None:
         """Work through a prompt unless its prefix is in the cache."""
         prefix = prompt[:256]
--- a/tests/tools/test_bench.py
+++ b/tests/tools/test_bench.py
@@ -10,7 +10,9 @@
 
 from tools import bench
 from tools import bench_control
+from tools import bench_pace
 from tools import bench_recovery
+from tools import pace_caller
 
 METRICS = """\
 # TYPE thornspool_peer_bytes_total counter
@@ -91,6 +93,63 @@
         self.assertEqual(5.0, used['cpu_percent'])
 
 
+class PaceTest(unittest.TestCase):
+    def test_token_is_timed_by_the_chunk_that_completes_it(self) -> None:
+        recorder = pace_caller._Recorder(b'\n\n')
+        for chunk, whole in ((b'a\n', 0), (b'\nb', 1), (b'\n\nc\n\n', 3)):
+            recorder.note(chunk)
+            self.assertEqual(whole, len(recorder.arrivals))
+
+    def test_times_are_those_of_all_streams_in_order(self) -> None:
+        answers = [
+            bench_pace.Answer(1.0, [1.25, 2.0], 0),
+            bench_pace.Answer(1.0, [1.125, 1.375], 2),
+        ]
+        window = bench_pace.Window(1.2, 2.0, {'entry': 0.2})
+        self.assertEqual(25.0, window.read_percent('entry'))
+        summed = bench_pace.sum_up(answers, window)
+        # Two of four tokens in 0.8 s.
+        self.assertEqual(2, summed['tokens_per_s'])
+        self.assertEqual(2, summed['refusals'])
+        self.assertEqual(125.0, summed['first_token_ms']['p50'])
+        self.assertEqual(250.0, summed['between_tokens_ms']['p50'])
+        self.assertEqual(750.0, summed['between_tokens_ms']['p99'])
+
+    def test_answer_that_is_not_whole_gives_no_figure(self) -> None:
+        """A token is lost on the way.
+
+        Its stream would show one longer gap and look like a slow one.
+        """
+        count = bench_pace.TOKENS
+        arrivals = [float(one) for one in range(count + 1)]
+        for lost in (None, 0, 5, count - 1):
+            texts = [
+                'event: tokens\ndata: '
+                + json.dumps({'first_index': index, 'texts': ['a']})
+                for index in range(count)
+                if index != lost
+            ]
+            frames = [
+                json.dumps({'index': index})
+                for index in range(count)
+                if index != lost
+            ]
+            end = f'event: end\ndata: {{"count": {count}}}'
+            whole = '\n\n'.join([*texts, end])
+            lines = '\n'.join([*frames, json.dumps({'end': count})])
+            for read, body in (
+                (bench_pace.read_entry_answer, whole),
+                (bench_pace.read_engine_answer, lines),
+            ):
+                stream = pace_caller.Stream(0.0, arrivals, 0, body)
+                with self.subTest(lost=lost, read=read.__name__):
+                    if lost is None:
+                        self.assertEqual(count, len(read(stream).tokens))
+                        continue
+                    with self.assertRaises(ConnectionError):
+                        read(stream)
+
+
 class BenchTest(unittest.TestCase):
     def test_failed_measurement_is_named_beside_the_others(self) -> None:
         """One measurement of many fails; the run must not look whole."""
--- a/tools/bench.py
+++ b/tools/bench.py
@@ -17,6 +17,7 @@
 from tools import bench_latency
 from tools import bench_load
 from tools import bench_membership
+from tools import bench_pace
 from tools import bench_recovery
 from tools import bench_relay
 from tools import bench_throughput
@@ -45,6 +46,15 @@
     }
 
 
+def run_pace() -> Figures:
+    """Run the measurement of one entry at the pace of the design size."""
+    whole = bench_pace.measure_pace()
+    return {
+        'entry_cpu_percent_pace': whole['entry_cpu_percent'],
+        'pace': whole,
+    }
+
+
 def run_throughput() -> Figures:
     """Run the measurement of throughput against the bound."""
     whole = bench_throughput.measure_throughput()
@@ -104,6 +114,7 @@
 RUNS: dict[str, Callable[[], Figures]] = {
     'latency': run_latency,
     'relay': run_relay,
+    'pace': run_pace,
     'throughput': run_throughput,
     'actions': run_actions,
     'load': run_load,
