Let one timer of a stream run out instead of one a token

Cause: each token was waited for under asyncio.timeout.

Ruled out: no bound while tokens come. A stall or a slow link has to be noticed within the bounds of docs/design/pipelines.md.

Change: the events of a request wait in a queue with one timer, which is left to run out and set again for what is left of the bound; at a token each 49 ms and a bound of 400 ms it fires about twice a second. A bound that comes nearer sets it anew. The joining of frames moved there; a single event is handed over as it is.

Proof: seen to fail with the bound of an earlier token kept, with a bound that comes nearer not taken, with no timer set again, with the timer left at the end, and with frames of two attempts joined.

--- a/src/thornspool/application/generation.py
+++ b/src/thornspool/application/generation.py
@@ -4,13 +4,13 @@
 
 import asyncio
 import collections
-import contextlib
 import typing
 
 import attrs
 import structlog
 
 from thornspool.application import generation_attempts
+from thornspool.application import generation_events
 from thornspool.application import generation_messages
 from thornspool.application import generation_planning
 from thornspool.application import generation_trials
@@ -127,11 +127,10 @@
         )
         self._model = context.planning.find_model(request.model)
         self._prefix = affinity.compute_prefix(request.prompt)
-        self._events: asyncio.Queue[messages.Event] = asyncio.Queue()
+        self._events = generation_events.EventQueue(context.clock)
         self._commands: collections.deque[messages.Command]
         self._commands = collections.deque()
         self._attempt: generation_attempts.Attempt | None = None
-        self._held: messages.Event | None = None
         self._may_have_run = False
         self._retry_after_ms = _RETRY_AFTER_MS
 
@@ -151,12 +150,13 @@
                     yield event
             if self._verifier.over:
                 return
-            event_in = await self._wait()
+            event_in = await self._events.get(self._verifier.read_wake())
             now = self._context.clock.now()
             self._commands.extend(self._verifier.handle(event_in, now))
 
     def close(self) -> None:
         """Stop what still runs, when the caller left."""
+        self._events.close()
         self._stop(cancel=True)
 
     def _begin(self) -> list[messages.Command]:
@@ -165,41 +165,6 @@
             return self._verifier.give_up(reason)
         return [messages.Replan(0, frozenset(), frozenset())]
 
-    async def _wait(self) -> messages.Event:
-        """Wait for the next event, no longer than to the next bound."""
-        held, self._held = self._held, None
-        if held is not None:
-            return held
-        with contextlib.suppress(asyncio.QueueEmpty):
-            return self._join_frames(self._events.get_nowait())
-        now = self._context.clock.now()
-        wait_ms = max(0, self._verifier.read_wake() - now)
-        try:
-            async with asyncio.timeout(wait_ms / 1000):
-                return self._join_frames(await self._events.get())
-        except TimeoutError:
-            return messages.TimePassed()
-
-    def _join_frames(self, event: messages.Event) -> messages.Event:
-        """Join frames that wait behind an event to it, in their order.
-
-        Tokens that came together go to the caller in one write; one system
-        call for each was most of the cost of an entry with a backlog.
-        """
-        if not isinstance(event, messages.FramesReceived):
-            return event
-        frames = list(event.frames)
-        while not self._events.empty():
-            following = self._events.get_nowait()
-            if (
-                not isinstance(following, messages.FramesReceived)
-                or following.attempt != event.attempt
-            ):
-                self._held = following
-                break
-            frames.extend(following.frames)
-        return messages.FramesReceived(event.attempt, frames)
-
     def _carry_out(
         self, command: messages.Command
     ) -> generation_messages.GenerationEvent | None:
@@ -314,7 +279,7 @@
         )
         self._verifier.handle(messages.Started(route), now)
         self._attempt = generation_attempts.Attempt(
-            context, call, self._events.put_nowait
+            context, call, self._events.put
         )
         self._attempt.start()
 
