Tell objectives of times between tokens each second

Ruled out: telling at the end of a stream only. Answers run for a minute, the windows of a report are minutes long, and streams that are slow now would be missing.

Change: the watch of a stream gathers its times and tells of them each second and when the stream ends, also when the caller leaves. Objectives count them by the minute as before. The test of a caller that leaves takes two tokens in place of one and checks their times as well.

Proof: seen to fail with nothing told at the end, with each time told by itself, and with nothing told before the end.

--- a/src/thornspool/application/intake.py
+++ b/src/thornspool/application/intake.py
@@ -273,14 +273,14 @@
             request.max_tokens,
             request.model,
         )
-        with self._admit(work, GENERATION) as run:
+        watch = observation.TokenWatch(
+            self._clock, self._metrics, self._objectives, request
+        )
+        with self._admit(work, GENERATION) as run, contextlib.closing(watch):
             events = self._runners.generation.stream(wanted)
-            watch = observation.TokenWatch(
-                self._clock, self._metrics, self._objectives
-            )
             async with contextlib.aclosing(events):  # type: ignore[type-var]
                 async for event in events:
-                    run.tokens += watch.see(request, event)
+                    run.tokens += watch.see(event)
                     run.result = event
                     yield event
 
--- a/src/thornspool/application/objectives.py
+++ b/src/thornspool/application/objectives.py
@@ -18,6 +18,7 @@
 
 if typing.TYPE_CHECKING:
     from collections.abc import Callable
+    from collections.abc import Sequence
 
     from thornspool import clock
     from thornspool.application import ports
@@ -120,14 +121,24 @@
         milliseconds: int,
     ) -> None:
         """Compare a time with the bound of its objective and count it."""
+        self.record_times(workspace, name, indicator, (milliseconds,))
+
+    def record_times(
+        self,
+        workspace: str,
+        name: str,
+        indicator: burn.Indicator,
+        times_ms: Sequence[int],
+    ) -> None:
+        """Compare times with the bound of their objective and count them."""
         objective = self._find_objective(workspace, name)
         if objective is None:
             return
         for checked, _, bound in burn.list_checks(objective):
             if checked is indicator and bound is not None:
                 subject = burn.Subject(workspace, name, indicator)
-                good = milliseconds <= bound
-                self._add(subject, int(good), int(not good))
+                good = sum(time <= bound for time in times_ms)
+                self._add(subject, good, len(times_ms) - good)
 
     async def report(
         self, workspaces: tuple[str, ...] | None = None
--- a/src/thornspool/application/observation.py
+++ b/src/thornspool/application/observation.py
@@ -16,6 +16,9 @@
     from thornspool.application import requests
 
 
+TELL_EVERY_MS = 1_000
+
+
 class Outcome(enum.Enum):
     """How a request ended; the values are labels of metrics."""
 
@@ -41,41 +44,79 @@
 
 
 class TokenWatch:
-    """Times the tokens of one stream."""
+    """Times the tokens of one stream.
+
+    Objectives count by the minute, so they are told of the times between
+    tokens each second and not of each: to look an objective up and count one
+    time in it costs as much as the check of the token.
+
+    Parameters
+    ----------
+    clock : clock.Clock
+        Source of time.
+    metrics : metrics.Metrics
+        Told of each time.
+    objective_service : objectives.ObjectiveService
+        Told of the times now and then.
+    request : requests.ModelRequest
+        Request that the stream answers.
+    """
 
     def __init__(
         self,
         clock: clock.Clock,
         metrics: metrics.Metrics,
         objective_service: objectives.ObjectiveService,
+        request: requests.ModelRequest,
     ) -> None:
         self._clock = clock
         self._metrics = metrics
         self._objectives = objective_service
+        self._workspace, self._model = request.workspace, request.model
         self._started = clock.now()
         self._last: int | None = None
+        self._gaps: list[int] = []
+        self._told_at = self._started
 
-    def see(
-        self,
-        request: requests.ModelRequest,
-        event: generation.GenerationEvent,
-    ) -> int:
+    def see(self, event: generation.GenerationEvent) -> int:
         """Record the times of an event and return its number of tokens."""
         if not isinstance(event, generation.Tokens):
             return 0
+        count = len(event.texts)
         now = self._clock.now()
-        workspace, model = request.workspace, request.model
         if self._last is None:
             waited = now - self._started
-            self._metrics.observe_first_token(workspace, waited)
-            indicator = burn.Indicator.FIRST_TOKEN
+            self._metrics.observe_first_token(self._workspace, waited)
+            self._objectives.record_time(
+                self._workspace,
+                self._model,
+                burn.Indicator.FIRST_TOKEN,
+                waited,
+            )
         else:
-            waited = (now - self._last) // max(1, len(event.texts))
-            indicator = burn.Indicator.BETWEEN_TOKENS
-        self._objectives.record_time(workspace, model, indicator, waited)
-        self._metrics.observe_tokens(workspace, len(event.texts), waited)
+            waited = (now - self._last) // max(1, count)
+            self._gaps.append(waited)
+        self._metrics.observe_tokens(self._workspace, count, waited)
         self._last = now
-        return len(event.texts)
+        if now - self._told_at >= TELL_EVERY_MS:
+            self._tell(now)
+        return count
+
+    def close(self) -> None:
+        """Tell of the last times, also when the caller left."""
+        self._tell(self._clock.now())
+
+    def _tell(self, now: int) -> None:
+        """Have the times since the last telling counted."""
+        gaps, self._gaps = self._gaps, []
+        self._told_at = now
+        if gaps:
+            self._objectives.record_times(
+                self._workspace,
+                self._model,
+                burn.Indicator.BETWEEN_TOKENS,
+                gaps,
+            )
 
 
 def name_outcome(result: typing.Any) -> Outcome:
--- a/tests/application/test_intake.py
+++ b/tests/application/test_intake.py
@@ -76,12 +76,17 @@
     def __init__(self) -> None:
         self.outcomes = []
         self.times = []
+        self.told = 0
 
     def record_outcome(self, workspace, name, good) -> None:
         self.outcomes.append(good)
 
     def record_time(self, workspace, name, indicator, milliseconds) -> None:
-        self.times.append((indicator.value, milliseconds))
+        self.record_times(workspace, name, indicator, [milliseconds])
+
+    def record_times(self, workspace, name, indicator, times_ms) -> None:
+        self.told += 1
+        self.times += [(indicator.value, time) for time in times_ms]
 
 
 class IntakeTest(unittest.IsolatedAsyncioTestCase):
@@ -227,6 +232,8 @@
         """A caller closes its connection in the middle of an answer.
 
         The place must be free at once; it is no failure of the service.
+        What the caller waited counts: without the times of those who left
+        for slowness, a report would show that all was well.
         """
         self.events = [(1, generation.Tokens(0, ('a',)))] * 3
         wanted = requests.ModelRequest(
@@ -234,9 +241,28 @@
         )
         events = self.build().stream(wanted)
         await anext(events)
+        await anext(events)
         await events.aclose()
-        self.assertEqual([(1, 'left')], self.ticket.finished)
+        self.assertEqual([(2, 'left')], self.ticket.finished)
         self.assertEqual([], self.objectives.outcomes)
+        self.assertEqual(
+            [('first_token', 1), ('between_tokens', 1)], self.objectives.times
+        )
+
+    async def test_objectives_are_told_of_times_each_second(self) -> None:
+        token = generation.Tokens(0, ('a',))
+        self.events = [(49, token)] * 42
+        wanted = requests.ModelRequest(
+            'r', 'swan-coast', 'drafter', 'p', 99, 0, 60_000
+        )
+        events = self.build().stream(wanted)
+        for _ in range(42):
+            await anext(events)
+        # The first token, and those of two seconds.
+        self.assertEqual(3, self.objectives.told)
+        self.assertEqual(42, len(self.objectives.times))
+        await events.aclose()
+        self.assertEqual(3, self.objectives.told)
 
     async def test_a_model_of_another_workspace_is_unknown(self) -> None:
         wanted = requests.ModelRequest(
