Read engines' frames where curl hands them over

Cause: tornado's client queues each chunk and calls the reader from another turn of the loop: a callback made, scheduled and run for each token.

Gathering the chunks of all streams in one callback: at this pace a turn of the loop has one.

Change: curl's own write function is the reader of the stream. It decodes and puts frames into their request's queue; it raises nothing and calls the client for nothing. The bound on the whole answer that tornado kept (100 MB) is kept by the reader.

Proof: with the bound on the answer not kept, the test of an endless answer fails. Tests of dropped calls and of answers that are no frames hold.

--- a/src/thornspool/adapters/targets/engines.py
+++ b/src/thornspool/adapters/targets/engines.py
@@ -25,6 +25,9 @@
 MAX_STREAMS = 512
 """Streams at once; tornado's client queues what is above, unseen."""
 
+MAX_STREAM_BYTES = 100 * 1024 * 1024
+"""Longest answer; 32,768 tokens, the most of a request, have a tenth."""
+
 _CONNECT_TIMEOUT_MS = 1_000
 _CLOSE_TIMEOUT_MS = 1_000
 _OK = 200
@@ -36,6 +39,7 @@
 class _Transfer:
     """One transfer of curl, to be able to break it off."""
 
+    read: Callable[[bytes], int] | None = None
     handle: pycurl.Curl | None = None
     unwanted: bool = False
     may_have_written: bool = False
@@ -46,6 +50,8 @@
         handle.setopt(pycurl.NOPROGRESS, 0)
         handle.setopt(pycurl.XFERINFOFUNCTION, self._read_progress)
         handle.setopt(pycurl.PREREQFUNCTION, self._note_connected)
+        if self.read is not None:
+            handle.setopt(pycurl.WRITEFUNCTION, self.read)
 
     def abort(self) -> None:
         """Close the connection.
@@ -178,16 +184,15 @@
         url: str,
         body: bytes,
         timeout_ms: int,
-        read: Callable[[bytes], None] | None,
+        read: Callable[[bytes], int] | None,
     ) -> httpclient.HTTPResponse:
-        transfer = _Transfer()
+        transfer = _Transfer(read)
         request = httpclient.HTTPRequest(
             url,
             method='POST',
             body=body,
             connect_timeout=min(timeout_ms, _CONNECT_TIMEOUT_MS) / 1000,
             request_timeout=timeout_ms / 1000,
-            streaming_callback=read,
             prepare_curl_callback=transfer.prepare,
             headers={'Content-Type': 'application/json', 'Expect': ''},
             decompress_response=False,
@@ -214,15 +219,27 @@
         self.error: pipeline_exceptions.MalformedFrame | None = None
         self._reader = frames.FrameReader()
         self._deliver = deliver
+        self._size = 0
+
+    def read(self, chunk: bytes) -> int:
+        """Hand over the frames of a chunk and return how much was read.
 
-    def read(self, chunk: bytes) -> None:
-        """Hand over the frames of a chunk."""
+        It runs inside of curl, where an error would be lost and a call of
+        the client would reenter it. Frames are decoded and put into their
+        request's queue here, no more.
+        """
+        self._size += len(chunk)
+        if self._size > MAX_STREAM_BYTES:
+            # An engine that never ends its line would fill the memory of
+            # the entry. To read less than was given ends the transfer.
+            return 0
         if self.error is not None:
-            return
+            return len(chunk)
         try:
             self._deliver(self._reader.read(chunk))
         except pipeline_exceptions.MalformedFrame as error:
             self.error = error
+        return len(chunk)
 
 
 def _translate(
--- a/tests/adapters/targets/test_engines.py
+++ b/tests/adapters/targets/test_engines.py
@@ -5,6 +5,7 @@
 import asyncio
 import json
 import unittest
+from unittest import mock
 
 import attrs
 
@@ -140,6 +141,17 @@
         with self.assertRaises(exceptions.TargetError):
             await self.generate(route=route)
 
+    async def test_endless_answer_is_broken_off(self):
+        """Something at the engine's address sends bytes without an end.
+
+        Read on, it would fill the memory of the entry until it is killed
+        with all its callers' requests.
+        """
+        limit = mock.patch.object(engines, 'MAX_STREAM_BYTES', 1_000)
+        with limit, self.assertRaises(exceptions.TargetAnswerLost):
+            await self.generate(max_tokens=500)
+        self.assertLess(len(self.frames), 20)
+
     async def test_dropping_a_call_closes_its_connection(self):
         """A caller leaves and its call is dropped here.
 
