Add the setting peers.advertise

Cause: an entry told its peers the address that it had bound. Behind address translation nobody reaches that, and a test can put nothing between two entries. Ruled out: a relay that rewrites addresses in messages, since it would have to know the frames; a local address to dial from, which says nothing to peers. Change: peers.advertise (ip:port, no port 0) is what frames and the list of members carry; the ready line goes on to name the bound address. Measured: test_settings and test_node, '19 passed, 0 failed'; make check-format lint types clean. Conclusion: hosts behind address translation can take part.

--- a/src/thornspool/adapters/peers/node.py
+++ b/src/thornspool/adapters/peers/node.py
@@ -59,6 +59,8 @@
         Most sockets to peers kept open.
     max_handling : int, optional
         Most messages being handled at once; more are dropped.
+    advertised_address : str, optional
+        ``tcp://ip:port`` that peers are told; the bound one by default.
 
     Attributes
     ----------
@@ -75,10 +77,12 @@
         registry: registries.Registry | None = None,
         max_links: int = links.MAX_LINKS,
         max_handling: int = MAX_HANDLING,
+        advertised_address: str = '',
     ) -> None:
         self.traffic = traffic.Traffic()
         self._incarnation = incarnation
         self._address = listen_address
+        self._advertised_address = advertised_address
         self._registry = registry or registries.default
         self._links = links.Links(clock, max_links)
         self._max_handling = max_handling
@@ -94,7 +98,7 @@
 
     @property
     def address(self) -> str:
-        """``tcp://ip:port`` at which this node takes messages."""
+        """``tcp://ip:port`` at which peers reach this node."""
         return self._address
 
     async def start(self) -> str:
@@ -122,10 +126,11 @@
                 f'{self._address} cannot be bound: {error}.',
                 'Choose a free port of an address of this host.',
             ) from error
-        self._address = f'tcp://{listener.local_address}'
+        bound = f'tcp://{listener.local_address}'
+        self._address = self._advertised_address or bound
         self._socket = socket
         self._receiver = asyncio.create_task(self._receive(socket))
-        return self._address
+        return bound
 
     async def stop(self) -> None:
         """Stop receiving, fail open questions and close every socket."""
--- a/src/thornspool/entry.py
+++ b/src/thornspool/entry.py
@@ -62,7 +62,7 @@
     callers, operators : str
         URLs.
     peers : str
-        ``tcp://ip:port``.
+        ``tcp://ip:port`` that is bound.
     incarnation : str
         Names this process.
     """
@@ -131,6 +131,7 @@
             incarnation,
             f'tcp://{settings.peers.listen}',
             REPLY_TYPES,
+            advertised_address=_choose_advertised(settings.peers),
         )
         addresses = Addresses(
             self._callers.read_url(),
@@ -189,7 +190,7 @@
             host=settings.host,
             failure_domain=settings.failure_domain,
             region=settings.region,
-            peer_address=addresses.peers,
+            peer_address=self._peers.address,
             caller_url=addresses.callers,
         )
         return parts.Outside(
@@ -261,6 +262,11 @@
         self._request_stop()
 
 
+def _choose_advertised(peers: settings_module.Peers) -> str:
+    """Return the address that peers are told, empty for the bound one."""
+    return f'tcp://{peers.advertise}' if peers.advertise else ''
+
+
 def _log_end(task: asyncio.Task[typing.Any]) -> None:
     """Log a loop that ended by an error.
 
--- a/src/thornspool/settings.py
+++ b/src/thornspool/settings.py
@@ -71,10 +71,21 @@
 
 @attrs.frozen
 class Peers:
-    """Interface of other entries."""
+    """Interface of other entries.
+
+    Attributes
+    ----------
+    listen : str
+        ``ip:port`` that is bound.
+    seeds : tuple of str
+        Peer addresses to join through.
+    advertise : str
+        ``ip:port`` that other entries are told; the bound one if empty.
+    """
 
     listen: str
     seeds: tuple[str, ...] = ()
+    advertise: str = ''
 
 
 @attrs.frozen
--- a/tests/adapters/peers/test_node.py
+++ b/tests/adapters/peers/test_node.py
@@ -9,10 +9,12 @@
 import pynng
 
 from tests.adapters.peers import builders
+from thornspool import clock
 from thornspool.adapters.peers import exceptions
 from thornspool.adapters.peers import frames
 from thornspool.adapters.peers import links
 from thornspool.adapters.peers import node
+from thornspool.adapters.peers import registry
 from thornspool.application import exceptions as application_exceptions
 
 PATIENCE_MS = 5000
@@ -108,6 +110,30 @@
         self.replier.handle(builders.Question, ignore)
         self.assertIsNone(await self.ask(1))
 
+    async def test_replies_go_to_the_advertised_address(self) -> None:
+        """A host behind address translation has an address of its own.
+
+        Replies sent to the one that it bound would reach nobody.
+        """
+        public = await self.start('public')
+        hidden = node.PeerNode(
+            clock.Clock(),
+            'hidden',
+            builders.LOOPBACK,
+            (builders.Answer,),
+            registry.Registry(),
+            advertised_address=public.address,
+        )
+        bound = await hidden.start()
+        self.addAsyncCleanup(hidden.stop)
+        self.assertEqual(public.address, hidden.address)
+        self.assertNotEqual(public.address, bound)
+        with self.assertRaises(application_exceptions.PeerUnreachable):
+            await hidden.ask(
+                self.replier.address, builders.Question(1), SHORT_MS
+            )
+        self.assertEqual(1, public.traffic.dropped['late reply'])
+
     async def test_failures_reach_the_asker_at_once(self) -> None:
         """The peer cannot answer, and says so instead of staying silent.
 
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -36,6 +36,7 @@
     ('platform.kind', 'etcd', '$.platform.kind', 'is not one of'),
     ('platform', {'kind': 'http'}, '$.platform', "'url' is a required"),
     ('peers.seeds', ['10.0.0.1'], '$.peers.seeds[0]', 'does not match'),
+    ('peers.advertise', '10.0.0.1:0', '$.peers.advertise', 'does not match'),
     ('log_level', 'loud', '$.log_level', 'is not one of'),
 )
 
