--- a/tests/processes/deployment.py
+++ b/tests/processes/deployment.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import collections
 import concurrent.futures
 import json
 import random
@@ -23,6 +24,7 @@
 if typing.TYPE_CHECKING:
     from collections.abc import Awaitable
     from collections.abc import Callable
+    from collections.abc import Sequence
 
 WORKSPACE = 'slots'
 SERVICE = 'booking'
@@ -112,12 +114,18 @@
         key: str = answer.read_json()['key']
         return key
 
-    async def act_until_done(self, key: str, **options: typing.Any) -> Reply:
+    async def act_until_done(
+        self,
+        key: str,
+        through: Sequence[int] = (),
+        **options: typing.Any,
+    ) -> Reply:
         """Send a key again and again, by turns, until it is answered."""
         replies: list[Reply] = []
+        entries = through or range(len(self.entries))
 
         async def is_done() -> bool:
-            entry = len(replies) % len(self.entries)
+            entry = entries[len(replies) % len(entries)]
             replies.append(
                 await self.act(entry, key, resent=bool(replies), **options)
             )
@@ -142,8 +150,15 @@
 
     async def count_executions(self, key: str) -> int:
         """Add up how often the services executed a key."""
+        return (await self.read_executions())[key]
+
+    async def read_executions(self) -> collections.Counter[str]:
+        """Add up how often the services executed each key."""
         counts = [await _read(one, '/control/counts') for one in self.services]
-        return sum(one['executions'].get(key, 0) for one in counts)
+        found: collections.Counter[str] = collections.Counter()
+        for one in counts:
+            found.update(one['executions'])
+        return found
 
     async def count_calls(self) -> int:
         """Add up all calls that reached the services."""
@@ -367,7 +382,9 @@
 
 
 async def wait_until(
-    condition: Callable[[], Awaitable[bool]], what: str
+    condition: Callable[[], Awaitable[bool]],
+    what: str,
+    wait_s: float = WAIT_S,
 ) -> None:
     """Poll a condition.
 
@@ -377,7 +394,7 @@
         When it does not hold in time.
     """
     try:
-        async with asyncio.timeout(WAIT_S):
+        async with asyncio.timeout(wait_s):
             while not await condition():
                 await asyncio.sleep(POLL_S)
     except TimeoutError:
