--- a/standins/service.py
+++ b/standins/service.py
@@ -9,7 +9,9 @@
 import argparse
 import asyncio
 import collections
+import contextlib
 import os
+import typing
 
 import attrs
 import msgspec
@@ -34,6 +36,8 @@
         The next calls are not executed and their connection is closed.
     slow_ms : int
         Wait before each execution, in milliseconds.
+    workers : int
+        Most executions at once; the others wait. 0 for any number.
     leaving : bool
         Refuse new calls with 409 and say so in the load report.
     deduplicate : bool
@@ -47,6 +51,7 @@
     lose_answers: int = 0
     refuse_connections: int = 0
     slow_ms: int = 0
+    workers: int = 0
     leaving: bool = False
     deduplicate: bool = False
     check_fencing: bool = False
@@ -68,6 +73,8 @@
         self.executions: collections.Counter[str] = collections.Counter()
         self.answers: dict[str, bytes] = {}
         self.fencing_tokens: dict[str, int] = {}
+        self.workers: contextlib.AbstractAsyncContextManager[typing.Any]
+        self.workers = contextlib.nullcontext()
         self.running = 0
         self.calls = 0
 
@@ -111,7 +118,8 @@
         state = self.state
         state.running += 1
         try:
-            await asyncio.sleep(state.behaviour.slow_ms / _MS_PER_S)
+            async with state.workers:
+                await asyncio.sleep(state.behaviour.slow_ms / _MS_PER_S)
         finally:
             state.running -= 1
         answer = state.answers.get(key)
@@ -158,9 +166,11 @@
         self.write(msgspec.json.encode(self.state.behaviour))
 
     def post(self) -> None:
-        self.state.behaviour = msgspec.json.decode(
-            self.request.body, type=Behaviour
-        )
+        behaviour = msgspec.json.decode(self.request.body, type=Behaviour)
+        self.state.behaviour = behaviour
+        self.state.workers = contextlib.nullcontext()
+        if behaviour.workers:
+            self.state.workers = asyncio.Semaphore(behaviour.workers)
 
 
 class _CountsHandler(_Handler):
--- a/tests/standins/test_service.py
+++ b/tests/standins/test_service.py
@@ -57,6 +57,20 @@
         self.server.stop()
         await self.server.close_all_connections()
 
+    async def test_calls_past_the_workers_wait(self) -> None:
+        await post(self.behaviour, {'slow_ms': 1, 'workers': 1})
+        await self.state.workers.__aenter__()
+        waiting = [
+            asyncio.create_task(post(self.hold, {}, key)) for key in 'ab'
+        ]
+        async with asyncio.timeout(URL_LINE_TIMEOUT_S):
+            while self.state.running < 2:
+                await asyncio.sleep(0.01)
+        self.assertEqual({}, dict(self.state.executions))
+        await self.state.workers.__aexit__(None, None, None)
+        await asyncio.gather(*waiting)
+        self.assertEqual({'a': 1, 'b': 1}, dict(self.state.executions))
+
     async def test_faults_by_table(self) -> None:
         """A target loses its answer, refuses, leaves or is told to dedupe.
 
