--- a/src/thornspool/application/capacity.py
+++ b/src/thornspool/application/capacity.py
@@ -8,6 +8,7 @@
 import attrs
 
 from thornspool.domain.limits import messages as limit_messages
+from thornspool.domain.pipelines import loads
 from thornspool.domain.targets import messages
 
 if typing.TYPE_CHECKING:
@@ -130,12 +131,12 @@
             for name in dict.fromkeys(names)
             if self._targets.read_readiness(name) is messages.Readiness.READY
         ]
-        loads = {name: self._targets.read_load(name) for name in ready}
+        reports = {name: self._targets.read_load(name) for name in ready}
         known = {
             name: _Report(
-                float(one.max_batch), float(one.waiting), one.step_ms
+                float(one.max_batch), self._weigh_queue(one), one.step_ms
             )
-            for name, one in loads.items()
+            for name, one in reports.items()
             if one is not None
         }
         if not known:
@@ -143,6 +144,14 @@
         mean = _compute_mean(known.values())
         return {name: known.get(name, mean) for name in ready}
 
+    def _weigh_queue(self, report: messages.LoadReport) -> float:
+        """Return the queue of a report, which counts less as it ages.
+
+        An entry hears of a target that it does not poll now and then only;
+        a queue that is long gone would keep its bound down.
+        """
+        return report.waiting * loads.compute_trust(report, self._clock.now())
+
 
 def _compute_pipelines(
     model: documents.Model, reports: dict[str, _Report]
--- a/src/thornspool/domain/limits/concurrency.py
+++ b/src/thornspool/domain/limits/concurrency.py
@@ -32,6 +32,11 @@
 targets count as full."""
 
 _FULL_CUT_MS = 500
+_TRUST_DECREASE = 0.5
+_FIRST_LIMIT = 4.0
+"""Bound to start with where the targets say what they can run; 16, the bound
+without their word, was too much for all entries of small groups."""
+
 _DECREASE = 0.9
 _SMOOTHING = 0.1
 _LEAST_LIMIT = 1
@@ -49,6 +54,8 @@
         Most requests in flight, as far as it was learnt.
     share : float
         Equal part of what the targets can run at once; 0 while unknown.
+    trust : float
+        Part of the share that is taken at its word, 0 to 1.
     is_full : bool
         Whether the targets reported queues.
     in_flight : int
@@ -64,6 +71,7 @@
 
     limit: float = 16.0
     share: float = 0.0
+    trust: float = 1.0
     is_full: bool = False
     in_flight: int = 0
     stretch: float = 1.0
@@ -73,7 +81,8 @@
     @property
     def bound(self) -> int:
         """Most requests in flight that are admitted now."""
-        return max(_LEAST_LIMIT, int(self.limit), int(self.share))
+        least = int(self.share * self.trust)
+        return max(_LEAST_LIMIT, int(self.limit), least)
 
     def hear_capacity(
         self, capacity: messages.Capacity, entries: int, now: int
@@ -93,6 +102,8 @@
         now : int
             Monotonic milliseconds.
         """
+        if self.share == 0.0 and capacity.slots:
+            self.limit = min(self.limit, _FIRST_LIMIT)
         self.share = capacity.slots / entries
         self.is_full = capacity.waiting > FULL_QUEUE * capacity.slots
         over = self.limit > self.share
@@ -165,8 +176,14 @@
             self._cut(now - duration_ms, now)
 
     def note_late(self, started: int, now: int) -> None:
-        """Take in that a target did not answer in time."""
-        self._cut(started, now)
+        """Take in that a target did not answer in time.
+
+        A target may report more than it can run. Were its word taken for
+        ever, all requests would be late; halved with each round of late
+        answers, the equal part soon is what the target can do.
+        """
+        if self._cut(started, now):
+            self.trust *= _TRUST_DECREASE
 
     def _find(self, kind: str) -> paces.WorkPace:
         return self.kinds.setdefault(kind, paces.WorkPace())
@@ -191,14 +208,16 @@
         # though the targets are idle.
         step = 1.0 if self.cut_at == 0 else 1.0 / max(self.limit, 1.0)
         self.limit = min(_LARGEST_LIMIT, self.limit + step)
+        self.trust = min(1.0, self.trust + step / max(self.share, 1.0))
 
-    def _cut(self, started: int, now: int) -> None:
+    def _cut(self, started: int, now: int) -> bool:
         # Requests that started before the last cut tell of the time before
         # it; cutting for each of them would cut one overload many times.
         if started < self.cut_at:
-            return
+            return False
         self.limit = max(float(_LEAST_LIMIT), self.limit * _DECREASE)
         self.cut_at = now
+        return True
 
     def _predict(self, pace: paces.WorkPace, units: int) -> float:
         """Predict the time of a request, in milliseconds.
