Number the kinds that joined since frames carry numbers

Cause: questions about proposals and the news of a platform that is back came in beside the numbers; test_kinds failed on the merge with actions.ProposalQuery and actions.ProposalReport, and could not see outages.PlatformBack, for which an entry listens only before a platform in another process.

Change: numbers 36 to 38, and the test registers that kind too. It failed before the numbers were there, and fails without the last one.

--- a/src/thornspool/adapters/peers/kinds.py
+++ b/src/thornspool/adapters/peers/kinds.py
@@ -44,6 +44,9 @@
     'targets.HostNews': 33,
     'objectives.CountsAsked': 34,
     'objectives.CountsReply': 35,
+    'actions.ProposalQuery': 36,
+    'actions.ProposalReport': 37,
+    'outages.PlatformBack': 38,
 }
 
 RETIRED: frozenset[int] = frozenset()
--- a/tests/adapters/peers/test_kinds.py
+++ b/tests/adapters/peers/test_kinds.py
@@ -18,6 +18,7 @@
 from thornspool.adapters.peers import node
 from thornspool.adapters.peers import registry
 from thornspool.adapters.platform import memory
+from thornspool.application import outages
 
 
 def list_classes() -> set[str]:
@@ -66,6 +67,8 @@
         peers = node.PeerNode(
             now, 'x', builders.LOOPBACK, entry.REPLY_TYPES, registered
         )
+        # An entry listens for it only where its platform is another process.
+        registered.register(outages.PlatformBack)
         made = parts.Parts(
             parts.Outside(
                 now,
