Give simulated members addresses that exist

Cause: members of the bench of gossip were numbered along with its events, so that late joiners got addresses such as 10.1.304.250. Frames pack addresses as numbers now, and the bench ended with an error at the first such join (make capacity).

Change: addresses are the numbers that follow 10.1.0.1.

--- a/tools/bench_membership.py
+++ b/tools/bench_membership.py
@@ -10,6 +10,7 @@
 
 import asyncio
 import heapq
+import ipaddress
 import itertools
 import json
 import random
@@ -39,6 +40,7 @@
 VICTIMS = 5
 VERSIONS = 5
 LIMIT_MS = 60_000
+FIRST_IP_NUMBER = int(ipaddress.ip_address('10.1.0.1'))
 SEED = 20260
 
 
@@ -81,7 +83,8 @@
     def start(self) -> Node:
         """Add a node that knows three others."""
         number = next(self._numbers)
-        address = f'tcp://10.1.{number // 250}.{number % 250 + 1}:7400'
+        ip_number = ipaddress.ip_address(FIRST_IP_NUMBER + number)
+        address = f'tcp://{ip_number}:7400'
         host = f'entry-{number:03}'
         identifier = uuid.UUID(int=self._random.getrandbits(128))
         identity = messages.Identity(
@@ -90,7 +93,7 @@
             f'perth-{number % 7}',
             'perth',
             address,
-            f'http://10.1.{number // 250}.{number % 250 + 1}:8400',
+            f'http://{ip_number}:8400',
         )
         made = machine.Machine(
             identity, self.now, self._random, self._settings
