Don't take a queue of long ago for one of now

Cause: what a group can run and its queues are added up from the last report of each target, however old. Each answer brought reports; now engines are asked seldom, so a target that an entry does not poll could show a queue of minutes ago, and queues over a quarter of what targets can run cut entries down.

Change: a report older than 5 s tells of batch and step, which hardly change; its queue counts as the mean of those that are known, as that of a target that never reported does.

Seen to fail with the mechanism broken: without the look at the age 43 in place of 0 wait; with 0 for what is not known 3 in place of 6.

--- a/src/thornspool/application/capacity.py
+++ b/src/thornspool/application/capacity.py
@@ -18,6 +18,9 @@
     from thornspool.domain.configuration import documents
 
 FRESH_MS = 500
+QUEUE_KNOWN_MS = 5_000
+"""Age up to which a report tells of the queue, and not of the kind alone."""
+
 STEP_WAIT = 0.5
 """Part of a step that a token waits for, on average, where it comes from
 another stage: it arrives while a step runs."""
@@ -125,21 +128,30 @@
         An entry hears of the load of some targets only; the others of the
         group count like the mean of those.
         """
+        now = self._clock.now()
         ready = [
             name
             for name in dict.fromkeys(names)
             if self._targets.read_readiness(name) is messages.Readiness.READY
         ]
         loads = {name: self._targets.read_load(name) for name in ready}
+        told = {name: one for name, one in loads.items() if one is not None}
+        if not told:
+            return {}
+        # Answers bring loads seldom. A queue of minutes ago would have an
+        # entry refuse requests that idle targets wait for.
+        queues = {
+            name: float(one.waiting)
+            for name, one in told.items()
+            if now - one.received_at <= QUEUE_KNOWN_MS
+        }
+        usual = sum(queues.values()) / max(1, len(queues))
         known = {
             name: _Report(
-                float(one.max_batch), float(one.waiting), one.step_ms
+                float(one.max_batch), queues.get(name, usual), one.step_ms
             )
-            for name, one in loads.items()
-            if one is not None
+            for name, one in told.items()
         }
-        if not known:
-            return {}
         mean = _compute_mean(known.values())
         return {name: known.get(name, mean) for name in ready}
 
--- a/tests/application/test_capacity.py
+++ b/tests/application/test_capacity.py
@@ -71,6 +71,7 @@
         )
         self.leaving = ()
         self.reported = {}
+        self.received_at = {}
 
     def read_readiness(self, target):
         if target in self.leaving:
@@ -81,8 +82,9 @@
         if target not in self.reported:
             return None
         batch, waiting = self.reported[target]
+        at = self.received_at.get(target, 0)
         return messages.LoadReport(
-            target, 0, messages.Readiness.READY, 0, waiting, batch
+            target, at, messages.Readiness.READY, 0, waiting, batch
         )
 
     def test_sums(self) -> None:
@@ -97,3 +99,18 @@
                     limits.Capacity(*service), self.reader.read('slots')
                 )
                 self.assertEqual(limits.Capacity(), self.reader.read('nobody'))
+
+    def test_queue_of_long_ago_counts_like_the_queues_that_are_known(
+        self,
+    ) -> None:
+        """A target had a queue when an answer told its load, minutes ago.
+
+        Engines are asked for loads seldom. Were the old queue taken for one
+        of now, entries would refuse callers while the target is idle.
+        """
+        self.reported = {'engine-1': (16, 40), 'engine-2': (4, 3)}
+        self.clock.advance(60_000)
+        self.assertEqual(limits.Capacity(20, 0), self.reader.read('slots'))
+        self.received_at['engine-2'] = self.clock.now()
+        self.clock.advance(capacity.FRESH_MS)
+        self.assertEqual(limits.Capacity(20, 6), self.reader.read('slots'))
