Measure what limits, quarantine and questions cost an entry

Cause: docs/CAPACITY.md listed memory of limits and quarantine and the processor time of reports as not measured; and make capacity ended with an error, since the gossip figures hold one by the name of sockets beside the sizes.

Change: tools/capacity_control.py runs the parts of one entry of 350 with their messages encoded and decoded: memory by active workspace, by holding of an owner and by record, processor time of reporting and answering by line, bytes by line, by frame and by stage. Sizes of gossip are read by name.

--- a/tools/capacity.py
+++ b/tools/capacity.py
@@ -1,7 +1,8 @@
 """Measures the slopes behind docs/CAPACITY.md and prints them as JSON.
 
 Each slope is taken at three sizes or more: in this process (bytes of memory
-by tracemalloc, processor time by ``time.process_time``), of a real entry
+by tracemalloc, processor time by ``time.process_time``), of limits,
+quarantine and questions by ``tools.capacity_control``, of a real entry
 process by ``tools.capacity_processes``, and of simulated gossip by
 ``tools.bench_membership``.
 """
@@ -27,6 +28,7 @@
 from thornspool.domain.pipelines import planner
 from thornspool.domain.targets import messages as target_messages
 from tools import bench_membership
+from tools import capacity_control
 from tools import capacity_processes
 
 SEED = 20261202
@@ -304,12 +306,33 @@
     }
 
 
+def measure_control() -> dict[str, Measured]:
+    """Measure the state of limits and quarantine."""
+    workspaces = capacity_control.WORKSPACE_SIZES
+    fingerprints = capacity_control.RECORD_SIZES
+    return {
+        'limits_memory_by_active_workspace': measure_memory(
+            capacity_control.build_limiter, workspaces
+        ),
+        'limits_memory_by_holding': measure_memory(
+            capacity_control.build_holdings, workspaces
+        ),
+        'quarantine_memory_by_record': measure_memory(
+            capacity_control.build_quarantine, fingerprints
+        ),
+        'quarantine_memory_by_record_of_8_deaths': measure_memory(
+            capacity_control.build_often_dead, fingerprints
+        ),
+    }
+
+
 def fit_gossip(
     gossip: dict[str, dict[str, float]],
 ) -> dict[str, Measured]:
     """Fit what a node spends for each round of gossip, one a second."""
-    sizes = tuple(int(size) for size in gossip)
-    found = gossip.values()
+    # Beside the sizes stands what real sockets take.
+    found = [gossip[str(size)] for size in bench_membership.SIZES]
+    sizes = bench_membership.SIZES
     sent = tuple(one['sent_bytes_per_s'] for one in found)
     processor = tuple(one['cpu_percent'] * MS_PER_PERCENT for one in found)
     return {
@@ -331,11 +354,13 @@
         **measure_ledger(),
         **measure_planning(),
         **measure_state(),
+        **measure_control(),
+    }
+    measured = {
+        **capacity_control.measure_control(),
+        **capacity_processes.measure_processes(),
     }
-    for name, (
-        unit,
-        (sizes, values),
-    ) in capacity_processes.measure_processes().items():
+    for name, (unit, (sizes, values)) in measured.items():
         slopes[name] = fit_slope(unit, sizes, values)
     gossip = bench_membership.measure_membership()
     slopes.update(fit_gossip(gossip))
