--- a/src/thornspool/application/capacity.py
+++ b/src/thornspool/application/capacity.py
@@ -8,7 +8,6 @@
 import attrs
 
 from thornspool.domain.limits import messages as limit_messages
-from thornspool.domain.pipelines import loads
 from thornspool.domain.targets import messages
 
 if typing.TYPE_CHECKING:
@@ -19,6 +18,9 @@
     from thornspool.domain.configuration import documents
 
 FRESH_MS = 500
+QUEUE_KNOWN_MS = 5_000
+"""Age up to which a report tells of the queue, and not of the kind alone."""
+
 STEP_WAIT = 0.5
 """Part of a step that a token waits for, on average, where it comes from
 another stage: it arrives while a step runs."""
@@ -126,32 +128,33 @@
         An entry hears of the load of some targets only; the others of the
         group count like the mean of those.
         """
+        now = self._clock.now()
         ready = [
             name
             for name in dict.fromkeys(names)
             if self._targets.read_readiness(name) is messages.Readiness.READY
         ]
-        reports = {name: self._targets.read_load(name) for name in ready}
+        loads = {name: self._targets.read_load(name) for name in ready}
+        told = {name: one for name, one in loads.items() if one is not None}
+        if not told:
+            return {}
+        # Answers bring loads seldom. A queue of minutes ago would have an
+        # entry refuse requests that idle targets wait for.
+        queues = {
+            name: float(one.waiting)
+            for name, one in told.items()
+            if now - one.received_at <= QUEUE_KNOWN_MS
+        }
+        usual = sum(queues.values()) / max(1, len(queues))
         known = {
             name: _Report(
-                float(one.max_batch), self._weigh_queue(one), one.step_ms
+                float(one.max_batch), queues.get(name, usual), one.step_ms
             )
-            for name, one in reports.items()
-            if one is not None
+            for name, one in told.items()
         }
-        if not known:
-            return {}
         mean = _compute_mean(known.values())
         return {name: known.get(name, mean) for name in ready}
 
-    def _weigh_queue(self, report: messages.LoadReport) -> float:
-        """Return the queue of a report, which counts less as it ages.
-
-        An entry hears of a target that it does not poll now and then only;
-        a queue that is long gone would keep its bound down.
-        """
-        return report.waiting * loads.compute_trust(report, self._clock.now())
-
 
 def _compute_pipelines(
     model: documents.Model, reports: dict[str, _Report]
--- a/tests/application/test_capacity.py
+++ b/tests/application/test_capacity.py
@@ -71,7 +71,7 @@
         )
         self.leaving = ()
         self.reported = {}
-        self.reported_at = 0
+        self.received_at = {}
 
     def read_readiness(self, target):
         if target in self.leaving:
@@ -82,13 +82,9 @@
         if target not in self.reported:
             return None
         batch, waiting = self.reported[target]
+        at = self.received_at.get(target, 0)
         return messages.LoadReport(
-            target,
-            self.reported_at,
-            messages.Readiness.READY,
-            0,
-            waiting,
-            batch,
+            target, at, messages.Readiness.READY, 0, waiting, batch
         )
 
     def test_sums(self) -> None:
@@ -96,7 +92,6 @@
             with self.subTest(reported=reported, leaving=leaving):
                 self.reported, self.leaving = reported, leaving
                 self.clock.advance(capacity.FRESH_MS)
-                self.reported_at = self.clock.now()
                 self.assertEqual(
                     limits.Capacity(*model), self.reader.read('drafter')
                 )
@@ -105,11 +100,17 @@
                 )
                 self.assertEqual(limits.Capacity(), self.reader.read('nobody'))
 
-    def test_old_queues_are_forgotten(self) -> None:
-        """A target that another entry polls had a queue a while ago.
+    def test_queue_of_long_ago_counts_like_the_queues_that_are_known(
+        self,
+    ) -> None:
+        """A target had a queue when an answer told its load, minutes ago.
 
-        Its last report would keep callers away from an idle target.
+        Engines are asked for loads seldom. Were the old queue taken for one
+        of now, entries would refuse callers while the target is idle.
         """
-        self.reported = {'engine-1': (4, 40), 'engine-2': (4, 0)}
-        self.clock.advance(20_000)
-        self.assertLess(self.reader.read('slots').waiting, 1.0)
+        self.reported = {'engine-1': (16, 40), 'engine-2': (4, 3)}
+        self.clock.advance(60_000)
+        self.assertEqual(limits.Capacity(20, 0), self.reader.read('slots'))
+        self.received_at['engine-2'] = self.clock.now()
+        self.clock.advance(capacity.FRESH_MS)
+        self.assertEqual(limits.Capacity(20, 6), self.reader.read('slots'))
