--- a/src/thornspool/application/generation_planning.py
+++ b/src/thornspool/application/generation_planning.py
@@ -13,6 +13,8 @@
 from thornspool.domain.pipelines import links
 from thornspool.domain.pipelines import loads
 from thornspool.domain.pipelines import planner
+from thornspool.domain.pipelines import questions
+from thornspool.domain.pipelines import stage_times
 
 if typing.TYPE_CHECKING:
     from collections.abc import Callable
@@ -25,6 +27,9 @@
 _PER_RANGE = 16
 _PREFILL_MS = 200.0
 _SPREAD = 4.0
+_LOADS_AGE_MS = 10_000
+_HOPS_AGE_MS = 4_000
+_USUAL_LIMITS = questions.Limits()
 
 
 @attrs.frozen
@@ -75,6 +80,8 @@
         Times of links to start from.
     per_range : int
         Candidate engines for each layer range.
+    limits : questions.Limits, optional
+        How often engines are asked to tell loads and times of links.
     """
 
     def __init__(
@@ -85,10 +92,16 @@
         random_source: random.Random,
         link_times: links.LinkTimes | None = None,
         per_range: int = _PER_RANGE,
+        limits: questions.Limits = _USUAL_LIMITS,
     ) -> None:
         self.links = link_times or links.LinkTimes()
         self.affinity = affinity.PrefixAffinity()
         self.own = loads.OwnRequests()
+        self._stage_times = stage_times.StageTimes()
+        self._loads_asking = questions.Asking(
+            _LOADS_AGE_MS, limits.loads_per_s
+        )
+        self._hops_asking = questions.Asking(_HOPS_AGE_MS, limits.hops_per_s)
         self._entry = entry
         self._snapshot = snapshot
         self._targets = targets
@@ -153,14 +166,13 @@
 
     def _price(self, wish: Wish, stage: documents.Stage, now: int) -> float:
         """Price a stage in milliseconds a token."""
-        report = self._targets.read_load(stage.target)
-        time = loads.estimate_time(report, self.own, stage.target, now)
+        estimate = self._estimate(stage.target, now)
         # Entries that read the same old report would all prefer the same
         # stages until the next one, and their queues would grow while
         # others stood idle. The older the report, the more is left to
         # chance.
-        doubt = 1 - loads.compute_trust(report, now)
-        time *= self._random.uniform(1, 1 + _SPREAD * doubt)
+        most = 1 + _SPREAD * estimate.doubt
+        time = estimate.time * self._random.uniform(1, most)
         layers = (stage.first_layer, stage.end_layer)
         warm = self.affinity.read_weight(
             wish.prefix, layers, stage.target, now
@@ -168,6 +180,12 @@
         # A prefix is worked through once, so a long answer weighs it less.
         return time + _PREFILL_MS * (1 - warm) / max(1, wish.tokens)
 
+    def _estimate(self, target: str, now: int) -> stage_times.Estimate:
+        report = self._targets.read_load(target)
+        time = loads.estimate_time(report, self.own, target, now)
+        trust = loads.compute_trust(report, now)
+        return self._stage_times.refine(target, time, trust, now)
+
     def start(self, route: routes.Route) -> None:
         """Count an attempt on its targets."""
         for target in route.list_targets():
@@ -184,6 +202,31 @@
             layers = (stage.first_layer, stage.end_layer)
             self.affinity.note(prefix, layers, stage.target, now)
 
+    def choose_tell(self, route: routes.Route, now: int) -> questions.Tell:
+        """Choose what the engines of a route are asked to tell.
+
+        At the size to design for, loads with each answer and times of links
+        with one token in sixteen were several times all that control may
+        spend.
+        """
+        loads_known = [
+            (target, self._read_reported_at(target))
+            for target in route.list_targets()
+        ]
+        # Nobody times the way back to the first stage.
+        hops_known = [
+            (link, self.links.read_learnt_at(*link))
+            for link in route.list_links()[:-1]
+        ]
+        return questions.Tell(
+            self._loads_asking.ask(loads_known, now),
+            self._hops_asking.ask(hops_known, now),
+        )
+
+    def _read_reported_at(self, target: str) -> int | None:
+        report = self._targets.read_load(target)
+        return None if report is None else report.received_at
+
     def note_hops(
         self, route: routes.Route, hops: list[float], now: int
     ) -> None:
@@ -191,6 +234,18 @@
         for link, time_ms in zip(route.list_links(), hops, strict=False):
             self.links.note_hop(*link, time_ms, now)
 
+    def note_pace(self, route: routes.Route, pace: float, now: int) -> None:
+        """Learn stages from the milliseconds between tokens of a stream."""
+        expected = [
+            (target, self._estimate(target, now).time)
+            for target in route.list_targets()
+        ]
+        between = sum(
+            self.links.read(first, second, now)
+            for first, second in route.list_links()
+        )
+        self._stage_times.note_pace(expected, pace - between, now)
+
     def note_stall(
         self, route: routes.Route, waited_ms: float, now: int
     ) -> None:
--- a/src/thornspool/parts.py
+++ b/src/thornspool/parts.py
@@ -8,10 +8,12 @@
 
 from thornspool.adapters.targets import engines
 from thornspool.adapters.targets import loads
+from thornspool.adapters.targets import probes
 from thornspool.adapters.targets import services
 from thornspool.application import actions
 from thornspool.application import admission
 from thornspool.application import calls
+from thornspool.application import capacity
 from thornspool.application import configuration
 from thornspool.application import directory
 from thornspool.application import drain
@@ -24,7 +26,9 @@
 from thornspool.application import membership
 from thornspool.application import objectives
 from thornspool.application import quarantine
+from thornspool.application import service_trials
 from thornspool.application import targets
+from thornspool.application import timed_services
 from thornspool.domain.retries import budget
 from thornspool.domain.targets import messages as target_messages
 
@@ -131,30 +135,49 @@
         clock, draw = outside.clock, outside.random_source.random
         incarnation = outside.own.incarnation
         self.admission = admission.AdmissionService(
-            snapshot, self.members, incarnation, outside.peers, clock, draw
+            snapshot,
+            self.members,
+            incarnation,
+            outside.peers,
+            clock,
+            draw,
+            capacity.CapacityReader(clock, snapshot, self.targets).read,
         )
         self.quarantine = quarantine.QuarantineService(
             self.members, incarnation, outside.peers, clock, draw
         )
         self.services = services.HttpServices()
+        timed = timed_services.TimedServices(
+            clock,
+            self.services,
+            self.admission.observe,
+            self.admission.note_late,
+        )
+        watched = service_trials.WatchedServices(
+            timed,
+            self.quarantine,
+            probes.is_refusing,
+            self.targets.note_failure,
+        )
         self.engines = engines.CurlEngines()
         self.actions = actions.ActionService(
             clock,
             outside.platform,
             outside.peers,
-            self.services,
+            watched,
             self.members,
             outside.own,
             outside.random_source,
         )
         self.calls = calls.CallService(
             clock,
-            self.services,
+            watched,
             self.targets,
             outside.random_source,
             self._take_retry,
             self._record_success,
             self._note_call_failure,
+            self.quarantine,
         )
         planning = generation_planning.Planning(
             outside.own.host, snapshot, self.targets, outside.random_source
@@ -192,6 +215,7 @@
             lambda listed: directory.list_ready(
                 listed, self.targets, outside.random_source
             ),
+            self.quarantine,
         )
         return intake.Intake(
             outside.clock,
--- a/tests/adapters/targets/test_engines.py
+++ b/tests/adapters/targets/test_engines.py
@@ -5,6 +5,7 @@
 import asyncio
 import json
 import unittest
+from unittest import mock
 
 import attrs
 
@@ -17,6 +18,7 @@
 from thornspool.application import generation_attempts
 from thornspool.application import generation_exceptions
 from thornspool.application import generation_messages
+from thornspool.domain.pipelines import questions
 from thornspool.domain.pipelines import routes
 
 
@@ -66,6 +68,13 @@
         tokens = [frame.token for frame in self.frames[:-1]]
         self.assertEqual(tokens, expected)
         self.assertEqual(self.frames[-1].end, 5)
+
+    async def test_loads_come_only_when_asked_for(self):
+        """Loads with every answer were twice the bytes that control has."""
+        await self.generate()
+        self.assertEqual(self.frames[-1].loads, [])
+        asked = questions.Tell(loads=True, hops=True)
+        await self.generate(attempt=1, tell=asked)
         self.assertEqual(self.frames[-1].loads[0].target, 'a-1')
 
     async def test_attachments_reach_the_engine(self):
@@ -140,6 +149,17 @@
         with self.assertRaises(exceptions.TargetError):
             await self.generate(route=route)
 
+    async def test_endless_answer_is_broken_off(self):
+        """Something at the engine's address sends bytes without an end.
+
+        Read on, it would fill the memory of the entry until it is killed
+        with all its callers' requests.
+        """
+        limit = mock.patch.object(engines, 'MAX_STREAM_BYTES', 1_000)
+        with limit, self.assertRaises(exceptions.TargetAnswerLost):
+            await self.generate(max_tokens=500)
+        self.assertLess(len(self.frames), 20)
+
     async def test_dropping_a_call_closes_its_connection(self):
         """A caller leaves and its call is dropped here.
 
--- a/tests/processes/test_streams.py
+++ b/tests/processes/test_streams.py
@@ -117,7 +117,7 @@
         await self.check_all(prompts, await asked, COUNT)
         self.assertEqual(self.cluster.list_dead(), [killed])
         waits = ('STALLED', 'SLOWED', 'SILENT')
-        self.assertTrue(sum(self.count_reason(one) for one in waits))
+        self.assertTrue(sum(map(self.count_reason, waits)))
 
 
 class StreamTest(StreamCase):
--- a/tools/bench.py
+++ b/tools/bench.py
@@ -14,9 +14,11 @@
 
 from tools import bench_actions
 from tools import bench_control
+from tools import bench_goodput
 from tools import bench_latency
 from tools import bench_load
 from tools import bench_membership
+from tools import bench_pace
 from tools import bench_recovery
 from tools import bench_relay
 from tools import bench_throughput
@@ -53,6 +55,15 @@
     }
 
 
+def run_pace() -> Figures:
+    """Run the measurement of one entry at the pace of the design size."""
+    whole = bench_pace.measure_pace()
+    return {
+        'entry_cpu_percent_pace': whole['entry_cpu_percent'],
+        'pace': whole,
+    }
+
+
 def run_throughput() -> Figures:
     """Run the measurement of throughput against the bound."""
     whole = bench_throughput.measure_throughput()
@@ -86,6 +97,11 @@
     return {'goodput_at_load': whole['goodput_at_load'], 'load': whole}
 
 
+def run_goodput() -> Figures:
+    """Run the measurement of model requests under load."""
+    return {'model_load': bench_goodput.measure_goodput()}
+
+
 def run_recovery() -> Figures:
     """Run the measurement of recovery from kills and outages."""
     return {'recovery_ms': bench_recovery.measure_recovery(RECOVERIES)}
@@ -112,9 +128,11 @@
 RUNS: dict[str, Callable[[], Figures]] = {
     'latency': run_latency,
     'relay': run_relay,
+    'pace': run_pace,
     'throughput': run_throughput,
     'actions': run_actions,
     'load': run_load,
+    'goodput': run_goodput,
     'recovery': run_recovery,
     'configuration': run_configuration,
     'control': run_control,
@@ -127,6 +145,7 @@
         'throughput': list(bench_throughput.SEEDS),
         'load': list(bench_load.SEEDS),
         'actions': list(bench_actions.RATES),
+        'goodput': [bench_goodput.SEED],
         'recovery': [bench_recovery.SEED],
         'membership': [bench_membership.SEED + bench_control.FLEET],
     }
