Crash plain services through entries as processes

Cause: the quarantine of services was proved in virtual time only, where a broken connection is an exception of a fake. The deployment of the process tests takes the names of its services, has a read, and counts executions only at services that still run; the checks of other tests are as before. Conclusion: curl's errors and real refusals give the verdicts that the fakes do.

--- a/tests/processes/deployment.py
+++ b/tests/processes/deployment.py
@@ -30,6 +30,7 @@
 DOMAINS = ('perth-a', 'perth-b', 'perth-c')
 HOLD = 'hold'
 QUICK = 'quick-hold'
+STATUS = 'status'
 TIMEOUTS_MS = {HOLD: 5_000, QUICK: 1_000}
 BODY = b'{"slot": 7}'
 WAIT_S = 15.0
@@ -142,14 +143,22 @@
 
     async def count_executions(self, key: str) -> int:
         """Add up how often the services executed a key."""
-        counts = [await _read(one, '/control/counts') for one in self.services]
+        counts = await self._read_counts()
         return sum(one['executions'].get(key, 0) for one in counts)
 
     async def count_calls(self) -> int:
         """Add up all calls that reached the services."""
-        counts = [await _read(one, '/control/counts') for one in self.services]
+        counts = await self._read_counts()
         return sum(one['calls'] for one in counts)
 
+    async def _read_counts(self) -> list[Document]:
+        """Read what the services that still run have counted."""
+        return [
+            await _read(one, '/control/counts')
+            for one in self.services
+            if one.popen.poll() is None
+        ]
+
     async def count_running(self) -> int:
         """Add up the calls that the services carry out now."""
         loads = [await _read(one, '/v1/load') for one in self.services]
@@ -263,11 +272,15 @@
 class FreshCase(unittest.IsolatedAsyncioTestCase):
     """Tests that each have a deployment of their own."""
 
+    services = SERVICES
+
     async def asyncSetUp(self) -> None:
         opened = processes.open_processes()
         scope = opened.__enter__()
         self.addCleanup(opened.__exit__, None, None, None)
-        self.deployment = await asyncio.to_thread(start_deployment, scope)
+        self.deployment = await asyncio.to_thread(
+            start_deployment, scope, self.services
+        )
         self.version = await prepare(self.deployment)
 
 
@@ -294,14 +307,16 @@
         )
 
 
-def start_deployment(scope: processes.Processes) -> Deployment:
-    """Start a platform, two services and three entries."""
+def start_deployment(
+    scope: processes.Processes, names: tuple[str, ...] = SERVICES
+) -> Deployment:
+    """Start a platform, some services and three entries."""
     with concurrent.futures.ThreadPoolExecutor() as pool:
         platform, *services = pool.map(
             lambda command: scope.start(*command),
             [
                 ('platform', 'standins.platform'),
-                *((n, 'standins.service', '--name', n) for n in SERVICES),
+                *((n, 'standins.service', '--name', n) for n in names),
             ],
         )
         first = _start_entry(scope, platform, 0, '')
@@ -323,7 +338,7 @@
 
 
 def make_documents(deployment: Deployment) -> list[Document]:
-    """Make one workspace with one service of two targets."""
+    """Make one workspace with one service of all targets."""
     targets = [
         {
             'kind': 'target',
@@ -339,11 +354,12 @@
         'kind': 'service',
         'name': SERVICE,
         'workspace': WORKSPACE,
-        'targets': list(SERVICES),
+        'targets': [process.name for process in deployment.services],
         'operations': [
             {'name': name, 'idempotent': False, 'timeout_ms': timeout}
             for name, timeout in TIMEOUTS_MS.items()
-        ],
+        ]
+        + [{'name': STATUS, 'idempotent': True, 'timeout_ms': 5_000}],
     }
     return [make_workspace(WORKSPACE), *targets, service]
 
