Plan the same route for one prompt at every entry and leave it on news

Cause: k entries that got the same crashing prompt at the same moment drew their engines by themselves and lost up to k of them, and one more under the trial. Change: the planner's two stages of a group and the share of chance in their price follow from the fingerprint and the target's name. An entry that hears of a death leaves its own attempts of the same request that are not on trial, with the reason SUSPECTED; they go on as suspects. The fake trials of tests/application/test_generation.py say, as the port asks now, that a start is no trial. Conclusion: two engines for the same prompt at once at today's size; at the design size entries consider different engines, and there it rests on news.

--- a/src/thornspool/application/generation.py
+++ b/src/thornspool/application/generation.py
@@ -76,6 +76,10 @@
             clock, engines, planning, hooks or generation_attempts.Hooks()
         )
 
+    def leave_suspects(self, fingerprints: frozenset[str]) -> None:
+        """Leave what is in flight of requests that a target died under."""
+        self._context.leave_suspects(fingerprints)
+
     async def stream(
         self, request: generation_messages.GenerationRequest
     ) -> AsyncIterator[generation_messages.GenerationEvent]:
@@ -126,6 +130,7 @@
             context.hooks.take_retry,
         )
         self._model = context.planning.find_model(request.model)
+        self._fingerprint = context.hooks.fingerprint(request)
         self._prefix = affinity.compute_prefix(request.prompt)
         self._events: asyncio.Queue[messages.Event] = asyncio.Queue()
         self._commands: collections.deque[messages.Command]
@@ -262,7 +267,7 @@
         try:
             route = await generation_trials.find_route(
                 context.hooks.trials,
-                context.hooks.fingerprint(request),
+                self._fingerprint,
                 lambda busy: self._plan(command, busy),
                 context.clock,
                 request.deadline,
@@ -290,6 +295,7 @@
             self._request.max_tokens - len(self._verifier.tokens),
             command.excluded,
             command.avoided | busy,
+            self._fingerprint,
         )
         return self._context.planning.plan(wish, self._context.clock.now())
 
--- a/src/thornspool/application/generation_attempts.py
+++ b/src/thornspool/application/generation_attempts.py
@@ -110,6 +110,16 @@
         self.hooks = hooks
         self.flights = generation_flights.Flights(hooks.note_death)
         self.background: set[asyncio.Task[None]] = set()
+        self.attempts: set[Attempt] = set()
+
+    def leave_suspects(self, fingerprints: frozenset[str]) -> None:
+        """Leave the attempts of requests under which a target died.
+
+        What is in flight elsewhere of the same request would take the next
+        target with it. It goes on as a suspect, on trial.
+        """
+        for attempt in tuple(self.attempts):
+            attempt.leave_suspect(fingerprints)
 
     def keep(self, task: asyncio.Task[None]) -> None:
         """Hold a task until it ends; the loop alone would drop it."""
@@ -144,6 +154,7 @@
         self._started_at = context.clock.now()
         self._seen_at = -1
         self._task: asyncio.Task[None] | None = None
+        self._on_trial = False
         self._flight = context.flights.start(
             context.hooks.fingerprint(call.request),
             call.route.list_targets(),
@@ -152,11 +163,23 @@
     def start(self) -> None:
         """Send it."""
         for target in self._flight.targets:
-            self._context.hooks.trials.start(self._flight.fingerprint, target)
+            self._on_trial |= self._context.hooks.trials.start(
+                self._flight.fingerprint, target
+            )
+        self._context.attempts.add(self)
         self._context.planning.start(self._route)
         self._task = asyncio.get_running_loop().create_task(self._run())
         self._context.keep(self._task)
 
+    def leave_suspect(self, fingerprints: frozenset[str]) -> None:
+        """End it if it is one of these requests and not on trial."""
+        if self._flight.fingerprint in fingerprints and not self._on_trial:
+            self._tell(
+                messages.StreamClosed(
+                    self._call.attempt, messages.Reason.SUSPECTED
+                )
+            )
+
     def note_tokens(self, now: int) -> None:
         """Learn from verified tokens."""
         planning = self._context.planning
@@ -184,6 +207,7 @@
         Comes after `blame`: a death under a trial has to be told before the
         trial ends, or it would not count as the trial's.
         """
+        self._context.attempts.discard(self)
         self._context.planning.end(self._route)
         self._context.flights.end(self._flight)
         trials, fingerprint = (
--- a/src/thornspool/application/generation_planning.py
+++ b/src/thornspool/application/generation_planning.py
@@ -7,6 +7,7 @@
 
 import attrs
 
+from thornspool.domain.membership import rendezvous
 from thornspool.domain.pipelines import affinity
 from thornspool.domain.pipelines import candidates
 from thornspool.domain.pipelines import exceptions
@@ -41,6 +42,9 @@
         Tokens still to generate.
     excluded, avoided : frozenset of str
         Targets never to use, and to use only if nothing else will do.
+    fingerprint : str
+        Of the request, by which all entries draw the same stages for it;
+        empty for draws at random.
     """
 
     model: documents.Model
@@ -48,6 +52,7 @@
     tokens: int
     excluded: frozenset[str] = frozenset()
     avoided: frozenset[str] = frozenset()
+    fingerprint: str = ''
 
 
 @attrs.frozen
@@ -140,6 +145,13 @@
     ) -> routes.Route:
         targets = self._snapshot().targets
         usable = planner.list_usable(stages, targets, self._targets, left_out)
+        if wish.fingerprint:
+            usable = candidates.draw_stages(
+                wish.fingerprint,
+                usable,
+                targets,
+                lambda layers: self.affinity.find(wish.prefix, layers),
+            )
         costs = planner.Costs(
             stage=lambda stage: self._price(wish, stage, now),
             link=functools.cache(
@@ -160,7 +172,7 @@
         # others stood idle. The older the report, the more is left to
         # chance.
         doubt = 1 - loads.compute_trust(report, now)
-        time *= self._random.uniform(1, 1 + _SPREAD * doubt)
+        time *= 1 + _SPREAD * doubt * self._draw(wish, stage)
         layers = (stage.first_layer, stage.end_layer)
         warm = self.affinity.read_weight(
             wish.prefix, layers, stage.target, now
@@ -168,6 +180,12 @@
         # A prefix is worked through once, so a long answer weighs it less.
         return time + _PREFILL_MS * (1 - warm) / max(1, wish.tokens)
 
+    def _draw(self, wish: Wish, stage: documents.Stage) -> float:
+        """Draw a number from 0 to 1, for a request the same everywhere."""
+        if not wish.fingerprint:
+            return self._random.random()
+        return rendezvous.draw(wish.fingerprint, stage.target)
+
     def start(self, route: routes.Route) -> None:
         """Count an attempt on its targets."""
         for target in route.list_targets():
--- a/src/thornspool/application/quarantine.py
+++ b/src/thornspool/application/quarantine.py
@@ -84,6 +84,7 @@
         self._proven = proven.ProvenRequests()
         self._trials: dict[str, _Trial] = {}
         self.verdicts = collections.Counter(clear=0, suspect=0, condemned=0)
+        self._leave: Callable[[frozenset[str]], None] = lambda _: None
         self._view: tuple[str, ...] = ()
         self._view_changed_at = clock.now()
         peers.handle(messages.QuarantineNews, self._take_news)
@@ -97,6 +98,22 @@
         self.verdicts[type(verdict).__name__.lower()] += 1
         return verdict
 
+    def leave_with(self, leave: Callable[[frozenset[str]], None]) -> None:
+        """Set what is called with requests that came under suspicion."""
+        self._leave = leave
+
+    def _leave_suspects(self, news: messages.QuarantineNews) -> None:
+        now = self._clock.now()
+        suspects = frozenset(
+            told.fingerprint
+            for told in news.records
+            if not isinstance(
+                self._records.check(told.fingerprint, now), messages.Clear
+            )
+        )
+        if suspects:
+            self._leave(suspects)
+
     def is_proven(self, fingerprint: str) -> bool:
         """Say whether a request lately ran to its end from here."""
         return fingerprint in self._proven
@@ -264,6 +281,7 @@
             target, in_flight, on_trial, self._clock.now()
         )
         self._tell_all(news)
+        self._leave_suspects(news)
 
     async def start_up(self) -> None:
         """Ask a few peers for what they know before serving."""
@@ -359,6 +377,7 @@
         self, _sender: str, news: messages.QuarantineNews
     ) -> None:
         self._records.merge(news, self._clock.now())
+        self._leave_suspects(news)
 
     async def _answer_digest(
         self, _sender: str, asked: messages.QuarantineDigest
--- a/src/thornspool/domain/membership/rendezvous.py
+++ b/src/thornspool/domain/membership/rendezvous.py
@@ -14,12 +14,19 @@
 if typing.TYPE_CHECKING:
     from collections.abc import Iterable
 
+_WEIGHTS = 2**64
+
 
 def weigh(key: str, incarnation: str) -> int:
     """Return the weight of a member for a task, 64 bits."""
     return xxhash.xxh3_64_intdigest(f'{key} {incarnation}'.encode())
 
 
+def draw(key: str, incarnation: str) -> float:
+    """Return a number from 0 to 1 that is the same wherever it is drawn."""
+    return weigh(key, incarnation) / _WEIGHTS
+
+
 def choose(
     key: str, incarnations: Iterable[str], count: int
 ) -> tuple[str, ...]:
--- a/src/thornspool/domain/pipelines/messages.py
+++ b/src/thornspool/domain/pipelines/messages.py
@@ -27,6 +27,7 @@
     DEADLINE = 'the deadline of the request has passed'
     NO_RETRY = 'the retry budget is spent'
     NO_PIPELINE = 'no set of ready targets covers the model'
+    SUSPECTED = 'a target died under the same request elsewhere'
     CONDEMNED = 'the request crashed the targets that ran it'
     UNKNOWN_MODEL = 'the model is not in the configuration'
 
--- a/src/thornspool/domain/pipelines/planner.py
+++ b/src/thornspool/domain/pipelines/planner.py
@@ -16,6 +16,7 @@
 
 import attrs
 
+from thornspool.domain.pipelines import candidates
 from thornspool.domain.pipelines import exceptions
 from thornspool.domain.pipelines import routes
 from thornspool.domain.targets import messages
@@ -27,8 +28,6 @@
 
     from thornspool.domain.configuration import documents
 
-_DRAWN = 2
-
 
 @attrs.frozen
 class Costs:
@@ -164,7 +163,7 @@
     costs: Costs,
     random_source: random.Random,
 ) -> _Node:
-    drawn = random_source.sample(stages, min(_DRAWN, len(stages)))
+    drawn = random_source.sample(stages, min(candidates.DRAWN, len(stages)))
     layers = (stages[0].first_layer, stages[0].end_layer)
     favourite = costs.favourite(layers)
     if favourite:
--- a/src/thornspool/parts.py
+++ b/src/thornspool/parts.py
@@ -178,6 +178,7 @@
         self.generation = generation.GenerationService(
             clock, self.engines, planning, hooks
         )
+        self.quarantine.leave_with(self.generation.leave_suspects)
 
     def build_intake(
         self, list_instead: typing.Callable[[], tuple[str, ...]]
--- a/tests/application/crash_builders.py
+++ b/tests/application/crash_builders.py
@@ -20,12 +20,17 @@
 from thornspool.application import directory
 from thornspool.application import exceptions
 from thornspool.application import gates
+from thornspool.application import generation
+from thornspool.application import generation_attempts
+from thornspool.application import generation_messages
+from thornspool.application import generation_planning
 from thornspool.application import intake
 from thornspool.application import ports
 from thornspool.application import quarantine
 from thornspool.application import requests
 from thornspool.application import service_trials
 from thornspool.domain.configuration import documents
+from thornspool.domain.pipelines import frames
 from thornspool.domain.quarantine import fingerprints
 from thornspool.domain.targets import messages
 
@@ -36,6 +41,7 @@
 MARKER = b'crash'
 CRASHER = b'{"note": "crash"}'
 INNOCENT = b'{"note": "fine"}'
+CRASHING_PROMPT = 'crash'
 TIMEOUT_MS = 2_000
 OPERATIONS = (
     documents.Operation('status', True, TIMEOUT_MS),
@@ -90,6 +96,44 @@
         return url in self.dead and not self.unreachable
 
 
+class CrashingEngines:
+    """Engines that work in steps, each with a phase of its own.
+
+    The engine that ends a step of a prompt with the marker ends with it.
+    """
+
+    def __init__(self) -> None:
+        self.step_ms = 49
+        self.dead: list[str] = []
+        self.runs: collections.Counter[str] = collections.Counter()
+        self.random = random.Random(5)
+        self._ends: dict[str, asyncio.Event] = {}
+
+    async def generate(
+        self, call: generation_messages.GenerateCall, deliver: typing.Any
+    ) -> None:
+        """Run an attempt until its first stage dies or the step ends."""
+        first = call.route.stages[0].target
+        if first in self.dead:
+            raise exceptions.TargetNotReached('Connection refused.')
+        self.runs[call.request.prompt] += 1
+        end = self._ends.setdefault(first, asyncio.Event())
+        delay = self.random.uniform(0, self.step_ms)
+        try:
+            await asyncio.wait_for(end.wait(), delay / 1000)
+        except TimeoutError:
+            if call.request.prompt != CRASHING_PROMPT:
+                deliver([_build_end(call)])
+                return
+            if not end.is_set():
+                self.dead.append(first)
+            end.set()
+        raise exceptions.TargetAnswerLost('Connection reset.')
+
+    async def cancel(self, *_: object) -> None:
+        pass
+
+
 class _Targets:
     """Holds every target for ready that did not fail here."""
 
@@ -115,7 +159,7 @@
     intake: intake.Intake
     quarantine: quarantine.QuarantineService
     targets: _Targets
-    actions: actions.ActionService
+    generation: generation.GenerationService
 
 
 class CrashFleet:
@@ -132,6 +176,7 @@
         self.network = fakes.FakeNetwork()
         self.platform = fakes.FakePlatform()
         self.services = CrashingServices()
+        self.engines = CrashingEngines()
         self.seed = 0
         self._tasks: list[asyncio.Future[None]] = []
         names = tuple(f'slots-{number}' for number in range(targets))
@@ -143,6 +188,14 @@
                     'slots', WORKSPACE, names, OPERATIONS
                 )
             },
+            models={
+                'text': documents.Model(
+                    'text',
+                    '1',
+                    8,
+                    tuple(documents.Stage(name, 0, 8) for name in names),
+                )
+            },
             targets={
                 name: application_builders.build_target(name) for name in names
             },
@@ -207,7 +260,43 @@
                 record_outcome=lambda *_: None, record_time=lambda *_: None
             ),
         )
-        return Entry(taking, kept, targets, action_service)
+        return Entry(
+            taking,
+            kept,
+            targets,
+            self._build_generation(member, targets, kept, rng),
+        )
+
+    def _build_generation(
+        self,
+        member: ports.Member,
+        targets: _Targets,
+        kept: quarantine.QuarantineService,
+        rng: random.Random,
+    ) -> generation.GenerationService:
+        planning = generation_planning.Planning(
+            member.host, lambda: self.snapshot, targets, rng
+        )
+        hooks = generation_attempts.Hooks(
+            note_failure=targets.note_failure,
+            note_death=kept.note_death,
+            trials=kept,
+        )
+        service = generation.GenerationService(
+            self.clock, self.engines, planning, hooks
+        )
+        kept.leave_with(service.leave_suspects)
+        return service
+
+    async def ask(
+        self, entry: int, prompt: str
+    ) -> generation_messages.GenerationEvent:
+        """Ask for text and return the last event."""
+        self.seed += 1
+        deadline = self.clock.now() + TIMEOUT_MS
+        request = build_request(f'r{self.seed}', prompt, deadline)
+        stream = self.entries[entry].generation.stream(request)
+        return [event async for event in stream][-1]
 
     def start(self) -> None:
         """Have the entries compare what they know, until the loop ends."""
@@ -243,6 +332,23 @@
         return {type(verdict).__name__ for verdict in found}
 
 
+def build_request(
+    name: str, prompt: str, deadline: int
+) -> generation_messages.GenerationRequest:
+    """Build a request for text."""
+    return generation_messages.GenerationRequest(
+        name, WORKSPACE, 'text', prompt, 0, 0, deadline
+    )
+
+
+def _build_end(call: generation_messages.GenerateCall) -> frames.Frame:
+    return frames.Frame(
+        request=call.request.request_id,
+        attempt=call.attempt,
+        end=0,
+    )
+
+
 def _build_open() -> typing.Any:
     """Build an admission that refuses nothing."""
     return types.SimpleNamespace(
--- a/tests/application/test_generation.py
+++ b/tests/application/test_generation.py
@@ -46,6 +46,7 @@
 
     def start(self, fingerprint, target):
         self.told.append(('start', target))
+        return False
 
     def finish(self, fingerprint, target, succeeded):
         self.told.append(('finish', target, succeeded))
--- a/tests/application/test_generation_trials.py
+++ b/tests/application/test_generation_trials.py
@@ -3,16 +3,21 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 import random
 import unittest
 from unittest import mock
 
 from tests import builders
+from tests.application import crash_builders
 from tests.application import fakes
 from tests.application import fleet
+from thornspool.application import generation_attempts
+from thornspool.application import generation_messages
 from thornspool.application import generation_trials
 from thornspool.application import quarantine
 from thornspool.domain.pipelines import exceptions
+from thornspool.domain.pipelines import messages
 from thornspool.domain.pipelines import routes
 from thornspool.domain.quarantine import records
 
@@ -169,3 +174,86 @@
                 self.clock,
                 self.clock.now() + WAIT_MS,
             )
+
+
+class SendsAtOnceTest(unittest.TestCase):
+    def count_dead(self, entries, times, engines=16, seed=0):
+        """Ask at once through all entries, then in turn."""
+        between, step_ms, latency_ms = times
+        fleet = crash_builders.CrashFleet(entries, engines)
+        fleet.engines.step_ms = step_ms
+        fleet.engines.random.seed(seed)
+        fleet.network.latency_ms = latency_ms
+        prompt = crash_builders.CRASHING_PROMPT
+
+        async def work():
+            fleet.start()
+            asked = []
+            for number in range(entries):
+                asked.append(asyncio.ensure_future(fleet.ask(number, prompt)))
+                await asyncio.sleep(between / 1000)
+            await asyncio.gather(*asked)
+            for number in range(6):
+                await asyncio.sleep(1.5)
+                last = await fleet.ask(number % entries, prompt)
+            self.assertIs(messages.Reason.CONDEMNED, last.reason)
+
+        fakes.run(fleet.clock, work())
+        return len(fleet.engines.dead)
+
+    def test_a_prompt_through_many_entries_costs_two_engines(self) -> None:
+        """A prompt comes through several entries before any can know of it.
+
+        If each planned a route by itself, each would lose an engine. The
+        columns are milliseconds between the sends, of a step of the
+        engines and until news arrive.
+        """
+        table = itertools.product(
+            (2, 3, 9), ((0, 1, 1), (0, 49, 1), (2, 49, 1), (0, 49, 10))
+        )
+        for entries, times in table:
+            with self.subTest(entries=entries, times=times):
+                self.assertLessEqual(self.count_dead(entries, times), 2)
+
+    def test_entries_with_other_engines_stop_on_news(self) -> None:
+        """Entries consider different engines, as they do in a large fleet.
+
+        They choose different ones for the same prompt. News of the first
+        death are there before the other engines end their step.
+        """
+        for seed in range(5):
+            with self.subTest(seed=seed):
+                dead = self.count_dead(9, (0, 49, 1), 96, seed)
+                self.assertLessEqual(dead, 3)
+
+    def test_news_leave_a_trial_and_other_prompts_alone(self) -> None:
+        """News of an earlier death arrive late, while the trial runs.
+
+        Left then, the prompt would never come to its end.
+        """
+        fleet = crash_builders.CrashFleet(entries=2, targets=4)
+        told = records.QuarantineRecords('e').note_death(
+            'slots-0', frozenset({PRINT}), frozenset(), 0
+        )
+
+        async def work():
+            kept = fleet.entries[0].quarantine
+            await kept._take_news('e', told)
+            asked = [
+                asyncio.ensure_future(fleet.ask(0, prompt))
+                for prompt in (HARMLESS, 'other')
+            ]
+            await asyncio.sleep(0.01)
+            await kept._take_news('e', told)
+            return await asyncio.gather(*asked)
+
+        fleet.engines.step_ms = 500
+        for last in fakes.run(fleet.clock, work()):
+            self.assertEqual(generation_messages.Finished(0), last)
+        self.assertEqual({HARMLESS: 1, 'other': 1}, dict(fleet.engines.runs))
+
+
+HARMLESS = 'harmless'
+PRINT = generation_attempts.fingerprint_request(
+    crash_builders.build_request('r', HARMLESS, 0)
+)
