--- a/src/thornspool/application/service_trials.py
+++ b/src/thornspool/application/service_trials.py
@@ -306,6 +306,7 @@
         except exceptions.TargetConnectionBroken:
             # Told before the trial ends, or it would not count as its.
             await self._judge(call)
+            await self._wait_for_news(call)
             raise
         except exceptions.TargetNotReached:
             await self._wait_for_news(call)
@@ -315,13 +316,14 @@
         return answer
 
     async def _wait_for_news(self, call: ports.ServiceCall) -> None:
-        """Wait before a new call that was not reached is sent elsewhere.
+        """Wait before a new call that failed is sent elsewhere.
 
-        The target may have died a moment ago under the same call of
-        another entry, whose news is on its way; sent on at once, the call
-        would cost the next target.
+        The target may have died a moment ago, or be about to, under the
+        same call of another entry, whose news is on its way; sent on at
+        once, the call would cost the next target.
         """
-        if not self._trials.is_proven(call.fingerprint):
+        is_new = not self._trials.is_proven(call.fingerprint)
+        if is_new and self._trials.may_send(call.fingerprint, call.target):
             await asyncio.sleep(NEWS_MS / _MS_PER_S)
 
     def _end(
--- a/tests/application/crash_builders.py
+++ b/tests/application/crash_builders.py
@@ -43,6 +43,7 @@
 INNOCENT = b'{"note": "fine"}'
 CRASHING_PROMPT = 'crash'
 TIMEOUT_MS = 2_000
+FAILED_MS = 500
 OPERATIONS = (
     documents.Operation('status', True, TIMEOUT_MS),
     documents.Operation('hold', False, TIMEOUT_MS),
@@ -66,6 +67,7 @@
         self.dead: list[str] = []
         self.executions: collections.Counter[bytes] = collections.Counter()
         self.reached: collections.Counter[str] = collections.Counter()
+        self.keys: collections.Counter[str] = collections.Counter()
         self._ends: dict[str, asyncio.Event] = {}
 
     async def call(self, call: ports.ServiceCall) -> ports.ServiceAnswer:
@@ -73,6 +75,7 @@
         if call.url in self.dead:
             raise exceptions.TargetNotReached('Connection refused.')
         self.reached[call.url] += 1
+        self.keys[call.key] += 1
         end = self._ends.setdefault(call.url, asyncio.Event())
         if self.breaking:
             self.breaking -= 1
@@ -135,13 +138,21 @@
 
 
 class _Targets:
-    """Holds every target for ready that did not fail here."""
+    """Holds a target that failed here for unreachable until it answers."""
 
-    def __init__(self) -> None:
-        self.failed: set[str] = set()
+    def __init__(
+        self, clock: builders.FakeClock, services: CrashingServices
+    ) -> None:
+        self._clock = clock
+        self._services = services
+        self._failed_at: dict[str, int] = {}
 
     def read_readiness(self, target: str) -> messages.Readiness:
-        failed = target in self.failed
+        failed = target in self._failed_at
+        if failed and f'http://{target}' not in self._services.dead:
+            # The next poll finds that it lives.
+            waited = self._clock.now() - self._failed_at[target]
+            failed = waited < FAILED_MS
         states = messages.Readiness
         return states.UNREACHABLE if failed else states.READY
 
@@ -149,7 +160,7 @@
         return None
 
     def note_failure(self, target: str, reason: typing.Any) -> None:
-        self.failed.add(target)
+        self._failed_at[target] = self._clock.now()
 
 
 @attrs.define
@@ -213,7 +224,7 @@
     ) -> Entry:
         peers = fakes.FakePeers(self.network, member)
         rng = random.Random(member.incarnation)
-        targets = _Targets()
+        targets = _Targets(self.clock, self.services)
         kept = quarantine.QuarantineService(
             view, member.incarnation, peers, self.clock, rng.random
         )
--- a/tests/application/test_service_trials.py
+++ b/tests/application/test_service_trials.py
@@ -105,6 +105,17 @@
                 fakes.run(fleet.clock, work())
                 self.assertEqual(2, len(fleet.services.dead))
 
+    def test_a_lost_answer_just_before_the_death_costs_no_more(self) -> None:
+        """One of two reads at once loses its answer, the other its target.
+
+        The first is sent on to another target. It must not arrive there
+        before the news of what the second one did.
+        """
+        fleet = crash_builders.CrashFleet(entries=2)
+        fleet.services.breaking = 1
+        fakes.run(fleet.clock, self.send_at_once(fleet, 'status', 0))
+        self.assertEqual(2, len(fleet.services.dead))
+
     async def send_at_once(self, fleet, operation, between):
         sent = []
         for number, _ in enumerate(fleet.entries):
