Search full records of the quarantine once for all that come together

Cause: once 4,096 requests are known, each request of a death or of news looked through all of them for expired ones before the oldest was dropped; the loop stood still for that long. Ruled out: a lower bound of records, which forgets suspects. Change: room is made after all requests of a death or of one message are in. Seen to fail, room made for each request: test_full_records_are_searched_once_for_all_that_came '1 != 50'. Conclusion: a long queue that dies no longer holds up the streams.

--- a/src/thornspool/domain/quarantine/records.py
+++ b/src/thornspool/domain/quarantine/records.py
@@ -94,7 +94,8 @@
                 name in on_trial,
                 now,
             )
-            self._merge(name, _Record((death,)), now)
+            self._merge(name, _Record((death,)))
+        self._make_room(now)
         return self._describe(sorted(in_flight), now)
 
     def note_finish(
@@ -146,7 +147,8 @@
                 for one in told.deaths
             )
             cleared_at = _subtract(now, told.cleared_age_ms)
-            self._merge(told.fingerprint, _Record(deaths, cleared_at), now)
+            self._merge(told.fingerprint, _Record(deaths, cleared_at))
+        self._make_room(now)
 
     def describe_latest(self, now: int, most: int) -> messages.QuarantineNews:
         """Return the latest of the records that are still in force."""
@@ -207,7 +209,7 @@
                 return True
         return False
 
-    def _merge(self, fingerprint: str, new: _Record, now: int) -> None:
+    def _merge(self, fingerprint: str, new: _Record) -> None:
         old = self._pop(fingerprint)
         known = {(one.reporter, one.sequence): one for one in new.deaths}
         known.update({(one.reporter, one.sequence): one for one in old.deaths})
@@ -215,6 +217,13 @@
         cleared_at = _take_later(old.cleared_at, new.cleared_at)
         self._records[fingerprint] = _Record(tuple(deaths), cleared_at)
         self._index.add(fingerprint, deaths)
+
+    def _make_room(self, now: int) -> None:
+        """Drop what is past the bound, once for all that came together.
+
+        Looking for expired records takes milliseconds. Done for each
+        request of a long queue that died, it held up every stream.
+        """
         if len(self._records) > MAX_RECORDS:
             self._drop_expired(now)
         while len(self._records) > MAX_RECORDS:
--- a/tests/application/test_quarantine.py
+++ b/tests/application/test_quarantine.py
@@ -228,6 +228,26 @@
         self.assertEqual(records.MAX_RECORDS, len(told.records))
         self.assertIsInstance(known.check('bad', now), messages.Condemned)
 
+    def test_full_records_are_searched_once_for_all_that_came(self) -> None:
+        """A target dies with a long queue while the records are full.
+
+        Searched for each request of it, they hold up every stream of the
+        entry for most of a second.
+        """
+        known = records.QuarantineRecords('e')
+        names = frozenset(f'a{one}' for one in range(records.MAX_RECORDS))
+        known.note_death('t', names, frozenset(), 0)
+        other = records.QuarantineRecords('o')
+        queue = frozenset(f'b{one}' for one in range(50))
+        news = other.note_death('u', queue, frozenset(), 1)
+        with mock.patch.object(
+            known, '_drop_expired', wraps=known._drop_expired
+        ) as search:
+            known.merge(news, 1)
+        self.assertEqual(1, search.call_count)
+        self.assertEqual(records.MAX_RECORDS, known.count)
+        self.assertIsInstance(known.check('b0', 1), messages.Suspect)
+
     def test_fingerprint_keeps_parts_apart(self) -> None:
         compute = fingerprints.compute_fingerprint
         self.assertEqual(compute('w', 'm', b'x'), compute('w', 'm', b'x'))
