--- a/src/thornspool/application/calls.py
+++ b/src/thornspool/application/calls.py
@@ -17,6 +17,7 @@
 if typing.TYPE_CHECKING:
     from collections.abc import Callable
     from collections.abc import Iterator
+    from collections.abc import Sequence
     import random
 
     from thornspool import clock
@@ -27,6 +28,9 @@
 MARGIN = 2
 """Calls that a new call's first target may have more than its second."""
 
+SLOTS_AHEAD = 0.25
+"""The same as a part of what targets say that they run at once."""
+
 RETRY_AFTER_MS = 1000
 
 logger = structlog.get_logger()
@@ -202,9 +206,23 @@
         if len(drawn) < 2 or (is_new and self._asked[fingerprint]):
             return next(iter(drawn), None)
         first, second = (self._in_flight[one.name] for one in drawn)
-        margin = MARGIN if is_new else 0
+        margin = self._read_margin(ready) if is_new else 0.0
         return drawn[0] if first <= second + margin else drawn[1]
 
+    def _read_margin(self, ready: Sequence[documents.Target]) -> float:
+        """Return by how many calls a target may be ahead of another.
+
+        A few calls more make no queue at targets that say that they run
+        many at once. Gone past for them, a call that crashes targets would
+        cost one more. An entry polls some of the targets only; the others
+        count like the mean of those.
+        """
+        reports = [self._targets.read_load(one.name) for one in ready]
+        slots = [one.max_batch for one in reports if one is not None]
+        if not slots:
+            return MARGIN
+        return max(MARGIN, SLOTS_AHEAD * sum(slots) / len(slots))
+
     async def _send(
         self,
         target: documents.Target,
--- a/src/thornspool/application/generation_planning.py
+++ b/src/thornspool/application/generation_planning.py
@@ -7,6 +7,7 @@
 
 import attrs
 
+from thornspool.domain.membership import rendezvous
 from thornspool.domain.pipelines import affinity
 from thornspool.domain.pipelines import candidates
 from thornspool.domain.pipelines import exceptions
@@ -46,6 +47,9 @@
         Tokens still to generate.
     excluded, avoided : frozenset of str
         Targets never to use, and to use only if nothing else will do.
+    fingerprint : str
+        Of the request, by which all entries draw the same stages for it;
+        empty for draws at random.
     """
 
     model: documents.Model
@@ -53,6 +57,7 @@
     tokens: int
     excluded: frozenset[str] = frozenset()
     avoided: frozenset[str] = frozenset()
+    fingerprint: str = ''
 
 
 @attrs.frozen
@@ -153,6 +158,13 @@
     ) -> routes.Route:
         targets = self._snapshot().targets
         usable = planner.list_usable(stages, targets, self._targets, left_out)
+        if wish.fingerprint:
+            usable = candidates.draw_stages(
+                wish.fingerprint,
+                usable,
+                targets,
+                lambda layers: self.affinity.find(wish.prefix, layers),
+            )
         costs = planner.Costs(
             stage=lambda stage: self._price(wish, stage, now),
             link=functools.cache(
@@ -171,8 +183,8 @@
         # stages until the next one, and their queues would grow while
         # others stood idle. The older the report, the more is left to
         # chance.
-        most = 1 + _SPREAD * estimate.doubt
-        time = estimate.time * self._random.uniform(1, most)
+        doubt = _SPREAD * estimate.doubt
+        time = estimate.time * (1 + doubt * self._draw(wish, stage))
         layers = (stage.first_layer, stage.end_layer)
         warm = self.affinity.read_weight(
             wish.prefix, layers, stage.target, now
@@ -186,6 +198,12 @@
         trust = loads.compute_trust(report, now)
         return self._stage_times.refine(target, time, trust, now)
 
+    def _draw(self, wish: Wish, stage: documents.Stage) -> float:
+        """Draw a number from 0 to 1, for a request the same everywhere."""
+        if not wish.fingerprint:
+            return self._random.random()
+        return rendezvous.draw(wish.fingerprint, stage.target)
+
     def start(self, route: routes.Route) -> None:
         """Count an attempt on its targets."""
         for target in route.list_targets():
--- a/tests/application/crash_builders.py
+++ b/tests/application/crash_builders.py
@@ -20,12 +20,17 @@
 from thornspool.application import directory
 from thornspool.application import exceptions
 from thornspool.application import gates
+from thornspool.application import generation
+from thornspool.application import generation_attempts
+from thornspool.application import generation_messages
+from thornspool.application import generation_planning
 from thornspool.application import intake
 from thornspool.application import ports
 from thornspool.application import quarantine
 from thornspool.application import requests
 from thornspool.application import service_trials
 from thornspool.domain.configuration import documents
+from thornspool.domain.pipelines import frames
 from thornspool.domain.quarantine import fingerprints
 from thornspool.domain.targets import messages
 
@@ -36,7 +41,9 @@
 MARKER = b'crash'
 CRASHER = b'{"note": "crash"}'
 INNOCENT = b'{"note": "fine"}'
+CRASHING_PROMPT = 'crash'
 TIMEOUT_MS = 2_000
+FAILED_MS = 500
 OPERATIONS = (
     documents.Operation('status', True, TIMEOUT_MS),
     documents.Operation('hold', False, TIMEOUT_MS),
@@ -60,6 +67,7 @@
         self.dead: list[str] = []
         self.executions: collections.Counter[bytes] = collections.Counter()
         self.reached: collections.Counter[str] = collections.Counter()
+        self.keys: collections.Counter[str] = collections.Counter()
         self._ends: dict[str, asyncio.Event] = {}
 
     async def call(self, call: ports.ServiceCall) -> ports.ServiceAnswer:
@@ -67,6 +75,7 @@
         if call.url in self.dead:
             raise exceptions.TargetNotReached('Connection refused.')
         self.reached[call.url] += 1
+        self.keys[call.key] += 1
         end = self._ends.setdefault(call.url, asyncio.Event())
         if self.breaking:
             self.breaking -= 1
@@ -90,14 +99,60 @@
         return url in self.dead and not self.unreachable
 
 
-class _Targets:
-    """Holds every target for ready that did not fail here."""
+class CrashingEngines:
+    """Engines that work in steps, each with a phase of its own.
+
+    The engine that ends a step of a prompt with the marker ends with it.
+    """
 
     def __init__(self) -> None:
-        self.failed: set[str] = set()
+        self.step_ms = 49
+        self.dead: list[str] = []
+        self.runs: collections.Counter[str] = collections.Counter()
+        self.random = random.Random(5)
+        self._ends: dict[str, asyncio.Event] = {}
+
+    async def generate(
+        self, call: generation_messages.GenerateCall, deliver: typing.Any
+    ) -> None:
+        """Run an attempt until its first stage dies or the step ends."""
+        first = call.route.stages[0].target
+        if first in self.dead:
+            raise exceptions.TargetNotReached('Connection refused.')
+        self.runs[call.request.prompt] += 1
+        end = self._ends.setdefault(first, asyncio.Event())
+        delay = self.random.uniform(0, self.step_ms)
+        try:
+            await asyncio.wait_for(end.wait(), delay / 1000)
+        except TimeoutError:
+            if call.request.prompt != CRASHING_PROMPT:
+                deliver([_build_end(call)])
+                return
+            if not end.is_set():
+                self.dead.append(first)
+            end.set()
+        raise exceptions.TargetAnswerLost('Connection reset.')
+
+    async def cancel(self, *_: object) -> None:
+        pass
+
+
+class _Targets:
+    """Holds a target that failed here for unreachable until it answers."""
+
+    def __init__(
+        self, clock: builders.FakeClock, services: CrashingServices
+    ) -> None:
+        self._clock = clock
+        self._services = services
+        self._failed_at: dict[str, int] = {}
 
     def read_readiness(self, target: str) -> messages.Readiness:
-        failed = target in self.failed
+        failed = target in self._failed_at
+        if failed and f'http://{target}' not in self._services.dead:
+            # The next poll finds that it lives.
+            waited = self._clock.now() - self._failed_at[target]
+            failed = waited < FAILED_MS
         states = messages.Readiness
         return states.UNREACHABLE if failed else states.READY
 
@@ -105,7 +160,7 @@
         return None
 
     def note_failure(self, target: str, reason: typing.Any) -> None:
-        self.failed.add(target)
+        self._failed_at[target] = self._clock.now()
 
 
 @attrs.define
@@ -115,7 +170,7 @@
     intake: intake.Intake
     quarantine: quarantine.QuarantineService
     targets: _Targets
-    actions: actions.ActionService
+    generation: generation.GenerationService
 
 
 class CrashFleet:
@@ -132,6 +187,7 @@
         self.network = fakes.FakeNetwork()
         self.platform = fakes.FakePlatform()
         self.services = CrashingServices()
+        self.engines = CrashingEngines()
         self.seed = 0
         self._tasks: list[asyncio.Future[None]] = []
         names = tuple(f'slots-{number}' for number in range(targets))
@@ -143,6 +199,14 @@
                     'slots', WORKSPACE, names, OPERATIONS
                 )
             },
+            models={
+                'text': documents.Model(
+                    'text',
+                    '1',
+                    8,
+                    tuple(documents.Stage(name, 0, 8) for name in names),
+                )
+            },
             targets={
                 name: application_builders.build_target(name) for name in names
             },
@@ -160,7 +224,7 @@
     ) -> Entry:
         peers = fakes.FakePeers(self.network, member)
         rng = random.Random(member.incarnation)
-        targets = _Targets()
+        targets = _Targets(self.clock, self.services)
         kept = quarantine.QuarantineService(
             view, member.incarnation, peers, self.clock, rng.random
         )
@@ -207,7 +271,43 @@
                 record_outcome=lambda *_: None, record_time=lambda *_: None
             ),
         )
-        return Entry(taking, kept, targets, action_service)
+        return Entry(
+            taking,
+            kept,
+            targets,
+            self._build_generation(member, targets, kept, rng),
+        )
+
+    def _build_generation(
+        self,
+        member: ports.Member,
+        targets: _Targets,
+        kept: quarantine.QuarantineService,
+        rng: random.Random,
+    ) -> generation.GenerationService:
+        planning = generation_planning.Planning(
+            member.host, lambda: self.snapshot, targets, rng
+        )
+        hooks = generation_attempts.Hooks(
+            note_failure=targets.note_failure,
+            note_death=kept.note_death,
+            trials=kept,
+        )
+        service = generation.GenerationService(
+            self.clock, self.engines, planning, hooks
+        )
+        kept.leave_with(service.leave_suspects)
+        return service
+
+    async def ask(
+        self, entry: int, prompt: str
+    ) -> generation_messages.GenerationEvent:
+        """Ask for text and return the last event."""
+        self.seed += 1
+        deadline = self.clock.now() + TIMEOUT_MS
+        request = build_request(f'r{self.seed}', prompt, deadline)
+        stream = self.entries[entry].generation.stream(request)
+        return [event async for event in stream][-1]
 
     def start(self) -> None:
         """Have the entries compare what they know, until the loop ends."""
@@ -243,6 +343,23 @@
         return {type(verdict).__name__ for verdict in found}
 
 
+def build_request(
+    name: str, prompt: str, deadline: int
+) -> generation_messages.GenerationRequest:
+    """Build a request for text."""
+    return generation_messages.GenerationRequest(
+        name, WORKSPACE, 'text', prompt, 0, 0, deadline
+    )
+
+
+def _build_end(call: generation_messages.GenerateCall) -> frames.Frame:
+    return frames.Frame(
+        request=call.request.request_id,
+        attempt=call.attempt,
+        end=0,
+    )
+
+
 def _build_open() -> typing.Any:
     """Build an admission that refuses nothing."""
     return types.SimpleNamespace(
--- a/tests/processes/deployment.py
+++ b/tests/processes/deployment.py
@@ -32,6 +32,7 @@
 DOMAINS = ('perth-a', 'perth-b', 'perth-c')
 HOLD = 'hold'
 QUICK = 'quick-hold'
+STATUS = 'status'
 TIMEOUTS_MS = {HOLD: 5_000, QUICK: 1_000}
 BODY = b'{"slot": 7}'
 WAIT_S = 15.0
@@ -154,17 +155,24 @@
 
     async def read_executions(self) -> collections.Counter[str]:
         """Add up how often the services executed each key."""
-        counts = [await _read(one, '/control/counts') for one in self.services]
         found: collections.Counter[str] = collections.Counter()
-        for one in counts:
+        for one in await self._read_counts():
             found.update(one['executions'])
         return found
 
     async def count_calls(self) -> int:
         """Add up all calls that reached the services."""
-        counts = [await _read(one, '/control/counts') for one in self.services]
+        counts = await self._read_counts()
         return sum(one['calls'] for one in counts)
 
+    async def _read_counts(self) -> list[Document]:
+        """Read what the services that still run have counted."""
+        return [
+            await _read(one, '/control/counts')
+            for one in self.services
+            if one.popen.poll() is None
+        ]
+
     async def count_running(self) -> int:
         """Add up the calls that the services carry out now."""
         loads = [await _read(one, '/v1/load') for one in self.services]
@@ -278,11 +286,15 @@
 class FreshCase(unittest.IsolatedAsyncioTestCase):
     """Tests that each have a deployment of their own."""
 
+    services = SERVICES
+
     async def asyncSetUp(self) -> None:
         opened = processes.open_processes()
         scope = opened.__enter__()
         self.addCleanup(opened.__exit__, None, None, None)
-        self.deployment = await asyncio.to_thread(start_deployment, scope)
+        self.deployment = await asyncio.to_thread(
+            start_deployment, scope, self.services
+        )
         self.version = await prepare(self.deployment)
 
 
@@ -309,14 +321,16 @@
         )
 
 
-def start_deployment(scope: processes.Processes) -> Deployment:
-    """Start a platform, two services and three entries."""
+def start_deployment(
+    scope: processes.Processes, names: tuple[str, ...] = SERVICES
+) -> Deployment:
+    """Start a platform, some services and three entries."""
     with concurrent.futures.ThreadPoolExecutor() as pool:
         platform, *services = pool.map(
             lambda command: scope.start(*command),
             [
                 ('platform', 'standins.platform'),
-                *((n, 'standins.service', '--name', n) for n in SERVICES),
+                *((n, 'standins.service', '--name', n) for n in names),
             ],
         )
         first = _start_entry(scope, platform, 0, '')
@@ -338,7 +352,7 @@
 
 
 def make_documents(deployment: Deployment) -> list[Document]:
-    """Make one workspace with one service of two targets."""
+    """Make one workspace with one service of all targets."""
     targets = [
         {
             'kind': 'target',
@@ -354,11 +368,12 @@
         'kind': 'service',
         'name': SERVICE,
         'workspace': WORKSPACE,
-        'targets': list(SERVICES),
+        'targets': [process.name for process in deployment.services],
         'operations': [
             {'name': name, 'idempotent': False, 'timeout_ms': timeout}
             for name, timeout in TIMEOUTS_MS.items()
-        ],
+        ]
+        + [{'name': STATUS, 'idempotent': True, 'timeout_ms': 5_000}],
     }
     return [make_workspace(WORKSPACE), *targets, service]
 
