Have few entries ask for loads more often than many

Cause: admission counts the queues that targets told.

Ruled out: one answer a second at every size, 407 bytes, which is over the budget of 350 entries.

Change: 87.5 answers a second over all entries, 0.25 at least and 2 at most for one, and what is older than 2 s is asked for; a small fleet spends less of its bytes on limits and configuration.

--- a/src/thornspool/application/generation_planning.py
+++ b/src/thornspool/application/generation_planning.py
@@ -27,9 +27,8 @@
 _PER_RANGE = 16
 _PREFILL_MS = 200.0
 _SPREAD = 4.0
-_LOADS_AGE_MS = 10_000
+_LOADS_AGE_MS = 2_000
 _HOPS_AGE_MS = 4_000
-_USUAL_LIMITS = questions.Limits()
 
 
 @attrs.frozen
@@ -80,8 +79,8 @@
         Times of links to start from.
     per_range : int
         Candidate engines for each layer range.
-    limits : questions.Limits, optional
-        How often engines are asked to tell loads and times of links.
+    read_limits : callable, optional
+        Returns how often engines are asked to tell loads and times of links.
     """
 
     def __init__(
@@ -92,16 +91,15 @@
         random_source: random.Random,
         link_times: links.LinkTimes | None = None,
         per_range: int = _PER_RANGE,
-        limits: questions.Limits = _USUAL_LIMITS,
+        read_limits: Callable[[], questions.Limits] = questions.Limits,
     ) -> None:
         self.links = link_times or links.LinkTimes()
         self.affinity = affinity.PrefixAffinity()
         self.own = loads.OwnRequests()
         self._stage_times = stage_times.StageTimes()
-        self._loads_asking = questions.Asking(
-            _LOADS_AGE_MS, limits.loads_per_s
-        )
-        self._hops_asking = questions.Asking(_HOPS_AGE_MS, limits.hops_per_s)
+        self._loads_asking = questions.Asking(_LOADS_AGE_MS)
+        self._hops_asking = questions.Asking(_HOPS_AGE_MS)
+        self._read_limits = read_limits
         self._entry = entry
         self._snapshot = snapshot
         self._targets = targets
@@ -218,9 +216,10 @@
             (link, self.links.read_learnt_at(*link))
             for link in route.list_links()[:-1]
         ]
+        limits = self._read_limits()
         return questions.Tell(
-            self._loads_asking.ask(loads_known, now),
-            self._hops_asking.ask(hops_known, now),
+            self._loads_asking.ask(loads_known, limits.loads_per_s, now),
+            self._hops_asking.ask(hops_known, limits.hops_per_s, now),
         )
 
     def _read_reported_at(self, target: str) -> int | None:
--- a/src/thornspool/domain/pipelines/questions.py
+++ b/src/thornspool/domain/pipelines/questions.py
@@ -48,6 +48,21 @@
     hops_per_s: float = 3.0
 
 
+_LOADS_PER_S_OF_ALL = 87.5
+_MOST_LOADS_PER_S = 2.0
+
+
+def compute_limits(entries: int) -> Limits:
+    """Compute how often an entry asks, by the number of entries.
+
+    Admission counts the queues that were told lately. Few entries ask more
+    often, since less of what control may spend goes to limits there.
+    """
+    usual = Limits()
+    loads_per_s = min(_MOST_LOADS_PER_S, _LOADS_PER_S_OF_ALL / max(1, entries))
+    return attrs.evolve(usual, loads_per_s=max(usual.loads_per_s, loads_per_s))
+
+
 class Asking:
     """Decides which answers bring something along.
 
@@ -55,18 +70,18 @@
     ----------
     age_ms : int
         Age from which what is known is asked for again.
-    per_s : float
-        Most answers a second that are asked to bring it.
     """
 
-    def __init__(self, age_ms: int, per_s: float) -> None:
+    def __init__(self, age_ms: int) -> None:
         self._age_ms = age_ms
-        self._interval_ms = _MS_PER_S / per_s
         self._next_at = -math.inf
         self._asked: dict[Hashable, int] = {}
 
     def ask(
-        self, known: Sequence[tuple[Hashable, int | None]], now: int
+        self,
+        known: Sequence[tuple[Hashable, int | None]],
+        per_s: float,
+        now: int,
     ) -> bool:
         """Decide whether an answer is to tell of some subjects.
 
@@ -74,6 +89,8 @@
         ----------
         known : sequence of (hashable, int or None)
             The subjects and when each was heard of last.
+        per_s : float
+            Most answers a second that are asked to bring it.
         now : int
             Monotonic milliseconds.
         """
@@ -81,7 +98,7 @@
             return False
         if not any(self._is_due(*each, now) for each in known):
             return False
-        self._next_at = now + self._interval_ms
+        self._next_at = now + _MS_PER_S / per_s
         self._drop_old(now)
         for subject, _ in known:
             self._asked[subject] = now
--- a/src/thornspool/parts.py
+++ b/src/thornspool/parts.py
@@ -29,6 +29,7 @@
 from thornspool.application import service_trials
 from thornspool.application import targets
 from thornspool.application import timed_services
+from thornspool.domain.pipelines import questions
 from thornspool.domain.retries import budget
 from thornspool.domain.targets import messages as target_messages
 
@@ -180,7 +181,13 @@
             self.quarantine,
         )
         planning = generation_planning.Planning(
-            outside.own.host, snapshot, self.targets, outside.random_source
+            outside.own.host,
+            snapshot,
+            self.targets,
+            outside.random_source,
+            read_limits=lambda: questions.compute_limits(
+                len(self.members.list_members())
+            ),
         )
         hooks = generation_attempts.Hooks(
             take_retry=lambda: self._take_retry('generation'),
--- a/tests/application/test_generation_planning.py
+++ b/tests/application/test_generation_planning.py
@@ -105,7 +105,7 @@
         At the size to design for that was more than control may spend.
         """
         planning = self.build_planning(
-            limits=questions.Limits(loads_per_s=0.5, hops_per_s=2.0)
+            read_limits=lambda: questions.Limits(0.5, 2.0)
         )
         route = builders.build_route('a-1', 'b-1')
         other = builders.build_route('a-3', 'b-3')
@@ -115,9 +115,9 @@
         check(100, other, questions.NOTHING)
         check(500, route, questions.NOTHING)
         check(2_000, other, questions.Tell(loads=True))
-        check(5_000, route, questions.Tell(hops=True))
+        check(5_000, route, questions.Tell(loads=True, hops=True))
         planning.note_hops(route, [1.0], 6_000)
-        check(9_100, other, questions.NOTHING)
+        check(9_100, other, questions.Tell(loads=True))
         for name in ('a-2', 'b-2'):
             self.view.loads[name] = builders.build_load(
                 name, received_at=29_999
--- a/tools/bench_throughput.py
+++ b/tools/bench_throughput.py
@@ -73,7 +73,9 @@
 engines and crosses about one of 6 links between domains.
 """
 
-ASKED_TODAY = Scenario(entries=6, report_ms=0, limits=questions.Limits())
+ASKED_TODAY = Scenario(
+    entries=6, report_ms=0, limits=questions.compute_limits(6)
+)
 
 BuildPolicy = typing.Callable[
     [throughput_world.World, throughput_policies.LaggingView, int],
--- a/tools/throughput_policies.py
+++ b/tools/throughput_policies.py
@@ -82,7 +82,7 @@
             lambda: world.snapshot,
             view,
             random.Random(seed),
-            limits=limits,
+            read_limits=lambda: limits,
         )
         self.choose_tell = self._planning.choose_tell
         self.note_hops = self._planning.note_hops
