--- a/tests/processes/builders.py
+++ b/tests/processes/builders.py
@@ -54,7 +54,7 @@
         seeds = [one.ready['peers'] for one in self.entries]
         return self.scope.start_entry(
             f'perth-{number + 1}',
-            failure_domain=_DOMAINS[number],
+            failure_domain=_DOMAINS[number % len(_DOMAINS)],
             peers={'listen': '127.0.0.1:0', 'seeds': seeds},
             platform={'kind': 'http', 'url': self.platform.ready['url']},
         )
--- a/tests/processes/test_partitions.py
+++ b/tests/processes/test_partitions.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import time
 
 from tests.processes import deployment as deployments
 from tests.processes import partitions
@@ -48,7 +49,9 @@
         await self.check_both_run()
         # Nothing that was sent before the lists parted arrives after this.
         await asyncio.sleep(2 * relays.GIVE_UP_S)
+        began = time.monotonic()
         await self.heal()
+        print(f'lists whole after {time.monotonic() - began:.1f} s')
         await senders.stop()
         await senders.check(self)
         await self.deployment.set_behaviour()
