Let the test of the stand-in's workers see calls that do not wait

Cause: it looked at the executions before calls that do not wait could have ended, so with the bound taken out it still printed '4 passed, 0 failed'. Change: it looks after 200 ms, where an execution takes 1 ms. Seen to fail: with the bound taken out, '{} != {'a': 1, 'b': 1}'. Measured: test_service, '4 passed, 0 failed', three runs. Conclusion: the capacity that the overload test counts on is itself tested.

--- a/tests/standins/test_service.py
+++ b/tests/standins/test_service.py
@@ -65,7 +65,9 @@
         ]
         async with asyncio.timeout(URL_LINE_TIMEOUT_S):
             while self.state.running < 2:
-                await asyncio.sleep(0.01)
+                await asyncio.sleep(0)
+        # Far longer than an execution that does not wait.
+        await asyncio.sleep(0.2)
         self.assertEqual({}, dict(self.state.executions))
         await self.state.workers.__aexit__(None, None, None)
         await asyncio.gather(*waiting)
