Hold trials up only for names that changed their owner

Cause: every owner of trials refused everybody for 5 s after any change of the view. Ruled out: no wait at all (an owner can't know who holds what came to it), and a shorter one (holders differ in their views for seconds). Change: an owner looks at the views of the last 5 s; a name that it owned in all of them is settled. A process that has just started still keeps nothing. The recovery after the loss of a domain was not measured again; what a dead owner kept still waits until it is out of the list and then 5 s.

--- a/src/thornspool/application/intake.py
+++ b/src/thornspool/application/intake.py
@@ -7,19 +7,15 @@
 
 import attrs
 
-from thornspool.application import actions
-from thornspool.application import calls
 from thornspool.application import directory
 from thornspool.application import generation_attempts
 from thornspool.application import generation_messages as generation
 from thornspool.application import observation
+from thornspool.application import operations
 from thornspool.application import requests
 from thornspool.application import service_trials
 from thornspool.application import timed_services
-from thornspool.domain.actions import results
 from thornspool.domain.objectives import burn
-from thornspool.domain.quarantine import fingerprints
-from thornspool.domain.quarantine import messages as quarantine_messages
 
 if typing.TYPE_CHECKING:
     from collections.abc import AsyncIterator
@@ -28,8 +24,11 @@
 
     from thornspool import clock
     from thornspool import metrics
+    from thornspool.application import actions as action_service
+    from thornspool.application import calls as call_service
     from thornspool.application import generation as generation_service
     from thornspool.application import objectives
+    from thornspool.domain.actions import results
     from thornspool.domain.configuration import documents
 
 GENERATION = 'generation'
@@ -37,8 +36,6 @@
 DRAINING_RETRY_MS = 100
 _ISOLATED = 'This entry reaches neither the platform nor any other entry.'
 _DRAINING = 'This entry is leaving; use another one.'
-_RESENT = 'The key was sent before and this entry can not look it up now.'
-_MAY_RUN = frozenset({results.UNKNOWN_NO_RECORD, results.UNKNOWN_UNCHECKED})
 
 
 @attrs.frozen
@@ -118,8 +115,8 @@
         Keeps calls that crash targets from running.
     """
 
-    actions: actions.ActionService
-    calls: calls.CallService
+    actions: action_service.ActionService
+    calls: call_service.CallService
     generation: generation_service.GenerationService
     list_ready: Callable[
         [tuple[documents.Target, ...]], tuple[documents.Target, ...]
@@ -165,6 +162,7 @@
         self._snapshot = snapshot
         self._gates = gates
         self._runners = runners
+        self._operations = operations.OperationRunner(clock, runners)
         self._track = track
         self._metrics = metrics
         self._objectives = objective_service
@@ -199,12 +197,14 @@
         )
         try:
             with self._admit_operation(request, resolved) as run:
-                result = await self._run_operation(request, resolved)
+                result = await self._operations.run(request, resolved)
                 run.result = result
                 return result
         except requests.RequestRefused as refused:
             if request.resent and not resolved.operation.idempotent:
-                return _say_unknown(refused.message, refused.retry_after_ms)
+                return operations.say_unknown(
+                    refused.message, refused.retry_after_ms
+                )
             raise
 
     def mint_key(self, workspace: str) -> str:
@@ -291,78 +291,6 @@
                     run.result = event
                     yield event
 
-    async def _run_operation(
-        self,
-        request: requests.OperationRequest,
-        resolved: directory.ResolvedOperation,
-    ) -> results.ActionResult:
-        """Run an admitted operation in the way that is safe for it."""
-        fingerprint = _fingerprint(request)
-        if resolved.operation.idempotent:
-            called = await self._runners.calls.call(
-                resolved, request.body, fingerprint
-            )
-            return _describe_call(called)
-        deadline = self._clock.now() + resolved.operation.timeout_ms
-
-        def list_ready() -> tuple[documents.Target, ...]:
-            return self._runners.list_ready(resolved.targets)
-
-        if await self._is_settled(request, resolved, fingerprint):
-            return await self._run_action(
-                request, resolved, list_ready(), deadline
-            )
-        try:
-            async with service_trials.hold_targets(
-                self._runners.trials,
-                fingerprint,
-                list_ready,
-                self._clock,
-                deadline,
-            ) as targets:
-                return await self._run_action(
-                    request, resolved, targets, deadline
-                )
-        except service_trials.Refused as refused:
-            if request.resent:
-                return _say_unknown(refused.reason, refused.retry_after_ms)
-            return results.ActionNotRun(refused.reason, refused.retry_after_ms)
-
-    async def _run_action(
-        self,
-        request: requests.OperationRequest,
-        resolved: directory.ResolvedOperation,
-        targets: tuple[documents.Target, ...],
-        deadline: int,
-    ) -> results.ActionResult:
-        usable = attrs.evolve(resolved, targets=targets)
-        return await self._runners.actions.run(
-            build_action(request, usable, deadline)
-        )
-
-    async def _is_settled(
-        self,
-        request: requests.OperationRequest,
-        resolved: directory.ResolvedOperation,
-        fingerprint: str,
-    ) -> bool:
-        """Tell whether a suspect's key has an end that no trial changes.
-
-        Its caller would otherwise wait for targets only to be told what
-        the first call came to. If the key is not settled after all, its
-        call is held back before it is sent.
-        """
-        verdict = self._runners.trials.check(fingerprint)
-        if isinstance(verdict, quarantine_messages.Clear):
-            return False
-        known = await self._runners.actions.look_up(
-            request.workspace, request.key
-        )
-        if not isinstance(known, results.ActionUnknown):
-            return True
-        may_run = known.reason in _MAY_RUN or resolved.operation.deduplicates
-        return not may_run
-
     @contextlib.contextmanager
     def _admit_operation(
         self,
@@ -373,7 +301,7 @@
         work = Work(
             request.workspace,
             request.service,
-            _fingerprint(request),
+            operations.fingerprint_operation(request),
             self._clock.now() + resolved.operation.timeout_ms,
             0,
             timed_services.name_kind(request.service, request.operation),
@@ -434,61 +362,3 @@
             self._objectives.record_time(
                 work.workspace, work.group, burn.Indicator.LATENCY, duration
             )
-
-
-def build_action(
-    request: requests.OperationRequest,
-    resolved: directory.ResolvedOperation,
-    deadline: int,
-) -> actions.ActionRequest:
-    """Build the request of an action from that of a caller.
-
-    Parameters
-    ----------
-    request : requests.OperationRequest
-        What the caller sent.
-    resolved : directory.ResolvedOperation
-        What the configuration says of it.
-    deadline : int
-        Monotonic milliseconds after which nothing is sent.
-    """
-    return actions.ActionRequest(
-        workspace=request.workspace,
-        service=request.service,
-        operation=request.operation,
-        key=request.key,
-        body=request.body,
-        deadline=deadline,
-        targets=resolved.targets,
-        deduplicates=resolved.operation.deduplicates,
-        timeout_ms=resolved.operation.timeout_ms,
-        resent=request.resent,
-        fingerprint=_fingerprint(request),
-    )
-
-
-def _fingerprint(request: requests.OperationRequest) -> str:
-    return fingerprints.fingerprint_call(
-        request.workspace, request.service, request.operation, request.body
-    )
-
-
-def _say_unknown(reason: str, retry_after_ms: int) -> results.ActionUnknown:
-    """Answer for a key that was sent before and can't be looked up now.
-
-    "Not run" would be read as a statement about the key, which an earlier
-    send may have run; the caller would then book again under a new key.
-    """
-    return results.ActionUnknown(f'{_RESENT} {reason}', retry_after_ms)
-
-
-def _describe_call(called: calls.CallResult) -> results.ActionResult:
-    """Return the result that stands for an idempotent call."""
-    if isinstance(called, calls.CallAnswered):
-        answer = called.answer
-        return results.ActionDone(
-            answer.status, answer.content_type, answer.body, False
-        )
-    if called.ran:
-        return results.ActionUnknown(called.reason, called.retry_after_ms)
-    return results.ActionNotRun(called.reason, called.retry_after_ms, True)
--- a/src/thornspool/application/quarantine.py
+++ b/src/thornspool/application/quarantine.py
@@ -16,6 +16,7 @@
 from thornspool.domain.quarantine import proven
 from thornspool.domain.quarantine import records
 from thornspool.domain.quarantine import reservations
+from thornspool.domain.quarantine import tenure
 
 if typing.TYPE_CHECKING:
     from collections.abc import Callable
@@ -25,9 +26,7 @@
 
 ASK_TIMEOUT_MS = 500
 COMPARE_INTERVAL_MS = 3000
-SETTLE_MS = 5000
-"""A new owner keeps nothing until reservations it cannot know of ended."""
-
+SETTLE_MS = tenure.SETTLE_MS
 DEFAULT_TRIAL_MS = 60_000
 MAX_TOLD_RECORDS = 256
 _FIRST_PEERS = 3
@@ -85,8 +84,7 @@
         self._trials: dict[str, _Trial] = {}
         self.verdicts = collections.Counter(clear=0, suspect=0, condemned=0)
         self._leave: Callable[[frozenset[str]], None] = lambda _: None
-        self._view: tuple[str, ...] = ()
-        self._view_changed_at = clock.now()
+        self._tenure = tenure.Tenure(incarnation, clock.now())
         peers.handle(messages.QuarantineNews, self._take_news)
         peers.handle(messages.QuarantineDigest, self._answer_digest)
         peers.handle(messages.ReservationRequest, self._answer_reservation)
@@ -360,9 +358,7 @@
             for member in self._members.list_members()
             if member.state is not ports.MemberState.DEAD
         ) or (self._incarnation,)
-        if view != self._view:
-            self._view = view
-            self._view_changed_at = self._clock.now()
+        self._tenure.note_view(view, self._clock.now())
         return view
 
     def _list_others(self) -> list[ports.Member]:
@@ -391,15 +387,11 @@
         self, _sender: str, asked: messages.ReservationRequest
     ) -> messages.ReservationReply:
         now = self._clock.now()
-        view = self._refresh_view()
-        owns = ownership.find_owner(asked.name, view) == self._incarnation
-        settled = len(view) == 1 or now - self._view_changed_at >= SETTLE_MS
-        reserved = (
-            owns
-            and settled
-            and self._reservations.reserve(
-                asked.name, asked.holder, asked.ttl_ms, now
-            )
+        self._refresh_view()
+        reserved = self._tenure.has_settled(
+            asked.name, now
+        ) and self._reservations.reserve(
+            asked.name, asked.holder, asked.ttl_ms, now
         )
         return messages.ReservationReply(reserved)
 
