--- a/tests/application/test_calls.py
+++ b/tests/application/test_calls.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import random
 import unittest
 
@@ -11,6 +12,7 @@
 from thornspool.application import directory
 from thornspool.application import exceptions
 from thornspool.application import ports
+from thornspool.application import service_trials
 from thornspool.domain.configuration import documents
 from thornspool.domain.targets import messages
 
@@ -38,6 +40,7 @@
 
     def __init__(self, not_ready=()) -> None:
         self.not_ready = not_ready
+        self.slots = None
 
     def read_readiness(self, target):
         if target in self.not_ready:
@@ -45,7 +48,28 @@
         return messages.Readiness.READY
 
     def read_load(self, target):
-        return None
+        if self.slots is None:
+            return None
+        ready = messages.Readiness.READY
+        return messages.LoadReport(target, 0, ready, max_batch=self.slots)
+
+
+class NewCalls(service_trials.NoTrials):
+    """Holds every call for one that did not run of late."""
+
+    def is_proven(self, fingerprint) -> bool:
+        return False
+
+
+class HangingServices:
+    """Targets that never answer."""
+
+    def __init__(self) -> None:
+        self.sent = []
+
+    async def call(self, call):
+        self.sent.append(call.url)
+        await asyncio.Event().wait()
 
 
 class ScriptedServices:
@@ -116,6 +140,40 @@
             await service.call(self.resolved, b'{}')
         self.assertEqual(1, len(set(self.services.sent)))
 
+    async def test_new_calls_stay_with_targets_that_run_many(self) -> None:
+        """Many new calls find the same target of two first, at one entry.
+
+        One that crashes targets would cost two at once, if the others drove
+        it to another target here and not at the other entries.
+        """
+        cases = ((None, calls.MARGIN), (4, calls.MARGIN), (64, 16))
+        for slots, margin in cases:
+            with self.subTest(slots=slots):
+                service = self.build((ANSWER, ANSWER))
+                service._targets.slots = slots
+                service._trials = NewCalls()
+                service._services = hanging = HangingServices()
+                names = [f'call {number}' for number in range(200)]
+                first = self.resolved.targets[0]
+                same = [
+                    name
+                    for name in names
+                    if service_trials.rank(
+                        NewCalls(), name, self.resolved.targets
+                    )[0]
+                    == first
+                ]
+                tasks = [
+                    asyncio.create_task(
+                        service.call(self.resolved, b'{}', name)
+                    )
+                    for name in same[: margin + 2]
+                ]
+                await asyncio.sleep(0.01)
+                for task in tasks:
+                    task.cancel()
+                self.assertEqual(margin + 1, hanging.sent.count(first.url))
+
     async def test_no_ready_target_runs_nothing(self) -> None:
         service = self.build((ANSWER,), not_ready=('slots-0',))
         result = await service.call(self.resolved, b'{}')
