--- a/tests/tools/test_bench.py
+++ b/tests/tools/test_bench.py
@@ -13,6 +13,7 @@
 from tools import bench_pace
 from tools import bench_recovery
 from tools import pace_caller
+from tools import samples
 
 METRICS = """\
 # TYPE thornspool_peer_bytes_total counter
@@ -37,9 +38,7 @@
         )
         for arrivals, killed_at, expected in cases:
             with self.subTest(arrivals=arrivals):
-                found = bench_recovery.find_recovery_ms(
-                    list(arrivals), killed_at
-                )
+                found = samples.find_recovery_ms(list(arrivals), killed_at)
                 if expected is None:
                     self.assertIsNone(found)
                     continue
@@ -47,16 +46,16 @@
 
     def test_percentiles_are_values_that_occurred(self) -> None:
         values = [float(value) for value in range(1, 21)]
-        self.assertEqual(10.0, bench_recovery.read_percentile(values, 50))
-        self.assertEqual(20.0, bench_recovery.read_percentile(values, 99))
-        self.assertEqual(1.0, bench_recovery.read_percentile(values, 0))
+        self.assertEqual(10.0, samples.read_percentile(values, 50))
+        self.assertEqual(20.0, samples.read_percentile(values, 99))
+        self.assertEqual(1.0, samples.read_percentile(values, 0))
 
     def test_failed_tries_are_counted_and_not_dropped(self) -> None:
-        samples = bench_recovery.Samples()
-        samples.add(None)
-        self.assertEqual({'count': 0, 'failed': 1}, samples.sum_up())
-        samples.add(5.0)
-        self.assertEqual(1, samples.sum_up()['failed'])
+        taken = samples.Samples()
+        taken.add(None)
+        self.assertEqual({'count': 0, 'failed': 1}, taken.sum_up())
+        taken.add(5.0)
+        self.assertEqual(1, taken.sum_up()['failed'])
 
     def test_stream_with_a_gap_is_not_whole(self) -> None:
         def build(indexes):
--- a/tools/bench_goodput.py
+++ b/tools/bench_goodput.py
@@ -17,8 +17,8 @@
 import attrs
 
 from tools import bench_deployment
-from tools import bench_recovery
 from tools import processes
+from tools import samples
 
 LOADS = (0.5, 1.0, 2.0, 3.0)
 ENTRIES = 3
@@ -81,7 +81,7 @@
 def _read(ordered: list[float], percent: float) -> float | None:
     if not ordered:
         return None
-    return round(bench_recovery.read_percentile(ordered, percent), 1)
+    return round(samples.read_percentile(ordered, percent), 1)
 
 
 class Callers:
--- a/tools/bench_pace.py
+++ b/tools/bench_pace.py
@@ -20,10 +20,10 @@
 
 from tools import bench_control
 from tools import bench_deployment
-from tools import bench_recovery
 from tools import pace_caller
 from tools import processes
 from tools import requester
+from tools import samples
 
 if typing.TYPE_CHECKING:
     from collections.abc import Callable
@@ -141,9 +141,7 @@
 def _list_percentiles(values: list[float]) -> dict[str, float]:
     ordered = sorted(values)
     return {
-        f'p{percent}': round(
-            bench_recovery.read_percentile(ordered, percent), 2
-        )
+        f'p{percent}': round(samples.read_percentile(ordered, percent), 2)
         for percent in PERCENTILES
     }
 
--- a/tools/bench_recovery.py
+++ b/tools/bench_recovery.py
@@ -26,6 +26,7 @@
 from tools import bench_deployment
 from tools import processes
 from tools import requester
+from tools import samples as samples_module
 
 ENTRIES = 5
 CHAINS = 3
@@ -69,88 +70,28 @@
     random: random.Random
 
 
-@attrs.define
-class Samples:
-    """Milliseconds measured, and how many tries gave no figure."""
-
-    values: list[float] = attrs.field(factory=list)
-    failed: int = 0
-
-    def add(self, milliseconds: float | None) -> None:
-        """Take in one try; None when it failed."""
-        if milliseconds is None:
-            self.failed += 1
-            return
-        self.values.append(milliseconds)
-
-    def sum_up(self) -> Figures:
-        """Return percentiles, extremes and counts."""
-        ordered = sorted(self.values)
-        if not ordered:
-            return {'count': 0, 'failed': self.failed}
-        return {
-            'p50': round(read_percentile(ordered, 50), 1),
-            'p99': round(read_percentile(ordered, 99), 1),
-            'max': round(ordered[-1], 1),
-            'count': len(ordered),
-            'failed': self.failed,
-        }
-
-
-def read_percentile(ordered: list[float], percent: float) -> float:
-    """Return the nearest-rank percentile of values in order."""
-    rank = -(-len(ordered) * percent // 100)
-    return ordered[max(int(rank), 1) - 1]
-
-
-def find_recovery_ms(arrivals: list[float], killed_at: float) -> float | None:
-    """Find when tokens came again after a kill, in milliseconds.
-
-    Tokens that were under way at the kill still arrive just after it, so
-    the end of the longest gap counts, not the first arrival.
-
-    Parameters
-    ----------
-    arrivals : list of float
-        Seconds at which tokens were delivered, in order.
-    killed_at : float
-        Second of the kill.
-
-    Returns
-    -------
-    float or None
-        None when no token came after the kill.
-    """
-    after = [one for one in arrivals if one > killed_at]
-    if not after:
-        return None
-    steps = list(itertools.pairwise([killed_at, *after]))
-    _, end = max(steps, key=lambda step: step[1] - step[0])
-    return (end - killed_at) * 1000
-
-
-async def measure_stage(run: Run) -> Samples:
+async def measure_stage(run: Run) -> samples_module.Samples:
     """Kill an engine in mid-stream, first and last stage by turns."""
-    samples = Samples()
+    samples = samples_module.Samples()
     for number in range(STAGE_KILLS):
         samples.add(await _end_stage(run, number, signal.SIGKILL))
     return samples
 
 
-async def measure_stage_silent(run: Run) -> Samples:
+async def measure_stage_silent(run: Run) -> samples_module.Samples:
     """Stop an engine in mid-stream, so that its connections stay open."""
-    samples = Samples()
+    samples = samples_module.Samples()
     for number in range(SILENCES):
         samples.add(await _end_stage(run, number, signal.SIGSTOP))
     return samples
 
 
-async def measure_start_silent(run: Run) -> Samples:
+async def measure_start_silent(run: Run) -> samples_module.Samples:
     """Stop an engine; each entry is sent a request just after.
 
     Each gives one figure: its first token after the stop.
     """
-    samples = Samples()
+    samples = samples_module.Samples()
     for number in range(SILENCES):
         place = number % len(bench_deployment.STAGES)
         victim = f'engine-{number % CHAINS}-{place}'
@@ -243,7 +184,7 @@
     await asyncio.to_thread(deployment.start_engine, victim, port)
     if not is_whole(bytes(received)):
         return None
-    return find_recovery_ms(arrivals, killed_at)
+    return samples_module.find_recovery_ms(arrivals, killed_at)
 
 
 async def _read_counts(run: Run) -> list[tuple[str, typing.Any]]:
@@ -274,9 +215,9 @@
     return indexes == list(range(TOKENS)) and events[-1][0] == 'end'
 
 
-async def measure_entry(run: Run) -> Samples:
+async def measure_entry(run: Run) -> samples_module.Samples:
     """Kill the entry that a caller uses; it goes on at the next address."""
-    samples = Samples()
+    samples = samples_module.Samples()
     for _ in range(ENTRY_KILLS):
         used = run.deployment.entries[0]
         listed = await run.session.read_json(
@@ -326,21 +267,21 @@
     await bench_deployment.wait_settled(run.session, deployment)
 
 
-async def measure_page_owner(run: Run) -> Samples:
+async def measure_page_owner(run: Run) -> samples_module.Samples:
     """Kill the preferred writer of a page while actions run on it.
 
     Each other entry gives one figure: its own first success after the kill.
     """
-    samples = Samples()
+    samples = samples_module.Samples()
     for _ in range(OWNER_KILLS):
         for value in await _end_page_owner(run, signal.SIGKILL):
             samples.add(value)
     return samples
 
 
-async def measure_page_owner_silent(run: Run) -> Samples:
+async def measure_page_owner_silent(run: Run) -> samples_module.Samples:
     """Stop the preferred writer of a page while actions run on it."""
-    samples = Samples()
+    samples = samples_module.Samples()
     for _ in range(SILENCES):
         for value in await _end_page_owner(run, signal.SIGSTOP):
             samples.add(value)
@@ -423,12 +364,12 @@
         await asyncio.sleep(PAUSE_S)
 
 
-async def measure_platform(run: Run) -> Samples:
+async def measure_platform(run: Run) -> samples_module.Samples:
     """Take the platform down for a while and bring it back.
 
     Each entry gives one figure: its first success after the return.
     """
-    samples = Samples()
+    samples = samples_module.Samples()
     for _ in range(OUTAGES):
         await _set_down(run, True)
         back_at: asyncio.Future[float] = asyncio.Future()
@@ -460,13 +401,13 @@
         raise ConnectionError(f'{url}: {response.code}')
 
 
-async def measure_configuration(run: Run) -> Samples:
+async def measure_configuration(run: Run) -> samples_module.Samples:
     """Publish small changes and wait until every entry reports each.
 
     The time runs from the sending of the publication, so that it holds the
     time until acceptance as well.
     """
-    samples = Samples()
+    samples = samples_module.Samples()
     entries = run.deployment.entries
     version = await bench_deployment.read_version(run.session, entries[0])
     workspace = run.deployment.documents[0]
