Wait for an engine's end before calling it gone

Ruled out: the client; a connection that was taken and broken is rightly no refusal. Change: the case waits until the process has ended. What it checks is unchanged.

--- a/tests/adapters/targets/test_engines.py
+++ b/tests/adapters/targets/test_engines.py
@@ -131,6 +131,10 @@
             with self.subTest(name):
                 if orders is not None:
                     self.engine.order(**orders)
+                else:
+                    # Until its process has ended, its port may still take
+                    # a connection and break it.
+                    self.engine.wait_end()
                 with self.assertRaises(error):
                     await self.generate(request_id=name, **changes)
 
--- a/tests/standins/processes.py
+++ b/tests/standins/processes.py
@@ -44,6 +44,10 @@
         ) as answer:
             return json.load(answer)
 
+    def wait_end(self) -> None:
+        """Wait until it has ended by itself."""
+        self._process.wait(_TIMEOUT_S)
+
     def end(self) -> None:
         """End the process."""
         self._process.kill()
