--- a/tests/domain/limits/test_concurrency.py
+++ b/tests/domain/limits/test_concurrency.py
@@ -154,6 +154,16 @@
             group.observe(KIND, 100, now)
         self.assertGreaterEqual(group.bound, 64)
 
+    def test_a_small_group_that_reports_starts_small(self) -> None:
+        """All entries start at once before services that run eight calls.
+
+        With sixteen at each entry the first calls would all be late.
+        """
+        group = concurrency.GroupLimit()
+        group.hear_capacity(messages.Capacity(8.0), 3, 0)
+        self.assertEqual(4, group.bound)
+        self.assertEqual(16, concurrency.GroupLimit().bound)
+
     def test_reported_queues_cut_who_uses_more_than_its_part(self) -> None:
         """An entry started during an overload and took its times for usual.
 
