--- a/src/thornspool/adapters/transfers.py
+++ b/src/thornspool/adapters/transfers.py
@@ -347,8 +347,9 @@
     curl.setopt(pycurl.WRITEFUNCTION, transfer.receive_body)
     names = {name.lower() for name, _ in request.headers}
     lines = [
-        f'{name}: {value}'.encode('latin-1') if value else
-        f'{name};'.encode('latin-1')
+        f'{name}: {value}'.encode('latin-1')
+        if value
+        else f'{name};'.encode('latin-1')
         for name, value in request.headers
     ]
     # libcurl adds these by itself; a name without a value takes them out.
--- a/src/thornspool/application/routing/beliefs.py
+++ b/src/thornspool/application/routing/beliefs.py
@@ -20,13 +20,31 @@
 store's acknowledgement; the change is seen within some 200 ms of it.
 """
 
-SUSPECT_MS = 1_500
+SUSPECT_MS = 4_000
 """Time for which a server that failed is left out.
 
-A crashed engine leaves the list 3.6 s after its last heartbeat; each time a
-request meets it again the suspicion is renewed, which costs one request.
+A crashed engine leaves the list 3.6 s after its last heartbeat. A shorter
+suspicion let it come back in between: the layers it held counted as held,
+and requests stalled on it once more.
 """
 
+MISTAKEN_MS = 1_500
+"""Time for which a server that is not what the list says is left out; the
+list is right again after a heartbeat of 1.2 s."""
+
+MAX_SUSPECT_SHARE = 0.25
+"""Share of all servers that one entry may suspect by what it saw itself.
+
+An entry that was frozen or cut off finds nobody answering; it would tell
+its peers to leave out the whole fleet.
+"""
+
+MIN_SUSPECTS = 4
+"""Servers that may be suspected in any fleet."""
+
+MISDIRECTED = 'misdirected'
+"""Reason of a suspicion: the server is not what the list says."""
+
 logger = structlog.get_logger(__name__)
 
 
@@ -140,11 +158,19 @@
         server = self.servers.get(name)
         if server is None:
             return
+        if name not in self.suspects and not self._may_suspect():
+            logger.warning('suspicion_dropped', server=name, reason=reason)
+            return
         if name not in self.suspects:
             logger.warning('server_suspected', server=name, reason=reason)
             if not told:
                 self.fresh_suspects.append(name)
-        self.suspects[name] = Suspicion(now + SUSPECT_MS, reason, server.born)
+        length = MISTAKEN_MS if reason == MISDIRECTED else SUSPECT_MS
+        self.suspects[name] = Suspicion(now + length, reason, server.born)
+
+    def _may_suspect(self) -> bool:
+        allowed = max(MIN_SUSPECTS, MAX_SUSPECT_SHARE * len(self.servers))
+        return len(self.suspects) < allowed
 
     def is_usable(self, server: fleet.Server, now: int) -> bool:
         """Tell whether a server may get a request now."""
@@ -163,7 +189,9 @@
 
     def find_by_address(self, address: str) -> fleet.Server | None:
         """Find the newest server at an address."""
-        found = [one for one in self.servers.values() if one.address == address]
+        found = [
+            one for one in self.servers.values() if one.address == address
+        ]
         if not found:
             return None
         return max(found, key=lambda one: one.born or 0)
--- a/src/thornspool/application/routing/calls.py
+++ b/src/thornspool/application/routing/calls.py
@@ -151,8 +151,7 @@
             return False
         bound = max(MIN_SILENCE_MS, route.target_latency_ms * SILENCE_SHARE)
         return (
-            now - call.sent_at > bound
-            and call.exchange.runs < route.attempts
+            now - call.sent_at > bound and call.exchange.runs < route.attempts
         )
 
     def _leave_silent(self, call: Call) -> None:
@@ -160,6 +159,8 @@
             return
         assert call.stop is not None
         call.stop()
+        if call.server is not None:
+            call.exchange.avoid([call.server.id], self._clock.now())
         self._note_failure(call, standing.SILENT_WEIGHT)
         self._release(call)
         self._start(call)
@@ -168,9 +169,9 @@
         exchange = call.exchange
         now = self._clock.now()
         listed = self._beliefs.list_servers(exchange.service, now)
+        avoided = exchange.list_avoided(now)
         server = self._standings.choose(
-            [one for one in listed if one.id not in exchange.avoid]
-            or (listed if exchange.route.repeatable else []),
+            [one for one in listed if one.id not in avoided],
             self._domain,
             now,
             self._random.random,
@@ -185,6 +186,7 @@
         call.generation += 1
         call.head = None
         call.body.clear()
+        exchange.path = server.id
         self._standings.begin(server.id)
         run = ports.Run(
             exchange.inquiry,
@@ -200,7 +202,7 @@
     def _wait_or_refuse(self, call: Call, now: int) -> None:
         exchange = call.exchange
         waited = now - exchange.inquiry.arrived_at
-        if exchange.runs == 0 and waited < QUEUE_MS and not exchange.avoid:
+        if exchange.runs == 0 and waited < QUEUE_MS:
             self._waiting.append(call)
             return
         self._give_up(call, exchange.note or 'no_server')
@@ -235,9 +237,9 @@
 
     def _take_failure(self, call: Call, head: ports.Head) -> None:
         """An idempotent call failed at its server."""
-        if self._may_repeat(call) and self._budget.take(
-            call.exchange.service
-        ):
+        if self._may_repeat(call) and self._budget.take(call.exchange.service):
+            if call.server is not None:
+                call.exchange.avoid([call.server.id], self._clock.now())
             self._release(call)
             self._start(call)
             return
@@ -251,7 +253,9 @@
         self._release(call)
         self.calls.discard(call)
         exchange.reply.answer(head.status, head.headers, body)
-        exchange.end('served' if head.status < 400 else f'server_{head.status}')
+        exchange.end(
+            'served' if head.status < 400 else f'server_{head.status}'
+        )
 
     def _may_repeat(self, call: Call) -> bool:
         exchange = call.exchange
@@ -265,7 +269,7 @@
     def _again(self, call: Call, reason: str, allowed: bool) -> None:
         exchange = call.exchange
         if call.server is not None:
-            exchange.avoid.add(call.server.id)
+            exchange.avoid([call.server.id], self._clock.now())
         self._release(call)
         exchange.note = reason
         if (
--- a/src/thornspool/application/routing/detection.py
+++ b/src/thornspool/application/routing/detection.py
@@ -34,13 +34,18 @@
 """Silence between events after which the engine is asked; usual pauses are
 30 to 60 ms, and the engine's own report is 200 ms old."""
 
-ASK_AGAIN_MS = 300
-"""Least time between two questions about one stream."""
+ASK_AGAIN_MS = 400
+"""Least time between two questions to one engine, and about one stream.
+
+An engine answers for all of its streams at once, some 200 ms late."""
 
 GIVE_UP_MS = 1_500
 """Silence after which a stream leaves its path without knowing why; callers
 leave after 2 s."""
 
+FROZEN_MS = 500
+"""Lateness of its own work after which an entry distrusts what it timed."""
+
 logger = structlog.get_logger(__name__)
 
 
@@ -71,11 +76,21 @@
         self._service = service
         self._servers = servers
         self._tasks: set[asyncio.Task[None]] = set()
-        self._asking: set[str] = set()
+        self._asked_at: dict[str, int] = {}
+        self._worked_at = clock.now()
 
     def work(self) -> None:
         """Look for streams that pause; run every 100 ms or so."""
         now = self._clock.now()
+        late = now - self._worked_at
+        self._worked_at = now
+        if late > FROZEN_MS:
+            # This host stood still: what came meanwhile is not read yet,
+            # and silence proves nothing about the engines.
+            logger.warning('entry_stood_still', milliseconds=late)
+            for flight in self._service.flights:
+                flight.active_at = now
+            return
         for flight in list(self._service.flights):
             if flight.stop is None or flight.mending:
                 continue
@@ -89,15 +104,16 @@
         if quiet < (PAUSE_MS if begun else FIRST_EVENT_MS):
             return
         if quiet >= GIVE_UP_MS:
-            for hop in flight.hops:
-                flight.exchange.avoid.add(hop.server.id)
+            names = [hop.server.id for hop in flight.hops]
+            flight.exchange.avoid(names, now)
             self._service.mend(flight, 'silent')
             return
         first = flight.first_server
         if first is None or now - flight.asked_at < ASK_AGAIN_MS:
             return
         flight.asked_at = now
-        if first.id not in self._asking:
+        if now - self._asked_at.get(first.id, -ASK_AGAIN_MS) >= ASK_AGAIN_MS:
+            self._asked_at[first.id] = now
             self._run(self._ask(first))
 
     def _leaves_suspect(self, flight: streams.Flight) -> bool:
@@ -115,18 +131,16 @@
         self._run(self._mend(flight, suspected))
         return True
 
-    def _run(self, work: typing.Coroutine[typing.Any, typing.Any, None]) -> None:
+    def _run(
+        self, work: typing.Coroutine[typing.Any, typing.Any, None]
+    ) -> None:
         task = asyncio.get_running_loop().create_task(work)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
     async def _ask(self, server: fleet.Server) -> None:
         """Ask an engine which of its requests wait for whom."""
-        self._asking.add(server.id)
-        try:
-            report = await self._servers.ask_report(server)
-        finally:
-            self._asking.discard(server.id)
+        report = await self._servers.ask_report(server)
         now = self._clock.now()
         if report is None:
             self._beliefs.suspect(server.id, 'no_report', now)
@@ -141,9 +155,18 @@
     async def _mend(
         self, flight: streams.Flight, suspected: list[str]
     ) -> None:
-        """Let a stream go on without the engines that are suspected."""
+        """Let a stream go on without the engines that are suspected.
+
+        A new run behind the last whole event reads its prompt again, some
+        60 ms; a new path for the old run moves the activations of all its
+        tokens once more, 1.2 GB a usual request. So the second is for
+        streams that may not run again.
+        """
+        flight.exchange.avoid(suspected, self._clock.now())
+        if self._service.may_run_again(flight):
+            self._service.mend(flight, 'engine_lost')
+            return
         flight.mending = True
-        flight.exchange.avoid.update(suspected)
         try:
             moved = await self._repath(flight)
         finally:
@@ -154,9 +177,11 @@
     async def _repath(self, flight: streams.Flight) -> bool:
         """Order the first engine to use another path; tell whether it does."""
         first = flight.hops[0]
-        if first.server.id in flight.exchange.avoid:
+        now = self._clock.now()
+        avoided = flight.exchange.list_avoided(now)
+        if first.server.id in avoided:
             return False
-        rest = self._choose_rest(flight, first)
+        rest = self._choose_rest(flight, first, avoided)
         if rest is None:
             return False
         generation = flight.generation
@@ -176,10 +201,10 @@
         return True
 
     def _choose_rest(
-        self, flight: streams.Flight, first: search.Hop
+        self, flight: streams.Flight, first: search.Hop, avoided: set[str]
     ) -> tuple[search.Hop, ...] | None:
         exchange = flight.exchange
-        situation = self._service.describe(exchange.service, exchange.avoid)
+        situation = self._service.describe(exchange.service, avoided)
         if situation is None:
             return None
         path = choice.choose_rest(situation, flight.need, first)
--- a/src/thornspool/application/routing/exchanges.py
+++ b/src/thornspool/application/routing/exchanges.py
@@ -9,10 +9,19 @@
 
 if typing.TYPE_CHECKING:
     from collections.abc import Callable
+    from collections.abc import Iterable
 
     from thornspool.application.routing import ports
     from thornspool.domain.routing import messages as routing
 
+AVOID_MS = 700
+"""Time for which a server that refused or broke a request is left out for it.
+
+A request that comes back to the same engine within milliseconds is refused
+again: one refusal cost six repeats of the budget of all. A list that lags
+is right again after half a second.
+"""
+
 logger = structlog.get_logger(__name__)
 
 
@@ -44,6 +53,12 @@
         Whether the caller has had a part of the answer.
     ended : bool
         Whether the outcome is known.
+    note : str
+        Why it ended as it did.
+    first_event_at : int or None
+        When the first part of the answer came.
+    path : str
+        Servers of the last send, for the log.
     """
 
     inquiry: ports.Inquiry
@@ -59,7 +74,8 @@
     ended: bool = False
     note: str = ''
     first_event_at: int | None = None
-    avoid: set[str] = attrs.field(factory=set)
+    path: str = ''
+    _avoided: dict[str, int] = attrs.field(factory=dict)
 
     @property
     def workspace_name(self) -> str:
@@ -86,6 +102,15 @@
         """Return the milliseconds that are left."""
         return self.deadline_at - now
 
+    def avoid(self, names: Iterable[str], now: int) -> None:
+        """Leave servers out for this request, for a while."""
+        for name in names:
+            self._avoided[name] = now + AVOID_MS
+
+    def list_avoided(self, now: int) -> set[str]:
+        """List the servers that are left out for this request."""
+        return {name for name, end in self._avoided.items() if now < end}
+
     def end(self, outcome: str) -> None:
         """Note the outcome, once."""
         if not self.ended:
--- a/src/thornspool/application/routing/intake.py
+++ b/src/thornspool/application/routing/intake.py
@@ -161,6 +161,7 @@
             configuration=exchange.version,
             sends=exchange.sends,
             runs=exchange.runs,
+            path=exchange.path,
             first_ms=None if first is None else first - inquiry.arrived_at,
             took_ms=now - inquiry.arrived_at,
         )
--- a/src/thornspool/application/routing/membership.py
+++ b/src/thornspool/application/routing/membership.py
@@ -138,7 +138,9 @@
                 logger.info('peer_changed', peer=host, alive=alive)
             if not alive:
                 self._taken.forget_peer(host)
-        for host in [one for one in self._alive if one not in self._view.peers]:
+        for host in [
+            one for one in self._alive if one not in self._view.peers
+        ]:
             del self._alive[host]
             self._taken.forget_peer(host)
 
--- a/src/thornspool/application/routing/placement.py
+++ b/src/thornspool/application/routing/placement.py
@@ -31,6 +31,13 @@
 Loads at once share the store of weights, some six at full speed.
 """
 
+CONFLICT_MS = 600
+"""Time for which an engine that refused an order is left alone.
+
+It is busy until the last request has passed through layers that it gives
+up; a stream lasts 2 to 4 s.
+"""
+
 LOAD_SLACK_MS = 3_000
 """Time besides: the entry of an engine is seen some 1 s after a change."""
 
@@ -74,7 +81,10 @@
         self._may_lead = may_lead
         self._pending: dict[str, Pending] = {}
         self._orders: dict[str, int] = {}
+        self._busy_until: dict[str, int] = {}
+        self._members: dict[str, tuple[frozenset[str], int]] = {}
         self._tasks: set[asyncio.Task[None]] = set()
+        self._holes: dict[tuple[str, str], list[fleet.LayerRange]] = {}
         self.given = 0
 
     def work(self) -> None:
@@ -82,6 +92,7 @@
         if not self._may_lead():
             self._pending.clear()
             self._orders.clear()
+            self._busy_until.clear()
             return
         now = self._clock.now()
         self._settle_pending(now)
@@ -116,8 +127,51 @@
         if self._is_filling(engines, now):
             return
         holdings = [self._describe(one) for one in engines]
-        for order in planning.plan_orders(holdings, model):
-            self._give(order, model, now)
+        self._note_coverage(service, engines, model)
+        steady = self._find_steady(engines, now)
+        for order in planning.plan_orders(holdings, model, steady):
+            if now >= self._busy_until.get(order.server.id, 0):
+                self._give(order, model, now)
+
+    def _find_steady(
+        self, engines: list[fleet.Server], now: int
+    ) -> frozenset[str]:
+        """Find the domains whose engines have not changed for a while."""
+        domains: dict[str, set[str]] = {}
+        for one in engines:
+            domains.setdefault(one.failure_domain, set()).add(one.id)
+        steady = set()
+        for domain, names in domains.items():
+            members = frozenset(names)
+            known = self._members.get(domain)
+            if known is None or known[0] != members:
+                self._members[domain] = (members, now)
+            elif now - known[1] >= planning.STEADY_MS:
+                steady.add(domain)
+        return frozenset(steady)
+
+    def _note_coverage(
+        self, service: str, engines: list[fleet.Server], model: fleet.Model
+    ) -> None:
+        """Log which layers a domain lacks, when that changes."""
+        domains: dict[str, list[fleet.LayerRange]] = {}
+        for one in engines:
+            held = domains.setdefault(one.failure_domain, [])
+            if one.layers is not None:
+                held.append(one.layers)
+        for domain, held in domains.items():
+            holes = planning.find_holes(held, model.layers)
+            if self._holes.get((service, domain)) != holes:
+                self._holes[(service, domain)] = holes
+                logger.info(
+                    'coverage_changed',
+                    service=service,
+                    domain=domain,
+                    engines=len(held),
+                    missing=','.join(
+                        f'{one.first}-{one.end}' for one in holes
+                    ),
+                )
 
     def _is_filling(self, engines: list[fleet.Server], now: int) -> bool:
         """Tell whether an empty fleet is still coming up."""
@@ -127,9 +181,11 @@
 
     def _describe(self, server: fleet.Server) -> planning.Holding:
         pending = self._pending.get(server.id)
-        return planning.Holding(
-            server, None if pending is None else pending.layers
-        )
+        if pending is not None:
+            return planning.Holding(server, pending.layers)
+        if self._clock.now() < self._busy_until.get(server.id, 0):
+            return planning.Holding(server, server.layers)
+        return planning.Holding(server)
 
     def _give(
         self, order: planning.Order, model: fleet.Model, now: int
@@ -185,6 +241,7 @@
         elif result is not ports.OrderResult.DONE:
             # It may have begun this order or another one since.
             self._orders.pop(server.id, None)
+            self._busy_until[server.id] = self._clock.now() + CONFLICT_MS
             await self._ask_count(server)
             self._pending.pop(server.id, None)
 
@@ -194,7 +251,15 @@
         if report is None:
             self._beliefs.suspect(server.id, 'no_report', self._clock.now())
             return None
-        if server.born is not None and report.born != server.born:
+        if None not in {server.born, report.born} and (
+            server.born != report.born
+        ):
+            logger.info(
+                'engine_restarted',
+                server=server.id,
+                listed=server.born,
+                reported=report.born,
+            )
             return None
         self._orders[server.id] = report.orders
         return report.orders
--- a/src/thornspool/application/routing/repeats.py
+++ b/src/thornspool/application/routing/repeats.py
@@ -11,6 +11,13 @@
 
     from thornspool import clock as clock_module
 
+SLACK_SHARE = 0.7
+"""Part of the slack that is dealt out.
+
+A process that is started again begins with an empty window; the rest covers
+a third of the entries starting anew within one window.
+"""
+
 
 class Repeats:
     """Repeats of all services.
@@ -52,7 +59,8 @@
     def take(self, service: str) -> bool:
         """Take one repeat; False when this entry's share is used up."""
         window = self._find(service)
-        window.slack = self._slack / max(1, self._count_entries())
+        entries = max(1, self._count_entries())
+        window.slack = self._slack * SLACK_SHARE / entries
         if window.take_repeat(self._clock.now()):
             return True
         self.refused += 1
--- a/src/thornspool/application/routing/streams.py
+++ b/src/thornspool/application/routing/streams.py
@@ -7,22 +7,22 @@
 import attrs
 import structlog
 
+from thornspool.application.routing import beliefs as beliefs_module
 from thornspool.application.routing import ports
 from thornspool.domain.fleet import events
 from thornspool.domain.paths import choice
+from thornspool.domain.paths import search
 
 if typing.TYPE_CHECKING:
     from collections.abc import Callable
     import random
 
     from thornspool import clock as clock_module
-    from thornspool.application.routing import beliefs as beliefs_module
     from thornspool.application.routing import detection
     from thornspool.application.routing import exchanges
     from thornspool.application.routing import repeats
     from thornspool.domain.fleet import messages as fleet
     from thornspool.domain.paths import reservations
-    from thornspool.domain.paths import search
 
 MAX_SENDS = 6
 """Times that one request is sent at most, refused sends included."""
@@ -49,7 +49,6 @@
 
 _OK = 200
 _MISDIRECTED = 421
-_UNAVAILABLE = 503
 
 
 @attrs.define(eq=False)
@@ -210,16 +209,14 @@
         """Put a request on a path, or let it wait, or refuse it."""
         exchange = flight.exchange
         now = self._clock.now()
-        situation = self.describe(exchange.service, exchange.avoid)
+        avoided = exchange.list_avoided(now)
+        situation = self.describe(exchange.service, avoided)
         if situation is None:
             self._give_up(flight, 'service_unknown', 1_000)
             return
         found = choice.choose_path(situation, flight.need)
-        if found is choice.Lack.NOT_COVERED and exchange.avoid:
-            exchange.avoid.clear()
-            situation = self.describe(exchange.service, exchange.avoid)
-            assert situation is not None
-            found = choice.choose_path(situation, flight.need)
+        if found is choice.Lack.NOT_COVERED and avoided:
+            found = self._look_past(flight, found)
         if not isinstance(found, choice.Lack):
             self._send(flight, found.hops)
             return
@@ -231,6 +228,13 @@
             flight, found.value, self._random.randint(*COMES_BACK_MS)
         )
 
+    def _look_past(self, flight: Flight, lack: choice.Lack) -> choice.Lack:
+        """Tell whether only the servers that it avoids are missing."""
+        situation = self.describe(flight.exchange.service, set())
+        assert situation is not None
+        found = choice.choose_path(situation, flight.need)
+        return lack if isinstance(found, choice.Lack) else choice.Lack.NO_ROOM
+
     def _may_wait(
         self, flight: Flight, lack: choice.Lack, waited: int
     ) -> bool:
@@ -265,6 +269,7 @@
             flight.events.last_id or exchange.inquiry.resume_after,
             exchange.priority,
         )
+        exchange.path = search.describe_path(hops)
         flight.stop = self._servers.send(run, _Listener(self, flight))
 
     def take_head(self, flight: Flight, head: ports.Head) -> None:
@@ -327,7 +332,13 @@
         if blamed is None:
             blamed = flight.first_server
         if blamed is not None:
-            flight.exchange.avoid.add(blamed.id)
+            now = self._clock.now()
+            flight.exchange.avoid([blamed.id], now)
+            if head.status == _MISDIRECTED:
+                # The list is behind: it is not the one, or not what it was.
+                self._beliefs.suspect(
+                    blamed.id, beliefs_module.MISDIRECTED, now
+                )
             logger.info(
                 'run_refused',
                 id=flight.exchange.inquiry.id,
@@ -339,12 +350,10 @@
     def _take_failure(self, flight: Flight, head: ports.Head) -> None:
         """An engine ran the request and failed."""
         exchange = flight.exchange
-        if self._may_run_again(flight) and self._budget.take(
-            exchange.service
-        ):
+        if self.may_run_again(flight) and self._budget.take(exchange.service):
             first = flight.first_server
             if first is not None:
-                exchange.avoid.add(first.id)
+                exchange.avoid([first.id], self._clock.now())
             self._free(flight)
             self._start(flight)
             return
@@ -352,7 +361,7 @@
         exchange.reply.answer(head.status, head.headers, bytes(flight.body))
         self._end(flight, f'engine_{head.status}')
 
-    def _may_run_again(self, flight: Flight) -> bool:
+    def may_run_again(self, flight: Flight) -> bool:
         """Tell whether a request that may have run may run again."""
         exchange = flight.exchange
         return (
@@ -376,9 +385,7 @@
         ran = exchange.runs > 0
         self._free(flight)
         allowed = (
-            self._may_run_again(flight)
-            if ran
-            else self._may_send_again(flight)
+            self.may_run_again(flight) if ran else self._may_send_again(flight)
         )
         exchange.note = reason
         if allowed and self._budget.take(exchange.service):
@@ -404,12 +411,11 @@
         flight.lost_runs += 1
         self._again(flight, reason)
 
-    def move(
-        self, flight: Flight, hops: tuple[search.Hop, ...]
-    ) -> None:
+    def move(self, flight: Flight, hops: tuple[search.Hop, ...]) -> None:
         """Note that a running request goes on over another path."""
         self._taken.free(flight.hops, flight.need.tokens)
         flight.hops = hops
+        flight.exchange.path = search.describe_path(hops)
         self._taken.take(hops, flight.need.tokens)
         flight.active_at = self._clock.now()
 
@@ -488,4 +494,4 @@
         """
         first = flight.first_server
         if first is not None:
-            flight.exchange.avoid.add(first.id)
+            flight.exchange.avoid([first.id], self._clock.now())
--- a/src/thornspool/domain/paths/choice.py
+++ b/src/thornspool/domain/paths/choice.py
@@ -132,9 +132,7 @@
     return search.find_path(everything, layers)
 
 
-def make_offers(
-    situation: Situation, need: Need
-) -> Iterable[search.Offer]:
+def make_offers(situation: Situation, need: Need) -> Iterable[search.Offer]:
     """Tell what each engine can do for a request."""
     model = situation.model
     for engine in situation.engines:
--- a/src/thornspool/domain/paths/search.py
+++ b/src/thornspool/domain/paths/search.py
@@ -117,9 +117,7 @@
         | {_range_of(one).first for one in ordered}
         | {_range_of(one).end for one in ordered}
     )
-    chains: dict[tuple[int, str], _Chain] = {
-        (start, start_domain): (0.0, ())
-    }
+    chains: dict[tuple[int, str], _Chain] = {(start, start_domain): (0.0, ())}
     for offer in ordered:
         for key, chain in _extend_chains(chains, offer, cuts):
             if key not in chains or chain[0] < chains[key][0]:
@@ -209,3 +207,14 @@
     decode_ms = answer * step_ms * accelerator.step_factor
     filling = 1.0 + 3.0 * min(1.0, used_share) ** 2
     return (read_ms + decode_ms) / model.layers * slowness * filling
+
+
+def describe_path(hops: Sequence[Hop]) -> str:
+    """Describe a path for the log: its domains, engines and layers."""
+    domains: list[str] = []
+    for hop in hops:
+        domain = hop.server.failure_domain
+        if not domains or domains[-1] != domain:
+            domains.append(domain)
+    parts = ','.join(f'{hop.server.id}={hop.first}-{hop.end}' for hop in hops)
+    return f'{">".join(domains)}:{parts}'
--- a/src/thornspool/domain/placement/planning.py
+++ b/src/thornspool/domain/placement/planning.py
@@ -3,8 +3,11 @@
 Holes first: layers that no engine of a domain holds make every request of
 that domain go elsewhere. Neighbours with memory to spare extend over a hole
 at once, before anything is moved: a few layers load in under a second,
-while a whole range takes several. Then ranges move towards the layout,
-never so that a layer loses its last holder.
+while a whole range takes several. Where two neighbours have not the memory,
+all engines of the domain go to their places in one step, as long as another
+domain serves meanwhile. Ranges that are only out of place move later, when
+the engines of the domain have not changed for a while, and never so that a
+layer loses its last holder.
 """
 
 from __future__ import annotations
@@ -32,13 +35,21 @@
 """Ranges moved at once in one domain; the store of weights serves six loads
 at full speed."""
 
-SETTLED_DIFFERENCE = 1
+SETTLED_DIFFERENCE = 2
 """Layers by which a range may miss its place without being moved.
 
 A move of one layer costs an order and a load and gains nothing that a
 request would notice.
 """
 
+STEADY_MS = 5_000
+"""Time without a change after which ranges are moved to their places.
+
+A crashed engine is back some 4 s later, and would undo the moves that its
+loss had caused; each of them makes an engine refuse requests for the layers
+that it gives up, and orders until the last of these has passed.
+"""
+
 
 @attrs.frozen
 class Order:
@@ -81,7 +92,9 @@
 
 
 def plan_orders(
-    holdings: Sequence[Holding], model: fleet.Model
+    holdings: Sequence[Holding],
+    model: fleet.Model,
+    steady: typing.Container[str] = (),
 ) -> list[Order]:
     """Plan the next orders for all failure domains.
 
@@ -91,6 +104,8 @@
         Live engines that stay, with their orders in progress.
     model : fleet.Model
         Sizes.
+    steady : container of str, optional
+        Domains whose engines have not changed for ``STEADY_MS``.
 
     Returns
     -------
@@ -100,31 +115,85 @@
     domains: dict[str, list[Holding]] = {}
     for one in holdings:
         domains.setdefault(one.server.failure_domain, []).append(one)
+    whole = {
+        name for name, found in domains.items() if _is_whole(found, model)
+    }
     orders: list[Order] = []
     for name in sorted(domains):
-        orders.extend(_plan_domain(domains[name], model))
+        plan = _DomainPlan(domains[name], model)
+        orders.extend(plan.choose(bool(whole - {name}), name in steady))
     return orders
 
 
-def _plan_domain(
-    holdings: list[Holding], model: fleet.Model
-) -> list[Order]:
+def _is_whole(holdings: Iterable[Holding], model: fleet.Model) -> bool:
+    sure = [one.sure for one in holdings]
+    held = [one for one in sure if one is not None]
+    return not find_holes(held, model.layers)
+
+
+class _DomainPlan:
+    """What the engines of one domain should hold."""
+
+    def __init__(self, holdings: list[Holding], model: fleet.Model) -> None:
+        self._holdings = holdings
+        self._model = model
+        self._wanted = _find_wanted(holdings, model)
+
+    def choose(self, others_serve: bool, steady: bool) -> list[Order]:
+        """Choose the next orders."""
+        if not self._wanted:
+            return []
+        placed = _place_empty(self._holdings, self._wanted)
+        held = [
+            one.expected for one in self._holdings if one.expected is not None
+        ]
+        holes = [
+            hole
+            for hole in find_holes(held, self._model.layers)
+            if not _is_filled_soon(hole, placed)
+        ]
+        if not held or not holes:
+            if placed or not steady:
+                return placed
+            return _move_ranges(self._holdings, self._wanted, self._model)
+        filled = _fill_holes(holes, self._holdings, placed, self._model)
+        if filled is not None:
+            return [*filled, *placed]
+        if others_serve:
+            return [*_jump(self._holdings, self._wanted), *placed]
+        moves = _move_ranges(self._holdings, self._wanted, self._model)
+        return [*moves, *placed]
+
+
+def _find_wanted(
+    holdings: Sequence[Holding], model: fleet.Model
+) -> dict[str, fleet.LayerRange]:
+    """Find the range that each engine of a domain should hold."""
     engines = [_as_expected(one) for one in holdings]
     shares = layout.choose_shares(engines, model)
     if not shares:
-        return []
+        return {}
     slots: list[layout.Slot] = []
     for group in layout.split_replicas(engines, shares, model.layers):
         if sum(shares[one.id] for one in group) < model.layers:
             continue
         ordered = layout.order_engines(group, shares, model.layers)
         slots.extend(layout.lay_out(ordered, shares, model.layers))
-    wanted = {slot.server.id: slot.layers for slot in slots}
-    orders = _place_empty(holdings, wanted)
-    patched = _fill_holes(holdings, orders, model)
-    if patched or orders:
-        return [*patched, *orders]
-    return _move_ranges(holdings, wanted, model)
+    return {slot.server.id: slot.layers for slot in slots}
+
+
+def _jump(
+    holdings: Iterable[Holding], wanted: dict[str, fleet.LayerRange]
+) -> list[Order]:
+    """Send every engine to its place, whatever layers are missing then."""
+    return [
+        Order(one.server, wanted[one.server.id], 'hole')
+        for one in holdings
+        if one.wanted is None
+        and one.server.layers is not None
+        and one.server.id in wanted
+        and one.server.layers != wanted[one.server.id]
+    ]
 
 
 def _as_expected(one: Holding) -> fleet.Server:
@@ -157,22 +226,19 @@
 
 
 def _fill_holes(
-    holdings: Sequence[Holding], orders: list[Order], model: fleet.Model
-) -> list[Order]:
-    """Extend neighbours over holes, unless a lighter order does it.
-
-    An empty engine that is about to load the same layers counts as cover
-    only when it loads no more than the neighbours would.
-    """
-    held = [one.expected for one in holdings if one.expected is not None]
-    if not held:
-        return []
+    holes: Iterable[fleet.LayerRange],
+    holdings: Sequence[Holding],
+    placed: list[Order],
+    model: fleet.Model,
+) -> list[Order] | None:
+    """Extend neighbours over holes; None where they have not the memory."""
     filled: list[Order] = []
-    taken = {order.server.id for order in orders}
-    for hole in find_holes(held, model.layers):
-        if _is_filled_soon(hole, orders):
-            continue
-        filled.extend(_extend_over(hole, holdings, taken, model))
+    taken = {order.server.id for order in placed}
+    for hole in holes:
+        orders = _extend_over(hole, holdings, taken, model)
+        if orders is None:
+            return None
+        filled.extend(orders)
     return filled
 
 
@@ -195,7 +261,11 @@
     holdings: Sequence[Holding],
     taken: set[str],
     model: fleet.Model,
-) -> list[Order]:
+) -> list[Order] | None:
+    if _waits_beside(hole, holdings):
+        # A neighbour is busy with an order; the hole is looked at again
+        # when it is done.
+        return []
     free = [
         one
         for one in holdings
@@ -208,7 +278,7 @@
     room_below = _count_spare(below, model)
     room_above = _count_spare(above, model)
     if room_below + room_above < hole.count:
-        return []
+        return None
     share = hole.count * room_below / (room_below + room_above)
     up = min(room_below, max(hole.count - room_above, round(share)))
     orders = []
@@ -224,6 +294,14 @@
     return orders
 
 
+def _waits_beside(hole: fleet.LayerRange, holdings: Iterable[Holding]) -> bool:
+    return any(
+        one.wanted is not None
+        and (one.wanted.end == hole.first or one.wanted.first == hole.end)
+        for one in holdings
+    )
+
+
 def _held(one: Holding) -> fleet.LayerRange:
     held = one.server.layers
     assert held is not None
--- a/src/thornspool/platform/callers.py
+++ b/src/thornspool/platform/callers.py
@@ -129,8 +129,7 @@
         body=body,
         key=key.strip() if scheme.lower() == 'bearer' else None,
         patience_ms=round(
-            _read_number(headers.get('Deadline-Ms', ''))
-            or DEFAULT_PATIENCE_MS
+            _read_number(headers.get('Deadline-Ms', '')) or DEFAULT_PATIENCE_MS
         ),
         arrived_at=now,
         prompt_tokens=prompt,
@@ -220,9 +219,7 @@
         self._done = True
         self._connection.close()
 
-    def answer(
-        self, status: int, headers: ports.Headers, body: bytes
-    ) -> None:
+    def answer(self, status: int, headers: ports.Headers, body: bytes) -> None:
         """Send a whole answer."""
         if self._done or self._begun:
             self.abort()
@@ -274,9 +271,7 @@
 
     def __init__(
         self,
-        answers: dict[
-            str, Callable[[dict[str, str]], tuple[int, bytes, str]]
-        ],
+        answers: dict[str, Callable[[dict[str, str]], tuple[int, bytes, str]]],
     ) -> None:
         self._answers = answers
 
@@ -290,9 +285,7 @@
 class _Question(httputil.HTTPMessageDelegate):
     def __init__(
         self,
-        answers: dict[
-            str, Callable[[dict[str, str]], tuple[int, bytes, str]]
-        ],
+        answers: dict[str, Callable[[dict[str, str]], tuple[int, bytes, str]]],
         connection: httputil.HTTPConnection,
     ) -> None:
         self._answers = answers
--- a/src/thornspool/platform/daemon.py
+++ b/src/thornspool/platform/daemon.py
@@ -195,9 +195,7 @@
     async def start(self) -> None:
         """Listen and begin to follow the store."""
         self._build()
-        await self._datagrams.open(
-            self._settings.ip, self._settings.peer_port
-        )
+        await self._datagrams.open(self._settings.ip, self._settings.peer_port)
         self._listen()
         self._run(self._follower.run())
         self._repeat(REGISTER_MS, self._register)
@@ -384,8 +382,7 @@
 
     def _choose_state(self) -> messages.State:
         ready = (
-            self._beliefs.configuration is not None
-            and self._intake.is_fresh()
+            self._beliefs.configuration is not None and self._intake.is_fresh()
         )
         return messages.State.SERVING if ready else messages.State.STARTING
 
--- a/src/thornspool/platform/documents.py
+++ b/src/thornspool/platform/documents.py
@@ -170,9 +170,7 @@
         usual_prompt=engine.usual.prompt,
         usual_answer=engine.usual.answer,
         accelerators={
-            one.name: fleet.Accelerator(
-                one.size_mb, one.pace, one.read_factor
-            )
+            one.name: fleet.Accelerator(one.size_mb, one.pace, one.read_factor)
             for one in engine.kinds
         },
     )
--- /dev/null
+++ b/tests/application/routing/builders.py
@@ -0,0 +1,278 @@
+"""Builders and fakes for the use cases of routing."""
+
+from __future__ import annotations
+
+import random
+
+import attrs
+
+from tests import builders as common
+from tests.domain.fleet import builders as fleet_builders
+from thornspool import metrics
+from thornspool.application.routing import beliefs
+from thornspool.application.routing import calls
+from thornspool.application.routing import detection
+from thornspool.application.routing import intake
+from thornspool.application.routing import ports
+from thornspool.application.routing import repeats
+from thornspool.application.routing import streams
+from thornspool.domain.paths import reservations
+from thornspool.domain.routing import messages as routing
+
+HOST = 'desk.example'
+
+
+def build_route(prefix, kind, service, **changes):
+    """Build a route."""
+    values = {
+        'name': f'route-{prefix.strip("/")}',
+        'host': HOST,
+        'prefix': prefix,
+        'kind': kind,
+        'shares': (routing.Share(service, 1.0),),
+        'timeout_ms': 20_000,
+        'target_latency_ms': 500,
+        'attempts': 2,
+    }
+    values.update(changes)
+    return routing.Route(**values)
+
+
+def build_configuration(version=1, **changes):
+    """Build a configuration with one route of each kind."""
+    routes = [
+        build_route(
+            '/brief/', routing.Kind.STREAMING, 'drafting', resumable=True
+        ),
+        build_route('/once/', routing.Kind.STREAMING, 'drafting'),
+        build_route('/read/', routing.Kind.IDEMPOTENT, 'ledger'),
+        build_route(
+            '/hold/', routing.Kind.NON_IDEMPOTENT, 'ledger', attempts=1
+        ),
+        build_route(
+            '/open/', routing.Kind.IDEMPOTENT, 'ledger', anonymous=True
+        ),
+    ]
+    values = {
+        'version': version,
+        'routes': routing.group_routes(routes),
+        'services': {
+            'drafting': routing.Service(
+                'drafting', fleet_builders.build_model()
+            ),
+            'ledger': routing.Service('ledger'),
+        },
+        'workspaces': {'key-1': routing.Workspace('north')},
+        'needs_keys': True,
+        'max_body_bytes': 1_000_000,
+    }
+    values.update(changes)
+    return routing.Configuration(**values)
+
+
+def build_inquiry(path='/brief/x', number=1, **changes):
+    """Build a caller's request."""
+    values = {
+        'id': f'request-{number}',
+        'method': 'POST',
+        'target': path,
+        'host': HOST,
+        'headers': (),
+        'body': b'{}',
+        'key': 'key-1',
+        'patience_ms': 20_000,
+        'arrived_at': 0,
+        'prompt_tokens': 760.0,
+        'answer_tokens': 170.0,
+    }
+    values.update(changes)
+    return ports.Inquiry(**values)
+
+
+class FakeReply:
+    """An answer as a caller sees it."""
+
+    def __init__(self):
+        self.status = None
+        self.body = b''
+        self.whole = False
+        self.aborted = False
+        self.reason = ''
+        self.retry_after_ms = None
+        self._on_close = None
+
+    def set_on_close(self, call):
+        self._on_close = call
+
+    def leave(self):
+        """Close the connection as the caller."""
+        self._on_close()
+
+    def refuse(self, status, reason, retry_after_ms=None):
+        self.status = status
+        self.reason = reason
+        self.retry_after_ms = retry_after_ms
+        self.whole = True
+
+    def begin(self, status, headers):
+        self.status = status
+
+    def write(self, chunk):
+        self.body += chunk
+
+    def finish(self):
+        self.whole = True
+
+    def abort(self):
+        self.aborted = True
+
+    def answer(self, status, headers, body):
+        self.status = status
+        self.body = body
+        self.whole = True
+
+
+@attrs.define(eq=False)
+class FakeRun:
+    """A run at a server, ended by the test."""
+
+    run: ports.Run
+    listener: ports.Listener
+    stopped: bool = False
+
+    def begin(self, status=200, ran=True, fault='', genuine=True):
+        self.listener.take_head(
+            ports.Head(status, (), ran, fault, None, genuine)
+        )
+
+    def send(self, first, end):
+        """Send whole events."""
+        for number in range(first, end):
+            self.listener.take_body(b'id: %d\ndata: x\n\n' % number)
+
+    def end(self, ending=ports.Ending.WHOLE):
+        self.listener.take_end(ending)
+
+    def refuse(self, status=503, fault=''):
+        """Answer that the request did not run."""
+        self.begin(status, ran=False, fault=fault)
+        self.end()
+
+    def answer(self, status=200, body=b'done'):
+        """Answer whole."""
+        self.begin(status)
+        self.listener.take_body(body)
+        self.end()
+
+
+class FakeServers:
+    """Servers whose answers the test gives."""
+
+    def __init__(self):
+        self.runs = []
+        self.reports = {}
+        self.asked = []
+        self.orders = []
+        self.order_results = []
+        self.repaths = []
+        self.repath_result = ports.OrderResult.BEGUN
+
+    @property
+    def last(self):
+        """The last run."""
+        return self.runs[-1]
+
+    def send(self, run, listener):
+        fake = FakeRun(run, listener)
+        self.runs.append(fake)
+
+        def stop():
+            fake.stopped = True
+
+        return stop
+
+    async def ask_report(self, server):
+        self.asked.append(server.id)
+        return self.reports.get(server.id)
+
+    async def place(self, server, layers, orders):
+        self.orders.append((server.id, layers, orders))
+        if self.order_results:
+            return self.order_results.pop(0)
+        return ports.OrderResult.BEGUN
+
+    async def repath(self, request, hops):
+        self.repaths.append((request, hops))
+        return self.repath_result
+
+
+class World:
+    """An entry's use cases with two replicas and three plain servers."""
+
+    def __init__(self, slack=100.0):
+        self.clock = common.FakeClock()
+        self.beliefs = beliefs.Beliefs()
+        self.servers = FakeServers()
+        self.taken = reservations.Reservations()
+        self.budget = repeats.Repeats(
+            self.clock, 0.2, slack, 10_000, lambda: 1
+        )
+        shared = (self.clock, self.beliefs)
+        self.streams = streams.StreamService(
+            *shared,
+            self.taken,
+            self.servers,
+            self.budget,
+            'a',
+            random.Random(1),
+        )
+        self.calls = calls.CallService(
+            *shared, self.servers, self.budget, 'a', random.Random(1)
+        )
+        self.detector = detection.Detector(*shared, self.streams, self.servers)
+        self.metrics = metrics.Metrics()
+        self.intake = intake.Intake(
+            *shared,
+            self.streams,
+            self.calls,
+            self.metrics,
+            5_000,
+            random.Random(1),
+        )
+        self.beliefs.take_configuration(build_configuration())
+        self.beliefs.proof.renew(0)
+        for name in ('a', 'b'):
+            for number, (first, end) in enumerate(
+                ((0, 27), (27, 54), (54, 80))
+            ):
+                self.add(
+                    fleet_builders.build_engine(
+                        f'{name}-{number}', 'large', first, end
+                    )
+                )
+        for number, domain in enumerate('abc'):
+            self.add(
+                fleet_builders.build_server(
+                    f'{domain}-9{number}', service='ledger', slots=6
+                )
+            )
+
+    def add(self, server):
+        """List a server."""
+        self.beliefs.take_server(server, self.clock.now())
+
+    def serve(self, path='/brief/x', number=1, **changes):
+        """Serve a request; returns what its caller sees."""
+        reply = FakeReply()
+        changes.setdefault('arrived_at', self.clock.now())
+        self.intake.serve(build_inquiry(path, number, **changes), reply)
+        return reply
+
+    def advance(self, milliseconds, step=25):
+        """Let time pass with the regular work."""
+        for _ in range(0, milliseconds, step):
+            self.clock.advance(step)
+            self.beliefs.proof.renew(self.clock.now())
+            self.streams.work()
+            self.calls.work()
+            self.beliefs.forget_left(self.clock.now())
--- /dev/null
+++ b/tests/application/routing/test_streams.py
@@ -0,0 +1,336 @@
+"""Tests of model requests on paths that break."""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+
+import attrs
+
+from tests.application.routing import builders
+from tests.domain.fleet import builders as fleet_builders
+from thornspool.application.routing import ports
+from thornspool.application.routing import streams
+
+WHOLE = b''.join(b'id: %d\ndata: x\n\n' % number for number in range(10))
+
+
+class StreamTest(unittest.TestCase):
+    def setUp(self):
+        self.world = builders.World()
+        self.servers = self.world.servers
+
+    def test_a_stream_is_passed_on_whole(self):
+        reply = self.world.serve()
+        run = self.servers.last
+        self.assertEqual('north', run.run.workspace)
+        self.assertEqual(80, run.run.hops[-1].end)
+        run.begin()
+        run.send(0, 10)
+        run.end()
+        self.assertEqual(
+            (200, WHOLE, True), (reply.status, reply.body, reply.whole)
+        )
+        self.assertEqual({}, self.world.taken.own)
+
+    def test_a_broken_stream_goes_on_behind_its_last_whole_event(self):
+        """An engine dies in the middle of an event of a draft.
+
+        The caller would have to read half a draft again, or gets half an
+        event with a whole one behind it.
+        """
+        reply = self.world.serve()
+        first = self.servers.last
+        first.begin()
+        first.send(0, 4)
+        first.listener.take_body(b'id: 4\nda')
+        first.end(ports.Ending.BROKEN)
+        second = self.servers.last
+        self.assertIsNot(first, second)
+        self.assertEqual('3', second.run.resume_after)
+        self.assertNotEqual(first.run.server, second.run.server)
+        second.begin()
+        second.send(4, 10)
+        second.end()
+        self.assertEqual(WHOLE, reply.body)
+        self.assertTrue(reply.whole)
+
+    def test_an_answer_that_ends_inside_an_event_is_not_complete(self):
+        reply = self.world.serve()
+        first = self.servers.last
+        first.begin()
+        first.send(0, 4)
+        first.listener.take_body(b'id: 4\nda')
+        first.end()
+        self.assertFalse(reply.whole)
+        self.assertIsNot(first, self.servers.last)
+
+    def test_a_stream_that_may_not_resume_is_cut_not_run_again(self):
+        """The same break on a route whose streams may run only once.
+
+        A second run would be a second booking; a clean end would make half
+        an answer look whole.
+        """
+        reply = self.world.serve('/once/x')
+        run = self.servers.last
+        run.begin()
+        run.send(0, 4)
+        run.end(ports.Ending.BROKEN)
+        self.assertEqual(1, len(self.servers.runs))
+        self.assertTrue(reply.aborted)
+        self.assertFalse(reply.whole)
+
+    def test_what_ran_once_at_most_is_never_called_not_run(self):
+        """The engine of such a stream dies before its first event.
+
+        Told "not run" (503), the caller would send it again, and it may
+        have run.
+        """
+        reply = self.world.serve('/once/x')
+        self.servers.last.end(ports.Ending.BROKEN)
+        self.assertEqual(502, reply.status)
+        self.assertEqual(1, len(self.servers.runs))
+
+    def test_a_success_without_a_signature_is_no_success(self):
+        """Some other process answers at an engine's address."""
+        reply = self.world.serve('/once/x')
+        run = self.servers.last
+        run.begin(genuine=False)
+        run.send(0, 10)
+        run.end()
+        self.assertEqual(502, reply.status)
+
+    def test_an_engine_that_refuses_is_not_asked_again_at_once(self):
+        """An engine has given up layers that the list still shows.
+
+        Requests came back to it within milliseconds, six times each, and
+        used up what all requests together may be repeated.
+        """
+        reply = self.world.serve()
+        refused = set()
+        for _ in range(3):
+            run = self.servers.last
+            self.assertNotIn(run.run.server.id, refused)
+            refused.add(run.run.server.id)
+            run.refuse(421)
+            if reply.whole:
+                break
+        self.assertLessEqual(len(self.servers.runs), 3)
+
+    def test_refused_by_engines_that_moved_it_is_told_at_once(self):
+        reply = self.world.serve()
+        self.servers.last.refuse(421)
+        self.servers.last.refuse(421)
+        self.assertEqual(503, reply.status)
+        self.assertIsNotNone(reply.retry_after_ms)
+
+    def test_refused_by_full_engines_it_is_tried_again_later(self):
+        reply = self.world.serve()
+        self.servers.last.refuse()
+        self.servers.last.refuse()
+        self.world.advance(500)
+        self.assertEqual(2, len(self.servers.runs))
+        self.assertIsNone(reply.status)
+        self.world.advance(300)
+        self.assertEqual(3, len(self.servers.runs))
+
+    def test_without_a_path_callers_are_told_at_once(self):
+        """No domain holds all layers.
+
+        Waiting for a path would hold callers who could ask later, and the
+        answer would be the same.
+        """
+        for number in ('a-1', 'b-1'):
+            del self.world.beliefs.servers[number]
+        reply = self.world.serve()
+        self.assertEqual(503, reply.status)
+        self.assertEqual('not_covered', reply.reason)
+        self.assertGreater(reply.retry_after_ms, 0)
+
+    def test_a_caller_that_leaves_ends_the_work_for_him(self):
+        """A clerk closes the window while his draft is written."""
+        reply = self.world.serve()
+        run = self.servers.last
+        run.begin()
+        reply.leave()
+        self.assertTrue(run.stopped)
+        self.assertEqual({}, self.world.taken.own)
+        self.assertEqual(0, self.world.intake.in_flight)
+
+    def test_a_request_past_its_deadline_gets_its_answer(self):
+        reply = self.world.serve(patience_ms=1_000)
+        self.world.advance(1_100)
+        self.assertEqual(504, reply.status)
+        self.assertTrue(self.servers.last.stopped)
+
+    def test_late_bytes_of_a_run_that_was_left_go_nowhere(self):
+        """A silent engine wakes after its stream went elsewhere.
+
+        Its events would be mixed with those of the second run.
+        """
+        reply = self.world.serve()
+        first = self.servers.last
+        first.begin()
+        first.send(0, 3)
+        flight = next(iter(self.world.streams.flights))
+        self.world.streams.mend(flight, 'silent')
+        second = self.servers.last
+        second.begin()
+        first.send(3, 8)
+        first.end(ports.Ending.BROKEN)
+        second.send(3, 10)
+        second.end()
+        self.assertEqual(WHOLE, reply.body)
+
+    def test_repeats_end_with_the_budget(self):
+        """Every engine fails every request.
+
+        Requests that are sent again and again add to the load under which
+        the engines fail.
+        """
+        self.world = builders.World(slack=2.0)
+        servers = self.world.servers
+        for number in range(20):
+            self.world.serve(number=number)
+            while not all(
+                one.listener._generation != one.listener._flight.generation
+                or one.listener._flight.exchange.ended
+                for one in servers.runs
+            ):
+                servers.last.end(ports.Ending.BROKEN)
+        self.assertLessEqual(len(servers.runs), 20 + 2 + 0.2 * 20)
+
+    def test_full_engines_make_requests_wait_and_then_refuse_them(self):
+        """More drafts are asked for than the engines have memory for."""
+        replies = []
+        for number in range(2_000):
+            reply = self.world.serve(number=number)
+            replies.append(reply)
+            if len(self.servers.runs) <= number:
+                break
+        self.assertIsNone(replies[-1].status)
+        done = self.servers.runs[0]
+        done.begin()
+        done.end()
+        self.world.advance(25)
+        self.assertEqual(len(replies), len(self.servers.runs))
+        late = self.world.serve(number=9_999)
+        self.world.advance(streams.QUEUE_MS + 50)
+        self.assertEqual(503, late.status)
+        self.assertEqual('no_room', late.reason)
+
+    def test_urgent_requests_go_first_when_room_comes_free(self):
+        for number in range(2_000):
+            self.world.serve(number=number)
+            if len(self.servers.runs) <= number:
+                break
+        plain = build_urgent(self.world, 5, 'plain')
+        urgent = build_urgent(self.world, 0, 'urgent')
+        for run in self.servers.runs[:2]:
+            run.begin()
+            run.end()
+        self.world.advance(25)
+        started = [run.run.inquiry.id for run in self.servers.runs[-2:]]
+        self.assertIn('urgent', started)
+        self.assertIsNone(plain.status)
+        self.assertIsNone(urgent.status)
+
+
+def build_urgent(world, priority, name):
+    """Serve a request of a workspace with a rank."""
+    known = world.beliefs.configuration
+    workspaces = dict(known.workspaces)
+    workspaces[name] = builders.routing.Workspace(name, priority)
+    world.beliefs.configuration = attrs.evolve(known, workspaces=workspaces)
+    return world.serve(key=name, id=name)
+
+
+class DetectionTest(unittest.IsolatedAsyncioTestCase):
+    """An engine in the middle of a path goes dark.
+
+    Its neighbours wait for it, seconds pass before they say so, and the
+    callers have left by then.
+    """
+
+    async def asyncSetUp(self):
+        self.world = builders.World()
+        self.servers = self.world.servers
+        self.reply = self.world.serve()
+        self.run = self.servers.last
+        self.run.begin()
+        self.run.send(0, 3)
+        self.first = self.run.run.hops[0].server
+        self.middle = self.run.run.hops[1].server
+
+    async def pass_time(self, milliseconds):
+        for _ in range(0, milliseconds, 100):
+            self.world.advance(100)
+            self.world.detector.work()
+            for _ in range(4):
+                await builders_sleep()
+
+    def blame(self, server):
+        self.servers.reports[self.first.id] = ports.Report(
+            1, False, 1.0, 1, (ports.Stalled('request-1', server.address),)
+        )
+
+    async def test_the_first_engine_is_asked_and_the_stream_goes_on(self):
+        self.blame(self.middle)
+        await self.pass_time(700)
+        self.assertEqual([self.first.id], self.servers.asked)
+        self.assertIn(self.middle.id, self.world.beliefs.suspects)
+        second = self.servers.last
+        self.assertEqual('2', second.run.resume_after)
+        self.assertNotIn(
+            self.middle.id, [hop.server.id for hop in second.run.hops]
+        )
+        self.assertTrue(self.run.stopped)
+
+    async def test_a_first_engine_that_does_not_answer_is_left(self):
+        await self.pass_time(700)
+        self.assertIn(self.first.id, self.world.beliefs.suspects)
+        self.assertIsNot(self.run, self.servers.last)
+
+    async def test_a_slow_engine_is_not_suspected(self):
+        self.servers.reports[self.first.id] = ports.Report(
+            1, False, 3.0, 1, ()
+        )
+        await self.pass_time(900)
+        self.assertEqual({}, self.world.beliefs.suspects)
+        self.assertEqual(1, len(self.servers.runs))
+        self.assertEqual(3.0, self.world.beliefs.slowness[self.first.id])
+
+    async def test_a_host_that_stood_still_blames_nobody(self):
+        """The host of the entry is suspended for seconds.
+
+        On waking all streams look silent, and it would tell its peers to
+        leave out the whole fleet.
+        """
+        self.world.detector.work()
+        self.world.clock.advance(5_000)
+        self.world.detector.work()
+        await builders_sleep()
+        self.assertEqual([], self.servers.asked)
+        self.assertEqual({}, self.world.beliefs.suspects)
+
+    async def test_one_entry_can_not_condemn_the_fleet(self):
+        for name in list(self.world.beliefs.servers):
+            self.world.beliefs.suspect(name, 'not_reached', 0)
+        self.assertLess(len(self.world.beliefs.suspects), 9)
+
+
+async def builders_sleep():
+    """Let tasks run."""
+
+    await asyncio.sleep(0)
+
+
+class SuspicionTest(unittest.TestCase):
+    def test_a_suspicion_ends_when_the_server_starts_anew(self):
+        world = builders.World()
+        world.beliefs.suspect('a-0', 'not_reached', 0)
+        again = attrs.evolve(
+            fleet_builders.build_engine('a-0', 'large'), born=2
+        )
+        world.add(again)
+        self.assertEqual({}, world.beliefs.suspects)
--- /dev/null
+++ b/tests/domain/entries/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the package domain entries."""
--- /dev/null
+++ b/tests/domain/fleet/test_events.py
@@ -0,0 +1,45 @@
+"""Tests of whole events of a stream."""
+
+from __future__ import annotations
+
+import unittest
+
+import hypothesis
+from hypothesis import strategies
+
+from thornspool.domain.fleet import events
+
+STREAM = b''.join(
+    f'id: {number}\ndata: word {number}\n\n'.encode() for number in range(9)
+)
+
+
+class EventBufferTest(unittest.TestCase):
+    @hypothesis.settings(derandomize=True, deadline=None, database=None)
+    @hypothesis.given(
+        strategies.lists(strategies.integers(0, len(STREAM)), max_size=12)
+    )
+    def test_passes_whole_events_whatever_the_pieces(self, cuts):
+        """An engine stops in the middle of an event.
+
+        If the begun event had been passed on, the run that goes on behind
+        it would be joined to its half, and the caller reads garbage.
+        """
+        buffer = events.EventBuffer()
+        passed = b''
+        edges = [0, *sorted(cuts), len(STREAM)]
+        for first, end in zip(edges, edges[1:], strict=False):
+            passed += buffer.take(STREAM[first:end])
+            self.assertTrue(passed == b'' or passed.endswith(b'\n\n'))
+            self.assertEqual(passed.count(b'\n\n'), buffer.count)
+        self.assertEqual(STREAM, passed)
+        self.assertEqual('8', buffer.last_id)
+
+    def test_keeps_the_id_of_the_last_whole_event(self):
+        buffer = events.EventBuffer()
+        buffer.take(b'id: 4\ndata: x\n\nid: 5\nda')
+        self.assertEqual('4', buffer.last_id)
+        buffer.drop_pending()
+        self.assertEqual(
+            b'id: 5\ndata: y\n\n', buffer.take(b'id: 5\ndata: y\n\n')
+        )
