Keep streams to the engines that their route allows

Change: only a run whose first engine is itself suspected does not count; beyond that the path is changed under the running request.

Test: fails before with 3 runs for 2.

--- a/src/thornspool/application/routing/detection.py
+++ b/src/thornspool/application/routing/detection.py
@@ -103,7 +103,7 @@
         begun = flight.events.count > 0
         if quiet < (PAUSE_MS if begun else FIRST_EVENT_MS):
             return
-        if quiet >= GIVE_UP_MS:
+        if quiet >= GIVE_UP_MS and self._service.may_run_again(flight):
             names = [hop.server.id for hop in flight.hops]
             flight.exchange.avoid(names, now)
             self._service.mend(flight, 'silent')
--- a/src/thornspool/application/routing/streams.py
+++ b/src/thornspool/application/routing/streams.py
@@ -408,7 +408,11 @@
             flight.stop()
             flight.stop = None
         flight.generation += 1
-        flight.lost_runs += 1
+        first = flight.first_server
+        if first is not None and first.id in self._beliefs.suspects:
+            # An engine that ended does not count among those that a route
+            # allows; one that only waits for another one does.
+            flight.lost_runs += 1
         self._again(flight, reason)
 
     def move(self, flight: Flight, hops: tuple[search.Hop, ...]) -> None:
--- a/tests/adapters/test_transfers.py
+++ b/tests/adapters/test_transfers.py
@@ -20,9 +20,7 @@
         self.closed = 0
 
     async def start(self):
-        self.server = await asyncio.start_server(
-            self._serve, '127.0.0.1', 0
-        )
+        self.server = await asyncio.start_server(self._serve, '127.0.0.1', 0)
         port = self.server.sockets[0].getsockname()[1]
         self.url = f'http://127.0.0.1:{port}'
 
--- a/tests/application/routing/test_streams.py
+++ b/tests/application/routing/test_streams.py
@@ -291,6 +291,64 @@
         self.assertIn(self.first.id, self.world.beliefs.suspects)
         self.assertIsNot(self.run, self.servers.last)
 
+    async def test_a_stream_runs_on_no_more_engines_than_its_route_allows(
+        self,
+    ):
+        """Engines in the middle of a draft's paths die, one after another.
+
+        A route whose drafts may run on two engines saw them run on three
+        and four: each loss of another engine had counted as if the first
+        one of the path, which the stream entered at, had ended.
+        """
+        for name in ('a', 'b'):
+            self.servers.reports[f'{name}-0'] = ports.Report(
+                1, False, 1.0, 1, ()
+            )
+            self.world.add(
+                fleet_builders.build_engine(f'{name}-7', 'large', 27, 54)
+            )
+        for _ in range(2):
+            last = self.servers.last
+            first, middle = (hop.server for hop in last.run.hops[:2])
+            last.begin()
+            self.servers.reports[first.id] = ports.Report(
+                1,
+                False,
+                1.0,
+                1,
+                (ports.Stalled('request-1', middle.address),),
+            )
+            await self.pass_time(900)
+        self.assertEqual(2, len(self.servers.runs))
+        self.assertEqual(1, len(self.servers.repaths))
+
+    async def test_a_stream_that_may_not_run_again_changes_its_path(self):
+        """The same loss on a route whose streams may run once only."""
+        reply = self.world.serve('/once/x', number=2)
+        run = self.servers.last
+        run.begin()
+        run.send(0, 3)
+        first, middle = (hop.server for hop in run.run.hops[:2])
+        spare = fleet_builders.build_engine(
+            f'{first.failure_domain}-7', 'large', 27, 54
+        )
+        self.world.add(spare)
+        self.servers.reports[first.id] = ports.Report(
+            1,
+            False,
+            1.0,
+            1,
+            (ports.Stalled('request-2', middle.address),),
+        )
+        await self.pass_time(700)
+        ((request, hops),) = self.servers.repaths
+        self.assertEqual('request-2', request)
+        self.assertEqual(first, hops[0].server)
+        self.assertNotIn(middle, [hop.server for hop in hops])
+        run.send(3, 10)
+        run.end()
+        self.assertEqual(WHOLE, reply.body)
+
     async def test_a_slow_engine_is_not_suspected(self):
         self.servers.reports[self.first.id] = ports.Report(
             1, False, 3.0, 1, ()
--- a/tests/platform/deployment.py
+++ b/tests/platform/deployment.py
@@ -156,9 +156,7 @@
                 stderr=subprocess.STDOUT,
                 env={**os.environ, 'THORNSPOOL_NODE_FILE': str(path)},
             )
-        self._running.running.append(
-            processes.Process(name, popen, {}, log)
-        )
+        self._running.running.append(processes.Process(name, popen, {}, log))
         entry = Entry(popen, log, ports)
         self.entries.append(entry)
         return entry
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -68,9 +68,10 @@
             ({**NODE, 'listen': {'front': 1}}, 'listen'),
         )
         for document, field in table:
-            with self.subTest(field), self.assertRaises(
-                exceptions.NodeFileError
-            ) as caught:
+            with (
+                self.subTest(field),
+                self.assertRaises(exceptions.NodeFileError) as caught,
+            ):
                 settings.decode_settings(json.dumps(document).encode(), 'f')
             self.assertIn(field, str(caught.exception))
             self.assertIn('f:', str(caught.exception))
@@ -130,9 +131,7 @@
         route = read.find_route(kv_fleet.HOST, '/hold/a/b')
         self.assertIs(routing.Kind.NON_IDEMPOTENT, route.kind)
         self.assertFalse(route.repeatable)
-        self.assertTrue(
-            read.find_route(kv_fleet.HOST, '/brief/').repeatable
-        )
+        self.assertTrue(read.find_route(kv_fleet.HOST, '/brief/').repeatable)
         self.assertIsNone(read.find_route(kv_fleet.HOST, '/brie'))
         self.assertEqual('north', read.workspaces[kv_fleet.KEY].name)
         self.assertEqual(
@@ -170,8 +169,9 @@
 
     def test_a_malformed_one_is_refused(self):
         for changes in ({'version': 'new'}, {'routes': [{'name': 1}]}):
-            with self.subTest(changes), self.assertRaises(
-                exceptions.DecodeError
+            with (
+                self.subTest(changes),
+                self.assertRaises(exceptions.DecodeError),
             ):
                 self.decode(**changes)
         base = kv_fleet.build_configuration(1)['routes'][0]
@@ -266,14 +266,10 @@
         for status, headers, ran, genuine in table:
             with self.subTest(status=status, headers=headers):
                 head = engines._decode_head('r', status, headers)
-                self.assertEqual(
-                    (ran, genuine), (head.ran, head.genuine)
-                )
+                self.assertEqual((ran, genuine), (head.ran, head.genuine))
 
     def test_load(self):
-        self.assertEqual(
-            ports.Load(3, 0, 8), engines._decode_load('3,0,8')
-        )
+        self.assertEqual(ports.Load(3, 0, 8), engines._decode_load('3,0,8'))
         for text in (None, '', '1,2', 'a,b,c'):
             self.assertIsNone(engines._decode_load(text))
 
--- a/tests/platform/test_following.py
+++ b/tests/platform/test_following.py
@@ -30,9 +30,7 @@
 class _WithStore(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self):
         self.state = kv_store.Store(clock_module.Clock())
-        self.server, url = common.listen(
-            kv_store.make_application(self.state)
-        )
+        self.server, url = common.listen(kv_store.make_application(self.state))
         self.session = transfers.Session()
         self.store = store_module.Store(
             self.session, url.removeprefix('http://')
@@ -58,9 +56,7 @@
 
     async def test_a_watch_brings_changes_and_deletions(self):
         revision = self.put('k/1', 1)
-        waiting = asyncio.create_task(
-            self.store.watch('k/', revision, 2_000)
-        )
+        waiting = asyncio.create_task(self.store.watch('k/', revision, 2_000))
         await asyncio.sleep(0.05)
         self.state.write([], ['k/1'])
         changes = await waiting
@@ -160,9 +156,7 @@
         await asyncio.sleep(2.2)
         self.assertFalse(self.beliefs.proof.is_within(1_500, now()))
         self.state.mode = 'up'
-        await self.wait(
-            lambda: self.beliefs.proof.is_within(500, now()), 2.0
-        )
+        await self.wait(lambda: self.beliefs.proof.is_within(500, now()), 2.0)
 
     async def test_registrations_and_the_lead_are_followed(self):
         service = registration.RegistrationService(
--- a/tests/platform/test_whole_path.py
+++ b/tests/platform/test_whole_path.py
@@ -50,7 +50,9 @@
         self.assertEqual(200, hold.status)
         self.assertTrue(hold.body.endswith(b'for north'))
         self.assertEqual(200, self.first.call('GET', '/read/1', 3).status)
-        self.assertEqual(401, self.first.call('GET', '/read/1', 4, 'no').status)
+        self.assertEqual(
+            401, self.first.call('GET', '/read/1', 4, 'no').status
+        )
         self.assertEqual(404, self.first.call('GET', '/none/1', 5).status)
         ran = self.deployment.read_fleet()
         self.assertEqual(0, ran['wrong_paths'])
@@ -80,9 +82,9 @@
         self.assertEqual(WHOLE, results[0].body)
         self.assertTrue(results[0].whole)
         self.assertLess(time.monotonic() - began, 4.0)
-        self.assertNotEqual([], self.first.find_lines(
-            'run_repeated', id='request-7'
-        ))
+        self.assertNotEqual(
+            [], self.first.find_lines('run_repeated', id='request-7')
+        )
 
     def test_an_action_whose_answer_is_lost_runs_once(self):
         """A server runs a hold and its answer never comes.
@@ -93,9 +95,7 @@
         self.deployment.control(lose_answers=1)
         answer = self.first.call('POST', '/hold/1', 8)
         self.assertEqual(502, answer.status)
-        self.assertEqual(
-            1, self.deployment.read_fleet()['runs']['request-8']
-        )
+        self.assertEqual(1, self.deployment.read_fleet()['runs']['request-8'])
         (line,) = self.first.find_lines('request_ended', id='request-8')
         self.assertIn('outcome_unknown', line)
 
@@ -133,8 +133,7 @@
         )
         self.deployment.control_store(drop_history=True)
         deployment.wait_until(
-            lambda: self.first.call('GET', '/read/1', 13, 'new').status
-            == 200,
+            lambda: self.first.call('GET', '/read/1', 13, 'new').status == 200,
             4.0,
         )
 
