Shorten news between entries and wait longer after failed calls

Cause: names of engines were two thirds of the bytes of all news, and an entry without the store asked it every 150 ms.

Change: engines have marks of 24 bits in news; pauses double to 0.7 s.

--- a/src/thornspool/application/routing/membership.py
+++ b/src/thornspool/application/routing/membership.py
@@ -158,7 +158,7 @@
                     heard_stamp=peer.heard_stamp,
                     revision=self._read_revision(),
                     proof_age_ms=-1 if age is None else age,
-                    taken=dict(self._taken.own),
+                    taken=self._taken.list_marked(),
                     suspects=tuple(self._beliefs.fresh_suspects),
                 ),
             )
--- a/src/thornspool/application/routing/registration.py
+++ b/src/thornspool/application/routing/registration.py
@@ -14,6 +14,9 @@
     from thornspool import clock as clock_module
     from thornspool.domain.entries import view as view_module
 
+RETRY_MS = 500
+"""Pause after a call that failed; two of them fit into a lease."""
+
 logger = structlog.get_logger(__name__)
 
 
@@ -68,9 +71,12 @@
         self._registered = False
         self._leaving = False
         self._reachable = True
+        self._retry_at = 0
 
     async def work(self) -> None:
         """Renew what is due; run several times a second."""
+        if self._clock.now() < self._retry_at:
+            return
         try:
             await self._renew()
             await self._claim()
@@ -82,6 +88,7 @@
         except exceptions.RegistryConflict as error:
             logger.info('lead_not_won', reason=str(error))
         except exceptions.RegistryUnavailable as error:
+            self._retry_at = self._clock.now() + RETRY_MS
             self._note_reachable(False, str(error))
 
     async def leave(self) -> None:
--- a/src/thornspool/domain/entries/messages.py
+++ b/src/thornspool/domain/entries/messages.py
@@ -58,8 +58,8 @@
         Revision of the store that its copy has reached.
     proof_age_ms : int
         Age of the proof that its copy is current; negative for none.
-    taken : dict of str to float
-        Token-layers that its requests hold, by engine.
+    taken : dict of int to float
+        Token-layers that its requests hold, by the mark of the engine.
     suspects : tuple of str
         Servers that it has seen fail just now.
     """
@@ -71,5 +71,5 @@
     heard_stamp: int
     revision: int
     proof_age_ms: int
-    taken: dict[str, float]
+    taken: dict[int, float]
     suspects: tuple[str, ...]
--- a/src/thornspool/domain/paths/reservations.py
+++ b/src/thornspool/domain/paths/reservations.py
@@ -11,6 +11,7 @@
 import typing
 
 import attrs
+import xxhash
 
 if typing.TYPE_CHECKING:
     from collections.abc import Iterable
@@ -24,15 +25,29 @@
 is right at the median only.
 """
 
+MARK_BITS = 24
+"""Bits of an engine's mark; among 690 engines, one pair in 70 fleets has
+the same one, and each of the two then seems to hold what both do."""
+
+
+def compute_mark(name: str) -> int:
+    """Compute the short name of an engine for news between entries.
+
+    Names of 12 characters made up two thirds of the bytes of all news:
+    0.9 kB five times a second to each peer, with marks 0.3 kB (39 engines).
+    """
+    return xxhash.xxh32_intdigest(name.encode()) >> (32 - MARK_BITS)
+
 
 @attrs.define
 class Reservations:
-    """Token-layers and requests taken, by engine."""
+    """Token-layers and requests taken, by engine; those of peers by mark."""
 
     own: dict[str, float] = attrs.field(factory=dict)
     running: dict[str, int] = attrs.field(factory=dict)
-    peers: dict[str, dict[str, float]] = attrs.field(factory=dict)
-    _peer_sums: dict[str, float] = attrs.field(factory=dict)
+    peers: dict[str, dict[int, float]] = attrs.field(factory=dict)
+    _peer_sums: dict[int, float] = attrs.field(factory=dict)
+    _marks: dict[str, int] = attrs.field(factory=dict)
 
     def take(self, hops: Iterable[search.Hop], tokens: float) -> None:
         """Reserve room on each engine of a path."""
@@ -53,7 +68,13 @@
             else:
                 self.own[name] = max(0.0, left)
 
-    def note_peer(self, peer: str, taken: dict[str, float]) -> None:
+    def list_marked(self) -> dict[int, float]:
+        """List what this entry has taken, by mark."""
+        return {
+            self._find_mark(name): amount for name, amount in self.own.items()
+        }
+
+    def note_peer(self, peer: str, taken: dict[int, float]) -> None:
         """Replace what a peer has taken."""
         self.peers[peer] = taken
         self._sum_peers()
@@ -65,11 +86,18 @@
 
     def compute_taken(self, name: str) -> float:
         """Return the token-layers taken on an engine by all entries."""
-        return self.own.get(name, 0.0) + self._peer_sums.get(name, 0.0)
+        others = self._peer_sums.get(self._find_mark(name), 0.0)
+        return self.own.get(name, 0.0) + others
+
+    def _find_mark(self, name: str) -> int:
+        mark = self._marks.get(name)
+        if mark is None:
+            mark = self._marks[name] = compute_mark(name)
+        return mark
 
     def _sum_peers(self) -> None:
-        sums: dict[str, float] = {}
+        sums: dict[int, float] = {}
         for taken in self.peers.values():
-            for name, amount in taken.items():
-                sums[name] = sums.get(name, 0.0) + amount
+            for mark, amount in taken.items():
+                sums[mark] = sums.get(mark, 0.0) + amount
         self._peer_sums = sums
--- a/src/thornspool/platform/follower.py
+++ b/src/thornspool/platform/follower.py
@@ -31,7 +31,15 @@
 answer; the shortest bound for them is 2 s."""
 
 RETRY_MS = 150
-"""Pause after a call that failed."""
+"""Pause after the first call that failed; it doubles with each further one.
+
+Each call is priced, refused ones too: with a steady pause of 150 ms nine
+hosts made some 500 calls in an outage of 8 s, with the doubled one 140.
+"""
+
+MAX_RETRY_MS = 700
+"""Longest pause between calls that fail: the proof is renewed within this
+of the store's return."""
 
 _MS_PER_S = 1000.0
 
@@ -71,6 +79,7 @@
         self.revision = 0
         self._known: dict[str, int] = {}
         self._reachable = False
+        self._pause_ms = RETRY_MS
 
     async def run(self) -> None:
         """Follow the store until cancelled."""
@@ -84,7 +93,8 @@
                 self.revision = 0
             except exceptions.StoreError as error:
                 self._note_reachable(False, str(error))
-                await asyncio.sleep(RETRY_MS / _MS_PER_S)
+                await asyncio.sleep(self._pause_ms / _MS_PER_S)
+                self._pause_ms = min(MAX_RETRY_MS, 2 * self._pause_ms)
 
     async def _read_all(self) -> None:
         """Read every key, and drop what is no longer there."""
@@ -168,6 +178,7 @@
         if reachable is not self._reachable:
             self._reachable = reachable
             if reachable:
+                self._pause_ms = RETRY_MS
                 logger.info('store_regained', revision=self.revision)
             else:
                 logger.warning('store_lost', reason=reason)
--- a/src/thornspool/platform/peers.py
+++ b/src/thornspool/platform/peers.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import typing
 
 import msgspec
@@ -21,6 +22,9 @@
 MAX_BYTES = 60_000
 """Largest datagram that is sent; UDP over IPv4 ends at 65,507."""
 
+TAKEN_UNIT = 1000.0
+"""Token-layers of one unit in news; a usual request takes some 8,000."""
+
 logger = structlog.get_logger(__name__)
 
 
@@ -32,7 +36,8 @@
     heard_stamp: int
     revision: int
     proof_age_ms: int
-    taken: dict[str, int]
+    # Thousands, which are two bytes in place of five.
+    taken: dict[int, int]
     suspects: list[str]
 
 
@@ -47,7 +52,10 @@
             news.heard_stamp,
             news.revision,
             news.proof_age_ms,
-            {name: round(taken) for name, taken in news.taken.items()},
+            {
+                mark: math.ceil(taken / TAKEN_UNIT)
+                for mark, taken in news.taken.items()
+            },
             list(news.suspects),
         )
     )
@@ -69,7 +77,7 @@
         read.heard_stamp,
         read.revision,
         read.proof_age_ms,
-        {name: float(taken) for name, taken in read.taken.items()},
+        {mark: taken * TAKEN_UNIT for mark, taken in read.taken.items()},
         tuple(read.suspects),
     )
 
--- a/tests/domain/paths/test_search.py
+++ b/tests/domain/paths/test_search.py
@@ -174,7 +174,8 @@
         """
         engines = self.build_replicas()[:3]
         taken = reservations.Reservations()
-        taken.note_peer('peer', {'a-2': 1e9})
+        mark = reservations.compute_mark('a-2')
+        taken.note_peer('peer', {mark: 1e9})
         need = choice.Need(760, 170)
         self.assertIs(
             choice.Lack.NO_ROOM,
@@ -234,9 +235,10 @@
 
     def test_counts_what_peers_have_taken_until_they_are_gone(self):
         taken = reservations.Reservations()
-        taken.note_peer('one', {'a-1': 5.0})
-        taken.note_peer('two', {'a-1': 7.0})
-        taken.note_peer('one', {'a-1': 6.0})
+        mark = reservations.compute_mark('a-1')
+        taken.note_peer('one', {mark: 5.0})
+        taken.note_peer('two', {mark: 7.0})
+        taken.note_peer('one', {mark: 6.0})
         self.assertEqual(13.0, taken.compute_taken('a-1'))
         taken.forget_peer('two')
         self.assertEqual(6.0, taken.compute_taken('a-1'))
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -284,7 +284,7 @@
             4,
             9,
             12,
-            {'a-1': 8.0},
+            {77: 8_000.0},
             ('a-2',),
         )
         self.assertEqual(news, peers.decode_news(peers.encode_news(news)))
--- a/tests/platform/test_following.py
+++ b/tests/platform/test_following.py
@@ -237,6 +237,9 @@
         self.registry.error = routing_errors.RegistryUnavailable('busy')
         await self.service.work()
         await self.service.work()
+        self.assertEqual(['renew'], self.registry.calls)
+        self.clock.advance(registration.RETRY_MS)
+        await self.service.work()
         self.assertEqual(['renew', 'renew'], self.registry.calls)
 
     async def test_nothing_is_renewed_before_it_is_due(self):
