Stay registered while draining, and refuse what a drain would cut

Long streams that it took in its first seconds were cut at the end of the grace period (log lines drain_ended with 1 to 3 left, 6 to 8 s old).

Ruled out: requests that never end (all that were left are long answers of up to 440 tokens at 17 ms).

Change: it gives up the lead at once and its registration at its end; a stream whose path would end too late is refused at once; the line at the end of a drain names what is left.

--- a/src/thornspool/application/routing/intake.py
+++ b/src/thornspool/application/routing/intake.py
@@ -7,6 +7,7 @@
 import structlog
 
 from thornspool.application.routing import exchanges
+from thornspool.application.routing import streams as streams_module
 from thornspool.domain.freshness import proofs
 from thornspool.domain.routing import messages as routing
 
@@ -18,15 +19,11 @@
     from thornspool.application.routing import beliefs as beliefs_module
     from thornspool.application.routing import calls
     from thornspool.application.routing import ports
-    from thornspool.application.routing import streams
 
 NOT_READY_RETRY_MS = 700
 """Retry-After of an entry that can't serve yet; it reads its configuration
 within some 100 ms of its start, and others serve meanwhile."""
 
-DRAINING_RETRY_MS = 50
-"""Retry-After of an entry that leaves: another one serves at once."""
-
 logger = structlog.get_logger(__name__)
 
 
@@ -39,7 +36,7 @@
         Source of time.
     beliefs : beliefs_module.Beliefs
         Configuration and its proof.
-    streams : streams.StreamService
+    streams : streams_module.StreamService
         Serves model requests.
     calls : calls.CallService
         Serves the others.
@@ -55,7 +52,7 @@
         self,
         clock: clock_module.Clock,
         beliefs: beliefs_module.Beliefs,
-        streams: streams.StreamService,
+        streams: streams_module.StreamService,
         calls: calls.CallService,
         metrics: metrics_module.Metrics,
         withdrawn_key_ms: int,
@@ -86,7 +83,13 @@
             )
             return
         if self.refuses_new:
-            self._refuse(inquiry, reply, 503, 'draining', DRAINING_RETRY_MS)
+            self._refuse(
+                inquiry,
+                reply,
+                503,
+                'draining',
+                streams_module.DRAINING_RETRY_MS,
+            )
             return
         route = configuration.find_route(inquiry.host, inquiry.path)
         if route is None:
--- a/src/thornspool/application/routing/registration.py
+++ b/src/thornspool/application/routing/registration.py
@@ -37,6 +37,9 @@
     ) -> int:
         """Write the key of the lead over a revision; returns the new one."""
 
+    async def release_lead(self, revision: int) -> None:
+        """Delete the key of the lead, if it still has a revision."""
+
     async def end_lease(self, lease: int) -> None:
         """End a lease; what was written under it goes."""
 
@@ -91,8 +94,26 @@
             self._retry_at = self._clock.now() + RETRY_MS
             self._note_reachable(False, str(error))
 
+    async def step_down(self) -> None:
+        """Give up the lead and claim it no more.
+
+        The registration stays until the entry ends: its requests still hold
+        memory on engines, which peers would give out a second time if they
+        no longer heard of it.
+        """
+        self._leaving = True
+        holder = self._lead.holder
+        if holder is None or not self._lead.may_act(self._clock.now()):
+            return
+        self._lead.take_holder(None, self._clock.now())
+        try:
+            await self._registry.release_lead(holder.revision)
+        except exceptions.RoutingError as error:
+            # Another entry takes it over when it no longer hears this one.
+            logger.warning('lead_not_released', reason=str(error))
+
     async def leave(self) -> None:
-        """End the registration and, with it, the lead."""
+        """End the registration."""
         self._leaving = True
         lease, self._lease = self._lease, None
         self._lead.renewed_at = None
@@ -105,7 +126,7 @@
             logger.warning('lease_not_ended', reason=str(error))
 
     async def _renew(self) -> None:
-        if self._leaving:
+        if self._leaving and self._lease is None:
             return
         now = self._clock.now()
         last = self._lead.renewed_at
--- a/src/thornspool/application/routing/streams.py
+++ b/src/thornspool/application/routing/streams.py
@@ -18,7 +18,6 @@
     import random
 
     from thornspool import clock as clock_module
-    from thornspool.application.routing import detection
     from thornspool.application.routing import exchanges
     from thornspool.application.routing import repeats
     from thornspool.domain.fleet import messages as fleet
@@ -45,6 +44,9 @@
 neighbours within another second.
 """
 
+DRAINING_RETRY_MS = 50
+"""Retry-After of an entry that leaves: another one serves at once."""
+
 logger = structlog.get_logger(__name__)
 
 _OK = 200
@@ -149,7 +151,7 @@
         self._random = random_source
         self.flights: set[Flight] = set()
         self._waiting: list[Flight] = []
-        self.detector: detection.Detector | None = None
+        self._ends_at: int | None = None
 
     def serve(self, exchange: exchanges.Exchange) -> None:
         """Serve a request; its exchange ends when it is answered."""
@@ -218,6 +220,9 @@
         if found is choice.Lack.NOT_COVERED and avoided:
             found = self._look_past(flight, found)
         if not isinstance(found, choice.Lack):
+            if self._ends_too_late(flight, found, now):
+                self._give_up(flight, 'draining', DRAINING_RETRY_MS)
+                return
             self._send(flight, found.hops)
             return
         waited = now - exchange.inquiry.arrived_at
@@ -228,6 +233,23 @@
             flight, found.value, self._random.randint(*COMES_BACK_MS)
         )
 
+    def set_end(self, at: int) -> None:
+        """Note when this entry will end, as it drains."""
+        self._ends_at = at
+
+    def _ends_too_late(
+        self, flight: Flight, path: search.Path, now: int
+    ) -> bool:
+        """Tell whether a stream would be cut by the end of this entry.
+
+        Long answers take 7 s and more, most of the grace period; taken in
+        its first seconds they were cut at its end, and their callers had to
+        ask another entry for the rest.
+        """
+        if self._ends_at is None or flight.exchange.begun:
+            return False
+        return now + path.cost_ms > self._ends_at
+
     def _look_past(self, flight: Flight, lack: choice.Lack) -> choice.Lack:
         """Tell whether only the servers that it avoids are missing."""
         situation = self.describe(flight.exchange.service, set())
--- a/src/thornspool/platform/daemon.py
+++ b/src/thornspool/platform/daemon.py
@@ -81,8 +81,15 @@
 """Least time for which a stopping entry answers, so that callers who still
 hold its address are told where else to go in place of a broken connection."""
 
-EXIT_MARGIN_MS = 900
-"""Time before the end of the grace period at which the entry exits."""
+MAX_LEFT_NAMED = 10
+"""Requests named in the line that tells the end of a drain."""
+
+FLUSH_MS = 200
+"""Longest wait for callers to read the end of their answers."""
+
+EXIT_MARGIN_MS = 500
+"""Time before the end of the grace period at which the entry exits; closing
+takes some 250 ms."""
 
 _MS_PER_S = 1000.0
 
@@ -212,7 +219,8 @@
         self._membership.set_state(messages.State.LEAVING)
         logger.info('drain_began', in_flight=self._intake.in_flight)
         self._front.send_away()
-        await self._registration.leave()
+        self._streams.set_end(last)
+        await self._registration.step_down()
         while True:
             now = self._clock.now()
             waited = now - began
@@ -222,14 +230,29 @@
             if now >= last or (idle and waited >= LINGER_MS):
                 break
             await asyncio.sleep(0.05)
-        logger.info('drain_ended', in_flight=self._intake.in_flight)
+        logger.info(
+            'drain_ended',
+            in_flight=self._intake.in_flight,
+            left=self._describe_left(),
+        )
         for task in self._tasks:
             task.cancel()
         for listener in self._listeners:
-            await listener.stop(timeout_ms=200)
+            await listener.stop(timeout_ms=FLUSH_MS)
+        await self._registration.leave()
         self._datagrams.close()
         self._session.close()
 
+    def _describe_left(self) -> str:
+        """Name the requests that are still in flight, with their ages."""
+        now = self._clock.now()
+        exchanges = [one.exchange for one in self._streams.flights]
+        exchanges += [one.exchange for one in self._calls.calls]
+        return ','.join(
+            f'{one.inquiry.id}:{now - one.inquiry.arrived_at}ms'
+            for one in exchanges[:MAX_LEFT_NAMED]
+        )
+
     def is_ready(self) -> bool:
         """Tell whether callers may come."""
         return (
--- a/src/thornspool/platform/registry.py
+++ b/src/thornspool/platform/registry.py
@@ -69,6 +69,11 @@
         with _translating():
             return await self._store.write({LEAD_KEY: revision}, [put])
 
+    async def release_lead(self, revision: int) -> None:
+        """Delete the key of the lead, if it still has a revision."""
+        with _translating():
+            await self._store.write({LEAD_KEY: revision}, deletes=[LEAD_KEY])
+
     async def end_lease(self, lease: int) -> None:
         """End a lease."""
         with _translating():
--- a/tests/application/routing/test_streams.py
+++ b/tests/application/routing/test_streams.py
@@ -219,6 +219,18 @@
         self.assertEqual(503, late.status)
         self.assertEqual('no_room', late.reason)
 
+    def test_a_drain_takes_only_what_ends_before_it(self):
+        """A host is stopped, and callers who hold its address come still.
+
+        A long draft taken now is cut at the end of the grace period.
+        """
+        self.world.streams.set_end(self.world.clock.now() + 5_000)
+        short = self.world.serve(number=1, answer_tokens=50.0)
+        long = self.world.serve(number=2, answer_tokens=4_000.0)
+        self.assertIsNone(short.status)
+        self.assertEqual((503, 'draining'), (long.status, long.reason))
+        self.assertEqual(1, len(self.servers.runs))
+
     def test_urgent_requests_go_first_when_room_comes_free(self):
         for number in range(2_000):
             self.world.serve(number=number)
--- a/tests/platform/test_following.py
+++ b/tests/platform/test_following.py
@@ -173,8 +173,10 @@
             {'host': 'two', 'incarnation': 'two-1', 'peers': 'two:90'},
         )
         await self.wait(lambda: 'two' in self.view.peers)
+        await service.step_down()
+        self.assertNotIn('thornspool/lead', self.state.items)
+        self.assertIn('thornspool/entries/one', self.state.items)
         await service.leave()
-        await self.wait(lambda: self.lead.holder is None)
         self.assertNotIn('thornspool/entries/one', self.state.items)
 
 
@@ -205,6 +207,9 @@
         self._call('claim')
         return 5
 
+    async def release_lead(self, revision):
+        self._call('release')
+
     async def end_lease(self, lease):
         self._call('end')
 
@@ -253,6 +258,18 @@
         await self.service.work()
         self.assertEqual(['end'], self.registry.calls)
 
+    async def test_an_entry_that_drains_stays_registered(self):
+        """A host is stopped while its streams still run for seconds.
+
+        Were its registration gone at once, its peers would give the memory
+        that these streams hold to others, and engines preempt them.
+        """
+        await self.service.step_down()
+        self.assertFalse(self.lead.may_act(self.clock.now()))
+        self.clock.advance(1_000)
+        await self.service.work()
+        self.assertEqual(['release', 'renew'], self.registry.calls)
+
 
 BEAT = {
     'service': 'drafting',
