Let a watch be short enough that one silent connection costs nothing

Cause: a proof of freshness was up to 1.8 s old when the next watch began; if that one hung on a connection that had gone silent, it was given up at 4.35 s, past the bound of 4.25 s, and keyed requests were refused until the next answer (proof_age_ms of 3,248 in a log of a calm moment showed it).

Change: the length of a watch follows from the bound, 1.475 s for 5 s.

Test: the oldest proof in that case is younger than the bound; with 1.8 s the test fails (4,700 ms against 4,250).

--- a/src/thornspool/platform/daemon.py
+++ b/src/thornspool/platform/daemon.py
@@ -31,6 +31,7 @@
 from thornspool.domain.entries import leadership
 from thornspool.domain.entries import messages
 from thornspool.domain.entries import view as view_module
+from thornspool.domain.freshness import proofs
 from thornspool.domain.paths import reservations
 from thornspool.platform import callers
 from thornspool.platform import engines
@@ -278,7 +279,14 @@
         self._view = view_module.View(own)
         self._lead = leadership.Leadership(own.incarnation)
         self._follower = follower.Follower(
-            clock, store, self._beliefs, self._view, self._lead
+            clock,
+            store,
+            self._beliefs,
+            self._view,
+            self._lead,
+            follower.compute_watch_ms(
+                bounds.withdrawn_key_ms * proofs.KEY_AGE_SHARE
+            ),
         )
         taken = reservations.Reservations()
         self._datagrams = peers.Datagrams(
--- a/src/thornspool/platform/follower.py
+++ b/src/thornspool/platform/follower.py
@@ -18,9 +18,8 @@
     from thornspool.domain.entries import leadership as leadership_module
     from thornspool.domain.entries import view as view_module
 
-WATCH_MS = 1_800
-"""Length of a watch: the proof is at most this and a call old, well inside
-the shortest bound for withdrawn keys (5 s), at one priced call in 1.8 s."""
+MAX_WATCH_MS = 1_800
+"""Longest watch: one priced call in that time."""
 
 PROBE_WATCH_MS = 200
 """Length of the first watch after a failure, so that the proof is renewed
@@ -43,6 +42,30 @@
 
 _MS_PER_S = 1000.0
 
+
+def compute_watch_ms(bound_ms: float) -> int:
+    """Compute how long a watch may wait.
+
+    A proof is dated at the sending of a watch that then waits. When the
+    next one hangs on a connection that went silent, it is given up and a
+    short one asks again; all that must fit into the time for which a proof
+    counts. With watches of 1.8 s and a bound of 4.25 s one silent
+    connection made an entry refuse every keyed request for 0.3 s.
+
+    Parameters
+    ----------
+    bound_ms : float
+        Time for which a proof counts, in milliseconds.
+
+    Returns
+    -------
+    int
+        Milliseconds, at most ``MAX_WATCH_MS``.
+    """
+    spent = store_module.WATCH_SLACK_MS + RETRY_MS + 2 * PROBE_WATCH_MS
+    return max(PROBE_WATCH_MS, min(MAX_WATCH_MS, int(bound_ms - spent) // 2))
+
+
 logger = structlog.get_logger(__name__)
 
 
@@ -61,6 +84,8 @@
         Takes registrations.
     lead : leadership_module.Leadership
         Takes who leads.
+    watch_ms : int
+        Length of a watch, in milliseconds.
     """
 
     def __init__(
@@ -70,6 +95,7 @@
         beliefs: beliefs_module.Beliefs,
         view: view_module.View,
         lead: leadership_module.Leadership,
+        watch_ms: int = MAX_WATCH_MS,
     ) -> None:
         self._clock = clock
         self._store = store
@@ -78,6 +104,7 @@
         self._lead = lead
         self.revision = 0
         self._known: dict[str, int] = {}
+        self._watch_ms = watch_ms
         self._reachable = False
         self._pause_ms = RETRY_MS
 
@@ -112,7 +139,7 @@
 
     async def _watch(self) -> None:
         sent_at = self._clock.now()
-        wait_ms = WATCH_MS if self._reachable else PROBE_WATCH_MS
+        wait_ms = self._watch_ms if self._reachable else PROBE_WATCH_MS
         changes = await self._store.watch('', self.revision, wait_ms)
         for item in changes.items:
             self._apply(item)
--- a/src/thornspool/platform/store.py
+++ b/src/thornspool/platform/store.py
@@ -21,6 +21,10 @@
 whose shortest bound is 5 s.
 """
 
+WATCH_SLACK_MS = 750
+"""Longest wait for the answer to a watch, beyond what it was to wait; three
+times what the store takes when it is slow (4 ms x 60)."""
+
 CONNECT_TIMEOUT_MS = 800
 """Longest wait for a connection: two lost opening packets are too many."""
 
@@ -158,7 +162,7 @@
             'wait_ms': str(wait_ms),
         }
         watched = await self._get(
-            '/v1/kv-watch', query, _Watched, wait_ms + CALL_TIMEOUT_MS // 2
+            '/v1/kv-watch', query, _Watched, wait_ms + WATCH_SLACK_MS
         )
         items = tuple(_convert(one) for one in watched.events)
         return Changes(items, watched.as_of)
--- a/tests/platform/test_following.py
+++ b/tests/platform/test_following.py
@@ -180,6 +180,26 @@
         self.assertNotIn('thornspool/entries/one', self.state.items)
 
 
+class WatchLengthTest(unittest.TestCase):
+    def test_one_silent_connection_does_not_use_up_the_proof(self):
+        """The connection of a watch goes silent without a reset.
+
+        By the time that it is given up and the store has answered another
+        call, keyed requests must not have been refused.
+        """
+        for bound_ms in (2_000, 4_250, 9_000):
+            with self.subTest(bound_ms):
+                watch_ms = follower.compute_watch_ms(bound_ms)
+                oldest = (
+                    2 * watch_ms
+                    + store_module.WATCH_SLACK_MS
+                    + follower.RETRY_MS
+                    + follower.PROBE_WATCH_MS
+                )
+                self.assertLess(oldest, bound_ms)
+                self.assertLessEqual(watch_ms, follower.MAX_WATCH_MS)
+
+
 class FakeRegistry:
     """A registry whose next call fails as the test says."""
 
--- a/tests/test_operations_page.py
+++ b/tests/test_operations_page.py
@@ -9,7 +9,7 @@
 import unittest
 
 ROOT = pathlib.Path(__file__).parents[1]
-PAGE = (ROOT / 'docs' / 'operations.md').read_text()
+PAGE = (ROOT / 'docs' / 'OPERATIONS.md').read_text()
 LEVELS = ('debug', 'info', 'warning', 'error', 'exception')
 
 
--- /dev/null
+++ b/tools/bench_routing.py
@@ -0,0 +1,104 @@
+"""Measure the decisions of an entry on the platform, without a network.
+
+``python -m tools.bench_routing`` prints one line a measurement: placement
+of all engines, the search of a path, and the size of news between entries.
+"""
+
+from __future__ import annotations
+
+import argparse
+import statistics
+import time
+import typing
+
+from tests.domain.fleet import builders
+from thornspool.domain.entries import messages
+from thornspool.domain.paths import choice
+from thornspool.domain.paths import reservations
+from thornspool.domain.placement import planning
+from thornspool.platform import peers
+
+if typing.TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from thornspool.domain.fleet import messages as fleet
+
+KINDS = ('large', 'medium', *['small'] * 6, *['tiny'] * 6)
+REPEATS = 20
+
+
+def build_fleet(engines: int, domains: int) -> list[fleet.Server]:
+    """Build empty engines of mixed kinds in some failure domains."""
+    return [
+        builders.build_engine(
+            f'{chr(97 + number % domains)}-{number}',
+            KINDS[number // domains % len(KINDS)],
+        )
+        for number in range(engines)
+    ]
+
+
+def measure(work: Callable[[], object]) -> float:
+    """Return the median milliseconds of a piece of work."""
+    times = []
+    for _ in range(REPEATS):
+        began = time.perf_counter()
+        work()
+        times.append((time.perf_counter() - began) * 1000)
+    return statistics.median(times)
+
+
+def measure_fleet(engines: int, domains: int) -> None:
+    """Print the measurements of one fleet."""
+    model = builders.build_model()
+    empty = build_fleet(engines, domains)
+    holdings = [planning.Holding(one) for one in empty]
+    orders = planning.plan_orders(holdings, model)
+    placed = [
+        builders.build_engine(
+            order.server.id,
+            order.server.kind,
+            order.layers.first,
+            order.layers.end,
+        )
+        for order in orders
+    ]
+    settled = [planning.Holding(one) for one in placed]
+    taken = reservations.Reservations()
+    situation = choice.Situation(
+        model, tuple(placed), frozenset(), taken, {}, 'a', lambda: 0.5
+    )
+    need = choice.Need(760, 170)
+    found = choice.choose_path(situation, need)
+    hops = 0 if isinstance(found, choice.Lack) else len(found.hops)
+    news = messages.News(
+        'edge-host-12',
+        'edge-host-12-0123456789ab',
+        messages.State.SERVING,
+        10**9,
+        10**9,
+        10**6,
+        900,
+        {reservations.compute_mark(one.id): 90_000.0 for one in placed[:hops]},
+        (),
+    )
+    first = measure(lambda: planning.plan_orders(holdings, model))
+    again = measure(lambda: planning.plan_orders(settled, model))
+    path = measure(lambda: choice.choose_path(situation, need))
+    print(
+        f'engines={engines} domains={domains} '
+        f'first_plan_ms={first:.1f} plan_ms={again:.1f} '
+        f'path_ms={path:.2f} hops={hops} '
+        f'news_bytes={len(peers.encode_news(news))}'
+    )
+
+
+def main() -> None:
+    """Run the measurements."""
+    argparse.ArgumentParser(description=__doc__).parse_args()
+    for engines, domains in ((39, 3), (98, 4), (345, 7), (690, 7)):
+        measure_fleet(engines, domains)
+
+
+if __name__ == '__main__':
+    main()
