--- a/tests/domain/fleet/builders.py
+++ b/tests/domain/fleet/builders.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import typing
+
 from thornspool.domain.fleet import messages
 
 KINDS = {
@@ -18,9 +20,9 @@
 }
 
 
-def build_model(**changes: object) -> messages.Model:
+def build_model(**changes: typing.Any) -> messages.Model:
     """Build a model of 80 layers of 1,750 MB."""
-    values: dict[str, object] = {
+    values: dict[str, typing.Any] = {
         'layers': 80,
         'layer_mb': 1750.0,
         'token_bytes': 1_180_000.0,
@@ -36,10 +38,10 @@
     return messages.Model(**values)
 
 
-def build_server(name: str = 'a-0', **changes: object) -> messages.Server:
+def build_server(name: str = 'a-0', **changes: typing.Any) -> messages.Server:
     """Build a server whose domain is the first part of its name."""
     domain, _, number = name.partition('-')
-    values: dict[str, object] = {
+    values: dict[str, typing.Any] = {
         'id': name,
         'service': 'drafting',
         'address': f'10.0.{ord(domain[0])}.{number or 0}:8000',
