Tell a request's story from the logs of all hosts

Change: thornspool explain ID LOG... keeps the lines of one request and the latest changes, in bounded memory, and prints them in order with what changed shortly before and touches its servers.

--- a/src/thornspool/console/application.py
+++ b/src/thornspool/console/application.py
@@ -11,6 +11,7 @@
 from thornspool.console.commands import check
 from thornspool.console.commands import drain
 from thornspool.console.commands import entries
+from thornspool.console.commands import explain
 from thornspool.console.commands import history
 from thornspool.console.commands import publish
 from thornspool.console.commands import report
@@ -28,6 +29,7 @@
     drain.COMMAND,
     action.COMMAND,
     history.COMMAND,
+    explain.COMMAND,
     report.COMMAND,
     schema.COMMAND,
 )
