Use a leaving engine only where no other path is left

Cause: since paths in another domain cost 800 ms, four times the time of a leaving engine was cheaper than these, so that streams went to engines that may end under them.

Change: a layer on a leaving engine costs 300 ms besides its time.

--- a/src/thornspool/domain/paths/choice.py
+++ b/src/thornspool/domain/paths/choice.py
@@ -26,11 +26,11 @@
 that much or its memory fills to about 0.4.
 """
 
-LEAVING_FACTOR = 4.0
-"""Times that a layer on a server that leaves costs more.
+LEAVING_LAYER_MS = 300.0
+"""Cost of a layer on a server that leaves, besides its time.
 
-It may end before the answer does; it is used where nothing else holds the
-layer.
+It may end before the answer does, so any other path is better: three layers
+of it cost more than a path in another domain (``REMOTE_COST_MS``).
 """
 
 
@@ -156,7 +156,7 @@
         )
         cost *= 1.0 + NOISE_SHARE * situation.noise()
         if engine.id in situation.leaving:
-            cost *= LEAVING_FACTOR
+            cost += LEAVING_LAYER_MS
         yield search.Offer(
             engine, cost, int(max(0.0, left) / max(1.0, need.tokens))
         )
