Let large answers of the store take their time, and read all when far behind

Change: answers to reads are bounded by pauses; past 5 s without a proof all keys are read in place of all changes. Tests fail first: a slow large answer, a pause in one.

--- a/src/thornspool/adapters/transfers.py
+++ b/src/thornspool/adapters/transfers.py
@@ -66,6 +66,11 @@
         Longest time to connect, in milliseconds.
     total_ms : int
         Longest time for the whole answer, in milliseconds; 0 for any.
+    pause_ms : int
+        Where it is set, ``total_ms`` counts up to the first byte of the
+        answer only, and this is the longest pause after that. A large
+        answer on a slow link is neither lost nor taken for silence then.
+        For ``fetch`` only.
     own_connection : bool
         Whether it gets a connection that nothing else used or will use.
     """
@@ -76,6 +81,7 @@
     body: bytes | None = None
     connect_ms: int = 1000
     total_ms: int = 0
+    pause_ms: int = 0
     own_connection: bool = True
 
 
@@ -211,15 +217,21 @@
             if not done.done():
                 done.set_result(ending)
 
-        transfer = self.start(
-            request,
-            lambda status, headers: head.append((status, headers)),
-            body.extend,
-            end,
-        )
+        watchdog = _Watchdog(self._loop, request, end)
+
+        def take_head(status: int, headers: Headers) -> None:
+            watchdog.note_progress()
+            head.append((status, headers))
+
+        def take_body(chunk: bytes) -> None:
+            watchdog.note_progress()
+            body.extend(chunk)
+
+        transfer = self.start(request, take_head, take_body, end)
         try:
             ending = await done
         finally:
+            watchdog.stop()
             transfer.cancel()
         if ending is Ending.NOT_SENT:
             raise exceptions.NotSent(f'{request.url} was not reached.')
@@ -321,6 +333,39 @@
         transfer.finish(ending)
 
 
+class _Watchdog:
+    """Ends a transfer that pauses, where its request bounds pauses."""
+
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        request: Request,
+        end: Callable[[Ending], None],
+    ) -> None:
+        self._loop = loop
+        self._pause_ms = request.pause_ms
+        self._end = end
+        self._timer: asyncio.TimerHandle | None = None
+        if self._pause_ms:
+            self._set(request.total_ms)
+
+    def note_progress(self) -> None:
+        """Note that bytes have come."""
+        if self._pause_ms:
+            self._set(self._pause_ms)
+
+    def stop(self) -> None:
+        """Stop watching."""
+        if self._timer is not None:
+            self._timer.cancel()
+
+    def _set(self, milliseconds: int) -> None:
+        self.stop()
+        self._timer = self._loop.call_later(
+            milliseconds / _MS_PER_S, self._end, Ending.TIMED_OUT
+        )
+
+
 def _name_ending(errno: int, sent: bool) -> Ending:
     if not sent:
         return Ending.NOT_SENT
@@ -339,7 +384,8 @@
     curl.setopt(pycurl.HTTP_VERSION, pycurl.CURL_HTTP_VERSION_1_1)
     curl.setopt(pycurl.PATH_AS_IS, 1)
     curl.setopt(pycurl.CONNECTTIMEOUT_MS, max(1, request.connect_ms))
-    curl.setopt(pycurl.TIMEOUT_MS, max(0, request.total_ms))
+    total_ms = 0 if request.pause_ms else request.total_ms
+    curl.setopt(pycurl.TIMEOUT_MS, max(0, total_ms))
     curl.setopt(pycurl.FRESH_CONNECT, int(request.own_connection))
     curl.setopt(pycurl.FORBID_REUSE, int(request.own_connection))
     curl.setopt(pycurl.PREREQFUNCTION, transfer.note_sending)
--- a/src/thornspool/platform/follower.py
+++ b/src/thornspool/platform/follower.py
@@ -32,6 +32,9 @@
 """Length of the first watch after a failure, so that the proof is renewed
 at once when the store answers again."""
 
+REREAD_AGE_MS = 5_000
+"""Age of the proof past which all keys are read in place of changes."""
+
 FED_CHECK_MS = 100
 """Pause of an entry that is kept current by another one; it turns to the
 store within this when that stops."""
@@ -156,6 +159,8 @@
                 if self._is_fed():
                     self._was_fed = True
                     await asyncio.sleep(FED_CHECK_MS / _MS_PER_S)
+                elif self._is_far_behind():
+                    await self._read_all()
                 else:
                     await self._watch()
             except exceptions.HistoryLost:
@@ -197,6 +202,14 @@
         if changes.items:
             await asyncio.sleep(COALESCE_MS / _MS_PER_S)
 
+    def _is_far_behind(self) -> bool:
+        """Tell whether reading all is cheaper than all changes since.
+
+        A watch brings each version of a key that was written meanwhile.
+        """
+        age = self._beliefs.proof.compute_age(self._clock.now())
+        return age is None or age > REREAD_AGE_MS
+
     def _choose_wait(self) -> int:
         """Choose the length of the next watch."""
         if not self._reachable or self._was_fed:
--- a/src/thornspool/platform/store.py
+++ b/src/thornspool/platform/store.py
@@ -25,6 +25,15 @@
 """Longest wait for the answer to a watch, beyond what it was to wait; three
 times what the store takes when it is slow (4 ms x 60)."""
 
+PAUSE_MS = 750
+"""Longest pause inside an answer.
+
+A configuration of 1,900 routes has 0.5 MB, and an entry that fell behind
+gets several versions of it: seconds on a link of 10 Mbit/s. With a bound on
+the whole answer such entries never caught up and served routes that had been
+dropped.
+"""
+
 CONNECT_TIMEOUT_MS = 800
 """Longest wait for a connection: two lost opening packets are too many."""
 
@@ -247,6 +256,7 @@
             url,
             connect_ms=CONNECT_TIMEOUT_MS,
             total_ms=timeout_ms,
+            pause_ms=PAUSE_MS,
             own_connection=False,
         )
         answer = await self._fetch(request)
--- a/tests/adapters/test_transfers.py
+++ b/tests/adapters/test_transfers.py
@@ -69,6 +69,47 @@
         )
         self.assertEqual(body, answer.body)
 
+    async def test_a_large_answer_on_a_slow_link_is_not_lost(self):
+        """A host that fell behind reads a large configuration.
+
+        On a link of 10 Mbit/s it takes longer than any answer may that is
+        silent; given up each time, the host served dropped routes for as
+        long as it ran.
+        """
+
+        async def act(_number, writer, _body):
+            writer.write(HEAD)
+            for _ in range(8):
+                writer.write(b'1\r\nx\r\n')
+                await asyncio.sleep(0.1)
+            writer.write(b'0\r\n\r\n')
+
+        await self.start(act)
+        request = transfers.Request(self.peer.url, total_ms=300, pause_ms=300)
+        answer = await self.session.fetch(request)
+        self.assertEqual(b'x' * 8, answer.body)
+
+    async def test_an_answer_that_pauses_is_given_up(self):
+        """A connection goes silent before its answer or in the middle."""
+        for started in (False, True):
+            with self.subTest(started=started):
+
+                async def act(_number, writer, _body, started=started):
+                    if started:
+                        writer.write(HEAD + b'1\r\nx\r\n')
+                    await asyncio.sleep(2.0)
+
+                await self.start(act)
+                request = transfers.Request(
+                    self.peer.url, total_ms=200, pause_ms=200
+                )
+                began = asyncio.get_running_loop().time()
+                with self.assertRaises(exceptions.AnswerLost):
+                    await self.session.fetch(request)
+                took = asyncio.get_running_loop().time() - began
+                self.assertLess(took, 1.0)
+                await self.stop()
+
     async def test_the_head_comes_before_a_body_that_came_with_it(self):
         async def act(_number, writer, _body):
             writer.write(HEAD + b'2\r\nab\r\n0\r\n\r\n')
--- a/tests/platform/test_following.py
+++ b/tests/platform/test_following.py
@@ -180,6 +180,92 @@
         self.assertNotIn('thornspool/entries/one', self.state.items)
 
 
+class FedFollowerTest(_WithStore):
+    """An entry that another one keeps current."""
+
+    async def asyncSetUp(self):
+        await super().asyncSetUp()
+        self.clock = builders.FakeClock()
+        self.beliefs = beliefs.Beliefs()
+        self.fed = True
+        self.passed_on = []
+        self.follower = follower.Follower(
+            self.clock,
+            self.store,
+            self.beliefs,
+            view_module.View(OWN),
+            leadership.Leadership(OWN.incarnation),
+            is_fed=lambda: self.fed,
+            feed=self.feed,
+        )
+        self.put('op/config', kv_fleet.build_configuration(3))
+        self.running = asyncio.create_task(self.follower.run())
+        async with asyncio.timeout(4):
+            while self.beliefs.configuration is None:
+                await asyncio.sleep(0.01)
+
+    async def asyncTearDown(self):
+        self.running.cancel()
+        await super().asyncTearDown()
+
+    def feed(self, update):
+        self.passed_on.append(update)
+        return 1
+
+    def build_update(self, since, until, version):
+        document = json.dumps(kv_fleet.build_configuration(version)).encode()
+        item = store_module.Item('op/config', until, document)
+        return follower.Update(since, until, (item,))
+
+    async def test_it_does_not_ask_the_store(self):
+        calls = self.store.calls
+        await asyncio.sleep(0.5)
+        self.assertEqual(calls, self.store.calls)
+
+    async def test_it_takes_changes_that_follow_its_copy(self):
+        at = self.follower.revision
+        self.follower.take_update(self.build_update(at, at + 2, 4))
+        self.assertEqual(4, self.beliefs.configuration.version)
+        self.assertEqual(at + 2, self.follower.revision)
+        self.follower.take_update(self.build_update(at, at + 1, 3))
+        self.assertEqual(4, self.beliefs.configuration.version)
+        self.assertEqual(at + 2, self.follower.revision)
+
+    async def test_it_takes_no_changes_behind_a_gap(self):
+        """A datagram with a change was lost.
+
+        With the later ones alone the copy would count as current without
+        the key that was withdrawn in between.
+        """
+        at = self.follower.revision
+        self.follower.take_update(self.build_update(at + 1, at + 2, 4))
+        self.assertEqual(at, self.follower.revision)
+        self.assertEqual(3, self.beliefs.configuration.version)
+
+    async def test_it_asks_at_once_when_it_is_left(self):
+        self.put('op/config', kv_fleet.build_configuration(5))
+        self.fed = False
+        async with asyncio.timeout(2):
+            while self.beliefs.configuration.version != 5:
+                await asyncio.sleep(0.01)
+        self.assertEqual(5, json.loads(self.read_passed_on())['version'])
+
+    def read_passed_on(self):
+        """Return the last configuration that was passed on."""
+        return next(
+            item.value
+            for update in reversed(self.passed_on)
+            for item in update.items
+        )
+
+    async def test_far_behind_it_reads_all_in_place_of_all_changes(self):
+        self.fed = False
+        self.clock.advance(follower.REREAD_AGE_MS + 1)
+        self.assertTrue(self.follower._is_far_behind())
+        self.clock.advance(-follower.REREAD_AGE_MS)
+        self.assertFalse(self.follower._is_far_behind())
+
+
 class WatchLengthTest(unittest.TestCase):
     def test_one_silent_connection_does_not_use_up_the_proof(self):
         """The connection of a watch goes silent without a reset.
