Tell all entries which engines refuse and which are slow

Engines that take 12 times as long were only noticed when streams stalled at them, and one that had been noticed counted as slow for good. Change: an engine that refuses is left out by all for 0.3 s, doubling; all engines of a late path are asked for their pace; both are told with news. Asked at 150 ms, engines that are gone do not answer and are found earlier.

--- a/src/thornspool/application/routing/beliefs.py
+++ b/src/thornspool/application/routing/beliefs.py
@@ -7,6 +7,8 @@
 import attrs
 import structlog
 
+from thornspool.domain.fleet import paces as paces_module
+from thornspool.domain.fleet import refusals as refusals_module
 from thornspool.domain.freshness import proofs
 
 if typing.TYPE_CHECKING:
@@ -66,7 +68,10 @@
     leaving: dict[str, int] = attrs.field(factory=dict)
     unlisted: dict[str, int] = attrs.field(factory=dict)
     suspects: dict[str, Suspicion] = attrs.field(factory=dict)
-    slowness: dict[str, float] = attrs.field(factory=dict)
+    paces: paces_module.Paces = attrs.field(factory=paces_module.Paces)
+    refusals: refusals_module.Refusals = attrs.field(
+        factory=refusals_module.Refusals
+    )
     proof: proofs.Proof = attrs.field(factory=proofs.Proof)
     servers_changed_at: int = 0
     fresh_suspects: list[str] = attrs.field(factory=list)
@@ -128,7 +133,7 @@
         logger.info('server_unlisted', server=name)
 
     def forget_left(self, now: int) -> None:
-        """Forget servers that left and suspicions that ended."""
+        """Forget what no longer counts: servers, suspicions, paces."""
         for name, since in list(self.unlisted.items()):
             if now - since > LEAVING_USE_MS:
                 del self.unlisted[name]
@@ -138,6 +143,8 @@
         for name, suspicion in list(self.suspects.items()):
             if now >= suspicion.until:
                 del self.suspects[name]
+        self.paces.forget_old(now)
+        self.refusals.forget_old(now)
 
     def suspect(
         self, name: str, reason: str, now: int, told: bool = False
--- a/src/thornspool/application/routing/detection.py
+++ b/src/thornspool/application/routing/detection.py
@@ -15,9 +15,12 @@
 import structlog
 
 from thornspool.application.routing import ports
+from thornspool.domain.fleet import paces
 from thornspool.domain.paths import choice
 
 if typing.TYPE_CHECKING:
+    import random
+
     from thornspool import clock as clock_module
     from thornspool.application.routing import beliefs as beliefs_module
     from thornspool.application.routing import streams
@@ -39,6 +42,23 @@
 
 An engine answers for all of its streams at once, some 200 ms late."""
 
+LATE_FIRST_MS = 180
+"""Silence before the first event after which all engines of a path are
+asked how fast they work: three times the usual 60 ms."""
+
+LATE_PAUSE_MS = 150
+"""Silence between events after which they are asked; callers count a stream
+as late from a pause of 200 ms."""
+
+CHECK_AGAIN_MS = 1_000
+"""Least time between two such rounds for one stream."""
+
+RECHECK_MS = (1_500, 3_000)
+"""Range of the age at which a slow engine's pace is asked for again.
+
+The first entry that asks tells the others, so that about one of them asks.
+"""
+
 GIVE_UP_MS = 1_500
 """Silence after which a stream leaves its path without knowing why; callers
 leave after 2 s."""
@@ -62,6 +82,8 @@
         Whose streams are watched.
     servers : ports.Servers
         Calls to engines.
+    random_source : random.Random
+        Spreads questions of many entries.
     """
 
     def __init__(
@@ -70,11 +92,13 @@
         beliefs: beliefs_module.Beliefs,
         service: streams.StreamService,
         servers: ports.Servers,
+        random_source: random.Random,
     ) -> None:
         self._clock = clock
         self._beliefs = beliefs
         self._service = service
         self._servers = servers
+        self._random = random_source
         self._tasks: set[asyncio.Task[None]] = set()
         self._asked_at: dict[str, int] = {}
         self._worked_at = clock.now()
@@ -94,7 +118,9 @@
         for flight in list(self._service.flights):
             if flight.stop is None or flight.mending:
                 continue
+            self._check_paces(flight, now)
             self._check(flight, now)
+        self._recheck_slow(now)
 
     def _check(self, flight: streams.Flight, now: int) -> None:
         if self._leaves_suspect(flight):
@@ -112,9 +138,35 @@
         if first is None or now - flight.asked_at < ASK_AGAIN_MS:
             return
         flight.asked_at = now
-        if now - self._asked_at.get(first.id, -ASK_AGAIN_MS) >= ASK_AGAIN_MS:
-            self._asked_at[first.id] = now
-            self._run(self._ask(first))
+        self._ask_pace(first, now)
+
+    def _check_paces(self, flight: streams.Flight, now: int) -> None:
+        """Ask the engines of a late stream how fast they work."""
+        quiet = now - flight.active_at
+        begun = flight.events.count > 0
+        if quiet < (LATE_PAUSE_MS if begun else LATE_FIRST_MS):
+            return
+        last = flight.checked_at
+        if last is not None and now - last < CHECK_AGAIN_MS:
+            return
+        flight.checked_at = now
+        for hop in flight.hops:
+            if not self._beliefs.paces.is_fresh(hop.server.id, now):
+                self._ask_pace(hop.server, now)
+
+    def _recheck_slow(self, now: int) -> None:
+        """Ask slow engines again, before what is known of them is old."""
+        slow = self._beliefs.paces.select(self._beliefs.servers, now)
+        for name in slow:
+            age_ms = self._random.randint(*RECHECK_MS)
+            if not self._beliefs.paces.is_fresh(name, now, age_ms):
+                self._ask_pace(self._beliefs.servers[name], now)
+
+    def _ask_pace(self, server: fleet.Server, now: int) -> None:
+        last = self._asked_at.get(server.id)
+        if last is None or now - last >= ASK_AGAIN_MS:
+            self._asked_at[server.id] = now
+            self._run(self._ask(server))
 
     def _leaves_suspect(self, flight: streams.Flight) -> bool:
         """Move a stream off its path when an engine of it is suspected."""
@@ -145,13 +197,27 @@
         if report is None:
             self._beliefs.suspect(server.id, 'no_report', now)
             return
-        if report.slowness > 0:
-            self._beliefs.slowness[server.id] = report.slowness
+        self._note_pace(server, report.slowness, now)
         for one in report.stalled:
             blamed = self._beliefs.find_by_address(one.address)
             if blamed is not None:
                 self._beliefs.suspect(blamed.id, 'stalls_others', now)
 
+    def _note_pace(
+        self, server: fleet.Server, factor: float, now: int
+    ) -> None:
+        if factor <= 0:
+            return
+        before = self._beliefs.paces.get(server.id, now)
+        self._beliefs.paces.note(server.id, factor, now)
+        if (before >= paces.SLOW) is not (factor >= paces.SLOW):
+            logger.info(
+                'pace_changed',
+                server=server.id,
+                before=round(before, 1),
+                pace=round(factor, 1),
+            )
+
     async def _mend(
         self, flight: streams.Flight, suspected: list[str]
     ) -> None:
@@ -180,8 +246,7 @@
     async def _repath(self, flight: streams.Flight) -> None:
         """Order the first engine to use another path."""
         first = flight.hops[0]
-        now = self._clock.now()
-        avoided = flight.exchange.list_avoided(now)
+        avoided = self._service.list_avoided(flight)
         if first.server.id in avoided:
             return
         rest = self._choose_rest(flight, first, avoided)
--- a/src/thornspool/application/routing/membership.py
+++ b/src/thornspool/application/routing/membership.py
@@ -131,11 +131,23 @@
             self._view.note_absent(peer.record, news, now)
         if news.host == self._view.choice.current:
             self._take_feed(news, now)
+        direct = self._is_from_member(news, domain)
+        self._beliefs.paces.note_told(news.slow, now, direct)
+        self._beliefs.refusals.note_told(news.refusing, now, direct)
         for name in news.suspects:
             self._beliefs.suspect(name, f'told_by_{news.host}', now, told=True)
         if news.proof_age_ms >= 0 and news.heard_stamp > 0:
             self._take_proof(news, now)
 
+    def _is_from_member(self, news: messages.News, domain: str) -> bool:
+        """Tell whether this entry passes on what a peer has seen itself."""
+        if self._view.is_mesh or not self._view.collects:
+            return False
+        return (
+            news.scope is messages.Scope.ENTRY
+            and domain == self._view.own.failure_domain
+        )
+
     def _take_proof(self, news: messages.News, now: int) -> None:
         """Take a peer's proof where its copy is the same as ours.
 
@@ -325,6 +337,7 @@
         now = self._clock.now()
         age = self._beliefs.proof.compute_age(now)
         own = self._view.own
+        direct_only = scope is not messages.Scope.REST
         return messages.News(
             host=own.host,
             incarnation=own.incarnation,
@@ -337,4 +350,6 @@
             suspects=tuple(self._beliefs.fresh_suspects),
             scope=scope,
             absent=absent,
+            slow=self._beliefs.paces.list_slow(now, direct_only),
+            refusing=self._beliefs.refusals.list_fresh(now, direct_only),
         )
--- a/src/thornspool/application/routing/streams.py
+++ b/src/thornspool/application/routing/streams.py
@@ -34,6 +34,9 @@
 more work than the engines can take.
 """
 
+LARGE_FACTOR = 1.5
+"""Size, in usual requests, above which a refusal says nothing of others."""
+
 MIN_LEFT_MS = 300
 """Time below which a run can't give even its first event."""
 
@@ -69,6 +72,8 @@
         When something last came from its engine, or it was sent.
     asked_at : int
         When its first engine was last asked about it.
+    checked_at : int or None
+        When the paces of its engines were last asked for.
     moved_at : int or None
         When its engine was last ordered to use another path.
     owes_repeat : bool
@@ -82,6 +87,7 @@
     events: events.EventBuffer = attrs.field(factory=events.EventBuffer)
     active_at: int = 0
     asked_at: int = 0
+    checked_at: int | None = None
     moved_at: int | None = None
     mending: bool = False
     generation: int = 0
@@ -208,16 +214,22 @@
             tuple(one for one in engines if one.id not in avoid),
             frozenset(self._beliefs.leaving),
             self._taken,
-            self._beliefs.slowness,
+            self._beliefs.paces.select((one.id for one in engines), now),
             self._domain,
             self._random.random,
         )
 
+    def list_avoided(self, flight: Flight) -> set[str]:
+        """List the engines that a request should not use now."""
+        now = self._clock.now()
+        refusing = self._beliefs.refusals.select(self._beliefs.servers, now)
+        return flight.exchange.list_avoided(now) | refusing
+
     def _start(self, flight: Flight) -> None:
         """Put a request on a path, or let it wait, or refuse it."""
         exchange = flight.exchange
         now = self._clock.now()
-        avoided = exchange.list_avoided(now)
+        avoided = self.list_avoided(flight)
         situation = self.describe(exchange.service, avoided)
         if situation is None:
             self._give_up(flight, 'service_unknown', 1_000)
@@ -390,6 +402,8 @@
         if blamed is not None:
             now = self._clock.now()
             flight.exchange.avoid([blamed.id], now)
+            if self._is_usual(flight):
+                self._beliefs.refusals.note(blamed.id, now)
             if head.status == _MISDIRECTED:
                 # The list is behind: it is not the one, or not what it was.
                 self._beliefs.suspect(
@@ -403,6 +417,17 @@
             )
         self._again(flight, f'refused_by_engine_{head.status}')
 
+    def _is_usual(self, flight: Flight) -> bool:
+        """Tell whether an engine that refuses a request has no room at all.
+
+        A large request may find no room where all others do.
+        """
+        model = self._beliefs.find_model(flight.exchange.service)
+        if model is None:
+            return False
+        usual = model.usual_prompt + model.usual_answer
+        return flight.need.tokens <= LARGE_FACTOR * usual
+
     def _take_failure(self, flight: Flight, head: ports.Head) -> None:
         """Run a request that failed at its engine once more, or tell it."""
         exchange = flight.exchange
--- a/src/thornspool/domain/entries/messages.py
+++ b/src/thornspool/domain/entries/messages.py
@@ -79,6 +79,10 @@
         Whose requests ``taken`` counts.
     absent : tuple of str
         Hosts in the scope that are registered and do not serve.
+    slow : dict of int to float
+        Paces of slow engines, by mark.
+    refusing : tuple of int
+        Marks of engines that have just refused work.
     """
 
     host: str
@@ -92,3 +96,5 @@
     suspects: tuple[str, ...]
     scope: Scope = Scope.ENTRY
     absent: tuple[str, ...] = ()
+    slow: dict[int, float] = attrs.field(factory=dict)
+    refusing: tuple[int, ...] = ()
--- /dev/null
+++ b/src/thornspool/domain/fleet/refusals.py
@@ -0,0 +1,106 @@
+"""Engines that have just refused work, and how long they are left out.
+
+An engine refuses when it is short of memory, gives up layers, leaves or is
+gone, and the list of servers shows it late or not at all: one that gives up
+layers keeps their memory until the last stream has passed through them, ten
+seconds with slow engines on its path, and refused 208 requests meanwhile.
+Each of them cost a repeat, and most of their callers were refused. So all
+entries leave such an engine out at once, and try it again after a while that
+grows.
+"""
+
+from __future__ import annotations
+
+import typing
+
+import attrs
+
+from thornspool.domain.fleet import marks
+
+if typing.TYPE_CHECKING:
+    from collections.abc import Iterable
+
+FIRST_MS = 300
+"""Time for which an engine is left out at first; a stream that frees its
+memory ends there every some 100 ms."""
+
+MAX_MS = 1_500
+"""Longest time, which three refusals in a row lead to."""
+
+TELL_MS = 250
+"""Time for which a refusal is told to peers, a little over a turn of news."""
+
+
+@attrs.frozen
+class Refusal:
+    """How long an engine is left out.
+
+    Attributes
+    ----------
+    since, until : int
+        When it was last left out, and until when.
+    direct : bool
+        Whether it refused this entry or one of its failure domain.
+    """
+
+    since: int
+    until: int
+    direct: bool
+
+    @property
+    def length_ms(self) -> int:
+        """Time for which it is left out."""
+        return self.until - self.since
+
+
+@attrs.define
+class Refusals:
+    """Engines that are left out, by mark."""
+
+    _known: dict[int, Refusal] = attrs.field(factory=dict)
+
+    def note(self, name: str, now: int) -> bool:
+        """Note a refusal; tells whether the engine was not left out yet."""
+        mark = marks.compute_mark(name)
+        known = self._known.get(mark)
+        if known is not None and now < known.until:
+            # Sent before the first refusal had come.
+            return False
+        length = FIRST_MS
+        if known is not None and now - known.until < known.length_ms:
+            length = min(MAX_MS, 2 * known.length_ms)
+        self._known[mark] = Refusal(now, now + length, True)
+        return True
+
+    def note_told(self, told: Iterable[int], now: int, direct: bool) -> None:
+        """Note what peers tell; it lengthens nothing."""
+        for mark in told:
+            known = self._known.get(mark)
+            if known is None or now >= known.until:
+                self._known[mark] = Refusal(now, now + FIRST_MS, direct)
+
+    def is_refusing(self, name: str, now: int) -> bool:
+        """Tell whether an engine is left out now."""
+        known = self._known.get(marks.compute_mark(name))
+        return known is not None and now < known.until
+
+    def select(self, names: Iterable[str], now: int) -> set[str]:
+        """Select the engines that are left out now."""
+        if not self._known:
+            return set()
+        return {name for name in names if self.is_refusing(name, now)}
+
+    def list_fresh(self, now: int, direct_only: bool) -> tuple[int, ...]:
+        """List the marks that peers should hear of."""
+        return tuple(
+            mark
+            for mark, known in self._known.items()
+            if now - known.since <= TELL_MS
+            and (known.direct or not direct_only)
+        )
+
+    def forget_old(self, now: int) -> None:
+        """Forget engines that have not refused for a while."""
+        for mark, known in list(self._known.items()):
+            if now - known.until > MAX_MS:
+                del self._known[mark]
--- a/src/thornspool/domain/paths/reservations.py
+++ b/src/thornspool/domain/paths/reservations.py
@@ -11,7 +11,8 @@
 import typing
 
 import attrs
-import xxhash
+
+from thornspool.domain.fleet import marks
 
 if typing.TYPE_CHECKING:
     from collections.abc import Iterable
@@ -25,19 +26,6 @@
 is right at the median only.
 """
 
-MARK_BITS = 24
-"""Bits of an engine's mark; among 690 engines, one pair in 70 fleets has
-the same one, and each of the two then seems to hold what both do."""
-
-
-def compute_mark(name: str) -> int:
-    """Compute the short name of an engine for news between entries.
-
-    Names of 12 characters made up two thirds of the bytes of all news:
-    0.9 kB five times a second to each peer, with marks 0.3 kB (39 engines).
-    """
-    return xxhash.xxh32_intdigest(name.encode()) >> (32 - MARK_BITS)
-
 
 @attrs.define
 class Reservations:
@@ -46,7 +34,6 @@
     own: dict[str, float] = attrs.field(factory=dict)
     running: dict[str, int] = attrs.field(factory=dict)
     others: dict[int, float] = attrs.field(factory=dict)
-    _marks: dict[str, int] = attrs.field(factory=dict)
 
     def take(self, hops: Iterable[search.Hop], tokens: float) -> None:
         """Reserve room on each engine of a path."""
@@ -70,16 +57,11 @@
     def list_marked(self) -> dict[int, float]:
         """List what this entry has taken, by mark."""
         return {
-            self._find_mark(name): amount for name, amount in self.own.items()
+            marks.compute_mark(name): amount
+            for name, amount in self.own.items()
         }
 
     def compute_taken(self, name: str) -> float:
         """Return the token-layers taken on an engine by all entries."""
-        others = self.others.get(self._find_mark(name), 0.0)
+        others = self.others.get(marks.compute_mark(name), 0.0)
         return self.own.get(name, 0.0) + others
-
-    def _find_mark(self, name: str) -> int:
-        mark = self._marks.get(name)
-        if mark is None:
-            mark = self._marks[name] = compute_mark(name)
-        return mark
--- a/src/thornspool/platform/daemon.py
+++ b/src/thornspool/platform/daemon.py
@@ -332,7 +332,7 @@
             self._random,
         )
         self._detector = detection.Detector(
-            clock, self._beliefs, self._streams, servers
+            clock, self._beliefs, self._streams, servers, self._random
         )
         self._placement = placement.PlacementService(
             clock,
--- a/src/thornspool/platform/peers.py
+++ b/src/thornspool/platform/peers.py
@@ -10,6 +10,7 @@
 import asyncio
 import math
 import typing
+import zlib
 
 import msgspec
 import structlog
@@ -28,11 +29,12 @@
 TAKEN_UNIT = 1000.0
 """Token-layers of one unit in news; a usual request takes some 8,000."""
 
-MAX_UPDATE_BYTES = 16_000
-"""Largest change that is passed on; whoever misses one asks the store.
+PACE_UNITS = 10
+"""Units of a pace in news: tenths, as finer ones change no path."""
 
-A server's entry has some 300 bytes, so that 50 of them fit; a whole
-configuration of a large fleet does not."""
+COMPRESSION_LEVEL = 1
+"""The fastest; a configuration of 1,900 routes shrinks from 376 kB to under
+a tenth of it in some 4 ms."""
 
 logger = structlog.get_logger(__name__)
 
@@ -50,14 +52,20 @@
     suspects: list[str]
     scope: str
     absent: list[str]
+    # Tenths.
+    slow: dict[int, int]
+    refusing: list[int]
 
 
 class _Update(msgspec.Struct, array_like=True, tag=1):
     since: int
     until: int
-    items: list[tuple[str, int, bytes | None]]
+    # Compressed.
+    items: bytes
 
 
+_Items = list[tuple[str, int, bytes | None]]
+
 _DECODER = msgspec.msgpack.Decoder(_News | _Update)
 
 
@@ -79,19 +87,20 @@
             list(news.suspects),
             news.scope.value,
             list(news.absent),
+            {
+                mark: round(pace * PACE_UNITS)
+                for mark, pace in news.slow.items()
+            },
+            list(news.refusing),
         )
     )
 
 
 def encode_update(update: follower.Update) -> bytes:
     """Encode changes of the store's keys."""
-    return msgspec.msgpack.encode(
-        _Update(
-            update.since,
-            update.until,
-            [(one.key, one.revision, one.value) for one in update.items],
-        )
-    )
+    items = [(one.key, one.revision, one.value) for one in update.items]
+    packed = zlib.compress(msgspec.msgpack.encode(items), COMPRESSION_LEVEL)
+    return msgspec.msgpack.encode(_Update(update.since, update.until, packed))
 
 
 def decode(raw: bytes) -> messages.News | follower.Update | None:
@@ -101,16 +110,15 @@
         if isinstance(read, _Update):
             return _convert_update(read)
         return _convert_news(read)
-    except (msgspec.DecodeError, ValueError) as error:
+    except (msgspec.DecodeError, ValueError, zlib.error) as error:
         logger.warning('datagram_malformed', reason=str(error))
         return None
 
 
 def _convert_update(read: _Update) -> follower.Update:
+    items = msgspec.msgpack.decode(zlib.decompress(read.items), type=_Items)
     return follower.Update(
-        read.since,
-        read.until,
-        tuple(store.Item(*one) for one in read.items),
+        read.since, read.until, tuple(store.Item(*one) for one in items)
     )
 
 
@@ -128,6 +136,8 @@
         tuple(read.suspects),
         messages.Scope(read.scope),
         tuple(read.absent),
+        {mark: pace / PACE_UNITS for mark, pace in read.slow.items()},
+        tuple(read.refusing),
     )
 
 
@@ -185,7 +195,7 @@
     ) -> None:
         """Send changes to many; large ones are left for them to ask for."""
         raw = encode_update(update)
-        if len(raw) > MAX_UPDATE_BYTES:
+        if len(raw) > MAX_BYTES:
             logger.info('update_too_large', bytes=len(raw))
             return
         for address in addresses:
