Share repeats over all entries, and check the soak's own checks

Ruled out: a larger common part (the sum over entries is what is bounded); one entry that grants repeats (a call before each). Change: news tell requests and repeats; an entry takes an equal part of what is left within the 1.2 s in which news settle.

--- a/src/thornspool/application/routing/membership.py
+++ b/src/thornspool/application/routing/membership.py
@@ -16,6 +16,7 @@
 
     from thornspool import clock as clock_module
     from thornspool.application.routing import beliefs as beliefs_module
+    from thornspool.application.routing import repeats
     from thornspool.domain.paths import reservations
 
 GROUP_TURNS = 2
@@ -63,6 +64,8 @@
         Suspects and the proof of freshness.
     taken : reservations.Reservations
         Memory that requests hold.
+    budget : repeats.Repeats
+        Requests and repeats.
     send : callable
         Sends news to ``ip:port``.
     read_revision : callable
@@ -75,6 +78,7 @@
         view: view_module.View,
         beliefs: beliefs_module.Beliefs,
         taken: reservations.Reservations,
+        budget: repeats.Repeats,
         send: Callable[[str, messages.News], None],
         read_revision: Callable[[], int],
     ) -> None:
@@ -84,7 +88,9 @@
         self._taken = taken
         self._send = send
         self._read_revision = read_revision
+        self._budget = budget
         self._totals = totals_module.Totals()
+        self._work = totals_module.Totals()
         self._collectors: dict[str, tuple[str, int]] = {}
         self._alive: dict[str, bool] = {}
         self._feed: messages.News | None = None
@@ -124,7 +130,8 @@
         if peer is None:
             return
         domain = peer.record.failure_domain
-        self._totals.note(news, domain, now)
+        self._totals.note(news, domain, news.taken, now)
+        self._work.note(news, domain, news.work, now)
         if news.scope is messages.Scope.DOMAIN:
             self._collectors[domain] = (news.host, now)
         if news.scope is not messages.Scope.ENTRY:
@@ -218,10 +225,6 @@
             serving.append(self._view.own)
         return view_module.choose_addresses(serving, domain, MAX_ADDRESSES)
 
-    def count_entries(self) -> int:
-        """Count the entries that run."""
-        return self._view.count_entries(self._clock.now())
-
     def _note_changes(self) -> None:
         now = self._clock.now()
         for host, peer in self._view.peers.items():
@@ -230,31 +233,39 @@
                 self._alive[host] = alive
                 logger.info('peer_changed', peer=host, alive=alive)
             if not alive:
-                self._totals.forget(host)
+                self._forget(host)
         for host in [
             one for one in self._alive if one not in self._view.peers
         ]:
             del self._alive[host]
-            self._totals.forget(host)
+            self._forget(host)
+
+    def _forget(self, host: str) -> None:
+        self._totals.forget(host)
+        self._work.forget(host)
 
     def _sum_taken(self) -> None:
-        """Add up what the requests of all other entries hold."""
+        """Add up what the requests of all other entries hold and were."""
+        self._taken.others = self._sum_others(self._totals)
+        self._budget.take_others(self._sum_others(self._work))
+
+    def _sum_others(
+        self, totals: totals_module.Totals
+    ) -> totals_module.Amounts:
         now = self._clock.now()
-        view = self._view
-        if view.is_mesh:
-            self._taken.others = self._totals.sum_entries(view.peers, now)
-        elif view.collects:
-            self._taken.others = totals_module.add_up(
-                (
-                    self._sum_near(),
-                    self._totals.sum_domains(view.own.failure_domain, now),
-                )
+        if self._view.is_mesh:
+            return totals.sum_entries(self._view.peers, now)
+        if not self._view.collects:
+            return totals.read_rest(now)
+        return totals_module.add_up(
+            (
+                self._sum_near(totals),
+                totals.sum_domains(self._view.own.failure_domain, now),
             )
-        else:
-            self._taken.others = self._totals.read_rest(now)
+        )
 
-    def _sum_near(self) -> totals_module.Taken:
-        return self._totals.sum_entries(
+    def _sum_near(self, totals: totals_module.Totals) -> totals_module.Amounts:
+        return totals.sum_entries(
             (one.record.host for one in self._view.list_near()),
             self._clock.now(),
         )
@@ -273,41 +284,43 @@
         )
 
     def _tell_members(self) -> None:
+        """Tell each entry of the domain what all but itself hold."""
         now = self._clock.now()
-        others = totals_module.add_up(
-            (
-                self._sum_near(),
-                self._totals.sum_domains(self._view.own.failure_domain, now),
-                self._taken.list_marked(),
-            )
+        taken = totals_module.add_up(
+            (self._sum_others(self._totals), self._taken.list_marked())
+        )
+        work = totals_module.add_up(
+            (self._sum_others(self._work), self._budget.list_marked())
         )
         absent = self._list_absent(self._view.peers.values())
         for peer in self._view.list_near():
-            part = self._totals.sum_entries([peer.record.host], now)
-            self._send(
-                peer.record.peers,
-                self._make_news(
-                    peer,
-                    totals_module.subtract(others, part),
-                    messages.Scope.REST,
-                    absent,
+            own = [peer.record.host]
+            self._send_news(
+                peer,
+                totals_module.subtract(
+                    taken, self._totals.sum_entries(own, now)
                 ),
+                totals_module.subtract(work, self._work.sum_entries(own, now)),
+                messages.Scope.REST,
+                absent,
             )
 
     def _tell_collectors(self) -> None:
         """Tell the collectors of the other failure domains."""
         own_domain = self._view.own.failure_domain
-        sums = totals_module.add_up(
-            (self._sum_near(), self._taken.list_marked())
+        taken = totals_module.add_up(
+            (self._sum_near(self._totals), self._taken.list_marked())
+        )
+        work = totals_module.add_up(
+            (self._sum_near(self._work), self._budget.list_marked())
         )
         absent = self._list_absent(self._view.list_near())
         for domain in self._view.list_domains():
             if domain == own_domain:
                 continue
             for peer in self._find_collectors(domain):
-                self._send(
-                    peer.record.peers,
-                    self._make_news(peer, sums, messages.Scope.DOMAIN, absent),
+                self._send_news(
+                    peer, taken, work, messages.Scope.DOMAIN, absent
                 )
 
     def _find_collectors(self, domain: str) -> list[view_module.Peer]:
@@ -333,21 +346,23 @@
 
     def _tell(self, peers: Iterable[view_module.Peer]) -> None:
         taken = self._taken.list_marked()
+        work = self._budget.list_marked()
         for peer in list(peers):
-            self._send(peer.record.peers, self._make_news(peer, taken))
+            self._send_news(peer, taken, work)
 
-    def _make_news(
+    def _send_news(
         self,
         peer: view_module.Peer,
-        taken: totals_module.Taken,
+        taken: totals_module.Amounts,
+        work: totals_module.Amounts,
         scope: messages.Scope = messages.Scope.ENTRY,
         absent: tuple[str, ...] = (),
-    ) -> messages.News:
+    ) -> None:
         now = self._clock.now()
         age = self._beliefs.proof.compute_age(now)
         own = self._view.own
         direct_only = scope is not messages.Scope.REST
-        return messages.News(
+        news = messages.News(
             host=own.host,
             incarnation=own.incarnation,
             state=self.state,
@@ -361,4 +376,6 @@
             absent=absent,
             slow=self._beliefs.paces.list_slow(now, direct_only),
             refusing=self._beliefs.refusals.list_fresh(now, direct_only),
+            work=work,
         )
+        self._send(peer.record.peers, news)
--- a/src/thornspool/application/routing/repeats.py
+++ b/src/thornspool/application/routing/repeats.py
@@ -1,10 +1,11 @@
-"""What this entry may send again, for each service."""
+"""What may be sent again, for each service, with what others have used."""
 
 from __future__ import annotations
 
 import typing
 
-from thornspool.domain.retries import windows
+from thornspool.domain.fleet import marks
+from thornspool.domain.retries import pools
 
 if typing.TYPE_CHECKING:
     from collections.abc import Callable
@@ -58,7 +59,7 @@
         self._slack = slack
         self._window_ms = window_ms
         self._count_entries = count_entries
-        self._windows: dict[str, windows.RepeatWindow] = {}
+        self._pools: dict[str, pools.RepeatPool] = {}
         self.refused = 0
 
     def record_request(self, service: str) -> None:
@@ -75,27 +76,50 @@
         urgent : bool, optional
             Whether the caller has a part of the answer already.
         """
-        window = self._find_sized(service)
         part = 1.0 if urgent else COMMON_PART
-        if window.take_repeat(self._clock.now(), part):
+        if self._find(service).take_repeat(self._clock.now(), part):
             return True
         self.refused += 1
         return False
 
     def has_room(self, service: str) -> bool:
         """Tell whether an urgent repeat may be taken now."""
-        return self._find_sized(service).has_room(self._clock.now())
-
-    def _find_sized(self, service: str) -> windows.RepeatWindow:
-        """Find a window, with this entry's share of the slack as of now."""
-        window = self._find(service)
-        entries = max(1, self._count_entries())
-        window.slack = self._slack * SLACK_SHARE / entries
-        return window
-
-    def _find(self, service: str) -> windows.RepeatWindow:
-        window = self._windows.get(service)
-        if window is None:
-            window = windows.RepeatWindow(self._ratio, 0.0, self._window_ms)
-            self._windows[service] = window
-        return window
+        return self._find(service).has_room(self._clock.now())
+
+    def list_marked(self) -> dict[int, float]:
+        """List this entry's requests and repeats, by mark, to be told."""
+        now = self._clock.now()
+        listed = {}
+        for service, pool in self._pools.items():
+            work = pool.count(now)
+            listed[_mark_requests(service)] = work.requests
+            listed[_mark_repeats(service)] = work.repeats
+        return listed
+
+    def take_others(self, told: dict[int, float]) -> None:
+        """Take the sums of all other entries, by mark."""
+        now = self._clock.now()
+        for service, pool in self._pools.items():
+            work = pools.Work(
+                told.get(_mark_requests(service), 0.0),
+                told.get(_mark_repeats(service), 0.0),
+            )
+            pool.take_others(work, now)
+
+    def _find(self, service: str) -> pools.RepeatPool:
+        pool = self._pools.get(service)
+        if pool is None:
+            pool = pools.RepeatPool(
+                self._ratio, self._slack * SLACK_SHARE, self._window_ms
+            )
+            self._pools[service] = pool
+        pool.entries = max(1, self._count_entries())
+        return pool
+
+
+def _mark_requests(service: str) -> int:
+    return marks.compute_mark(f'requests of {service}')
+
+
+def _mark_repeats(service: str) -> int:
+    return marks.compute_mark(f'repeats of {service}')
--- a/src/thornspool/domain/entries/messages.py
+++ b/src/thornspool/domain/entries/messages.py
@@ -73,10 +73,12 @@
         Age of the proof that its copy is current; negative for none.
     taken : dict of int to float
         Token-layers that requests hold, by the mark of the engine.
+    work : dict of int to float
+        Requests and repeats of services in the last window, by mark.
     suspects : tuple of str
         Servers that it has seen fail just now.
     scope : Scope
-        Whose requests ``taken`` counts.
+        Whose requests ``taken`` and ``work`` count.
     absent : tuple of str
         Hosts in the scope that are registered and do not serve.
     slow : dict of int to float
@@ -98,3 +100,4 @@
     absent: tuple[str, ...] = ()
     slow: dict[int, float] = attrs.field(factory=dict)
     refusing: tuple[int, ...] = ()
+    work: dict[int, float] = attrs.field(factory=dict)
--- a/src/thornspool/domain/entries/totals.py
+++ b/src/thornspool/domain/entries/totals.py
@@ -1,4 +1,4 @@
-"""What all other entries have taken, from what each of them tells."""
+"""What all other entries have taken or sent, from what each of them tells."""
 
 from __future__ import annotations
 
@@ -11,8 +11,8 @@
 if typing.TYPE_CHECKING:
     from collections.abc import Iterable
 
-Taken = dict[int, float]
-"""Token-layers by the mark of the engine."""
+Amounts = dict[int, float]
+"""Amounts by mark: token-layers of engines, or requests of services."""
 
 TOLD_MS = 3_000
 """Time for which a sum counts; most of what it counts has ended by then."""
@@ -23,19 +23,19 @@
     """What was told, and when."""
 
     at: int
-    taken: Taken
+    amounts: Amounts
 
 
-def add_up(parts: Iterable[Taken]) -> Taken:
+def add_up(parts: Iterable[Amounts]) -> Amounts:
     """Add amounts by mark."""
-    sums: Taken = {}
-    for taken in parts:
-        for mark, amount in taken.items():
+    sums: Amounts = {}
+    for amounts in parts:
+        for mark, amount in amounts.items():
             sums[mark] = sums.get(mark, 0.0) + amount
     return sums
 
 
-def subtract(whole: Taken, part: Taken) -> Taken:
+def subtract(whole: Amounts, part: Amounts) -> Amounts:
     """Take a part out of a sum that has it."""
     left = dict(whole)
     for mark, amount in part.items():
@@ -65,9 +65,15 @@
     domains: dict[str, Told] = attrs.field(factory=dict)
     rest: Told | None = None
 
-    def note(self, news: messages.News, domain: str, now: int) -> None:
-        """Note what news tell; ``domain`` is that of their sender."""
-        told = Told(now, news.taken)
+    def note(
+        self,
+        news: messages.News,
+        domain: str,
+        amounts: Amounts,
+        now: int,
+    ) -> None:
+        """Note amounts that news tell; ``domain`` is that of their sender."""
+        told = Told(now, amounts)
         if news.scope is messages.Scope.ENTRY:
             self.entries[news.host] = told
         elif news.scope is messages.Scope.DOMAIN:
@@ -79,25 +85,25 @@
         """Forget what an entry that ended had taken."""
         self.entries.pop(host, None)
 
-    def sum_entries(self, hosts: Iterable[str], now: int) -> Taken:
+    def sum_entries(self, hosts: Iterable[str], now: int) -> Amounts:
         """Add up what some entries have taken."""
         told = (self.entries.get(host) for host in hosts)
         return add_up(
-            one.taken
+            one.amounts
             for one in told
             if one is not None and now - one.at <= TOLD_MS
         )
 
-    def sum_domains(self, own_domain: str, now: int) -> Taken:
+    def sum_domains(self, own_domain: str, now: int) -> Amounts:
         """Add up what the other failure domains have taken."""
         return add_up(
-            told.taken
+            told.amounts
             for domain, told in self.domains.items()
             if domain != own_domain and now - told.at <= TOLD_MS
         )
 
-    def read_rest(self, now: int) -> Taken:
+    def read_rest(self, now: int) -> Amounts:
         """Return what the collector told last, unless that is old."""
         if self.rest is None or now - self.rest.at > TOLD_MS:
             return {}
-        return self.rest.taken
+        return self.rest.amounts
--- a/src/thornspool/domain/entries/view.py
+++ b/src/thornspool/domain/entries/view.py
@@ -251,7 +251,7 @@
             if one.state is messages.State.SERVING and self.is_alive(one, now)
         ]
 
-    def count_entries(self, now: int) -> int:
+    def count_entries(self) -> int:
         """Count the entries that run, this one included.
 
         Shares of what all entries may use are computed from it, so entries
--- a/src/thornspool/platform/daemon.py
+++ b/src/thornspool/platform/daemon.py
@@ -298,11 +298,19 @@
             lambda news: self._membership.take_news(news),
             self._follower.take_update,
         )
+        budget = repeats.Repeats(
+            clock,
+            bounds.repeat_ratio,
+            bounds.repeat_slack,
+            bounds.repeat_window_ms,
+            self._view.count_entries,
+        )
         self._membership = membership.MembershipService(
             clock,
             self._view,
             self._beliefs,
             taken,
+            budget,
             self._datagrams.send,
             lambda: self._follower.revision,
         )
@@ -310,13 +318,6 @@
             clock, self._view, self._lead, registry.Registry(store)
         )
         servers = engines.Servers(self._session)
-        budget = repeats.Repeats(
-            clock,
-            bounds.repeat_ratio,
-            bounds.repeat_slack,
-            bounds.repeat_window_ms,
-            self._membership.count_entries,
-        )
         self._streams = streams.StreamService(
             clock,
             self._beliefs,
--- a/src/thornspool/platform/peers.py
+++ b/src/thornspool/platform/peers.py
@@ -55,6 +55,7 @@
     # Tenths.
     slow: dict[int, int]
     refusing: list[int]
+    work: dict[int, int]
 
 
 class _Update(msgspec.Struct, array_like=True, tag=1):
@@ -92,6 +93,7 @@
                 for mark, pace in news.slow.items()
             },
             list(news.refusing),
+            {mark: round(amount) for mark, amount in news.work.items()},
         )
     )
 
@@ -138,6 +140,7 @@
         tuple(read.absent),
         {mark: pace / PACE_UNITS for mark, pace in read.slow.items()},
         tuple(read.refusing),
+        {mark: float(amount) for mark, amount in read.work.items()},
     )
 
 
--- a/tests/application/routing/test_membership.py
+++ b/tests/application/routing/test_membership.py
@@ -65,6 +65,27 @@
                 taken = self.members[host].taken
                 self.assertEqual({MARK: others}, taken.others)
 
+    def test_one_entry_may_repeat_what_the_others_do_not(self):
+        """An engine fails whose requests all come through one entry.
+
+        An equal part of all repeats was 7 in 10 s, and it refused the rest.
+        """
+        for member in self.members.values():
+            for _ in range(20):
+                member.budget.record_request('drafting')
+        self.fleet.play(2_000)
+        budget = self.members['b-07'].budget
+        taken = 0
+        for _ in range(20):
+            self.fleet.play(200)
+            while budget.take('drafting', urgent=True):
+                taken += 1
+        self.assertGreater(taken, 25)
+        self.fleet.play(1_600)
+        left = self.members['a-03'].budget
+        used = left._find('drafting')._others.repeats
+        self.assertEqual(taken, used)
+
     def test_an_entry_that_died_is_named_no_longer(self):
         """A host loses power; its lease in the store runs on.
 
--- a/tests/platform/deployment.py
+++ b/tests/platform/deployment.py
@@ -68,6 +68,7 @@
     log: pathlib.Path
     ports: list[int]
     settings: pathlib.Path
+    launches: int = 1
 
     @property
     def callers(self):
@@ -88,6 +89,10 @@
             if all(one in line.split() for one in wanted)
         ]
 
+    def has_started(self):
+        """Tell whether it has said so since it was launched last."""
+        return len(self.find_lines('entry_started')) == self.launches
+
     def is_ready(self):
         """Ask it whether it is ready."""
         try:
@@ -173,6 +178,7 @@
 
     def restart(self, entry):
         """Start an entry that has ended, at its addresses."""
+        entry.launches += 1
         entry.popen = self._launch('again', entry.settings, entry.log)
 
     def _launch(self, name, settings, log):
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -292,6 +292,7 @@
             ('h-2',),
             {78: 12.5},
             (79,),
+            {80: 12.0},
         )
         self.assertEqual(news, peers.decode(peers.encode_news(news)))
 
