--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -19,8 +19,8 @@
     def test_promises_hold_while_real_processes_fail(self):
         """Entries are killed, paused and stopped.
 
-        Links go silent, the store is away, engines vanish. Callers would see doubled holds, torn drafts, or refusals for what
-        has run.
+        Links go silent, the store is away, engines vanish. Callers would
+        see doubled holds, torn drafts, or refusals for what has run.
         """
         for seed in SEEDS:
             with self.subTest(seed=seed):
