Bound the paths that change their failure domain by the link between

Ruled out: slow engines (paces were 1), holes (one domain, for 2 s), too little memory. Tests fail first: requests wait rather than crowd the links.

--- a/src/thornspool/application/routing/repeats.py
+++ b/src/thornspool/application/routing/repeats.py
@@ -28,6 +28,8 @@
 19 streams were cut, and 7 with this part kept and streams that wait.
 """
 
+_MS_PER_S = 1000.0
+
 
 class Repeats:
     """Repeats of all services.
@@ -87,6 +89,11 @@
         part = _choose_part(urgent)
         return self._find(service).has_room(self._clock.now(), part)
 
+    def estimate_rate(self, service: str) -> float:
+        """Estimate the requests a second of all entries for a service."""
+        requests = self._find(service).count_requests(self._clock.now())
+        return requests * _MS_PER_S / self._window_ms
+
     def list_marked(self) -> dict[int, float]:
         """List this entry's requests and repeats, by mark, to be told."""
         now = self._clock.now()
--- a/src/thornspool/application/routing/streams.py
+++ b/src/thornspool/application/routing/streams.py
@@ -11,6 +11,7 @@
 from thornspool.application.routing import ports
 from thornspool.domain.fleet import events
 from thornspool.domain.paths import choice
+from thornspool.domain.paths import crossings
 from thornspool.domain.paths import search
 
 if typing.TYPE_CHECKING:
@@ -76,6 +77,9 @@
         When its engine was last ordered to use another path.
     owes_repeat : bool
         Whether its next send counts as a repeat.
+    may_cross : bool or None
+        Whether its path may change its failure domain in the middle; None
+        before that was drawn.
     """
 
     exchange: exchanges.Exchange
@@ -92,6 +96,7 @@
     body: bytearray = attrs.field(factory=bytearray)
     lost_runs: int = 0
     owes_repeat: bool = False
+    may_cross: bool | None = None
 
     @property
     def first_server(self) -> fleet.Server | None:
@@ -214,8 +219,22 @@
             self._beliefs.paces.select((one.id for one in engines), now),
             self._domain,
             self._random.random,
+            may_cross=False,
         )
 
+    def _may_cross(self, flight: Flight, model: fleet.Model) -> bool:
+        """Draw once whether a request may take engines of several domains.
+
+        A stream that has begun may: waiting longer would end it.
+        """
+        if flight.exchange.begun:
+            return True
+        if flight.may_cross is None:
+            rate = self._budget.estimate_rate(flight.exchange.service)
+            share = crossings.compute_share(model, rate)
+            flight.may_cross = self._random.random() < share
+        return flight.may_cross
+
     def list_avoided(self, flight: Flight) -> set[str]:
         """List the engines that a request should not use now."""
         now = self._clock.now()
@@ -232,6 +251,11 @@
             self._give_up(flight, 'service_unknown', 1_000)
             return
         found = choice.choose_path(situation, flight.need)
+        if isinstance(found, choice.Lack) and self._may_cross(
+            flight, situation.model
+        ):
+            situation = attrs.evolve(situation, may_cross=True)
+            found = choice.choose_path(situation, flight.need)
         if found is choice.Lack.NOT_COVERED and avoided:
             found = self._look_past(flight, found)
         if not isinstance(found, choice.Lack):
--- a/src/thornspool/domain/fleet/messages.py
+++ b/src/thornspool/domain/fleet/messages.py
@@ -112,6 +112,11 @@
         Mean tokens of a request.
     accelerators : dict of str to Accelerator
         By kind.
+    activation_bytes : float
+        Bytes that one token hands from one engine to the next.
+    pipe_mbps : float
+        Megabits a second of the link between two failure domains, which
+        all requests share; 0 for unknown.
     """
 
     layers: int
@@ -124,6 +129,8 @@
     usual_prompt: float
     usual_answer: float
     accelerators: dict[str, Accelerator]
+    activation_bytes: float = 0.0
+    pipe_mbps: float = 0.0
 
     @property
     def layer_token_mb(self) -> float:
--- a/src/thornspool/domain/paths/choice.py
+++ b/src/thornspool/domain/paths/choice.py
@@ -80,6 +80,9 @@
         Failure domain of this entry.
     noise : callable
         Random numbers from 0 to under 1.
+    may_cross : bool
+        Whether a path may change its failure domain in the middle, where
+        no domain has a whole one.
     """
 
     model: fleet.Model
@@ -89,6 +92,7 @@
     slowness: Mapping[str, float]
     domain: str
     noise: Callable[[], float]
+    may_cross: bool = True
 
 
 NOISE_SHARE = 0.1
@@ -129,7 +133,7 @@
             cost += REMOTE_COST_MS
         if best is None or cost < best_cost:
             best, best_cost = path, cost
-    if best is not None:
+    if best is not None or not situation.may_cross:
         return best
     everything = [one for offers in domains.values() for one in offers]
     return search.find_path(everything, layers)
--- a/src/thornspool/domain/retries/pools.py
+++ b/src/thornspool/domain/retries/pools.py
@@ -95,6 +95,14 @@
         self._forget(now)
         return Work(len(self._requests), len(self._repeats))
 
+    def count_requests(self, now: int) -> float:
+        """Count the requests of all entries, as far as this one knows."""
+        own = self.count(now).requests
+        others = self._others
+        if others is None or now - self._others_at > TOLD_MS:
+            return own * self.entries
+        return own + others.requests
+
     def has_room(self, now: int, part: float = 1.0) -> bool:
         """Tell whether one more repeat fits.
 
--- a/src/thornspool/platform/documents.py
+++ b/src/thornspool/platform/documents.py
@@ -65,6 +65,8 @@
     kinds: list[_Kind] = []
     models: list[_Model] = []
     usual: _Usual = msgspec.field(default_factory=_Usual)
+    activation_bytes: float = 0.0
+    pipe_mbps: float = 0.0
 
 
 class _Service(msgspec.Struct):
@@ -173,6 +175,8 @@
             one.name: fleet.Accelerator(one.size_mb, one.pace, one.read_factor)
             for one in engine.kinds
         },
+        activation_bytes=engine.activation_bytes,
+        pipe_mbps=engine.pipe_mbps,
     )
 
 
--- a/tests/application/routing/test_streams.py
+++ b/tests/application/routing/test_streams.py
@@ -11,6 +11,7 @@
 from tests.domain.fleet import builders as fleet_builders
 from thornspool.application.routing import ports
 from thornspool.application.routing import streams
+from thornspool.domain.routing import messages as routing
 
 WHOLE = b''.join(b'id: %d\ndata: x\n\n' % number for number in range(10))
 
@@ -140,6 +141,33 @@
             self.world.beliefs.refusals.is_refusing(blamed.id, now)
         )
 
+    def test_requests_wait_for_a_domain_rather_than_crowd_the_links(self):
+        """One engine of each domain refuses for a moment.
+
+        Nearly all requests took engines of all domains in turn, and the
+        links between these were full for minutes.
+        """
+        known = self.world.beliefs.configuration
+        model = fleet_builders.build_model(
+            activation_bytes=59_000.0, pipe_mbps=100.0
+        )
+        services = {
+            **known.services,
+            'drafting': routing.Service('drafting', model),
+        }
+        self.world.beliefs.configuration = attrs.evolve(
+            known, services=services
+        )
+        now = self.world.clock.now()
+        for name in ('a-0', 'b-1'):
+            self.world.beliefs.refusals.note(name, now)
+        for number in range(20):
+            self.world.serve(number=number)
+        crossed = len(self.servers.runs)
+        self.assertLess(crossed, 4)
+        self.world.advance(400)
+        self.assertEqual(20, len(self.servers.runs))
+
     def test_when_all_refuse_requests_wait_and_nothing_is_sent(self):
         """All engines are short of memory at once."""
         self.world.serve(number=0)
--- a/tools/bench_routing.py
+++ b/tools/bench_routing.py
@@ -11,8 +11,11 @@
 import time
 import typing
 
+import attrs
+
 from tests.domain.fleet import builders
 from thornspool.domain.entries import messages
+from thornspool.domain.entries import totals
 from thornspool.domain.fleet import marks
 from thornspool.domain.paths import choice
 from thornspool.domain.paths import reservations
@@ -83,6 +86,18 @@
         {marks.compute_mark(one.id): 90_000.0 for one in placed[:hops]},
         (),
     )
+    rest = attrs.evolve(
+        news,
+        scope=messages.Scope.REST,
+        taken={marks.compute_mark(one.id): 90_000.0 for one in placed},
+    )
+    told = peers.encode_news(rest)
+    tell = measure(
+        lambda: peers.encode_news(
+            attrs.evolve(rest, taken=totals.subtract(rest.taken, news.taken))
+        )
+    )
+    hear = measure(lambda: peers.decode(peers.encode_news(news)))
     first = measure(lambda: planning.plan_orders(holdings, model))
     again = measure(lambda: planning.plan_orders(settled, model))
     path = measure(lambda: choice.choose_path(situation, need))
@@ -90,7 +105,9 @@
         f'engines={engines} domains={domains} '
         f'first_plan_ms={first:.1f} plan_ms={again:.1f} '
         f'path_ms={path:.2f} hops={hops} '
-        f'news_bytes={len(peers.encode_news(news))}'
+        f'news_bytes={len(peers.encode_news(news))} '
+        f'collector_news_bytes={len(told)} tell_ms={tell:.3f} '
+        f'hear_ms={hear:.3f}'
     )
 
 
