Believe an outage of the store before the end of a fleet

Change: for 2.2 s after an outage entries that are gone are not believed to be, and only empty engines get layers; also in the first 2.2 s of a process. Crossings are bounded by all links between domains, not by one. Tests fail first: a server that lapsed is used, one that is still missing goes.

--- a/src/thornspool/application/routing/beliefs.py
+++ b/src/thornspool/application/routing/beliefs.py
@@ -23,6 +23,17 @@
 store's acknowledgement; the change is seen within some 200 ms of it.
 """
 
+OUTAGE_MS = 3_000
+"""Age of the copy's proof from which the store counts as having been away.
+
+Entries lapse after 3.6 s of silence; a copy that is kept current is proved
+anew every 0.4 to 2.8 s.
+"""
+
+RETURN_MS = 2_200
+"""Time after the store's return for which entries that are gone are not
+believed to be: servers that live are back in the list within some 2 s."""
+
 SUSPECT_MS = 4_000
 """Time for which a server that failed is left out.
 
@@ -68,6 +79,7 @@
     servers: dict[str, fleet.Server] = attrs.field(factory=dict)
     leaving: dict[str, int] = attrs.field(factory=dict)
     unlisted: dict[str, int] = attrs.field(factory=dict)
+    lapsed: set[str] = attrs.field(factory=set)
     suspects: dict[str, Suspicion] = attrs.field(factory=dict)
     paces: paces_module.Paces = attrs.field(factory=paces_module.Paces)
     refusals: refusals_module.Refusals = attrs.field(
@@ -75,6 +87,8 @@
     )
     proof: proofs.Proof = attrs.field(factory=proofs.Proof)
     servers_changed_at: int = 0
+    first_contact_at: int | None = None
+    store_back_at: int | None = None
     fresh_suspects: list[str] = attrs.field(factory=list)
 
     def take_configuration(self, read: routing.Configuration) -> None:
@@ -95,9 +109,35 @@
             keys=len(read.workspaces),
         )
 
+    def note_contact(self, now: int) -> None:
+        """Note that the store's word has come, before it is taken."""
+        age = self.proof.compute_age(now)
+        if age is None:
+            self.first_contact_at = now
+        elif age > OUTAGE_MS:
+            self.store_back_at = now
+
+    def is_settling(self, now: int) -> bool:
+        """Tell whether the list may still lack servers that live.
+
+        Entries lapse while the store is away. Taken for gone at its return,
+        servers lost their requests, and whole failure domains were given
+        new layers that were there all the time.
+        """
+        return _is_recent(self.store_back_at, now)
+
+    def is_list_young(self, now: int) -> bool:
+        """Tell whether nothing should be concluded from what is missing.
+
+        A process that has just started can't tell whether the store had
+        been away before.
+        """
+        return self.is_settling(now) or _is_recent(self.first_contact_at, now)
+
     def take_server(self, server: fleet.Server, now: int) -> None:
         """Take a server's entry as it was written last."""
         known = self.servers.get(server.id)
+        self.lapsed.discard(server.id)
         if known == server and server.id not in self.unlisted:
             return
         self.unlisted.pop(server.id, None)
@@ -128,6 +168,10 @@
         """
         if name not in self.servers:
             return
+        if self.is_settling(now):
+            self.lapsed.add(name)
+            logger.info('server_lapsed', server=name)
+            return
         self.servers_changed_at = now
         self.leaving.setdefault(name, now)
         self.unlisted.setdefault(name, now)
@@ -135,6 +179,10 @@
 
     def forget_left(self, now: int) -> None:
         """Forget what no longer counts: servers, suspicions, paces."""
+        if self.lapsed and not self.is_settling(now):
+            lapsed, self.lapsed = self.lapsed, set()
+            for name in lapsed:
+                self.remove_server(name, now)
         for name, since in list(self.unlisted.items()):
             if now - since > LEAVING_USE_MS:
                 del self.unlisted[name]
@@ -216,6 +264,10 @@
         return None if known is None else known.model
 
 
+def _is_recent(at: int | None, now: int) -> bool:
+    return at is not None and now - at < RETURN_MS
+
+
 def _show_layers(server: fleet.Server) -> str:
     held = server.layers
     return '' if held is None else f'{held.first}-{held.end}'
--- a/src/thornspool/application/routing/placement.py
+++ b/src/thornspool/application/routing/placement.py
@@ -129,7 +129,11 @@
         holdings = [self._describe(one) for one in engines]
         self._note_coverage(service, engines, model)
         steady = self._find_steady(engines, now)
+        young = self._beliefs.is_list_young(now)
         for order in planning.plan_orders(holdings, model, steady):
+            if young and order.server.layers is not None:
+                # What seems to be missing may only be missing in the list.
+                continue
             if now >= self._busy_until.get(order.server.id, 0):
                 self._give(order, model, now)
 
--- a/src/thornspool/application/routing/streams.py
+++ b/src/thornspool/application/routing/streams.py
@@ -222,7 +222,7 @@
             may_cross=False,
         )
 
-    def _may_cross(self, flight: Flight, model: fleet.Model) -> bool:
+    def _may_cross(self, flight: Flight, situation: choice.Situation) -> bool:
         """Draw once whether a request may take engines of several domains.
 
         A stream that has begun may: waiting longer would end it.
@@ -231,7 +231,10 @@
             return True
         if flight.may_cross is None:
             rate = self._budget.estimate_rate(flight.exchange.service)
-            share = crossings.compute_share(model, rate)
+            domains = {one.failure_domain for one in situation.engines}
+            share = crossings.compute_share(
+                situation.model, rate, len(domains)
+            )
             flight.may_cross = self._random.random() < share
         return flight.may_cross
 
@@ -252,7 +255,7 @@
             return
         found = choice.choose_path(situation, flight.need)
         if isinstance(found, choice.Lack) and self._may_cross(
-            flight, situation.model
+            flight, situation
         ):
             situation = attrs.evolve(situation, may_cross=True)
             found = choice.choose_path(situation, flight.need)
--- a/src/thornspool/platform/follower.py
+++ b/src/thornspool/platform/follower.py
@@ -208,6 +208,7 @@
         """Read every key, and drop what is no longer there."""
         sent_at = self._clock.now()
         read = await self._store.read_all('')
+        self._beliefs.note_contact(self._clock.now())
         present = {item.key for item in read.items}
         for key in [one for one in self._known if one not in present]:
             del self._known[key]
@@ -222,6 +223,7 @@
         sent_at = self._clock.now()
         since = self.revision
         changes = await self._store.watch('', since, self._choose_wait())
+        self._beliefs.note_contact(self._clock.now())
         self._was_fed = False
         for item in changes.items:
             self._apply(item)
@@ -262,6 +264,7 @@
         """
         if self.revision == 0 or update.since > self.revision:
             return
+        self._beliefs.note_contact(self._clock.now())
         for item in update.items:
             self._apply(item)
         self.revision = max(self.revision, update.until)
--- a/tests/application/routing/test_calls.py
+++ b/tests/application/routing/test_calls.py
@@ -245,3 +245,46 @@
         world.beliefs.forget_left(5_000)
         self.assertTrue(world.beliefs.is_usable(server, 5_000))
         self.assertIn('a-0', world.beliefs.servers)
+
+
+class StoreReturnTest(unittest.TestCase):
+    """The store was away for eight seconds, and servers' entries lapsed.
+
+    At its return whole failure domains looked empty: their requests were
+    refused, and engines were ordered to other layers, which took seconds.
+    """
+
+    def setUp(self):
+        self.world = builders.World()
+        self.beliefs = self.world.beliefs
+        self.beliefs.proof.renew(0)
+        self.back = 8_000
+        self.beliefs.note_contact(self.back)
+        self.beliefs.proof.renew(self.back)
+        self.beliefs.remove_server('a-0', self.back)
+
+    def test_a_server_that_lapsed_is_used_until_it_should_be_back(self):
+        server = self.beliefs.servers['a-0']
+        self.beliefs.forget_left(self.back + 2_000)
+        self.assertTrue(self.beliefs.is_usable(server, self.back + 2_000))
+        self.assertNotIn('a-0', self.beliefs.leaving)
+
+    def test_one_that_is_back_stays(self):
+        server = self.beliefs.servers['a-0']
+        self.beliefs.take_server(server, self.back + 500)
+        self.beliefs.forget_left(self.back + 9_000)
+        self.assertIn('a-0', self.beliefs.servers)
+        self.assertTrue(self.beliefs.is_usable(server, self.back + 9_000))
+
+    def test_one_that_is_still_missing_is_gone(self):
+        late = self.back + 2_300
+        self.beliefs.forget_left(late)
+        self.assertIn('a-0', self.beliefs.leaving)
+        self.beliefs.forget_left(late + 1_100)
+        self.assertNotIn('a-0', self.beliefs.servers)
+
+    def test_without_an_outage_a_removal_counts_at_once(self):
+        self.beliefs.proof.renew(20_000)
+        self.beliefs.note_contact(20_500)
+        self.beliefs.remove_server('b-0', 20_500)
+        self.assertIn('b-0', self.beliefs.leaving)
