--- a/src/thornspool/application/routing/calls.py
+++ b/src/thornspool/application/routing/calls.py
@@ -8,11 +8,13 @@
 
 from __future__ import annotations
 
+import functools
 import typing
 
 import attrs
 import structlog
 
+from thornspool.application.routing import listeners
 from thornspool.application.routing import ports
 from thornspool.domain.fleet import standing
 
@@ -65,27 +67,6 @@
     body: bytearray = attrs.field(factory=bytearray)
 
 
-class _Listener:
-    """Passes what one run brings to its call, while it is its last run."""
-
-    def __init__(self, service: CallService, call: Call) -> None:
-        self._service = service
-        self._call = call
-        self._generation = call.generation
-
-    def take_head(self, head: ports.Head) -> None:
-        if self._generation == self._call.generation:
-            self._call.head = head
-
-    def take_body(self, chunk: bytes) -> None:
-        if self._generation == self._call.generation:
-            self._call.body.extend(chunk)
-
-    def take_end(self, ending: ports.Ending) -> None:
-        if self._generation == self._call.generation:
-            self._service.take_end(self._call, ending)
-
-
 class CallService:
     """Serves calls and actions on plain services.
 
@@ -197,7 +178,13 @@
             '',
             exchange.priority,
         )
-        call.stop = self._servers.send(run, _Listener(self, call))
+        listener = listeners.RunListener(
+            call,
+            functools.partial(_take_head, call),
+            call.body.extend,
+            functools.partial(self.take_end, call),
+        )
+        call.stop = self._servers.send(run, listener)
 
     def _wait_or_refuse(self, call: Call, now: int) -> None:
         exchange = call.exchange
@@ -330,3 +317,7 @@
             self._standings.finish(call.server.id)
         call.stop = None
         call.generation += 1
+
+
+def _take_head(call: Call, head: ports.Head) -> None:
+    call.head = head
--- a/src/thornspool/application/routing/detection.py
+++ b/src/thornspool/application/routing/detection.py
@@ -25,6 +25,7 @@
 
     from thornspool import clock as clock_module
     from thornspool.application.routing import beliefs as beliefs_module
+    from thornspool.application.routing import flights
     from thornspool.application.routing import streams
     from thornspool.domain.fleet import messages as fleet
     from thornspool.domain.paths import search
@@ -137,7 +138,7 @@
         self._check_paces(now)
         self._recheck_slow(now)
 
-    def _check(self, flight: streams.Flight, now: int) -> None:
+    def _check(self, flight: flights.Flight, now: int) -> None:
         if self._leaves_suspect(flight):
             return
         quiet = now - flight.active_at
@@ -172,7 +173,7 @@
             if server is not None and not self._ask_within_budget(server, now):
                 return
 
-    def _is_late(self, flight: streams.Flight, now: int) -> bool:
+    def _is_late(self, flight: flights.Flight, now: int) -> bool:
         quiet = now - flight.active_at
         begun = flight.events.count > 0
         return quiet >= (LATE_PAUSE_MS if begun else LATE_FIRST_MS)
@@ -205,7 +206,7 @@
         self._run(self._ask(server))
         return True
 
-    def _leaves_suspect(self, flight: streams.Flight) -> bool:
+    def _leaves_suspect(self, flight: flights.Flight) -> bool:
         """Move a stream off its path when an engine of it is suspected."""
         suspected = [
             hop.server.id
@@ -256,7 +257,7 @@
             )
 
     async def _mend(
-        self, flight: streams.Flight, suspected: list[str]
+        self, flight: flights.Flight, suspected: list[str]
     ) -> None:
         """Let a stream go on without the engines that are suspected.
 
@@ -280,10 +281,10 @@
         finally:
             flight.mending = False
 
-    async def _repath(self, flight: streams.Flight) -> None:
+    async def _repath(self, flight: flights.Flight) -> None:
         """Order the first engine to use another path."""
         first = flight.hops[0]
-        avoided = self._service.list_avoided(flight)
+        avoided = self._service.paths.list_avoided(flight)
         if first.server.id in avoided:
             return
         rest = self._choose_rest(flight, first, avoided)
@@ -304,10 +305,10 @@
             self._service.move(flight, hops)
 
     def _choose_rest(
-        self, flight: streams.Flight, first: search.Hop, avoided: set[str]
+        self, flight: flights.Flight, first: search.Hop, avoided: set[str]
     ) -> tuple[search.Hop, ...] | None:
         exchange = flight.exchange
-        situation = self._service.describe(exchange.service, avoided)
+        situation = self._service.paths.describe(exchange.service, avoided)
         if situation is None:
             return None
         path = choice.choose_rest(situation, flight.need, first)
--- /dev/null
+++ b/src/thornspool/application/routing/flights.py
@@ -0,0 +1,65 @@
+"""A model request on its way."""
+
+from __future__ import annotations
+
+import typing
+
+import attrs
+
+from thornspool.domain.fleet import events
+
+if typing.TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from thornspool.application.routing import exchanges
+    from thornspool.application.routing import ports
+    from thornspool.domain.fleet import messages as fleet
+    from thornspool.domain.paths import choice
+    from thornspool.domain.paths import search
+
+
+@attrs.define(eq=False)
+class Flight:
+    """A model request that is waiting or on a path.
+
+    Attributes
+    ----------
+    exchange : exchanges.Exchange
+        The request.
+    need : choice.Need
+        Tokens that it takes.
+    hops : tuple of search.Hop
+        Path on which it runs; empty while it waits.
+    active_at : int
+        When something last came from its engine, or it was sent.
+    asked_at : int
+        When its first engine was last asked about it.
+    moved_at : int or None
+        When its engine was last ordered to use another path.
+    owes_repeat : bool
+        Whether its next send counts as a repeat.
+    may_cross : bool or None
+        Whether its path may change its failure domain in the middle; None
+        before that was drawn.
+    """
+
+    exchange: exchanges.Exchange
+    need: choice.Need
+    hops: tuple[search.Hop, ...] = ()
+    stop: Callable[[], None] | None = None
+    events: events.EventBuffer = attrs.field(factory=events.EventBuffer)
+    active_at: int = 0
+    asked_at: int = 0
+    moved_at: int | None = None
+    mending: bool = False
+    generation: int = 0
+    head: ports.Head | None = None
+    body: bytearray = attrs.field(factory=bytearray)
+    lost_runs: int = 0
+    owes_repeat: bool = False
+    may_cross: bool | None = None
+
+    @property
+    def first_server(self) -> fleet.Server | None:
+        """The engine that it entered at."""
+        return self.hops[0].server if self.hops else None
--- a/src/thornspool/application/routing/streams.py
+++ b/src/thornspool/application/routing/streams.py
@@ -2,20 +2,20 @@
 
 from __future__ import annotations
 
+import functools
 import typing
 
-import attrs
 import structlog
 
 from thornspool.application.routing import beliefs as beliefs_module
+from thornspool.application.routing import finding
+from thornspool.application.routing import flights
+from thornspool.application.routing import listeners
 from thornspool.application.routing import ports
-from thornspool.domain.fleet import events
 from thornspool.domain.paths import choice
-from thornspool.domain.paths import crossings
 from thornspool.domain.paths import search
 
 if typing.TYPE_CHECKING:
-    from collections.abc import Callable
     import random
 
     from thornspool import clock as clock_module
@@ -57,74 +57,6 @@
 _MISDIRECTED = 421
 
 
-@attrs.define(eq=False)
-class Flight:
-    """A model request that is waiting or on a path.
-
-    Attributes
-    ----------
-    exchange : exchanges.Exchange
-        The request.
-    need : choice.Need
-        Tokens that it takes.
-    hops : tuple of search.Hop
-        Path on which it runs; empty while it waits.
-    active_at : int
-        When something last came from its engine, or it was sent.
-    asked_at : int
-        When its first engine was last asked about it.
-    moved_at : int or None
-        When its engine was last ordered to use another path.
-    owes_repeat : bool
-        Whether its next send counts as a repeat.
-    may_cross : bool or None
-        Whether its path may change its failure domain in the middle; None
-        before that was drawn.
-    """
-
-    exchange: exchanges.Exchange
-    need: choice.Need
-    hops: tuple[search.Hop, ...] = ()
-    stop: Callable[[], None] | None = None
-    events: events.EventBuffer = attrs.field(factory=events.EventBuffer)
-    active_at: int = 0
-    asked_at: int = 0
-    moved_at: int | None = None
-    mending: bool = False
-    generation: int = 0
-    head: ports.Head | None = None
-    body: bytearray = attrs.field(factory=bytearray)
-    lost_runs: int = 0
-    owes_repeat: bool = False
-    may_cross: bool | None = None
-
-    @property
-    def first_server(self) -> fleet.Server | None:
-        """The engine that it entered at."""
-        return self.hops[0].server if self.hops else None
-
-
-class _Listener:
-    """Passes what one run brings to its flight, while it is its last run."""
-
-    def __init__(self, service: StreamService, flight: Flight) -> None:
-        self._service = service
-        self._flight = flight
-        self._generation = flight.generation
-
-    def take_head(self, head: ports.Head) -> None:
-        if self._generation == self._flight.generation:
-            self._service.take_head(self._flight, head)
-
-    def take_body(self, chunk: bytes) -> None:
-        if self._generation == self._flight.generation:
-            self._service.take_body(self._flight, chunk)
-
-    def take_end(self, ending: ports.Ending) -> None:
-        if self._generation == self._flight.generation:
-            self._service.take_end(self._flight, ending)
-
-
 class StreamService:
     """Serves model requests.
 
@@ -161,10 +93,12 @@
         self._taken = taken
         self._servers = servers
         self._budget = budget
-        self._domain = failure_domain
         self._random = random_source
-        self.flights: set[Flight] = set()
-        self._waiting: list[Flight] = []
+        self.paths = finding.PathFinder(
+            clock, beliefs, taken, budget, failure_domain, random_source
+        )
+        self.flights: set[flights.Flight] = set()
+        self._waiting: list[flights.Flight] = []
         self._ends_at: int | None = None
 
     def serve(self, exchange: exchanges.Exchange) -> None:
@@ -176,7 +110,7 @@
             inquiry.prompt_tokens or model.usual_prompt,
             inquiry.answer_tokens or model.usual_answer,
         )
-        flight = Flight(exchange, need)
+        flight = flights.Flight(exchange, need)
         exchange.reply.set_on_close(lambda: self._leave(flight))
         self.flights.add(flight)
         self._budget.record_request(exchange.service)
@@ -202,49 +136,10 @@
             if not flight.exchange.ended:
                 self._start(flight)
 
-    def describe(
-        self, service: str, avoid: set[str]
-    ) -> choice.Situation | None:
-        """Describe the engines of a service for a choice."""
-        model = self._beliefs.find_model(service)
-        if model is None:
-            return None
-        now = self._clock.now()
-        engines = self._beliefs.list_servers(service, now)
-        return choice.Situation(
-            model,
-            tuple(one for one in engines if one.id not in avoid),
-            frozenset(self._beliefs.leaving),
-            self._taken,
-            self._beliefs.paces.select((one.id for one in engines), now),
-            self._domain,
-            self._random.random,
-            may_cross=False,
-        )
-
-    def _may_cross(self, flight: Flight, situation: choice.Situation) -> bool:
-        """Draw once whether a request may take engines of several domains.
-
-        A stream that has begun may: waiting longer would end it.
-        """
-        if flight.exchange.begun:
-            return True
-        if flight.may_cross is None:
-            rate = self._budget.estimate_rate(flight.exchange.service)
-            share = crossings.compute_share(situation.model, rate)
-            flight.may_cross = self._random.random() < share
-        return flight.may_cross
-
-    def list_avoided(self, flight: Flight) -> set[str]:
-        """List the engines that a request should not use now."""
-        now = self._clock.now()
-        refusing = self._beliefs.refusals.select(self._beliefs.servers, now)
-        return flight.exchange.list_avoided(now) | refusing
-
-    def _start(self, flight: Flight) -> None:
+    def _start(self, flight: flights.Flight) -> None:
         """Put a request on a path, or let it wait, or refuse it."""
         now = self._clock.now()
-        found = self._find_path(flight)
+        found = self.paths.find(flight)
         if found is None:
             self._give_up(flight, 'service_unknown', 1_000)
         elif isinstance(found, choice.Lack):
@@ -256,34 +151,20 @@
         else:
             self._send(flight, found.hops)
 
-    def _find_path(self, flight: Flight) -> search.Path | choice.Lack | None:
-        """Find a path; None for a service that is not known any more."""
-        avoided = self.list_avoided(flight)
-        situation = self.describe(flight.exchange.service, avoided)
-        if situation is None:
-            return None
-        found = choice.choose_path(situation, flight.need)
-        if isinstance(found, choice.Lack) and self._may_cross(
-            flight, situation
-        ):
-            situation = attrs.evolve(situation, may_cross=True)
-            found = choice.choose_path(situation, flight.need)
-        if found is choice.Lack.NOT_COVERED and avoided:
-            return self._look_past(flight, found)
-        return found
-
-    def _wait_or_refuse(self, flight: Flight, lack: choice.Lack) -> None:
+    def _wait_or_refuse(
+        self, flight: flights.Flight, lack: choice.Lack
+    ) -> None:
         waited = self._clock.now() - flight.exchange.inquiry.arrived_at
         if self._may_wait(flight, lack, waited):
             self._waiting.append(flight)
             return
         self._give_up(flight, lack.value, self._random.randint(*COMES_BACK_MS))
 
-    def _take_repeat(self, flight: Flight) -> bool:
+    def _take_repeat(self, flight: flights.Flight) -> bool:
         exchange = flight.exchange
         return self._budget.take(exchange.service, exchange.begun)
 
-    def _wait_for_repeat(self, flight: Flight) -> None:
+    def _wait_for_repeat(self, flight: flights.Flight) -> None:
         """Let a begun stream wait until a repeat comes free; refuse others.
 
         The window of repeats slides on, and a cut stream is lost to its
@@ -304,7 +185,7 @@
         self._ends_at = at
 
     def _ends_too_late(
-        self, flight: Flight, path: search.Path, now: int
+        self, flight: flights.Flight, path: search.Path, now: int
     ) -> bool:
         """Tell whether a stream would be cut by the end of this entry.
 
@@ -316,15 +197,8 @@
             return False
         return now + path.cost_ms > self._ends_at
 
-    def _look_past(self, flight: Flight, lack: choice.Lack) -> choice.Lack:
-        """Tell whether only the servers that it avoids are missing."""
-        situation = self.describe(flight.exchange.service, set())
-        assert situation is not None
-        found = choice.choose_path(situation, flight.need)
-        return lack if isinstance(found, choice.Lack) else choice.Lack.NO_ROOM
-
     def _may_wait(
-        self, flight: Flight, lack: choice.Lack, waited: int
+        self, flight: flights.Flight, lack: choice.Lack, waited: int
     ) -> bool:
         if flight.exchange.begun:
             return self._may_wait_on(flight)
@@ -332,7 +206,7 @@
             return waited < QUEUE_MS
         return False
 
-    def _may_wait_on(self, flight: Flight) -> bool:
+    def _may_wait_on(self, flight: flights.Flight) -> bool:
         """Tell whether a stream may wait for its next event.
 
         The caller has a part; a second one of its tries can't go on sooner
@@ -340,7 +214,9 @@
         """
         return self._clock.now() - flight.active_at < QUEUE_MS
 
-    def _send(self, flight: Flight, hops: tuple[search.Hop, ...]) -> None:
+    def _send(
+        self, flight: flights.Flight, hops: tuple[search.Hop, ...]
+    ) -> None:
         exchange = flight.exchange
         now = self._clock.now()
         exchange.sends += 1
@@ -364,9 +240,15 @@
             exchange.priority,
         )
         exchange.path = search.describe_path(hops)
-        flight.stop = self._servers.send(run, _Listener(self, flight))
+        listener = listeners.RunListener(
+            flight,
+            functools.partial(self.take_head, flight),
+            functools.partial(self.take_body, flight),
+            functools.partial(self.take_end, flight),
+        )
+        flight.stop = self._servers.send(run, listener)
 
-    def take_head(self, flight: Flight, head: ports.Head) -> None:
+    def take_head(self, flight: flights.Flight, head: ports.Head) -> None:
         """Take the head of an engine's answer."""
         exchange = flight.exchange
         flight.head = head
@@ -377,7 +259,7 @@
             exchange.begun = True
             exchange.reply.begin(head.status, head.headers)
 
-    def take_body(self, flight: Flight, chunk: bytes) -> None:
+    def take_body(self, flight: flights.Flight, chunk: bytes) -> None:
         """Take a piece of an engine's answer."""
         head = flight.head
         exchange = flight.exchange
@@ -392,7 +274,7 @@
                 exchange.first_event_at = now
             exchange.reply.write(whole)
 
-    def take_end(self, flight: Flight, ending: ports.Ending) -> None:
+    def take_end(self, flight: flights.Flight, ending: ports.Ending) -> None:
         """Take the end of a run."""
         head = flight.head
         exchange = flight.exchange
@@ -420,7 +302,7 @@
         else:
             self._again(flight, 'malformed')
 
-    def _take_refusal(self, flight: Flight, head: ports.Head) -> None:
+    def _take_refusal(self, flight: flights.Flight, head: ports.Head) -> None:
         """Send a request elsewhere that an engine states not to have run."""
         blamed = self._beliefs.find_by_address(head.fault_address)
         if blamed is None:
@@ -443,7 +325,7 @@
             )
         self._again(flight, f'refused_by_engine_{head.status}')
 
-    def _is_usual(self, flight: Flight) -> bool:
+    def _is_usual(self, flight: flights.Flight) -> bool:
         """Tell whether an engine that refuses a request has no room at all.
 
         A large request may find no room where all others do.
@@ -454,7 +336,7 @@
         usual = model.usual_prompt + model.usual_answer
         return flight.need.tokens <= LARGE_FACTOR * usual
 
-    def _take_failure(self, flight: Flight, head: ports.Head) -> None:
+    def _take_failure(self, flight: flights.Flight, head: ports.Head) -> None:
         """Run a request that failed at its engine once more, or tell it."""
         exchange = flight.exchange
         if self.may_run_again(flight) and self._budget.take(exchange.service):
@@ -468,7 +350,7 @@
         exchange.reply.answer(head.status, head.headers, bytes(flight.body))
         self._end(flight, f'engine_{head.status}')
 
-    def may_run_again(self, flight: Flight) -> bool:
+    def may_run_again(self, flight: flights.Flight) -> bool:
         """Tell whether a request that may have run may run again."""
         exchange = flight.exchange
         lost = flight.lost_runs + int(self._has_lost_engine(flight))
@@ -479,7 +361,7 @@
             and exchange.compute_left(self._clock.now()) > MIN_LEFT_MS
         )
 
-    def _has_lost_engine(self, flight: Flight) -> bool:
+    def _has_lost_engine(self, flight: flights.Flight) -> bool:
         """Tell whether the engine of a run has ended.
 
         Such a run does not count among those that a route allows; one on an
@@ -488,7 +370,7 @@
         first = flight.first_server
         return first is not None and first.id in self._beliefs.suspects
 
-    def _may_send_again(self, flight: Flight) -> bool:
+    def _may_send_again(self, flight: flights.Flight) -> bool:
         """Tell whether a request that did not run may be sent again."""
         exchange = flight.exchange
         return (
@@ -496,7 +378,7 @@
             and exchange.compute_left(self._clock.now()) > MIN_LEFT_MS
         )
 
-    def _again(self, flight: Flight, reason: str) -> None:
+    def _again(self, flight: flights.Flight, reason: str) -> None:
         """Send a request once more where that is allowed, or end it."""
         exchange = flight.exchange
         ran = exchange.runs > 0
@@ -518,7 +400,7 @@
             return
         self._give_up(flight, reason, self._random.randint(*COMES_BACK_MS))
 
-    def mend(self, flight: Flight, reason: str) -> None:
+    def mend(self, flight: flights.Flight, reason: str) -> None:
         """Leave a path on which nothing comes any more.
 
         A stream that may not go on elsewhere stays: its engine may still
@@ -536,16 +418,18 @@
         flight.lost_runs += int(self._has_lost_engine(flight))
         self._again(flight, reason)
 
-    def _can_go_on(self, flight: Flight) -> bool:
+    def _can_go_on(self, flight: flights.Flight) -> bool:
         """Tell whether a request could go on over another path now."""
         exchange = flight.exchange
         if not self.may_run_again(flight):
             return False
         if not self._budget.has_room(exchange.service, exchange.begun):
             return False
-        return isinstance(self._find_path(flight), search.Path)
+        return isinstance(self.paths.find(flight), search.Path)
 
-    def move(self, flight: Flight, hops: tuple[search.Hop, ...]) -> None:
+    def move(
+        self, flight: flights.Flight, hops: tuple[search.Hop, ...]
+    ) -> None:
         """Note that a running request goes on over another path."""
         self._taken.free(flight.hops, flight.need.tokens)
         flight.hops = hops
@@ -554,7 +438,7 @@
         flight.active_at = self._clock.now()
 
     def _give_up(
-        self, flight: Flight, reason: str, retry_after_ms: int
+        self, flight: flights.Flight, reason: str, retry_after_ms: int
     ) -> None:
         """End a request that can't be served now."""
         exchange = flight.exchange
@@ -572,7 +456,7 @@
 
     def _finish_refused(
         self,
-        flight: Flight,
+        flight: flights.Flight,
         status: int,
         reason: str,
         retry_after_ms: int | None = None,
@@ -580,7 +464,7 @@
         self.flights.discard(flight)
         flight.exchange.refuse(status, reason, retry_after_ms)
 
-    def _time_out(self, flight: Flight) -> None:
+    def _time_out(self, flight: flights.Flight) -> None:
         exchange = flight.exchange
         if flight.stop is not None:
             flight.stop()
@@ -596,7 +480,7 @@
         else:
             self._finish_refused(flight, 503, 'deadline', 500)
 
-    def _leave(self, flight: Flight) -> None:
+    def _leave(self, flight: flights.Flight) -> None:
         """End the work for a caller that has left."""
         if flight.exchange.ended:
             return
@@ -607,12 +491,12 @@
         self._free(flight)
         self._end(flight, 'caller_left')
 
-    def _free(self, flight: Flight) -> None:
+    def _free(self, flight: flights.Flight) -> None:
         if flight.hops:
             self._taken.free(flight.hops, flight.need.tokens)
             flight.hops = ()
 
-    def _end(self, flight: Flight, outcome: str) -> None:
+    def _end(self, flight: flights.Flight, outcome: str) -> None:
         self.flights.discard(flight)
         flight.exchange.end(outcome)
 
@@ -620,7 +504,7 @@
         if server is not None:
             self._beliefs.suspect(server.id, reason, self._clock.now())
 
-    def _blame_broken(self, flight: Flight) -> None:
+    def _blame_broken(self, flight: flights.Flight) -> None:
         """Avoid the first engine of a run that broke, for this request.
 
         One broken answer may be the engine's own mistake; only an engine
--- a/tests/application/routing/test_streams.py
+++ b/tests/application/routing/test_streams.py
@@ -257,8 +257,8 @@
         for number in range(20):
             self.world.serve(number=number)
             while not all(
-                one.listener._generation != one.listener._flight.generation
-                or one.listener._flight.exchange.ended
+                not one.listener.is_current
+                or one.listener._owner.exchange.ended
                 for one in servers.runs
             ):
                 servers.last.end(ports.Ending.BROKEN)
