--- /dev/null
+++ b/tests/application/routing/test_detection.py
@@ -0,0 +1,264 @@
+"""Tests of streams that pause, and of engines that are gone or slow."""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+
+from tests.application.routing import builders
+from tests.domain.fleet import builders as fleet_builders
+from thornspool.application.routing import ports
+
+WHOLE = b''.join(b'id: %d\ndata: x\n\n' % number for number in range(10))
+
+
+class DetectionTest(unittest.IsolatedAsyncioTestCase):
+    """An engine in the middle of a path goes dark.
+
+    Its neighbours wait for it, seconds pass before they say so, and the
+    callers have left by then.
+    """
+
+    async def asyncSetUp(self):
+        self.world = builders.World()
+        self.servers = self.world.servers
+        self.reply = self.world.serve()
+        self.run = self.servers.last
+        self.run.begin()
+        self.run.send(0, 3)
+        self.first = self.run.run.hops[0].server
+        self.middle = self.run.run.hops[1].server
+        for name in self.world.beliefs.servers:
+            self.servers.reports[name] = ports.Report(1, False, 1.0, 1, ())
+
+    async def pass_time(self, milliseconds):
+        for _ in range(0, milliseconds, 100):
+            self.world.advance(100)
+            self.world.detector.work()
+            for _ in range(4):
+                await builders_sleep()
+
+    def blame(self, server):
+        self.servers.reports[self.first.id] = ports.Report(
+            1, False, 1.0, 1, (ports.Stalled('request-1', server.address),)
+        )
+
+    async def test_the_first_engine_is_asked_and_the_stream_goes_on(self):
+        self.blame(self.middle)
+        await self.pass_time(700)
+        path = [hop.server.id for hop in self.run.run.hops]
+        self.assertEqual(path, self.servers.asked[: len(path)])
+        self.assertIn(self.middle.id, self.world.beliefs.suspects)
+        second = self.servers.last
+        self.assertEqual('2', second.run.resume_after)
+        self.assertNotIn(
+            self.middle.id, [hop.server.id for hop in second.run.hops]
+        )
+        self.assertTrue(self.run.stopped)
+
+    async def test_a_first_engine_that_does_not_answer_is_left(self):
+        del self.servers.reports[self.first.id]
+        await self.pass_time(700)
+        self.assertIn(self.first.id, self.world.beliefs.suspects)
+        self.assertIsNot(self.run, self.servers.last)
+
+    async def test_a_stream_runs_on_no_more_engines_than_its_route_allows(
+        self,
+    ):
+        """Engines in the middle of a draft's paths die, one after another.
+
+        A route whose drafts may run on two engines saw them run on three
+        and four: each loss of another engine had counted as if the first
+        one of the path, which the stream entered at, had ended.
+        """
+        for name in ('a', 'b'):
+            self.servers.reports[f'{name}-0'] = ports.Report(
+                1, False, 1.0, 1, ()
+            )
+            self.world.add(
+                fleet_builders.build_engine(f'{name}-7', 'large', 27, 54)
+            )
+        for _ in range(2):
+            last = self.servers.last
+            first, middle = (hop.server for hop in last.run.hops[:2])
+            last.begin()
+            self.servers.reports[first.id] = ports.Report(
+                1,
+                False,
+                1.0,
+                1,
+                (ports.Stalled('request-1', middle.address),),
+            )
+            await self.pass_time(900)
+        self.assertEqual(2, len(self.servers.runs))
+        self.assertEqual(1, len(self.servers.repaths))
+
+    async def test_a_stream_that_may_not_run_again_changes_its_path(self):
+        """The same loss on a route whose streams may run once only."""
+        reply = self.world.serve('/once/x', number=2)
+        run = self.servers.last
+        run.begin()
+        run.send(0, 3)
+        first, middle = (hop.server for hop in run.run.hops[:2])
+        spare = fleet_builders.build_engine(
+            f'{first.failure_domain}-7', 'large', 27, 54
+        )
+        self.world.add(spare)
+        self.servers.reports[spare.id] = ports.Report(1, False, 1.0, 1, ())
+        self.servers.reports[first.id] = ports.Report(
+            1,
+            False,
+            1.0,
+            1,
+            (ports.Stalled('request-2', middle.address),),
+        )
+        await self.pass_time(700)
+        ((request, hops),) = self.servers.repaths
+        self.assertEqual('request-2', request)
+        self.assertEqual(first, hops[0].server)
+        self.assertNotIn(middle, [hop.server for hop in hops])
+        run.send(3, 10)
+        run.end()
+        self.assertEqual(WHOLE, reply.body)
+
+    async def test_a_stream_for_which_there_is_no_other_path_stays(self):
+        """Engines of all domains are replaced, and one more is suspected.
+
+        Streams were taken off it first, found no other path for a second
+        and a half, and were cut by the entry beside a change of the
+        configuration.
+        """
+        for name in ('b-0', 'b-1', 'b-2'):
+            self.world.beliefs.suspect(name, 'not_reached', 0)
+        self.blame(self.middle)
+        await self.pass_time(1_900)
+        self.assertIn(self.middle.id, self.world.beliefs.suspects)
+        self.assertFalse(self.reply.aborted)
+        self.assertFalse(self.run.stopped)
+
+    async def test_a_stream_that_can_not_go_on_elsewhere_stays(self):
+        """The same loss when nothing may be repeated any more.
+
+        The streams were cut at once by the entry, beside a change of the
+        configuration; some of them would have gone on, since a peer that
+        suspects an engine may be wrong.
+        """
+        while self.world.budget.take('drafting', urgent=True):
+            pass
+        self.blame(self.middle)
+        await self.pass_time(1_900)
+        self.assertFalse(self.reply.aborted)
+        self.assertFalse(self.run.stopped)
+        self.run.send(3, 10)
+        self.run.end()
+        self.assertEqual(WHOLE, self.reply.body)
+
+    async def test_a_slow_engine_is_not_suspected(self):
+        self.servers.reports[self.first.id] = ports.Report(
+            1, False, 3.0, 1, ()
+        )
+        await self.pass_time(900)
+        self.assertEqual({}, self.world.beliefs.suspects)
+        self.assertEqual(1, len(self.servers.runs))
+        now = self.world.clock.now()
+        pace = self.world.beliefs.paces.get(self.first.id, now)
+        self.assertEqual(3.0, pace)
+
+    async def test_requests_leave_an_engine_that_has_turned_slow(self):
+        """An engine takes many times as long, and fails nothing.
+
+        First events came after a second in place of 60 ms for as long as
+        it was slow, since only engines that stalled were looked for.
+        """
+        slow = self.middle
+        self.servers.reports[slow.id] = ports.Report(1, False, 24.0, 1, ())
+        self.world.serve(number=2)
+        await self.pass_time(300)
+        now = self.world.clock.now()
+        self.assertEqual(24.0, self.world.beliefs.paces.get(slow.id, now))
+        self.assertEqual({}, self.world.beliefs.suspects)
+        for number in range(3, 9):
+            self.world.serve(number=number)
+            hops = self.servers.last.run.hops
+            self.assertNotIn(slow.id, [hop.server.id for hop in hops])
+
+    async def test_a_slow_engine_is_asked_again_and_used_again(self):
+        self.servers.reports[self.middle.id] = ports.Report(
+            1, False, 12.0, 1, ()
+        )
+        await self.pass_time(300)
+        self.run.send(3, 10)
+        self.run.end()
+        self.servers.reports[self.middle.id] = ports.Report(
+            1, False, 1.0, 1, ()
+        )
+        await self.pass_time(3_300)
+        now = self.world.clock.now()
+        self.assertEqual(
+            1.0, self.world.beliefs.paces.get(self.middle.id, now)
+        )
+
+    async def test_an_engine_of_the_path_that_is_gone_is_found_early(self):
+        """An engine in the middle of a path crashes.
+
+        The engine before it says so seconds later; asked itself, it does
+        not answer at all.
+        """
+        del self.servers.reports[self.middle.id]
+        await self.pass_time(300)
+        self.assertIn(self.middle.id, self.world.beliefs.suspects)
+        self.assertEqual('2', self.servers.last.run.resume_after)
+
+    async def test_questions_about_paces_are_bounded(self):
+        """Every stream of every entry is late.
+
+        82 entries asked each of 98 engines eight times a second, and each
+        question is priced.
+        """
+        for number in range(2, 40):
+            self.world.serve(number=number)
+        await self.pass_time(3_000)
+        asked = len(self.servers.asked)
+        fleet = len(self.world.beliefs.servers)
+        self.assertLess(asked, 12 + 3 * fleet + 3 * 6)
+
+    async def test_a_silent_request_that_may_not_be_repeated_stays(self):
+        """Nothing came for a second and a half, and repeats are used up.
+
+        The request was taken off its engine first and then refused; 526
+        callers were told so on one day, and most engines were only slow.
+        """
+        reply = self.world.serve(number=2)
+        while self.world.budget.take('drafting'):
+            pass
+        await self.pass_time(2_000)
+        self.assertIsNone(reply.status)
+        run = next(
+            one
+            for one in self.servers.runs
+            if one.run.inquiry.id == 'request-2'
+        )
+        self.assertFalse(run.stopped)
+
+    async def test_a_host_that_stood_still_blames_nobody(self):
+        """The host of the entry is suspended for seconds.
+
+        On waking all streams look silent, and it would tell its peers to
+        leave out the whole fleet.
+        """
+        self.world.detector.work()
+        self.world.clock.advance(5_000)
+        self.world.detector.work()
+        await builders_sleep()
+        self.assertEqual([], self.servers.asked)
+        self.assertEqual({}, self.world.beliefs.suspects)
+
+    async def test_one_entry_can_not_condemn_the_fleet(self):
+        for name in list(self.world.beliefs.servers):
+            self.world.beliefs.suspect(name, 'not_reached', 0)
+        self.assertLess(len(self.world.beliefs.suspects), 9)
+
+
+async def builders_sleep():
+    """Let tasks run."""
+    await asyncio.sleep(0)
