--- a/tests/application/routing/test_calls.py
+++ b/tests/application/routing/test_calls.py
@@ -229,6 +229,8 @@
         world.beliefs.take_server(
             builders.attrs.evolve(engine, draining=True), 0
         )
+        draining = world.beliefs.servers['a-0']
+        self.assertFalse(world.beliefs.is_usable(draining, 0))
         for number in range(4):
             world.serve(number=number)
             hops = world.servers.last.run.hops
