Wait in the tool's tests until the entry has heard

Ruled out: a fault of the tool or of the entry; what they said was so.

Change: the builder begins the tests once the entry has heard. What the race hid is now a test of its own: status of an entry that was never answered exits with 1 and says so, as text and as JSON.

--- a/tests/adapters/operators/builders.py
+++ b/tests/adapters/operators/builders.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import json
 import typing
 import unittest
@@ -65,7 +66,16 @@
 
 
 class OperatorsCase(unittest.IsolatedAsyncioTestCase):
-    """An entry whose operators' interface is served on a port of its own."""
+    """An entry whose operators' interface is served on a port of its own.
+
+    Attributes
+    ----------
+    starts_isolated : bool
+        The platform never answers the entry. Otherwise tests begin once it
+        has: until then, some 4 ms, an entry truly reports itself isolated.
+    """
+
+    starts_isolated = False
 
     async def asyncSetUp(self) -> None:
         self.logs = testing.capture_logs()
@@ -76,6 +86,11 @@
         cluster = make.Cluster(make.asyncio.get_running_loop())
         self.addAsyncCleanup(cluster.stop)
         self.entry = cluster.add_entry('one')
+        self.entry.faults.platform_up = not self.starts_isolated
+        while not self.starts_isolated and self.entry.service.is_isolated(
+            cluster.clock.now()
+        ):
+            await asyncio.sleep(0.001)
         application = web.Application(self.make_routes())
         self.server = httpserver.HTTPServer(application)
         socket, port = tornado_testing.bind_unused_port()
--- a/tests/console/test_application.py
+++ b/tests/console/test_application.py
@@ -26,7 +26,9 @@
         self.write({'entries': [{'url': 'http://127.0.0.1:1'}]})
 
 
-class ToolTest(builders.OperatorsCase):
+class _ToolCase(builders.OperatorsCase):
+    """The tool beside an entry, with files of its own."""
+
     async def asyncSetUp(self) -> None:
         await super().asyncSetUp()
         directory = tempfile.TemporaryDirectory()
@@ -55,6 +57,8 @@
         options = ('--url', self.url, '--token-file', self.token_file)
         return await self._run(*arguments, *options)
 
+
+class ToolTest(_ToolCase):
     async def test_examples_are_published_and_shown(self) -> None:
         for name in ('swan-coast', 'spjaldamarkadur'):
             with self.subTest(name):
@@ -248,3 +252,20 @@
         code, _, err = await self._run('check')
         self.assertEqual(2, code)
         self.assertIn('No service file was found.', err)
+
+
+class IsolatedEntryTest(_ToolCase):
+    starts_isolated = True
+
+    async def test_status_of_an_isolated_entry_is_a_problem(self) -> None:
+        """An entry starts while the platform is down.
+
+        A script that rolls entries must not take it for one that serves.
+        """
+        code, out, _ = await self._run_at_entry('status')
+        self.assertEqual(1, code)
+        self.assertIn('takes no new work', out)
+        options = ('--url', self.url, '--token-file', self.token_file)
+        code, out, _ = await self._run('status', *options, as_json=True)
+        self.assertEqual(1, code)
+        self.assertTrue(json.loads(out)['isolated'])
