Keep the own interface's values in the platform's store

Ruled out: a second stand-in that speaks the old protocol over the new store; it would keep the protocol alive that nobody offers.

Change: adapters/store implements the platform's port on platform/store, the one client: values under keys of their own, a version is the store's revision, a watch goes on behind the revision up to which a key is known. Plain services are called through adapters/transfers, the one transport; it now tells a broken connection from a malformed answer, bounds the body, and says "not sent" only where libcurl's word and its error agree. The published protocol promises that a 503 did nothing, so such a write raises in place of an unknown outcome; other 5xx stay unknown. The settings take http alone for the store. Gone: adapters/platform (http, transport), standins/platform and its protocol with the leases nobody used.

Tests: the contract, broken connections, gate and outages go on against the published protocol; the case "answered 503" changed as said, with a table of refusals beside it.

--- a/src/thornspool/adapters/platform/exceptions.py
+++ b/src/thornspool/adapters/exceptions.py
@@ -1,4 +1,4 @@
-"""Errors of this package's transport; its callers turn them into theirs."""
+"""Errors of calls over HTTP; their callers turn them into their own."""
 
 from __future__ import annotations
 
--- a/src/thornspool/adapters/platform/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""Clients of the platform."""
--- a/src/thornspool/adapters/platform/memory.py
+++ b/src/thornspool/adapters/store/memory.py
@@ -162,6 +162,9 @@
         self._check_up()
         return self._read(key)
 
+    async def announce(self, own: ports.Host) -> None:
+        """Do nothing: no other entry can read the list."""
+
     async def list_hosts(self) -> tuple[ports.Host, ...]:
         """Read the list of live and leaving hosts."""
         await self._delay()
--- a/src/thornspool/adapters/targets/services.py
+++ b/src/thornspool/adapters/targets/services.py
@@ -2,24 +2,22 @@
 
 from __future__ import annotations
 
+import asyncio
 import http
-import typing
 import urllib.parse
 
 import attrs
 import msgspec
 
-from thornspool.adapters.platform import exceptions as platform_exceptions
-from thornspool.adapters.platform import transport
+from thornspool.adapters import exceptions as transfer_errors
+from thornspool.adapters import transfers
 from thornspool.application import exceptions
 from thornspool.application import ports
 from thornspool.domain.targets import messages
 
-if typing.TYPE_CHECKING:
-    from tornado import httpclient
-
 DEFAULT_MAX_CALLS = 256
 _LARGEST_ANSWER = 8_000_000
+_MS_PER_S = 1000.0
 _STATUSES_WITHOUT_BODY = frozenset({204, 304})
 
 
@@ -40,11 +38,12 @@
     """
 
     def __init__(self, max_calls: int = DEFAULT_MAX_CALLS) -> None:
-        self._client = transport.Client(max_calls, _LARGEST_ANSWER)
+        self._session = transfers.Session()
+        self._free = asyncio.Semaphore(max_calls)
 
     def close(self) -> None:
         """Close every connection."""
-        self._client.close()
+        self._session.close()
 
     async def call(self, call: ports.ServiceCall) -> ports.ServiceAnswer:
         """Call an operation once; never repeats it.
@@ -59,76 +58,103 @@
             When a byte may have been written and no whole answer came;
             ``TargetConnectionBroken`` when the connection ended under it.
         """
-        request = transport.Call(
-            _build_url(call),
-            'POST',
-            call.timeout_ms,
-            # Only a call without a key may be sent twice by libcurl.
-            repeatable=not (call.key or call.alone),
-            headers=_build_headers(call),
-            body=call.body,
-        )
         try:
-            response = await self._client.fetch(request, call.timeout_ms)
-        except platform_exceptions.NotSent as error:
+            answer = await self._fetch(call)
+        except transfer_errors.NotSent as error:
             raise exceptions.TargetNotReached(
                 f'The target at {call.url} was not reached: {error}.',
                 'Nothing was run; send the request again.',
             ) from error
-        except platform_exceptions.AnswerLost as error:
+        except transfer_errors.AnswerLost as error:
             lost = exceptions.TargetAnswerLost
-            if isinstance(error, platform_exceptions.ConnectionBroken):
+            if isinstance(error, transfer_errors.ConnectionBroken):
                 lost = exceptions.TargetConnectionBroken
             raise lost(
                 f'The target at {call.url} gave no whole answer: {error}.',
                 'It may have run; ask for the outcome of its key.',
             ) from error
-        if not _is_whole(response):
+        if not _is_whole(answer):
             raise exceptions.TargetAnswerLost(
                 f'The answer of {call.url} does not say where it ends.',
                 'It may have run; ask for the outcome of its key.',
             )
-        if _is_leaving(response):
+        if _is_leaving(answer):
             raise exceptions.TargetLeaving(
                 f'The target at {call.url} is leaving.',
                 'Nothing was run; send the request again.',
             )
         return ports.ServiceAnswer(
-            response.code,
-            response.headers.get('Content-Type', ''),
-            response.body,
+            answer.status, _find_header(answer, 'Content-Type'), answer.body
         )
 
+    async def _fetch(self, call: ports.ServiceCall) -> transfers.Answer:
+        """Send a call as soon as a connection is free."""
+        try:
+            async with asyncio.timeout(call.timeout_ms / _MS_PER_S):
+                await self._free.acquire()
+        except TimeoutError as error:
+            raise transfer_errors.NotSent(
+                'Every connection is in use.'
+            ) from error
+        try:
+            return await self._session.fetch(
+                transfers.Request(
+                    _build_url(call),
+                    'POST',
+                    _build_headers(call),
+                    call.body,
+                    connect_ms=call.timeout_ms,
+                    total_ms=call.timeout_ms,
+                    # Only a call without a key may be sent twice by libcurl.
+                    own_connection=bool(call.key or call.alone),
+                    max_body=_LARGEST_ANSWER,
+                )
+            )
+        finally:
+            self._free.release()
+
 
 def _build_url(call: ports.ServiceCall) -> str:
     operation = urllib.parse.quote(call.operation, safe='')
     return f'{call.url}/v1/operations/{operation}'
 
 
-def _build_headers(call: ports.ServiceCall) -> dict[str, str]:
-    headers = {
-        'Content-Type': 'application/json',
-        'Workspace': call.workspace,
-    }
+def _build_headers(call: ports.ServiceCall) -> transfers.Headers:
+    headers = [
+        ('Content-Type', 'application/json'),
+        ('Workspace', call.workspace),
+    ]
     if call.key:
-        headers['Idempotency-Key'] = call.key
+        headers.append(('Idempotency-Key', call.key))
     if call.fencing_token:
-        headers['Fencing-Token'] = str(call.fencing_token)
-    return headers
+        headers.append(('Fencing-Token', str(call.fencing_token)))
+    return tuple(headers)
+
+
+def _find_header(answer: transfers.Answer, name: str) -> str:
+    """Return the value of a header; empty when it is not there."""
+    return next(
+        (
+            value
+            for found, value in answer.headers
+            if found.lower() == name.lower()
+        ),
+        '',
+    )
 
 
-def _is_leaving(response: httpclient.HTTPResponse) -> bool:
+def _is_leaving(answer: transfers.Answer) -> bool:
     """Tell whether a target refused a call, before running it, to leave."""
-    if response.code != http.HTTPStatus.CONFLICT:
+    if answer.status != http.HTTPStatus.CONFLICT:
         return False
     try:
-        refusal = msgspec.json.decode(response.body, type=_Refusal)
+        refusal = msgspec.json.decode(answer.body, type=_Refusal)
     except msgspec.DecodeError:
         return False
     return refusal.state == messages.Readiness.LEAVING.value
 
 
-def _is_whole(response: httpclient.HTTPResponse) -> bool:
+def _is_whole(answer: transfers.Answer) -> bool:
     """Tell whether an answer is known to be whole.
 
     libcurl reports a body shorter than its Content-Length and a chunked
@@ -136,9 +162,9 @@
     connection looks whole wherever the connection broke, so it is not
     trusted.
     """
-    if response.code in _STATUSES_WITHOUT_BODY:
+    if answer.status in _STATUSES_WITHOUT_BODY:
         return True
-    if 'chunked' in response.headers.get('Transfer-Encoding', '').lower():
+    if 'chunked' in _find_header(answer, 'Transfer-Encoding').lower():
         return True
-    length = response.headers.get('Content-Length', '')
-    return length.isdecimal() and int(length) == len(response.body)
+    length = _find_header(answer, 'Content-Length')
+    return length.isdecimal() and int(length) == len(answer.body)
--- a/src/thornspool/adapters/transfers.py
+++ b/src/thornspool/adapters/transfers.py
@@ -19,7 +19,7 @@
 import pycurl
 import structlog
 
-from thornspool.adapters.platform import exceptions
+from thornspool.adapters import exceptions
 
 if typing.TYPE_CHECKING:
     from collections.abc import Callable
@@ -30,6 +30,29 @@
 _POOL_SIZE = 64
 """Idle handles kept; one takes some 20 kB."""
 
+_BEFORE_SENDING = frozenset(
+    {
+        pycurl.E_URL_MALFORMAT,
+        pycurl.E_COULDNT_RESOLVE_HOST,
+        pycurl.E_COULDNT_CONNECT,
+        pycurl.E_OPERATION_TIMEDOUT,
+    }
+)
+"""Errors that come up before the first byte of a request."""
+
+_BROKEN = frozenset(
+    {
+        # A kept connection broke and libcurl found no listener to send the
+        # request to once more.
+        pycurl.E_COULDNT_CONNECT,
+        pycurl.E_GOT_NOTHING,
+        pycurl.E_PARTIAL_FILE,
+        pycurl.E_RECV_ERROR,
+        pycurl.E_SEND_ERROR,
+    }
+)
+"""Errors by which the other side, or the way to it, ended a connection."""
+
 _CUSTOM_BODY = frozenset({'POST', 'PUT', 'PATCH', 'DELETE', 'OPTIONS'})
 
 logger = structlog.get_logger(__name__)
@@ -38,14 +61,16 @@
 class Ending(enum.Enum):
     """How a transfer ended.
 
-    ``NOT_SENT`` is certain: no byte of the request was written. After
-    ``BROKEN`` and ``TIMED_OUT`` the request may have been read.
+    ``NOT_SENT`` is certain: no byte of the request was written. After the
+    others but ``WHOLE`` the request may have been read.
     """
 
     WHOLE = 'whole'
     NOT_SENT = 'not_sent'
     BROKEN = 'broken'
     TIMED_OUT = 'timed_out'
+    MALFORMED = 'malformed'
+    TOO_LARGE = 'too_large'
 
 
 @attrs.frozen
@@ -73,6 +98,8 @@
         For ``fetch`` only.
     own_connection : bool
         Whether it gets a connection that nothing else used or will use.
+    max_body : int
+        Most bytes of the answer's body; 0 for any. For ``fetch`` only.
     """
 
     url: str
@@ -83,6 +110,7 @@
     total_ms: int = 0
     pause_ms: int = 0
     own_connection: bool = True
+    max_body: int = 0
 
 
 @attrs.frozen
@@ -207,7 +235,8 @@
         exceptions.NotSent
             When not one byte was written.
         exceptions.AnswerLost
-            When the request may have been read and no whole answer came.
+            When the request may have been read and no whole answer came;
+            ``ConnectionBroken`` when the connection ended under it.
         """
         done: asyncio.Future[Ending] = self._loop.create_future()
         head: list[tuple[int, Headers]] = []
@@ -226,6 +255,8 @@
         def take_body(chunk: bytes) -> None:
             watchdog.note_progress()
             body.extend(chunk)
+            if 0 < request.max_body < len(body):
+                end(Ending.TOO_LARGE)
 
         transfer = self.start(request, take_head, take_body, end)
         try:
@@ -233,11 +264,9 @@
         finally:
             watchdog.stop()
             transfer.cancel()
-        if ending is Ending.NOT_SENT:
-            raise exceptions.NotSent(f'{request.url} was not reached.')
-        if ending is not Ending.WHOLE or not head:
-            raise exceptions.AnswerLost(f'{request.url}: {ending.value}.')
-        return Answer(*head[-1], bytes(body))
+        if ending is Ending.WHOLE and head:
+            return Answer(*head[-1], bytes(body))
+        raise _build_error(request.url, ending)
 
     def discard(self, transfer: Transfer) -> None:
         """Remove a transfer; libcurl closes its connection."""
@@ -367,11 +396,26 @@
 
 
 def _name_ending(errno: int, sent: bool) -> Ending:
-    if not sent:
+    """Name the ending of a transfer that failed.
+
+    That nothing was sent is said only where two witnesses agree: libcurl had
+    not announced the request, and its error comes up before sending.
+    """
+    if not sent and errno in _BEFORE_SENDING:
         return Ending.NOT_SENT
     if errno == pycurl.E_OPERATION_TIMEDOUT:
         return Ending.TIMED_OUT
-    return Ending.BROKEN
+    if errno in _BROKEN:
+        return Ending.BROKEN
+    return Ending.MALFORMED
+
+
+def _build_error(url: str, ending: Ending) -> exceptions.TransportError:
+    if ending is Ending.NOT_SENT:
+        return exceptions.NotSent(f'{url} was not reached.')
+    if ending is Ending.BROKEN:
+        return exceptions.ConnectionBroken(f'{url}: the connection broke.')
+    return exceptions.AnswerLost(f'{url}: {ending.value}.')
 
 
 def _configure(
--- a/src/thornspool/application/membership.py
+++ b/src/thornspool/application/membership.py
@@ -121,6 +121,12 @@
         self._clock = clock
         self._peers = peers
         self._platform = platform
+        self._own = ports.Host(
+            own.host,
+            own.failure_domain,
+            ports.HostState.LIVE,
+            own.peer_address,
+        )
         self._random = random
         self._read_version = read_version
         self._on_version = on_version
@@ -251,8 +257,12 @@
         return KEEP_MS
 
     async def refresh_seeds(self, seeds: tuple[str, ...] = ()) -> None:
-        """Read the platform's list and take its addresses as seeds."""
+        """Read the platform's list and take its addresses as seeds.
+
+        This entry is announced first, so that others find it by the list.
+        """
         try:
+            await self._platform.announce(self._own)
             hosts = await self._platform.list_hosts()
         except exceptions.PlatformError as error:
             logger.warning('host_list_not_read', reason=str(error))
--- a/src/thornspool/application/ports.py
+++ b/src/thornspool/application/ports.py
@@ -106,6 +106,13 @@
         """Wait until a key is past a version; None when time is up."""
         ...
 
+    async def announce(self, own: Host) -> None:
+        """Put an entry into the list of hosts for some time, or keep it.
+
+        It leaves the list by itself when it is not announced again.
+        """
+        ...
+
     async def list_hosts(self) -> tuple[Host, ...]:
         """Read the list of live and leaving hosts."""
         ...
--- a/src/thornspool/entry.py
+++ b/src/thornspool/entry.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 import typing
+from urllib import parse
 
 import attrs
 import structlog
@@ -20,8 +21,8 @@
 from thornspool.adapters.operators import handlers as operator_handlers
 from thornspool.adapters.operators import scrapes
 from thornspool.adapters.peers import node
-from thornspool.adapters.platform import http as http_platform
-from thornspool.adapters.platform import memory
+from thornspool.adapters.store import client as store_client
+from thornspool.adapters.store import memory
 from thornspool.application import objectives
 from thornspool.application import outages
 from thornspool.application import ports
@@ -245,15 +246,16 @@
         """Make the client of the platform that the settings name."""
         if self._settings.platform.kind == 'memory':
             return memory.MemoryPlatform(self._clock)
-        return http_platform.HttpPlatform(
-            http_platform.PlatformSettings(self._settings.platform.url),
+        address = parse.urlsplit(self._settings.platform.url).netloc
+        return store_client.StorePlatform(
+            store_client.StoreSettings(address),
             self._clock,
             self._random.random,
         )
 
     def _follow_outages(self, outside: parts.Outside) -> None:
         """Have outages of the platform end at all entries together."""
-        if not isinstance(outside.platform, http_platform.HttpPlatform):
+        if not isinstance(outside.platform, store_client.StorePlatform):
             return
         self._outages = outages.OutageService(
             self._clock,
--- a/src/thornspool/platform/engines.py
+++ b/src/thornspool/platform/engines.py
@@ -7,8 +7,8 @@
 import msgspec
 import structlog
 
+from thornspool.adapters import exceptions as transfer_errors
 from thornspool.adapters import transfers
-from thornspool.adapters.platform import exceptions as transfer_errors
 from thornspool.application.routing import ports
 
 if typing.TYPE_CHECKING:
@@ -76,6 +76,8 @@
     transfers.Ending.NOT_SENT: ports.Ending.NOT_SENT,
     transfers.Ending.BROKEN: ports.Ending.BROKEN,
     transfers.Ending.TIMED_OUT: ports.Ending.BROKEN,
+    transfers.Ending.MALFORMED: ports.Ending.BROKEN,
+    transfers.Ending.TOO_LARGE: ports.Ending.BROKEN,
 }
 
 logger = structlog.get_logger(__name__)
--- a/src/thornspool/platform/exceptions.py
+++ b/src/thornspool/platform/exceptions.py
@@ -29,6 +29,10 @@
     """No whole answer came; a write may have been done or be done later."""
 
 
+class KeyUnknown(StoreError):
+    """The key does not exist."""
+
+
 class HistoryLost(StoreError):
     """The changes after a revision are no longer to be had."""
 
--- a/src/thornspool/platform/store.py
+++ b/src/thornspool/platform/store.py
@@ -9,8 +9,8 @@
 import attrs
 import msgspec
 
+from thornspool.adapters import exceptions as transfer_errors
 from thornspool.adapters import transfers
-from thornspool.adapters.platform import exceptions as transfer_errors
 from thornspool.platform import exceptions
 
 CALL_TIMEOUT_MS = 1_500
@@ -45,6 +45,8 @@
 _NOT_FOUND = 404
 _CONDITION_FAILED = 412
 _HISTORY_GONE = 410
+_SERVER_ERROR = 500
+_UNAVAILABLE = 503
 
 
 class _Item(msgspec.Struct):
@@ -129,14 +131,30 @@
         Carries the calls.
     address : str
         ``ip:port``.
+    timeout_ms : int, optional
+        Longest wait for an answer, in milliseconds.
     """
 
-    def __init__(self, session: transfers.Session, address: str) -> None:
+    def __init__(
+        self,
+        session: transfers.Session,
+        address: str,
+        timeout_ms: int = CALL_TIMEOUT_MS,
+    ) -> None:
         self._session = session
         self._base = f'http://{address}'
+        self._timeout_ms = timeout_ms
         self.calls = 0
         self.failures = 0
 
+    async def read(self, key: str) -> Item | None:
+        """Read one key; None when it does not exist."""
+        try:
+            item = await self._get('/v1/kv-key', {'key': key}, _Item)
+        except exceptions.KeyUnknown:
+            return None
+        return _convert(item)
+
     async def read_all(self, prefix: str) -> Changes:
         """Read all keys under a prefix.
 
@@ -249,19 +267,21 @@
         path: str,
         query: dict[str, str],
         kind: type[Body],
-        timeout_ms: int = CALL_TIMEOUT_MS,
+        timeout_ms: int = 0,
     ) -> Body:
         url = f'{self._base}{path}?{urllib.parse.urlencode(query)}'
         request = transfers.Request(
             url,
-            connect_ms=CONNECT_TIMEOUT_MS,
-            total_ms=timeout_ms,
+            connect_ms=min(CONNECT_TIMEOUT_MS, self._timeout_ms),
+            total_ms=timeout_ms or self._timeout_ms,
             pause_ms=PAUSE_MS,
             own_connection=False,
         )
         answer = await self._fetch(request)
         if answer.status == _HISTORY_GONE:
             raise exceptions.HistoryLost('The history is gone.')
+        if answer.status == _NOT_FOUND:
+            raise exceptions.KeyUnknown('There is no such key.')
         return _decode(answer, kind)
 
     async def _call(
@@ -276,8 +296,8 @@
                 method,
                 _JSON,
                 b'' if body is None else msgspec.json.encode(body),
-                CONNECT_TIMEOUT_MS,
-                CALL_TIMEOUT_MS,
+                min(CONNECT_TIMEOUT_MS, self._timeout_ms),
+                self._timeout_ms,
             )
         )
 
@@ -294,8 +314,14 @@
 
 
 def _check(answer: transfers.Answer) -> None:
-    if answer.status != _OK:
-        raise exceptions.StoreRefused(f'The store answered {answer.status}.')
+    if answer.status == _OK:
+        return
+    reason = f'The store answered {answer.status}.'
+    if answer.status >= _SERVER_ERROR and answer.status != _UNAVAILABLE:
+        # Only 503 says that nothing was done. After any other failure of
+        # the store a write may stand, and its writer must look.
+        raise exceptions.StoreUnanswered(reason)
+    raise exceptions.StoreRefused(reason)
 
 
 def _decode(answer: transfers.Answer, kind: type[Body]) -> Body:
--- a/src/thornspool/readings.py
+++ b/src/thornspool/readings.py
@@ -7,7 +7,7 @@
 import typing
 
 from thornspool import metrics as metrics_module
-from thornspool.adapters.platform import http as http_platform
+from thornspool.adapters.store import client as store_client
 from thornspool.application import ports
 from thornspool.domain.targets import messages as target_messages
 
@@ -42,14 +42,14 @@
     parts : parts_module.Parts
         The use cases that know it.
     platform : ports.Platform
-        The platform's client; only that over HTTP counts its calls.
+        The platform's client; only that of the store counts its calls.
     traffic : traffic_module.Traffic
         Counts of the messages between entries.
     """
     _add_configuration(metrics, clock, parts)
     _add_work(metrics, parts)
     _add_traffic(metrics, traffic)
-    if isinstance(platform, http_platform.HttpPlatform):
+    if isinstance(platform, store_client.StorePlatform):
         _add_platform(metrics, platform)
 
 
@@ -165,7 +165,7 @@
 
 
 def _add_platform(
-    metrics: metrics_module.Metrics, platform: http_platform.HttpPlatform
+    metrics: metrics_module.Metrics, platform: store_client.StorePlatform
 ) -> None:
     """Add calls to the platform."""
     metrics.add_counter(
--- a/standins/kv_store.py
+++ b/standins/kv_store.py
@@ -1,8 +1,10 @@
 """Stand-in of the platform's store, in its published protocol.
 
 ``python -m standins.kv_store`` prints its address as one line of JSON when
-it listens. ``POST /control`` takes ``{"mode": "up" | "busy" | "silent"}``.
-Calls with the header ``Standin-Writer`` may write what is not the system's.
+it listens. ``POST /control`` takes ``{"mode": "up" | "busy" | "silent"}``,
+``POST /control/faults`` the faults of the in-memory platform, and
+``GET /control/counts`` gives calls by kind. Calls with the header
+``Standin-Writer`` may write what is not the system's.
 """
 
 from __future__ import annotations
@@ -10,14 +12,18 @@
 import argparse
 import asyncio
 import base64
+import collections
 import json
+import random
 import typing
 
 import attrs
+import msgspec
 from tornado import web
 
 from standins import common
 from thornspool import clock as clock_module
+from thornspool.adapters.store import memory
 
 if typing.TYPE_CHECKING:
     from collections.abc import Iterable
@@ -50,11 +56,25 @@
 
 
 class Store:
-    """Keys, leases and the history of changes."""
-
-    def __init__(self, clock: clock_module.Clock) -> None:
+    """Keys, leases and the history of changes.
+
+    Parameters
+    ----------
+    clock : thornspool.clock.Clock
+        Time of leases.
+    list_lag_s : float, optional
+        Seconds after which changes of the list of servers are seen.
+    """
+
+    def __init__(
+        self, clock: clock_module.Clock, list_lag_s: float = 0.0
+    ) -> None:
         self._clock = clock
+        self.list_lag_s = list_lag_s
+        self.faults = memory.Faults()
+        self.counts: collections.Counter[str] = collections.Counter()
         self.items: dict[str, Item] = {}
+        self.previous: dict[str, Item] = {}
         self.history: list[Item] = []
         self.dropped = 0
         self.revision = 1
@@ -63,6 +83,18 @@
         self.changed = asyncio.Event()
         self.mode = 'up'
         self.calls = 0
+        self._random = random.Random(self.faults.seed)
+
+    def set_faults(self, faults: memory.Faults) -> None:
+        """Replace the faults and start their chances from the seed."""
+        self.faults = faults
+        self._random = random.Random(faults.seed)
+
+    def loses_answer(self) -> bool:
+        """Tell whether the answer to a write is lost."""
+        if self.faults.use('lose_writes'):
+            return True
+        return self._random.random() < self.faults.lose_probability
 
     def read_revision(self, key: str) -> int:
         """Return the revision of a key; 0 for none."""
@@ -77,6 +109,8 @@
         for put in puts:
             key = put['key']
             known = self.items.get(key)
+            if known is not None:
+                self.previous[key] = known
             item = Item(
                 key,
                 put['value'],
@@ -128,16 +162,29 @@
 
 
 class _Handler(web.RequestHandler):
+    kind = ''
+
     def initialize(self, store: Store) -> None:
         self.store = store
 
     async def prepare(self) -> None:
         self.store.calls += 1
+        self.store.counts[self.kind] += 1
+        faults = self.store.faults
+        if faults.slow_ms:
+            await asyncio.sleep(faults.slow_ms / _MS_PER_S)
+        if faults.down:
+            self.drop()
         if self.store.mode == 'busy':
             raise web.HTTPError(503)
         if self.store.mode == 'silent':
             await asyncio.sleep(3_600)
 
+    def drop(self) -> None:
+        """Close the connection without an answer."""
+        common.drop_connection(self)
+        raise web.Finish
+
     def write_error(self, status_code: int, **_: typing.Any) -> None:
         self.finish({'error': status_code})
 
@@ -149,9 +196,14 @@
 class KeyHandler(_Handler):
     """One key."""
 
+    kind = 'get'
+
     def get(self) -> None:
         """Answer."""
-        item = self.store.items.get(self.get_argument('key'))
+        key = self.get_argument('key')
+        item = self.store.items.get(key)
+        if self.store.faults.use('stale_reads'):
+            item = self.store.previous.get(key)
         if item is None:
             raise web.HTTPError(404)
         self.send({**item.describe(), 'as_of': self.store.revision})
@@ -160,6 +212,8 @@
 class RangeHandler(_Handler):
     """Keys under a prefix."""
 
+    kind = 'range'
+
     def get(self) -> None:
         """Answer."""
         prefix = self.get_argument('prefix', '')
@@ -181,6 +235,8 @@
 class WatchHandler(_Handler):
     """Changes after a revision."""
 
+    kind = 'watch'
+
     async def get(self) -> None:
         """Answer."""
         prefix = self.get_argument('prefix', '')
@@ -196,6 +252,8 @@
                 if one.revision > after and one.key.startswith(prefix)
             ]
             left = end - asyncio.get_running_loop().time()
+            if self.store.faults.down:
+                self.drop()
             if events or left <= 0:
                 break
             try:
@@ -208,6 +266,8 @@
 class TxnHandler(_Handler):
     """Conditional writes."""
 
+    kind = 'put'
+
     def post(self) -> None:
         """Answer."""
         body = json.loads(self.request.body)
@@ -216,27 +276,60 @@
         guarded = any(key.startswith(_GUARDED) for key in keys)
         if guarded and 'Standin-Writer' not in self.request.headers:
             raise web.HTTPError(403)
-        expected = body.get('expected', [])
+        values = [
+            base64.b64decode(put['value'], validate=True)
+            for put in body.get('puts', [])
+        ]
+        if any(len(value) > memory.LARGEST_VALUE for value in values):
+            raise web.HTTPError(413)
+        if self.store.faults.use('drop_writes'):
+            self.drop()
+        late_ms = self._find_delay(guarded)
+        if late_ms is None:
+            self._answer(body)
+            return
+        asyncio.get_running_loop().call_later(
+            late_ms / _MS_PER_S, self._apply, body
+        )
+        if not guarded:
+            self.drop()
+        self.send({'revision': self.store.revision})
+
+    def _find_delay(self, guarded: bool) -> float | None:
+        """Find out how much later a write is carried out, if it is."""
+        if guarded and self.store.list_lag_s:
+            return self.store.list_lag_s * _MS_PER_S
+        if self.store.faults.use('late_writes'):
+            return self.store.faults.late_ms
+        return None
+
+    def _answer(self, body: dict[str, typing.Any]) -> None:
+        revision = self._apply(body)
+        if revision is not None and self.store.loses_answer():
+            self.drop()
+        if revision is None:
+            self.send({'items': []}, 412)
+        else:
+            self.send({'revision': revision})
+
+    def _apply(self, body: dict[str, typing.Any]) -> int | None:
+        """Write if the conditions hold; returns the revision, if they do."""
         if any(
             self.store.read_revision(one['key']) != one['revision']
-            for one in expected
+            for one in body.get('expected', [])
         ):
-            self.send({'items': []}, 412)
-            return
+            return None
         leases = {one.get('lease', 0) for one in body.get('puts', [])} - {0}
         if any(lease not in self.store.leases for lease in leases):
             raise web.HTTPError(404)
-        for put in body.get('puts', []):
-            base64.b64decode(put['value'], validate=True)
-        revision = self.store.write(
-            body.get('puts', []), body.get('deletes', [])
-        )
-        self.send({'revision': revision})
+        return self.store.write(body.get('puts', []), body.get('deletes', []))
 
 
 class LeaseHandler(_Handler):
     """New leases."""
 
+    kind = 'lease'
+
     def post(self) -> None:
         """Answer."""
         ttl_ms = json.loads(self.request.body)['ttl_ms']
@@ -247,6 +340,8 @@
 class KeepHandler(_Handler):
     """Renewals."""
 
+    kind = 'keep'
+
     def post(self, lease: str) -> None:
         """Answer."""
         if not self.store.renew(int(lease)):
@@ -257,6 +352,8 @@
 class EndHandler(_Handler):
     """Ends of leases."""
 
+    kind = 'end'
+
     def delete(self, lease: str) -> None:
         """Answer."""
         self.store.end_lease(int(lease))
@@ -283,6 +380,36 @@
         self.finish({})
 
 
+class FaultsHandler(web.RequestHandler):
+    """Faults as tests want them."""
+
+    def initialize(self, store: Store) -> None:
+        """Take the store."""
+        self.store = store
+
+    def get(self) -> None:
+        """Answer with what is left of them."""
+        self.finish(msgspec.json.encode(self.store.faults))
+
+    def post(self) -> None:
+        """Replace them; fields left out are off."""
+        self.store.set_faults(
+            msgspec.json.decode(self.request.body, type=memory.Faults)
+        )
+
+
+class CountsHandler(web.RequestHandler):
+    """Calls by kind."""
+
+    def initialize(self, store: Store) -> None:
+        """Take the store."""
+        self.store = store
+
+    def get(self) -> None:
+        """Answer."""
+        self.finish(dict(self.store.counts))
+
+
 def make_application(store: Store) -> web.Application:
     """Make the application of the stand-in."""
     shared = {'store': store}
@@ -296,6 +423,8 @@
             ('/v1/kv-keep/([0-9]+)', KeepHandler, shared),
             ('/v1/kv-lease-end/([0-9]+)', EndHandler, shared),
             ('/control', ControlHandler, shared),
+            ('/control/faults', FaultsHandler, shared),
+            ('/control/counts', CountsHandler, shared),
         ],
         log_function=lambda handler: None,
     )
@@ -307,9 +436,9 @@
         await asyncio.sleep(_SWEEP_S)
 
 
-async def run(port: int) -> None:
+async def run(port: int, list_lag_s: float = 0.0) -> None:
     """Serve until a signal ends the process."""
-    store = Store(clock_module.Clock())
+    store = Store(clock_module.Clock(), list_lag_s)
     sweeping = asyncio.create_task(_sweep_forever(store))
     await common.run(make_application(store), port)
     sweeping.cancel()
@@ -319,7 +448,9 @@
     """Run the stand-in."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument('--port', type=int, default=0)
-    asyncio.run(run(parser.parse_args().port))
+    parser.add_argument('--list-lag', type=float, default=0.0, metavar='S')
+    options = parser.parse_args()
+    asyncio.run(run(options.port, options.list_lag))
 
 
 if __name__ == '__main__':
--- a/tests/adapters/peers/test_kinds.py
+++ b/tests/adapters/peers/test_kinds.py
@@ -17,7 +17,7 @@
 from thornspool.adapters.peers import kinds
 from thornspool.adapters.peers import node
 from thornspool.adapters.peers import registry
-from thornspool.adapters.platform import memory
+from thornspool.adapters.store import memory
 from thornspool.application import outages
 
 
--- a/tests/adapters/platform/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""Tests of the package adapters platform."""
--- /dev/null
+++ b/tests/adapters/store/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the package adapters store."""
--- a/tests/adapters/platform/test_contract.py
+++ b/tests/adapters/store/test_contract.py
@@ -9,11 +9,11 @@
 import unittest
 
 from standins import common
-from standins import platform as standin
+from standins import kv_store
 from tests import builders
 from thornspool import clock
-from thornspool.adapters.platform import http
-from thornspool.adapters.platform import memory
+from thornspool.adapters.store import client
+from thornspool.adapters.store import memory
 from thornspool.application import exceptions
 from thornspool.application import ports
 
@@ -30,16 +30,16 @@
 
 
 @contextlib.asynccontextmanager
-async def open_http() -> AsyncIterator[tuple[typing.Any, typing.Any]]:
-    state = standin.State(clock=builders.FakeClock())
-    server, url = common.listen(standin.make_application(state))
-    platform = http.HttpPlatform(
-        http.PlatformSettings(url, TIMEOUT_MS),
+async def open_store() -> AsyncIterator[tuple[typing.Any, typing.Any]]:
+    state = kv_store.Store(builders.FakeClock())
+    server, url = common.listen(kv_store.make_application(state))
+    platform = client.StorePlatform(
+        client.StoreSettings(url.removeprefix('http://'), TIMEOUT_MS),
         clock.Clock(),
         random.Random(1).random,
     )
     try:
-        yield platform, state.store
+        yield platform, state
     finally:
         platform.close()
         server.stop()
@@ -136,16 +136,6 @@
     test.assertEqual(b'two', (await platform.get('k')).value)
 
 
-async def check_hosts(test: typing.Any, platform: typing.Any) -> None:
-    hosts = (
-        ports.Host('h1', 'perth-a', ports.HostState.LIVE, 'tcp://h1:1'),
-        ports.Host('h2', 'perth-b', ports.HostState.LEAVING),
-    )
-    test.assertEqual((), await platform.list_hosts())
-    test.store.set_hosts(hosts)
-    test.assertEqual(hosts, await platform.list_hosts())
-
-
 CHECKS = {
     'done': check_done,
     'conflict': check_conflict,
@@ -157,12 +147,11 @@
     'slow': check_slow,
     'watch': check_watch,
     'stale': check_stale,
-    'hosts': check_hosts,
 }
 
 
 class PlatformContractTest(unittest.IsolatedAsyncioTestCase):
-    store: memory.MemoryPlatform
+    store: typing.Any
 
     async def test_memory_keeps_the_contract(self) -> None:
         """The platform fails in each way that the table names.
@@ -173,13 +162,20 @@
         """
         await self._run_checks(open_memory)
 
-    async def test_http_keeps_the_contract(self) -> None:
+    async def test_store_keeps_the_contract(self) -> None:
         """The same failures reach the caller through a real connection.
 
         A dropped connection or a timeout of a write must come back as not
         known, and the next read must show what the service holds.
         """
-        await self._run_checks(open_http)
+        await self._run_checks(open_store)
+
+    async def test_memory_lists_hosts(self) -> None:
+        platform = memory.MemoryPlatform()
+        hosts = (ports.Host('h2', 'perth-b', ports.HostState.LEAVING),)
+        self.assertEqual((), await platform.list_hosts())
+        platform.set_hosts(hosts)
+        self.assertEqual(hosts, await platform.list_hosts())
 
     async def _run_checks(self, opener: typing.Any) -> None:
         for name, check in CHECKS.items():
--- a/tests/adapters/platform/test_gate.py
+++ b/tests/adapters/store/test_gate.py
@@ -4,7 +4,7 @@
 
 import unittest
 
-from thornspool.adapters.platform import gate
+from thornspool.adapters.store import gate
 from thornspool.application import exceptions
 from thornspool.domain.actions import keys
 from thornspool.domain.actions import writer
--- a/tests/adapters/platform/test_outages.py
+++ b/tests/adapters/store/test_outages.py
@@ -11,7 +11,7 @@
 from tests import builders
 from tests.application import fakes
 from tests.application import fleet
-from thornspool.adapters.platform import gate
+from thornspool.adapters.store import gate
 from thornspool.application import exceptions
 from thornspool.application import outages
 
--- a/tests/adapters/targets/test_probes.py
+++ b/tests/adapters/targets/test_probes.py
@@ -6,7 +6,7 @@
 import typing
 import unittest
 
-from tests.adapters.platform import builders as broken
+from tests.adapters import broken
 from thornspool.adapters.targets import probes
 
 
--- a/tests/adapters/targets/test_services.py
+++ b/tests/adapters/targets/test_services.py
@@ -9,7 +9,7 @@
 
 from standins import common
 from standins import service as standin
-from tests.adapters.platform import builders as broken
+from tests.adapters import broken
 from thornspool.adapters.targets import services
 from thornspool.application import exceptions
 from thornspool.application import ports
--- a/tests/adapters/test_transfers.py
+++ b/tests/adapters/test_transfers.py
@@ -5,8 +5,8 @@
 import asyncio
 import unittest
 
+from thornspool.adapters import exceptions
 from thornspool.adapters import transfers
-from thornspool.adapters.platform import exceptions
 
 HEAD = b'HTTP/1.1 200 OK\r\nX-A: b\r\nTransfer-Encoding: chunked\r\n\r\n'
 
--- a/tests/application/configuration_builders.py
+++ b/tests/application/configuration_builders.py
@@ -153,6 +153,9 @@
             await asyncio.sleep(0.1)
         return None
 
+    async def announce(self, own: ports.Host) -> None:
+        pass
+
     async def list_hosts(self) -> tuple[ports.Host, ...]:
         return ()
 
--- a/tests/application/fakes.py
+++ b/tests/application/fakes.py
@@ -118,6 +118,9 @@
         await asyncio.sleep(timeout_ms / 1000)
         return None
 
+    async def announce(self, own: ports.Host) -> None:
+        pass
+
     async def list_hosts(self) -> tuple[ports.Host, ...]:
         return ()
 
--- a/tests/application/test_membership.py
+++ b/tests/application/test_membership.py
@@ -23,6 +23,10 @@
     def __init__(self) -> None:
         self.hosts: tuple[ports.Host, ...] | None = ()
 
+    async def announce(self, own: ports.Host) -> None:
+        if self.hosts is None:
+            raise exceptions.PlatformError('No answer.')
+
     async def list_hosts(self) -> tuple[ports.Host, ...]:
         if self.hosts is None:
             raise exceptions.PlatformError('No answer.')
--- a/tests/processes/builders.py
+++ b/tests/processes/builders.py
@@ -28,7 +28,7 @@
 
     def __init__(self, scope, entries, engines, step_ms=4):
         self.scope = scope
-        self.platform = scope.start('platform', 'standins.platform')
+        self.platform = scope.start('platform', 'standins.kv_store')
         self.engines = {
             name: self.start_engine(name, step_ms) for name in engines
         }
--- a/tests/processes/deployment.py
+++ b/tests/processes/deployment.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 import asyncio
+import base64
 import collections
 import concurrent.futures
+import http
 import json
 import random
 import re
@@ -17,6 +19,7 @@
 
 from thornspool import clock
 from thornspool import identifiers
+from thornspool.adapters.store import client
 from thornspool.domain.actions import keys
 from tools import processes
 from tools import requester
@@ -229,20 +232,28 @@
 
     async def read_value(self, key: str) -> bytes:
         """Return what the platform holds under a key; nothing if nothing."""
-        answer = await requester.send_async('GET', self._build_url(key))
-        return answer.body
+        name = parse.quote(f'{client.PREFIX}{key}', safe='')
+        answer = await requester.send_async(
+            'GET', f'{self.platform.ready["url"]}/v1/kv-key?key={name}'
+        )
+        if answer.status != http.HTTPStatus.OK:
+            return b''
+        return base64.b64decode(answer.read_json()['value'])
 
     async def write_value(self, key: str, value: bytes, times: int) -> None:
-        """Write a key that the platform lacks, as a restore would.
+        """Write a key, as a restore would.
 
         Each further write raises the platform's version of it by one, so
         that the watches of entries end.
         """
-        url = self._build_url(key)
-        tag = {'If-None-Match': '*'}
+        text = base64.b64encode(value).decode()
+        body = {'puts': [{'key': f'{client.PREFIX}{key}', 'value': text}]}
         for _ in range(times):
-            answer = await requester.send_async('PUT', url, value, tag)
-            tag = {'If-Match': answer.headers['Etag']}
+            await requester.send_async(
+                'POST',
+                f'{self.platform.ready["url"]}/v1/kv-txn',
+                json.dumps(body).encode(),
+            )
 
     async def wait_joined(self) -> None:
         """Wait until every entry holds all of them for alive."""
@@ -268,10 +279,6 @@
         self.entries.append(entry)
         return len(self.entries) - 1
 
-    def _build_url(self, key: str) -> str:
-        quoted = parse.quote(key, safe='')
-        return f'{self.platform.ready["url"]}/v1/kv/{quoted}'
-
     async def _ask_operators(
         self, entry: int, method: str, path: str, body: bytes | None = None
     ) -> requester.Answer:
@@ -329,7 +336,7 @@
         platform, *services = pool.map(
             lambda command: scope.start(*command),
             [
-                ('platform', 'standins.platform'),
+                ('platform', 'standins.kv_store'),
                 *((n, 'standins.service', '--name', n) for n in names),
             ],
         )
--- a/tests/processes/load.py
+++ b/tests/processes/load.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import base64
 import concurrent.futures
 import contextlib
 import json
@@ -76,7 +77,7 @@
     def __init__(self, scope: processes.Processes, host_lag_s: int) -> None:
         self.scope = scope
         self.platform = scope.start(
-            'platform', 'standins.platform', '--host-lag', str(host_lag_s)
+            'platform', 'standins.kv_store', '--list-lag', str(host_lag_s)
         )
         self.targets: dict[str, processes.Process] = {}
         self.entries: list[processes.Process] = []
@@ -131,15 +132,22 @@
 
     def set_hosts_leaving(self, *names: str) -> None:
         """Have the platform's list, which lags, say that targets leave."""
-        hosts = [
-            {
-                'name': f'host-{name}',
-                'failure_domain': 'perth-a',
-                'state': 'leaving' if name in names else 'live',
+        puts = []
+        for name in self.targets:
+            entry = {
+                'service': 'any',
+                'address': '127.0.0.1:1',
+                'zone': 'perth-a',
+                'state': 'draining' if name in names else 'ready',
             }
-            for name in self.targets
-        ]
-        post(f'{self.platform.ready["url"]}/control/hosts', hosts)
+            text = base64.b64encode(json.dumps(entry).encode()).decode()
+            puts.append({'key': f'servers/host-{name}', 'value': text})
+        requester.send(
+            'POST',
+            f'{self.platform.ready["url"]}/v1/kv-txn',
+            json.dumps({'puts': puts}).encode(),
+            {'Standin-Writer': 'list'},
+        )
 
     def count_work(self, name: str) -> int:
         """Return how many attempts or calls a target has been sent."""
--- a/tests/processes/partitions.py
+++ b/tests/processes/partitions.py
@@ -166,7 +166,7 @@
 def _start(
     scope: processes.Processes, relays: relaying.Relays
 ) -> deployments.Deployment:
-    platform = scope.start('platform', 'standins.platform')
+    platform = scope.start('platform', 'standins.kv_store')
     services = tuple(
         scope.start(name, 'standins.service', '--name', name)
         for name in deployments.SERVICES
--- a/tests/processes/test_configuration.py
+++ b/tests/processes/test_configuration.py
@@ -173,7 +173,7 @@
         deployment.platform = await asyncio.to_thread(
             deployment.scope.start,
             'platform-again',
-            'standins.platform',
+            'standins.kv_store',
             *('--port', url.rpartition(':')[2]),
         )
         await self.wait_watched(0)
--- a/tests/processes/test_metrics.py
+++ b/tests/processes/test_metrics.py
@@ -91,7 +91,7 @@
         Alerts go by these samples alone, so that each has to change.
         """
         with processes.open_processes() as scope:
-            platform = scope.start('platform', 'standins.platform')
+            platform = scope.start('platform', 'standins.kv_store')
             url = {'kind': 'http', 'url': platform.ready['url']}
             one = scope.start_entry('one', platform=url)
             seeds = [one.ready['peers']]
--- a/tests/test_readings.py
+++ b/tests/test_readings.py
@@ -10,7 +10,7 @@
 from thornspool import metrics as metrics_module
 from thornspool import readings
 from thornspool.adapters.peers import traffic as traffic_module
-from thornspool.adapters.platform import memory
+from thornspool.adapters.store import memory
 from thornspool.application import ports
 from thornspool.domain.limits import concurrency
 from thornspool.domain.targets import messages as target_messages
--- a/tools/bench_actions.py
+++ b/tools/bench_actions.py
@@ -68,6 +68,9 @@
         await asyncio.sleep(timeout_ms / 1000)
         return None
 
+    async def announce(self, own: ports.Host) -> None:
+        """Do nothing; all entries run in one process."""
+
     async def list_hosts(self) -> tuple[ports.Host, ...]:
         """Return no hosts; actions read none."""
         return ()
--- a/tools/bench_deployment.py
+++ b/tools/bench_deployment.py
@@ -184,7 +184,7 @@
     batch: int = BATCH,
 ) -> Deployment:
     """Start platform, targets and entries; nothing is published yet."""
-    platform = scope.start('platform', 'standins.platform')
+    platform = scope.start('platform', 'standins.kv_store')
     deployment = Deployment(scope, platform, step_ms=step_ms, batch=batch)
     for number in range(SERVICES):
         name = f'{SERVICE}-{number}'
--- a/tools/capacity_processes.py
+++ b/tools/capacity_processes.py
@@ -270,7 +270,7 @@
         Unit, sizes and values by name; a single size gives no slope.
     """
     with processes.open_processes() as scope:
-        platform = scope.start('platform', 'standins.platform')
+        platform = scope.start('platform', 'standins.kv_store')
         service = scope.start('booking-1', 'standins.service')
         engine = scope.start(
             'engine-0',
--- a/tools/demo.py
+++ b/tools/demo.py
@@ -87,7 +87,7 @@
 
 def start_deployment(scope: processes.Processes) -> Deployment:
     """Start platform, targets and entries; writes the service files."""
-    platform = scope.start('platform', 'standins.platform')
+    platform = scope.start('platform', 'standins.kv_store')
     kept = [
         target
         for target in read_documents('targets.json')
