Shift the few engines beside a hole, not a whole domain

Layers that an engine gives up wait for the requests that pass through them before others are loaded: 6.3 s under that load (ordered at 38.70, loaded at 45.02). For that long one domain of three served, at p50 4 s, and an engine under a move that only balanced kept the hole beside it from being closed for 6 s.

Ruled out: less room for requests, so that neighbours extend: whole layers bind, 7 on the smallest engines with room for 6 requests and with room for 2. Cutting what passes (the other mode of the order) was not tried: it cuts callers' streams.

Change: where neighbours can't extend, the fewest engines in sequence whose memory suffices, six at most, shift towards the hole, with room for 24 usual requests or else for 6. No layer may lose its last holder in all domains by it unless another domain is whole.

--- a/src/thornspool/domain/placement/layout.py
+++ b/src/thornspool/domain/placement/layout.py
@@ -40,38 +40,45 @@
     layers: fleet.LayerRange
 
 
-def compute_shares(
-    engines: Sequence[fleet.Server],
-    model: fleet.Model,
-    requests_at_once: float,
-) -> dict[str, int]:
-    """Compute how many layers each engine can hold beside a load.
+def count_layers(
+    kind: str, model: fleet.Model, requests_at_once: float
+) -> int:
+    """Count the layers that a kind can hold beside a load.
 
     Parameters
     ----------
-    engines : sequence of fleet.Server
-        Engines of one failure domain.
+    kind : str
+        Kind of accelerator; one that the model doesn't know holds none.
     model : fleet.Model
         Sizes.
     requests_at_once : float
         Usual requests that must find room in each layer.
+    """
+    accelerator = model.accelerators.get(kind)
+    if accelerator is None:
+        return 0
+    tokens = requests_at_once * (model.usual_prompt + model.usual_answer)
+    per_layer = model.layer_mb + tokens * model.layer_token_mb
+    return min(model.layers, math.floor(accelerator.memory_mb / per_layer))
+
+
+def compute_shares(
+    engines: Sequence[fleet.Server],
+    model: fleet.Model,
+    requests_at_once: float,
+) -> dict[str, int]:
+    """Compute how many layers each engine can hold beside a load.
 
     Returns
     -------
     dict of str to int
-        Layers by engine.
+        Layers by engine, without those that can hold none.
     """
-    tokens = requests_at_once * (model.usual_prompt + model.usual_answer)
-    per_layer = model.layer_mb + tokens * model.layer_token_mb
-    shares = {}
-    for engine in engines:
-        accelerator = model.accelerators.get(engine.kind)
-        if accelerator is None:
-            continue
-        count = math.floor(accelerator.memory_mb / per_layer)
-        if count > 0:
-            shares[engine.id] = min(count, model.layers)
-    return shares
+    counts = {
+        one.id: count_layers(one.kind, model, requests_at_once)
+        for one in engines
+    }
+    return {name: count for name, count in counts.items() if count > 0}
 
 
 def choose_shares(
--- a/src/thornspool/domain/placement/planning.py
+++ b/src/thornspool/domain/placement/planning.py
@@ -4,21 +4,22 @@
 that domain go elsewhere. Neighbours with memory to spare extend over a hole
 at once, before anything is moved: a few layers load in under a second,
 while a whole range takes several. Where two neighbours have not the memory,
-all engines of the domain go to their places in one step, as long as another
-domain serves meanwhile. Ranges that are only out of place move later, when
+the few engines beside the hole shift; where they have not, all engines of the
+domain go to their places in one step, as long as another domain serves
+meanwhile. Ranges that are only out of place move later, when
 the engines of the domain have not changed for a while, and never so that a
 layer loses its last holder.
 """
 
 from __future__ import annotations
 
-import math
 import typing
 
 import attrs
 
 from thornspool.domain.fleet import messages as fleet
 from thornspool.domain.placement import layout
+from thornspool.domain.placement import shifting
 
 if typing.TYPE_CHECKING:
     from collections.abc import Iterable
@@ -118,10 +119,13 @@
     whole = {
         name for name, found in domains.items() if _is_whole(found, model)
     }
+    kept = _Kept(holdings, model)
     orders: list[Order] = []
     for name in sorted(domains):
-        plan = _DomainPlan(domains[name], model)
-        orders.extend(plan.choose(bool(whole - {name}), name in steady))
+        plan = _DomainPlan(domains[name], model, kept)
+        chosen = plan.choose(bool(whole - {name}), name in steady)
+        kept.note(chosen)
+        orders.extend(chosen)
     return orders
 
 
@@ -131,12 +135,58 @@
     return not find_holes(held, model.layers)
 
 
+class _Kept:
+    """Layers that engines of any domain hold and will still hold.
+
+    Paths may cross domains where none is whole. Planned one by one, domains
+    gave up the same layers at the same time, and requests found no path
+    for as long as the loads took.
+    """
+
+    def __init__(
+        self, holdings: Iterable[Holding], model: fleet.Model
+    ) -> None:
+        self._layers = model.layers
+        self._sure = {one.server.id: one.sure for one in holdings}
+
+    @property
+    def is_whole(self) -> bool:
+        """Whether every layer is held somewhere."""
+        return not self._find_holes(self._sure)
+
+    def allows(self, orders: Iterable[Order]) -> bool:
+        """Tell whether no layer loses its last holder by some orders."""
+        after = {**self._sure, **self._find_left(orders)}
+        return self._find_holes(after) == self._find_holes(self._sure)
+
+    def note(self, orders: Iterable[Order]) -> None:
+        """Note orders that are given."""
+        self._sure.update(self._find_left(orders))
+
+    def _find_left(
+        self, orders: Iterable[Order]
+    ) -> dict[str, fleet.LayerRange | None]:
+        return {
+            one.server.id: Holding(one.server, one.layers).sure
+            for one in orders
+        }
+
+    def _find_holes(
+        self, sure: dict[str, fleet.LayerRange | None]
+    ) -> list[fleet.LayerRange]:
+        held = [one for one in sure.values() if one is not None]
+        return find_holes(held, self._layers)
+
+
 class _DomainPlan:
     """What the engines of one domain should hold."""
 
-    def __init__(self, holdings: list[Holding], model: fleet.Model) -> None:
+    def __init__(
+        self, holdings: list[Holding], model: fleet.Model, kept: _Kept
+    ) -> None:
         self._holdings = holdings
         self._model = model
+        self._kept = kept
         self._wanted = _find_wanted(holdings, model)
 
     def choose(self, others_serve: bool, steady: bool) -> list[Order]:
@@ -159,10 +209,21 @@
         filled = _fill_holes(holes, self._holdings, placed, self._model)
         if filled is not None:
             return [*filled, *placed]
+        shifted = _shift_engines(holes, self._holdings, placed, self._model)
+        if shifted and (others_serve or self._kept.allows(shifted)):
+            return [*shifted, *placed]
         if others_serve:
             return [*_jump(self._holdings, self._wanted), *placed]
         moves = _move_ranges(self._holdings, self._wanted, self._model)
-        return [*moves, *placed]
+        orders = [*moves, *placed]
+        if orders or self._kept.is_whole or self._is_busy():
+            return orders
+        # Nobody is served, and no safe move is left: waiting on would leave
+        # the model without a path until an engine joins.
+        return shifted or _jump(self._holdings, self._wanted)
+
+    def _is_busy(self) -> bool:
+        return any(one.wanted is not None for one in self._holdings)
 
 
 def _find_wanted(
@@ -242,6 +303,28 @@
     return filled
 
 
+def _shift_engines(
+    holes: Iterable[fleet.LayerRange],
+    holdings: Iterable[Holding],
+    placed: list[Order],
+    model: fleet.Model,
+) -> list[Order]:
+    """Shift the few engines beside holes; nothing where that can't close."""
+    taken = {order.server.id for order in placed}
+    free = {
+        one.server.id: one.server
+        for one in holdings
+        if one.wanted is None
+        and one.server.layers is not None
+        and one.server.id not in taken
+    }
+    ranges = shifting.shift_over(holes, list(free.values()), model)
+    return [
+        Order(free[name], layers, 'hole')
+        for name, layers in (ranges or {}).items()
+    ]
+
+
 def _is_filled_soon(hole: fleet.LayerRange, orders: list[Order]) -> bool:
     ranges = [order.layers for order in orders]
     clipped = [
@@ -327,17 +410,11 @@
     """Count the layers that an engine can load beside what it holds."""
     if one is None:
         return 0
-    return max(0, count_most(one.server.kind, model) - _held(one).count)
-
-
-def count_most(kind: str, model: fleet.Model) -> int:
-    """Count the layers that leave a kind the least room for requests."""
-    accelerator = model.accelerators.get(kind)
-    if accelerator is None:
-        return 0
-    tokens = MIN_ROOM_REQUESTS * (model.usual_prompt + model.usual_answer)
-    per_layer = model.layer_mb + tokens * model.layer_token_mb
-    return min(model.layers, math.floor(accelerator.memory_mb / per_layer))
+    return max(
+        0,
+        layout.count_layers(one.server.kind, model, MIN_ROOM_REQUESTS)
+        - _held(one).count,
+    )
 
 
 def _move_ranges(
@@ -402,7 +479,9 @@
     joined = fleet.LayerRange(
         min(held.first, target.first), max(held.end, target.end)
     )
-    if joined.count <= count_most(one.server.kind, model):
+    if joined.count <= layout.count_layers(
+        one.server.kind, model, MIN_ROOM_REQUESTS
+    ):
         return joined
     return None
 
