Name addresses while the store is away from all entries

Cause, from a play with lookups logged: while the store is away, each entry's proof gets too old, each takes itself out of the lookups, and callers get no address at all (0 in 990 of 1,300 lookups from 22 to 26 s), also those whose routes need no key. At the store's return each entry says once to all others that it serves again; to those that missed it, it stayed out until it was restarted: lookups named 1 to 4 of 20 addresses until all processes were killed at 35 s.

Ruled out: entries that lapsed from the store's list; new records count as serving. Addresses that refuse: the failed requests were sent to none.

Change: an entry whose proof is too old leaves callers to others only where another one is current (1.5 s are given for proofs to spread). It refuses keyed requests all the same, with the word when to come back.

Tests: addresses all along an outage of 10 s, with a bound on datagrams; an entry that alone is outdated leaves; a lost word. The first and the last were seen to fail with the rule of before (3 addresses; b-04 not named).

--- a/src/thornspool/application/routing/intake.py
+++ b/src/thornspool/application/routing/intake.py
@@ -63,7 +63,7 @@
         self._streams = streams
         self._calls = calls
         self._metrics = metrics
-        self._key_bound_ms = withdrawn_key_ms * proofs.KEY_AGE_SHARE
+        self.key_bound_ms = withdrawn_key_ms * proofs.KEY_AGE_SHARE
         self._random = random_source
         self.in_flight = 0
         self.refuses_new = False
@@ -71,7 +71,7 @@
     def is_fresh(self) -> bool:
         """Tell whether requests with a key may be served."""
         return self._beliefs.proof.is_within(
-            self._key_bound_ms, self._clock.now()
+            self.key_bound_ms, self._clock.now()
         )
 
     def serve(self, inquiry: ports.Inquiry, reply: ports.Reply) -> None:
--- a/src/thornspool/application/routing/membership.py
+++ b/src/thornspool/application/routing/membership.py
@@ -45,6 +45,15 @@
 """Age of the own proof past which an entry asks the store itself, though it
 is told news: two turns after the oldest proof that a collector tells."""
 
+OUTDATED_MS = 1_500
+"""Time for which another entry must be more current than this one before
+callers are led elsewhere.
+
+When the store returns, entries get its proof one after the other, within two
+turns of news; without this time each of them would take itself out, and tell
+all others twice.
+"""
+
 MAX_ADDRESSES = 64
 """Addresses that callers take from one answer."""
 
@@ -97,6 +106,7 @@
         self._fed_at = 0
         self._behind_since: int | None = None
         self._turn = 0
+        self._current_at = clock.now()
         self.state = messages.State.STARTING
 
     def work(self) -> None:
@@ -141,6 +151,33 @@
             logger.info('entry_state', state=state.value)
             self._tell(self._view.peers.values())
 
+    def update_state(self, has_configuration: bool, bound_ms: float) -> None:
+        """Choose anew whether callers may use this entry, unless it leaves.
+
+        An entry that the store doesn't talk to leaves callers to those that
+        are current. While the store is away from all, each would do so, and
+        callers got no address at all: routes that need no key went without
+        service, and other callers without the word when to come back.
+
+        Parameters
+        ----------
+        has_configuration : bool
+            Whether this entry knows any configuration.
+        bound_ms : float
+            Age of the proof up to which requests with a key are served.
+        """
+        if self.state is messages.State.LEAVING:
+            return
+        now = self._clock.now()
+        if self._beliefs.proof.is_within(
+            bound_ms, now
+        ) or not self._view.is_anyone_current(bound_ms, now):
+            self._current_at = now
+        ready = has_configuration and now - self._current_at <= OUTDATED_MS
+        self.set_state(
+            messages.State.SERVING if ready else messages.State.STARTING
+        )
+
     def take_news(self, news: messages.News) -> None:
         """Take what a peer tells."""
         now = self._clock.now()
--- a/src/thornspool/domain/entries/view.py
+++ b/src/thornspool/domain/entries/view.py
@@ -62,6 +62,7 @@
     listed_at: int
     heard_at: int | None = None
     heard_stamp: int = 0
+    proof_at: int | None = None
     state: messages.State = messages.State.SERVING
 
 
@@ -177,6 +178,27 @@
             )
             if inside:
                 del self.absent[host]
+        for peer in self.peers.values():
+            self._note_present(peer, teller, news)
+
+    def _note_present(
+        self, peer: Peer, teller: messages.Record, news: messages.News
+    ) -> None:
+        """Note that an entry serves that a collector has not left out.
+
+        An entry tells the others only once that it serves again. Where that
+        datagram was lost, callers were not led there until it restarted.
+        """
+        inside = (
+            peer.record.host != teller.host
+            and peer.record.host not in news.absent
+            and (
+                news.scope is messages.Scope.REST
+                or peer.record.failure_domain == teller.failure_domain
+            )
+        )
+        if inside and peer.state is messages.State.STARTING:
+            peer.state = messages.State.SERVING
 
     def take_news(self, news: messages.News, now: int) -> Peer | None:
         """Note that a peer was heard; None for one that is not listed."""
@@ -190,6 +212,9 @@
         peer.heard_at = now
         peer.heard_stamp = max(peer.heard_stamp, news.stamp)
         peer.state = news.state
+        peer.proof_at = None
+        if news.proof_age_ms >= 0:
+            peer.proof_at = now - news.proof_age_ms
         return peer
 
     def is_alive(self, peer: Peer, now: int) -> bool:
@@ -243,6 +268,34 @@
             self.is_alive(one, now) for one in self.peers.values()
         )
 
+    def is_anyone_current(self, bound_ms: float, now: int) -> bool:
+        """Tell whether another entry's copy of the store may be current.
+
+        Parameters
+        ----------
+        bound_ms : float
+            Age of a proof up to which a copy is current.
+        now : int
+            Milliseconds.
+
+        Returns
+        -------
+        bool
+            True also where there are others, and none of them is heard.
+        """
+        heard = [
+            one
+            for one in self.peers.values()
+            if one.heard_at is not None
+            and now - one.heard_at <= self.silence_ms
+        ]
+        if not heard:
+            return bool(self.peers)
+        return any(
+            one.proof_at is not None and now - one.proof_at <= bound_ms
+            for one in heard
+        )
+
     def list_serving(self, now: int) -> list[messages.Record]:
         """List the other entries that callers may use."""
         return [
--- a/src/thornspool/platform/daemon.py
+++ b/src/thornspool/platform/daemon.py
@@ -425,16 +425,10 @@
         self._beliefs.forget_left(self._clock.now())
 
     async def _tell_news(self) -> None:
-        state = self._membership.state
-        if state is not messages.State.LEAVING:
-            self._membership.set_state(self._choose_state())
-        self._membership.work()
-
-    def _choose_state(self) -> messages.State:
-        ready = (
-            self._beliefs.configuration is not None and self._intake.is_fresh()
+        self._membership.update_state(
+            self._beliefs.configuration is not None, self._intake.key_bound_ms
         )
-        return messages.State.SERVING if ready else messages.State.STARTING
+        self._membership.work()
 
     async def _plan(self) -> None:
         self._placement.work()
--- a/tests/application/routing/fleet.py
+++ b/tests/application/routing/fleet.py
@@ -15,6 +15,7 @@
 from thornspool.domain.paths import reservations
 
 TURN_MS = 200
+BOUND_MS = 4_250.0
 ENGINE = 'a-1'
 
 
@@ -42,6 +43,8 @@
         self.members = {}
         self.sent = 0
         self.cut = set()
+        self.shut_out = set()
+        self.chooses_states = False
         for domain in 'abcdefgh'[:domains]:
             for number in range(hosts):
                 self.add(f'{domain}-{number:02}', domain)
@@ -114,8 +117,11 @@
             for member in self.members.values():
                 if not member.up:
                     continue
-                if prove and member.view.collects:
+                proved = prove and member.record.host not in self.shut_out
+                if proved and member.view.collects:
                     member.beliefs.proof.renew(self.clock.now())
+                if self.chooses_states:
+                    member.service.update_state(True, BOUND_MS)
                 member.service.work()
 
     def take(self, host, amount):
--- a/tests/application/routing/test_membership.py
+++ b/tests/application/routing/test_membership.py
@@ -180,6 +180,57 @@
         for host in ('a-05', 'b-09', 'c-00'):
             self.assertNotIn('b-04:80', self.list_addresses(host, 'b'))
 
+    def test_callers_have_addresses_while_the_store_is_away_from_all(self):
+        """The store goes down for 10 s, and no entry is current.
+
+        Routes that need no key could be served, and other callers be told
+        when to come back; but they got no address, and failed.
+        """
+        self.fleet.chooses_states = True
+        self.fleet.play(2_000)
+        sent = self.fleet.sent
+        for _ in range(50):
+            self.fleet.play(200, prove=False)
+            self.assertEqual(10, len(self.list_addresses('b-03')))
+        for _ in range(20):
+            self.fleet.play(200)
+            self.assertEqual(10, len(self.list_addresses('b-03')))
+        rate = (self.fleet.sent - sent) / 14 / len(self.members)
+        self.assertLess(rate, 8)
+
+    def test_an_entry_that_alone_is_outdated_is_named_no_longer(self):
+        """An entry is cut off from the store and from the others.
+
+        It refuses every request that needs a key, and callers who were led
+        there would have to come back.
+        """
+        self.fleet.chooses_states = True
+        self.fleet.cut_off('b-04')
+        self.fleet.shut_out.add('b-04')
+        self.fleet.play(8_000)
+        state = self.members['b-04'].service.state
+        self.assertIs(messages.State.STARTING, state)
+        self.assertNotIn('b-04:80', self.list_addresses('b-05', 'b'))
+        self.fleet.rejoin('b-04')
+        self.fleet.play(3_000)
+        for host in ('a-03', 'b-05', 'c-00'):
+            self.assertIn('b-04:80', self.list_addresses(host, 'b'))
+
+    def test_an_entry_serves_again_though_its_word_was_lost(self):
+        """An entry says once that it serves, and most do not hear it.
+
+        They led no caller there until it was restarted.
+        """
+        entry = self.members['b-04']
+        entry.service.set_state(messages.State.STARTING)
+        self.fleet.play(2_000)
+        self.fleet.loss = 1.0
+        entry.service.set_state(messages.State.SERVING)
+        self.fleet.loss = 0.0
+        self.fleet.play(3_000)
+        for host in ('a-00', 'a-03', 'b-00', 'b-05', 'c-07'):
+            self.assertIn('b-04:80', self.list_addresses(host, 'b'), host)
+
     def test_lost_datagrams_make_nobody_absent(self):
         fleet = fleet_module.Fleet(loss=0.05)
         fleet.play(3_000)
