Show what operators need of an entry on the platform

Cause: the metrics of the platform's path were requests, times and refusals; nothing told of the store, the lead, engines, layers or memory.

Change: readings at a scrape, without cost between scrapes: who serves and leads, the age of the proof, calls to the store, engines by what is believed, missing layers, memory taken, repeats refused, orders. Labels are states, services and failure domains alone.

Also: the detector forgets engines that it asked long ago; their names stayed for good.

--- a/src/thornspool/application/routing/detection.py
+++ b/src/thornspool/application/routing/detection.py
@@ -199,8 +199,13 @@
                 self._ask_within_budget(self._beliefs.servers[name], now)
 
     def _ask_pace(self, server: fleet.Server, now: int) -> bool:
-        last = self._asked_at.get(server.id)
-        if last is not None and now - last < ASK_AGAIN_MS:
+        # Engines come and go with new names; those asked long ago are dropped.
+        self._asked_at = {
+            name: at
+            for name, at in self._asked_at.items()
+            if now - at < ASK_AGAIN_MS
+        }
+        if server.id in self._asked_at:
             return False
         self._asked_at[server.id] = now
         self._run(self._ask(server))
--- a/src/thornspool/metrics.py
+++ b/src/thornspool/metrics.py
@@ -10,7 +10,9 @@
 import attrs
 
 if typing.TYPE_CHECKING:
+    from collections.abc import Callable
     from collections.abc import Iterable
+    from collections.abc import Mapping
 
 _SECONDS = (0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5)
 _TOKEN_SECONDS = (0.005, 0.01, 0.02, 0.03, 0.049, 0.075, 0.1, 0.25, 0.5, 0.84)
@@ -35,6 +37,24 @@
 Reader = typing.Callable[[], 'Iterable[Reading]']
 
 
+def read_one(read: Callable[[], float]) -> Reader:
+    """Return a reader of a family without labels."""
+    return lambda: (Reading(float(read())),)
+
+
+def list_by(label: str, values: Mapping[str, float]) -> list[Reading]:
+    """List readings that differ in one label."""
+    return [Reading(value, {label: name}) for name, value in values.items()]
+
+
+def count_by(
+    label: str, known: Iterable[str], seen: Iterable[str]
+) -> list[Reading]:
+    """Count by a label; what is not seen is 0, or its last value stays."""
+    counts = collections.Counter(seen)
+    return list_by(label, {name: counts[name] for name in known})
+
+
 class Metrics:
     """Counters, histograms and gauges of one entry."""
 
--- a/src/thornspool/platform/daemon.py
+++ b/src/thornspool/platform/daemon.py
@@ -37,6 +37,7 @@
 from thornspool.platform import engines
 from thornspool.platform import follower
 from thornspool.platform import peers
+from thornspool.platform import readings
 from thornspool.platform import registry
 from thornspool.platform import settings as settings_module
 from thornspool.platform import store as store_module
@@ -358,6 +359,21 @@
             bounds.withdrawn_key_ms,
             self._random,
         )
+        readings.add_readings(
+            self._metrics,
+            readings.Sources(
+                clock,
+                store,
+                self._beliefs,
+                self._view,
+                self._lead,
+                taken,
+                budget,
+                self._membership,
+                self._placement,
+                self._intake,
+            ),
+        )
 
     def _feed(self, update: follower.Update) -> int:
         """Pass changes on to the entries that rely on this one."""
--- a/src/thornspool/readings.py
+++ b/src/thornspool/readings.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import collections
 import functools
 import typing
 
@@ -12,10 +11,7 @@
 from thornspool.domain.targets import messages as target_messages
 
 if typing.TYPE_CHECKING:
-    from collections.abc import Callable
-    from collections.abc import Iterable
     from collections.abc import Iterator
-    from collections.abc import Mapping
 
     from thornspool import clock as clock_module
     from thornspool import parts as parts_module
@@ -64,22 +60,22 @@
     metrics.add_gauge(
         'thornspool_configuration_version',
         'Version of the configuration in force here; 0 before the first.',
-        _read_one(parts.configuration.version),
+        metrics_module.read_one(parts.configuration.version),
     )
     metrics.add_gauge(
         'thornspool_configuration_age_seconds',
         'Time since it was applied here, or since the start before any.',
-        _read_one(applied.read_age),
+        metrics_module.read_one(applied.read_age),
     )
     metrics.add_gauge(
         'thornspool_isolated',
         '1 while neither the platform nor any other entry answers.',
-        _read_one(parts.is_isolated),
+        metrics_module.read_one(parts.is_isolated),
     )
     metrics.add_gauge(
         'thornspool_ready',
         '1 while this entry takes new work.',
-        _read_one(parts.is_ready),
+        metrics_module.read_one(parts.is_ready),
     )
     metrics.add_gauge(
         'thornspool_members',
@@ -100,12 +96,12 @@
     metrics.add_gauge(
         'thornspool_requests_in_flight',
         'Requests of callers that have not got their whole answer.',
-        _read_one(lambda: parts.drain.in_flight),
+        metrics_module.read_one(lambda: parts.drain.in_flight),
     )
     metrics.add_gauge(
         'thornspool_group_in_flight_requests',
         'Requests in flight by the model or service that runs them.',
-        lambda: _list_by(
+        lambda: metrics_module.list_by(
             'group',
             {
                 name: group.in_flight
@@ -116,7 +112,7 @@
     metrics.add_gauge(
         'thornspool_group_bound_requests',
         'Requests in flight past which more are refused for overload.',
-        lambda: _list_by(
+        lambda: metrics_module.list_by(
             'group',
             {
                 name: group.bound
@@ -127,19 +123,19 @@
     metrics.add_gauge(
         'thornspool_attempts_open',
         'Attempts and records of actions that are not settled.',
-        _read_one(lambda: parts.actions.open_count),
+        metrics_module.read_one(lambda: parts.actions.open_count),
     )
     # Verdicts are counted where they are given: to ask for all of them at
     # each scrape would hold up the loop, since one compares all records.
     metrics.add_counter(
         'thornspool_quarantine_verdicts_total',
         'Verdicts on whether requests may run.',
-        lambda: _list_by('verdict', parts.quarantine.verdicts),
+        lambda: metrics_module.list_by('verdict', parts.quarantine.verdicts),
     )
     metrics.add_gauge(
         'thornspool_quarantine_records',
         'Requests that were in flight on a target that died.',
-        _read_one(lambda: parts.quarantine.record_count),
+        metrics_module.read_one(lambda: parts.quarantine.record_count),
     )
 
 
@@ -160,7 +156,7 @@
     metrics.add_counter(
         'thornspool_peer_dropped_total',
         'Messages between entries that were dropped.',
-        lambda: _list_by('reason', traffic.dropped),
+        lambda: metrics_module.list_by('reason', traffic.dropped),
     )
 
 
@@ -171,12 +167,12 @@
     metrics.add_counter(
         'thornspool_platform_calls_total',
         'Calls that left for the platform.',
-        lambda: _list_by('kind', platform.calls),
+        lambda: metrics_module.list_by('kind', platform.calls),
     )
     metrics.add_counter(
         'thornspool_platform_errors_total',
         'Calls that failed, or that did not leave since it fails.',
-        lambda: _list_by('kind', platform.errors),
+        lambda: metrics_module.list_by('kind', platform.errors),
     )
 
 
@@ -194,32 +190,10 @@
         return (self._clock.now() - self._at) / _MS_PER_S
 
 
-def _read_one(read: Callable[[], float]) -> metrics_module.Reader:
-    """Return a reader of a family without labels."""
-    return lambda: (metrics_module.Reading(float(read())),)
-
-
-def _list_by(
-    label: str, values: Mapping[str, float]
-) -> list[metrics_module.Reading]:
-    return [
-        metrics_module.Reading(value, {label: name})
-        for name, value in values.items()
-    ]
-
-
-def _count_by(
-    label: str, known: Iterable[str], seen: Iterable[str]
-) -> list[metrics_module.Reading]:
-    """Count by a label; what is not seen is 0, or its last value stays."""
-    counts = collections.Counter(seen)
-    return _list_by(label, {name: counts[name] for name in known})
-
-
 def _read_members(
     parts: parts_module.Parts,
 ) -> list[metrics_module.Reading]:
-    return _count_by(
+    return metrics_module.count_by(
         'state',
         [one.value for one in ports.MemberState],
         [one.state.value for one in parts.members.list_members()],
@@ -229,7 +203,7 @@
 def _read_targets(
     parts: parts_module.Parts,
 ) -> list[metrics_module.Reading]:
-    return _count_by(
+    return metrics_module.count_by(
         'readiness',
         [one.value for one in target_messages.Readiness],
         [
--- a/tests/platform/deployment.py
+++ b/tests/platform/deployment.py
@@ -111,6 +111,14 @@
         with urllib.request.urlopen(url, timeout=2) as answer:
             return json.load(answer)['addresses']
 
+    def read_metrics(self):
+        """Return its metrics: values by name with labels."""
+        url = f'http://127.0.0.1:{self.ports[4]}/metrics'
+        with urllib.request.urlopen(url, timeout=2) as answer:
+            lines = answer.read().decode().splitlines()
+        pairs = [one.rsplit(' ', 1) for one in lines if one[:1] != '#']
+        return {name: float(value) for name, value in pairs}
+
     def call(self, method, path, number, key=kv_fleet.KEY, **headers):
         """Send a request and read its whole answer."""
         connection = http.client.HTTPConnection(
--- a/tests/platform/test_whole_path.py
+++ b/tests/platform/test_whole_path.py
@@ -124,6 +124,39 @@
             lambda: self.first.call('GET', '/read/1', 12).status == 401, 2.0
         )
 
+    def test_metrics_tell_of_a_lost_engine_and_a_lost_store(self):
+        """An engine dies, and then the store stops answering.
+
+        Operators are woken by these values alone, so each has to change.
+        """
+        suspected = 'thornspool_engines{domain="a",state="suspected"}'
+        before = self.first.read_metrics()
+        leads = [
+            one.read_metrics()['thornspool_leads']
+            for one in (self.first, self.second)
+        ]
+        self.assertEqual(1, sum(leads))
+        self.assertEqual(1, before['thornspool_serving'])
+        self.assertEqual(1, before['thornspool_configuration_version'])
+        self.assertEqual(1, before['thornspool_entries{state="serving"}'])
+        missing = sum_family(before, 'thornspool_layers_missing')
+        self.assertEqual(0, missing)
+        self.assertEqual(0, before[suspected])
+        self.deployment.control(kill='a-1')
+        self.first.call('POST', '/brief/1', 20)
+        self.assertEqual(1, self.first.read_metrics()[suspected])
+        failures = 'thornspool_store_failures_total'
+        self.deployment.control_store(mode='silent')
+        deployment.wait_until(
+            lambda: self.first.read_metrics()[failures] > before[failures]
+        )
+        read = self.first.read_metrics()
+        self.assertGreater(read['thornspool_proof_age_seconds'], 0.7)
+        self.assertEqual(0, read['thornspool_requests_in_flight'])
+        self.assertLess(
+            sum_family(read, 'thornspool_engine_memory_taken_ratio'), 0.01
+        )
+
     def test_a_lost_history_is_read_again(self):
         """The store forgets its history while a version is written."""
         self.deployment.control_store(drop_history=True)
@@ -181,3 +214,12 @@
             if name.startswith('b-') and one is not None:
                 layers.update(range(one['from'], one['to']))
         return len(layers) == kv_fleet.LAYERS
+
+
+def sum_family(metrics, family):
+    """Add up the values of a family."""
+    return sum(
+        value
+        for name, value in metrics.items()
+        if name.partition('{')[0] == family
+    )
