Make packages of the use cases with many files

application/ had 40 flat files, 21 of them with the prefix of a package: generation_*, configuration_*, ledger_*, action_*. They are packages now: application/generation, configuration, ledger and actions. Only imports changed.

--- a/src/thornspool/adapters/callers/generate_bodies.py
+++ b/src/thornspool/adapters/callers/generate_bodies.py
@@ -10,7 +10,9 @@
 import attrs
 import msgspec
 
-from thornspool.application import generation_attachments
+from thornspool.application.generation import (
+    attachments as generation_attachments,
+)
 
 MAX_TOKENS_LIMIT = 32_768
 MAX_TIMEOUT_MS = 600_000
--- a/src/thornspool/adapters/callers/streams.py
+++ b/src/thornspool/adapters/callers/streams.py
@@ -13,8 +13,8 @@
 from thornspool.adapters import problems
 from thornspool.adapters.callers import generate_bodies
 from thornspool.adapters.callers import handlers
-from thornspool.application import generation_messages as generation
 from thornspool.application import requests
+from thornspool.application.generation import messages as generation
 
 EVENT_STREAM = 'text/event-stream'
 READ_GRACE_MS = 5_000
--- a/src/thornspool/adapters/operators/handlers.py
+++ b/src/thornspool/adapters/operators/handlers.py
@@ -24,8 +24,8 @@
 
     from thornspool import clock as clocks
     from thornspool import settings
-    from thornspool.application import configuration
     from thornspool.application import ports
+    from thornspool.application.configuration import service as configuration
 
 logger = structlog.get_logger(__name__)
 
--- a/src/thornspool/adapters/operators/publishing.py
+++ b/src/thornspool/adapters/operators/publishing.py
@@ -9,7 +9,9 @@
 from thornspool.adapters.operators import bodies
 from thornspool.adapters.operators import browsing
 from thornspool.adapters.operators import exceptions
-from thornspool.application import configuration_results
+from thornspool.application.configuration import (
+    results as configuration_results,
+)
 from thornspool.domain.configuration import documents
 from thornspool.domain.configuration import files
 from thornspool.domain.configuration import problems
--- a/src/thornspool/adapters/targets/engine_messages.py
+++ b/src/thornspool/adapters/targets/engine_messages.py
@@ -8,8 +8,12 @@
 import msgspec
 
 if typing.TYPE_CHECKING:
-    from thornspool.application import generation_attachments
-    from thornspool.application import generation_messages
+    from thornspool.application.generation import (
+        attachments as generation_attachments,
+    )
+    from thornspool.application.generation import (
+        messages as generation_messages,
+    )
     from thornspool.domain.pipelines import questions
 
 
--- a/src/thornspool/adapters/targets/engines.py
+++ b/src/thornspool/adapters/targets/engines.py
@@ -13,14 +13,18 @@
 
 from thornspool.adapters.targets import engine_messages
 from thornspool.application import exceptions
-from thornspool.application import generation_exceptions
+from thornspool.application.generation import (
+    exceptions as generation_exceptions,
+)
 from thornspool.domain.pipelines import exceptions as pipeline_exceptions
 from thornspool.domain.pipelines import frames
 
 if typing.TYPE_CHECKING:
     from collections.abc import Callable
 
-    from thornspool.application import generation_messages
+    from thornspool.application.generation import (
+        messages as generation_messages,
+    )
 
 MAX_STREAMS = 512
 """Streams at once; tornado's client queues what is above, unseen."""
--- /dev/null
+++ b/src/thornspool/application/actions/__init__.py
@@ -0,0 +1,1 @@
+"""Use cases of non-idempotent actions."""
--- a/src/thornspool/application/action_requests.py
+++ b/src/thornspool/application/actions/requests.py
@@ -7,7 +7,7 @@
 
 import attrs
 
-from thornspool.application import ledger_router
+from thornspool.application.ledger import router as ledger_router
 from thornspool.domain.actions import keys
 from thornspool.domain.actions import runner
 from thornspool.domain.actions import writer
--- a/src/thornspool/application/action_runs.py
+++ b/src/thornspool/application/actions/runs.py
@@ -17,8 +17,8 @@
 
 if typing.TYPE_CHECKING:
     from thornspool import clock
-    from thornspool.application import action_requests
-    from thornspool.application import ledger_router
+    from thornspool.application.actions import requests as action_requests
+    from thornspool.application.ledger import router as ledger_router
     from thornspool.domain.actions import results
 
 logger = structlog.get_logger(__name__)
--- a/src/thornspool/application/actions.py
+++ b/src/thornspool/application/actions/service.py
@@ -8,11 +8,11 @@
 import attrs
 
 from thornspool import identifiers
-from thornspool.application import action_requests
-from thornspool.application import action_runs
 from thornspool.application import exceptions
-from thornspool.application import ledger
-from thornspool.application import ledger_router
+from thornspool.application.actions import requests as action_requests
+from thornspool.application.actions import runs as action_runs
+from thornspool.application.ledger import router as ledger_router
+from thornspool.application.ledger import writing as ledger
 from thornspool.domain.actions import events
 from thornspool.domain.actions import exceptions as actions_exceptions
 from thornspool.domain.actions import keys
--- /dev/null
+++ b/src/thornspool/application/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""Use cases of configuration: publishing it and following it."""
--- a/src/thornspool/application/configuration_following.py
+++ b/src/thornspool/application/configuration/following.py
@@ -18,9 +18,13 @@
     import random
 
     from thornspool import clock as clocks
-    from thornspool.application import configuration_pulling
-    from thornspool.application import configuration_store
     from thornspool.application import ports
+    from thornspool.application.configuration import (
+        pulling as configuration_pulling,
+    )
+    from thornspool.application.configuration import (
+        store as configuration_store,
+    )
 
 logger = structlog.get_logger(__name__)
 
--- a/src/thornspool/application/configuration_publishing.py
+++ b/src/thornspool/application/configuration/publishing.py
@@ -8,9 +8,11 @@
 import attrs
 import structlog
 
-from thornspool.application import configuration_pulling
 from thornspool.application import exceptions
 from thornspool.application import ports
+from thornspool.application.configuration import (
+    pulling as configuration_pulling,
+)
 from thornspool.domain.configuration import contents as whole
 from thornspool.domain.configuration import head as heads
 from thornspool.domain.configuration import publications
@@ -21,7 +23,9 @@
     import random
 
     from thornspool import clock as clocks
-    from thornspool.application import configuration_store
+    from thornspool.application.configuration import (
+        store as configuration_store,
+    )
 
 PARALLEL_WRITES = 8
 PAUSE_MS = 150
--- a/src/thornspool/application/configuration_pulling.py
+++ b/src/thornspool/application/configuration/pulling.py
@@ -19,7 +19,9 @@
     import random
 
     from thornspool import clock as clocks
-    from thornspool.application import configuration_store
+    from thornspool.application.configuration import (
+        store as configuration_store,
+    )
 
 PARALLEL_PULLS = 8
 LIKELY_PEERS = 2
--- a/src/thornspool/application/configuration.py
+++ b/src/thornspool/application/configuration/service.py
@@ -8,12 +8,20 @@
 
 import structlog
 
-from thornspool.application import configuration_following
-from thornspool.application import configuration_publishing
-from thornspool.application import configuration_pulling
-from thornspool.application import configuration_results
-from thornspool.application import configuration_store
 from thornspool.application import ports
+from thornspool.application.configuration import (
+    following as configuration_following,
+)
+from thornspool.application.configuration import (
+    publishing as configuration_publishing,
+)
+from thornspool.application.configuration import (
+    pulling as configuration_pulling,
+)
+from thornspool.application.configuration import (
+    results as configuration_results,
+)
+from thornspool.application.configuration import store as configuration_store
 from thornspool.domain.configuration import head as heads
 from thornspool.domain.configuration import messages
 from thornspool.domain.configuration import publications
--- a/src/thornspool/application/generation_attempts.py
+++ b/src/thornspool/application/generation/attempts.py
@@ -10,9 +10,11 @@
 import msgspec
 
 from thornspool.application import exceptions
-from thornspool.application import generation_exceptions
-from thornspool.application import generation_flights
-from thornspool.application import generation_trials
+from thornspool.application.generation import (
+    exceptions as generation_exceptions,
+)
+from thornspool.application.generation import flights as generation_flights
+from thornspool.application.generation import trials as generation_trials
 from thornspool.domain.pipelines import affinity
 from thornspool.domain.pipelines import messages
 from thornspool.domain.pipelines import stage_times
@@ -23,8 +25,12 @@
     from collections.abc import Callable
 
     from thornspool import clock as clock_module
-    from thornspool.application import generation_messages
-    from thornspool.application import generation_planning
+    from thornspool.application.generation import (
+        messages as generation_messages,
+    )
+    from thornspool.application.generation import (
+        planning as generation_planning,
+    )
     from thornspool.domain.pipelines import frames as frames_module
 
 _CANCEL_TIMEOUT_MS = 2_000
--- a/src/thornspool/application/generation_messages.py
+++ b/src/thornspool/application/generation/messages.py
@@ -12,7 +12,9 @@
 if typing.TYPE_CHECKING:
     from collections.abc import Callable
 
-    from thornspool.application import generation_attachments
+    from thornspool.application.generation import (
+        attachments as generation_attachments,
+    )
     from thornspool.domain.pipelines import frames
     from thornspool.domain.pipelines import messages
     from thornspool.domain.pipelines import routes
--- a/src/thornspool/application/generation.py
+++ b/src/thornspool/application/generation/service.py
@@ -9,11 +9,11 @@
 import attrs
 import structlog
 
-from thornspool.application import generation_attempts
-from thornspool.application import generation_events
-from thornspool.application import generation_messages
-from thornspool.application import generation_planning
-from thornspool.application import generation_trials
+from thornspool.application.generation import attempts as generation_attempts
+from thornspool.application.generation import events as generation_events
+from thornspool.application.generation import messages as generation_messages
+from thornspool.application.generation import planning as generation_planning
+from thornspool.application.generation import trials as generation_trials
 from thornspool.domain.pipelines import affinity
 from thornspool.domain.pipelines import exceptions as pipeline_exceptions
 from thornspool.domain.pipelines import messages
--- a/src/thornspool/application/intake.py
+++ b/src/thornspool/application/intake.py
@@ -8,13 +8,13 @@
 import attrs
 
 from thornspool.application import directory
-from thornspool.application import generation_attempts
-from thornspool.application import generation_messages as generation
 from thornspool.application import observation
 from thornspool.application import operations
 from thornspool.application import requests
 from thornspool.application import service_trials
 from thornspool.application import timed_services
+from thornspool.application.generation import attempts as generation_attempts
+from thornspool.application.generation import messages as generation
 from thornspool.domain.objectives import burn
 
 if typing.TYPE_CHECKING:
@@ -24,10 +24,10 @@
 
     from thornspool import clock
     from thornspool import metrics
-    from thornspool.application import actions as action_service
     from thornspool.application import calls as call_service
-    from thornspool.application import generation as generation_service
     from thornspool.application import objectives
+    from thornspool.application.actions import service as action_service
+    from thornspool.application.generation import service as generation_service
     from thornspool.domain.actions import results
     from thornspool.domain.configuration import documents
 
--- /dev/null
+++ b/src/thornspool/application/ledger/__init__.py
@@ -0,0 +1,1 @@
+"""The ledger of actions: who writes its pages, and how."""
--- a/src/thornspool/application/ledger_asking.py
+++ b/src/thornspool/application/ledger/asking.py
@@ -12,8 +12,8 @@
 
 if typing.TYPE_CHECKING:
     from thornspool import clock as clock_module
-    from thornspool.application import ledger
     from thornspool.application import ports
+    from thornspool.application.ledger import writing as ledger
 
 
 @attrs.frozen
--- a/src/thornspool/application/ledger_router.py
+++ b/src/thornspool/application/ledger/router.py
@@ -9,13 +9,13 @@
 import xxhash
 
 from thornspool.application import exceptions
-from thornspool.application import ledger_asking
 from thornspool.application import ports
+from thornspool.application.ledger import asking as ledger_asking
 from thornspool.domain.actions import messages
 
 if typing.TYPE_CHECKING:
     from thornspool import clock
-    from thornspool.application import ledger
+    from thornspool.application.ledger import writing as ledger
 
 
 _WRITERS_ASKED = 2
--- a/src/thornspool/application/observation.py
+++ b/src/thornspool/application/observation.py
@@ -5,7 +5,7 @@
 import enum
 import typing
 
-from thornspool.application import generation_messages as generation
+from thornspool.application.generation import messages as generation
 from thornspool.domain.actions import results
 from thornspool.domain.objectives import burn
 
--- a/src/thornspool/application/operations.py
+++ b/src/thornspool/application/operations.py
@@ -6,9 +6,9 @@
 
 import attrs
 
-from thornspool.application import actions
 from thornspool.application import calls
 from thornspool.application import service_trials
+from thornspool.application.actions import service as actions
 from thornspool.domain.actions import results
 from thornspool.domain.quarantine import fingerprints
 from thornspool.domain.quarantine import messages as quarantine_messages
--- a/src/thornspool/application/requests.py
+++ b/src/thornspool/application/requests.py
@@ -9,7 +9,9 @@
 from thornspool.application import exceptions
 
 if typing.TYPE_CHECKING:
-    from thornspool.application import generation_attachments
+    from thornspool.application.generation import (
+        attachments as generation_attachments,
+    )
 
 
 @attrs.frozen
--- a/src/thornspool/application/service_trials.py
+++ b/src/thornspool/application/service_trials.py
@@ -10,8 +10,8 @@
 import structlog
 
 from thornspool.application import exceptions
-from thornspool.application import generation_trials
 from thornspool.application import quarantine
+from thornspool.application.generation import trials as generation_trials
 from thornspool.domain.membership import rendezvous
 
 if typing.TYPE_CHECKING:
--- a/src/thornspool/parts.py
+++ b/src/thornspool/parts.py
@@ -10,18 +10,13 @@
 from thornspool.adapters.targets import loads
 from thornspool.adapters.targets import probes
 from thornspool.adapters.targets import services
-from thornspool.application import actions
 from thornspool.application import admission
 from thornspool.application import calls
 from thornspool.application import capacity
-from thornspool.application import configuration
 from thornspool.application import directory
 from thornspool.application import drain
 from thornspool.application import exceptions
 from thornspool.application import gates
-from thornspool.application import generation
-from thornspool.application import generation_attempts
-from thornspool.application import generation_planning
 from thornspool.application import intake
 from thornspool.application import membership
 from thornspool.application import objectives
@@ -29,6 +24,11 @@
 from thornspool.application import service_trials
 from thornspool.application import targets
 from thornspool.application import timed_services
+from thornspool.application.actions import service as actions
+from thornspool.application.configuration import service as configuration
+from thornspool.application.generation import attempts as generation_attempts
+from thornspool.application.generation import planning as generation_planning
+from thornspool.application.generation import service as generation
 from thornspool.domain.pipelines import questions
 from thornspool.domain.retries import budget
 from thornspool.domain.targets import messages as target_messages
--- a/tests/adapters/callers/test_routes.py
+++ b/tests/adapters/callers/test_routes.py
@@ -10,9 +10,9 @@
 from thornspool.adapters.callers import context
 from thornspool.adapters.callers import routes
 from thornspool.application import exceptions
-from thornspool.application import generation_messages as generation
 from thornspool.application import membership
 from thornspool.application import requests
+from thornspool.application.generation import messages as generation
 from thornspool.domain.actions import results
 from thornspool.domain.pipelines import messages
 
--- a/tests/adapters/callers/test_streams.py
+++ b/tests/adapters/callers/test_streams.py
@@ -12,7 +12,7 @@
 from thornspool.adapters.callers import context
 from thornspool.adapters.callers import routes
 from thornspool.adapters.callers import streams
-from thornspool.application import generation_messages as generation
+from thornspool.application.generation import messages as generation
 
 if typing.TYPE_CHECKING:
     from collections.abc import AsyncIterator
--- a/tests/adapters/targets/test_engines.py
+++ b/tests/adapters/targets/test_engines.py
@@ -14,10 +14,14 @@
 from thornspool.adapters.targets import engine_messages
 from thornspool.adapters.targets import engines
 from thornspool.application import exceptions
-from thornspool.application import generation_attachments
-from thornspool.application import generation_attempts
-from thornspool.application import generation_exceptions
-from thornspool.application import generation_messages
+from thornspool.application.generation import (
+    attachments as generation_attachments,
+)
+from thornspool.application.generation import attempts as generation_attempts
+from thornspool.application.generation import (
+    exceptions as generation_exceptions,
+)
+from thornspool.application.generation import messages as generation_messages
 from thornspool.domain.pipelines import questions
 from thornspool.domain.pipelines import routes
 
--- a/tests/application/builders.py
+++ b/tests/application/builders.py
@@ -10,7 +10,7 @@
 
 from tests import builders
 from tests.application import fakes
-from thornspool.application import actions
+from thornspool.application.actions import service as actions
 from thornspool.domain.configuration import documents
 
 if typing.TYPE_CHECKING:
--- a/tests/application/configuration_builders.py
+++ b/tests/application/configuration_builders.py
@@ -12,9 +12,9 @@
 
 from tests import builders
 from thornspool import clock
-from thornspool.application import configuration
 from thornspool.application import exceptions
 from thornspool.application import ports
+from thornspool.application.configuration import service as configuration
 from thornspool.domain.configuration import documents
 from thornspool.domain.configuration import publications
 
--- a/tests/application/configuration_racing.py
+++ b/tests/application/configuration_racing.py
@@ -16,8 +16,12 @@
 import attrs
 
 from tests.application import configuration_builders as make
-from thornspool.application import configuration_following
-from thornspool.application import configuration_results
+from thornspool.application.configuration import (
+    following as configuration_following,
+)
+from thornspool.application.configuration import (
+    results as configuration_results,
+)
 from thornspool.domain.configuration import contents as whole
 from thornspool.domain.configuration import documents
 from thornspool.domain.configuration import publications
--- a/tests/application/crash_builders.py
+++ b/tests/application/crash_builders.py
@@ -15,20 +15,20 @@
 from tests.application import builders as application_builders
 from tests.application import fakes
 from thornspool import metrics
-from thornspool.application import actions
 from thornspool.application import calls
 from thornspool.application import directory
 from thornspool.application import exceptions
 from thornspool.application import gates
-from thornspool.application import generation
-from thornspool.application import generation_attempts
-from thornspool.application import generation_messages
-from thornspool.application import generation_planning
 from thornspool.application import intake
 from thornspool.application import ports
 from thornspool.application import quarantine
 from thornspool.application import requests
 from thornspool.application import service_trials
+from thornspool.application.actions import service as actions
+from thornspool.application.generation import attempts as generation_attempts
+from thornspool.application.generation import messages as generation_messages
+from thornspool.application.generation import planning as generation_planning
+from thornspool.application.generation import service as generation
 from thornspool.domain.configuration import documents
 from thornspool.domain.pipelines import frames
 from thornspool.domain.quarantine import fingerprints
--- a/tests/application/test_actions.py
+++ b/tests/application/test_actions.py
@@ -11,9 +11,9 @@
 from tests import builders as common
 from tests.application import builders
 from tests.application import fakes
-from thornspool.application import actions
-from thornspool.application import ledger_router
 from thornspool.application import ports
+from thornspool.application.actions import service as actions
+from thornspool.application.ledger import router as ledger_router
 from thornspool.domain.actions import keys
 from thornspool.domain.actions import results
 
--- a/tests/application/test_configuration.py
+++ b/tests/application/test_configuration.py
@@ -7,7 +7,9 @@
 import unittest
 
 from tests.application import configuration_builders as make
-from thornspool.application import configuration_results
+from thornspool.application.configuration import (
+    results as configuration_results,
+)
 from thornspool.domain.configuration import head as heads
 from thornspool.domain.configuration import publications
 from thornspool.domain.configuration import publishing
--- a/tests/application/test_configuration_following.py
+++ b/tests/application/test_configuration_following.py
@@ -8,7 +8,9 @@
 import unittest
 
 from tests import builders
-from thornspool.application import configuration_following
+from thornspool.application.configuration import (
+    following as configuration_following,
+)
 
 STEP_S = 0.005
 STEPS = 400
--- a/tests/application/test_configuration_fuzzing.py
+++ b/tests/application/test_configuration_fuzzing.py
@@ -17,7 +17,9 @@
 from structlog import testing
 
 from tests.application import configuration_builders as make
-from thornspool.application import configuration_results
+from thornspool.application.configuration import (
+    results as configuration_results,
+)
 from thornspool.domain.configuration import documents
 from thornspool.domain.configuration import head as heads
 from thornspool.domain.configuration import publications
--- a/tests/application/test_generation.py
+++ b/tests/application/test_generation.py
@@ -14,11 +14,11 @@
 from thornspool import clock
 from thornspool.adapters.targets import engines
 from thornspool.application import exceptions
-from thornspool.application import generation
-from thornspool.application import generation_attempts
-from thornspool.application import generation_messages
-from thornspool.application import generation_planning
-from thornspool.application import generation_trials
+from thornspool.application.generation import attempts as generation_attempts
+from thornspool.application.generation import messages as generation_messages
+from thornspool.application.generation import planning as generation_planning
+from thornspool.application.generation import service as generation
+from thornspool.application.generation import trials as generation_trials
 from thornspool.domain.pipelines import frames
 from thornspool.domain.pipelines import messages
 from thornspool.domain.quarantine import messages as quarantine_messages
--- a/tests/application/test_generation_events.py
+++ b/tests/application/test_generation_events.py
@@ -7,7 +7,7 @@
 
 from tests import builders
 from tests.application import fakes
-from thornspool.application import generation_events
+from thornspool.application.generation import events as generation_events
 from thornspool.domain.pipelines import frames
 from thornspool.domain.pipelines import messages
 
--- a/tests/application/test_generation_planning.py
+++ b/tests/application/test_generation_planning.py
@@ -8,7 +8,7 @@
 import unittest
 
 from tests.domain.pipelines import builders
-from thornspool.application import generation_planning
+from thornspool.application.generation import planning as generation_planning
 from thornspool.domain.pipelines import exceptions
 from thornspool.domain.pipelines import questions
 from thornspool.domain.targets import messages
--- a/tests/application/test_generation_trials.py
+++ b/tests/application/test_generation_trials.py
@@ -12,10 +12,10 @@
 from tests.application import crash_builders
 from tests.application import fakes
 from tests.application import fleet
-from thornspool.application import generation_attempts
-from thornspool.application import generation_messages
-from thornspool.application import generation_trials
 from thornspool.application import quarantine
+from thornspool.application.generation import attempts as generation_attempts
+from thornspool.application.generation import messages as generation_messages
+from thornspool.application.generation import trials as generation_trials
 from thornspool.domain.pipelines import exceptions
 from thornspool.domain.pipelines import messages
 from thornspool.domain.pipelines import routes
--- a/tests/application/test_intake.py
+++ b/tests/application/test_intake.py
@@ -11,10 +11,10 @@
 from thornspool import metrics
 from thornspool.application import calls
 from thornspool.application import exceptions
-from thornspool.application import generation_messages as generation
 from thornspool.application import intake
 from thornspool.application import ports
 from thornspool.application import requests
+from thornspool.application.generation import messages as generation
 from thornspool.domain.actions import results
 from thornspool.domain.configuration import documents
 
--- a/tests/application/test_ledger_router.py
+++ b/tests/application/test_ledger_router.py
@@ -10,8 +10,8 @@
 from tests.application import fakes
 from tests.application import fleet
 from thornspool.application import exceptions
-from thornspool.application import ledger_router
 from thornspool.application import ports
+from thornspool.application.ledger import router as ledger_router
 from thornspool.domain.actions import messages
 
 GRANTED = messages.GrantGiven('attempt-1', 1, False)
--- a/tests/processes/test_actions.py
+++ b/tests/processes/test_actions.py
@@ -9,8 +9,8 @@
 import signal
 
 from tests.processes import deployment as deployments
-from thornspool.application import ledger_router
 from thornspool.application import ports
+from thornspool.application.ledger import router as ledger_router
 from thornspool.domain.actions import keys
 
 BURST = 60
--- a/tools/bench_actions.py
+++ b/tools/bench_actions.py
@@ -15,8 +15,8 @@
 
 from thornspool import clock
 from thornspool import identifiers
-from thornspool.application import actions
 from thornspool.application import ports
+from thornspool.application.actions import service as actions
 from thornspool.domain.configuration import documents
 
 if typing.TYPE_CHECKING:
--- a/tools/bench_recovery.py
+++ b/tools/bench_recovery.py
@@ -20,8 +20,8 @@
 import attrs
 
 from thornspool import clock
-from thornspool.application import ledger_router
 from thornspool.application import ports
+from thornspool.application.ledger import router as ledger_router
 from thornspool.domain.actions import keys
 from tools import bench_deployment
 from tools import processes
--- a/tools/bench_relay.py
+++ b/tools/bench_relay.py
@@ -17,9 +17,9 @@
 
 from thornspool import clock
 from thornspool.adapters.targets import engines
-from thornspool.application import generation
-from thornspool.application import generation_messages
-from thornspool.application import generation_planning
+from thornspool.application.generation import messages as generation_messages
+from thornspool.application.generation import planning as generation_planning
+from thornspool.application.generation import service as generation
 from thornspool.domain.configuration import documents
 from thornspool.domain.targets import messages as target_messages
 from tools import demo
--- a/tools/throughput_policies.py
+++ b/tools/throughput_policies.py
@@ -6,7 +6,7 @@
 import random
 import typing
 
-from thornspool.application import generation_planning
+from thornspool.application.generation import planning as generation_planning
 from thornspool.domain.pipelines import questions
 from thornspool.domain.pipelines import routes
 from thornspool.domain.targets import messages
