Demonstrate the path on the platform's protocols

make demo showed the own interface alone. It goes on with the users' platform now: engines start empty and get their layers, a stream, an action and a read come back, a foreign key is refused, an engine is killed in mid-stream and each event comes once. The builder of that deployment has types, since the tools are checked.

--- a/Makefile
+++ b/Makefile
@@ -32,6 +32,7 @@
 
 demo: setup
 	$(BIN)/python -m tools.demo
+	$(BIN)/python -m tools.demo_platform
 
 bench: setup
 	$(BIN)/python -m tools.bench
--- a/tests/platform/deployment.py
+++ b/tests/platform/deployment.py
@@ -11,6 +11,7 @@
 import subprocess
 import sys
 import time
+import typing
 import urllib.request
 
 import attrs
@@ -26,12 +27,12 @@
 """Below those that the system hands out by itself: one that was found free
 there was taken by another process before its entry listened."""
 
-_handed_out = set()
+_handed_out: set[int] = set()
 
 
-def find_ports(count):
+def find_ports(count: int) -> list[int]:
     """Find free loopback ports that this process has not handed out yet."""
-    found = []
+    found: list[int] = []
     source = random.Random()
     while len(found) < count:
         port = source.choice(PORTS)
@@ -41,7 +42,7 @@
     return found
 
 
-def _is_free(port):
+def _is_free(port: int) -> bool:
     with socket.socket() as one:
         try:
             one.bind(('127.0.0.1', port))
@@ -64,22 +65,22 @@
 class Entry:
     """One entry."""
 
-    popen: subprocess.Popen
+    popen: subprocess.Popen[bytes]
     log: pathlib.Path
     ports: list[int]
     settings: pathlib.Path
     launches: int = 1
 
     @property
-    def callers(self):
+    def callers(self) -> str:
         """Address for callers."""
         return f'127.0.0.1:{self.ports[0]}'
 
-    def read_log(self):
+    def read_log(self) -> list[str]:
         """Return its log lines."""
         return self.log.read_text(errors='replace').splitlines()
 
-    def find_lines(self, event, **fields):
+    def find_lines(self, event: str, **fields: object) -> list[str]:
         """Return the log lines of an event with these fields."""
         wanted = [f'event={event}']
         wanted += [f'{name}={value}' for name, value in fields.items()]
@@ -89,11 +90,11 @@
             if all(one in line.split() for one in wanted)
         ]
 
-    def has_started(self):
+    def has_started(self) -> bool:
         """Tell whether it has said so since it was launched last."""
         return len(self.find_lines('entry_started')) == self.launches
 
-    def is_ready(self):
+    def is_ready(self) -> bool:
         """Ask it whether it is ready."""
         try:
             url = f'http://127.0.0.1:{self.ports[1]}/v1/readiness'
@@ -102,16 +103,17 @@
         except OSError:
             return False
 
-    def look_up(self, domain):
+    def look_up(self, domain: str) -> list[str]:
         """Ask it for addresses as a caller does."""
         url = (
             f'http://127.0.0.1:{self.ports[2]}/v1/lookup'
             f'?name={kv_fleet.HOST}&region=r&zone={domain}'
         )
         with urllib.request.urlopen(url, timeout=2) as answer:
-            return json.load(answer)['addresses']
+            addresses: list[str] = json.load(answer)['addresses']
+        return addresses
 
-    def read_metrics(self):
+    def read_metrics(self) -> dict[str, float]:
         """Return its metrics: values by name with labels."""
         url = f'http://127.0.0.1:{self.ports[4]}/metrics'
         with urllib.request.urlopen(url, timeout=2) as answer:
@@ -119,7 +121,14 @@
         pairs = [one.rsplit(' ', 1) for one in lines if one[:1] != '#']
         return {name: float(value) for name, value in pairs}
 
-    def call(self, method, path, number, key=kv_fleet.KEY, **headers):
+    def call(
+        self,
+        method: str,
+        path: str,
+        number: int | str,
+        key: str = kv_fleet.KEY,
+        **headers: str,
+    ) -> Answer:
         """Send a request and read its whole answer."""
         connection = http.client.HTTPConnection(
             '127.0.0.1', self.ports[0], timeout=15
@@ -149,7 +158,7 @@
 class Deployment:
     """A store, a small fleet and entries."""
 
-    def __init__(self, running):
+    def __init__(self, running: processes.Processes) -> None:
         self._running = running
         self.store = running.start('store', 'standins.kv_store')
         self.store_url = self.store.ready['url']
@@ -157,9 +166,11 @@
         self.fleet = running.start(
             'fleet', 'standins.kv_fleet', '--store', self.store_address
         )
-        self.entries = []
+        self.entries: list[Entry] = []
 
-    def start_entry(self, domain='a', store_address=None):
+    def start_entry(
+        self, domain: str = 'a', store_address: str | None = None
+    ) -> Entry:
         """Start an entry; does not wait for it."""
         ports = find_ports(5)
         name = f'entry-{len(self.entries)}'
@@ -184,12 +195,14 @@
         self.entries.append(entry)
         return entry
 
-    def restart(self, entry):
+    def restart(self, entry: Entry) -> None:
         """Start an entry that has ended, at its addresses."""
         entry.launches += 1
         entry.popen = self._launch('again', entry.settings, entry.log)
 
-    def _launch(self, name, settings, log):
+    def _launch(
+        self, name: str, settings: pathlib.Path, log: pathlib.Path
+    ) -> subprocess.Popen[bytes]:
         with log.open('ab') as output:
             popen = subprocess.Popen(
                 [sys.executable, str(ROOT / 'deploy' / 'thornspoold.py')],
@@ -200,28 +213,31 @@
         self._running.running.append(processes.Process(name, popen, {}, log))
         return popen
 
-    def control(self, **orders):
+    def control(self, **orders: object) -> typing.Any:
         """Give the fleet an order."""
         return _post(f'{self.fleet.ready["url"]}/control', orders)
 
-    def control_store(self, **orders):
+    def control_store(self, **orders: object) -> typing.Any:
         """Give the store an order."""
         return _post(f'{self.store_url}/control', orders)
 
-    def read_fleet(self):
+    def read_fleet(self) -> dict[str, typing.Any]:
         """Return what the fleet ran and holds."""
         url = f'{self.fleet.ready["url"]}/control'
         with urllib.request.urlopen(url, timeout=5) as answer:
-            return json.load(answer)
+            read: dict[str, typing.Any] = json.load(answer)
+        return read
 
 
-def _post(url, document):
+def _post(url: str, document: object) -> typing.Any:
     request = urllib.request.Request(url, json.dumps(document).encode())
     with urllib.request.urlopen(request, timeout=5) as answer:
         return json.load(answer)
 
 
-def wait_until(check, timeout_s=START_TIMEOUT_S):
+def wait_until(
+    check: typing.Callable[[], typing.Any], timeout_s: float = START_TIMEOUT_S
+) -> typing.Any:
     """Wait until a check holds; returns what it returned."""
     end = time.monotonic() + timeout_s
     while time.monotonic() < end:
