--- a/standins/kv_store.py
+++ b/standins/kv_store.py
@@ -30,6 +30,8 @@
 
 _GUARDED = ('op/', 'servers/')
 _PAGE = 500
+_HISTORY = 2_000
+"""Changes that are remembered; a watch from before them gets 410."""
 _SWEEP_S = 0.05
 _MS_PER_S = 1000
 
@@ -75,7 +77,7 @@
         self.counts: collections.Counter[str] = collections.Counter()
         self.items: dict[str, Item] = {}
         self.previous: dict[str, Item] = {}
-        self.history: list[Item] = []
+        self.history: collections.deque[Item] = collections.deque()
         self.dropped = 0
         self.revision = 1
         self.leases: dict[int, tuple[int, int]] = {}
@@ -123,6 +125,8 @@
         for key in deletes:
             if self.items.pop(key, None) is not None:
                 self.history.append(Item(key, None, self.revision, 0, 0))
+        while len(self.history) > _HISTORY:
+            self.dropped = self.history.popleft().revision
         self.changed.set()
         self.changed = asyncio.Event()
         return self.revision
--- a/tests/platform/test_following.py
+++ b/tests/platform/test_following.py
@@ -85,6 +85,14 @@
             await self.store.read_all('')
         self.assertEqual(4, self.store.calls)
 
+    async def test_a_long_history_is_forgotten(self):
+        """A host was away while thousands of changes were written."""
+        first = self.put('k/1', 0)
+        for number in range(2_100):
+            self.put('k/1', number)
+        with self.assertRaises(exceptions.HistoryLost):
+            await self.store.watch('k/', first, 20)
+
     async def test_a_store_that_says_nothing_is_given_up(self):
         """The store takes the call of one host and never answers.
 
