Doubt silence that this entry reads late, count only own evidence

At 25.827 edge-perth-b-2 read five timeouts of reports in the same millisecond, four of them of engines that were sound: its loop had been busy, and libcurl looks at its timers before its sockets. All entries left these four out for 4 s, and runs whose first engine was among them counted as ended, so that their streams might run once more.

Change: a report that is missing proves nothing when the wait was over 50 ms longer than it should be; the engine is asked again. A run counts as ended only where this entry itself had no report or no connection; what others say, or an engine that others wait for, allows no further run.

Tests, seen to fail before: a sound engine suspected after a late wake, and a third run on the word of others.

--- a/src/thornspool/application/routing/beliefs.py
+++ b/src/thornspool/application/routing/beliefs.py
@@ -7,6 +7,7 @@
 import attrs
 import structlog
 
+from thornspool.application.routing import ports
 from thornspool.domain.fleet import paces as paces_module
 from thornspool.domain.fleet import refusals as refusals_module
 from thornspool.domain.freshness import proofs
@@ -59,6 +60,20 @@
 MISDIRECTED = 'misdirected'
 """Reason of a suspicion: the server is not what the list says."""
 
+NO_REPORT = 'no_report'
+"""Reason of a suspicion: the server did not answer a question."""
+
+NOT_REACHED = 'not_reached'
+"""Reason of a suspicion: no connection to the server came about."""
+
+LATE_MS = 50
+"""Lateness of this entry from which the silence of a server proves nothing.
+
+While streams of a lost engine were sent elsewhere, the loop of an entry was
+busy for a moment. The time for four answers had run out before it read them,
+and all entries left four sound engines out for 4 s.
+"""
+
 logger = structlog.get_logger(__name__)
 
 
@@ -248,6 +263,33 @@
         length = MISTAKEN_MS if reason == MISDIRECTED else SUSPECT_MS
         self.suspects[name] = Suspicion(now + length, reason, server.born)
 
+    def note_silence(self, name: str, asked_at: int, now: int) -> None:
+        """Suspect a server that has not answered a question in time.
+
+        Parameters
+        ----------
+        name : str
+            The server.
+        asked_at, now : int
+            When it was asked, and when the wait was over.
+        """
+        if now - asked_at > ports.REPORT_MS + LATE_MS:
+            logger.info('silence_doubted', server=name, waited=now - asked_at)
+            return
+        self.suspect(name, NO_REPORT, now)
+
+    def is_lost(self, name: str) -> bool:
+        """Tell whether this entry itself has seen that a server is gone.
+
+        Others may be mistaken, and a server that only waits for another one
+        has not ended.
+        """
+        suspicion = self.suspects.get(name)
+        return suspicion is not None and suspicion.reason in {
+            NO_REPORT,
+            NOT_REACHED,
+        }
+
     def _may_suspect(self) -> bool:
         allowed = max(MIN_SUSPECTS, MAX_SUSPECT_SHARE * len(self.servers))
         return len(self.suspects) < allowed
--- a/src/thornspool/application/routing/calls.py
+++ b/src/thornspool/application/routing/calls.py
@@ -14,6 +14,7 @@
 import attrs
 import structlog
 
+from thornspool.application.routing import beliefs as beliefs_module
 from thornspool.application.routing import listeners
 from thornspool.application.routing import ports
 from thornspool.domain.fleet import standing
@@ -23,7 +24,6 @@
     import random
 
     from thornspool import clock as clock_module
-    from thornspool.application.routing import beliefs as beliefs_module
     from thornspool.application.routing import exchanges
     from thornspool.application.routing import repeats
     from thornspool.domain.fleet import messages as fleet
@@ -206,7 +206,9 @@
             exchange.runs -= 1
             if call.server is not None:
                 self._beliefs.suspect(
-                    call.server.id, 'not_reached', self._clock.now()
+                    call.server.id,
+                    beliefs_module.NOT_REACHED,
+                    self._clock.now(),
                 )
             self._again(call, 'not_reached', True)
         elif head is not None and not head.ran:
--- a/src/thornspool/application/routing/detection.py
+++ b/src/thornspool/application/routing/detection.py
@@ -249,10 +249,11 @@
 
     async def _ask(self, server: fleet.Server) -> None:
         """Ask an engine which of its requests wait for whom."""
+        asked_at = self._clock.now()
         report = await self._servers.ask_report(server)
         now = self._clock.now()
         if report is None:
-            self._beliefs.suspect(server.id, 'no_report', now)
+            self._beliefs.note_silence(server.id, asked_at, now)
             return
         self._note_pace(server, report.slowness, now)
         for one in report.stalled:
--- a/src/thornspool/application/routing/placement.py
+++ b/src/thornspool/application/routing/placement.py
@@ -263,9 +263,10 @@
 
     async def _ask_count(self, server: fleet.Server) -> int | None:
         """Ask an engine how many orders it has begun, and remember it."""
+        asked_at = self._clock.now()
         report = await self._servers.ask_report(server)
         if report is None:
-            self._beliefs.suspect(server.id, 'no_report', self._clock.now())
+            self._beliefs.note_silence(server.id, asked_at, self._clock.now())
             return None
         if None not in {server.born, report.born} and (
             server.born != report.born
--- a/src/thornspool/application/routing/ports.py
+++ b/src/thornspool/application/routing/ports.py
@@ -191,6 +191,10 @@
     address: str
 
 
+REPORT_MS = 350
+"""Longest wait for a report; a sound engine tells it within some 10 ms."""
+
+
 @attrs.frozen
 class Report:
     """State of an engine as it tells it when asked.
--- a/src/thornspool/application/routing/streams.py
+++ b/src/thornspool/application/routing/streams.py
@@ -282,7 +282,7 @@
         first = flight.first_server
         if ending is ports.Ending.NOT_SENT:
             exchange.runs -= 1
-            self._blame(first, 'not_reached')
+            self._blame(first, beliefs_module.NOT_REACHED)
             self._again(flight, 'not_reached')
         elif head is not None and not head.ran:
             exchange.runs -= 1
@@ -370,7 +370,7 @@
         engine that only waits for another one does.
         """
         first = flight.first_server
-        return first is not None and first.id in self._beliefs.suspects
+        return first is not None and self._beliefs.is_lost(first.id)
 
     def _may_send_again(self, flight: flights.Flight) -> bool:
         """Tell whether a request that did not run may be sent again."""
--- a/src/thornspool/platform/engines.py
+++ b/src/thornspool/platform/engines.py
@@ -24,9 +24,6 @@
 is later than another server's answer.
 """
 
-REPORT_MS = 350
-"""Longest wait for a report; a sound engine tells it within some 10 ms."""
-
 ORDER_MS = 1_000
 """Longest wait for the answer to an order."""
 
@@ -164,8 +161,8 @@
         """Ask an engine for its state."""
         request = transfers.Request(
             f'http://{server.address}/v1/report',
-            connect_ms=REPORT_MS,
-            total_ms=REPORT_MS,
+            connect_ms=ports.REPORT_MS,
+            total_ms=ports.REPORT_MS,
         )
         try:
             answer = await self._session.fetch(request)
--- a/tests/application/routing/test_detection.py
+++ b/tests/application/routing/test_detection.py
@@ -228,6 +228,45 @@
         self.assertIn(self.middle.id, self.servers.asked)
         self.assertEqual({}, self.world.beliefs.suspects)
 
+    async def test_an_answer_that_this_entry_reads_late_blames_nobody(self):
+        """Many streams are sent elsewhere at once, and the loop is busy.
+
+        The time for answers that lie in the sockets has run out when it
+        looks. All entries left four sound engines out for 4 s.
+        """
+        del self.servers.reports[self.first.id]
+        answer = self.servers.ask_report
+
+        async def ask_late(server):
+            self.world.clock.advance(ports.REPORT_MS + 100)
+            return await answer(server)
+
+        self.servers.ask_report = ask_late
+        await self.pass_time(700)
+        self.assertIn(self.first.id, self.servers.asked)
+        self.assertNotIn(self.first.id, self.world.beliefs.suspects)
+
+    async def test_the_word_of_others_allows_no_further_run(self):
+        """Another entry is mistaken about the first engines of two paths.
+
+        Their runs had not ended, and streams ran on three engines of two
+        that their route allows.
+        """
+        third = fleet_builders.build_engine('a-8', 'large', 0, 27)
+        self.world.add(third)
+        self.servers.reports[third.id] = self.servers.reports[self.first.id]
+        for _ in range(2):
+            (flight,) = self.world.streams.flights
+            self.servers.last.begin()
+            self.world.beliefs.suspect(
+                flight.first_server.id,
+                'told_by_one',
+                self.world.clock.now(),
+                told=True,
+            )
+            await self.pass_time(900)
+        self.assertEqual(2, len(self.servers.runs))
+
     async def test_questions_about_paces_are_bounded(self):
         """Every stream of every entry is late.
 
