--- a/src/thornspool/domain/placement/planning.py
+++ b/src/thornspool/domain/placement/planning.py
@@ -36,7 +36,7 @@
 
 What an engine gives up waits 3 to 8 s for the requests that pass through it.
 With six at once in each of four domains, 26 of 90 engines moved together, and
-a third of the requests was late for 10 s.
+a third of the requests was late for 6 s.
 """
 
 BALANCED_SHARE = 0.75
--- a/tests/domain/placement/test_planning.py
+++ b/tests/domain/placement/test_planning.py
@@ -278,7 +278,7 @@
         """Engines were lost in all domains, and the holes were closed.
 
         When all domains went back to their best layout together, a quarter
-        of all engines moved, and requests were late for 10 s.
+        of all engines moved, and requests were late for 6 s.
         """
         left = self.lose_one_each()
         for _ in range(40):
