Tell how streams spend their time, and which requests were lost and why

The end of a request now has the time it waited for a path, what delayed its first event, its longest pause and what happened in it. thornspool losses counts them by window, route and cause in bounded memory.

--- a/src/thornspool/application/routing/exchanges.py
+++ b/src/thornspool/application/routing/exchanges.py
@@ -7,6 +7,8 @@
 import attrs
 import structlog
 
+from thornspool.domain.fleet import timings
+
 if typing.TYPE_CHECKING:
     from collections.abc import Callable
     from collections.abc import Iterable
@@ -59,6 +61,8 @@
         When the first part of the answer came.
     path : str
         Servers of the last send, for the log.
+    timing : timings.StreamTiming
+        Waits and pauses of a stream.
     """
 
     inquiry: ports.Inquiry
@@ -75,6 +79,7 @@
     note: str = ''
     first_event_at: int | None = None
     path: str = ''
+    timing: timings.StreamTiming = attrs.field(factory=timings.StreamTiming)
     _avoided: dict[str, int] = attrs.field(factory=dict)
 
     @property
--- a/src/thornspool/application/routing/intake.py
+++ b/src/thornspool/application/routing/intake.py
@@ -19,6 +19,7 @@
     from thornspool.application.routing import beliefs as beliefs_module
     from thornspool.application.routing import calls
     from thornspool.application.routing import ports
+    from thornspool.domain.fleet import timings
 
 NOT_READY_RETRY_MS = 700
 """Retry-After of an entry that can't serve yet; it reads its configuration
@@ -137,7 +138,7 @@
         logger.info(
             'request_refused',
             id=inquiry.id,
-            host=inquiry.host,
+            asked_host=inquiry.host,
             path=inquiry.path,
             status=status,
             reason=reason,
@@ -167,6 +168,7 @@
             path=exchange.path,
             first_ms=None if first is None else first - inquiry.arrived_at,
             took_ms=now - inquiry.arrived_at,
+            **describe_timing(exchange.timing),
         )
         self._metrics.count_request(
             exchange.route.kind.value,
@@ -176,3 +178,15 @@
         )
         if first is not None:
             self._metrics.observe_first_token('', first - inquiry.arrived_at)
+
+
+def describe_timing(timing: timings.StreamTiming) -> dict[str, typing.Any]:
+    """Describe the waits and pauses of a stream for the log."""
+    if not timing.first_cause:
+        return {'waited_ms': timing.waited_ms} if timing.waited_ms else {}
+    return {
+        'waited_ms': timing.waited_ms,
+        'first_cause': timing.first_cause,
+        'pause_ms': timing.longest_pause_ms,
+        'pause_cause': timing.pause_cause,
+    }
--- a/src/thornspool/application/routing/streams.py
+++ b/src/thornspool/application/routing/streams.py
@@ -156,10 +156,14 @@
     ) -> None:
         waited = self._clock.now() - flight.exchange.inquiry.arrived_at
         if self._may_wait(flight, lack, waited):
-            self._waiting.append(flight)
+            self._await_path(flight)
             return
         self._give_up(flight, lack.value, self._random.randint(*COMES_BACK_MS))
 
+    def _await_path(self, flight: flights.Flight) -> None:
+        flight.exchange.timing.note_wait(self._clock.now())
+        self._waiting.append(flight)
+
     def _take_repeat(self, flight: flights.Flight) -> bool:
         exchange = flight.exchange
         return self._budget.take(exchange.service, exchange.begun)
@@ -172,7 +176,7 @@
         """
         exchange = flight.exchange
         if exchange.begun and self._may_wait_on(flight):
-            self._waiting.append(flight)
+            self._await_path(flight)
             return
         self._give_up(
             flight,
@@ -221,6 +225,7 @@
         now = self._clock.now()
         exchange.sends += 1
         exchange.runs += 1
+        exchange.timing.note_send(now)
         flight.owes_repeat = False
         flight.hops = hops
         flight.active_at = now
@@ -270,6 +275,7 @@
         whole = flight.events.take(chunk)
         if whole:
             flight.active_at = now
+            exchange.timing.note_event(now)
             if exchange.first_event_at is None:
                 exchange.first_event_at = now
             exchange.reply.write(whole)
@@ -389,6 +395,7 @@
             self.may_run_again(flight) if ran else self._may_send_again(flight)
         )
         exchange.note = reason
+        exchange.timing.note_disturbance(reason)
         if allowed:
             logger.info(
                 'run_repeated',
@@ -433,6 +440,7 @@
         self, flight: flights.Flight, hops: tuple[search.Hop, ...]
     ) -> None:
         """Note that a running request goes on over another path."""
+        flight.exchange.timing.note_disturbance('path_changed')
         self._taken.free(flight.hops, flight.need.tokens)
         flight.hops = hops
         flight.exchange.path = search.describe_path(hops)
--- a/src/thornspool/console/application.py
+++ b/src/thornspool/console/application.py
@@ -13,6 +13,7 @@
 from thornspool.console.commands import entries
 from thornspool.console.commands import explain
 from thornspool.console.commands import history
+from thornspool.console.commands import losses
 from thornspool.console.commands import publish
 from thornspool.console.commands import report
 from thornspool.console.commands import schema
@@ -30,6 +31,7 @@
     action.COMMAND,
     history.COMMAND,
     explain.COMMAND,
+    losses.COMMAND,
     report.COMMAND,
     schema.COMMAND,
 )
--- a/src/thornspool/console/commands/explain.py
+++ b/src/thornspool/console/commands/explain.py
@@ -9,13 +9,13 @@
 
 import collections
 import pathlib
-import sys
 import typing
 
 import attrs
 
 from thornspool.console import base
 from thornspool.console import exceptions
+from thornspool.console import logs
 
 if typing.TYPE_CHECKING:
     import argparse
@@ -46,51 +46,18 @@
 BEFORE_S = 5
 """Seconds before the request's end in which a change may explain it."""
 
-_HIDDEN = frozenset({'timestamp', 'level', 'event', 'host', 'id'})
-
-
-@attrs.frozen
-class Line:
-    """One line of a log.
-
-    Attributes
-    ----------
-    time : str
-        When it was written, ISO 8601 in UTC; such texts sort by time.
-    fields : dict of str to str
-        All its fields.
-    """
-
-    time: str
-    fields: dict[str, str]
-
-    @property
-    def event(self) -> str:
-        """What it tells of."""
-        return self.fields.get('event', '')
-
-    def describe(self) -> str:
-        """Return it for a reader."""
-        rest = ' '.join(
-            f'{name}={value}'
-            for name, value in self.fields.items()
-            if name not in _HIDDEN and value
-        )
-        host = self.fields.get('host', '?')
-        return f'{self.time} {host} {self.event} {rest}'.rstrip()
-
 
 @attrs.define
 class Story:
     """What the logs tell of one request."""
 
-    lines: list[Line] = attrs.field(factory=list)
-    changes: collections.deque[Line] = attrs.field(
+    lines: list[logs.Line] = attrs.field(factory=list)
+    changes: collections.deque[logs.Line] = attrs.field(
         factory=lambda: collections.deque(maxlen=MAX_CHANGES)
     )
     left_out: int = 0
 
-    def add(self, line: Line, request: str) -> None:
+    def add(self, line: logs.Line, request: str) -> None:
         """Keep a line if it belongs to the story."""
         if line.fields.get('id') == request:
             if len(self.lines) < MAX_LINES:
@@ -100,7 +67,7 @@
         elif line.event in CHANGES:
             self.changes.append(line)
 
-    def find_causes(self) -> list[Line]:
+    def find_causes(self) -> list[logs.Line]:
         """Return the changes that touch the request's servers and hosts."""
         if not self.lines:
             return []
@@ -133,7 +100,7 @@
         return 0.0
 
 
-def _touches(line: Line, paths: str, hosts: set[str | None]) -> bool:
+def _touches(line: logs.Line, paths: str, hosts: set[str | None]) -> bool:
     server = line.fields.get('server', '')
     if server:
         return server in paths
@@ -142,53 +109,11 @@
     )
 
 
-def parse_line(text: str) -> Line | None:
-    """Parse a line of key=value pairs; None for other text.
-
-    Text before the first pair, such as a collector's own prefix, is passed
-    over.
-    """
-    start = text.find('timestamp=')
-    fields = dict(
-        _split_pairs(text[start:].rstrip('\n') if start >= 0 else '')
-    )
-    if 'event' not in fields:
-        return None
-    return Line(fields.get('timestamp', ''), fields)
-
-
-def _split_pairs(text: str) -> Iterator[tuple[str, str]]:
-    at = 0
-    while at < len(text):
-        name, equals, _ = text[at:].partition('=')
-        if not equals:
-            return
-        at += len(name) + 1
-        value, at = _read_value(text, at)
-        yield name.strip(), value
-
-
-def _read_value(text: str, at: int) -> tuple[str, int]:
-    """Read a value, quoted or not; returns it and where the next begins."""
-    if not text.startswith('"', at):
-        end = text.find(' ', at)
-        end = len(text) if end < 0 else end
-        return text[at:end], end + 1
-    value = []
-    at += 1
-    while at < len(text) and text[at] != '"':
-        if text[at] == '\\' and at + 1 < len(text):
-            at += 1
-        value.append(text[at])
-        at += 1
-    return ''.join(value), at + 2
-
-
 def tell(lines: Iterable[str], request: str) -> Story:
     """Read lines and keep the story of a request."""
     story = Story()
     for text in lines:
-        line = parse_line(text)
+        line = logs.parse_line(text)
         if line is not None:
             story.add(line, request)
     return story
@@ -209,7 +134,7 @@
     options: argparse.Namespace, console: base.Console
 ) -> exceptions.ExitCode:
     try:
-        story = tell(_read_lines(options.logs), options.request)
+        story = tell(logs.read_lines(options.logs), options.request)
     except OSError as error:
         console.write_error(f'{error.filename}: {error.strerror}.')
         return exceptions.ExitCode.USAGE
@@ -230,17 +155,8 @@
     return exceptions.ExitCode.OK
 
 
-def _read_lines(paths: list[pathlib.Path]) -> Iterator[str]:
-    if not paths:
-        yield from sys.stdin
-        return
-    for path in paths:
-        with path.open(errors='replace') as lines:
-            yield from lines
-
-
 def _format(
-    ordered: list[Line], causes: list[Line], left_out: int
+    ordered: list[logs.Line], causes: list[logs.Line], left_out: int
 ) -> Iterator[str]:
     yield 'The request:'
     yield from (f'  {one.describe()}' for one in ordered)
--- a/tests/console/test_explain.py
+++ b/tests/console/test_explain.py
@@ -10,6 +10,7 @@
 
 from thornspool.console import application
 from thornspool.console import base
+from thornspool.console import logs
 from thornspool.console.commands import explain
 
 REQUEST = 'b7e1d786827065e8'
@@ -103,7 +104,7 @@
         self.assertEqual(explain.MAX_CHANGES, len(story.changes))
 
     def test_quoted_values_are_read(self):
-        line = explain.parse_line(
+        line = logs.parse_line(
             'x timestamp=1 event=a reason="say \\"no\\" = b" host=h'
         )
         self.assertEqual('say "no" = b', line.fields['reason'])
--- /dev/null
+++ b/tests/console/test_losses.py
@@ -0,0 +1,132 @@
+"""Tests of the command that tells which requests were lost or late."""
+
+from __future__ import annotations
+
+import io
+import json
+import pathlib
+import tempfile
+import unittest
+
+from thornspool.console import application
+from thornspool.console import base
+from thornspool.console import exceptions
+from thornspool.console.commands import losses
+
+
+def build_line(number=1, second=1, **fields):
+    """Build the line that tells the end of a request."""
+    values = {
+        'level': 'info',
+        'event': 'request_ended',
+        'id': f'request-{number}',
+        'route': 'r-1',
+        'outcome': 'served',
+        'reason': '',
+        'path': '"a:i-1=0-40,i-2=40-80"',
+        'first_ms': 50,
+        'pause_ms': 40,
+        'first_cause': 'engines',
+        'pause_cause': 'engines',
+        'host': 'host-1',
+    }
+    values.update(fields)
+    pairs = ' '.join(f'{name}={value}' for name, value in values.items())
+    return f'timestamp=2026-01-01T10:00:{second:02}.5Z {pairs}\n'
+
+
+def read(*lines):
+    found = losses.Losses(losses.Aims())
+    for line in lines:
+        found.add(line)
+    return found
+
+
+class LossesTest(unittest.TestCase):
+    def test_names_why_a_request_was_late_or_lost(self):
+        cases = (
+            ({}, ''),
+            ({'pause_ms': 200}, ''),
+            (
+                {'pause_ms': 201, 'pause_cause': 'engine_lost'},
+                'long pause: engine_lost',
+            ),
+            (
+                {'first_ms': 501, 'first_cause': 'waited_for_room'},
+                'late first event: waited_for_room',
+            ),
+            ({'outcome': 'caller_left'}, 'caller_left'),
+            (
+                {'outcome': 'refused_503', 'reason': 'no_room'},
+                'refused_503: no_room',
+            ),
+            ({'first_ms': None}, ''),
+        )
+        for fields, cause in cases:
+            with self.subTest(fields):
+                found = read(build_line(**fields))
+                expected = [(cause, 1)] if cause else []
+                self.assertEqual(expected, found.count_causes())
+
+    def test_groups_by_window_route_and_cause(self):
+        lines = [
+            build_line(number, second, outcome='cut', reason='broken')
+            for number, second in enumerate((0, 1, 1, 1, 2))
+        ]
+        groups = read(*lines).groups
+        first = groups['2026-01-01T10:00:00', 'r-1', 'cut: broken']
+        self.assertEqual(4, first.count)
+        self.assertEqual(losses.MAX_IDS, len(first.ids))
+        self.assertEqual({'host-1'}, first.hosts)
+        self.assertEqual({'i-1': 4, 'i-2': 4}, dict(first.servers))
+        self.assertEqual(2, len(groups))
+
+    def test_memory_is_bounded(self):
+        """Guards against logs whose routes never repeat."""
+        found = losses.Losses(losses.Aims())
+        for number in range(losses.MAX_GROUPS + 5):
+            found.add(build_line(route=f'r-{number}', outcome='cut'))
+        self.assertEqual(losses.MAX_GROUPS, len(found.groups))
+        self.assertEqual(5, found.left_out)
+
+    def test_lines_that_are_none_of_a_log_are_counted(self):
+        found = read('some other text\n', '\n', build_line())
+        self.assertEqual((1, 1), (found.unreadable, found.ended))
+
+
+class CommandTest(unittest.TestCase):
+    def run_on(self, text, *options):
+        output, errors = io.StringIO(), io.StringIO()
+        with tempfile.TemporaryDirectory() as folder:
+            path = pathlib.Path(folder, 'host.log')
+            path.write_text(text)
+            code = application.main(
+                ['losses', *options, str(path)],
+                base.Console(output, errors, '--json' in options),
+            )
+        return code, output.getvalue(), errors.getvalue()
+
+    def test_tells_causes(self):
+        code, output, _ = self.run_on(build_line(pause_ms=900))
+        self.assertEqual(exceptions.ExitCode.OK, code)
+        self.assertIn('1 of 1 requests', output)
+        self.assertIn('long pause: engines', output)
+
+    def test_tells_them_to_tools(self):
+        code, output, _ = self.run_on(build_line(pause_ms=900), '--json')
+        self.assertEqual(exceptions.ExitCode.OK, code)
+        read_back = json.loads(output)
+        self.assertEqual({'long pause: engines': 1}, read_back['causes'])
+
+    def test_logs_without_requests_are_a_problem(self):
+        code, _, errors = self.run_on('not a log\n')
+        self.assertEqual(exceptions.ExitCode.PROBLEM, code)
+        self.assertIn('1 lines could not be read', errors)
+
+    def test_a_missing_file_is_told(self):
+        output, errors = io.StringIO(), io.StringIO()
+        code = application.main(
+            ['losses', 'no-such.log'], base.Console(output, errors)
+        )
+        self.assertEqual(exceptions.ExitCode.USAGE, code)
+        self.assertIn('no-such.log', errors.getvalue())
