--- a/src/thornspool/application/routing/beliefs.py
+++ b/src/thornspool/application/routing/beliefs.py
@@ -8,6 +8,8 @@
 import structlog
 
 from thornspool.application.routing import ports
+from thornspool.domain.fleet import marks
+from thornspool.domain.fleet import outliers as outliers_module
 from thornspool.domain.fleet import paces as paces_module
 from thornspool.domain.fleet import refusals as refusals_module
 from thornspool.domain.freshness import proofs
@@ -67,12 +69,8 @@
 """Reason of a suspicion: no connection to the server came about."""
 
 LATE_MS = 50
-"""Lateness of this entry from which the silence of a server proves nothing.
-
-While streams of a lost engine were sent elsewhere, the loop of an entry was
-busy for a moment. The time for four answers had run out before it read them,
-and all entries left four sound engines out for 4 s.
-"""
+"""Lateness of this entry from which the silence of a server proves nothing:
+the answer may lie unread while its loop is busy."""
 
 logger = structlog.get_logger(__name__)
 
@@ -108,6 +106,9 @@
     refusals: refusals_module.Refusals = attrs.field(
         factory=refusals_module.Refusals
     )
+    outliers: outliers_module.Outliers = attrs.field(
+        factory=outliers_module.Outliers
+    )
     proof: proofs.Proof = attrs.field(factory=proofs.Proof)
     servers_changed_at: int = 0
     revision: int = 0
@@ -211,8 +212,7 @@
     def forget_left(self, now: int) -> None:
         """Forget what no longer counts: servers, suspicions, paces."""
         if self.lapsed and not self.is_settling(now):
-            # They had their time to come back. Used on as servers are that
-            # leave without a word, four of them refused 160 runs in a second.
+            # They had their time to come back, and refuse every run now.
             lapsed, self.lapsed = self.lapsed, set()
             for name in lapsed:
                 self._drop(name, now)
@@ -224,6 +224,7 @@
                 del self.suspects[name]
         self.paces.forget_old(now)
         self.refusals.forget_old(now)
+        self.outliers.forget_old(now)
 
     def _drop(self, name: str, now: int) -> None:
         """Forget a server that is gone."""
@@ -263,7 +264,13 @@
         length = MISTAKEN_MS if reason == MISDIRECTED else SUSPECT_MS
         self.suspects[name] = Suspicion(now + length, reason, server.born)
 
-    def note_silence(self, name: str, asked_at: int, now: int) -> None:
+    def note_silence(
+        self,
+        name: str,
+        asked_at: int,
+        now: int,
+        wait_ms: int = ports.REPORT_MS,
+    ) -> None:
         """Suspect a server that has not answered a question in time.
 
         Parameters
@@ -272,12 +279,64 @@
             The server.
         asked_at, now : int
             When it was asked, and when the wait was over.
+        wait_ms : int, optional
+            Time that it was given.
         """
-        if now - asked_at > ports.REPORT_MS + LATE_MS:
+        if now - asked_at > wait_ms + LATE_MS:
             logger.info('silence_doubted', server=name, waited=now - asked_at)
             return
         self.suspect(name, NO_REPORT, now)
 
+    def note_broken_run(self, name: str, now: int) -> None:
+        """Note that an engine closed a connection before any answer.
+
+        Its health may be good all the while. It is asked whether it lives,
+        and left out by all entries once it has broken enough runs.
+        """
+        self.doubted.add(name)
+        if not self.outliers.note_break(name, now):
+            logger.info('break_doubted', server=name)
+            return
+        if self._may_eject(name, now) and self.refusals.note(
+            name, now, refusals_module.MAX_EJECTED_MS
+        ):
+            logger.warning('server_ejected', server=name)
+
+    def take_breaks(
+        self, host: str, told: typing.Iterable[int], now: int
+    ) -> None:
+        """Take what a peer tells of engines that break runs."""
+        new = self.outliers.note_told(host, told, now)
+        if not new:
+            return
+        for name in self.servers:
+            if marks.compute_mark(name) in new and self._may_eject(name, now):
+                self.take_refusals((marks.compute_mark(name),), now, False)
+
+    def _may_eject(self, name: str, now: int) -> bool:
+        """Tell whether an engine is an outlier, and enough others are left."""
+        mark = marks.compute_mark(name)
+        if not self.outliers.is_outlier(mark, now) and not (
+            self.outliers.has_broken(mark)
+            and self.refusals.is_on_trial(name, now)
+        ):
+            return False
+        allowed = outliers_module.MAX_EJECTED_SHARE * len(self.servers)
+        if self.refusals.count_left_out(now) < allowed:
+            return True
+        logger.warning('ejection_dropped', server=name)
+        return False
+
+    def take_refusals(
+        self, told: typing.Iterable[int], now: int, direct: bool
+    ) -> None:
+        """Take what a peer tells of engines that are left out."""
+        for mark in told:
+            longest = refusals_module.MAX_MS
+            if self.outliers.has_broken(mark):
+                longest = refusals_module.MAX_EJECTED_MS
+            self.refusals.note_told((mark,), now, direct, longest)
+
     def is_lost(self, name: str) -> bool:
         """Tell whether this entry itself has seen that a server is gone.
 
@@ -299,8 +358,7 @@
         if server.id in self.suspects:
             return False
         if server.draining and server.kind:
-            # Engines that drain refuse new work at once: of 1,731 refused
-            # runs on a day with 7 of them, one in five was sent there.
+            # Engines that drain refuse new work at once.
             return False
         since = self.leaving.get(server.id)
         return since is None or now - since <= LEAVING_USE_MS
--- a/src/thornspool/application/routing/detection.py
+++ b/src/thornspool/application/routing/detection.py
@@ -18,6 +18,7 @@
 from thornspool.application.routing import ports
 from thornspool.domain.fleet import paces
 from thornspool.domain.paths import choice
+from thornspool.domain.paths import silence
 
 if typing.TYPE_CHECKING:
     from collections.abc import Callable
@@ -30,6 +31,10 @@
     from thornspool.domain.fleet import messages as fleet
     from thornspool.domain.paths import search
 
+_Ask = typing.Callable[
+    ['fleet.Server'], typing.Coroutine[typing.Any, typing.Any, None]
+]
+
 FIRST_EVENT_MS = 450
 """Silence before the first event after which its engine is asked.
 
@@ -57,8 +62,7 @@
 """Questions about paces that may be asked at once: the engines of one path.
 
 They come back at a rate at which all entries together ask each engine once a
-second. Without a bound 82 entries asked 98 engines 764 times a second while
-a few of these were slow.
+second.
 """
 
 RECHECK_MS = (1_500, 3_000)
@@ -73,6 +77,18 @@
 
 _MS_PER_S = 1000.0
 
+LOSS_REPORT_MS = 80
+"""Longest wait for the report of an engine that silent streams share; a
+sound one answers within some 10 ms."""
+
+LOSS_QUESTIONS = 2
+"""Questions in a row without an answer that prove an engine lost; a lost
+packet takes one."""
+
+LATE_LOOK_MS = 75
+"""Lateness of a look from which silence proves nothing: what came meanwhile
+is not read yet."""
+
 FROZEN_MS = 500
 """Lateness of its own work after which an entry distrusts what it timed."""
 
@@ -118,6 +134,7 @@
         self._questions = MAX_QUESTIONS
         self._budget_at = clock.now()
         self._worked_at = clock.now()
+        self._looked_at = clock.now()
 
     def work(self) -> None:
         """Look for streams that pause; run every 100 ms or so."""
@@ -139,6 +156,36 @@
         self._check_paces(now)
         self._recheck_slow(now)
 
+    def look(self) -> None:
+        """Look for streams that fall silent together; run every few ms."""
+        now = self._clock.now()
+        late = now - self._looked_at
+        self._looked_at = now
+        if late > LATE_LOOK_MS:
+            return
+        running = [
+            one
+            for one in self._service.flights
+            if one.stop is not None and not one.mending
+        ]
+        if self._beliefs.suspects:
+            for flight in running:
+                self._leaves_suspect(flight)
+        shared = silence.find_shared(
+            (
+                ([hop.server.id for hop in one.hops], now - one.active_at)
+                for one in running
+                if one.stop is not None and one.events.count
+            ),
+            self._service.usual_pause.compute_bound(),
+        )
+        for name in shared:
+            server = self._beliefs.servers.get(name)
+            if server is None or name in self._beliefs.suspects:
+                continue
+            if not self._ask_within_budget(server, now, self._ask_quickly):
+                return
+
     def _check_refusals(self, now: int) -> None:
         """Ask engines that have refused work whether they live.
 
@@ -168,7 +215,7 @@
         if first is None or now - flight.asked_at < ASK_AGAIN_MS:
             return
         flight.asked_at = now
-        self._ask_pace(first, now)
+        self._ask_pace(first, now, self._ask)
 
     def _check_paces(self, now: int) -> None:
         """Ask the engines of late streams how fast they work.
@@ -192,7 +239,9 @@
         begun = flight.events.count > 0
         return quiet >= (LATE_PAUSE_MS if begun else LATE_FIRST_MS)
 
-    def _ask_within_budget(self, server: fleet.Server, now: int) -> bool:
+    def _ask_within_budget(
+        self, server: fleet.Server, now: int, ask: _Ask | None = None
+    ) -> bool:
         """Ask an engine; False when this entry has asked enough for now."""
         rate = max(1.0, len(self._beliefs.servers) / self._count_entries())
         passed_s = (now - self._budget_at) / _MS_PER_S
@@ -200,7 +249,7 @@
         self._questions = min(MAX_QUESTIONS, self._questions + rate * passed_s)
         if self._questions < 1.0:
             return False
-        if self._ask_pace(server, now):
+        if self._ask_pace(server, now, ask or self._ask):
             self._questions -= 1.0
         return True
 
@@ -212,7 +261,7 @@
             if not self._beliefs.paces.is_fresh(name, now, age_ms):
                 self._ask_within_budget(self._beliefs.servers[name], now)
 
-    def _ask_pace(self, server: fleet.Server, now: int) -> bool:
+    def _ask_pace(self, server: fleet.Server, now: int, ask: _Ask) -> bool:
         # Engines come and go with new names; those asked long ago are dropped.
         self._asked_at = {
             name: at
@@ -222,7 +271,7 @@
         if server.id in self._asked_at:
             return False
         self._asked_at[server.id] = now
-        self._run(self._ask(server))
+        self._run(ask(server))
         return True
 
     def _leaves_suspect(self, flight: flights.Flight) -> bool:
@@ -234,10 +283,11 @@
         ]
         if not suspected:
             return False
-        if self._clock.now() - flight.active_at < PAUSE_MS // 2:
+        quiet = self._clock.now() - flight.active_at
+        if quiet < self._service.usual_pause.compute_bound():
             # It still moves: the suspicion may be wrong.
             return False
-        self._run(self._mend(flight, suspected))
+        self._mend(flight, suspected)
         return True
 
     def _run(
@@ -251,10 +301,32 @@
         """Ask an engine which of its requests wait for whom."""
         asked_at = self._clock.now()
         report = await self._servers.ask_report(server)
-        now = self._clock.now()
         if report is None:
-            self._beliefs.note_silence(server.id, asked_at, now)
+            self._beliefs.note_silence(server.id, asked_at, self._clock.now())
             return
+        self._take_report(server, report)
+
+    async def _ask_quickly(self, server: fleet.Server) -> None:
+        """Ask an engine that may be lost whether it lives.
+
+        One that refuses the connection is gone; one that is silent gets a
+        second question.
+        """
+        for left in reversed(range(LOSS_QUESTIONS)):
+            asked_at = self._clock.now()
+            report = await self._servers.ask_report(server, LOSS_REPORT_MS)
+            if report is not None:
+                self._take_report(server, report)
+                return
+            now = self._clock.now()
+            if not left or now - asked_at < LOSS_REPORT_MS // 2:
+                self._beliefs.note_silence(
+                    server.id, asked_at, now, LOSS_REPORT_MS
+                )
+                return
+
+    def _take_report(self, server: fleet.Server, report: ports.Report) -> None:
+        now = self._clock.now()
         self._note_pace(server, report.slowness, now)
         for one in report.stalled:
             blamed = self._beliefs.find_by_address(one.address)
@@ -276,15 +348,12 @@
                 pace=round(factor, 1),
             )
 
-    async def _mend(
-        self, flight: flights.Flight, suspected: list[str]
-    ) -> None:
+    def _mend(self, flight: flights.Flight, suspected: list[str]) -> None:
         """Let a stream go on without the engines that are suspected.
 
-        A new run behind the last whole event reads its prompt again, some
-        60 ms; a new path for the old run moves the activations of all its
-        tokens once more, 1.2 GB a usual request. So the second is for
-        streams that may not run again.
+        A new run behind the last whole event reads its prompt again; a new
+        path for the old run moves the activations of all its tokens once
+        more. So the second is for streams that may not run again.
         """
         now = self._clock.now()
         flight.exchange.avoid(suspected, now)
@@ -296,6 +365,9 @@
             return
         flight.moved_at = now
         flight.mending = True
+        self._run(self._change_path(flight))
+
+    async def _change_path(self, flight: flights.Flight) -> None:
         try:
             await self._repath(flight)
         finally:
--- a/src/thornspool/application/routing/exchanges.py
+++ b/src/thornspool/application/routing/exchanges.py
@@ -20,8 +20,7 @@
 """Time for which a server that refused or broke a request is left out for it.
 
 A request that comes back to the same engine within milliseconds is refused
-again: one refusal cost six repeats of the budget of all. A list that lags
-is right again after half a second.
+again. A list that lags is right again after half a second.
 """
 
 logger = structlog.get_logger(__name__)
--- a/src/thornspool/application/routing/flights.py
+++ b/src/thornspool/application/routing/flights.py
@@ -36,6 +36,8 @@
         When its first engine was last asked about it.
     moved_at : int or None
         When its engine was last ordered to use another path.
+    reading_tokens : float
+        Tokens that its engines have still to read; 0 once events come.
     owes_repeat : bool
         Whether its next send counts as a repeat.
     may_cross : bool or None
@@ -56,6 +58,7 @@
     head: ports.Head | None = None
     body: bytearray = attrs.field(factory=bytearray)
     lost_runs: int = 0
+    reading_tokens: float = 0.0
     owes_repeat: bool = False
     may_cross: bool | None = None
 
--- a/src/thornspool/application/routing/membership.py
+++ b/src/thornspool/application/routing/membership.py
@@ -20,8 +20,7 @@
     from thornspool.domain.paths import reservations
 
 GROUP_TURNS = 2
-"""Turns of which a fleet with collectors uses one: news every 400 ms, some
-1.5 kB/s for an entry of a domain with 98 engines."""
+"""Turns of which a fleet with collectors uses one: news every 400 ms."""
 
 UNKNOWN_COLLECTORS = 3
 """Entries of another failure domain that are told news while its collector
@@ -123,17 +122,19 @@
     def tell_failures(self) -> None:
         """Tell at once which servers have just failed or refused work.
 
-        Until all entries know, each of them sends its requests there: an
-        engine that was gone refused 100 runs within the second that news
-        took over the collectors. Refusals go to those who use the same
-        engines, the own failure domain, and to the other collectors.
+        Until all entries know, each of them sends its requests there.
+        Refusals and breaks go to those who use the same engines, the own
+        failure domain, and to the other collectors.
         """
         if self._beliefs.fresh_suspects:
             self._tell(self._view.peers.values())
-        elif self._beliefs.refusals.has_news:
+        elif (
+            self._beliefs.refusals.has_news or self._beliefs.outliers.has_news
+        ):
             self._tell(self._list_concerned())
         self._beliefs.fresh_suspects.clear()
         self._beliefs.refusals.has_news = False
+        self._beliefs.outliers.has_news = False
 
     def _list_concerned(self) -> list[view_module.Peer]:
         if self._view.is_mesh:
@@ -195,7 +196,8 @@
             self._take_feed(news, now)
         direct = self._is_from_member(news, domain)
         self._beliefs.paces.note_told(news.slow, now, direct)
-        self._beliefs.refusals.note_told(news.refusing, now, direct)
+        self._beliefs.take_breaks(news.host, news.breaking, now)
+        self._beliefs.take_refusals(news.refusing, now, direct)
         for name in news.suspects:
             self._beliefs.suspect(name, f'told_by_{news.host}', now, told=True)
         if news.proof_age_ms >= 0 and news.heard_stamp > 0:
@@ -432,5 +434,6 @@
             slow=self._beliefs.paces.list_slow(now, direct_only),
             refusing=self._beliefs.refusals.list_fresh(now, direct_only),
             work=work,
+            breaking=self._beliefs.outliers.list_fresh(now),
         )
         self._send(peer.record.peers, news)
--- a/src/thornspool/application/routing/ports.py
+++ b/src/thornspool/application/routing/ports.py
@@ -236,7 +236,9 @@
     def send(self, run: Run, listener: Listener) -> Callable[[], None]:
         """Send a request; returns what ends it and closes its connection."""
 
-    async def ask_report(self, server: fleet.Server) -> Report | None:
+    async def ask_report(
+        self, server: fleet.Server, wait_ms: int = REPORT_MS
+    ) -> Report | None:
         """Ask an engine for its state; None when it does not answer."""
 
     async def place(
--- a/src/thornspool/application/routing/repeats.py
+++ b/src/thornspool/application/routing/repeats.py
@@ -23,9 +23,7 @@
 """Part of the share that requests without a part of their answer may fill.
 
 A request that was refused can be told so and come back; a caller who has
-half a stream loses it when it may not be repeated. While engines of all
-domains were replaced, refused requests took all repeats: of 1,450 requests,
-19 streams were cut, and 7 with this part kept and streams that wait.
+half a stream loses it when it may not be repeated.
 """
 
 _MS_PER_S = 1000.0
--- a/src/thornspool/application/routing/streams.py
+++ b/src/thornspool/application/routing/streams.py
@@ -14,6 +14,7 @@
 from thornspool.application.routing import ports
 from thornspool.domain.paths import choice
 from thornspool.domain.paths import search
+from thornspool.domain.paths import silence
 
 if typing.TYPE_CHECKING:
     import random
@@ -98,6 +99,7 @@
             clock, beliefs, taken, budget, failure_domain, random_source
         )
         self.flights: set[flights.Flight] = set()
+        self.usual_pause = silence.UsualPause()
         self._waiting: list[flights.Flight] = []
         self._ends_at: int | None = None
 
@@ -136,10 +138,22 @@
             if not flight.exchange.ended:
                 self._start(flight)
 
-    def _start(self, flight: flights.Flight) -> None:
+    def _start(
+        self, flight: flights.Flight, found: search.Path | None = None
+    ) -> None:
         """Put a request on a path, or let it wait, or refuse it."""
         now = self._clock.now()
-        found = self.paths.find(flight)
+        if found is None:
+            self._start_on(flight, self.paths.find(flight), now)
+        else:
+            self._start_on(flight, found, now)
+
+    def _start_on(
+        self,
+        flight: flights.Flight,
+        found: search.Path | choice.Lack | None,
+        now: int,
+    ) -> None:
         if found is None:
             self._give_up(flight, 'service_unknown', 1_000)
         elif isinstance(found, choice.Lack):
@@ -235,6 +249,8 @@
         flight.body.clear()
         flight.events.drop_pending()
         self._taken.take(hops, flight.need.tokens)
+        flight.reading_tokens = flight.need.prompt_tokens
+        self._taken.begin_reading(hops, flight.reading_tokens)
         run = ports.Run(
             exchange.inquiry,
             hops[0].server,
@@ -257,6 +273,9 @@
         """Take the head of an engine's answer."""
         exchange = flight.exchange
         flight.head = head
+        first = flight.first_server
+        if first is not None:
+            self._beliefs.outliers.note_success(first.id, self._clock.now())
         if not head.ran:
             return
         if head.status == _OK and head.genuine and not exchange.begun:
@@ -274,7 +293,10 @@
         now = self._clock.now()
         whole = flight.events.take(chunk)
         if whole:
+            if flight.events.count > 1:
+                self.usual_pause.note(now - flight.active_at)
             flight.active_at = now
+            self._end_reading(flight)
             exchange.timing.note_event(now)
             if exchange.first_event_at is None:
                 exchange.first_event_at = now
@@ -386,7 +408,12 @@
             and exchange.compute_left(self._clock.now()) > MIN_LEFT_MS
         )
 
-    def _again(self, flight: flights.Flight, reason: str) -> None:
+    def _again(
+        self,
+        flight: flights.Flight,
+        reason: str,
+        path: search.Path | None = None,
+    ) -> None:
         """Send a request once more where that is allowed, or end it."""
         exchange = flight.exchange
         ran = exchange.runs > 0
@@ -405,7 +432,7 @@
                 after=flight.events.last_id,
             )
             flight.owes_repeat = True
-            self._start(flight)
+            self._start(flight, path)
             return
         self._give_up(flight, reason, self._random.randint(*COMES_BACK_MS))
 
@@ -418,29 +445,32 @@
         """
         if flight.exchange.ended or not flight.hops:
             return
-        if not self._can_go_on(flight):
+        path = self._find_way_on(flight)
+        if path is None:
             return
         if flight.stop is not None:
             flight.stop()
             flight.stop = None
         flight.generation += 1
         flight.lost_runs += int(self._has_lost_engine(flight))
-        self._again(flight, reason)
+        self._again(flight, reason, path)
 
-    def _can_go_on(self, flight: flights.Flight) -> bool:
-        """Tell whether a request could go on over another path now."""
+    def _find_way_on(self, flight: flights.Flight) -> search.Path | None:
+        """Find another path on which a request could go on now."""
         exchange = flight.exchange
         if not self.may_run_again(flight):
-            return False
+            return None
         if not self._budget.has_room(exchange.service, exchange.begun):
-            return False
-        return isinstance(self.paths.find(flight), search.Path)
+            return None
+        found = self.paths.find(flight)
+        return found if isinstance(found, search.Path) else None
 
     def move(
         self, flight: flights.Flight, hops: tuple[search.Hop, ...]
     ) -> None:
         """Note that a running request goes on over another path."""
         flight.exchange.timing.note_disturbance('path_changed')
+        self._end_reading(flight)
         self._taken.free(flight.hops, flight.need.tokens)
         flight.hops = hops
         flight.exchange.path = search.describe_path(hops)
@@ -501,7 +531,13 @@
         self._free(flight)
         self._end(flight, 'caller_left')
 
+    def _end_reading(self, flight: flights.Flight) -> None:
+        if flight.reading_tokens:
+            self._taken.end_reading(flight.hops, flight.reading_tokens)
+            flight.reading_tokens = 0.0
+
     def _free(self, flight: flights.Flight) -> None:
+        self._end_reading(flight)
         if flight.hops:
             self._taken.free(flight.hops, flight.need.tokens)
             flight.hops = ()
@@ -517,9 +553,13 @@
     def _blame_broken(self, flight: flights.Flight) -> None:
         """Avoid the first engine of a run that broke, for this request.
 
-        One broken answer may be the engine's own mistake; only an engine
-        that can't be reached is left out for all.
+        One that breaks runs before it answers at all may be left out for
+        all requests.
         """
         first = flight.first_server
-        if first is not None:
-            flight.exchange.avoid([first.id], self._clock.now())
+        if first is None:
+            return
+        now = self._clock.now()
+        flight.exchange.avoid([first.id], now)
+        if flight.head is None:
+            self._beliefs.note_broken_run(first.id, now)
--- a/src/thornspool/domain/entries/collectors.py
+++ b/src/thornspool/domain/entries/collectors.py
@@ -1,8 +1,7 @@
 """Which entry of a failure domain collects its news and follows the store.
 
-With many entries not everybody can tell everybody: 84 entries that each
-told 6 others at a turn heard each one every 2.8 s, took most of them for
-dead, and the lead changed hands 1,156 times in 50 s. So one entry of each
+With many entries not everybody can tell everybody, and entries that heard
+each other seldom would take sound ones for dead. So one entry of each
 failure domain, the collector, hears all entries of it, adds up what they
 tell, and tells them the sum; collectors tell each other. It also follows the
 store for its domain, so that calls to the store do not grow with the fleet.
--- a/src/thornspool/domain/entries/leadership.py
+++ b/src/thornspool/domain/entries/leadership.py
@@ -24,9 +24,8 @@
 RENEW_MS = 1_300
 """Interval of renewals.
 
-Each is a tenth of a priced call: with 0.7 s those of 84 entries were 600 of
-1,500 priced calls in 50 s. That an entry has died shows by its silence, well
-before its lease ends.
+The store counts each of them. That an entry has died shows by its silence,
+well before its lease ends.
 """
 
 ACT_MS = 2_000
--- a/src/thornspool/domain/entries/messages.py
+++ b/src/thornspool/domain/entries/messages.py
@@ -85,6 +85,8 @@
         Paces of slow engines, by mark.
     refusing : tuple of int
         Marks of engines that have just refused work.
+    breaking : tuple of int
+        Marks of engines that have just broken a run of the sender.
     """
 
     host: str
@@ -101,3 +103,4 @@
     slow: dict[int, float] = attrs.field(factory=dict)
     refusing: tuple[int, ...] = ()
     work: dict[int, float] = attrs.field(factory=dict)
+    breaking: tuple[int, ...] = ()
--- a/src/thornspool/domain/entries/view.py
+++ b/src/thornspool/domain/entries/view.py
@@ -23,11 +23,8 @@
 """The same in a fleet with collectors, who hear an entry every 400 ms."""
 
 MESH_LIMIT = 12
-"""Entries up to which each one tells all others.
-
-Five times a second and 150 bytes, that is 8 kB/s for each of 12 entries; all
-84 of a larger fleet would send 60 kB/s each.
-"""
+"""Entries up to which each one tells all others; what each sends grows with
+their number."""
 
 ABSENT_MS = 2_000
 """Time for which an entry counts as absent after a collector said so."""
--- a/src/thornspool/domain/fleet/marks.py
+++ b/src/thornspool/domain/fleet/marks.py
@@ -18,7 +18,6 @@
 def compute_mark(name: str) -> int:
     """Compute the short name of an engine.
 
-    Names of 12 characters made up two thirds of the bytes of all news:
-    0.9 kB five times a second to each peer, with marks 0.3 kB (39 engines).
+    Whole names would make up most of the bytes of all news.
     """
     return xxhash.xxh32_intdigest(name.encode()) >> (32 - MARK_BITS)
--- a/src/thornspool/domain/fleet/refusals.py
+++ b/src/thornspool/domain/fleet/refusals.py
@@ -1,12 +1,9 @@
 """Engines that have just refused work, and how long they are left out.
 
 An engine refuses when it is short of memory, gives up layers, leaves or is
-gone, and the list of servers shows it late or not at all: one that gives up
-layers keeps their memory until the last stream has passed through them, ten
-seconds with slow engines on its path, and refused 208 requests meanwhile.
-Each of them cost a repeat, and most of their callers were refused. So all
-entries leave such an engine out at once, and try it again after a while that
-grows.
+gone, and the list of servers shows it late or not at all. Each refused request
+costs a repeat of those that all entries share. So all entries leave such an
+engine out at once, and try it again after a while that grows.
 """
 
 from __future__ import annotations
@@ -27,6 +24,10 @@
 MAX_MS = 1_500
 """Longest time, which three refusals in a row lead to."""
 
+MAX_EJECTED_MS = 5_000
+"""Longest time for an engine that breaks runs; unlike one that is full it
+does not recover by being left alone."""
+
 TELL_MS = 500
 """Time for which a refusal is told to peers, a little over a turn of news."""
 
@@ -73,38 +74,50 @@
     has_news: bool = False
     _known: dict[int, Refusal] = attrs.field(factory=dict)
 
-    def note(self, name: str, now: int) -> bool:
+    def note(self, name: str, now: int, longest_ms: int = MAX_MS) -> bool:
         """Note a refusal; tells whether the engine was not left out yet."""
         mark = marks.compute_mark(name)
         known = self._known.get(mark)
         if known is not None and now < known.until:
             # Sent before the first refusal had come.
             return False
-        self._leave_out(mark, now, True)
+        self._leave_out(mark, now, True, longest_ms)
         self.has_news = True
         return True
 
-    def _leave_out(self, mark: int, now: int, direct: bool) -> None:
+    def is_on_trial(self, name: str, now: int) -> bool:
+        """Tell whether an engine was left out until a moment ago."""
+        known = self._known.get(marks.compute_mark(name))
+        return known is not None and _is_on_trial(known, now)
+
+    def count_left_out(self, now: int) -> int:
+        """Count the engines that are left out now."""
+        return sum(now < known.until for known in self._known.values())
+
+    def _leave_out(
+        self, mark: int, now: int, direct: bool, longest_ms: int
+    ) -> None:
         """Leave an engine out, twice as long when it was just tried again."""
         known = self._known.get(mark)
         length = FIRST_MS
-        if known is not None and now - known.until < known.length_ms:
-            length = min(MAX_MS, 2 * known.length_ms)
+        if known is not None and _is_on_trial(known, now):
+            length = min(longest_ms, 2 * known.length_ms)
         until = now + round(length * self.patience)
         self._known[mark] = Refusal(now, until, length, direct)
 
-    def note_told(self, told: Iterable[int], now: int, direct: bool) -> None:
-        """Note what peers tell.
-
-        An engine that drains refuses all. As long as each entry had to find
-        that out by itself, one of them refused 47 runs within 3 s, until
-        the repeats of the whole fleet were used up.
-        """
+    def note_told(
+        self,
+        told: Iterable[int],
+        now: int,
+        direct: bool,
+        longest_ms: int = MAX_MS,
+    ) -> None:
+        """Note what peers tell, so that few entries try an engine again."""
         for mark in told:
             known = self._known.get(mark)
             is_same = known is not None and now - known.since <= TELL_MS
             if known is None or (now >= known.until and not is_same):
-                self._leave_out(mark, now, direct)
+                self._leave_out(mark, now, direct, longest_ms)
 
     def is_refusing(self, name: str, now: int) -> bool:
         """Tell whether an engine is left out now."""
@@ -129,5 +142,9 @@
     def forget_old(self, now: int) -> None:
         """Forget engines that have not refused for a while."""
         for mark, known in list(self._known.items()):
-            if now - known.until > MAX_MS:
+            if now - known.until > max(MAX_MS, known.length_ms):
                 del self._known[mark]
+
+
+def _is_on_trial(known: Refusal, now: int) -> bool:
+    return 0 <= now - known.until < known.length_ms
--- a/src/thornspool/domain/paths/bounds.py
+++ b/src/thornspool/domain/paths/bounds.py
@@ -1,9 +1,9 @@
 """Least costs of paths, known before any search.
 
-A search costs 0.9 ms for a failure domain of 98 engines, and a fleet has
-seven of them: one request took 6.3 ms. The fastest holder of each layer bounds
-what any path there can cost, and that changes only with the list of engines.
-So a domain is searched only where it could be cheaper than what is found.
+A search of every failure domain of a large fleet takes longer than a request
+may wait. The fastest holder of each layer bounds what any path there can cost,
+and that changes only with the list of engines. So a domain is searched only
+where it could be cheaper than what is found.
 """
 
 from __future__ import annotations
--- a/src/thornspool/domain/paths/choice.py
+++ b/src/thornspool/domain/paths/choice.py
@@ -166,19 +166,28 @@
             continue
         taken = situation.taken.compute_taken(engine.id)
         left = room * reservations.FILL_LIMIT - taken
+        slowness = situation.slowness.get(engine.id, 1.0)
         cost = search.estimate_layer_cost(
             model,
             engine.kind,
             (need.prompt_tokens, need.answer_tokens),
             situation.taken.running.get(engine.id, 0),
             taken / room,
-            situation.slowness.get(engine.id, 1.0),
+            slowness,
         )
         cost *= 1.0 + NOISE_SHARE * situation.noise()
         if engine.id in situation.leaving:
             cost += LEAVING_LAYER_MS
         yield search.Offer(
-            engine, cost, int(max(0.0, left) / max(1.0, need.tokens))
+            engine,
+            cost,
+            int(max(0.0, left) / max(1.0, need.tokens)),
+            search.estimate_wait(
+                model,
+                engine.kind,
+                situation.taken.reading.get(engine.id, 0.0),
+                slowness,
+            ),
         )
 
 
--- a/src/thornspool/domain/paths/crossings.py
+++ b/src/thornspool/domain/paths/crossings.py
@@ -1,12 +1,10 @@
 """How many paths may change their failure domain in the middle.
 
-The activations of a whole prompt then cross a link that all requests share:
-37 MB a usual request, 0.1 s of it. Where engines of every domain refused for
-a moment, so that no domain had a whole path, most requests took paths with
-three changes; the links needed minutes for what came in seconds, 900 of 5,700
-requests had no first event within 2 s, and what waited held memory that
-others were refused for. A request that waits finds a path within a domain
-some 0.3 s later.
+The activations of a whole prompt then cross a link that all requests share.
+Where engines of every domain refuse for a moment, such paths fill the link
+with more than it carries, and what waits for it holds memory that others are
+refused for. A request that waits instead mostly finds a path within a domain
+a moment later.
 """
 
 from __future__ import annotations
@@ -18,16 +16,10 @@
 
 USED_SHARE = 0.4
 """Share of the link that such paths may use; the rest is for tokens of
-running streams and for streams that go on over another path.
-
-Weighed: 0.6 of the links between each two domains, for two changes a path.
-On 98 engines in four domains a day was worth 0.36 then and 0.46 with this, on
-39 engines in three domains 0.65 and 0.72.
-"""
+running streams and for streams that go on over another path."""
 
 USUAL_CROSSINGS = 3.0
-"""Changes of domain on a path that takes its engines where it finds them;
-2 to 7 were seen."""
+"""Changes of domain on a path that takes its engines where it finds them."""
 
 _BITS_PER_BYTE = 8
 _BITS_PER_MBIT = 1e6
--- a/src/thornspool/domain/paths/reservations.py
+++ b/src/thornspool/domain/paths/reservations.py
@@ -29,10 +29,17 @@
 
 @attrs.define
 class Reservations:
-    """Token-layers and requests taken, by engine; those of others by mark."""
+    """Token-layers and requests taken, by engine; those of others by mark.
+
+    Attributes
+    ----------
+    reading : dict of str to float
+        Token-layers that engines have still to read for own requests.
+    """
 
     own: dict[str, float] = attrs.field(factory=dict)
     running: dict[str, int] = attrs.field(factory=dict)
+    reading: dict[str, float] = attrs.field(factory=dict)
     others: dict[int, float] = attrs.field(factory=dict)
 
     def take(self, hops: Iterable[search.Hop], tokens: float) -> None:
@@ -54,6 +61,24 @@
             else:
                 self.own[name] = max(0.0, left)
 
+    def begin_reading(self, hops: Iterable[search.Hop], tokens: float) -> None:
+        """Note a prompt that each engine of a path has to read."""
+        for hop in hops:
+            name = hop.server.id
+            self.reading[name] = (
+                self.reading.get(name, 0.0) + tokens * hop.count
+            )
+
+    def end_reading(self, hops: Iterable[search.Hop], tokens: float) -> None:
+        """Note that it has been read, or is not needed any more."""
+        for hop in hops:
+            name = hop.server.id
+            left = self.reading.get(name, 0.0) - tokens * hop.count
+            if left > 0:
+                self.reading[name] = left
+            else:
+                self.reading.pop(name, None)
+
     def list_marked(self) -> dict[int, float]:
         """List what this entry has taken, by mark."""
         return {
--- a/src/thornspool/domain/paths/search.py
+++ b/src/thornspool/domain/paths/search.py
@@ -2,8 +2,7 @@
 
 An engine runs any part of what it holds, so a path may leave a range early
 and enter the next one late. A search over the ends of all ranges finds the
-cuts; it is exact for the costs given. It costs about 0.3 ms for 13 engines
-(measured with timeit on one core).
+cuts; it is exact for the costs given.
 """
 
 from __future__ import annotations
@@ -23,11 +22,8 @@
 """Engines a path may name; the engines refuse longer ones."""
 
 HOP_COST_MS = 15.0
-"""Cost of one more engine on a path, in milliseconds a request.
-
-Weighs a hand-over at each token against a faster engine; 0.1 ms a token
-within a failure domain over a usual answer of 170 tokens.
-"""
+"""Cost of one more engine on a path, in milliseconds a request: the hand-over
+of each token."""
 
 STEEP_FROM = 0.45
 """Share of an engine's memory from which its cost grows steeply; half of
@@ -37,11 +33,8 @@
 """Share by which the cost doubles first; at 0.72 it is ten times as high."""
 
 CROSSING_COST_MS = 2_000.0
-"""Cost of entering another failure domain in the middle of a path.
-
-Activations of a whole prompt cross then: 45 MB a usual request, 33 ms of a
-pipe that all requests share. Taken only where no domain has a whole path.
-"""
+"""Cost in milliseconds of entering another failure domain in the middle of a
+path: the activations of a whole prompt cross a link that all share."""
 
 
 @attrs.frozen
@@ -70,11 +63,14 @@
         Expected milliseconds of the whole request for one layer.
     max_layers : int
         Layers for which it has room for the request's tokens.
+    wait_ms : float
+        Time that it needs for the prompts that it has still to read.
     """
 
     server: fleet.Server
     layer_cost_ms: float
     max_layers: int
+    wait_ms: float = 0.0
 
 
 @attrs.frozen
@@ -154,7 +150,7 @@
     for (at, last_domain), (cost, hops) in chains.items():
         if not held.first <= at < held.end or len(hops) >= MAX_HOPS:
             continue
-        entry = HOP_COST_MS
+        entry = HOP_COST_MS + offer.wait_ms
         if last_domain not in {'', domain}:
             entry += CROSSING_COST_MS
         furthest = min(held.end, at + offer.max_layers)
@@ -216,15 +212,41 @@
     return (read_ms + decode_ms) / model.layers * slowness * weight
 
 
+def estimate_wait(
+    model: fleet.Model, kind: str, token_layers: float, slowness: float
+) -> float:
+    """Estimate how long an engine reads before it turns to a new prompt.
+
+    Parameters
+    ----------
+    model : fleet.Model
+        Its speeds.
+    kind : str
+        Kind of accelerator.
+    token_layers : float
+        Tokens to read times layers that they pass.
+    slowness : float
+        Measured times of it against expected ones.
+
+    Returns
+    -------
+    float
+        Milliseconds.
+    """
+    accelerator = model.accelerators.get(kind)
+    if accelerator is None:
+        return math.inf
+    token_ms = 1000.0 / model.read_per_s * accelerator.read_factor
+    return token_layers * token_ms / model.layers * slowness
+
+
 def weigh_filling(used_share: float) -> float:
     """Weigh an engine's cost by the share of its memory that is taken.
 
-    What others have taken is known 0.2 to 1.2 s late, and all entries like
-    the same fast engine best. Where its cost only grew fourfold, one that is
-    five times as fast as its neighbours was filled to the last, and 2,059 of
-    6,013 runs on 98 engines were refused for want of memory, with most
-    memory of the fleet free. Past half of it the cost now grows faster than
-    any two kinds differ.
+    What others have taken is known late, and all entries like the same fast
+    engine best. So the cost grows steeply as memory fills, faster than any
+    two kinds of accelerator differ, and a fast engine is not filled to the
+    last while slower ones are empty.
     """
     used = min(1.0, used_share)
     weight = 1.0 + 3.0 * used**2
--- /dev/null
+++ b/src/thornspool/domain/paths/silence.py
@@ -0,0 +1,89 @@
+"""Streams that fall silent together name the engines that they share.
+
+Answers the loss of an engine under load. All streams through it pause at
+once, so that it can be asked long before any single pause is unusual. Two
+streams may pause by chance, and a slow engine slows its streams too: silence
+chooses whom to ask, and only the answer tells.
+"""
+
+from __future__ import annotations
+
+import collections
+import typing
+
+import attrs
+
+if typing.TYPE_CHECKING:
+    from collections.abc import Iterable
+
+LEAST_STREAMS = 3
+"""Silent streams that point at what they share."""
+
+SILENT_SHARE = 0.5
+"""Share of the streams of an engine that have to be silent."""
+
+UNUSUAL_FACTOR = 2.0
+"""Times of the usual pause from which a stream counts as silent."""
+
+MIN_BOUND_MS = 60.0
+"""Least silence that counts; events come in the rhythm of whole batches."""
+
+MAX_BOUND_MS = 350.0
+"""Silence that counts where pauses are usually long."""
+
+WEIGHT = 0.02
+"""Weight of one pause in the mean: some fifty pauses back."""
+
+
+@attrs.define
+class UsualPause:
+    """Mean pause between the events of an entry's streams."""
+
+    mean_ms: float | None = None
+
+    def note(self, pause_ms: float) -> None:
+        """Note one pause."""
+        pause_ms = min(pause_ms, MAX_BOUND_MS)
+        if self.mean_ms is None:
+            self.mean_ms = pause_ms
+        else:
+            self.mean_ms += WEIGHT * (pause_ms - self.mean_ms)
+
+    def compute_bound(self) -> float:
+        """Return the silence in milliseconds that counts."""
+        if self.mean_ms is None:
+            return MAX_BOUND_MS
+        bound = UNUSUAL_FACTOR * self.mean_ms
+        return min(MAX_BOUND_MS, max(MIN_BOUND_MS, bound))
+
+
+def find_shared(
+    streams: Iterable[tuple[Iterable[str], float]], bound_ms: float
+) -> list[str]:
+    """Find the engines that silent streams have in common.
+
+    Parameters
+    ----------
+    streams : iterable of tuple of iterable of str and float
+        Engines of each stream that has begun, and its silence in
+        milliseconds.
+    bound_ms : float
+        Silence that counts.
+
+    Returns
+    -------
+    list of str
+        Those of most silent streams first.
+    """
+    silent: collections.Counter[str] = collections.Counter()
+    seen: collections.Counter[str] = collections.Counter()
+    for engines, quiet_ms in streams:
+        names = list(engines)
+        seen.update(names)
+        if quiet_ms >= bound_ms:
+            silent.update(names)
+    return [
+        name
+        for name, count in silent.most_common()
+        if count >= LEAST_STREAMS and count >= SILENT_SHARE * seen[name]
+    ]
--- a/src/thornspool/domain/placement/layout.py
+++ b/src/thornspool/domain/placement/layout.py
@@ -22,12 +22,8 @@
     from collections.abc import Sequence
 
 REQUESTS_AT_ONCE = 64
-"""Usual requests that a replica should have room for in each layer.
-
-A stream lasts 2 to 4 s; a domain that takes a third of 32 requests a second
-has 30 at once, and 64 when it stands in for another domain. Measured on the
-same days: more memory for layers than this leaves made requests wait.
-"""
+"""Usual requests that a replica should have room for in each layer: twice
+those of a domain, which may have to stand in for another one."""
 
 MIN_ROOM_REQUESTS = 6
 """Usual requests for which an extended engine must keep room.
--- a/src/thornspool/domain/placement/planning.py
+++ b/src/thornspool/domain/placement/planning.py
@@ -34,9 +34,8 @@
 MAX_BALANCING_MOVES = 3
 """Ranges moved at once, in all domains, where no layer is missing.
 
-What an engine gives up waits 3 to 8 s for the requests that pass through it.
-With six at once in each of four domains, 26 of 90 engines moved together, and
-a third of the requests was late for 6 s.
+What an engine gives up waits for the requests that pass through it, and more
+moves at once would leave too few engines that take requests.
 """
 
 BALANCED_SHARE = 0.75
--- a/src/thornspool/domain/placement/shifting.py
+++ b/src/thornspool/domain/placement/shifting.py
@@ -21,11 +21,8 @@
     from collections.abc import Sequence
 
 ROOMS = (24, 6)
-"""Usual requests for which the shifted engines keep room, first choice first.
-
-A domain that takes a third of 32 requests a second has 30 at once; 6 are
-the least for which a load is worth its time.
-"""
+"""Usual requests for which the shifted engines keep room, first choice first;
+the last is the least for which a load is worth its time."""
 
 MOST_ENGINES = 6
 """Engines shifted for one hole; the store of weights serves six loads at
--- a/src/thornspool/domain/retries/pools.py
+++ b/src/thornspool/domain/retries/pools.py
@@ -5,8 +5,7 @@
 one notices by arrivals that grow while answers fall.
 
 Failures come to few entries at a time, so equal parts for the whole window
-waste most of it: 84 entries with 604 repeats in 10 s had 4 each, and refused
-340 requests on a day on which a third of the repeats was used. So entries
+waste most of it. So entries
 tell each other how many requests and repeats they have had, and each may
 take an equal part of what is left, within the time that such news take. Were
 all entries to take theirs at once, the bound would still hold.
--- a/src/thornspool/platform/daemon.py
+++ b/src/thornspool/platform/daemon.py
@@ -438,6 +438,7 @@
     async def _work_quickly(self) -> None:
         self._streams.work()
         self._calls.work()
+        self._detector.look()
         self._membership.tell_failures()
 
     async def _detect(self) -> None:
--- a/src/thornspool/platform/engines.py
+++ b/src/thornspool/platform/engines.py
@@ -157,12 +157,14 @@
             lambda ending: listener.take_end(_ENDINGS[ending]),
         ).cancel
 
-    async def ask_report(self, server: fleet.Server) -> ports.Report | None:
+    async def ask_report(
+        self, server: fleet.Server, wait_ms: int = ports.REPORT_MS
+    ) -> ports.Report | None:
         """Ask an engine for its state."""
         request = transfers.Request(
             f'http://{server.address}/v1/report',
-            connect_ms=ports.REPORT_MS,
-            total_ms=ports.REPORT_MS,
+            connect_ms=wait_ms,
+            total_ms=wait_ms,
         )
         try:
             answer = await self._session.fetch(request)
--- a/src/thornspool/platform/follower.py
+++ b/src/thornspool/platform/follower.py
@@ -44,11 +44,8 @@
 answer; the shortest bound for them is 2 s."""
 
 RETRY_MS = 150
-"""Pause after the first call that failed; it doubles with each further one.
-
-Each call is priced, refused ones too: with a steady pause of 150 ms nine
-hosts made some 500 calls in an outage of 8 s, with the doubled one 140.
-"""
+"""Pause after the first call that failed; it doubles with each further one,
+since the store counts calls that it refuses too."""
 
 MAX_RETRY_MS = 700
 """Longest pause between calls that fail: the proof is renewed within this
@@ -57,8 +54,7 @@
 SHARED_RETRY_MS = 2_500
 """Pause of an entry whose collector can't reach the store either.
 
-The collector's next answer keeps it current without a call of its own. With
-the usual pause 84 entries made 1,200 calls in an outage of 8 s.
+The collector's next answer keeps it current without a call of its own.
 """
 
 _MS_PER_S = 1000.0
--- a/src/thornspool/platform/peers.py
+++ b/src/thornspool/platform/peers.py
@@ -56,6 +56,7 @@
     slow: dict[int, int]
     refusing: list[int]
     work: dict[int, int]
+    breaking: list[int] = []
 
 
 class _Update(msgspec.Struct, array_like=True, tag=1):
@@ -94,6 +95,7 @@
             },
             list(news.refusing),
             {mark: round(amount) for mark, amount in news.work.items()},
+            list(news.breaking),
         )
     )
 
@@ -141,6 +143,7 @@
         {mark: pace / PACE_UNITS for mark, pace in read.slow.items()},
         tuple(read.refusing),
         {mark: float(amount) for mark, amount in read.work.items()},
+        tuple(read.breaking),
     )
 
 
--- a/src/thornspool/platform/store.py
+++ b/src/thornspool/platform/store.py
@@ -28,10 +28,9 @@
 PAUSE_MS = 750
 """Longest pause inside an answer.
 
-A configuration of 1,900 routes has 0.5 MB, and an entry that fell behind
-gets several versions of it: seconds on a link of 10 Mbit/s. With a bound on
-the whole answer such entries never caught up and served routes that had been
-dropped.
+An entry that fell behind gets several versions of a large configuration,
+which take seconds on a slow link. A bound on the whole answer would keep it
+from ever catching up.
 """
 
 CONNECT_TIMEOUT_MS = 800
--- a/tests/application/routing/builders.py
+++ b/tests/application/routing/builders.py
@@ -192,7 +192,7 @@
 
         return stop
 
-    async def ask_report(self, server):
+    async def ask_report(self, server, wait_ms=ports.REPORT_MS):
         self.asked.append(server.id)
         return self.reports.get(server.id)
 
@@ -271,11 +271,16 @@
         self.intake.serve(build_inquiry(path, number, **changes), reply)
         return reply
 
-    def advance(self, milliseconds, step=25):
-        """Let time pass with the regular work."""
+    def advance(self, milliseconds, step=25, look=False):
+        """Let time pass with the regular work.
+
+        Looking for silent streams asks engines, which takes a running loop.
+        """
         for _ in range(0, milliseconds, step):
             self.clock.advance(step)
             self.beliefs.proof.renew(self.clock.now())
             self.streams.work()
             self.calls.work()
+            if look:
+                self.detector.look()
             self.beliefs.forget_left(self.clock.now())
--- a/tests/application/routing/test_detection.py
+++ b/tests/application/routing/test_detection.py
@@ -33,7 +33,7 @@
 
     async def pass_time(self, milliseconds):
         for _ in range(0, milliseconds, 100):
-            self.world.advance(100)
+            self.world.advance(100, look=True)
             self.world.detector.work()
             for _ in range(4):
                 await builders_sleep()
@@ -237,9 +237,9 @@
         del self.servers.reports[self.first.id]
         answer = self.servers.ask_report
 
-        async def ask_late(server):
-            self.world.clock.advance(ports.REPORT_MS + 100)
-            return await answer(server)
+        async def ask_late(server, wait_ms=ports.REPORT_MS):
+            self.world.clock.advance(wait_ms + 100)
+            return await answer(server, wait_ms)
 
         self.servers.ask_report = ask_late
         await self.pass_time(700)
@@ -317,6 +317,92 @@
         self.assertLess(len(self.world.beliefs.suspects), 9)
 
 
+class SharedSilenceTest(unittest.IsolatedAsyncioTestCase):
+    """Forty streams run through one chain of engines."""
+
+    async def asyncSetUp(self):
+        self.world = builders.World()
+        self.servers = self.world.servers
+        self.replies = [self.world.serve(number=one) for one in range(40)]
+        self.runs = list(self.servers.runs)
+        for name in self.world.beliefs.servers:
+            self.servers.reports[name] = ports.Report(1, False, 1.0, 1, ())
+        for run in self.runs:
+            run.begin()
+        await self.stream(1_000)
+
+    async def stream(self, milliseconds, pause_ms=40):
+        """Let all first runs bring an event every few milliseconds."""
+        for number in range(milliseconds // pause_ms):
+            for run in self.runs:
+                run.send(number, number + 1)
+            await self.pass_time(pause_ms, step=20)
+
+    async def pass_time(self, milliseconds, step=25):
+        for _ in range(0, milliseconds, step):
+            self.world.advance(step, step, look=True)
+            for _ in range(6):
+                await builders_sleep()
+
+    def find_through(self, name):
+        return [
+            run
+            for run in self.runs
+            if name in [hop.server.id for hop in run.run.hops]
+        ]
+
+    async def test_a_crashed_engine_is_left_within_130_ms(self):
+        """Guards against streams that wait for a pause that is unusual."""
+        through = self.find_through('a-1')
+        self.assertGreater(len(through), 10)
+        del self.servers.reports['a-1']
+        began = self.world.clock.now()
+        while 'a-1' not in self.world.beliefs.suspects:
+            for run in self.runs:
+                if run not in through:
+                    run.send(30, 31)
+            await self.pass_time(25)
+        await self.pass_time(25)
+        self.assertLessEqual(self.world.clock.now() - began, 130)
+        self.assertTrue(all(run.stopped for run in through))
+        self.assertEqual(['a-1'], list(self.world.beliefs.suspects))
+
+    async def test_a_slow_engine_is_not_taken_for_a_lost_one(self):
+        """Guards against streams that are moved again and again."""
+        self.servers.reports['a-1'] = ports.Report(1, False, 12.0, 1, ())
+        await self.stream(2_000, pause_ms=200)
+        self.assertEqual({}, self.world.beliefs.suspects)
+        self.assertEqual(40, len(self.servers.runs))
+
+    async def test_engines_are_not_asked_while_streams_move(self):
+        await self.stream(1_000)
+        self.assertEqual([], self.servers.asked)
+
+    async def test_one_lost_question_proves_nothing(self):
+        """Guards against a lost packet that takes a sound engine away."""
+        answer = self.servers.ask_report
+        lost = set()
+
+        async def lose_first(server, wait_ms=ports.REPORT_MS):
+            if server.id not in lost:
+                lost.add(server.id)
+                self.world.clock.advance(wait_ms)
+                return None
+            return await answer(server, wait_ms)
+
+        self.servers.ask_report = lose_first
+        await self.pass_time(100)
+        self.assertTrue(lost)
+        self.assertEqual({}, self.world.beliefs.suspects)
+
+    async def test_a_look_that_comes_late_asks_nobody(self):
+        """Guards against a busy host that takes all engines for lost."""
+        self.world.clock.advance(300)
+        self.world.detector.look()
+        await builders_sleep()
+        self.assertEqual([], self.servers.asked)
+
+
 async def builders_sleep():
     """Let tasks run."""
     await asyncio.sleep(0)
--- a/tests/application/routing/test_membership.py
+++ b/tests/application/routing/test_membership.py
@@ -5,6 +5,7 @@
 import unittest
 
 from tests.application.routing import fleet as fleet_module
+from tests.domain.fleet import builders as fleet_builders
 from thornspool.application.routing import membership
 from thornspool.domain.entries import messages
 from thornspool.domain.fleet import marks
@@ -103,6 +104,24 @@
         found.service.tell_failures()
         self.assertEqual(sent, self.fleet.sent)
 
+    def test_breaks_that_two_entries_saw_eject_an_engine_for_all(self):
+        """Guards against each entry finding out a faulty engine by itself."""
+        now = self.fleet.clock.now()
+        for member in self.members.values():
+            for number in range(8):
+                member.beliefs.take_server(
+                    fleet_builders.build_server(f'b-{number}'), now
+                )
+        for host in ('b-07', 'b-03'):
+            found = self.members[host]
+            found.beliefs.note_broken_run('b-5', now)
+            found.service.tell_failures()
+        for host, member in self.members.items():
+            refusals = member.beliefs.refusals
+            if host.startswith('b'):
+                self.assertTrue(refusals.is_refusing('b-5', now), host)
+            self.assertFalse(refusals.is_refusing('b-4', now), host)
+
     def test_an_entry_that_died_is_named_no_longer(self):
         """A host loses power; its lease in the store runs on.
 
--- a/tests/application/routing/test_streams.py
+++ b/tests/application/routing/test_streams.py
@@ -253,14 +253,14 @@
         """
         self.world = builders.World(slack=2.0)
         servers = self.world.servers
-        for number in range(20):
-            self.world.serve(number=number)
-            while not all(
-                not one.listener.is_current
-                or one.listener._owner.exchange.ended
-                for one in servers.runs
-            ):
-                servers.last.end(ports.Ending.BROKEN)
+        replies = [self.world.serve(number=number) for number in range(20)]
+        played = 0
+        for _ in range(200):
+            while played < len(servers.runs):
+                played += 1
+                servers.runs[played - 1].end(ports.Ending.BROKEN)
+            self.world.advance(25)
+        self.assertTrue(all(one.whole for one in replies))
         self.assertLessEqual(len(servers.runs), 20 + 2 + 0.2 * 20)
 
     def test_repeats_are_kept_for_callers_who_have_a_part(self):
@@ -364,6 +364,56 @@
     return world.serve(key=name, id=name)
 
 
+class OutlierTest(unittest.TestCase):
+    """Engines reset what they are sent, and their health is good."""
+
+    def setUp(self):
+        self.world = builders.World()
+        self.servers = self.world.servers
+
+    def play(self, faulty, seconds=10, per_s=20):
+        """Send requests at a steady rate; returns answers and resets.
+
+        Engines named in `faulty` reset every run before they answer; others
+        serve it at once.
+        """
+        replies, resets, played = [], 0, 0
+        for number in range(seconds * per_s):
+            replies.append(self.world.serve(number=number))
+            while played < len(self.servers.runs):
+                run = self.servers.runs[played]
+                played += 1
+                if run.run.server.id in faulty:
+                    resets += 1
+                    run.end(ports.Ending.BROKEN)
+                else:
+                    run.begin()
+                    run.send(0, 10)
+                    run.end()
+            self.world.advance(1_000 // per_s)
+        return replies, resets
+
+    def test_an_engine_that_resets_all_it_is_sent_is_ejected(self):
+        """Guards against the repeats of a service going to one engine."""
+        replies, resets = self.play({'a-0'})
+        self.assertTrue(all(one.body == WHOLE for one in replies))
+        self.assertLessEqual(resets, 8)
+
+    def test_an_ejected_engine_that_recovers_is_used_again(self):
+        self.play({'a-0'}, seconds=3)
+        self.world.advance(6_000)
+        count = len(self.servers.runs)
+        self.play(set(), seconds=2)
+        first = {one.run.server.id for one in self.servers.runs[count:]}
+        self.assertIn('a-0', first)
+
+    def test_breaks_of_all_engines_eject_few(self):
+        """Guards against an entry with a faulty link ejecting a fleet."""
+        self.play({'a-0', 'b-0'}, seconds=2)
+        now = self.world.clock.now()
+        self.assertLess(self.world.beliefs.refusals.count_left_out(now), 4)
+
+
 class SuspicionTest(unittest.TestCase):
     def test_a_suspicion_ends_when_the_server_starts_anew(self):
         world = builders.World()
--- a/tools/mechanisms.py
+++ b/tools/mechanisms.py
@@ -28,6 +28,27 @@
 
 
 MECHANISMS: dict[str, tuple[Edit, ...]] = {
+    'outlier-ejection': (
+        Edit(
+            f'{_ROUTING}/streams.py',
+            'if flight.head is None:\n            self._beliefs.note_broken',
+            'if False:\n            self._beliefs.note_broken',
+        ),
+    ),
+    'shared-silence': (
+        Edit(
+            f'{_ROUTING}/detection.py',
+            'if late > LATE_LOOK_MS:\n',
+            'if late >= 0:\n',
+        ),
+    ),
+    'reading-queue': (
+        Edit(
+            f'{_PATHS}/search.py',
+            'entry = HOP_COST_MS + offer.wait_ms\n',
+            'entry = HOP_COST_MS\n',
+        ),
+    ),
     'waiting-for-room': (
         Edit(
             f'{_ROUTING}/streams.py',
