Tell what engines give up before their orders, move nothing while some are slow

Two balancing moves had shrunk the neighbours of an engine just before it drained; extending them again was refused 12 times, as each waited for slow streams to pass through what it gave up.

No domain counts as steady while an engine is slow, so nothing is given up then. The leader tells its peers what an engine keeps 60 ms before its order, so that requests do not go to layers that are refused; an order that gives up layers is waited for 8 s longer before it counts as lost. An entry that starts answers lookups as soon as its configuration is in force, not at the next turn of news, up to 0.2 s later.

--- a/src/thornspool/application/routing/beliefs.py
+++ b/src/thornspool/application/routing/beliefs.py
@@ -9,6 +9,7 @@
 
 from thornspool.application.routing import ports
 from thornspool.domain.fleet import marks
+from thornspool.domain.fleet import moves as moves_module
 from thornspool.domain.fleet import outliers as outliers_module
 from thornspool.domain.fleet import paces as paces_module
 from thornspool.domain.fleet import refusals as refusals_module
@@ -109,6 +110,7 @@
     outliers: outliers_module.Outliers = attrs.field(
         factory=outliers_module.Outliers
     )
+    moves: moves_module.Moves = attrs.field(factory=moves_module.Moves)
     proof: proofs.Proof = attrs.field(factory=proofs.Proof)
     servers_changed_at: int = 0
     revision: int = 0
@@ -225,6 +227,7 @@
         self.paces.forget_old(now)
         self.refusals.forget_old(now)
         self.outliers.forget_old(now)
+        self.moves.forget_old(now)
 
     def _drop(self, name: str, now: int) -> None:
         """Forget a server that is gone."""
--- a/src/thornspool/application/routing/detection.py
+++ b/src/thornspool/application/routing/detection.py
@@ -65,10 +65,20 @@
 second.
 """
 
-RECHECK_MS = (1_500, 3_000)
+RECHECK_MS = (500, 1_000)
 """Range of the age at which a slow engine's pace is asked for again.
 
 The first entry that asks tells the others, so that about one of them asks.
+While an engine that has recovered counts as slow, the others take its load.
+"""
+
+SWEEP_AT_ONCE = 10
+"""Engines of such a round that are asked at each look."""
+
+SWEEP_MS = 3_000
+"""Least time between two rounds of questions to a whole service.
+
+Engines seldom turn slow alone, and those found later are used until then.
 """
 
 GIVE_UP_MS = 1_500
@@ -135,6 +145,8 @@
         self._budget_at = clock.now()
         self._worked_at = clock.now()
         self._looked_at = clock.now()
+        self._swept_at: int | None = None
+        self._to_sweep: list[str] = []
 
     def work(self) -> None:
         """Look for streams that pause; run every 100 ms or so."""
@@ -155,6 +167,7 @@
         self._check_refusals(now)
         self._check_paces(now)
         self._recheck_slow(now)
+        self._sweep(now)
 
     def look(self) -> None:
         """Look for streams that fall silent together; run every few ms."""
@@ -163,17 +176,11 @@
         self._looked_at = now
         if late > LATE_LOOK_MS:
             return
-        running = [
-            one
-            for one in self._service.flights
-            if one.stop is not None and not one.mending
-        ]
-        if self._beliefs.suspects:
-            for flight in running:
-                self._leaves_suspect(flight)
+        self._leave_suspects()
+        running = self._list_running()
         shared = silence.find_shared(
             (
-                ([hop.server.id for hop in one.hops], now - one.active_at)
+                (one.engines, now - one.active_at)
                 for one in running
                 if one.stop is not None and one.events.count
             ),
@@ -186,6 +193,20 @@
             if not self._ask_within_budget(server, now, self._ask_quickly):
                 return
 
+    def _list_running(self) -> list[flights.Flight]:
+        return [
+            one
+            for one in self._service.flights
+            if one.stop is not None and not one.mending
+        ]
+
+    def _leave_suspects(self) -> None:
+        """Move streams off suspected engines."""
+        if not self._beliefs.suspects:
+            return
+        for flight in self._list_running():
+            self._leaves_suspect(flight)
+
     def _check_refusals(self, now: int) -> None:
         """Ask engines that have refused work whether they live.
 
@@ -261,6 +282,27 @@
             if not self._beliefs.paces.is_fresh(name, now, age_ms):
                 self._ask_within_budget(self._beliefs.servers[name], now)
 
+    def _begin_sweep(self, service: str, now: int) -> None:
+        """Have all engines of a service asked, as one has turned slow."""
+        if self._swept_at is not None and now - self._swept_at < SWEEP_MS:
+            return
+        self._swept_at = now
+        self._to_sweep = [
+            name
+            for name, one in self._beliefs.servers.items()
+            if one.service == service
+        ]
+        self._random.shuffle(self._to_sweep)
+
+    def _sweep(self, now: int) -> None:
+        for name in self._to_sweep[:SWEEP_AT_ONCE]:
+            server = self._beliefs.servers.get(name)
+            if server is not None and not self._beliefs.paces.is_fresh(
+                name, now
+            ):
+                self._ask_pace(server, now, self._ask)
+        del self._to_sweep[:SWEEP_AT_ONCE]
+
     def _ask_pace(self, server: fleet.Server, now: int, ask: _Ask) -> bool:
         # Engines come and go with new names; those asked long ago are dropped.
         self._asked_at = {
@@ -340,6 +382,8 @@
             return
         before = self._beliefs.paces.get(server.id, now)
         self._beliefs.paces.note(server.id, factor, now)
+        if before < paces.SLOW <= factor:
+            self._begin_sweep(server.service, now)
         if (before >= paces.SLOW) is not (factor >= paces.SLOW):
             logger.info(
                 'pace_changed',
--- a/src/thornspool/application/routing/finding.py
+++ b/src/thornspool/application/routing/finding.py
@@ -69,7 +69,11 @@
         engines = self._beliefs.list_servers(service, now)
         return choice.Situation(
             model,
-            tuple(one for one in engines if one.id not in avoid),
+            tuple(
+                self._beliefs.moves.narrow(one)
+                for one in engines
+                if one.id not in avoid
+            ),
             frozenset(self._beliefs.leaving),
             self._taken,
             self._beliefs.paces.select((one.id for one in engines), now),
--- a/src/thornspool/application/routing/flights.py
+++ b/src/thornspool/application/routing/flights.py
@@ -10,6 +10,7 @@
 
 if typing.TYPE_CHECKING:
     from collections.abc import Callable
+    from collections.abc import Iterator
 
     from thornspool.application.routing import exchanges
     from thornspool.application.routing import ports
@@ -66,3 +67,8 @@
     def first_server(self) -> fleet.Server | None:
         """The engine that it entered at."""
         return self.hops[0].server if self.hops else None
+
+    @property
+    def engines(self) -> Iterator[str]:
+        """The engines of its path."""
+        return (hop.server.id for hop in self.hops)
--- a/src/thornspool/application/routing/membership.py
+++ b/src/thornspool/application/routing/membership.py
@@ -129,12 +129,15 @@
         if self._beliefs.fresh_suspects:
             self._tell(self._view.peers.values())
         elif (
-            self._beliefs.refusals.has_news or self._beliefs.outliers.has_news
+            self._beliefs.refusals.has_news
+            or self._beliefs.outliers.has_news
+            or self._beliefs.moves.has_news
         ):
             self._tell(self._list_concerned())
         self._beliefs.fresh_suspects.clear()
         self._beliefs.refusals.has_news = False
         self._beliefs.outliers.has_news = False
+        self._beliefs.moves.has_news = False
 
     def _list_concerned(self) -> list[view_module.Peer]:
         if self._view.is_mesh:
@@ -196,6 +199,7 @@
             self._take_feed(news, now)
         direct = self._is_from_member(news, domain)
         self._beliefs.paces.note_told(news.slow, now, direct)
+        self._beliefs.moves.note_told(news.moving, now)
         self._beliefs.take_breaks(news.host, news.breaking, now)
         self._beliefs.take_refusals(news.refusing, now, direct)
         for name in news.suspects:
@@ -435,5 +439,6 @@
             refusing=self._beliefs.refusals.list_fresh(now, direct_only),
             work=work,
             breaking=self._beliefs.outliers.list_fresh(now),
+            moving=self._beliefs.moves.list_known(direct_only),
         )
         self._send(peer.record.peers, news)
--- a/src/thornspool/application/routing/placement.py
+++ b/src/thornspool/application/routing/placement.py
@@ -32,6 +32,10 @@
 Loads at once share the store of weights, some six at full speed.
 """
 
+ANNOUNCE_MS = 60
+"""Time between telling peers what an engine gives up and ordering it; news
+leave within 25 ms."""
+
 CONFLICT_MS = 600
 """Time for which an engine that refused an order is left alone.
 
@@ -39,9 +43,15 @@
 up; a stream lasts 2 to 4 s.
 """
 
+PASS_MS = 8_000
+"""Time besides for an engine that gives up layers: it waits for the longest
+streams that pass through them, and a second order would only be refused."""
+
 LOAD_SLACK_MS = 3_000
 """Time besides: the entry of an engine is seen some 1 s after a change."""
 
+_MS_PER_S = 1000.0
+
 logger = structlog.get_logger(__name__)
 
 
@@ -95,6 +105,7 @@
             self._pending.clear()
             self._orders.clear()
             self._busy_until.clear()
+            self._beliefs.moves.own.clear()
             return
         now = self._clock.now()
         if self._beliefs.is_outdated(now):
@@ -114,15 +125,19 @@
         for name, pending in list(self._pending.items()):
             server = self._beliefs.servers.get(name)
             if server is None or server.born != pending.born:
-                del self._pending[name]
+                self._forget_order(name)
                 self._orders.pop(name, None)
             elif server.layers == pending.layers:
-                del self._pending[name]
+                self._forget_order(name)
             elif now > pending.until:
                 logger.warning('order_lost', server=name)
-                del self._pending[name]
+                self._forget_order(name)
                 self._orders.pop(name, None)
 
+    def _forget_order(self, name: str) -> None:
+        self._pending.pop(name, None)
+        self._beliefs.moves.end(name)
+
     def _place(self, service: str, model: fleet.Model, now: int) -> None:
         engines = [
             one
@@ -153,11 +168,17 @@
     def _find_steady(
         self, engines: list[fleet.Server], now: int
     ) -> frozenset[str]:
-        """Find the domains whose engines have not changed for a while."""
+        """Find the domains whose engines have not changed for a while.
+
+        There are none while engines are slow: what an engine gives up waits
+        for the streams that pass through it, and slow ones hold these up.
+        """
         domains: dict[str, set[str]] = {}
         for one in engines:
             domains.setdefault(one.failure_domain, set()).add(one.id)
         steady = set()
+        if self._beliefs.paces.select((one.id for one in engines), now):
+            self._members.clear()
         for domain, names in domains.items():
             members = frozenset(names)
             known = self._members.get(domain)
@@ -216,13 +237,24 @@
             new -= max(0, overlap)
         load_ms = model.load_s * 1000 * new / model.layers
         until = now + round(load_ms * LOAD_FACTOR) + LOAD_SLACK_MS
+        kept = orders_module.Holding(order.server, order.layers).sure
+        if self._beliefs.moves.begin(order.server, kept):
+            until += PASS_MS
+            work = self._announce_and_order(order)
+        else:
+            work = self._order(order)
         self._pending[order.server.id] = Pending(
             order.layers, order.server.born, until
         )
-        task = asyncio.get_running_loop().create_task(self._order(order))
+        task = asyncio.get_running_loop().create_task(work)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
+    async def _announce_and_order(self, order: orders_module.Order) -> None:
+        """Give an order when peers know what it makes the engine refuse."""
+        await asyncio.sleep(ANNOUNCE_MS / _MS_PER_S)
+        await self._order(order)
+
     async def _order(self, order: orders_module.Order) -> None:
         """Give one order, under the count of those that the engine began.
 
@@ -238,7 +270,7 @@
         if count is None:
             count = await self._ask_count(server)
         if count is None:
-            self._pending.pop(server.id, None)
+            self._forget_order(server.id)
             return
         if not self._may_lead():
             return
@@ -259,7 +291,7 @@
             self._orders.pop(server.id, None)
             self._busy_until[server.id] = self._clock.now() + CONFLICT_MS
             await self._ask_count(server)
-            self._pending.pop(server.id, None)
+            self._forget_order(server.id)
 
     async def _ask_count(self, server: fleet.Server) -> int | None:
         """Ask an engine how many orders it has begun, and remember it."""
--- a/src/thornspool/domain/entries/messages.py
+++ b/src/thornspool/domain/entries/messages.py
@@ -87,6 +87,9 @@
         Marks of engines that have just refused work.
     breaking : tuple of int
         Marks of engines that have just broken a run of the sender.
+    moving : dict of int to tuple of int
+        First layer and end of what engines keep that give up others, by
+        mark.
     """
 
     host: str
@@ -104,3 +107,4 @@
     refusing: tuple[int, ...] = ()
     work: dict[int, float] = attrs.field(factory=dict)
     breaking: tuple[int, ...] = ()
+    moving: dict[int, tuple[int, int]] = attrs.field(factory=dict)
--- a/src/thornspool/domain/paths/silence.py
+++ b/src/thornspool/domain/paths/silence.py
@@ -75,9 +75,12 @@
     list of str
         Those of most silent streams first.
     """
+    listed = list(streams)
+    if sum(quiet_ms >= bound_ms for _, quiet_ms in listed) < LEAST_STREAMS:
+        return []
     silent: collections.Counter[str] = collections.Counter()
     seen: collections.Counter[str] = collections.Counter()
-    for engines, quiet_ms in streams:
+    for engines, quiet_ms in listed:
         names = list(engines)
         seen.update(names)
         if quiet_ms >= bound_ms:
--- a/src/thornspool/platform/daemon.py
+++ b/src/thornspool/platform/daemon.py
@@ -439,6 +439,9 @@
         self._streams.work()
         self._calls.work()
         self._detector.look()
+        if self._membership.state is messages.State.STARTING:
+            # Callers get no address while all entries start.
+            self._update_state()
         self._membership.tell_failures()
 
     async def _detect(self) -> None:
@@ -446,10 +449,13 @@
         self._beliefs.forget_left(self._clock.now())
 
     async def _tell_news(self) -> None:
+        self._update_state()
+        self._membership.work()
+
+    def _update_state(self) -> None:
         self._membership.update_state(
             self._beliefs.configuration is not None, self._intake.key_bound_ms
         )
-        self._membership.work()
 
     async def _plan(self) -> None:
         self._placement.work()
--- a/src/thornspool/platform/peers.py
+++ b/src/thornspool/platform/peers.py
@@ -57,6 +57,8 @@
     refusing: list[int]
     work: dict[int, int]
     breaking: list[int] = []
+    # First layer and end.
+    moving: dict[int, tuple[int, int]] = {}
 
 
 class _Update(msgspec.Struct, array_like=True, tag=1):
@@ -96,6 +98,7 @@
             list(news.refusing),
             {mark: round(amount) for mark, amount in news.work.items()},
             list(news.breaking),
+            news.moving,
         )
     )
 
@@ -144,6 +147,7 @@
         tuple(read.refusing),
         {mark: float(amount) for mark, amount in read.work.items()},
         tuple(read.breaking),
+        read.moving,
     )
 
 
--- a/tests/application/routing/test_detection.py
+++ b/tests/application/routing/test_detection.py
@@ -197,6 +197,16 @@
             1.0, self.world.beliefs.paces.get(self.middle.id, now)
         )
 
+    async def test_engines_that_turn_slow_together_are_found_together(self):
+        """Guards against slow engines that are found one after another."""
+        for name in (self.middle.id, 'b-1', 'b-2'):
+            self.servers.reports[name] = ports.Report(1, False, 12.0, 1, ())
+        await self.pass_time(600)
+        now = self.world.clock.now()
+        for name in ('b-1', 'b-2'):
+            self.assertEqual(12.0, self.world.beliefs.paces.get(name, now))
+        self.assertLess(len(self.servers.asked), 30)
+
     async def test_an_engine_of_the_path_that_is_gone_is_found_early(self):
         """An engine in the middle of a path crashes.
 
