--- a/tests/application/routing/test_calls.py
+++ b/tests/application/routing/test_calls.py
@@ -158,20 +158,13 @@
         self.assertEqual('', self.world.servers.last.run.workspace)
 
     def test_an_entry_without_configuration_does_not_say_not_found(self):
-        """An entry has just started and knows no route yet.
-
-        A 404 would tell the caller to give up on a route that exists.
-        """
+        """An entry has just started and knows no route yet."""
         self.world.beliefs.configuration = None
         reply = self.world.serve()
         self.assertEqual(503, reply.status)
 
     def test_keys_stop_when_nothing_proves_the_configuration(self):
-        """The store answers other hosts, but not this one any more.
-
-        A key that operators withdraw meanwhile would work here for ever.
-        Routes without keys go on.
-        """
+        """The store answers other hosts, but not this one any more."""
         self.world.clock.advance(4_300)
         self.assertEqual(503, self.world.serve().status)
         self.world.serve('/open/1', key=None)
@@ -219,11 +212,7 @@
                 self.assertFalse(world.beliefs.is_usable(server, 1_100))
 
     def test_an_engine_that_drains_gets_nothing_at_all(self):
-        """Engines are taken away one after the other.
-
-        They refuse new work from the moment at which they say so; requests
-        were sent there for a second more, and refused with their callers.
-        """
+        """Engines are taken away one after the other."""
         world = builders.World()
         engine = world.beliefs.servers['a-0']
         world.beliefs.take_server(
--- a/tests/application/routing/test_detection.py
+++ b/tests/application/routing/test_detection.py
@@ -65,12 +65,7 @@
     async def test_a_stream_runs_on_no_more_engines_than_its_route_allows(
         self,
     ):
-        """Engines in the middle of a draft's paths die, one after another.
-
-        A route whose drafts may run on two engines saw them run on three
-        and four: each loss of another engine had counted as if the first
-        one of the path, which the stream entered at, had ended.
-        """
+        """Engines in the middle of a draft's paths die, one after another."""
         for name in ('a', 'b'):
             self.world.add(
                 fleet_builders.build_engine(f'{name}-7', 'large', 27, 54)
@@ -121,12 +116,7 @@
         self.assertEqual(WHOLE, reply.body)
 
     async def test_a_stream_for_which_there_is_no_other_path_stays(self):
-        """Engines of all domains are replaced, and one more is suspected.
-
-        Streams were taken off it first, found no other path for a second
-        and a half, and were cut by the entry beside a change of the
-        configuration.
-        """
+        """Engines of all domains are replaced, and one more is suspected."""
         for name in ('b-0', 'b-1', 'b-2'):
             self.world.beliefs.suspect(name, 'not_reached', 0)
         self.blame(self.middle)
@@ -136,12 +126,7 @@
         self.assertFalse(self.run.stopped)
 
     async def test_a_stream_that_can_not_go_on_elsewhere_stays(self):
-        """The same loss when nothing may be repeated any more.
-
-        The streams were cut at once by the entry, beside a change of the
-        configuration; some of them would have gone on, since a peer that
-        suspects an engine may be wrong.
-        """
+        """The same loss when nothing may be repeated any more."""
         while self.world.budget.take('drafting', urgent=True):
             pass
         self.blame(self.middle)
@@ -164,11 +149,7 @@
         self.assertEqual(3.0, pace)
 
     async def test_requests_leave_an_engine_that_has_turned_slow(self):
-        """An engine takes many times as long, and fails nothing.
-
-        First events came after a second in place of 60 ms for as long as
-        it was slow, since only engines that stalled were looked for.
-        """
+        """An engine takes many times as long, and fails nothing."""
         slow = self.middle
         self.servers.reports[slow.id] = ports.Report(1, False, 24.0, 1, ())
         self.world.serve(number=2)
@@ -208,22 +189,14 @@
         self.assertLess(len(self.servers.asked), 30)
 
     async def test_an_engine_of_the_path_that_is_gone_is_found_early(self):
-        """An engine in the middle of a path crashes.
-
-        The engine before it says so seconds later; asked itself, it does
-        not answer at all.
-        """
+        """An engine in the middle of a path crashes."""
         del self.servers.reports[self.middle.id]
         await self.pass_time(300)
         self.assertIn(self.middle.id, self.world.beliefs.suspects)
         self.assertEqual('2', self.servers.last.run.resume_after)
 
     async def test_an_engine_in_whose_name_work_is_refused_is_asked(self):
-        """An engine is gone, and the store with the list is away.
-
-        The first engine of each path refuses in its name. It was left out
-        for a moment and used again, until the repeats were used up.
-        """
+        """An engine is gone, and the store with the list is away."""
         del self.servers.reports[self.middle.id]
         self.world.serve(number=2)
         self.servers.last.refuse(fault=self.middle.address)
@@ -239,11 +212,7 @@
         self.assertEqual({}, self.world.beliefs.suspects)
 
     async def test_an_answer_that_this_entry_reads_late_blames_nobody(self):
-        """Many streams are sent elsewhere at once, and the loop is busy.
-
-        The time for answers that lie in the sockets has run out when it
-        looks. All entries left four sound engines out for 4 s.
-        """
+        """Many streams are sent elsewhere at once, and the loop is busy."""
         del self.servers.reports[self.first.id]
         answer = self.servers.ask_report
 
@@ -257,11 +226,7 @@
         self.assertNotIn(self.first.id, self.world.beliefs.suspects)
 
     async def test_the_word_of_others_allows_no_further_run(self):
-        """Another entry is mistaken about the first engines of two paths.
-
-        Their runs had not ended, and streams ran on three engines of two
-        that their route allows.
-        """
+        """Another entry is mistaken about the first engines of two paths."""
         third = fleet_builders.build_engine('a-8', 'large', 0, 27)
         self.world.add(third)
         self.servers.reports[third.id] = self.servers.reports[self.first.id]
@@ -278,11 +243,7 @@
         self.assertEqual(2, len(self.servers.runs))
 
     async def test_questions_about_paces_are_bounded(self):
-        """Every stream of every entry is late.
-
-        82 entries asked each of 98 engines eight times a second, and each
-        question is priced.
-        """
+        """Every stream of every entry is late."""
         for number in range(2, 40):
             self.world.serve(number=number)
         await self.pass_time(3_000)
@@ -291,11 +252,7 @@
         self.assertLess(asked, 12 + 3 * fleet + 3 * 6)
 
     async def test_a_silent_request_that_may_not_be_repeated_stays(self):
-        """Nothing came for a second and a half, and repeats are used up.
-
-        The request was taken off its engine first and then refused; 526
-        callers were told so on one day, and most engines were only slow.
-        """
+        """Nothing came for a second and a half, and repeats are used up."""
         reply = self.world.serve(number=2)
         while self.world.budget.take('drafting'):
             pass
@@ -309,11 +266,7 @@
         self.assertFalse(run.stopped)
 
     async def test_a_host_that_stood_still_blames_nobody(self):
-        """The host of the entry is suspended for seconds.
-
-        On waking all streams look silent, and it would tell its peers to
-        leave out the whole fleet.
-        """
+        """The host of the entry is suspended for seconds."""
         self.world.detector.work()
         self.world.clock.advance(5_000)
         self.world.detector.work()
--- a/tests/application/routing/test_membership.py
+++ b/tests/application/routing/test_membership.py
@@ -31,12 +31,7 @@
         self.assertEqual(['a-00', 'b-00', 'c-00'], collecting)
 
     def test_all_entries_count_as_serving_all_the_time(self):
-        """Entries of a large fleet hear each other rarely.
-
-        They took most of the fleet for dead, named few addresses to
-        callers, and the lead went from one to the next several times a
-        second, each time with a priced call of all of them.
-        """
+        """Entries of a large fleet hear each other rarely."""
         for _ in range(40):
             self.fleet.play(200)
             for host, member in self.members.items():
@@ -67,10 +62,7 @@
                 self.assertEqual({MARK: others}, taken.others)
 
     def test_one_entry_may_repeat_what_the_others_do_not(self):
-        """An engine fails whose requests all come through one entry.
-
-        An equal part of all repeats was 7 in 10 s, and it refused the rest.
-        """
+        """An engine fails whose requests all come through one entry."""
         for member in self.members.values():
             for _ in range(20):
                 member.budget.record_request('drafting')
@@ -88,11 +80,7 @@
         self.assertEqual(taken, used)
 
     def test_a_refusal_is_known_in_its_domain_at_once(self):
-        """An engine has just gone, and the list shows it still.
-
-        Each entry found that out by itself, at the price of its callers'
-        requests.
-        """
+        """An engine has just gone, and the list shows it still."""
         found = self.members['b-07']
         found.beliefs.refusals.note('b-engine', self.fleet.clock.now())
         found.service.tell_failures()
@@ -123,11 +111,7 @@
             self.assertFalse(refusals.is_refusing('b-4', now), host)
 
     def test_an_entry_that_died_is_named_no_longer(self):
-        """A host loses power; its lease in the store runs on.
-
-        Callers of all failure domains who were still told its address
-        waited a second for each connection.
-        """
+        """A host loses power; its lease in the store runs on."""
         self.fleet.take('b-04', 500.0)
         self.fleet.play(1_000)
         self.fleet.kill('b-04')
@@ -153,11 +137,7 @@
                 self.assertIn('a-07:80', addresses)
 
     def test_another_entry_collects_when_the_registration_ends(self):
-        """The collector's host is cut off until its lease has ended.
-
-        Its entries failed to find it in their list and told no news at all
-        any more, and each of them asked the store four times a second.
-        """
+        """The collector's host is cut off until its lease has ended."""
         self.fleet.kill('b-00')
         self.fleet.play(600)
         self.fleet.unregister('b-00')
@@ -167,11 +147,7 @@
         self.assertTrue(fed)
 
     def test_a_collector_that_was_cut_off_takes_nobody_for_dead(self):
-        """It hears its entries again after eight seconds.
-
-        It told everybody that all of them were absent, since it had not
-        heard them for so long, and callers were named hardly any address.
-        """
+        """It hears its entries again after eight seconds."""
         self.fleet.cut_off('b-00')
         self.fleet.play(8_000)
         self.fleet.rejoin('b-00')
@@ -200,11 +176,7 @@
             self.assertNotIn('b-04:80', self.list_addresses(host, 'b'))
 
     def test_callers_have_addresses_while_the_store_is_away_from_all(self):
-        """The store goes down for 10 s, and no entry is current.
-
-        Routes that need no key could be served, and other callers be told
-        when to come back; but they got no address, and failed.
-        """
+        """The store goes down for 10 s, and no entry is current."""
         self.fleet.chooses_states = True
         self.fleet.play(2_000)
         sent = self.fleet.sent
@@ -218,11 +190,7 @@
         self.assertLess(rate, 8)
 
     def test_an_entry_that_alone_is_outdated_is_named_no_longer(self):
-        """An entry is cut off from the store and from the others.
-
-        It refuses every request that needs a key, and callers who were led
-        there would have to come back.
-        """
+        """An entry is cut off from the store and from the others."""
         self.fleet.chooses_states = True
         self.fleet.cut_off('b-04')
         self.fleet.shut_out.add('b-04')
@@ -236,10 +204,7 @@
             self.assertIn('b-04:80', self.list_addresses(host, 'b'))
 
     def test_an_entry_serves_again_though_its_word_was_lost(self):
-        """An entry says once that it serves, and most do not hear it.
-
-        They led no caller there until it was restarted.
-        """
+        """An entry says once that it serves, and most do not hear it."""
         entry = self.members['b-04']
         entry.service.set_state(messages.State.STARTING)
         self.fleet.play(2_000)
@@ -276,10 +241,7 @@
         ]
 
     def test_only_collectors_follow_the_store(self):
-        """Every entry watched the store, and each call is priced.
-
-        On 84 hosts calls cost 0.70 of what all requests are worth.
-        """
+        """Every entry watched the store, and each call is priced."""
         self.assertEqual(['a-00', 'b-00', 'c-00'], self.list_unfed())
 
     def test_proofs_reach_every_entry(self):
@@ -291,10 +253,7 @@
         self.assertLess(max(ages), 1_000)
 
     def test_an_entry_turns_to_the_store_when_its_collector_is_silent(self):
-        """The collector's host freezes.
-
-        Its entries would not see a key that is withdrawn meanwhile.
-        """
+        """The collector's host freezes."""
         self.fleet.kill('b-00')
         self.fleet.play(1_200)
         self.assertLessEqual(
@@ -308,11 +267,7 @@
         self.assertEqual(30, len(self.list_unfed()))
 
     def test_entries_know_an_outage_that_their_collector_shares(self):
-        """The store is down for all.
-
-        Each of 84 entries asked it once or twice a second, and each call
-        is priced, also one without an answer.
-        """
+        """The store is down for all."""
         member = self.members['b-05']
         self.assertFalse(member.service.shares_outage())
         self.fleet.play(2_600, prove=False)
@@ -323,11 +278,7 @@
         self.assertTrue(member.service.is_fed())
 
     def test_an_entry_that_missed_a_change_asks_for_it(self):
-        """The datagram with a withdrawn key is lost.
-
-        The entry is told news all the same, and would take its old copy
-        for current.
-        """
+        """The datagram with a withdrawn key is lost."""
         for member in self.members.values():
             member.revision = 2
         self.members['a-06'].revision = 1
--- a/tests/application/routing/test_placement.py
+++ b/tests/application/routing/test_placement.py
@@ -98,11 +98,7 @@
         self.assertEqual([], await self.work())
 
     async def test_no_orders_by_what_the_list_said_long_ago(self):
-        """The store is back, and the lease is renewed before the copy is.
-
-        Engines had loaded their layers during the outage; the leader saw
-        them half loaded still, and ordered the whole domain elsewhere.
-        """
+        """The store is back, and the lease is renewed before the copy is."""
         self.lose('a-1')
         self.world.clock.advance(beliefs.OUTAGE_MS + 1)
         self.assertEqual([], await self.work())
--- a/tests/application/routing/test_streams.py
+++ b/tests/application/routing/test_streams.py
@@ -34,11 +34,7 @@
         self.assertEqual({}, self.world.taken.own)
 
     def test_a_broken_stream_goes_on_behind_its_last_whole_event(self):
-        """An engine dies in the middle of an event of a draft.
-
-        The caller would have to read half a draft again, or gets half an
-        event with a whole one behind it.
-        """
+        """An engine dies in the middle of an event of a draft."""
         reply = self.world.serve()
         first = self.servers.last
         first.begin()
@@ -66,11 +62,7 @@
         self.assertIsNot(first, self.servers.last)
 
     def test_a_stream_that_may_not_resume_is_cut_not_run_again(self):
-        """The same break on a route whose streams may run only once.
-
-        A second run would be a second booking; a clean end would make half
-        an answer look whole.
-        """
+        """The same break on a route whose streams may run only once."""
         reply = self.world.serve('/once/x')
         run = self.servers.last
         run.begin()
@@ -81,11 +73,7 @@
         self.assertFalse(reply.whole)
 
     def test_what_ran_once_at_most_is_never_called_not_run(self):
-        """The engine of such a stream dies before its first event.
-
-        Told "not run" (503), the caller would send it again, and it may
-        have run.
-        """
+        """The engine of such a stream dies before its first event."""
         reply = self.world.serve('/once/x')
         self.servers.last.end(ports.Ending.BROKEN)
         self.assertEqual(502, reply.status)
@@ -101,11 +89,7 @@
         self.assertEqual(502, reply.status)
 
     def test_an_engine_that_refuses_is_not_asked_again_at_once(self):
-        """An engine has given up layers that the list still shows.
-
-        Requests came back to it within milliseconds, six times each, and
-        used up what all requests together may be repeated.
-        """
+        """An engine has given up layers that the list still shows."""
         reply = self.world.serve()
         refused = set()
         for _ in range(3):
@@ -118,11 +102,7 @@
         self.assertLessEqual(len(self.servers.runs), 3)
 
     def test_an_engine_that_refuses_is_left_out_for_all_requests(self):
-        """An engine gives up layers and keeps their memory for seconds.
-
-        The list shows it as usable, each request went there and was
-        refused, and the repeats of all were used up.
-        """
+        """An engine gives up layers and keeps their memory for seconds."""
         self.world.serve(number=0)
         blamed = self.servers.last.run.hops[1].server
         self.servers.last.refuse(503, blamed.address)
@@ -141,11 +121,7 @@
         )
 
     def test_requests_wait_for_a_domain_rather_than_crowd_the_links(self):
-        """One engine of each domain refuses for a moment.
-
-        Nearly all requests took engines of all domains in turn, and the
-        links between these were full for minutes.
-        """
+        """One engine of each domain refuses for a moment."""
         known = self.world.beliefs.configuration
         model = fleet_builders.build_model(
             activation_bytes=59_000.0, pipe_mbps=100.0
@@ -198,11 +174,7 @@
         self.assertEqual(3, len(self.servers.runs))
 
     def test_without_a_path_callers_are_told_at_once(self):
-        """No domain holds all layers.
-
-        Waiting for a path would hold callers who could ask later, and the
-        answer would be the same.
-        """
+        """No domain holds all layers."""
         for number in ('a-1', 'b-1'):
             del self.world.beliefs.servers[number]
         reply = self.world.serve()
@@ -227,10 +199,7 @@
         self.assertTrue(self.servers.last.stopped)
 
     def test_late_bytes_of_a_run_that_was_left_go_nowhere(self):
-        """A silent engine wakes after its stream went elsewhere.
-
-        Its events would be mixed with those of the second run.
-        """
+        """A silent engine wakes after its stream went elsewhere."""
         reply = self.world.serve()
         first = self.servers.last
         first.begin()
@@ -246,11 +215,7 @@
         self.assertEqual(WHOLE, reply.body)
 
     def test_repeats_end_with_the_budget(self):
-        """Every engine fails every request.
-
-        Requests that are sent again and again add to the load under which
-        the engines fail.
-        """
+        """Every engine fails every request."""
         self.world = builders.World(slack=2.0)
         servers = self.world.servers
         replies = [self.world.serve(number=number) for number in range(20)]
@@ -264,12 +229,7 @@
         self.assertLessEqual(len(servers.runs), 20 + 2 + 0.2 * 20)
 
     def test_repeats_are_kept_for_callers_who_have_a_part(self):
-        """Engines give up layers and refuse hundreds of new requests.
-
-        Their repeats used up what all requests may be repeated, and a
-        draft that broke then was cut, though a refused request can come
-        back and half a draft is lost.
-        """
+        """Engines give up layers and refuse hundreds of new requests."""
         self.world = builders.World(slack=10.0)
         servers = self.world.servers
         reply = self.world.serve(number=0)
@@ -287,11 +247,7 @@
         self.assertIn('3', resumed)
 
     def test_a_broken_stream_waits_for_a_repeat_that_comes_free(self):
-        """A draft breaks just when nothing may be repeated any more.
-
-        The window slides on, so that it may go on a moment later; cut at
-        once, its caller would have to begin anew.
-        """
+        """A draft breaks just when nothing may be repeated any more."""
         self.world = builders.World(slack=3.0)
         servers = self.world.servers
         while self.world.budget.take('drafting', urgent=True):
@@ -327,10 +283,7 @@
         self.assertEqual('no_room', late.reason)
 
     def test_a_drain_takes_only_what_ends_before_it(self):
-        """A host is stopped, and callers who hold its address come still.
-
-        A long draft taken now is cut at the end of the grace period.
-        """
+        """A host is stopped, and callers who hold its address come still."""
         self.world.streams.set_end(self.world.clock.now() + 5_000)
         short = self.world.serve(number=1, answer_tokens=50.0)
         long = self.world.serve(number=2, answer_tokens=4_000.0)
--- a/tests/domain/entries/test_leadership.py
+++ b/tests/domain/entries/test_leadership.py
@@ -56,11 +56,7 @@
         self.assertIsNone(self.find(200))
 
     def test_takes_over_from_a_holder_that_went_silent(self):
-        """The entry that gives orders dies.
-
-        Its lease still runs for two seconds, in which no lost engine is
-        replaced, so a peer that no longer hears it takes over.
-        """
+        """The entry that gives orders dies."""
         self.view.take_record(build_record('three'), 0)
         self.lead.take_holder(leadership.Holder('two', 'two-1', 7), 0)
         self.view.take_news(build_news('two'), 100)
@@ -69,20 +65,14 @@
         self.assertEqual(7, self.find(1_400, ('one', 'three')))
 
     def test_an_isolated_entry_takes_nothing_over(self):
-        """An entry is cut off from all others, and hears nobody.
-
-        It would take the lead from one that works, again and again.
-        """
+        """An entry is cut off from all others, and hears nobody."""
         self.lead.take_holder(leadership.Holder('two', 'two-1', 7), 0)
         self.view.take_news(build_news('two'), 100)
         self.lead.renewed_at = 5_000
         self.assertIsNone(self.find(5_000))
 
     def test_stops_to_act_before_its_lease_ends(self):
-        """A host stands still and wakes after its lease has ended.
-
-        Another entry leads by then; orders of both would undo each other.
-        """
+        """A host stands still and wakes after its lease has ended."""
         self.lead.take_holder(leadership.Holder('one', 'one-1', 7), 0)
         self.assertTrue(self.lead.may_act(100))
         self.assertFalse(self.lead.may_act(leadership.LEASE_MS))
@@ -106,10 +96,7 @@
         self.assertEqual([], self.view.list_serving(3_200))
 
     def test_a_peer_that_leaves_is_not_named(self):
-        """A host is stopped for an update.
-
-        Callers who are still told its address meet a closed port.
-        """
+        """A host is stopped for an update."""
         self.view.take_record(build_record('two'), 0)
         self.view.take_news(build_news('two', messages.State.LEAVING), 100)
         self.assertEqual([], self.view.list_serving(150))
--- a/tests/domain/fleet/test_events.py
+++ b/tests/domain/fleet/test_events.py
@@ -21,11 +21,7 @@
         strategies.lists(strategies.integers(0, len(STREAM)), max_size=12)
     )
     def test_passes_whole_events_whatever_the_pieces(self, cuts):
-        """An engine stops in the middle of an event.
-
-        If the begun event had been passed on, the run that goes on behind
-        it would be joined to its half, and the caller reads garbage.
-        """
+        """An engine stops in the middle of an event."""
         buffer = events.EventBuffer()
         passed = b''
         edges = [0, *sorted(cuts), len(STREAM)]
--- a/tests/domain/fleet/test_paces.py
+++ b/tests/domain/fleet/test_paces.py
@@ -14,10 +14,7 @@
         self.mark = marks.compute_mark('a-1')
 
     def test_counts_for_a_while(self):
-        """An engine was slow and is not asked any more.
-
-        It was left out for good once nobody used it.
-        """
+        """An engine was slow and is not asked any more."""
         self.paces.note('a-1', 5.0, 0)
         self.assertEqual({'a-1': 5.0}, self.paces.select(['a-1', 'a-2'], 10))
         after = paces_module.VALID_MS + 1
@@ -30,11 +27,7 @@
         self.assertEqual(1.0, self.paces.get('a-1', 0))
 
     def test_what_was_passed_on_is_not_passed_on_again(self):
-        """Two collectors tell each other of a slow engine.
-
-        Each would renew the other's word, and the engine stayed slow in
-        the eyes of all long after it had recovered.
-        """
+        """Two collectors tell each other of a slow engine."""
         self.paces.note_told({self.mark: 5.0}, 0, direct=False)
         self.assertEqual({}, self.paces.list_slow(0, direct_only=True))
         told = self.paces.list_slow(0, direct_only=False)
--- a/tests/domain/fleet/test_refusals.py
+++ b/tests/domain/fleet/test_refusals.py
@@ -22,10 +22,7 @@
         self.assertEqual({'a-1'}, self.refusals.select(['a-1', 'a-2'], 10))
 
     def test_longer_each_time_up_to_a_bound(self):
-        """An engine stays short of memory for ten seconds.
-
-        Tried every 300 ms by each entry it refused hundreds of requests.
-        """
+        """An engine stays short of memory for ten seconds."""
         now = 0
         lengths = []
         for _ in range(5):
@@ -56,11 +53,7 @@
         self.assertEqual((), self.refusals.list_fresh(10, False))
 
     def test_peers_that_tell_of_it_lengthen_the_time(self):
-        """An engine drains while the store, and its list, is away.
-
-        Each entry tried it for itself every 300 ms; 84 of them had 47 runs
-        refused within 3 s, until the repeats of all were used up.
-        """
+        """An engine drains while the store, and its list, is away."""
         mark = marks.compute_mark('a-1')
         now = 0
         lengths = []
@@ -80,11 +73,7 @@
         self.assertFalse(self.refusals.is_refusing('a-1', 400))
 
     def test_few_of_many_entries_try_an_engine_again(self):
-        """All entries were told at once, and wait for the same time.
-
-        Where they differ in patience, the first one tells the others before
-        they send to the engine that still refuses.
-        """
+        """All entries were told at once, and wait for the same time."""
         alike = self.count_tries(1.0)
         self.assertLess(
             self.count_tries(refusals_module.MOST_PATIENCE), 0.8 * alike
--- a/tests/domain/paths/test_crossings.py
+++ b/tests/domain/paths/test_crossings.py
@@ -15,10 +15,7 @@
         return builders.build_model(**values)
 
     def test_links_are_never_offered_more_than_they_carry(self):
-        """No domain has a whole path, and every request would cross.
-
-        The links needed minutes for what came in seconds.
-        """
+        """No domain has a whole path, and every request would cross."""
         for rate in (1.0, 10.0, 56.0, 400.0):
             with self.subTest(rate):
                 model = self.build()
--- a/tests/domain/paths/test_search.py
+++ b/tests/domain/paths/test_search.py
@@ -211,12 +211,7 @@
         )
 
     def test_goes_to_another_domain_whole_when_its_own_has_a_hole(self):
-        """An engine of the entry's own domain is lost.
-
-        Crossing in the middle of a path would move the activations of the
-        whole prompt; a few such requests fill the pipe between domains and
-        all streams on it pause.
-        """
+        """An engine of the entry's own domain is lost."""
         engines = [one for one in self.build_replicas() if one.id != 'a-2']
         found = choice.choose_path(
             self.describe(engines), choice.Need(760, 170)
@@ -239,11 +234,7 @@
         )
 
     def test_tells_full_engines_from_missing_layers(self):
-        """All engines are full, or some layer has no holder.
-
-        The first passes as streams end, the second when an engine has
-        loaded; callers are told when to come back by which of them it is.
-        """
+        """All engines are full, or some layer has no holder."""
         engines = self.build_replicas()[:3]
         taken = reservations.Reservations()
         mark = marks.compute_mark('a-2')
@@ -271,11 +262,7 @@
         self.assertIn('a-1', [hop.server.id for hop in found.hops])
 
     def test_never_takes_more_room_than_there_is(self):
-        """Requests come faster than they end.
-
-        An engine whose memory runs out preempts its newest request in the
-        middle of its stream, and its caller sees a pause of seconds.
-        """
+        """Requests come faster than they end."""
         engines = self.build_replicas()
         taken = reservations.Reservations()
         need = choice.Need(760, 170)
@@ -296,11 +283,7 @@
 
 class FillingTest(unittest.TestCase):
     def test_the_fastest_engine_is_not_filled_while_others_are_empty(self):
-        """Many entries choose at once, by what they knew a second ago.
-
-        All of them liked the fastest engine best; its memory ran out, and
-        a third of all runs was refused while its neighbours were empty.
-        """
+        """Many entries choose at once, by what they knew a second ago."""
         engines = [
             builders.build_engine('a-1', 'medium', 0, 8),
             builders.build_engine('a-2', 'small', 0, 8),
--- a/tests/domain/placement/test_planning.py
+++ b/tests/domain/placement/test_planning.py
@@ -104,13 +104,7 @@
         self.assertGreaterEqual(len(small), 0.9 * len(counts))
 
     def test_nothing_is_given_up_while_a_safe_way_is_left(self):
-        """The last domain that serves loses an engine.
-
-        If its other engines moved all at once, layers that were still held
-        would be gone too, and longer than the hole itself. Only where no
-        safe order is left do engines give up layers, since callers would
-        be refused for good otherwise.
-        """
+        """The last domain that serves loses an engine."""
         for lost, left in self.lose_each():
             self.check_safe_way(lost, left)
 
@@ -145,12 +139,7 @@
                 yield lost, [one for one in mended if one is not lost]
 
     def test_few_layers_are_given_up_for_a_hole(self):
-        """A domain loses a second engine, and neighbours have no memory.
-
-        Layers that are given up wait for what passes through them; sent to
-        new places all at once, the engines of a domain served nobody for
-        6 s under load.
-        """
+        """A domain loses a second engine, and neighbours have no memory."""
         spare = builders.build_engine('z-0', 'large', 0, 80)
         given_up = []
         for lost, left in self.lose_two():
@@ -169,11 +158,7 @@
         self.assertLess(sum(given_up) / len(given_up), 6)
 
     def test_domains_that_mend_keep_a_path_across_them(self):
-        """Two domains lose two engines each, and none is whole.
-
-        Each may look to the other for the layers that it gives up; then
-        both have given up the same ones, and nobody is served.
-        """
+        """Two domains lose two engines each, and none is whole."""
         source = random.Random(1)
         rounds = []
         for _ in range(300):
@@ -205,11 +190,7 @@
         self.assertEqual(['b-new'], [one.server.id for one in orders])
 
     def test_ranges_move_only_in_a_domain_that_is_steady(self):
-        """A crashed engine is back within seconds.
-
-        Moved at once, the ranges of a whole domain would go to new places
-        and back, and engines refuse requests while they move.
-        """
+        """A crashed engine is back within seconds."""
         engines = place('b')
         left = carry_out(
             engines[:4] + engines[5:], plan(engines[:4] + engines[5:])
@@ -275,11 +256,7 @@
         return left
 
     def test_few_engines_move_at_once_in_all_domains(self):
-        """Engines were lost in all domains, and the holes were closed.
-
-        When all domains went back to their best layout together, a quarter
-        of all engines moved, and requests were late for 6 s.
-        """
+        """Engines were lost in all domains, and the holes were closed."""
         left = self.lose_one_each()
         for _ in range(40):
             orders = plan(left, builders.DOMAINS)
--- a/tests/domain/retries/test_decisions.py
+++ b/tests/domain/retries/test_decisions.py
@@ -15,11 +15,7 @@
 
 class DecideTest(unittest.TestCase):
     def test_table_of_failures(self) -> None:
-        """An attempt fails in each way that the table names.
-
-        What may have run is never tried again unless running it twice is
-        harmless; the rest is bounded by attempts, deadline and budget.
-        """
+        """An attempt fails in each way that the table names."""
         give_up = messages.GiveUp
         reason = messages.Reason
         cases = [
@@ -49,11 +45,7 @@
                 self.assertEqual(level - spent, tokens.bucket.level)
 
     def test_dead_target_group_gets_few_retries(self) -> None:
-        """A target group dies after it has served well.
-
-        Without a budget each request becomes four; with it, attempts stay
-        within the burst and the floor.
-        """
+        """A target group dies after it has served well."""
         tokens = budget.build_budget(0, 0.1, 1.0, 10.0)
         tokens.bucket.level = 0.0
         for now in range(1000):
--- a/tests/domain/retries/test_pools.py
+++ b/tests/domain/retries/test_pools.py
@@ -12,11 +12,7 @@
     """An entry that hears nothing of the others."""
 
     def test_no_window_holds_more_than_its_share(self):
-        """A service fails every request for a while.
-
-        Without a bound each of them is sent again, and the service gets
-        twice its load just when it fails.
-        """
+        """A service fails every request for a while."""
         source = random.Random(5)
         pool = pools.RepeatPool(0.2, 10.0, 1_000)
         requests, repeats = [], []
@@ -53,12 +49,7 @@
 
 class OutageTest(unittest.TestCase):
     def test_the_requests_of_the_window_before_count(self):
-        """The store was away, and for 10 s few requests reached a server.
-
-        Engines that were lost meanwhile leave many to be sent again when it
-        is back. The bound is taken from the window with most requests, this
-        one or the one before; by this one alone their callers were refused.
-        """
+        """The store was away, and for 10 s few requests reached a server."""
         pool = pools.RepeatPool(0.2, 0.0, 10_000)
         taken = 0
         for now in range(0, 21_000, 100):
@@ -81,11 +72,7 @@
 
 class RestartTest(unittest.TestCase):
     def test_repeats_of_entries_that_were_killed_still_count(self):
-        """Half of all entries are killed and start anew.
-
-        They tell of no repeats then, and what they had used was used a
-        second time within one window.
-        """
+        """Half of all entries are killed and start anew."""
         pool = pools.RepeatPool(0.0, 100.0, 10_000, entries=2)
         pool.take_others(pools.Work(0.0, 99.0), 0)
         pool.take_others(pools.Work(0.0, 0.0), 400)
@@ -146,11 +133,7 @@
         self.assertGreater(excess, 0.6)
 
     def test_few_entries_may_use_what_the_others_leave(self):
-        """Failures come to 4 of 40 entries, as a domain loses an engine.
-
-        With equal parts of the window they could repeat 5 requests each in
-        10 s, refused all others, and most of the repeats were never used.
-        """
+        """Failures come to 4 of 40 entries, as a domain loses an engine."""
         taken, _ = self.play(
             40, lambda number, now: 0.1 if number < 4 else 0.0, 800
         )
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -213,10 +213,7 @@
         self.assertEqual(0.0, read.prompt_tokens)
 
     def test_keys_and_orders_of_the_router_do_not_pass(self):
-        """A caller sends headers by which the router speaks to servers.
-
-        Passed on, he could name another workspace, path or rank.
-        """
+        """A caller sends headers by which the router speaks to servers."""
         read = self.decode(
             Host='h',
             Authorization='Bearer k',
--- a/tests/platform/test_following.py
+++ b/tests/platform/test_following.py
@@ -94,10 +94,7 @@
             await self.store.watch('k/', first, 20)
 
     async def test_a_store_that_says_nothing_is_given_up(self):
-        """The store takes the call of one host and never answers.
-
-        Waiting on, the host would take its copy for current for as long.
-        """
+        """The store takes the call of one host and never answers."""
         self.state.mode = 'silent'
         began = asyncio.get_running_loop().time()
         with self.assertRaises(exceptions.StoreUnanswered):
@@ -147,11 +144,7 @@
         await self.wait(lambda: 'i-1' in self.beliefs.leaving)
 
     async def test_what_changed_in_a_lost_history_is_found(self):
-        """The store forgets its history while a server leaves.
-
-        Its deletion is in no watch any more, and requests would go on to
-        be sent there.
-        """
+        """The store forgets its history while a server leaves."""
         self.state.history.clear()
         self.state.items.pop('servers/i-1')
         self.state.revision += 5
@@ -239,11 +232,7 @@
         self.assertEqual(at + 2, self.follower.revision)
 
     async def test_it_takes_no_changes_behind_a_gap(self):
-        """A datagram with a change was lost.
-
-        With the later ones alone the copy would count as current without
-        the key that was withdrawn in between.
-        """
+        """A datagram with a change was lost."""
         at = self.follower.revision
         self.follower.take_update(self.build_update(at + 1, at + 2, 4))
         self.assertEqual(at, self.follower.revision)
@@ -301,11 +290,7 @@
 
 class WatchLengthTest(unittest.TestCase):
     def test_one_silent_connection_does_not_use_up_the_proof(self):
-        """The connection of a watch goes silent without a reset.
-
-        By the time that it is given up and the store has answered another
-        call, keyed requests must not have been refused.
-        """
+        """The connection of a watch goes silent without a reset."""
         for bound_ms in (2_000, 4_250, 9_000):
             with self.subTest(bound_ms):
                 watch_ms = follower.compute_watch_ms(bound_ms)
@@ -365,10 +350,7 @@
         self.registry.calls.clear()
 
     async def test_a_lease_that_ended_is_opened_anew(self):
-        """The store was away and the leases ran out meanwhile.
-
-        The entry would stay out of the list, and the lead with nobody.
-        """
+        """The store was away and the leases ran out meanwhile."""
         self.clock.advance(leadership.RENEW_MS)
         self.registry.error = routing_errors.LeaseLost('gone')
         await self.service.work()
@@ -398,11 +380,7 @@
         self.assertEqual(['end'], self.registry.calls)
 
     async def test_an_entry_that_drains_stays_registered(self):
-        """A host is stopped while its streams still run for seconds.
-
-        Were its registration gone at once, its peers would give the memory
-        that these streams hold to others, and engines preempt them.
-        """
+        """A host is stopped while its streams still run for seconds."""
         await self.service.step_down()
         self.assertFalse(self.lead.may_act(self.clock.now()))
         self.clock.advance(leadership.RENEW_MS)
--- a/tests/platform/test_whole_path.py
+++ b/tests/platform/test_whole_path.py
@@ -60,11 +60,7 @@
         self.assertEqual({'request-1', 'request-2', 'request-3'}, own)
 
     def test_a_stream_goes_on_when_an_engine_dies(self):
-        """An engine in the middle of a draft's path dies without a word.
-
-        The caller sees a short pause and then the rest of his draft, each
-        event once.
-        """
+        """An engine in the middle of a draft's path dies without a word."""
         results = []
         thread = threading.Thread(
             target=lambda: results.append(
@@ -87,11 +83,7 @@
         )
 
     def test_an_action_whose_answer_is_lost_runs_once(self):
-        """A server runs a hold and its answer never comes.
-
-        The caller is told that the outcome is not known. A second run
-        would book a second slot.
-        """
+        """A server runs a hold and its answer never comes."""
         self.deployment.control(lose_answers=1)
         answer = self.first.call('POST', '/hold/1', 8)
         self.assertEqual(502, answer.status)
@@ -100,11 +92,7 @@
         self.assertIn('outcome_unknown', line)
 
     def test_a_withdrawn_key_stops_on_a_host_without_the_store(self):
-        """Operators withdraw a key while the store answers nobody.
-
-        The entries can't learn of it, so keyed requests must end by
-        themselves within the bound, and come back with the store.
-        """
+        """Operators withdraw a key while the store answers nobody."""
         self.assertEqual(200, self.first.call('GET', '/read/1', 9).status)
         self.deployment.control_store(mode='silent')
         deployment.wait_until(
@@ -125,10 +113,7 @@
         )
 
     def test_metrics_tell_of_a_lost_engine_and_a_lost_store(self):
-        """An engine dies, and then the store stops answering.
-
-        Operators are woken by these values alone, so each has to change.
-        """
+        """An engine dies, and then the store stops answering."""
         suspected = 'thornspool_engines{domain="a",state="suspected"}'
         before = self.first.read_metrics()
         leads = [
