--- a/src/thornspool/application/routing/detection.py
+++ b/src/thornspool/application/routing/detection.py
@@ -17,6 +17,7 @@
 
 from thornspool.application.routing import ports
 from thornspool.domain.fleet import paces
+from thornspool.domain.fleet import sweeps
 from thornspool.domain.paths import choice
 from thornspool.domain.paths import silence
 
@@ -72,15 +73,6 @@
 While an engine that has recovered counts as slow, the others take its load.
 """
 
-SWEEP_AT_ONCE = 10
-"""Engines of such a round that are asked at each look."""
-
-SWEEP_MS = 3_000
-"""Least time between two rounds of questions to a whole service.
-
-Engines seldom turn slow alone, and those found later are used until then.
-"""
-
 GIVE_UP_MS = 1_500
 """Silence after which a stream leaves its path without knowing why; callers
 leave after 2 s."""
@@ -145,8 +137,7 @@
         self._budget_at = clock.now()
         self._worked_at = clock.now()
         self._looked_at = clock.now()
-        self._swept_at: int | None = None
-        self._to_sweep: list[str] = []
+        self._sweep = sweeps.Sweep()
 
     def work(self) -> None:
         """Look for streams that pause; run every 100 ms or so."""
@@ -167,7 +158,7 @@
         self._check_refusals(now)
         self._check_paces(now)
         self._recheck_slow(now)
-        self._sweep(now)
+        self._ask_swept(now)
 
     def look(self) -> None:
         """Look for streams that fall silent together; run every few ms."""
@@ -176,7 +167,7 @@
         self._looked_at = now
         if late > LATE_LOOK_MS:
             return
-        self._leave_suspects()
+        self._move_off_suspects()
         running = self._list_running()
         shared = silence.find_shared(
             (
@@ -200,12 +191,11 @@
             if one.stop is not None and not one.mending
         ]
 
-    def _leave_suspects(self) -> None:
-        """Move streams off suspected engines."""
+    def _move_off_suspects(self) -> None:
         if not self._beliefs.suspects:
             return
         for flight in self._list_running():
-            self._leaves_suspect(flight)
+            self._move_off_suspect(flight)
 
     def _check_refusals(self, now: int) -> None:
         """Ask engines that have refused work whether they live.
@@ -221,7 +211,7 @@
                 self._ask_within_budget(server, now)
 
     def _check(self, flight: flights.Flight, now: int) -> None:
-        if self._leaves_suspect(flight):
+        if self._move_off_suspect(flight):
             return
         quiet = now - flight.active_at
         begun = flight.events.count > 0
@@ -284,24 +274,19 @@
 
     def _begin_sweep(self, service: str, now: int) -> None:
         """Have all engines of a service asked, as one has turned slow."""
-        if self._swept_at is not None and now - self._swept_at < SWEEP_MS:
-            return
-        self._swept_at = now
-        self._to_sweep = [
+        names = [
             name
             for name, one in self._beliefs.servers.items()
             if one.service == service
         ]
-        self._random.shuffle(self._to_sweep)
+        self._sweep.begin(names, self._random, now)
 
-    def _sweep(self, now: int) -> None:
-        for name in self._to_sweep[:SWEEP_AT_ONCE]:
+    def _ask_swept(self, now: int) -> None:
+        for name in self._sweep.take_next():
             server = self._beliefs.servers.get(name)
-            if server is not None and not self._beliefs.paces.is_fresh(
-                name, now
-            ):
-                self._ask_pace(server, now, self._ask)
-        del self._to_sweep[:SWEEP_AT_ONCE]
+            if server is None or self._beliefs.paces.is_fresh(name, now):
+                continue
+            self._ask_pace(server, now, self._ask)
 
     def _ask_pace(self, server: fleet.Server, now: int, ask: _Ask) -> bool:
         # Engines come and go with new names; those asked long ago are dropped.
@@ -316,8 +301,14 @@
         self._run(ask(server))
         return True
 
-    def _leaves_suspect(self, flight: flights.Flight) -> bool:
-        """Move a stream off its path when an engine of it is suspected."""
+    def _move_off_suspect(self, flight: flights.Flight) -> bool:
+        """Move a stream off its path when an engine of it is suspected.
+
+        Returns
+        -------
+        bool
+            Whether it was to be moved.
+        """
         suspected = [
             hop.server.id
             for hop in flight.hops
--- a/src/thornspool/application/routing/streams.py
+++ b/src/thornspool/application/routing/streams.py
@@ -139,21 +139,19 @@
                 self._start(flight)
 
     def _start(
-        self, flight: flights.Flight, found: search.Path | None = None
+        self, flight: flights.Flight, path: search.Path | None = None
     ) -> None:
-        """Put a request on a path, or let it wait, or refuse it."""
+        """Put a request on a path, or let it wait, or refuse it.
+
+        Parameters
+        ----------
+        flight : flights.Flight
+            The request.
+        path : search.Path, optional
+            A path that was found just now.
+        """
         now = self._clock.now()
-        if found is None:
-            self._start_on(flight, self.paths.find(flight), now)
-        else:
-            self._start_on(flight, found, now)
-
-    def _start_on(
-        self,
-        flight: flights.Flight,
-        found: search.Path | choice.Lack | None,
-        now: int,
-    ) -> None:
+        found = path or self.paths.find(flight)
         if found is None:
             self._give_up(flight, 'service_unknown', 1_000)
         elif isinstance(found, choice.Lack):
