Let more mechanisms be switched off for a comparison

Overlap, mending by neighbours, resumption, repath, news of suspicions and of refusals, shared repeats and their turns, collectors, and those that are new: moves told beforehand, none while engines are slow, rounds of questions. A test keeps the edits true to the sources.

--- a/tools/mechanisms.py
+++ b/tools/mechanisms.py
@@ -7,6 +7,7 @@
 _ROUTING = 'src/thornspool/application/routing'
 _FLEET = 'src/thornspool/domain/fleet'
 _PATHS = 'src/thornspool/domain/paths'
+_RETRIES = 'src/thornspool/domain/retries'
 _PLACEMENT = 'src/thornspool/domain/placement'
 
 
@@ -49,6 +50,93 @@
             'entry = HOP_COST_MS\n',
         ),
     ),
+    'overlap': (
+        Edit(
+            f'{_PLACEMENT}/layout.py',
+            'end = min(layers, first + shares[one.id])\n',
+            'end = math.floor((before + shares[one.id]) * stretch)\n',
+        ),
+    ),
+    'mending-by-neighbours': (
+        Edit(
+            f'{_PLACEMENT}/planning.py',
+            'if filled is not None:\n            return [*filled',
+            'if False:\n            return [*filled',
+        ),
+    ),
+    'moves-told': (
+        Edit(
+            f'{_ROUTING}/placement.py',
+            'if self._beliefs.moves.begin(order.server, kept):\n',
+            'if False:\n',
+        ),
+    ),
+    'no-moves-while-slow': (
+        Edit(
+            f'{_ROUTING}/placement.py',
+            'if self._beliefs.paces.select((one.id for one in engines), now):'
+            '\n',
+            'if False:\n',
+        ),
+    ),
+    'sweep': (
+        Edit(
+            f'{_ROUTING}/detection.py',
+            'self._begin_sweep(server.service, now)\n',
+            'pass\n',
+        ),
+    ),
+    'resume-in-another-run': (
+        Edit(
+            f'{_ROUTING}/streams.py',
+            'exchange.route.repeatable\n            and exchange.runs <',
+            'exchange.route.repeatable\n            and not exchange.begun'
+            '\n            and exchange.runs <',
+        ),
+    ),
+    'repath': (
+        Edit(
+            f'{_ROUTING}/detection.py',
+            '        flight.mending = True\n'
+            '        self._run(self._change_path(flight))\n',
+            '',
+        ),
+    ),
+    'suspicion-told': (
+        Edit(
+            f'{_ROUTING}/membership.py',
+            'for name in news.suspects:\n',
+            'for name in ():\n',
+        ),
+    ),
+    'refusals-told': (
+        Edit(
+            f'{_ROUTING}/membership.py',
+            'self._beliefs.take_refusals(news.refusing, now, direct)\n',
+            'pass\n',
+        ),
+    ),
+    'shared-repeats': (
+        Edit(
+            f'{_RETRIES}/pools.py',
+            'self._others_at > TOLD_MS:\n            return self._fits_alone',
+            'self._others_at >= 0:\n            return self._fits_alone',
+        ),
+    ),
+    'turns-for-repeats': (
+        Edit(
+            f'{_RETRIES}/pools.py',
+            'math.floor(share) + self._has_turn(share, now)\n',
+            'math.floor(share)\n',
+        ),
+    ),
+    'collectors': (
+        Edit(
+            'src/thornspool/domain/entries/view.py',
+            'MESH_LIMIT = 12\n',
+            'MESH_LIMIT = 10_000\n',
+        ),
+    ),
     'waiting-for-room': (
         Edit(
             f'{_ROUTING}/streams.py',
