--- a/src/thornspool/console/commands/explain.py
+++ b/src/thornspool/console/commands/explain.py
@@ -8,7 +8,6 @@
 from __future__ import annotations
 
 import collections
-import pathlib
 import typing
 
 import attrs
@@ -121,13 +120,7 @@
 
 def _add_options(parser: argparse.ArgumentParser) -> None:
     parser.add_argument('request', metavar='ID', help='id of the request')
-    parser.add_argument(
-        'logs',
-        nargs='*',
-        type=pathlib.Path,
-        metavar='LOG',
-        help='files with the log lines of the hosts; default: standard input',
-    )
+    logs.add_files(parser)
 
 
 def _run(
--- a/src/thornspool/console/commands/losses.py
+++ b/src/thornspool/console/commands/losses.py
@@ -8,7 +8,6 @@
 
 import collections
 import math
-import pathlib
 import typing
 
 import attrs
@@ -184,13 +183,7 @@
         default=PAUSE_MS,
         help='pause between events that is not late (default: %(default)s)',
     )
-    parser.add_argument(
-        'logs',
-        nargs='*',
-        type=pathlib.Path,
-        metavar='LOG',
-        help='files with the log lines of the hosts; default: standard input',
-    )
+    logs.add_files(parser)
 
 
 def _run(
--- a/src/thornspool/console/logs.py
+++ b/src/thornspool/console/logs.py
@@ -2,15 +2,16 @@
 
 from __future__ import annotations
 
+import pathlib
 import sys
 import typing
 
 import attrs
 
 if typing.TYPE_CHECKING:
+    import argparse
     from collections.abc import Iterable
     from collections.abc import Iterator
-    import pathlib
 
 _HIDDEN = frozenset({'timestamp', 'level', 'event', 'host', 'id'})
 
@@ -88,6 +89,17 @@
     return ''.join(value), at + 2
 
 
+def add_files(parser: argparse.ArgumentParser) -> None:
+    """Declare the files with logs on the parser of a command."""
+    parser.add_argument(
+        'logs',
+        nargs='*',
+        type=pathlib.Path,
+        metavar='LOG',
+        help='files with the log lines of the hosts; default: standard input',
+    )
+
+
 def read_lines(paths: Iterable[pathlib.Path]) -> Iterator[str]:
     """Read the lines of files, or of standard input where there are none."""
     paths = list(paths)
