--- a/tools/bench_routing.py
+++ b/tools/bench_routing.py
@@ -20,6 +20,7 @@
 from thornspool.domain.paths import bounds
 from thornspool.domain.paths import choice
 from thornspool.domain.paths import reservations
+from thornspool.domain.paths import silence
 from thornspool.domain.placement import orders as orders_module
 from thornspool.domain.placement import planning
 from thornspool.platform import peers
@@ -120,9 +121,24 @@
     )
 
 
+def measure_looks(streams: int, hops: int) -> None:
+    """Print the time of one look at the streams of an entry."""
+    names = [f'a-{number}' for number in range(hops)]
+    moving = [(names, 30.0)] * streams
+    silent = [(names, 90.0)] * streams
+    calm = measure(lambda: silence.find_shared(moving, 80.0))
+    lost = measure(lambda: silence.find_shared(silent, 80.0))
+    print(
+        f'streams={streams} hops={hops} look_ms={calm:.4f} '
+        f'look_when_silent_ms={lost:.3f}'
+    )
+
+
 def main() -> None:
     """Run the measurements."""
     argparse.ArgumentParser(description=__doc__).parse_args()
+    for streams in (10, 40, 200):
+        measure_looks(streams, 12)
     for engines, domains in ((39, 3), (98, 4), (345, 7), (690, 7)):
         measure_fleet(engines, domains)
 
