Wait for the log line behind a lost answer

An entry answers first and writes its line a moment later, through a queue that never blocks, so that on a busy machine the test can read the file before. The test waits up to 5 s for exactly one line, which must say the same as before. Not checked: the entry's own log of that run, which the test removes with its folder.

--- a/tests/platform/test_whole_path.py
+++ b/tests/platform/test_whole_path.py
@@ -88,6 +88,11 @@
         answer = self.first.call('POST', '/hold/1', 8)
         self.assertEqual(502, answer.status)
         self.assertEqual(1, self.deployment.read_fleet()['runs']['request-8'])
+        # The line is written behind the answer.
+        deployment.wait_until(
+            lambda: self.first.find_lines('request_ended', id='request-8'),
+            5.0,
+        )
         (line,) = self.first.find_lines('request_ended', id='request-8')
         self.assertIn('outcome_unknown', line)
 
