Ask the store less: long leases, handover of collecting, changes sent again

Change: registrations last 20 s and are renewed each 6 s; the lead has a lease of its own (4 s, 1.3 s), so that a lone survivor takes it over as before. A collector that the store turns away hands over at once. An entry waits for its collector's word before another call, waits longer while that shares an outage, and gets changes that it missed again, from what each entry keeps. What a collector reads after an outage or a lost history is passed on as a change. A failure domain that no collector hears is gone before its leases end.

Ruled out: one long lease for registration and lead (a whole-path test showed that the survivor of two entries then got the lead after 20 s); readings that may be old (one watch more costs what they save).

Each test was seen to fail with its mechanism off.

--- a/src/thornspool/application/routing/membership.py
+++ b/src/thornspool/application/routing/membership.py
@@ -6,6 +6,7 @@
 
 import structlog
 
+from thornspool.domain.entries import collectors
 from thornspool.domain.entries import messages
 from thornspool.domain.entries import totals as totals_module
 from thornspool.domain.entries import view as view_module
@@ -36,9 +37,12 @@
 that it is 1.6 s old at most while the store answers.
 """
 
-BEHIND_MS = 250
-"""Time for which the own copy may lag behind the collector's; changes are
-sent at once, so that one that has not come by then was lost."""
+BEHIND_MS = 500
+"""Time for which the own copy may lag behind the collector's.
+
+Changes are sent at once. Of one that was lost the collector learns by the
+next news, within 400 ms, and sends it again.
+"""
 
 FED_PROOF_MS = 2_800
 """Age of the own proof past which an entry asks the store itself, though it
@@ -78,6 +82,8 @@
         Sends news to ``ip:port``.
     read_revision : callable
         Returns the revision of the store that the copy has reached.
+    send_missed : callable, optional
+        Sends the changes after a revision to ``ip:port``.
     """
 
     def __init__(
@@ -89,6 +95,7 @@
         budget: repeats.Repeats,
         send: Callable[[str, messages.News], None],
         read_revision: Callable[[], int],
+        send_missed: Callable[[str, int], None] = lambda address, since: None,
     ) -> None:
         self._clock = clock
         self._view = view
@@ -96,6 +103,8 @@
         self._taken = taken
         self._send = send
         self._read_revision = read_revision
+        self._send_missed = send_missed
+        self._told_revision = 0
         self._budget = budget
         self._totals = totals_module.Totals()
         self._work = totals_module.Totals()
@@ -112,6 +121,7 @@
         """Tell news to those who need them; run every 200 ms."""
         self._view.choose_collector(self._clock.now())
         self._note_changes()
+        self._told_revision = self._read_revision()
         self._turn += 1
         if self._view.is_mesh:
             self._tell(self._view.peers.values())
@@ -195,9 +205,10 @@
             self._collectors[domain] = (news.host, now)
         if news.scope is not messages.Scope.ENTRY:
             self._view.note_absent(peer.record, news, now)
-        if news.host == self._view.choice.current:
-            self._take_feed(news, now)
         direct = self._is_from_member(news, domain)
+        if direct and 0 < news.revision < self._told_revision:
+            # It missed a change that was sent a turn ago or earlier.
+            self._send_missed(peer.record.peers, news.revision)
         self._beliefs.paces.note_told(news.slow, now, direct)
         self._beliefs.moves.note_told(news.moving, now)
         self._beliefs.take_breaks(news.host, news.breaking, now)
@@ -206,6 +217,8 @@
             self._beliefs.suspect(name, f'told_by_{news.host}', now, told=True)
         if news.proof_age_ms >= 0 and news.heard_stamp > 0:
             self._take_proof(news, now)
+        if news.host == self._view.choice.current:
+            self._take_feed(news, now)
 
     def _is_from_member(self, news: messages.News, domain: str) -> bool:
         """Tell whether this entry passes on what a peer has seen itself."""
@@ -232,11 +245,49 @@
         """Note how far the collector's copy is."""
         self._feed = news
         self._fed_at = now
-        if news.revision <= self._read_revision():
+        current = news.revision <= self._read_revision() and self._is_proved(
+            now
+        )
+        if current or not self._is_feed_current():
             self._behind_since = None
         elif self._behind_since is None:
             self._behind_since = now
 
+    def _is_proved(self, now: int) -> bool:
+        age = self._beliefs.proof.compute_age(now)
+        return age is not None and age <= FED_PROOF_MS
+
+    def _is_feed_current(self) -> bool:
+        """Tell whether the collector reached the store a moment ago."""
+        feed = self._feed
+        return feed is not None and 0 <= feed.proof_age_ms <= FEED_AGE_MS
+
+    def _hears_feed(self, now: int) -> bool:
+        return (
+            self.has_collector()
+            and self._feed is not None
+            and now - self._fed_at <= FEED_SILENCE_MS
+        )
+
+    def may_catch_up(self) -> bool:
+        """Tell whether the collector will bring what this copy lacks.
+
+        After an outage of the store it is current first, and all entries
+        that it feeds would ask the store at that moment.
+        """
+        now = self._clock.now()
+        since = self._behind_since
+        return (
+            since is not None
+            and self._hears_feed(now)
+            and self._is_feed_current()
+            and now - since <= BEHIND_MS
+        )
+
+    def has_collector(self) -> bool:
+        """Tell whether another entry is to keep this one current."""
+        return not self._view.is_mesh and not self._view.collects
+
     def is_fed(self) -> bool:
         """Tell whether the collector keeps this entry's copy current.
 
@@ -245,24 +296,18 @@
         entry that relied on them then would not see a withdrawn key.
         """
         now = self._clock.now()
-        if self._view.is_mesh or self._view.collects or self._feed is None:
-            return False
-        if now - self._fed_at > FEED_SILENCE_MS:
-            return False
-        if not 0 <= self._feed.proof_age_ms <= FEED_AGE_MS:
-            return False
-        if self._is_behind(now):
-            return False
-        age = self._beliefs.proof.compute_age(now)
-        return age is not None and age <= FED_PROOF_MS
+        return (
+            self._hears_feed(now)
+            and self._is_feed_current()
+            and not self._is_behind(now)
+            and self._is_proved(now)
+        )
 
     def shares_outage(self) -> bool:
         """Tell whether the collector speaks, but can't reach the store."""
-        if self._view.is_mesh or self._view.collects or self._feed is None:
-            return False
-        if self._clock.now() - self._fed_at > FEED_SILENCE_MS:
-            return False
-        return not 0 <= self._feed.proof_age_ms <= FEED_AGE_MS
+        return (
+            self._hears_feed(self._clock.now()) and not self._is_feed_current()
+        )
 
     def _is_behind(self, now: int) -> bool:
         """Tell whether a change that the collector has did not come."""
@@ -272,6 +317,25 @@
             return False
         return now - since > BEHIND_MS
 
+    def hand_over(self) -> None:
+        """Leave collecting to another entry, as the store turns this one away.
+
+        The members of the domain hear it at once: they follow another
+        collector before their proofs are too old.
+        """
+        near = self._view.list_near()
+        if self._view.is_mesh or not self._view.collects or not near:
+            return
+        now = self._clock.now()
+        own = self._view.own.host
+        self._view.choice.note_shut_out(own, now + collectors.SHUT_OUT_MS)
+        logger.warning(
+            'collecting_handed_over',
+            shut_out=self._view.choice.count_shut_out(now),
+        )
+        self._tell(near)
+        self._view.choose_collector(now)
+
     def list_fed(self) -> list[str]:
         """List the addresses of those whom this entry keeps current."""
         if self._view.is_mesh or not self._view.collects:
@@ -440,5 +504,6 @@
             work=work,
             breaking=self._beliefs.outliers.list_fresh(now),
             moving=self._beliefs.moves.list_known(direct_only),
+            shut_out_ms=self._view.choice.compute_shut_out(own.host, now),
         )
         self._send(peer.record.peers, news)
--- a/src/thornspool/application/routing/registration.py
+++ b/src/thornspool/application/routing/registration.py
@@ -15,7 +15,12 @@
     from thornspool.domain.entries import view as view_module
 
 RETRY_MS = 500
-"""Pause after a call that failed; two of them fit into a lease."""
+"""Pause after the first call that failed; it doubles with each further one,
+since the store counts calls that it refuses too."""
+
+MAX_RETRY_MS = 4_000
+"""Longest pause between calls that fail; a registration that lapsed meanwhile
+is back within this of the store's return."""
 
 logger = structlog.get_logger(__name__)
 
@@ -71,27 +76,31 @@
         self._lead = lead
         self._registry = registry
         self._lease: int | None = None
+        self._renewed_at = 0
+        self._lead_lease: int | None = None
+        self._lead_renewed_at = 0
         self._registered = False
         self._leaving = False
         self._reachable = True
         self._retry_at = 0
+        self._pause_ms = RETRY_MS
 
     async def work(self) -> None:
         """Renew what is due; run several times a second."""
         if self._clock.now() < self._retry_at:
             return
         try:
+            await self._renew_lead()
             await self._renew()
             await self._claim()
         except exceptions.LeaseLost:
             logger.warning('lease_lost', lease=self._lease)
             self._lease = None
             self._registered = False
-            self._lead.renewed_at = None
         except exceptions.RegistryConflict as error:
             logger.info('lead_not_won', reason=str(error))
         except exceptions.RegistryUnavailable as error:
-            self._retry_at = self._clock.now() + RETRY_MS
+            self._retry_at = self._clock.now() + self._choose_pause()
             self._note_reachable(False, str(error))
 
     async def step_down(self) -> None:
@@ -116,6 +125,7 @@
         """End the registration."""
         self._leaving = True
         lease, self._lease = self._lease, None
+        self._lead_lease = None
         self._lead.renewed_at = None
         if lease is None:
             return
@@ -125,26 +135,58 @@
             # It runs out by itself; the others hear that we leave.
             logger.warning('lease_not_ended', reason=str(error))
 
+    async def _renew_lead(self) -> None:
+        """Renew the lead, where this entry holds it."""
+        lease = self._lead_lease
+        if lease is None or not self._lead.is_own:
+            return
+        now = self._clock.now()
+        if now - self._lead_renewed_at < leadership_module.LEAD_RENEW_MS:
+            return
+        try:
+            await self._registry.renew_lease(lease)
+        except exceptions.LeaseLost:
+            logger.warning('lead_lost', lease=lease)
+            self._lead_lease = None
+            self._lead.take_holder(None, now)
+            return
+        self._lead_renewed_at = now
+        self._lead.renewed_at = now
+
     async def _renew(self) -> None:
         if self._leaving and self._lease is None:
             return
         now = self._clock.now()
-        last = self._lead.renewed_at
         if self._lease is None:
             self._lease = await self._registry.open_lease(
                 leadership_module.LEASE_MS
             )
-        elif last is not None and now - last < leadership_module.RENEW_MS:
+        elif now - self._renewed_at < leadership_module.RENEW_MS:
             return
         else:
             await self._registry.renew_lease(self._lease)
         # Dated when it was sent: it ran from its arrival, which was later.
-        self._lead.renewed_at = now
+        self._renewed_at = now
+        if not self._lead.is_own:
+            self._lead.renewed_at = now
+        self._pause_ms = RETRY_MS
         self._note_reachable(True, '')
         if not self._registered:
             await self._registry.register(self._view.own, self._lease)
             self._registered = True
 
+    def _choose_pause(self) -> int:
+        """Choose the pause after a failure.
+
+        The holder of the lead, and an entry that is in no list yet, try
+        again soon; the others lose nothing while their leases run.
+        """
+        if self._lead.is_own or not self._registered:
+            return RETRY_MS
+        pause_ms = self._pause_ms
+        self._pause_ms = min(MAX_RETRY_MS, 2 * pause_ms)
+        return pause_ms
+
     async def _claim(self) -> None:
         if self._lease is None or self._leaving:
             return
@@ -155,15 +197,29 @@
         revision = self._lead.find_claim(self._view, candidates, now)
         if revision is None:
             return
-        written = await self._registry.claim_lead(
-            self._view.own, self._lease, revision
-        )
+        written = await self._write_lead(revision, now)
+        self._lead.renewed_at = now
         own = self._view.own
         self._lead.take_holder(
             leadership_module.Holder(own.host, own.incarnation, written), now
         )
         logger.info('lead_taken', revision=written)
 
+    async def _write_lead(self, revision: int, now: int) -> int:
+        """Write the lead under a lease of its own; returns its revision."""
+        lease = await self._registry.open_lease(
+            leadership_module.LEAD_LEASE_MS
+        )
+        # Noted first: a claim whose answer is lost may stand all the same.
+        self._lead_lease = lease
+        self._lead_renewed_at = now
+        try:
+            return await self._registry.claim_lead(
+                self._view.own, lease, revision
+            )
+        except exceptions.LeaseLost as error:
+            raise exceptions.RegistryConflict(str(error)) from error
+
     def _list_candidates(self, now: int) -> list[str]:
         """List who may claim the lead; empty when this entry may not.
 
--- a/src/thornspool/domain/entries/collectors.py
+++ b/src/thornspool/domain/entries/collectors.py
@@ -6,9 +6,10 @@
 tell, and tells them the sum; collectors tell each other. It also follows the
 store for its domain, so that calls to the store do not grow with the fleet.
 
-Nobody has to agree on it: it is the first entry by name that still speaks.
-A second one gets the same news, so that it can take over at once. Entries
-that differ about it for a moment only know less about each other's load.
+Nobody has to agree on it: it is the first entry by name that still speaks
+and that the store answers. A second one gets the same news, so that it can
+take over at once. Entries that differ about it for a moment only know less
+about each other's load.
 """
 
 from __future__ import annotations
@@ -22,6 +23,14 @@
     from collections.abc import Sequence
 
 
+SHUT_OUT_MS = 10_000
+"""Time for which an entry that the store turns away does not collect.
+
+The store turns single hosts away for several seconds; each return to one of
+them costs its domain a second change of collector.
+"""
+
+
 @attrs.define
 class Choice:
     """The collector of this entry's failure domain.
@@ -40,6 +49,19 @@
     backup: str = ''
     since: int = 0
     _silent: dict[str, int] = attrs.field(factory=dict)
+    _shut_out: dict[str, int] = attrs.field(factory=dict)
+
+    def note_shut_out(self, host: str, until: int) -> None:
+        """Note until when the store's answers to an entry are not awaited."""
+        self._shut_out[host] = until
+
+    def compute_shut_out(self, host: str, now: int) -> int:
+        """Return for how many milliseconds an entry does not collect."""
+        return max(0, self._shut_out.get(host, now) - now)
+
+    def count_shut_out(self, now: int) -> int:
+        """Count the entries that do not collect for want of the store."""
+        return sum(until > now for until in self._shut_out.values())
 
     def choose(
         self,
@@ -72,17 +94,29 @@
             if heard is not None and heard > since:
                 del self._silent[host]
         self._note_silence(own, find_heard, now, silence_ms)
-        ordered = [
-            host
-            for host in sorted(hosts)
-            if host == own or host not in self._silent
-        ]
+        ordered = self._order(
+            [
+                host
+                for host in sorted(hosts)
+                if host == own or host not in self._silent
+            ],
+            now,
+        )
         first = ordered[0]
         if first != self.current:
             self.current = first
             self.since = now
         self.backup = ordered[1] if len(ordered) > 1 else ''
 
+    def _order(self, hosts: list[str], now: int) -> list[str]:
+        """Put the entries that the store turns away behind all others."""
+        self._shut_out = {
+            host: until
+            for host, until in self._shut_out.items()
+            if until > now
+        }
+        return sorted(hosts, key=lambda host: self._shut_out.get(host, 0))
+
     def _note_silence(
         self,
         own: str,
--- a/src/thornspool/domain/entries/leadership.py
+++ b/src/thornspool/domain/entries/leadership.py
@@ -1,6 +1,6 @@
 """Who gives orders to engines, and when another entry takes over.
 
-One entry holds a key under its lease. It may act only while it can tell by
+One entry holds a key under a lease. It may act only while it can tell by
 its own clock, which counts suspended time, that the lease still runs. Others
 take the key over when it is gone, or sooner when they have not heard its
 holder; the write is conditional on the key's revision, so one of them wins.
@@ -17,17 +17,27 @@
 
     from thornspool.domain.entries import view as view_module
 
-LEASE_MS = 4_000
-"""Length of an entry's lease; it is renewed every ``RENEW_MS``, so that two
-renewals may be lost."""
+LEASE_MS = 20_000
+"""Length of an entry's registration; two renewals in a row may be lost.
 
-RENEW_MS = 1_300
-"""Interval of renewals.
+It outlasts the store's usual outages, after which the whole fleet would have
+to register anew at once. That an entry has died shows by its silence, well
+before its lease ends.
+"""
+
+RENEW_MS = 6_000
+"""Interval of renewals, which the store counts, for each entry."""
+
+LEAD_LEASE_MS = 4_000
+"""Length of the lease of the lead, which has one of its own.
 
-The store counts each of them. That an entry has died shows by its silence,
-well before its lease ends.
+An entry that hears nobody can't tell a dead holder from its own cut links;
+it claims the lead when this has ended.
 """
 
+LEAD_RENEW_MS = 1_300
+"""Interval at which the holder renews the lead; two renewals may be lost."""
+
 ACT_MS = 2_000
 """Time after the last renewal for which a holder acts.
 
@@ -73,7 +83,8 @@
     vacant_since : int
         When it was seen to be free.
     renewed_at : int or None
-        When the last renewal of the own lease that succeeded was sent.
+        When the last renewal of an own lease that succeeded was sent; the
+        holder renews that of the lead.
     """
 
     incarnation: str
@@ -87,11 +98,17 @@
             self.vacant_since = now
         self.holder = holder
 
+    @property
+    def is_own(self) -> bool:
+        """Whether this entry holds the key, as far as it knows."""
+        return (
+            self.holder is not None
+            and self.holder.incarnation == self.incarnation
+        )
+
     def may_act(self, now: int) -> bool:
         """Tell whether this entry holds the lead for sure."""
-        if self.holder is None or self.renewed_at is None:
-            return False
-        if self.holder.incarnation != self.incarnation:
+        if not self.is_own or self.renewed_at is None:
             return False
         return now - self.renewed_at < ACT_MS
 
@@ -119,7 +136,7 @@
         turn = sorted(candidates).index(view.own.host) * TURN_MS
         if self.holder is None:
             return 0 if now - self.vacant_since >= turn else None
-        if self.holder.incarnation == self.incarnation:
+        if self.is_own:
             return None
         if self.holder.host == view.own.host:
             # An earlier process of this host, which is gone.
--- a/src/thornspool/domain/entries/messages.py
+++ b/src/thornspool/domain/entries/messages.py
@@ -90,6 +90,9 @@
     moving : dict of int to tuple of int
         First layer and end of what engines keep that give up others, by
         mark.
+    shut_out_ms : int
+        Time for which the sender should not collect, as the store turns it
+        away; 0 for an entry that may.
     """
 
     host: str
@@ -108,3 +111,4 @@
     work: dict[int, float] = attrs.field(factory=dict)
     breaking: tuple[int, ...] = ()
     moving: dict[int, tuple[int, int]] = attrs.field(factory=dict)
+    shut_out_ms: int = 0
--- a/src/thornspool/domain/entries/view.py
+++ b/src/thornspool/domain/entries/view.py
@@ -29,6 +29,13 @@
 ABSENT_MS = 2_000
 """Time for which an entry counts as absent after a collector said so."""
 
+DOMAIN_SILENCE_MS = 3_000
+"""Silence of all collectors of a failure domain after which its entries count
+as gone; a collector that died has a successor within two seconds.
+
+Their registrations outlive them by up to a lease.
+"""
+
 JOINING_MS = 1_500
 """Time for which an entry in the store's list counts before it was heard."""
 
@@ -94,6 +101,7 @@
     choice: collectors.Choice = attrs.field(factory=collectors.Choice)
     absent: dict[str, Absence] = attrs.field(factory=dict)
     heard_at: int = 0
+    _domains_heard: dict[str, int] = attrs.field(factory=dict)
 
     def take_record(self, record: messages.Record, now: int) -> None:
         """Take an entry of the store's list."""
@@ -162,6 +170,7 @@
 
         It told of all entries of its scope; those that it left out serve.
         """
+        self._domains_heard[teller.failure_domain] = now
         told = set(news.absent)
         for host in told:
             known = self.absent.get(host)
@@ -207,6 +216,8 @@
             self.choice.since = now
         self.heard_at = now
         peer.heard_at = now
+        if news.shut_out_ms > 0:
+            self.choice.note_shut_out(news.host, now + news.shut_out_ms)
         peer.heard_stamp = max(peer.heard_stamp, news.stamp)
         peer.state = news.state
         peer.proof_at = None
@@ -218,10 +229,29 @@
         """Tell whether a peer is believed to run."""
         if self._should_hear(peer):
             return self._is_heard(peer, now)
+        if self._is_domain_silent(peer, now):
+            return False
         absence = self.absent.get(peer.record.host)
         # Its lease in the store still runs, and nobody says otherwise.
         return absence is None or absence.until < now
 
+    def _is_domain_silent(self, peer: Peer, now: int) -> bool:
+        """Tell whether nobody of a peer's failure domain is heard.
+
+        Collectors hear each other, and tell their entries who is absent.
+        """
+        domain = peer.record.failure_domain
+        if not self.collects or domain == self.own.failure_domain:
+            return False
+        if self._can_not_tell(now):
+            return False
+        last = max(
+            self._domains_heard.get(domain, 0),
+            self.choice.since,
+            peer.listed_at,
+        )
+        return now - last > DOMAIN_SILENCE_MS
+
     def _should_hear(self, peer: Peer) -> bool:
         """Tell whether a peer that runs tells this entry news."""
         if self.is_mesh:
--- a/src/thornspool/platform/daemon.py
+++ b/src/thornspool/platform/daemon.py
@@ -73,6 +73,9 @@
 FORGET_MS = 200
 """Interval at which servers that left and old suspicions are forgotten."""
 
+USAGE_MS = 10_000
+"""Interval of the log line that counts the calls to the store."""
+
 TAKE_NEW_MS = 2_500
 """Time after the order to stop in which requests are still taken.
 
@@ -214,6 +217,7 @@
         self._repeat(DETECT_MS, self._detect)
         self._repeat(NEWS_MS, self._tell_news)
         self._repeat(PLAN_MS, self._plan)
+        self._repeat(USAGE_MS, self._log_usage)
 
     async def stop(self) -> None:
         """Drain: leave lookups, finish what is in flight, then close."""
@@ -277,6 +281,7 @@
         self._metrics = metrics_module.Metrics()
         self._session = transfers.Session()
         store = store_module.Store(self._session, settings.store)
+        self._store = store
         self._beliefs = beliefs_module.Beliefs()
         self._beliefs.refusals.patience = self._random.uniform(
             1.0, refusals.MOST_PATIENCE
@@ -296,6 +301,10 @@
                 lambda: self._membership.is_fed(),
                 lambda: self._membership.shares_outage(),
                 self._feed,
+                lambda: self._membership.has_collector(),
+                lambda: self._membership.may_catch_up(),
+                lambda: self._membership.hand_over(),
+                self._random.random,
             ),
         )
         taken = reservations.Reservations()
@@ -319,6 +328,7 @@
             budget,
             self._datagrams.send,
             lambda: self._follower.revision,
+            self._send_missed,
         )
         self._registration = registration.RegistrationService(
             clock, self._view, self._lead, registry.Registry(store)
@@ -387,6 +397,12 @@
             self._datagrams.send_update(fed, update)
         return len(fed)
 
+    def _send_missed(self, address: str, since: int) -> None:
+        """Send an entry the changes that it missed, if they are kept."""
+        update = self._follower.find_since(since)
+        if update is not None:
+            self._datagrams.send_update([address], update)
+
     def _listen(self) -> None:
         settings = self._settings
         self._front = self._open(
@@ -461,6 +477,14 @@
     async def _plan(self) -> None:
         self._placement.work()
 
+    async def _log_usage(self) -> None:
+        """Log what the store was asked since the start, by kind of call."""
+        calls = {
+            kind.replace('-', '_'): count
+            for kind, count in self._store.calls.items()
+        }
+        logger.info('store_used', collects=self._view.collects, **calls)
+
     def _repeat(
         self, interval_ms: int, work: Callable[[], Awaitable[None]]
     ) -> None:
--- a/src/thornspool/platform/follower.py
+++ b/src/thornspool/platform/follower.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import collections
 import typing
 
 import attrs
@@ -51,12 +52,34 @@
 """Longest pause between calls that fail: the proof is renewed within this
 of the store's return."""
 
-SHARED_RETRY_MS = 2_500
-"""Pause of an entry whose collector can't reach the store either.
+SHARED_RETRY_MS = (2_500, 5_000)
+"""Range of the pause of an entry whose collector can't reach the store either.
 
 The collector's next answer keeps it current without a call of its own.
 """
 
+SHARED_AGE_MS = (3_200, 6_000)
+"""Range of the age of its proof at which such an entry asks the store itself.
+
+Other entries collect in turn until the store answers one of them; an entry
+that alone is answered still asks, and most shared outages end before.
+"""
+
+FEED_WAIT_MS = 800
+"""Age of the proof up to which an entry waits for its collector's word before
+another call; changes that must be in force within 2 s are seen in time."""
+
+JOIN_PAUSE_MS = 400
+"""Pause between the first reading and the first watch.
+
+Entries that start together register within it; a watch begun at once would
+return with the first of them, and so would the next.
+"""
+
+MAX_UPDATES = 64
+"""Changes that are kept for entries that missed them; some 10 s of those that
+come one after the other."""
+
 _MS_PER_S = 1000.0
 
 
@@ -117,11 +140,23 @@
     feed : callable
         Passes changes on to those whom this entry keeps current; returns
         how many these are.
+    has_collector : callable
+        Tells whether another entry is to keep this copy current.
+    may_catch_up : callable
+        Tells whether that entry is current and will bring what is missing.
+    hand_over : callable
+        Leaves keeping others current to another entry, where this one does.
+    draw : callable
+        Random numbers from 0 to under 1.
     """
 
     is_fed: Callable[[], bool] = lambda: False
     shares_outage: Callable[[], bool] = lambda: False
     feed: Callable[[Update], int] = lambda update: 0
+    has_collector: Callable[[], bool] = lambda: False
+    may_catch_up: Callable[[], bool] = lambda: False
+    hand_over: Callable[[], None] = lambda: None
+    draw: Callable[[], float] = lambda: 0.0
 
 
 class Follower:
@@ -161,40 +196,65 @@
         self._view = view
         self._lead = lead
         self.revision = 0
+        self._must_read = True
         self._known: dict[str, int] = {}
+        self._updates: collections.deque[Update] = collections.deque(
+            maxlen=MAX_UPDATES
+        )
         self._watch_ms = watch_ms
         self._sharing = sharing or Sharing()
         self._feeds = False
         self._was_fed = False
         self._reachable = False
         self._pause_ms = RETRY_MS
+        self._shared_age_ms = self._draw_from(SHARED_AGE_MS)
 
     async def run(self) -> None:
         """Follow the store until cancelled."""
         while True:
             try:
-                if self.revision == 0:
+                if self._must_read:
                     await self._read_all()
+                    await asyncio.sleep(JOIN_PAUSE_MS / _MS_PER_S)
                 if self._sharing.is_fed():
                     self._was_fed = True
                     await asyncio.sleep(FED_CHECK_MS / _MS_PER_S)
+                elif self._awaits_feed():
+                    await asyncio.sleep(FED_CHECK_MS / _MS_PER_S)
                 elif self._is_far_behind():
                     await self._read_all()
                 else:
                     await self._watch()
             except exceptions.HistoryLost:
                 logger.warning('history_lost', revision=self.revision)
-                self.revision = 0
+                self._must_read = True
             except exceptions.StoreError as error:
                 self._note_reachable(False, str(error))
+                self._sharing.hand_over()
                 await self._pause()
 
+    def _awaits_feed(self) -> bool:
+        """Tell whether a word of the collector may still spare a call."""
+        if self._sharing.may_catch_up():
+            return True
+        age = self._beliefs.proof.compute_age(self._clock.now())
+        if age is None or not self._sharing.has_collector():
+            return False
+        if self._sharing.shares_outage():
+            return age < self._shared_age_ms
+        return age < FEED_WAIT_MS
+
+    def _draw_from(self, limits: tuple[int, int]) -> int:
+        """Draw a time, so that entries do not ask together."""
+        least, most = limits
+        return round(least + self._sharing.draw() * (most - least))
+
     async def _pause(self) -> None:
         """Wait until the store is worth another call."""
         length_ms = self._pause_ms
         self._pause_ms = min(MAX_RETRY_MS, 2 * self._pause_ms)
         if self._sharing.shares_outage():
-            length_ms = SHARED_RETRY_MS
+            length_ms = self._draw_from(SHARED_RETRY_MS)
         end = self._clock.now() + length_ms
         while not self._sharing.is_fed() and self._clock.now() < end:
             left_ms = end - self._clock.now()
@@ -203,18 +263,67 @@
     async def _read_all(self) -> None:
         """Read every key, and drop what is no longer there."""
         sent_at = self._clock.now()
+        since = self.revision
         read = await self._store.read_all('')
         self._beliefs.note_contact(self._clock.now())
-        present = {item.key for item in read.items}
-        for key in [one for one in self._known if one not in present]:
-            del self._known[key]
-            self._remove(key)
-        for item in read.items:
+        changes = self._compare(read)
+        for item in changes:
             self._apply(item)
         self.revision = read.revision
+        self._must_read = False
+        if since:
+            self._pass_on(Update(since, read.revision, changes))
         self._beliefs.proof.renew(sent_at)
         self._note_reachable(True, '')
 
+    def _compare(
+        self, read: store_module.Changes
+    ) -> tuple[store_module.Item, ...]:
+        """List what differs from the copy, deleted keys first."""
+        present = {item.key for item in read.items}
+        gone = [
+            store_module.Item(key, read.revision, None)
+            for key in self._known
+            if key not in present
+        ]
+        new = [
+            item
+            for item in read.items
+            if item.revision > self._known.get(item.key, 0)
+        ]
+        return (*gone, *new)
+
+    def _pass_on(self, update: Update) -> None:
+        """Keep changes, and pass them on to those who rely on this entry."""
+        self._keep(update)
+        self._feeds = self._sharing.feed(update) > 0
+
+    def _keep(self, update: Update) -> None:
+        if update.until > update.since:
+            self._updates.append(update)
+
+    def find_since(self, revision: int) -> Update | None:
+        """Find all changes after a revision that another copy has reached.
+
+        Returns
+        -------
+        Update or None
+            None where there are none, or they are no longer kept.
+        """
+        items: dict[str, store_module.Item] = {}
+        reached = self.revision
+        for update in reversed(self._updates):
+            if reached <= revision:
+                break
+            if update.until < reached:
+                return None
+            for item in update.items:
+                items.setdefault(item.key, item)
+            reached = min(reached, update.since)
+        if reached > revision or self.revision <= revision:
+            return None
+        return Update(revision, self.revision, tuple(items.values()))
+
     async def _watch(self) -> None:
         sent_at = self._clock.now()
         since = self.revision
@@ -224,13 +333,11 @@
         for item in changes.items:
             self._apply(item)
         self.revision = max(self.revision, changes.revision)
-        self._feeds = (
-            self._sharing.feed(Update(since, changes.revision, changes.items))
-            > 0
-        )
+        self._pass_on(Update(since, changes.revision, changes.items))
         # What was acknowledged before the call was sent is in its answer.
         self._beliefs.proof.renew(sent_at)
         self._note_reachable(True, '')
+        self._shared_age_ms = self._draw_from(SHARED_AGE_MS)
         if changes.items:
             await asyncio.sleep(COALESCE_MS / _MS_PER_S)
 
@@ -263,7 +370,9 @@
         self._beliefs.note_contact(self._clock.now())
         for item in update.items:
             self._apply(item)
-        self.revision = max(self.revision, update.until)
+        if update.until > self.revision:
+            self.revision = update.until
+            self._keep(update)
 
     def _apply(self, item: store_module.Item) -> None:
         """Apply a change once; a repeated or older one changes nothing."""
--- a/src/thornspool/platform/peers.py
+++ b/src/thornspool/platform/peers.py
@@ -59,6 +59,7 @@
     breaking: list[int] = []
     # First layer and end.
     moving: dict[int, tuple[int, int]] = {}
+    shut_out_ms: int = 0
 
 
 class _Update(msgspec.Struct, array_like=True, tag=1):
@@ -99,6 +100,7 @@
             {mark: round(amount) for mark, amount in news.work.items()},
             list(news.breaking),
             news.moving,
+            news.shut_out_ms,
         )
     )
 
@@ -148,6 +150,7 @@
         {mark: float(amount) for mark, amount in read.work.items()},
         tuple(read.breaking),
         read.moving,
+        read.shut_out_ms,
     )
 
 
--- a/src/thornspool/platform/readings.py
+++ b/src/thornspool/platform/readings.py
@@ -10,6 +10,7 @@
 from thornspool import metrics as metrics_module
 from thornspool.domain.entries import messages
 from thornspool.domain.placement import orders as orders_module
+from thornspool.platform import store
 
 if typing.TYPE_CHECKING:
     from collections.abc import Callable
@@ -25,7 +26,6 @@
     from thornspool.domain.entries import view as view_module
     from thornspool.domain.fleet import messages as fleet
     from thornspool.domain.paths import reservations
-    from thornspool.platform import store as store_module
 
 _MS_PER_S = 1000.0
 _STATES = ('ready', 'empty', 'draining', 'suspected')
@@ -36,7 +36,7 @@
     """The parts of an entry that know what is read."""
 
     clock: clock_module.Clock
-    store: store_module.Store
+    store: store.Store
     beliefs: beliefs_module.Beliefs
     view: view_module.View
     lead: leadership.Leadership
@@ -107,8 +107,11 @@
     )
     metrics.add_counter(
         'thornspool_store_calls_total',
-        'Calls that left for the store.',
-        metrics_module.read_one(lambda: sources.store.calls),
+        'Calls that left for the store, by kind.',
+        lambda: metrics_module.list_by(
+            'kind',
+            {kind: sources.store.calls[kind] for kind in store.CALL_KINDS},
+        ),
     )
     metrics.add_counter(
         'thornspool_store_failures_total',
--- a/src/thornspool/platform/store.py
+++ b/src/thornspool/platform/store.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import base64
+import collections
 import typing
 import urllib.parse
 
@@ -36,6 +37,17 @@
 CONNECT_TIMEOUT_MS = 800
 """Longest wait for a connection: two lost opening packets are too many."""
 
+CALL_KINDS = (
+    'kv-key',
+    'kv-range',
+    'kv-watch',
+    'kv-txn',
+    'kv-lease',
+    'kv-keep',
+    'kv-lease-end',
+)
+"""Names of calls, as they stand in their paths and in logs and metrics."""
+
 _JSON = (('Content-Type', 'application/json'),)
 
 Body = typing.TypeVar('Body')
@@ -132,6 +144,13 @@
         ``ip:port``.
     timeout_ms : int, optional
         Longest wait for an answer, in milliseconds.
+
+    Attributes
+    ----------
+    calls : collections.Counter of str
+        Calls that left, by the names of ``CALL_KINDS``.
+    failures : int
+        Calls without a whole answer.
     """
 
     def __init__(
@@ -143,7 +162,7 @@
         self._session = session
         self._base = f'http://{address}'
         self._timeout_ms = timeout_ms
-        self.calls = 0
+        self.calls: collections.Counter[str] = collections.Counter()
         self.failures = 0
 
     async def read(self, key: str) -> Item | None:
@@ -301,7 +320,7 @@
         )
 
     async def _fetch(self, request: transfers.Request) -> transfers.Answer:
-        self.calls += 1
+        self.calls[_find_kind(request.url)] += 1
         try:
             return await self._session.fetch(request)
         except transfer_errors.NotSent as error:
@@ -312,6 +331,11 @@
             raise exceptions.StoreUnanswered(str(error)) from error
 
 
+def _find_kind(url: str) -> str:
+    """Find the name of a call, the second part of its path."""
+    return urllib.parse.urlsplit(url).path.split('/')[2]
+
+
 def _check(answer: transfers.Answer) -> None:
     if answer.status == _OK:
         return
--- a/tests/application/routing/fleet.py
+++ b/tests/application/routing/fleet.py
@@ -44,6 +44,8 @@
         self.sent = 0
         self.cut = set()
         self.shut_out = set()
+        self.turned_away = set()
+        self.resends = False
         self.chooses_states = False
         for domain in 'abcdefgh'[:domains]:
             for number in range(hosts):
@@ -74,6 +76,7 @@
             budget,
             self.deliver,
             lambda: member.revision,
+            self.send_missed,
         )
         for other in self.members.values():
             other.view.take_record(record, self.clock.now())
@@ -93,6 +96,14 @@
         if receiver.up and self.source.random() >= self.loss:
             receiver.service.take_news(news)
 
+    def send_missed(self, address, since):
+        """Bring an entry's copy to the newest revision."""
+        member = self.members[address.removesuffix(':90')]
+        if self.resends and member.revision == since:
+            member.revision = max(
+                other.revision for other in self.members.values()
+            )
+
     def kill(self, host):
         """Let an entry vanish; its registration stays for now."""
         self.members[host].up = False
@@ -111,15 +122,21 @@
         self.cut.discard(host)
 
     def play(self, milliseconds, prove=True):
-        """Let time pass; collectors have a proof of the store."""
+        """Let time pass; collectors have a proof of the store.
+
+        Those that the store turns away hand over to others.
+        """
         for _ in range(0, milliseconds, TURN_MS):
             self.clock.advance(TURN_MS)
             for member in self.members.values():
                 if not member.up:
                     continue
-                proved = prove and member.record.host not in self.shut_out
+                away = self.shut_out | self.turned_away
+                proved = prove and member.record.host not in away
                 if proved and member.view.collects:
                     member.beliefs.proof.renew(self.clock.now())
+                elif member.record.host in self.turned_away:
+                    member.service.hand_over()
                 if self.chooses_states:
                     member.service.update_state(True, BOUND_MS)
                 member.service.work()
--- a/tests/application/routing/test_membership.py
+++ b/tests/application/routing/test_membership.py
@@ -7,6 +7,7 @@
 from tests.application.routing import fleet as fleet_module
 from tests.domain.fleet import builders as fleet_builders
 from thornspool.application.routing import membership
+from thornspool.domain.entries import collectors
 from thornspool.domain.entries import messages
 from thornspool.domain.fleet import marks
 
@@ -169,6 +170,16 @@
         self.fleet.play(1_000)
         self.assertEqual(20, len(self.list_addresses('a-05', 'c')))
 
+    def test_a_domain_is_named_no_longer_before_its_leases_end(self):
+        """Registrations outlive the hosts of a lost domain for seconds."""
+        for host in list(self.members):
+            if host.startswith('c'):
+                self.fleet.kill(host)
+        self.fleet.play(6_000)
+        for host in ('a-00', 'a-05', 'b-07'):
+            addresses = self.list_addresses(host, 'c')
+            self.assertEqual(20, len(addresses), host)
+
     def test_an_entry_that_leaves_is_named_no_longer(self):
         self.members['b-04'].service.set_state(messages.State.LEAVING)
         self.fleet.play(800)
@@ -266,6 +277,32 @@
         self.fleet.play(2_600, prove=False)
         self.assertEqual(30, len(self.list_unfed()))
 
+    def test_a_domain_stays_fed_though_the_store_turns_hosts_away(self):
+        """Each entry asked the store where its collector was refused."""
+        self.fleet.turned_away = {'b-00', 'b-01', 'b-03'}
+        for _ in range(45):
+            self.fleet.play(200)
+            asking = [one for one in self.list_unfed() if one[0] == 'b']
+            self.assertLessEqual(len(asking), 2, asking)
+        self.assertTrue(self.members['b-02'].view.collects)
+
+    def test_a_collector_that_is_answered_again_collects(self):
+        """The store turned the first entry away for a moment."""
+        self.fleet.turned_away = {'b-00'}
+        self.fleet.play(1_000)
+        self.fleet.turned_away = set()
+        self.assertTrue(self.members['b-01'].view.collects)
+        self.fleet.play(collectors.SHUT_OUT_MS + 1_000)
+        self.assertTrue(self.members['b-00'].view.collects)
+        self.assertEqual(['a-00', 'b-00', 'c-00'], self.list_unfed())
+
+    def test_a_lone_entry_of_a_domain_keeps_collecting(self):
+        """There is nobody to hand over to."""
+        self.fleet.add('d-00', 'd')
+        self.fleet.turned_away = {'d-00'}
+        self.fleet.play(2_000)
+        self.assertTrue(self.members['d-00'].view.collects)
+
     def test_entries_know_an_outage_that_their_collector_shares(self):
         """The store is down for all."""
         member = self.members['b-05']
@@ -287,6 +324,43 @@
         self.assertEqual(['a-00', 'a-06', 'b-00', 'c-00'], self.list_unfed())
         self.assertGreater(age(self.fleet.clock.now()), 800)
 
+    def test_an_entry_that_missed_a_change_gets_it_again(self):
+        """The store turns the host away, so that it can't ask itself."""
+        self.fleet.resends = True
+        for member in self.members.values():
+            member.revision = 2
+        self.members['a-06'].revision = 1
+        for _ in range(10):
+            self.fleet.play(200)
+            self.assertEqual(['a-00', 'b-00', 'c-00'], self.list_unfed())
+        self.assertEqual(2, self.members['a-06'].revision)
+
+    def test_entries_wait_for_their_collector_when_the_store_is_back(self):
+        """Each of them read all keys at the moment of its return."""
+        self.fleet.play(6_000, prove=False)
+        for member in self.members.values():
+            member.revision = 2 if member.view.collects else 1
+        self.fleet.resends = True
+        asking = set()
+        for _ in range(10):
+            self.fleet.play(200)
+            asking.update(
+                host
+                for host in self.list_unfed()
+                if not self.members[host].service.may_catch_up()
+                and not self.members[host].service.shares_outage()
+            )
+        self.assertEqual({'a-00', 'b-00', 'c-00'}, asking)
+
+    def test_an_entry_that_stays_behind_asks_the_store(self):
+        """The collector does not know the entry, and sends it nothing."""
+        for member in self.members.values():
+            member.revision = 2
+        self.members['a-06'].revision = 1
+        self.fleet.play(1_400)
+        self.assertIn('a-06', self.list_unfed())
+        self.assertFalse(self.members['a-06'].service.may_catch_up())
+
     def test_a_small_fleet_asks_the_store_itself(self):
         small = fleet_module.Fleet(hosts=2)
         small.play(3_000)
--- a/tests/domain/entries/test_leadership.py
+++ b/tests/domain/entries/test_leadership.py
@@ -75,7 +75,15 @@
         """A host stands still and wakes after its lease has ended."""
         self.lead.take_holder(leadership.Holder('one', 'one-1', 7), 0)
         self.assertTrue(self.lead.may_act(100))
-        self.assertFalse(self.lead.may_act(leadership.LEASE_MS))
+        self.assertFalse(self.lead.may_act(leadership.LEAD_LEASE_MS))
+
+    def test_two_renewals_in_a_row_may_be_lost(self):
+        """A lease that ended made its host register anew."""
+        for length, interval in (
+            (leadership.LEASE_MS, leadership.RENEW_MS),
+            (leadership.LEAD_LEASE_MS, leadership.LEAD_RENEW_MS),
+        ):
+            self.assertGreaterEqual(length - 3 * interval, 100)
 
     def test_takes_back_what_an_earlier_process_held(self):
         self.lead.take_holder(leadership.Holder('one', 'one-0', 7), 0)
--- a/tests/platform/test_following.py
+++ b/tests/platform/test_following.py
@@ -83,7 +83,7 @@
         self.state.mode = 'busy'
         with self.assertRaises(exceptions.StoreRefused):
             await self.store.read_all('')
-        self.assertEqual(4, self.store.calls)
+        self.assertEqual(4, self.store.calls.total())
 
     async def test_a_long_history_is_forgotten(self):
         """A host was away while thousands of changes were written."""
@@ -218,9 +218,9 @@
         return follower.Update(since, until, (item,))
 
     async def test_it_does_not_ask_the_store(self):
-        calls = self.store.calls
+        calls = self.store.calls.total()
         await asyncio.sleep(0.5)
-        self.assertEqual(calls, self.store.calls)
+        self.assertEqual(calls, self.store.calls.total())
 
     async def test_it_takes_changes_that_follow_its_copy(self):
         at = self.follower.revision
@@ -272,14 +272,97 @@
         self.state.mode = 'busy'
         self.running = asyncio.create_task(shared.run())
         await asyncio.sleep(1.2)
-        calls = self.store.calls
+        calls = self.store.calls.total()
         await asyncio.sleep(1.0)
-        self.assertEqual(calls, self.store.calls)
+        self.assertEqual(calls, self.store.calls.total())
         self.fed = True
         self.state.mode = 'up'
         await asyncio.sleep(0.3)
         self.assertGreater(shared.revision, 0)
 
+    async def restart(self, **sharing):
+        """Begin anew with other ways to spare calls."""
+        self.running.cancel()
+        self.follower = follower.Follower(
+            clock_module.Clock(),
+            self.store,
+            self.beliefs,
+            view_module.View(OWN),
+            leadership.Leadership(OWN.incarnation),
+            sharing=follower.Sharing(**sharing),
+        )
+        self.running = asyncio.create_task(self.follower.run())
+        await asyncio.sleep(0.05)
+
+    async def test_it_waits_for_its_collector_before_it_asks_again(self):
+        """Entries that start together watched three times each."""
+        await self.restart(is_fed=lambda: self.fed, has_collector=lambda: True)
+        self.fed = False
+        self.put('op/config', kv_fleet.build_configuration(4))
+        await asyncio.sleep(0.6)
+        self.assertEqual(0, self.store.calls['kv-watch'])
+        await asyncio.sleep(0.5)
+        self.assertEqual(1, self.store.calls['kv-watch'])
+        self.assertEqual(4, self.beliefs.configuration.version)
+
+    async def test_in_a_shared_outage_it_asks_late(self):
+        """Every entry asked the store as soon as its collector could not."""
+        await self.restart(
+            shares_outage=lambda: True, has_collector=lambda: True
+        )
+        calls = self.store.calls.total()
+        await asyncio.sleep(2.5)
+        self.assertEqual(calls, self.store.calls.total())
+        await asyncio.sleep(1.2)
+        self.assertGreater(self.store.calls.total(), calls)
+
+    async def test_it_keeps_what_another_copy_has_missed(self):
+        """A datagram with a change was lost."""
+        at = self.follower.revision
+        for number in range(3):
+            self.follower.take_update(
+                self.build_update(at + 2 * number, at + 2 * number + 2, number)
+            )
+        missed = self.follower.find_since(at + 2)
+        self.assertEqual((at + 2, at + 6), (missed.since, missed.until))
+        self.assertEqual([at + 6], [one.revision for one in missed.items])
+        self.assertIsNone(self.follower.find_since(at + 6))
+        self.assertIsNone(self.follower.find_since(at - 1))
+
+    async def test_what_is_read_after_an_outage_is_passed_on(self):
+        """Every entry read all keys though its collector just had."""
+        await self.restart(feed=self.feed)
+        self.put('servers/i-9', BEAT)
+        async with asyncio.timeout(4):
+            while not self.passed_on:
+                await asyncio.sleep(0.01)
+        self.passed_on.clear()
+        since = self.follower.revision
+        self.put('op/config', kv_fleet.build_configuration(6))
+        self.state.write([], ['servers/i-9'])
+        self.state.drop_history()
+        self.follower._must_read = True
+        async with asyncio.timeout(4):
+            while not any(
+                item.key == 'servers/i-9'
+                for update in self.passed_on
+                for item in update.items
+            ):
+                await asyncio.sleep(0.01)
+        last = self.passed_on[-1]
+        self.assertLessEqual(since, last.until)
+        self.assertIsNone(
+            next(one for one in last.items if one.key == 'servers/i-9').value
+        )
+
+    async def test_it_hands_over_when_the_store_turns_it_away(self):
+        handed = []
+        await self.restart(hand_over=lambda: handed.append(True))
+        self.state.mode = 'busy'
+        async with asyncio.timeout(4):
+            while not handed:
+                await asyncio.sleep(0.01)
+
     async def test_far_behind_it_reads_all_in_place_of_all_changes(self):
         self.fed = False
         self.clock.advance(follower.REREAD_AGE_MS + 1)
@@ -343,23 +426,69 @@
         self.clock = builders.FakeClock()
         self.registry = FakeRegistry()
         self.lead = leadership.Leadership(OWN.incarnation)
+        self.view = view_module.View(OWN)
         self.service = registration.RegistrationService(
-            self.clock, view_module.View(OWN), self.lead, self.registry
+            self.clock, self.view, self.lead, self.registry
         )
         await self.service.work()
         self.registry.calls.clear()
 
+    def follow_another(self):
+        """Let another entry, which is heard, hold the lead."""
+        now = self.clock.now()
+        record = messages.Record('two', 'two-1', 'a', 'two:80', 'two:90')
+        self.view.take_record(record, now)
+        self.view.peers['two'].heard_at = now
+        self.lead.take_holder(leadership.Holder('two', 'two-1', 5), now)
+
     async def test_a_lease_that_ended_is_opened_anew(self):
         """The store was away and the leases ran out meanwhile."""
         self.clock.advance(leadership.RENEW_MS)
+        self.follow_another()
         self.registry.error = routing_errors.LeaseLost('gone')
         await self.service.work()
         self.assertFalse(self.lead.may_act(self.clock.now()))
         await self.service.work()
         self.assertEqual(['renew', 'open', 'register'], self.registry.calls)
 
+    async def test_a_lead_whose_lease_ended_is_claimed_anew(self):
+        """The holder was cut off from the store for as long."""
+        self.clock.advance(leadership.LEAD_RENEW_MS)
+        self.registry.error = routing_errors.LeaseLost('gone')
+        await self.service.work()
+        self.assertEqual(['renew', 'open', 'claim'], self.registry.calls)
+        self.assertTrue(self.lead.may_act(self.clock.now()))
+
+    async def test_a_renewed_registration_does_not_prolong_the_lead(self):
+        """Guards against orders of a holder whose lead has ended."""
+        self.clock.advance(leadership.RENEW_MS)
+        self.service._lead_lease = None
+        await self.service.work()
+        self.assertEqual(['renew'], self.registry.calls)
+        self.assertFalse(self.lead.may_act(self.clock.now()))
+
+    async def test_a_claim_whose_answer_is_lost_is_renewed_if_it_stands(self):
+        """Guards against a lead that nobody renews and nobody may take."""
+        self.lead.take_holder(None, self.clock.now())
+        claim = self.registry.claim_lead
+
+        async def lose_answer(record, lease, revision):
+            await claim(record, lease, revision)
+            raise routing_errors.RegistryUnavailable('no answer')
+
+        self.registry.claim_lead = lose_answer
+        await self.service.work()
+        holder = leadership.Holder(OWN.host, OWN.incarnation, 5)
+        self.lead.take_holder(holder, self.clock.now())
+        self.registry.calls.clear()
+        self.clock.advance(leadership.LEAD_RENEW_MS)
+        await self.service.work()
+        self.assertEqual(['renew'], self.registry.calls)
+        self.assertTrue(self.lead.may_act(self.clock.now()))
+
     async def test_a_registry_that_is_away_is_asked_again(self):
         self.clock.advance(leadership.RENEW_MS)
+        self.follow_another()
         self.registry.error = routing_errors.RegistryUnavailable('busy')
         await self.service.work()
         await self.service.work()
@@ -368,6 +497,39 @@
         await self.service.work()
         self.assertEqual(['renew', 'renew'], self.registry.calls)
 
+    async def test_a_registry_that_stays_away_is_asked_ever_more_seldom(self):
+        """The store counts the calls that it refuses."""
+        self.clock.advance(leadership.RENEW_MS)
+        self.follow_another()
+        calls = []
+        for _ in range(60):
+            self.registry.error = routing_errors.RegistryUnavailable('busy')
+            await self.service.work()
+            self.clock.advance(200)
+            calls.append(len(self.registry.calls))
+        self.assertLessEqual(calls[-1], 6)
+        self.assertGreater(calls[-1], calls[-25])
+
+    async def test_the_holder_of_the_lead_renews_more_often(self):
+        """Its orders count only shortly after each renewal."""
+        holder = leadership.Holder(OWN.host, OWN.incarnation, 5)
+        self.lead.take_holder(holder, self.clock.now())
+        for _ in range(10):
+            self.clock.advance(leadership.LEAD_RENEW_MS)
+            await self.service.work()
+            self.assertTrue(self.lead.may_act(self.clock.now()))
+        renewals = 10 + 10 * leadership.LEAD_RENEW_MS // leadership.RENEW_MS
+        self.assertEqual(['renew'] * renewals, self.registry.calls)
+
+    async def test_an_entry_may_act_as_soon_as_it_has_the_lead(self):
+        """Its own lease was renewed seconds before."""
+        self.clock.advance(leadership.RENEW_MS - 1)
+        self.lead.take_holder(None, self.clock.now())
+        self.clock.advance(1_000)
+        self.lead.renewed_at = self.clock.now() - leadership.ACT_MS - 1
+        await self.service.work()
+        self.assertTrue(self.lead.may_act(self.clock.now()))
+
     async def test_nothing_is_renewed_before_it_is_due(self):
         self.clock.advance(100)
         await self.service.work()
