Send callers of an outdated host on at once where others are current

While nobody is current it stays 0.7 s. Ruled out: serving them; a withdrawn key must stop within its bound.

--- a/src/thornspool/application/routing/intake.py
+++ b/src/thornspool/application/routing/intake.py
@@ -12,6 +12,7 @@
 from thornspool.domain.routing import messages as routing
 
 if typing.TYPE_CHECKING:
+    from collections.abc import Callable
     import random
 
     from thornspool import clock as clock_module
@@ -23,7 +24,7 @@
 
 NOT_READY_RETRY_MS = 700
 """Retry-After of an entry that can't serve yet; it reads its configuration
-within some 100 ms of its start, and others serve meanwhile."""
+within some 100 ms of its start, and the store's outages last for seconds."""
 
 logger = structlog.get_logger(__name__)
 
@@ -47,6 +48,8 @@
         Time after which a withdrawn key must not work.
     random_source : random.Random
         Chooses services by weight.
+    do_others_serve : callable, optional
+        Tells whether other entries are current while this one may not be.
     """
 
     def __init__(
@@ -58,8 +61,10 @@
         metrics: metrics_module.Metrics,
         withdrawn_key_ms: int,
         random_source: random.Random,
+        do_others_serve: Callable[[], bool] = lambda: False,
     ) -> None:
         self._clock = clock
+        self._do_others_serve = do_others_serve
         self._beliefs = beliefs
         self._streams = streams
         self._calls = calls
@@ -102,7 +107,11 @@
             # store no longer talks to this host.
             if not self.is_fresh():
                 self._refuse(
-                    inquiry, reply, 503, 'not_current', NOT_READY_RETRY_MS
+                    inquiry,
+                    reply,
+                    503,
+                    'not_current',
+                    self._choose_outdated_retry(),
                 )
                 return
             workspace = configuration.workspaces.get(inquiry.key or '')
@@ -124,6 +133,16 @@
         else:
             self._calls.serve(exchange)
 
+    def _choose_outdated_retry(self) -> int:
+        """Choose when a caller may return whose key can't be checked.
+
+        Where the store turns single hosts away, another entry serves at
+        once, and a longer wait alone would make the request late.
+        """
+        if self._do_others_serve():
+            return streams_module.DRAINING_RETRY_MS
+        return NOT_READY_RETRY_MS
+
     def _refuse(
         self,
         inquiry: ports.Inquiry,
--- a/src/thornspool/platform/daemon.py
+++ b/src/thornspool/platform/daemon.py
@@ -373,6 +373,9 @@
             self._metrics,
             bounds.withdrawn_key_ms,
             self._random,
+            lambda: self._view.is_anyone_current(
+                self._intake.key_bound_ms, clock.now()
+            ),
         )
         readings.add_readings(
             self._metrics,
--- a/tests/application/routing/builders.py
+++ b/tests/application/routing/builders.py
@@ -241,7 +241,9 @@
             self.metrics,
             5_000,
             random.Random(1),
+            lambda: self.others_serve,
         )
+        self.others_serve = False
         self.beliefs.take_configuration(build_configuration())
         self.beliefs.proof.renew(0)
         for name in ('a', 'b'):
