Go on with the lease of an earlier process of the host

The read of all keys names the lease, so that registering waits for it.

Ruled out: keeping the record too, as peers tell processes apart by it.

--- a/src/thornspool/application/routing/registration.py
+++ b/src/thornspool/application/routing/registration.py
@@ -11,6 +11,8 @@
 from thornspool.domain.entries import messages
 
 if typing.TYPE_CHECKING:
+    from collections.abc import Callable
+
     from thornspool import clock as clock_module
     from thornspool.domain.entries import view as view_module
 
@@ -45,9 +47,6 @@
     async def release_lead(self, revision: int) -> None:
         """Delete the key of the lead, if it still has a revision."""
 
-    async def end_lease(self, lease: int) -> None:
-        """End a lease; what was written under it goes."""
-
 
 class RegistrationService:
     """Registers an entry and claims the lead when it is due.
@@ -62,6 +61,9 @@
         Who leads.
     registry : Registry
         The store.
+    find_old_lease : callable, optional
+        Returns the lease of an earlier process of this host, 0 for none, and
+        None while that is not known.
     """
 
     def __init__(
@@ -70,11 +72,14 @@
         view: view_module.View,
         lead: leadership_module.Leadership,
         registry: Registry,
+        find_old_lease: Callable[[], int | None] = lambda: 0,
     ) -> None:
         self._clock = clock
         self._view = view
         self._lead = lead
         self._registry = registry
+        self._find_old_lease = find_old_lease
+        self._took_over = False
         self._lease: int | None = None
         self._renewed_at = 0
         self._lead_lease: int | None = None
@@ -121,19 +126,16 @@
             # Another entry takes it over when it no longer hears this one.
             logger.warning('lead_not_released', reason=str(error))
 
-    async def leave(self) -> None:
-        """End the registration."""
+    def leave(self) -> None:
+        """Renew nothing any more.
+
+        The registration runs out by itself, or the next process of this host
+        goes on with it; the others hear that this entry leaves.
+        """
         self._leaving = True
-        lease, self._lease = self._lease, None
+        self._lease = None
         self._lead_lease = None
         self._lead.renewed_at = None
-        if lease is None:
-            return
-        try:
-            await self._registry.end_lease(lease)
-        except exceptions.RoutingError as error:
-            # It runs out by itself; the others hear that we leave.
-            logger.warning('lease_not_ended', reason=str(error))
 
     async def _renew_lead(self) -> None:
         """Renew the lead, where this entry holds it."""
@@ -158,9 +160,10 @@
             return
         now = self._clock.now()
         if self._lease is None:
-            self._lease = await self._registry.open_lease(
-                leadership_module.LEASE_MS
-            )
+            old = self._find_old_lease()
+            if old is None:
+                return
+            self._lease = await self._open_lease(old)
         elif now - self._renewed_at < leadership_module.RENEW_MS:
             return
         else:
@@ -175,6 +178,22 @@
             await self._registry.register(self._view.own, self._lease)
             self._registered = True
 
+    async def _open_lease(self, old: int) -> int:
+        """Go on with an earlier process's lease, or open a new one.
+
+        Renewing is the cheaper call, and a fleet that restarts makes one for
+        each entry at the same moment.
+        """
+        if old and not self._took_over:
+            self._took_over = True
+            try:
+                await self._registry.renew_lease(old)
+            except exceptions.LeaseLost:
+                logger.info('old_lease_ended', lease=old)
+            else:
+                return old
+        return await self._registry.open_lease(leadership_module.LEASE_MS)
+
     def _choose_pause(self) -> int:
         """Choose the pause after a failure.
 
--- a/src/thornspool/platform/daemon.py
+++ b/src/thornspool/platform/daemon.py
@@ -246,7 +246,7 @@
             task.cancel()
         for listener in self._listeners:
             await listener.stop(timeout_ms=FLUSH_MS)
-        await self._registration.leave()
+        self._registration.leave()
         self._datagrams.close()
         self._session.close()
 
@@ -331,7 +331,11 @@
             self._send_missed,
         )
         self._registration = registration.RegistrationService(
-            clock, self._view, self._lead, registry.Registry(store)
+            clock,
+            self._view,
+            self._lead,
+            registry.Registry(store),
+            lambda: self._follower.old_lease,
         )
         servers = engines.Servers(self._session)
         self._streams = streams.StreamService(
--- a/src/thornspool/platform/follower.py
+++ b/src/thornspool/platform/follower.py
@@ -178,6 +178,14 @@
         Length of a watch, in milliseconds.
     sharing : Sharing, optional
         How it spares calls.
+
+    Attributes
+    ----------
+    revision : int
+        Revision of the store that the copy has reached.
+    old_lease : int or None
+        Lease under which an earlier process of this host was registered; 0
+        for none, None before the first reading.
     """
 
     def __init__(
@@ -197,6 +205,7 @@
         self._lead = lead
         self.revision = 0
         self._must_read = True
+        self.old_lease: int | None = None
         self._known: dict[str, int] = {}
         self._updates: collections.deque[Update] = collections.deque(
             maxlen=MAX_UPDATES
@@ -266,6 +275,8 @@
         since = self.revision
         read = await self._store.read_all('')
         self._beliefs.note_contact(self._clock.now())
+        if self.old_lease is None:
+            self.old_lease = self._find_old_lease(read)
         changes = self._compare(read)
         for item in changes:
             self._apply(item)
@@ -276,6 +287,13 @@
         self._beliefs.proof.renew(sent_at)
         self._note_reachable(True, '')
 
+    def _find_old_lease(self, read: store_module.Changes) -> int:
+        """Find the lease of an earlier process of this host; 0 for none."""
+        own_key = registry.ENTRIES_PREFIX + self._view.own.host
+        return next(
+            (item.lease for item in read.items if item.key == own_key), 0
+        )
+
     def _compare(
         self, read: store_module.Changes
     ) -> tuple[store_module.Item, ...]:
--- a/src/thornspool/platform/registry.py
+++ b/src/thornspool/platform/registry.py
@@ -74,11 +74,6 @@
         with _translating():
             await self._store.write({LEAD_KEY: revision}, deletes=[LEAD_KEY])
 
-    async def end_lease(self, lease: int) -> None:
-        """End a lease."""
-        with _translating():
-            await self._store.end_lease(lease)
-
 
 @contextlib.contextmanager
 def _translating() -> Iterator[None]:
--- a/src/thornspool/platform/store.py
+++ b/src/thornspool/platform/store.py
@@ -44,7 +44,6 @@
     'kv-txn',
     'kv-lease',
     'kv-keep',
-    'kv-lease-end',
 )
 """Names of calls, as they stand in their paths and in logs and metrics."""
 
@@ -101,11 +100,14 @@
         Store's revision of its last change.
     value : bytes or None
         None for a key that was deleted.
+    lease : int
+        The lease that it goes with; 0 for none.
     """
 
     key: str
     revision: int
     value: bytes | None
+    lease: int = 0
 
 
 @attrs.frozen
@@ -276,10 +278,6 @@
             raise exceptions.LeaseEnded('The lease has ended.')
         _check(answer)
 
-    async def end_lease(self, lease: int) -> None:
-        """End a lease; its keys go with it."""
-        _check(await self._call('DELETE', f'/v1/kv-lease-end/{lease}', None))
-
     async def _get(
         self,
         path: str,
@@ -365,4 +363,4 @@
     except ValueError:
         # Another writer's bytes; its reader logs and skips what is empty.
         value = b''
-    return Item(item.key, item.revision, value)
+    return Item(item.key, item.revision, value, item.lease)
