Believe a host only where some of the engines it asked have answered

Change: engines that are asked together are judged together; where more than half are silent, nobody is suspected. One that refuses the connection still is at once. The test failed with the check off.

--- a/src/thornspool/application/routing/detection.py
+++ b/src/thornspool/application/routing/detection.py
@@ -32,10 +32,6 @@
     from thornspool.domain.fleet import messages as fleet
     from thornspool.domain.paths import search
 
-_Ask = typing.Callable[
-    ['fleet.Server'], typing.Coroutine[typing.Any, typing.Any, None]
-]
-
 FIRST_EVENT_MS = 450
 """Silence before the first event after which its engine is asked.
 
@@ -168,12 +164,15 @@
         if late > LATE_LOOK_MS:
             return
         self._move_off_suspects()
-        for name in self._find_doubtful(now):
-            server = self._beliefs.servers.get(name)
-            if server is None or name in self._beliefs.suspects:
-                continue
-            if not self._ask_within_budget(server, now, self._ask_quickly):
-                return
+        doubtful = [
+            self._beliefs.servers[name]
+            for name in self._find_doubtful(now)
+            if name in self._beliefs.servers
+            and name not in self._beliefs.suspects
+        ]
+        asked = [one for one in doubtful if self._may_ask(one, now)]
+        if asked:
+            self._run(self._ask_quickly(asked))
 
     def _find_doubtful(self, now: int) -> list[str]:
         """Find the engines that the silence of streams points at."""
@@ -228,7 +227,7 @@
         if first is None or now - flight.asked_at < ASK_AGAIN_MS:
             return
         flight.asked_at = now
-        self._ask_pace(first, now, self._ask)
+        self._ask_pace(first, now)
 
     def _check_paces(self, now: int) -> None:
         """Ask the engines of late streams how fast they work.
@@ -252,18 +251,27 @@
         begun = flight.events.count > 0
         return quiet >= (LATE_PAUSE_MS if begun else LATE_FIRST_MS)
 
-    def _ask_within_budget(
-        self, server: fleet.Server, now: int, ask: _Ask | None = None
-    ) -> bool:
+    def _ask_within_budget(self, server: fleet.Server, now: int) -> bool:
         """Ask an engine; False when this entry has asked enough for now."""
+        if not self._has_questions(now):
+            return False
+        if self._may_ask(server, now):
+            self._run(self._ask(server))
+        return True
+
+    def _has_questions(self, now: int) -> bool:
+        """Tell whether one more question is within this entry's part."""
         rate = max(1.0, len(self._beliefs.servers) / self._count_entries())
         passed_s = (now - self._budget_at) / _MS_PER_S
         self._budget_at = now
         self._questions = min(MAX_QUESTIONS, self._questions + rate * passed_s)
-        if self._questions < 1.0:
+        return self._questions >= 1.0
+
+    def _may_ask(self, server: fleet.Server, now: int) -> bool:
+        """Take a question, unless there is none or it was just asked."""
+        if not self._has_questions(now) or not self._note_asked(server, now):
             return False
-        if self._ask_pace(server, now, ask or self._ask):
-            self._questions -= 1.0
+        self._questions -= 1.0
         return True
 
     def _recheck_slow(self, now: int) -> None:
@@ -288,9 +296,14 @@
             server = self._beliefs.servers.get(name)
             if server is None or self._beliefs.paces.is_fresh(name, now):
                 continue
-            self._ask_pace(server, now, self._ask)
+            self._ask_pace(server, now)
 
-    def _ask_pace(self, server: fleet.Server, now: int, ask: _Ask) -> bool:
+    def _ask_pace(self, server: fleet.Server, now: int) -> None:
+        if self._note_asked(server, now):
+            self._run(self._ask(server))
+
+    def _note_asked(self, server: fleet.Server, now: int) -> bool:
+        """Note a question; False when the engine was asked a moment ago."""
         # Engines come and go with new names; those asked long ago are dropped.
         self._asked_at = {
             name: at
@@ -300,7 +313,6 @@
         if server.id in self._asked_at:
             return False
         self._asked_at[server.id] = now
-        self._run(ask(server))
         return True
 
     def _move_off_suspect(self, flight: flights.Flight) -> bool:
@@ -341,11 +353,32 @@
             return
         self._take_report(server, report)
 
-    async def _ask_quickly(self, server: fleet.Server) -> None:
-        """Ask an engine that may be lost whether it lives.
+    async def _ask_quickly(self, servers: list[fleet.Server]) -> None:
+        """Ask engines that may be lost whether they live."""
+        asked_at = self._clock.now()
+        answers = await asyncio.gather(
+            *(self._is_silent(one) for one in servers)
+        )
+        silent = [
+            one
+            for one, is_silent in zip(servers, answers, strict=True)
+            if is_silent
+        ]
+        if not silence.is_credible(len(servers), len(silent)):
+            logger.warning(
+                'own_link_doubted', asked=len(servers), silent=len(silent)
+            )
+            return
+        for server in silent:
+            self._beliefs.note_silence(
+                server.id, asked_at, self._clock.now(), LOSS_REPORT_MS
+            )
+
+    async def _is_silent(self, server: fleet.Server) -> bool:
+        """Ask one engine; tells whether it gave no answer.
 
-        One that refuses the connection is gone; one that is silent gets a
-        second question beside the first.
+        One that refuses the connection is gone, which is noted at once; one
+        that is silent gets a second question beside the first.
         """
         asked_at = self._clock.now()
         first = asyncio.ensure_future(
@@ -361,10 +394,11 @@
             report = report or await first
         if report is not None:
             self._take_report(server, report)
-            return
-        self._beliefs.note_silence(
-            server.id, asked_at, self._clock.now(), LOSS_REPORT_MS
-        )
+        elif refused:
+            self._beliefs.note_silence(
+                server.id, asked_at, self._clock.now(), LOSS_REPORT_MS
+            )
+        return report is None and not refused
 
     def _take_report(self, server: fleet.Server, report: ports.Report) -> None:
         now = self._clock.now()
--- a/src/thornspool/domain/paths/silence.py
+++ b/src/thornspool/domain/paths/silence.py
@@ -26,6 +26,10 @@
 SILENT_SHARE = 0.5
 """Share of the streams of an engine that have to be silent."""
 
+LOST_SHARE = 0.5
+"""Share of the engines asked at once that may be lost together; where more
+are silent, it is the link of the host that asks."""
+
 UNUSUAL_FACTOR = 2.0
 """Times of the usual pause from which a stream counts as silent."""
 
@@ -88,6 +92,22 @@
     return [name for name, _ in silent.most_common() if name not in moving]
 
 
+def is_credible(asked: int, silent: int) -> bool:
+    """Tell whether engines that gave no answer are lost.
+
+    A host that is cut off finds all of them silent. Its word would have the
+    whole fleet leave out every engine of a path.
+
+    Parameters
+    ----------
+    asked : int
+        Engines that were asked at the same moment.
+    silent : int
+        Those of them that gave no answer.
+    """
+    return asked <= 1 or silent <= LOST_SHARE * asked
+
+
 def find_shared(
     streams: Iterable[tuple[Iterable[str], float]], bound_ms: float
 ) -> list[str]:
--- a/tests/domain/paths/test_silence.py
+++ b/tests/domain/paths/test_silence.py
@@ -52,6 +52,22 @@
         self.assertEqual(['a-1'], silence.find_doubtful(streams, 60))
 
 
+class CredibleTest(unittest.TestCase):
+    def test_what_a_host_may_say_of_engines_that_did_not_answer(self):
+        """Guards against the word of a host that hears nobody."""
+        for asked, silent, credible in (
+            (1, 1, True),
+            (2, 1, True),
+            (2, 2, False),
+            (12, 4, True),
+            (12, 6, True),
+            (12, 7, False),
+            (12, 12, False),
+        ):
+            with self.subTest(asked=asked, silent=silent):
+                self.assertIs(credible, silence.is_credible(asked, silent))
+
+
 class UsualPauseTest(unittest.TestCase):
     def test_the_bound_follows_the_pauses_that_streams_show(self):
         pause = silence.UsualPause()
--- a/tools/mechanisms.py
+++ b/tools/mechanisms.py
@@ -9,6 +9,7 @@
 _PATHS = 'src/thornspool/domain/paths'
 _RETRIES = 'src/thornspool/domain/retries'
 _PLACEMENT = 'src/thornspool/domain/placement'
+_PLATFORM = 'src/thornspool/platform'
 
 
 @attrs.frozen
@@ -200,4 +201,53 @@
             'REQUESTS_AT_ONCE = 128\n',
         ),
     ),
+    'handover-of-collecting': (
+        Edit(
+            f'{_PLATFORM}/follower.py',
+            'self._sharing.hand_over()\n',
+            'pass\n',
+        ),
+    ),
+    'missed-changes-sent-again': (
+        Edit(
+            f'{_ROUTING}/membership.py',
+            'if direct and 0 < news.revision < self._told_revision:\n',
+            'if False:\n',
+        ),
+    ),
+    'waiting-for-the-feed': (
+        Edit(
+            f'{_PLATFORM}/follower.py',
+            'return age < FEED_WAIT_MS\n',
+            'return False\n',
+        ),
+    ),
+    'patience-in-shared-outages': (
+        Edit(
+            f'{_PLATFORM}/follower.py',
+            'return age < self._shared_age_ms\n',
+            'return False\n',
+        ),
+    ),
+    'old-lease': (
+        Edit(
+            f'{_ROUTING}/registration.py',
+            'if old and not self._took_over:\n',
+            'if False:\n',
+        ),
+    ),
+    'lone-silence': (
+        Edit(
+            f'{_ROUTING}/detection.py',
+            'return shared or silence.find_doubtful(streams, bound_ms)\n',
+            'return shared\n',
+        ),
+    ),
+    'outdated-retry': (
+        Edit(
+            f'{_ROUTING}/intake.py',
+            'if self._do_others_serve():\n',
+            'if False:\n',
+        ),
+    ),
 }
