Pass on what was read without losing what came meanwhile

A collector that had been cut off read all keys; while it read, another entry brought it the withdrawal, so that the change passed on to its domain, made against the copy as it was after the reading, named the revision before it and left the withdrawal out. Entries that had been cut off too took it, and held a proof for a revision whose configuration they lacked.

Change: what was read is passed on from the revision that the copy has when the reading is done, and lists all keys changed since then. It names no key that came and went in between, so that only a copy of exactly that revision takes it.

Ruled out: that passing on what a watch brought could lose a change (complete from its first revision on). The first test failed on the code before with the race played; the second with its check off.

--- a/src/thornspool/platform/follower.py
+++ b/src/thornspool/platform/follower.py
@@ -119,11 +119,16 @@
         Revisions; a copy that has reached the first reaches the second.
     items : tuple of store_module.Item
         Keys that changed.
+    exact : bool
+        Whether only a copy that has reached just ``since`` may take it: it
+        names no key that came and went in between, which a copy further on
+        may hold.
     """
 
     since: int
     until: int
     items: tuple[store_module.Item, ...]
+    exact: bool = False
 
 
 @attrs.frozen
@@ -272,18 +277,19 @@
     async def _read_all(self) -> None:
         """Read every key, and drop what is no longer there."""
         sent_at = self._clock.now()
-        since = self.revision
         read = await self._store.read_all('')
+        # Another entry may have brought this copy further meanwhile.
+        since = self.revision
         self._beliefs.note_contact(self._clock.now())
         if self.old_lease is None:
             self.old_lease = self._find_old_lease(read)
         changes = self._compare(read)
         for item in changes:
             self._apply(item)
-        self.revision = read.revision
+        self.revision = max(since, read.revision)
         self._must_read = False
         if since:
-            self._pass_on(Update(since, read.revision, changes))
+            self._pass_on(Update(since, self.revision, changes, exact=True))
         self._beliefs.proof.renew(sent_at)
         self._note_reachable(True, '')
 
@@ -297,18 +303,18 @@
     def _compare(
         self, read: store_module.Changes
     ) -> tuple[store_module.Item, ...]:
-        """List what differs from the copy, deleted keys first."""
+        """List what has changed since the copy's revision, deletions first.
+
+        A key that the copy has in a newer version than its revision is
+        listed too, as other copies of that revision may lack it.
+        """
         present = {item.key for item in read.items}
         gone = [
             store_module.Item(key, read.revision, None)
             for key in self._known
             if key not in present
         ]
-        new = [
-            item
-            for item in read.items
-            if item.revision > self._known.get(item.key, 0)
-        ]
+        new = [item for item in read.items if item.revision > self.revision]
         return (*gone, *new)
 
     def _pass_on(self, update: Update) -> None:
@@ -330,17 +336,23 @@
         """
         items: dict[str, store_module.Item] = {}
         reached = self.revision
+        exact = False
         for update in reversed(self._updates):
             if reached <= revision:
                 break
             if update.until < reached:
                 return None
+            if update.exact and update.since < revision:
+                return None
             for item in update.items:
-                items.setdefault(item.key, item)
+                known = items.get(item.key)
+                if known is None or known.revision < item.revision:
+                    items[item.key] = item
             reached = min(reached, update.since)
+            exact = exact or update.exact
         if reached > revision or self.revision <= revision:
             return None
-        return Update(revision, self.revision, tuple(items.values()))
+        return Update(revision, self.revision, tuple(items.values()), exact)
 
     async def _watch(self) -> None:
         sent_at = self._clock.now()
@@ -385,6 +397,8 @@
         """
         if self.revision == 0 or update.since > self.revision:
             return
+        if update.exact and update.since != self.revision:
+            return
         self._beliefs.note_contact(self._clock.now())
         for item in update.items:
             self._apply(item)
--- a/src/thornspool/platform/peers.py
+++ b/src/thornspool/platform/peers.py
@@ -67,6 +67,7 @@
     until: int
     # Compressed.
     items: bytes
+    exact: bool = False
 
 
 _Items = list[tuple[str, int, bytes | None]]
@@ -109,7 +110,9 @@
     """Encode changes of the store's keys."""
     items = [(one.key, one.revision, one.value) for one in update.items]
     packed = zlib.compress(msgspec.msgpack.encode(items), COMPRESSION_LEVEL)
-    return msgspec.msgpack.encode(_Update(update.since, update.until, packed))
+    return msgspec.msgpack.encode(
+        _Update(update.since, update.until, packed, update.exact)
+    )
 
 
 def decode(raw: bytes) -> messages.News | follower.Update | None:
@@ -127,7 +130,10 @@
 def _convert_update(read: _Update) -> follower.Update:
     items = msgspec.msgpack.decode(zlib.decompress(read.items), type=_Items)
     return follower.Update(
-        read.since, read.until, tuple(store.Item(*one) for one in items)
+        read.since,
+        read.until,
+        tuple(store.Item(*one) for one in items),
+        read.exact,
     )
 
 
--- a/tests/platform/test_following.py
+++ b/tests/platform/test_following.py
@@ -360,6 +360,51 @@
             next(one for one in last.items if one.key == 'servers/i-9').value
         )
 
+    async def test_a_change_that_came_while_all_was_read_is_not_left_out(
+        self,
+    ):
+        """Guards against withdrawn keys that copies never hear of.
+
+        A collector that was cut off reads all keys while another entry
+        brings it the same change; the others of its domain were cut off too.
+        """
+        await self.restart(feed=self.feed)
+        self.passed_on.clear()
+        at = self.follower.revision
+        read_all = self.store.read_all
+
+        async def read_while_fed(prefix):
+            read = await read_all(prefix)
+            self.follower.take_update(self.build_update(at, at + 1, 7))
+            return read
+
+        self.put('op/config', kv_fleet.build_configuration(7))
+        self.put('servers/i-3', BEAT)
+        self.store.read_all = read_while_fed
+        await self.follower._read_all()
+        for update in self.passed_on:
+            self.assertTrue(
+                update.since > at
+                or 'op/config' in [item.key for item in update.items]
+            )
+        self.assertEqual(at + 2, self.passed_on[-1].until)
+        self.assertTrue(self.passed_on[-1].exact)
+
+    async def test_what_was_read_fits_only_a_copy_of_its_revision(self):
+        """Guards against servers that stay listed though they are gone."""
+        at = self.follower.revision
+        self.follower.take_update(self.build_update(at, at + 4, 4))
+        update = self.build_update(at + 2, at + 6, 5)
+        exact = follower.Update(at + 2, at + 6, update.items, exact=True)
+        self.follower.take_update(exact)
+        self.assertEqual(at + 4, self.follower.revision)
+        exact = follower.Update(at + 4, at + 6, update.items, exact=True)
+        self.follower.take_update(exact)
+        self.assertEqual(at + 6, self.follower.revision)
+        self.assertTrue(self.follower.find_since(at).exact)
+        self.assertTrue(self.follower.find_since(at + 4).exact)
+        self.assertIsNone(self.follower.find_since(at + 5))
+
     async def test_it_hands_over_when_the_store_turns_it_away(self):
         handed = []
         await self.restart(hand_over=lambda: handed.append(True))
