Take back the questions to engines of lone silent streams

Kept: the second question beside the first, and that a host is believed only where some engines answered. First the choice after a loss has to spread.

--- a/src/thornspool/application/routing/detection.py
+++ b/src/thornspool/application/routing/detection.py
@@ -166,7 +166,7 @@
         self._move_off_suspects()
         doubtful = [
             self._beliefs.servers[name]
-            for name in self._find_doubtful(now)
+            for name in self._find_shared(now)
             if name in self._beliefs.servers
             and name not in self._beliefs.suspects
         ]
@@ -174,16 +174,16 @@
         if asked:
             self._run(self._ask_quickly(asked))
 
-    def _find_doubtful(self, now: int) -> list[str]:
+    def _find_shared(self, now: int) -> list[str]:
         """Find the engines that the silence of streams points at."""
-        bound_ms = self._service.usual_pause.compute_bound()
-        streams = [
-            (tuple(one.engines), now - one.active_at)
-            for one in self._list_running()
-            if one.events.count
-        ]
-        shared = silence.find_shared(streams, bound_ms)
-        return shared or silence.find_doubtful(streams, bound_ms)
+        return silence.find_shared(
+            (
+                (one.engines, now - one.active_at)
+                for one in self._list_running()
+                if one.events.count
+            ),
+            self._service.usual_pause.compute_bound(),
+        )
 
     def _list_running(self) -> list[flights.Flight]:
         return [
--- a/src/thornspool/domain/paths/silence.py
+++ b/src/thornspool/domain/paths/silence.py
@@ -1,13 +1,9 @@
-"""Silent streams name the engines that may be lost.
+"""Streams that fall silent together name the engines that they share.
 
 Answers the loss of an engine under load. All streams through it pause at
 once, so that it can be asked long before any single pause is unusual. Two
 streams may pause by chance, and a slow engine slows its streams too: silence
 chooses whom to ask, and only the answer tells.
-
-Where an entry has many streams, those that it shares with others that are
-silent stand out. In a large fleet an entry has one or two streams at a time;
-there every engine may be at fault through which none of them still moves.
 """
 
 from __future__ import annotations
@@ -65,33 +61,6 @@
         return min(MAX_BOUND_MS, max(MIN_BOUND_MS, bound))
 
 
-def find_doubtful(
-    streams: Iterable[tuple[Iterable[str], float]], bound_ms: float
-) -> list[str]:
-    """Find the engines through which only silent streams pass.
-
-    Parameters
-    ----------
-    streams : iterable of tuple of iterable of str and float
-        As for ``find_shared``.
-    bound_ms : float
-        Silence that counts.
-
-    Returns
-    -------
-    list of str
-        Those of most silent streams first.
-    """
-    silent: collections.Counter[str] = collections.Counter()
-    moving: set[str] = set()
-    for engines, quiet_ms in streams:
-        if quiet_ms >= bound_ms:
-            silent.update(engines)
-        else:
-            moving.update(engines)
-    return [name for name, _ in silent.most_common() if name not in moving]
-
-
 def is_credible(asked: int, silent: int) -> bool:
     """Tell whether engines that gave no answer are lost.
 
--- a/tools/mechanisms.py
+++ b/tools/mechanisms.py
@@ -236,13 +236,6 @@
             'if False:\n',
         ),
     ),
-    'lone-silence': (
-        Edit(
-            f'{_ROUTING}/detection.py',
-            'return shared or silence.find_doubtful(streams, bound_ms)\n',
-            'return shared\n',
-        ),
-    ),
     'outdated-retry': (
         Edit(
             f'{_ROUTING}/intake.py',
