End the pause of a shared outage when the store answers again

Played again with logs the rule held, but the last hosts learned a version 2.9 s after its acknowledgement: after 8 s without the store, 5 to 10 hosts in each half second reached it only from 26.0 to 31.5 s.

Cause, two places. A host that had read the store itself at 27.15 s waited on for its collector, which was still cut off, until its own proof was 3.2 s old. And a host that was to collect next slept out the pause of 2.5 to 5 s that it had begun as a member, while its failure domain waited for it.

Ruled out: changes lost between entries (find_since had them), load on the machine (the pauses are in virtual time).

Change: an entry whose own proof is newer than the collector's counts the outage as shared no longer, and the long pause ends with the shared outage. Both tests failed before.

--- a/src/thornspool/application/routing/membership.py
+++ b/src/thornspool/application/routing/membership.py
@@ -48,6 +48,10 @@
 """Age of the own proof past which an entry asks the store itself, though it
 is told news: two turns after the oldest proof that a collector tells."""
 
+AHEAD_MS = 500
+"""Time by which the own proof has to be newer than the collector's to show
+that the store has answered this entry; it covers the ways of the news."""
+
 OUTDATED_MS = 1_500
 """Time for which another entry must be more current than this one before
 callers are led elsewhere.
@@ -304,11 +308,26 @@
         )
 
     def shares_outage(self) -> bool:
-        """Tell whether the collector speaks, but can't reach the store."""
+        """Tell whether the collector speaks, but can't reach the store.
+
+        An entry that the store has answered since waits for it no longer.
+        """
+        now = self._clock.now()
         return (
-            self._hears_feed(self._clock.now()) and not self._is_feed_current()
+            self._hears_feed(now)
+            and not self._is_feed_current()
+            and not self._is_ahead_of_feed(now)
         )
 
+    def _is_ahead_of_feed(self, now: int) -> bool:
+        """Tell whether the own proof is newer than the collector's."""
+        assert self._feed is not None
+        age = self._beliefs.proof.compute_age(now)
+        if age is None:
+            return False
+        told = self._feed.proof_age_ms
+        return told < 0 or age + AHEAD_MS < told + now - self._fed_at
+
     def _is_behind(self, now: int) -> bool:
         """Tell whether a change that the collector has did not come."""
         assert self._feed is not None
--- a/src/thornspool/platform/follower.py
+++ b/src/thornspool/platform/follower.py
@@ -264,14 +264,25 @@
         return round(least + self._sharing.draw() * (most - least))
 
     async def _pause(self) -> None:
-        """Wait until the store is worth another call."""
-        length_ms = self._pause_ms
+        """Wait until the store is worth another call.
+
+        The long pause of a shared outage ends with it: whoever is to collect
+        next would else be waited for by its whole failure domain.
+        """
+        begun = self._clock.now()
+        end = begun + self._pause_ms
+        shared_end = begun
         self._pause_ms = min(MAX_RETRY_MS, 2 * self._pause_ms)
         if self._sharing.shares_outage():
-            length_ms = self._draw_from(SHARED_RETRY_MS)
-        end = self._clock.now() + length_ms
-        while not self._sharing.is_fed() and self._clock.now() < end:
-            left_ms = end - self._clock.now()
+            shared_end = begun + self._draw_from(SHARED_RETRY_MS)
+        while not self._sharing.is_fed():
+            now = self._clock.now()
+            if now < shared_end and self._sharing.shares_outage():
+                left_ms = shared_end - now
+            else:
+                left_ms = end - now
+            if left_ms <= 0:
+                return
             await asyncio.sleep(min(FED_CHECK_MS, left_ms) / _MS_PER_S)
 
     async def _read_all(self) -> None:
--- a/tests/application/routing/test_membership.py
+++ b/tests/application/routing/test_membership.py
@@ -314,6 +314,17 @@
         self.assertFalse(member.service.shares_outage())
         self.assertTrue(member.service.is_fed())
 
+    def test_an_entry_that_the_store_answers_shares_no_outage(self):
+        """Guards against waiting for a collector that is behind."""
+        member = self.members['b-05']
+        self.fleet.play(5_000, prove=False)
+        self.assertTrue(member.service.shares_outage())
+        member.beliefs.proof.renew(self.fleet.clock.now())
+        self.assertFalse(member.service.shares_outage())
+        self.fleet.play(400, prove=False)
+        self.assertFalse(member.service.shares_outage())
+        self.assertTrue(self.members['b-06'].service.shares_outage())
+
     def test_an_entry_that_missed_a_change_asks_for_it(self):
         """The datagram with a withdrawn key is lost."""
         for member in self.members.values():
--- a/tests/platform/test_following.py
+++ b/tests/platform/test_following.py
@@ -285,6 +285,26 @@
         await asyncio.sleep(0.3)
         self.assertGreater(shared.revision, 0)
 
+    async def test_its_long_pause_ends_with_the_shared_outage(self):
+        """Guards against a collector that sleeps as the store returns."""
+        self.running.cancel()
+        shared = True
+        one = follower.Follower(
+            clock_module.Clock(),
+            self.store,
+            beliefs.Beliefs(),
+            view_module.View(OWN),
+            leadership.Leadership(OWN.incarnation),
+            sharing=follower.Sharing(shares_outage=lambda: shared),
+        )
+        self.state.mode = 'busy'
+        self.running = asyncio.create_task(one.run())
+        await asyncio.sleep(0.6)
+        self.state.mode = 'up'
+        shared = False
+        await asyncio.sleep(0.5)
+        self.assertGreater(one.revision, 0)
+
     async def restart(self, **sharing):
         """Begin anew with other ways to spare calls."""
         self.running.cancel()
