Tell requests that nobody is owed apart from lost ones

Its bounds were those of other routes: a pause of 200 ms counted as late where the route allows 250. Piped into head, it ended with a traceback.

Change: such refusals are counted apart, the bounds come from the targets that `request_ended` now tells, and every command ends quietly when its output is closed. All tests of it failed before but the one on bounds by option.

--- a/src/thornspool/application/routing/intake.py
+++ b/src/thornspool/application/routing/intake.py
@@ -187,6 +187,8 @@
             path=exchange.path,
             first_ms=None if first is None else first - inquiry.arrived_at,
             took_ms=now - inquiry.arrived_at,
+            target_ms=exchange.route.target_latency_ms,
+            target_pause_ms=exchange.route.target_gap_ms,
             **describe_timing(exchange.timing),
         )
         self._metrics.count_request(
--- a/src/thornspool/console/application.py
+++ b/src/thornspool/console/application.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import argparse
+import contextlib
+import os
 import typing
 
 from thornspool.console import base
@@ -88,7 +90,20 @@
         console = base.Console(as_json=options.json)
     try:
         code: exceptions.ExitCode = options.run(options, console)
+        console.out.flush()
+    except BrokenPipeError:
+        # Whoever reads the output has seen enough.
+        _close_output(console)
+        return int(exceptions.ExitCode.OK)
     except exceptions.ConsoleError as error:
         console.write_error(str(error))
         return int(error.exit_code)
     return int(code)
+
+
+def _close_output(console: base.Console) -> None:
+    """Lose the rest of the output, which the interpreter would still write."""
+    with contextlib.suppress(OSError, ValueError):
+        nowhere = os.open(os.devnull, os.O_WRONLY)
+        os.dup2(nowhere, console.out.fileno())
+        os.close(nowhere)
--- a/src/thornspool/console/commands/losses.py
+++ b/src/thornspool/console/commands/losses.py
@@ -25,10 +25,12 @@
 """Length of a window in seconds."""
 
 FIRST_MS = 500
-"""Time to the first part of an answer that counts as late by default."""
+"""Time to the first part of an answer that counts as late where the line does
+not tell the target of its route."""
 
 PAUSE_MS = 200
-"""Pause between two events that counts as late by default."""
+"""Pause between two events that counts as late where the line does not tell
+the target of its route."""
 
 MAX_GROUPS = 20_000
 """Groups of window, route and cause that are kept."""
@@ -46,12 +48,13 @@
 
     Attributes
     ----------
-    first_ms, pause_ms : int
-        Longest time to the first part of an answer and between two events.
+    first_ms, pause_ms : int or None
+        Longest time to the first part of an answer and between two events;
+        None for the target of each request's own route.
     """
 
-    first_ms: int = FIRST_MS
-    pause_ms: int = PAUSE_MS
+    first_ms: int | None = None
+    pause_ms: int | None = None
 
 
 @attrs.define
@@ -75,6 +78,9 @@
             self.servers.update(_list_servers(line.fields.get('path', '')))
 
 
+NOT_OWED = frozenset({'no_route', 'unknown_key'})
+"""Reasons of refusals that no proper request meets."""
+
 _ENDS = ('event=request_ended ', 'event=request_refused ')
 """What the lines have in common that tell how a request ended."""
 
@@ -92,6 +98,8 @@
         Requests whose end was read.
     groups : dict
         Those that were lost or late, by window, route and cause.
+    not_owed : collections.Counter of str
+        Refusals of requests that nobody is owed, by reason.
     left_out : int
         Requests of further groups.
     unreadable : int
@@ -101,6 +109,9 @@
     aims: Aims
     ended: int = 0
     groups: dict[_Key, Group] = attrs.field(factory=dict)
+    not_owed: collections.Counter[str] = attrs.field(
+        factory=collections.Counter
+    )
     left_out: int = 0
     unreadable: int = 0
 
@@ -117,6 +128,10 @@
             return
         if line.event not in {'request_ended', 'request_refused'}:
             return
+        reason = line.fields.get('reason', '')
+        if line.event == 'request_refused' and reason in NOT_OWED:
+            self.not_owed[reason] += 1
+            return
         self.ended += 1
         cause = name_cause(line, self.aims)
         if not cause:
@@ -148,13 +163,27 @@
     outcome = fields.get('outcome', '')
     if outcome != 'served':
         return f'{outcome}: {reason}' if reason else outcome
-    if _read_ms(fields, 'first_ms') > aims.first_ms:
+    first_ms = _choose_bound(aims.first_ms, fields, 'target_ms', FIRST_MS)
+    if _read_ms(fields, 'first_ms') > first_ms:
         return f'late first event: {fields.get("first_cause") or "server"}'
-    if _read_ms(fields, 'pause_ms') > aims.pause_ms:
+    pause_ms = _choose_bound(
+        aims.pause_ms, fields, 'target_pause_ms', PAUSE_MS
+    )
+    if _read_ms(fields, 'pause_ms') > pause_ms:
         return f'long pause: {fields.get("pause_cause", "?")}'
     return ''
 
 
+def _choose_bound(
+    aim: int | None, fields: dict[str, str], name: str, default: int
+) -> float:
+    """Choose what counts as late: as asked, by the route, or by default."""
+    if aim is not None:
+        return aim
+    told = _read_ms(fields, name)
+    return told if told > 0 else default
+
+
 def _read_ms(fields: dict[str, str], name: str) -> float:
     try:
         return float(fields.get(name, 'nan'))
@@ -181,15 +210,14 @@
     parser.add_argument(
         '--first-ms',
         type=int,
-        default=FIRST_MS,
         help='time to the first part of an answer that is not late '
-        '(default: %(default)s)',
+        '(default: the target of its route)',
     )
     parser.add_argument(
         '--pause-ms',
         type=int,
-        default=PAUSE_MS,
-        help='pause between events that is not late (default: %(default)s)',
+        help='pause between events that is not late (default: the target of '
+        'its route)',
     )
     logs.add_files(parser)
 
@@ -230,6 +258,7 @@
             }
             for (window, route, cause), group in sorted(losses.groups.items())
         ],
+        'not_owed': dict(losses.not_owed),
         'left_out': losses.left_out,
         'unreadable': losses.unreadable,
     }
@@ -250,6 +279,8 @@
             f'{",".join(_name_most(group)) or "-"}; hosts '
             f'{",".join(sorted(group.hosts))}; ids {",".join(group.ids)}'
         )
+    for reason, count in losses.not_owed.most_common():
+        yield f'{count} refused as {reason}, which nobody is owed.'
     if losses.left_out:
         yield f'{losses.left_out} requests of further groups were left out.'
     if losses.unreadable:
--- a/tests/console/test_losses.py
+++ b/tests/console/test_losses.py
@@ -5,6 +5,8 @@
 import io
 import json
 import pathlib
+import subprocess
+import sys
 import tempfile
 import unittest
 
@@ -61,6 +63,13 @@
                 'refused_503: no_room',
             ),
             ({'first_ms': None}, ''),
+            ({'pause_ms': 240, 'target_pause_ms': 250}, ''),
+            (
+                {'pause_ms': 160, 'target_pause_ms': 150},
+                'long pause: engines',
+            ),
+            ({'pause_ms': 160, 'target_pause_ms': 0}, ''),
+            ({'first_ms': 550, 'target_ms': 600}, ''),
         )
         for fields, cause in cases:
             with self.subTest(fields):
@@ -89,6 +98,15 @@
         self.assertEqual(losses.MAX_GROUPS, len(found.groups))
         self.assertEqual(5, found.left_out)
 
+    def test_requests_that_nobody_is_owed_are_told_apart(self):
+        """Guards against real losses that are hidden by probes."""
+        found = read(
+            build_line(event='request_refused', reason='no_route'),
+            build_line(event='request_refused', reason='not_current'),
+        )
+        self.assertEqual({'no_route': 1}, dict(found.not_owed))
+        self.assertEqual([('refused: not_current', 1)], found.count_causes())
+
     def test_lines_that_are_none_of_a_log_are_counted(self):
         found = read('some other text\n', '\n', build_line())
         self.assertEqual((1, 1), (found.unreadable, found.ended))
@@ -123,6 +141,31 @@
         self.assertEqual(exceptions.ExitCode.PROBLEM, code)
         self.assertIn('1 lines could not be read', errors)
 
+    def test_bounds_may_be_asked_for(self):
+        line = build_line(pause_ms=160, target_pause_ms=250)
+        _, output, _ = self.run_on(line, '--pause-ms', '150')
+        self.assertIn('1 of 1 requests', output)
+
+    def test_an_output_that_is_closed_early_ends_it_quietly(self):
+        """Guards against a traceback behind a pager or head."""
+        with tempfile.TemporaryDirectory() as folder:
+            path = pathlib.Path(folder, 'host.log')
+            lines = [
+                build_line(route=f'r-{number}', outcome='cut')
+                for number in range(5_000)
+            ]
+            path.write_text(''.join(lines))
+            done = subprocess.run(
+                f'{sys.executable} -m thornspool.console losses {path}'
+                ' | head -n 1',
+                shell=True,
+                check=False,
+                capture_output=True,
+                text=True,
+            )
+        self.assertEqual('', done.stderr)
+        self.assertIn('5000 of 5000', done.stdout)
+
     def test_a_missing_file_is_told(self):
         output, errors = io.StringIO(), io.StringIO()
         code = application.main(
