Forget engines that were lost before their entries went

Cause: an engine that crashed is suspected for 4 s and leaves the list 3.6 s after its last heartbeat. An entry that goes without a word counts as usable for one more second, so that every host sent to the lost engine again as the suspicion ran out. Another engine stood at its address by then, answered 421 and was blamed for it, so that the next request went to the lost one again: 43 refusals in 0.4 s.

Change: a suspected server is gone with its entry, an engine that is listed at an address ends the one that had it, and a refusal is laid to the engine that the path names at the address. The three tests failed before. Ruled out: old entries of the list that come late (none in the log).

--- a/src/thornspool/application/routing/beliefs.py
+++ b/src/thornspool/application/routing/beliefs.py
@@ -174,6 +174,7 @@
         if known == server and server.id not in self.unlisted:
             return
         self.unlisted.pop(server.id, None)
+        self._drop_predecessors(server, now)
         self.servers[server.id] = server
         self.servers_changed_at = now
         self.revision += 1
@@ -206,6 +207,10 @@
             self.lapsed.add(name)
             logger.info('server_lapsed', server=name)
             return
+        if name in self.suspects:
+            # It failed before its entry went, so it does not serve on.
+            self._drop(name, now)
+            return
         self.servers_changed_at = now
         self.leaving.setdefault(name, now)
         self.unlisted.setdefault(name, now)
@@ -229,6 +234,16 @@
         self.outliers.forget_old(now)
         self.moves.forget_old(now)
 
+    def _drop_predecessors(self, server: fleet.Server, now: int) -> None:
+        """Forget servers that had the address of a newer one."""
+        for other in list(self.servers.values()):
+            if (
+                other.id != server.id
+                and other.address == server.address
+                and (other.born or 0) < (server.born or 0)
+            ):
+                self._drop(other.id, now)
+
     def _drop(self, name: str, now: int) -> None:
         """Forget a server that is gone."""
         self.unlisted.pop(name, None)
--- a/src/thornspool/application/routing/flights.py
+++ b/src/thornspool/application/routing/flights.py
@@ -69,3 +69,13 @@
     def engines(self) -> Iterator[str]:
         """The engines of its path."""
         return (hop.server.id for hop in self.hops)
+
+    def find_server(self, address: str) -> fleet.Server | None:
+        """Find the engine of its path at an address, else its first one.
+
+        Another engine may have taken the address since the path was chosen.
+        """
+        for hop in self.hops:
+            if hop.server.address == address:
+                return hop.server
+        return self.first_server
--- a/src/thornspool/application/routing/streams.py
+++ b/src/thornspool/application/routing/streams.py
@@ -330,9 +330,7 @@
 
     def _take_refusal(self, flight: flights.Flight, head: ports.Head) -> None:
         """Send a request elsewhere that an engine states not to have run."""
-        blamed = self._beliefs.find_by_address(head.fault_address)
-        if blamed is None:
-            blamed = flight.first_server
+        blamed = flight.find_server(head.fault_address)
         if blamed is not None:
             now = self._clock.now()
             flight.exchange.avoid([blamed.id], now)
--- a/tests/application/routing/test_streams.py
+++ b/tests/application/routing/test_streams.py
@@ -376,3 +376,33 @@
         )
         world.add(again)
         self.assertEqual({}, world.beliefs.suspects)
+
+    def test_a_lost_engine_is_gone_with_its_entry(self):
+        """Guards against its use once the suspicion has run out."""
+        world = builders.World()
+        world.beliefs.suspect('a-1', 'no_report', 0)
+        world.beliefs.remove_server('a-1', 100)
+        self.assertNotIn('a-1', world.beliefs.servers)
+
+    def test_an_engine_at_an_address_ends_the_one_before_it(self):
+        """Guards against runs for an engine that a newer one replaced."""
+        world = builders.World()
+        old = world.beliefs.servers['a-1']
+        new = attrs.evolve(old, id='a-8', born=old.born + 1, layers=None)
+        world.add(new)
+        self.assertNotIn('a-1', world.beliefs.servers)
+        world.add(attrs.evolve(old, draining=True))
+        self.assertIn('a-8', world.beliefs.servers)
+
+    def test_who_refuses_is_found_on_the_path(self):
+        """Guards against blame for the next engine at an address."""
+        world = builders.World()
+        world.serve()
+        run = world.servers.last
+        lost = run.run.hops[1].server
+        world.beliefs.servers['a-8'] = attrs.evolve(
+            lost, id='a-8', born=lost.born + 1
+        )
+        run.refuse(421, lost.address)
+        self.assertIn(lost.id, world.beliefs.suspects)
+        self.assertNotIn('a-8', world.beliefs.suspects)
