--- a/src/thornspool/application/routing/detection.py
+++ b/src/thornspool/application/routing/detection.py
@@ -1,10 +1,9 @@
-"""Streams that pause: which engine is at fault, and how they go on.
+"""Streams that pause: which engine is at fault.
 
 Work that depends on a lost engine stands still for seconds before anybody
-says so, and callers give a stream up after two. So the first engine of a
-stream that pauses is asked at once; it knows which engine it waits for. The
-stream then goes on over another path, with the memory that the engines of
-the old path still hold, or in a new run behind the last whole event.
+says so, and callers give a stream up after two. So the engines that silent
+streams point at are asked at once whether they live, and the first engine of
+a stream that pauses on, which knows the engine that it waits for.
 """
 
 from __future__ import annotations
@@ -15,10 +14,10 @@
 
 import structlog
 
-from thornspool.application.routing import ports
+from thornspool.application.routing import questions
+from thornspool.application.routing import repairs
 from thornspool.domain.fleet import paces
 from thornspool.domain.fleet import sweeps
-from thornspool.domain.paths import choice
 from thornspool.domain.paths import silence
 
 if typing.TYPE_CHECKING:
@@ -28,9 +27,9 @@
     from thornspool import clock as clock_module
     from thornspool.application.routing import beliefs as beliefs_module
     from thornspool.application.routing import flights
+    from thornspool.application.routing import ports
     from thornspool.application.routing import streams
     from thornspool.domain.fleet import messages as fleet
-    from thornspool.domain.paths import search
 
 FIRST_EVENT_MS = 450
 """Silence before the first event after which its engine is asked.
@@ -42,11 +41,6 @@
 """Silence between events after which the engine is asked; usual pauses are
 30 to 60 ms, and the engine's own report is 200 ms old."""
 
-ASK_AGAIN_MS = 400
-"""Least time between two questions to one engine, and about one stream.
-
-An engine answers for all of its streams at once, some 200 ms late."""
-
 LATE_FIRST_MS = 180
 """Silence before the first event after which all engines of a path are
 asked how fast they work: three times the usual 60 ms."""
@@ -55,13 +49,6 @@
 """Silence between events after which they are asked; callers count a stream
 as late from a pause of 200 ms."""
 
-MAX_QUESTIONS = 12.0
-"""Questions about paces that may be asked at once: the engines of one path.
-
-They come back at a rate at which all entries together ask each engine once a
-second.
-"""
-
 RECHECK_MS = (500, 1_000)
 """Range of the age at which a slow engine's pace is asked for again.
 
@@ -132,13 +119,16 @@
         self._count_entries = count_entries
         self._tell = tell
         self._tasks: set[asyncio.Task[None]] = set()
-        self._asked_at: dict[str, int] = {}
-        self._questions = MAX_QUESTIONS
-        self._budget_at = clock.now()
+        self._questions = questions.Questions(clock.now(), self._count_share)
         self._worked_at = clock.now()
         self._looked_at = clock.now()
         self._sweep = sweeps.Sweep()
         self._looks_again = False
+        self._repairs = repairs.Repairs(clock, service, servers, self._run)
+
+    def _count_share(self) -> float:
+        """Count the engines for each entry that may ask."""
+        return len(self._beliefs.servers) / self._count_entries()
 
     def work(self) -> None:
         """Look for streams that pause; run every 100 ms or so."""
@@ -175,7 +165,7 @@
             if name in self._beliefs.servers
             and name not in self._beliefs.suspects
         ]
-        asked = [one for one in doubtful if self._may_ask(one, now)]
+        asked = [one for one in doubtful if self._questions.take(one, now)]
         if asked:
             self._run(self._ask_quickly(asked))
 
@@ -238,7 +228,7 @@
             self._service.mend(flight, 'silent')
             return
         first = flight.first_server
-        if first is None or now - flight.asked_at < ASK_AGAIN_MS:
+        if first is None or now - flight.asked_at < questions.ASK_AGAIN_MS:
             return
         flight.asked_at = now
         self._ask_pace(first, now)
@@ -267,27 +257,12 @@
 
     def _ask_within_budget(self, server: fleet.Server, now: int) -> bool:
         """Ask an engine; False when this entry has asked enough for now."""
-        if not self._has_questions(now):
+        if not self._questions.has_any(now):
             return False
-        if self._may_ask(server, now):
+        if self._questions.take(server, now):
             self._run(self._ask(server))
         return True
 
-    def _has_questions(self, now: int) -> bool:
-        """Tell whether one more question is within this entry's part."""
-        rate = max(1.0, len(self._beliefs.servers) / self._count_entries())
-        passed_s = (now - self._budget_at) / _MS_PER_S
-        self._budget_at = now
-        self._questions = min(MAX_QUESTIONS, self._questions + rate * passed_s)
-        return self._questions >= 1.0
-
-    def _may_ask(self, server: fleet.Server, now: int) -> bool:
-        """Take a question, unless there is none or it was just asked."""
-        if not self._has_questions(now) or not self._note_asked(server, now):
-            return False
-        self._questions -= 1.0
-        return True
-
     def _recheck_slow(self, now: int) -> None:
         """Ask slow engines again, before what is known of them is old."""
         slow = self._beliefs.paces.select(self._beliefs.servers, now)
@@ -313,22 +288,9 @@
             self._ask_pace(server, now)
 
     def _ask_pace(self, server: fleet.Server, now: int) -> None:
-        if self._note_asked(server, now):
+        if self._questions.note(server, now):
             self._run(self._ask(server))
 
-    def _note_asked(self, server: fleet.Server, now: int) -> bool:
-        """Note a question; False when the engine was asked a moment ago."""
-        # Engines come and go with new names; those asked long ago are dropped.
-        self._asked_at = {
-            name: at
-            for name, at in self._asked_at.items()
-            if now - at < ASK_AGAIN_MS
-        }
-        if server.id in self._asked_at:
-            return False
-        self._asked_at[server.id] = now
-        return True
-
     def _move_off_suspect(self, flight: flights.Flight) -> bool:
         """Move a stream off its path when an engine of it is suspected.
 
@@ -354,7 +316,7 @@
             usual_ms = self._service.find_usual_pause(flight)
             self._look_again((confirming - pauses) * usual_ms)
             return False
-        self._mend(flight, suspected)
+        self._repairs.mend(flight, suspected)
         return True
 
     def _run(
@@ -455,78 +417,3 @@
                 before=round(before, 1),
                 pace=round(factor, 1),
             )
-
-    def _mend(self, flight: flights.Flight, suspected: list[str]) -> None:
-        """Let a stream go on without the engines that are suspected.
-
-        A new path for the run that stands still has only the layers of the
-        lost engines read again and takes no repeat. Where the domain has no
-        other holder of them, or the first engine is lost, the stream goes on
-        in a new run behind the last whole event.
-        """
-        flight.exchange.avoid(suspected, self._clock.now())
-        may_run_again = self._service.may_run_again(flight)
-        hops = None
-        if flight.head is not None or not may_run_again:
-            # A run without an answer yet has little to lose.
-            hops = self._choose_path(flight, suspected)
-        if hops is not None:
-            flight.mending = True
-            self._run(self._change_path(flight, hops))
-        elif may_run_again:
-            self._service.mend(flight, 'engine_lost')
-
-    async def _change_path(
-        self, flight: flights.Flight, hops: tuple[search.Hop, ...]
-    ) -> None:
-        try:
-            changed = await self._repath(flight, hops)
-        finally:
-            flight.mending = False
-        if not changed and self._service.may_run_again(flight):
-            self._service.mend(flight, 'engine_lost')
-
-    async def _repath(
-        self, flight: flights.Flight, hops: tuple[search.Hop, ...]
-    ) -> bool:
-        """Order the first engine of a stream to use another path.
-
-        Returns
-        -------
-        bool
-            Whether nothing else is to be done for the stream now.
-        """
-        generation = flight.generation
-        result = await self._servers.repath(flight.exchange.inquiry.id, hops)
-        if flight.exchange.ended or flight.generation != generation:
-            return True
-        logger.info(
-            'path_mended',
-            id=flight.exchange.inquiry.id,
-            result=result.value,
-            after=flight.events.last_id,
-        )
-        if result not in {ports.OrderResult.BEGUN, ports.OrderResult.DONE}:
-            return False
-        self._service.move(flight, hops)
-        return True
-
-    def _choose_path(
-        self, flight: flights.Flight, suspected: list[str]
-    ) -> tuple[search.Hop, ...] | None:
-        """Choose a path on which a run that stands still can go on."""
-        exchange = flight.exchange
-        avoided = self._service.paths.list_avoided(flight)
-        first = flight.hops[0]
-        if first.server.id in avoided:
-            return None
-        situation = self._service.paths.describe(exchange.service, avoided)
-        if situation is None:
-            return None
-        hops = choice.choose_repair(
-            situation, flight.need, flight.hops, frozenset(suspected)
-        )
-        if hops is not None or self._service.may_run_again(flight):
-            return hops
-        rest = choice.choose_rest(situation, flight.need, first)
-        return None if rest is None else (first, *rest.hops)
--- a/tools/mechanisms.py
+++ b/tools/mechanisms.py
@@ -96,11 +96,52 @@
         ),
     ),
     'repath': (
+        Edit(
+            f'{_ROUTING}/repairs.py',
+            'if flight.head is not None or not may_run_again:\n',
+            'if not may_run_again:\n',
+        ),
+    ),
+    'drawn-holders': (
+        Edit(
+            f'{_PATHS}/choice.py',
+            'factor = -math.log(1.0 - noise())\n',
+            'factor = 1.0\n',
+        ),
+    ),
+    'lone-streams': (
+        Edit(
+            f'{_PATHS}/silence.py',
+            'if shared and silent_streams >= LEAST_STREAMS:\n',
+            'if shared or silent_streams >= 0:\n',
+        ),
+    ),
+    'rhythm-of-streams': (
+        Edit(
+            f'{_ROUTING}/streams.py',
+            'flight.rhythm.mean_ms\n            or self.usual_pause',
+            'self.usual_pause',
+        ),
+    ),
+    'losses-told-at-once': (
         Edit(
             f'{_ROUTING}/detection.py',
-            '        flight.mending = True\n'
-            '        self._run(self._change_path(flight))\n',
-            '',
+            '        self._tell()\n        self.leave_suspects()\n',
+            '        return\n',
+        ),
+    ),
+    'crowd': (
+        Edit(
+            f'{_PATHS}/choice.py',
+            'if parts <= 1:\n',
+            'if parts >= 0:\n',
+        ),
+    ),
+    'lost-with-the-entry': (
+        Edit(
+            f'{_ROUTING}/beliefs.py',
+            'if name in self.suspects:\n            # It failed',
+            'if False:\n            # It failed',
         ),
     ),
     'suspicion-told': (
