--- a/src/thornspool/application/routing/streams.py
+++ b/src/thornspool/application/routing/streams.py
@@ -7,7 +7,7 @@
 
 import structlog
 
-from thornspool.application.routing import beliefs as beliefs_module
+from thornspool.application.routing import blame
 from thornspool.application.routing import finding
 from thornspool.application.routing import flights
 from thornspool.application.routing import listeners
@@ -20,9 +20,9 @@
     import random
 
     from thornspool import clock as clock_module
+    from thornspool.application.routing import beliefs as beliefs_module
     from thornspool.application.routing import exchanges
     from thornspool.application.routing import repeats
-    from thornspool.domain.fleet import messages as fleet
     from thornspool.domain.paths import reservations
 
 MAX_SENDS = 6
@@ -36,9 +36,6 @@
 more work than the engines can take.
 """
 
-LARGE_FACTOR = 1.5
-"""Size, in usual requests, above which a refusal says nothing of others."""
-
 MIN_LEFT_MS = 300
 """Time below which a run can't give even its first event."""
 
@@ -55,7 +52,6 @@
 logger = structlog.get_logger(__name__)
 
 _OK = 200
-_MISDIRECTED = 421
 
 
 class StreamService:
@@ -98,6 +94,7 @@
         self.paths = finding.PathFinder(
             clock, beliefs, taken, budget, failure_domain, random_source
         )
+        self._blame = blame.Blame(clock, beliefs)
         self.flights: set[flights.Flight] = set()
         self.usual_pause = silence.UsualPause()
         self._waiting: list[flights.Flight] = []
@@ -309,13 +306,13 @@
         first = flight.first_server
         if ending is ports.Ending.NOT_SENT:
             exchange.runs -= 1
-            self._blame(first, beliefs_module.NOT_REACHED)
+            self._blame.note_not_reached(first)
             self._again(flight, 'not_reached')
         elif head is not None and not head.ran:
             exchange.runs -= 1
             self._take_refusal(flight, head)
         elif ending is ports.Ending.BROKEN or head is None:
-            self._blame_broken(flight)
+            self._blame.note_broken(flight)
             self._again(flight, 'broken')
         elif head.status == _OK and head.genuine:
             if flight.events.pending:
@@ -331,38 +328,9 @@
 
     def _take_refusal(self, flight: flights.Flight, head: ports.Head) -> None:
         """Send a request elsewhere that an engine states not to have run."""
-        blamed = flight.find_server(head.fault_address)
-        if blamed is not None:
-            now = self._clock.now()
-            flight.exchange.avoid([blamed.id], now)
-            if self._is_usual(flight) and self._beliefs.refusals.note(
-                blamed.id, now
-            ):
-                self._beliefs.doubted.add(blamed.id)
-            if head.status == _MISDIRECTED:
-                # The list is behind: it is not the one, or not what it was.
-                self._beliefs.suspect(
-                    blamed.id, beliefs_module.MISDIRECTED, now
-                )
-            logger.info(
-                'run_refused',
-                id=flight.exchange.inquiry.id,
-                status=head.status,
-                server=blamed.id,
-            )
+        self._blame.note_refusal(flight, head)
         self._again(flight, f'refused_by_engine_{head.status}')
 
-    def _is_usual(self, flight: flights.Flight) -> bool:
-        """Tell whether an engine that refuses a request has no room at all.
-
-        A large request may find no room where all others do.
-        """
-        model = self._beliefs.find_model(flight.exchange.service)
-        if model is None:
-            return False
-        usual = model.usual_prompt + model.usual_answer
-        return flight.need.tokens <= LARGE_FACTOR * usual
-
     def _take_failure(self, flight: flights.Flight, head: ports.Head) -> None:
         """Run a request that failed at its engine once more, or tell it."""
         exchange = flight.exchange
@@ -553,21 +521,3 @@
     def _end(self, flight: flights.Flight, outcome: str) -> None:
         self.flights.discard(flight)
         flight.exchange.end(outcome)
-
-    def _blame(self, server: fleet.Server | None, reason: str) -> None:
-        if server is not None:
-            self._beliefs.suspect(server.id, reason, self._clock.now())
-
-    def _blame_broken(self, flight: flights.Flight) -> None:
-        """Avoid the first engine of a run that broke, for this request.
-
-        One that breaks runs before it answers at all may be left out for
-        all requests.
-        """
-        first = flight.first_server
-        if first is None:
-            return
-        now = self._clock.now()
-        flight.exchange.avoid([first.id], now)
-        if flight.head is None:
-            self._beliefs.note_broken_run(first.id, now)
--- a/tools/mechanisms.py
+++ b/tools/mechanisms.py
@@ -32,7 +32,7 @@
 MECHANISMS: dict[str, tuple[Edit, ...]] = {
     'outlier-ejection': (
         Edit(
-            f'{_ROUTING}/streams.py',
+            f'{_ROUTING}/blame.py',
             'if flight.head is None:\n            self._beliefs.note_broken',
             'if False:\n            self._beliefs.note_broken',
         ),
