Read the player of loads once more

Builders take no modules as arguments, tests reach no private parts, and the world counts its own seconds.

--- a/tests/player/callers.py
+++ b/tests/player/callers.py
@@ -78,7 +78,7 @@
 async def _call(world, tally, number, source, entry):
     mix = world.mix
     begun = world.clock.now()
-    began_s = world.engines_clock_s()
+    began_s = world.count_seconds()
     prompt = draw(source, mix.prompt, mix.spread, MAX_PROMPT)
     answer = draw(source, mix.answer, mix.spread, MAX_ANSWER)
     hint = answer if source.random() < 0.5 else mix.answer
@@ -138,13 +138,12 @@
     tally = Tally()
     with engines.virtual_loop() as loop:
         world = world_module.World(loop, mix, seed)
-        world.engines_clock_s = loop.time
         loop.run_until_complete(_play(world, tally, seed, seconds, trouble))
         tally.sent = world.engines.sent
         tally.repaths = world.engines.repaths
         tally.refused_runs = world.engines.refused
         tally.no_repeats = sum(
-            one.streams._budget.refused for one in world.entries.values()
+            one.budget.refused for one in world.entries.values()
         )
     return tally
 
--- a/tests/player/engines.py
+++ b/tests/player/engines.py
@@ -359,15 +359,6 @@
         self.find(name).slowness = factor
 
 
-def place_all(planning, orders_module, model, empty):
-    """Lay the engines out as an entry that leads does at the start."""
-    holdings = [orders_module.Holding(one) for one in empty]
-    return [
-        attrs.evolve(order.server, layers=order.layers)
-        for order in planning.plan_orders(holdings, model)
-    ]
-
-
 @contextlib.contextmanager
 def virtual_loop():
     """Open a loop in virtual time."""
--- a/tests/player/world.py
+++ b/tests/player/world.py
@@ -74,8 +74,9 @@
 
     def __init__(self, world, host, domain, number):
         self.host, self.domain = host, domain
+        self.clock = world.clock
         source = random.Random(f'{world.seed} {host}')
-        clock = world.clock
+        clock = self.clock
         self.view = view_module.View(
             messages.Record(
                 host, f'{host}-1', domain, f'{host}:80', f'{host}:90'
@@ -86,7 +87,7 @@
             1.0, refusals.MOST_PATIENCE
         )
         taken = reservations.Reservations()
-        budget = repeats.Repeats(
+        self.budget = repeats.Repeats(
             clock, 0.2, SLACK, WINDOW_MS, self.view.count_entries, number
         )
         servers = world.engines
@@ -95,15 +96,15 @@
             self.view,
             self.beliefs,
             taken,
-            budget,
+            self.budget,
             world.deliver,
             lambda: 1,
         )
         self.streams = streams.StreamService(
-            clock, self.beliefs, taken, servers, budget, domain, source
+            clock, self.beliefs, taken, servers, self.budget, domain, source
         )
         self.calls = calls.CallService(
-            clock, self.beliefs, servers, budget, domain, source
+            clock, self.beliefs, servers, self.budget, domain, source
         )
         self.detector = detection.Detector(
             clock,
@@ -139,15 +140,12 @@
 
     def detect(self):
         self.detector.work()
-        self.beliefs.forget_left(self._now())
+        self.beliefs.forget_left(self.clock.now())
 
     def tell_news(self):
-        self.beliefs.proof.renew(self._now())
+        self.beliefs.proof.renew(self.clock.now())
         self.membership.work()
 
-    def _now(self):
-        return self.streams._clock.now()
-
 
 class World:
     """Entries and engines of a mix."""
@@ -163,9 +161,7 @@
             for name, kinds in zip(names, mix.kinds, strict=True)
             for number, kind in enumerate(kinds)
         ]
-        placed = engines_module.place_all(
-            planning, orders_module, self.model, empty
-        )
+        placed = lay_out(self.model, empty)
         self.engines = engines_module.Engines(
             self.clock, self.model, placed, self._list
         )
@@ -200,6 +196,10 @@
             else:
                 entry.beliefs.take_server(change, now)
 
+    def count_seconds(self):
+        """Return the seconds since the world began."""
+        return self._loop.time()
+
     def start(self):
         """Start the regular work of all entries."""
         source = random.Random(f'{self.seed} phases')
@@ -216,6 +216,15 @@
         self.engines.run(loops.repeat(DETECT_MS, lead.placement.work))
 
 
+def lay_out(model, empty):
+    """Give engines the layers that the entry which leads orders first."""
+    holdings = [orders_module.Holding(one) for one in empty]
+    return [
+        attrs.evolve(order.server, layers=order.layers)
+        for order in planning.plan_orders(holdings, model)
+    ]
+
+
 def build_model(mix):
     """Build the model of a mix; all times of engines follow its scale."""
     return fleet_builders.build_model(
