--- a/src/thornspool/application/routing/finding.py
+++ b/src/thornspool/application/routing/finding.py
@@ -9,7 +9,6 @@
 from thornspool.domain.paths import bounds
 from thornspool.domain.paths import choice
 from thornspool.domain.paths import crossings
-from thornspool.domain.paths import holders
 
 if typing.TYPE_CHECKING:
     import random
@@ -72,14 +71,13 @@
             return None
         now = self._clock.now()
         engines = self._beliefs.list_servers(service, now)
-        usable = tuple(
-            self._beliefs.moves.narrow(one)
-            for one in engines
-            if one.id not in avoid
-        )
         return choice.Situation(
             model,
-            usable,
+            tuple(
+                self._beliefs.moves.narrow(one)
+                for one in engines
+                if one.id not in avoid
+            ),
             frozenset(self._beliefs.leaving),
             self._taken,
             self._beliefs.paces.select((one.id for one in engines), now),
@@ -88,7 +86,6 @@
             may_cross=False,
             bounds=self._find_bounds(service, model),
             crowd=self._estimate_crowd(service, model, now),
-            holders=holders.count_holders(usable, model.layers),
         )
 
     def _estimate_crowd(
--- a/src/thornspool/domain/paths/choice.py
+++ b/src/thornspool/domain/paths/choice.py
@@ -92,9 +92,6 @@
         Least costs by failure domain; a domain without one is searched.
     crowd : float
         Requests that others place by the same news.
-    holders : mapping of str to int
-        By engine, how many of its failure domain hold the layer of it that
-        fewest of them hold.
     """
 
     model: fleet.Model
@@ -107,13 +104,6 @@
     may_cross: bool = True
     bounds: Mapping[str, bounds_module.Bound] = attrs.field(factory=dict)
     crowd: float = 0.0
-    holders: Mapping[str, int] = attrs.field(factory=dict)
-
-    def count_rivals(self) -> float:
-        """Count the requests of the crowd that come to each domain."""
-        if not self.crowd:
-            return 0.0
-        return self.crowd / len({one.failure_domain for one in self.engines})
 
 
 NOISE_SHARE = 0.1
@@ -205,7 +195,6 @@
 ) -> Iterable[search.Offer]:
     """Tell what each of some engines can do for a request."""
     model = situation.model
-    rivals = situation.count_rivals()
     for engine in engines:
         if engine.layers is None or engine.layers.end > model.layers:
             continue
@@ -220,6 +209,7 @@
             engine.kind,
             (need.prompt_tokens, need.answer_tokens),
             situation.taken.running.get(engine.id, 0),
+            taken / room,
             slowness,
         )
         cost *= 1.0 + NOISE_SHARE * situation.noise()
@@ -235,8 +225,6 @@
                 situation.taken.reading.get(engine.id, 0.0),
                 slowness,
             ),
-            taken / room,
-            rivals * need.tokens / situation.holders.get(engine.id, 1) / room,
         )
 
 
--- a/src/thornspool/domain/paths/search.py
+++ b/src/thornspool/domain/paths/search.py
@@ -60,34 +60,17 @@
     server : fleet.Server
         An engine that holds layers.
     layer_cost_ms : float
-        Expected milliseconds of the whole request for one layer while its
-        memory is empty.
+        Expected milliseconds of the whole request for one layer.
     max_layers : int
         Layers for which it has room for the request's tokens.
     wait_ms : float
         Time that it needs for the prompts that it has still to read.
-    used_share : float
-        Share of its memory for requests that is taken.
-    crowd_share : float
-        Share of it that other requests will take for each layer that they
-        run there, before this entry hears of them.
     """
 
     server: fleet.Server
     layer_cost_ms: float
     max_layers: int
     wait_ms: float = 0.0
-    used_share: float = 0.0
-    crowd_share: float = 0.0
-
-    def compute_cost(self, count: int) -> float:
-        """Return the milliseconds of a request for some of its layers.
-
-        Others choose as this entry does: where many of them need an engine
-        with little room, only short parts of a path fit there.
-        """
-        filled = self.used_share + self.crowd_share * count
-        return count * self.layer_cost_ms * weigh_filling(filled)
 
 
 @attrs.frozen
@@ -173,7 +156,7 @@
         furthest = min(held.end, at + offer.max_layers)
         for cut in _list_cuts(cuts, at, furthest):
             hop = Hop(offer.server, at, cut)
-            total = cost + entry + offer.compute_cost(hop.count)
+            total = cost + entry + hop.count * offer.layer_cost_ms
             found.append(((cut, domain), (total, (*hops, hop))))
     return found
 
@@ -192,6 +175,7 @@
     kind: str,
     tokens: tuple[float, float],
     running: float,
+    used_share: float,
     slowness: float,
 ) -> float:
     """Estimate the cost of one layer of a request on an engine.
@@ -206,13 +190,16 @@
         Prompt tokens and expected answer tokens.
     running : float
         Requests that run there.
+    used_share : float
+        Share of its memory for requests that is taken.
     slowness : float
         Measured times of it against expected ones; 1 for as expected.
 
     Returns
     -------
     float
-        Milliseconds.
+        Milliseconds; grows without bound as memory fills, so that requests
+        turn to emptier engines well before one has to be preempted.
     """
     accelerator = model.accelerators.get(kind)
     if accelerator is None:
@@ -221,7 +208,8 @@
     read_ms = prompt * 1000.0 / model.read_per_s * accelerator.read_factor
     step_ms = model.step_ms + model.per_sequence_ms * running
     decode_ms = answer * step_ms * accelerator.step_factor
-    return (read_ms + decode_ms) / model.layers * slowness
+    weight = weigh_filling(used_share)
+    return (read_ms + decode_ms) / model.layers * slowness * weight
 
 
 def estimate_wait(
