Find who had an address without a look at all servers

Cause: each newly listed server was compared with all others, so that the first list of 690 engines took as many comparisons as pairs, at the start of every host.

Change: the newest server at each address is kept. The tests of addresses pass as before.

--- a/src/thornspool/application/routing/beliefs.py
+++ b/src/thornspool/application/routing/beliefs.py
@@ -123,6 +123,7 @@
     store_back_at: int | None = None
     fresh_suspects: list[str] = attrs.field(factory=list)
     doubted: set[str] = attrs.field(factory=set)
+    _at_address: dict[str, str] = attrs.field(factory=dict, init=False)
 
     def take_configuration(self, read: routing.Configuration) -> None:
         """Take a newer version; an older one is ignored."""
@@ -179,7 +180,7 @@
         if known == server and server.id not in self.unlisted:
             return
         self.unlisted.pop(server.id, None)
-        self._drop_predecessors(server, now)
+        self._drop_predecessor(server, now)
         self.servers[server.id] = server
         self.servers_changed_at = now
         self.revision += 1
@@ -239,21 +240,23 @@
         self.outliers.forget_old(now)
         self.moves.forget_old(now)
 
-    def _drop_predecessors(self, server: fleet.Server, now: int) -> None:
-        """Forget servers that had the address of a newer one."""
-        for other in list(self.servers.values()):
-            if (
-                other.id != server.id
-                and other.address == server.address
-                and (other.born or 0) < (server.born or 0)
-            ):
-                self._drop(other.id, now)
+    def _drop_predecessor(self, server: fleet.Server, now: int) -> None:
+        """Forget the server that had the address of a newer one."""
+        known = self.servers.get(self._at_address.get(server.address, ''))
+        if known is None or known.id == server.id:
+            self._at_address[server.address] = server.id
+        elif (known.born or 0) < (server.born or 0):
+            self._at_address[server.address] = server.id
+            self._drop(known.id, now)
 
     def _drop(self, name: str, now: int) -> None:
         """Forget a server that is gone."""
         self.unlisted.pop(name, None)
         self.leaving.pop(name, None)
-        if self.servers.pop(name, None) is not None:
+        dropped = self.servers.pop(name, None)
+        if dropped is not None:
+            if self._at_address.get(dropped.address) == name:
+                del self._at_address[dropped.address]
             self.servers_changed_at = now
             self.revision += 1
             logger.info('server_dropped', server=name)
