Take back the parts of a crowd in the choice of a path

Cause, a guess that no log has shown yet: a part that is not the first takes dearer paths, over slower engines and other domains, which hold memory longer; what the parts save in refusals at one moment they cost as fullness in the next.

Ruled out: that the repeats need them.

The estimate of the crowd goes with it, its tests too; nothing else used them.

--- a/src/thornspool/application/routing/beliefs.py
+++ b/src/thornspool/application/routing/beliefs.py
@@ -60,10 +60,6 @@
 MIN_SUSPECTS = 4
 """Servers that may be suspected in any fleet."""
 
-JUST_LOST_MS = 700
-"""Time in which the streams of a lost server go on elsewhere, and in which
-the news of where they went reach every entry."""
-
 MISDIRECTED = 'misdirected'
 """Reason of a suspicion: the server is not what the list says."""
 
@@ -82,9 +78,8 @@
 
 @attrs.define
 class Suspicion:
-    """Why a server is left out, since when and until when."""
+    """Why a server is left out, and until when."""
 
-    since: int
     until: int
     reason: str
     born: int | None
@@ -288,11 +283,7 @@
             if not told:
                 self.fresh_suspects.append(name)
         length = MISTAKEN_MS if reason == MISDIRECTED else SUSPECT_MS
-        known = self.suspects.get(name)
-        since = now if known is None else known.since
-        self.suspects[name] = Suspicion(
-            since, now + length, reason, server.born
-        )
+        self.suspects[name] = Suspicion(now + length, reason, server.born)
 
     def note_silence(
         self,
@@ -379,14 +370,6 @@
             NOT_REACHED,
         }
 
-    def list_just_lost(self, now: int) -> list[str]:
-        """List the servers that were left out a moment ago."""
-        return [
-            name
-            for name, suspicion in self.suspects.items()
-            if now - suspicion.since <= JUST_LOST_MS and name in self.servers
-        ]
-
     def _may_suspect(self) -> bool:
         allowed = max(MIN_SUSPECTS, MAX_SUSPECT_SHARE * len(self.servers))
         return len(self.suspects) < allowed
--- a/src/thornspool/application/routing/finding.py
+++ b/src/thornspool/application/routing/finding.py
@@ -22,10 +22,6 @@
     from thornspool.domain.paths import search
 
 
-NEWS_AGE_MS = 500
-"""Usual age of what others tell of the memory that their requests hold."""
-
-
 class PathFinder:
     """Finds paths.
 
@@ -85,26 +81,8 @@
             self._random.random,
             may_cross=False,
             bounds=self._find_bounds(service, model),
-            crowd=self._estimate_crowd(service, model, now),
         )
 
-    def _estimate_crowd(
-        self, service: str, model: fleet.Model, now: int
-    ) -> float:
-        """Estimate the requests that others place by the same news.
-
-        Those that come until the next news, and all that have to leave an
-        engine that was lost a moment ago.
-        """
-        crowd = self._budget.estimate_crowd(service, NEWS_AGE_MS)
-        tokens = model.usual_prompt + model.usual_answer
-        for name in self._beliefs.list_just_lost(now):
-            held = self._beliefs.servers[name].layers
-            if held is not None:
-                taken = self._taken.compute_taken(name)
-                crowd += taken / (tokens * held.count)
-        return crowd
-
     def _find_bounds(
         self, service: str, model: fleet.Model
     ) -> dict[str, bounds.Bound]:
--- a/src/thornspool/application/routing/repeats.py
+++ b/src/thornspool/application/routing/repeats.py
@@ -96,19 +96,6 @@
         requests = self._find(service).count_requests(self._clock.now())
         return requests * _MS_PER_S / self._window_ms
 
-    def estimate_crowd(self, service: str, within_ms: int) -> float:
-        """Estimate the requests that others place within some time.
-
-        An entry that has heard nobody since its start assumes that each of
-        them has had as many as itself: all may have started together.
-        """
-        pool = self._find(service)
-        now = self._clock.now()
-        if not pool.has_heard(now):
-            own = max(1.0, pool.count(now).requests)
-            return own * max(0, pool.entries - 1)
-        return self.estimate_rate(service) * within_ms / _MS_PER_S
-
     def list_marked(self) -> dict[int, float]:
         """List this entry's requests and repeats, by mark, to be told."""
         now = self._clock.now()
--- a/src/thornspool/domain/paths/choice.py
+++ b/src/thornspool/domain/paths/choice.py
@@ -90,8 +90,6 @@
         no domain has a whole one.
     bounds : mapping of str to bounds_module.Bound
         Least costs by failure domain; a domain without one is searched.
-    crowd : float
-        Requests that others place by the same news.
     """
 
     model: fleet.Model
@@ -103,7 +101,6 @@
     noise: Callable[[], float]
     may_cross: bool = True
     bounds: Mapping[str, bounds_module.Bound] = attrs.field(factory=dict)
-    crowd: float = 0.0
 
 
 NOISE_SHARE = 0.1
@@ -114,15 +111,11 @@
 """
 
 
-MAX_PARTS = 4
-"""Parts in which the requests of others are laid out; each takes a search."""
-
-
 def choose_path(situation: Situation, need: Need) -> search.Path | Lack:
-    """Choose a cheap path with room, within one domain if possible."""
+    """Choose the cheapest path with room, within one domain if possible."""
     path = _find_any(situation, need)
     if path is not None:
-        return _choose_among_crowd(situation, need, path)
+        return path
     unbounded = [
         search.Offer(one, 1.0, situation.model.layers)
         for one in situation.engines
@@ -132,33 +125,6 @@
     return Lack.NO_ROOM
 
 
-def _choose_among_crowd(
-    situation: Situation, need: Need, best: search.Path
-) -> search.Path:
-    """Choose among the paths that a crowd of equal requests would fill.
-
-    Entries that choose by the same news all find the same best path. Laid
-    out in parts, one after the other, their requests fill several; each
-    entry draws the part that is its own.
-    """
-    parts = min(MAX_PARTS, round(situation.crowd))
-    if parts <= 1:
-        return best
-    before = int(situation.noise() * parts)
-    size = situation.crowd / parts
-    taken = situation.taken.copy()
-    crowded = attrs.evolve(situation, taken=taken)
-    path = best
-    for _ in range(before):
-        taken.take(path.hops, need.tokens * size)
-        taken.begin_reading(path.hops, need.prompt_tokens * size)
-        found = _find_any(crowded, need)
-        if found is None:
-            return path
-        path = found
-    return path
-
-
 def _find_any(situation: Situation, need: Need) -> search.Path | None:
     layers = situation.model.layers
     domains: dict[str, list[fleet.Server]] = {}
--- a/src/thornspool/domain/paths/reservations.py
+++ b/src/thornspool/domain/paths/reservations.py
@@ -42,15 +42,6 @@
     reading: dict[str, float] = attrs.field(factory=dict)
     others: dict[int, float] = attrs.field(factory=dict)
 
-    def copy(self) -> Reservations:
-        """Return a copy to try choices on."""
-        return Reservations(
-            dict(self.own),
-            dict(self.running),
-            dict(self.reading),
-            self.others,
-        )
-
     def take(self, hops: Iterable[search.Hop], tokens: float) -> None:
         """Reserve room on each engine of a path."""
         for hop in hops:
--- a/src/thornspool/domain/retries/pools.py
+++ b/src/thornspool/domain/retries/pools.py
@@ -122,15 +122,6 @@
             return own * self.entries
         return own + others.requests
 
-    def has_heard(self, now: int) -> bool:
-        """Tell whether others have told of requests a moment ago."""
-        others = self._others
-        return (
-            others is not None
-            and others.requests > 0
-            and now - self._others_at <= TOLD_MS
-        )
-
     def has_room(self, now: int, part: float = 1.0) -> bool:
         """Tell whether one more repeat fits.
 
--- a/tools/mechanisms.py
+++ b/tools/mechanisms.py
@@ -130,13 +130,6 @@
             '        return\n',
         ),
     ),
-    'crowd': (
-        Edit(
-            f'{_PATHS}/choice.py',
-            'if parts <= 1:\n',
-            'if parts >= 0:\n',
-        ),
-    ),
     'lost-with-the-entry': (
         Edit(
             f'{_ROUTING}/beliefs.py',
