Grant no further run on silence to short questions

Streams were sent on from sound engines 0.2 to 1.3 s after these had begun to run them, at 28 and 29 s, when all hosts read a storm of configurations after 8 s without the store.

A host that is busy for 20 to 50 ms finds the answer unread, and its own lateness was doubted from 50 ms on only.

Change: silence to short questions moves streams, and no longer counts as the end of an engine; only the long question, a refused connection or the list do. And a host that is 15 ms late with a short question takes nothing from it. Both tests failed before.

--- a/src/thornspool/application/routing/beliefs.py
+++ b/src/thornspool/application/routing/beliefs.py
@@ -66,6 +66,10 @@
 NO_REPORT = 'no_report'
 """Reason of a suspicion: the server did not answer a question."""
 
+NO_QUICK_REPORT = 'no_quick_report'
+"""Reason of a suspicion: the server did not answer questions that were waited
+for only shortly. It is left, and is not taken to have ended."""
+
 NOT_REACHED = 'not_reached'
 """Reason of a suspicion: no connection to the server came about."""
 
@@ -291,6 +295,8 @@
         asked_at: int,
         now: int,
         wait_ms: int = ports.REPORT_MS,
+        reason: str = NO_REPORT,
+        late_ms: int = LATE_MS,
     ) -> None:
         """Suspect a server that has not answered a question in time.
 
@@ -302,11 +308,15 @@
             When it was asked, and when the wait was over.
         wait_ms : int, optional
             Time that it was given.
+        reason : str, optional
+            What the silence shows.
+        late_ms : int, optional
+            Lateness of this entry from which it shows nothing.
         """
-        if now - asked_at > wait_ms + LATE_MS:
+        if now - asked_at > wait_ms + late_ms:
             logger.info('silence_doubted', server=name, waited=now - asked_at)
             return
-        self.suspect(name, NO_REPORT, now)
+        self.suspect(name, reason, now)
 
     def note_broken_run(self, name: str, now: int) -> None:
         """Note that an engine closed a connection before any answer.
--- a/src/thornspool/application/routing/detection.py
+++ b/src/thornspool/application/routing/detection.py
@@ -14,6 +14,7 @@
 
 import structlog
 
+from thornspool.application.routing import beliefs as beliefs_module
 from thornspool.application.routing import questions
 from thornspool.application.routing import repairs
 from thornspool.domain.fleet import paces
@@ -25,7 +26,6 @@
     import random
 
     from thornspool import clock as clock_module
-    from thornspool.application.routing import beliefs as beliefs_module
     from thornspool.application.routing import flights
     from thornspool.application.routing import ports
     from thornspool.application.routing import streams
@@ -70,6 +70,10 @@
 """Time after which an engine that may be lost is asked a second time; a lost
 packet takes one question, and both unanswered prove the loss."""
 
+QUICK_LATE_MS = 15
+"""Lateness of this entry from which an unanswered short question shows
+nothing: the answer may lie unread."""
+
 LATE_LOOK_MS = 75
 """Lateness of a look from which silence proves nothing: what came meanwhile
 is not read yet."""
@@ -353,7 +357,12 @@
             return
         for server in silent:
             self._beliefs.note_silence(
-                server.id, asked_at, self._clock.now(), LOSS_REPORT_MS
+                server.id,
+                asked_at,
+                self._clock.now(),
+                LOSS_REPORT_MS,
+                beliefs_module.NO_QUICK_REPORT,
+                QUICK_LATE_MS,
             )
         self._tell_losses()
 
--- a/tests/application/routing/test_detection.py
+++ b/tests/application/routing/test_detection.py
@@ -513,13 +513,39 @@
             return self.servers.reports[server.id]
 
         self.servers.ask_report = hang
-        await self.pass_time(125)
+        await self.pass_time(50)
         await asyncio.sleep(0.2)
 
     async def test_a_silent_engine_beside_others_that_answer_is_lost(self):
         await self.play_silence({self.names[1]})
         self.assertEqual({self.names[1]}, set(self.world.beliefs.suspects))
 
+    async def test_silence_to_short_questions_grants_no_further_run(self):
+        """Guards against a third run, where a busy host missed an answer."""
+        first = self.names[0]
+        await self.play_silence({first})
+        self.assertIn(first, self.world.beliefs.suspects)
+        self.assertFalse(self.world.beliefs.is_lost(first))
+        for run in self.servers.runs[len(self.runs) :]:
+            run.end(ports.Ending.BROKEN)
+        self.assertEqual(2 * len(self.runs), len(self.servers.runs))
+
+    async def test_a_busy_host_takes_no_answer_for_silence(self):
+        """Guards against sound engines that are left for its own lateness."""
+        answer = self.servers.ask_report
+
+        async def answer_late(server, wait_ms=ports.REPORT_MS):
+            if server.id != self.names[1]:
+                return await answer(server, wait_ms)
+            await asyncio.sleep(wait_ms / 1_000)
+            self.world.clock.advance(wait_ms + 10)
+            return None
+
+        self.servers.ask_report = answer_late
+        await self.pass_time(50)
+        await asyncio.sleep(0.2)
+        self.assertEqual({}, self.world.beliefs.suspects)
+
     async def test_a_host_that_is_cut_off_blames_nobody(self):
         """Guards against whole paths that a fleet leaves out for one host."""
         await self.play_silence(set(self.names))
