Log and count servers that end while they run requests

Each entry now tracks its runs. A server has ended if it broke a run and two checks found no listener, if a later process answers there, or if one is listed in its place; a server that leaves, resets and silence do not count. The log line server_ended names the requests that had just begun there by their fingerprints, which request_ended has as well, and thornspool_server_ends_total counts them. Nothing is decided by it yet.

--- a/src/thornspool/adapters/exceptions.py
+++ b/src/thornspool/adapters/exceptions.py
@@ -13,6 +13,10 @@
     """No byte of the request was written, and none will be."""
 
 
+class ConnectionRefused(NotSent):
+    """No process listens at the address."""
+
+
 class ResponseLost(TransportError):
     """The request may have been sent; no complete response arrived."""
 
--- a/src/thornspool/adapters/transfers.py
+++ b/src/thornspool/adapters/transfers.py
@@ -13,6 +13,7 @@
 import asyncio
 import contextlib
 import enum
+import errno
 import typing
 
 import attrs
@@ -61,12 +62,14 @@
 class TransferResult(enum.Enum):
     """Result of a transfer.
 
-    ``NOT_SENT`` guarantees that no byte of the request was written. After
-    any other failure the server may have received the request.
+    ``NOT_SENT`` and ``REFUSED`` guarantee that no byte of the request was
+    written. After any other failure the server may have received the request.
+    ``REFUSED`` states in addition that nothing listens at the address.
     """
 
     COMPLETE = 'whole'
     NOT_SENT = 'not_sent'
+    REFUSED = 'refused'
     BROKEN = 'broken'
     TIMED_OUT = 'timed_out'
     MALFORMED = 'malformed'
@@ -358,10 +361,17 @@
             remaining, succeeded, failed = self._multi.info_read()
             for curl in succeeded:
                 self._complete(curl, TransferResult.COMPLETE)
-            for curl, errno, _message in failed:
+            for curl, error, _message in failed:
                 transfer = self._transfers.get(curl)
                 if transfer is not None:
-                    self._complete(curl, _classify_error(errno, transfer.sent))
+                    self._complete(
+                        curl,
+                        _classify_error(
+                            error,
+                            transfer.sent,
+                            curl.getinfo(pycurl.OS_ERRNO),
+                        ),
+                    )
             if not remaining:
                 return
 
@@ -406,17 +416,24 @@
         )
 
 
-def _classify_error(errno: int, sent: bool) -> TransferResult:
+def _classify_error(
+    error: int, sent: bool, system_error: int = 0
+) -> TransferResult:
     """Map a libcurl error to the result of a transfer.
 
     ``NOT_SENT`` needs two conditions: libcurl did not report that sending
     starts, and the error can occur before sending.
     """
-    if not sent and errno in _UNSENT_ERRORS:
+    if not sent and error in _UNSENT_ERRORS:
+        if (
+            error == pycurl.E_COULDNT_CONNECT
+            and system_error == errno.ECONNREFUSED
+        ):
+            return TransferResult.REFUSED
         return TransferResult.NOT_SENT
-    if errno == pycurl.E_OPERATION_TIMEDOUT:
+    if error == pycurl.E_OPERATION_TIMEDOUT:
         return TransferResult.TIMED_OUT
-    if errno in _CONNECTION_ERRORS:
+    if error in _CONNECTION_ERRORS:
         return TransferResult.BROKEN
     return TransferResult.MALFORMED
 
@@ -424,6 +441,8 @@
 def _build_error(
     url: str, result: TransferResult
 ) -> exceptions.TransportError:
+    if result is TransferResult.REFUSED:
+        return exceptions.ConnectionRefused(f'{url} could not be reached.')
     if result is TransferResult.NOT_SENT:
         return exceptions.NotSent(f'{url} could not be reached.')
     if result is TransferResult.BROKEN:
--- a/src/thornspool/application/routing/calls.py
+++ b/src/thornspool/application/routing/calls.py
@@ -14,6 +14,7 @@
 import attrs
 import structlog
 
+from thornspool.application.routing import crash_detection
 from thornspool.application.routing import listeners
 from thornspool.application.routing import ports
 from thornspool.application.routing import (
@@ -69,6 +70,8 @@
         Server of the last attempt.
     cancel : callable or None
         Cancels the current attempt; None when there is none.
+    run : crash_detection.TrackedRun or None
+        The current attempt, as the crash detection tracks it.
     sent_at : int
         Time of the last send, in milliseconds of the clock.
     generation : int
@@ -83,6 +86,7 @@
     exchange: exchanges.Exchange
     server: fleet.Server | None = None
     cancel: Callable[[], None] | None = None
+    run: crash_detection.TrackedRun | None = None
     sent_at: int = 0
     generation: int = 0
     head: ports.ResponseHead | None = None
@@ -100,6 +104,8 @@
         Known servers and their failure suspicions.
     limits : server_limits.ServerLimits
         Limits that servers name.
+    crashes : crash_detection.CrashDetector
+        Detects servers that end while they run requests.
     servers : ports.ServerClient
         Client for the servers.
     retry_budget : retry_pools.RetryPools
@@ -115,6 +121,7 @@
         clock: clock_module.Clock,
         routing_state: routing_state_module.RoutingState,
         limits: server_limits.ServerLimits,
+        crashes: crash_detection.CrashDetector,
         servers: ports.ServerClient,
         retry_budget: retry_pools.RetryPools,
         failure_domain: str,
@@ -123,6 +130,7 @@
         self._clock = clock
         self._routing_state = routing_state
         self._limits = limits
+        self._crashes = crashes
         self._servers = servers
         self._retry_budget = retry_budget
         self._failure_domain = failure_domain
@@ -209,6 +217,7 @@
             call.body.extend,
             functools.partial(self.handle_completion, call),
         )
+        call.run = self._crashes.begin(exchange.fingerprint, [server])
         call.cancel = self._servers.send(run, listener)
 
     def _choose_server(
@@ -268,6 +277,7 @@
         """Handle the completion of the current attempt."""
         head = call.head
         exchange = call.exchange
+        self._end_run(call, crash_detection.classify_end(head, completion))
         if head is not None and call.server is not None:
             self._scores.record_load(
                 call.server.id, head.load, self._clock.now()
@@ -398,7 +408,13 @@
                 call.server.id, weight, self._clock.now()
             )
 
+    def _end_run(self, call: Call, ending: crash_detection.RunEnd) -> None:
+        if call.run is not None:
+            run, call.run = call.run, None
+            self._crashes.end(run, ending)
+
     def _end_attempt(self, call: Call) -> None:
+        self._end_run(call, crash_detection.RunEnd.LEFT)
         if call.cancel is not None and call.server is not None:
             self._scores.finish(call.server.id)
         call.cancel = None
--- /dev/null
+++ b/src/thornspool/application/routing/crash_detection.py
@@ -0,0 +1,388 @@
+"""Detection of servers that ended while they ran requests.
+
+A connection that breaks does not show that its server has ended: it may have
+been reset or cut, and a host that is suspended answers nobody. A server has
+ended if nothing listens at its address any more after it broke a run, or if
+another process was started in its place.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import enum
+import typing
+
+import attrs
+import structlog
+
+from thornspool.application.routing import ports
+
+if typing.TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Coroutine
+    from collections.abc import Iterable
+
+    from thornspool import clock as clock_module
+    from thornspool.application.routing import (
+        routing_state as routing_state_module,
+    )
+    from thornspool.domain.fleet import messages as fleet
+
+ESTABLISHED_MS = 500
+"""Time of progress after which a run did not cause the end of its server.
+
+A request that crashes servers does so when they begin to run it.
+"""
+
+SECOND_CHECK_DELAY_MS = 60
+"""Time between the two checks that must find no listener."""
+
+RECHECK_MS = 500
+"""Interval of the checks of a server that answered none so far."""
+
+MAX_CHECKS = 6
+"""Most checks of a server after a run broke there."""
+
+DOUBT_MS = 10_000
+"""Time for which a run that broke may still prove to have ended its server.
+
+A crashed server is replaced after some seconds, and its successor appears in
+the server list within another second.
+"""
+
+ENDED_MS = 60_000
+"""Time for which the end of a server is remembered."""
+
+_MS_PER_S = 1000.0
+
+logger = structlog.get_logger(__name__)
+
+
+class RunEnd(enum.Enum):
+    """How a run ended for its servers."""
+
+    COMPLETED = 'completed'
+    """The server answered completely."""
+
+    NOT_RUN = 'not_run'
+    """No server began to run it."""
+
+    BROKEN = 'broken'
+    """The server closed the connection."""
+
+    LEFT = 'left'
+    """The entry ended the run."""
+
+
+@attrs.define(eq=False)
+class TrackedRun:
+    """A run at one or several servers.
+
+    Attributes
+    ----------
+    fingerprint : str
+        Fingerprint of the request.
+    servers : tuple of fleet.Server
+        Servers that run it.
+    first_progress_at, last_progress_at : int or None
+        Times of the first and the last event of its response, in
+        milliseconds; None before the first.
+    ended_at : int or None
+        Time of its end in milliseconds; None while it runs.
+    """
+
+    fingerprint: str
+    servers: tuple[fleet.Server, ...]
+    first_progress_at: int | None = None
+    last_progress_at: int | None = None
+    ended_at: int | None = None
+
+    def record_progress(self, now: int) -> None:
+        """Record an event of the response."""
+        if self.first_progress_at is None:
+            self.first_progress_at = now
+        self.last_progress_at = now
+
+    @property
+    def is_established(self) -> bool:
+        """Whether its servers have run it for a while."""
+        return (
+            self.first_progress_at is not None
+            and self.last_progress_at is not None
+            and self.last_progress_at - self.first_progress_at
+            >= ESTABLISHED_MS
+        )
+
+
+@attrs.define(eq=False)
+class _Process:
+    """One process of a server, with the runs that may have ended it.
+
+    Attributes
+    ----------
+    server : fleet.Server
+        Record of the server when it got the first of these runs.
+    running, doubtful : set of TrackedRun
+        Runs in progress, and runs that ended without a response.
+    checks : int
+        Checks since a run broke.
+    checked_at : int
+        Time of the last check in milliseconds.
+    is_checking : bool
+        Whether a check is in progress.
+    """
+
+    server: fleet.Server
+    running: set[TrackedRun] = attrs.field(factory=set)
+    doubtful: set[TrackedRun] = attrs.field(factory=set)
+    checks: int = 0
+    checked_at: int = 0
+    is_checking: bool = False
+
+
+_Key = tuple[str, int | None]
+
+
+class CrashDetector:
+    """Tracks the runs of an entry and detects servers that ended under them.
+
+    Parameters
+    ----------
+    clock : clock_module.Clock
+        Source of time.
+    routing_state : routing_state_module.RoutingState
+        Listed servers, and those that leave or are suspected.
+    servers : ports.ServerClient
+        Client for calls to servers.
+    try_acquire : callable
+        Returns whether a server accepts a check now.
+    start_task : callable
+        Runs a coroutine as a background task.
+    on_crash : callable, optional
+        Called with the server and the fingerprints of the requests that may
+        have ended it.
+    """
+
+    def __init__(
+        self,
+        clock: clock_module.Clock,
+        routing_state: routing_state_module.RoutingState,
+        servers: ports.ServerClient,
+        try_acquire: Callable[[str], bool],
+        start_task: Callable[[Coroutine[typing.Any, typing.Any, None]], None],
+        on_crash: Callable[
+            [fleet.Server, frozenset[str]], None
+        ] = lambda server, fingerprints: None,
+    ) -> None:
+        self._clock = clock
+        self._routing_state = routing_state
+        self._servers = servers
+        self._try_acquire = try_acquire
+        self._start_task = start_task
+        self._on_crash = on_crash
+        self._processes: dict[_Key, _Process] = {}
+        self._ended: dict[_Key, int] = {}
+        self._revision = 0
+        self.ended_count = 0
+
+    def begin(
+        self, fingerprint: str, servers: Iterable[fleet.Server]
+    ) -> TrackedRun:
+        """Record that a run is sent to servers."""
+        run = TrackedRun(fingerprint, tuple(servers))
+        for server in run.servers:
+            self._find_process(server).running.add(run)
+        return run
+
+    def end(self, run: TrackedRun, ending: RunEnd) -> None:
+        """Record that a run has ended.
+
+        Parameters
+        ----------
+        run : TrackedRun
+            The run.
+        ending : RunEnd
+            How it ended.
+        """
+        now = self._clock.now()
+        run.ended_at = now
+        for server in run.servers:
+            process = self._find_process(server)
+            process.running.discard(run)
+            if self._is_doubtful(run, server, ending):
+                process.doubtful.add(run)
+            self._drop_if_unused(process)
+        if ending is RunEnd.COMPLETED:
+            self._clear(run.fingerprint)
+        elif ending is RunEnd.BROKEN:
+            self._start_check(run.servers[0])
+        for server in run.servers:
+            if server.id in self._routing_state.suspicions:
+                self._start_check(server)
+
+    def _is_doubtful(
+        self, run: TrackedRun, server: fleet.Server, ending: RunEnd
+    ) -> bool:
+        """Return whether a run that ended may have ended its server.
+
+        A server that leaves ends by itself, with the runs that it still has.
+        """
+        return (
+            ending in {RunEnd.BROKEN, RunEnd.LEFT}
+            and not run.is_established
+            and server.id not in self._routing_state.leaving
+            and _get_key(server) not in self._ended
+        )
+
+    def _clear(self, fingerprint: str) -> None:
+        """Drop the doubts about a request that a server has completed."""
+        for process in list(self._processes.values()):
+            process.doubtful = {
+                run
+                for run in process.doubtful
+                if run.fingerprint != fingerprint
+            }
+            self._drop_if_unused(process)
+
+    def tick(self) -> None:
+        """Apply successors in the server list, and repeat checks."""
+        now = self._clock.now()
+        if self._revision != self._routing_state.revision:
+            self._revision = self._routing_state.revision
+            for server in self._find_replaced():
+                self._record_end(server, 'replaced')
+        for process in list(self._processes.values()):
+            process.doubtful = {
+                run
+                for run in process.doubtful
+                if run.ended_at is not None and now - run.ended_at <= DOUBT_MS
+            }
+            if (
+                process.doubtful
+                and process.checks
+                and now - process.checked_at >= RECHECK_MS
+            ):
+                self._start_check(process.server)
+            self._drop_if_unused(process)
+        self._ended = {
+            key: at for key, at in self._ended.items() if now - at <= ENDED_MS
+        }
+
+    def _find_replaced(self) -> list[fleet.Server]:
+        """Find the servers in whose place a later process is listed."""
+        listed = self._routing_state.servers
+        started: dict[str, int] = {}
+        for server in listed.values():
+            for name in (server.id, server.address):
+                started[name] = max(
+                    started.get(name, 0), server.started_at or 0
+                )
+        return [
+            process.server
+            for process in self._processes.values()
+            if (process.server.started_at or 0)
+            < max(
+                started.get(process.server.id, 0),
+                started.get(process.server.address, 0),
+            )
+        ]
+
+    def _find_process(self, server: fleet.Server) -> _Process:
+        key = _get_key(server)
+        process = self._processes.get(key)
+        if process is None:
+            process = self._processes[key] = _Process(server)
+        return process
+
+    def _drop_if_unused(self, process: _Process) -> None:
+        if not (process.running or process.doubtful or process.is_checking):
+            self._processes.pop(_get_key(process.server), None)
+
+    def _start_check(self, server: fleet.Server) -> None:
+        """Check a server unless that is in progress or can tell nothing."""
+        process = self._processes.get(_get_key(server))
+        if (
+            process is None
+            or process.is_checking
+            or not process.doubtful
+            or process.checks >= MAX_CHECKS
+        ):
+            return
+        process.checks += 1
+        process.checked_at = self._clock.now()
+        if not self._try_acquire(server.id):
+            return
+        process.is_checking = True
+        self._start_task(self._check(process))
+
+    async def _check(self, process: _Process) -> None:
+        """Check a server twice before it counts as ended."""
+        try:
+            found = await self._servers.check(process.server)
+            if found.is_listening is False:
+                await asyncio.sleep(SECOND_CHECK_DELAY_MS / _MS_PER_S)
+                found = await self._servers.check(process.server)
+        finally:
+            process.is_checking = False
+        started_at = process.server.started_at
+        if found.is_listening is False:
+            self._record_end(process.server, 'not_listening')
+        elif found.is_listening and found.started_at not in {None, started_at}:
+            self._record_end(process.server, 'restarted')
+        elif found.is_listening:
+            process.checks = 0
+            process.doubtful.clear()
+        self._drop_if_unused(process)
+
+    def _record_end(self, server: fleet.Server, evidence: str) -> None:
+        """Record that the process of a server has ended."""
+        key = _get_key(server)
+        process = self._processes.get(key)
+        if process is None or key in self._ended:
+            return
+        self._ended[key] = self._clock.now()
+        runs = set(process.doubtful)
+        if server.id not in self._routing_state.leaving:
+            runs |= process.running
+        process.doubtful.clear()
+        fingerprints = frozenset(
+            run.fingerprint for run in runs if not run.is_established
+        )
+        if not fingerprints:
+            return
+        self.ended_count += 1
+        logger.warning(
+            'server_ended',
+            server=server.id,
+            born=server.started_at,
+            evidence=evidence,
+            runs=len(runs),
+            fingerprints=','.join(sorted(fingerprints)),
+        )
+        self._on_crash(server, fingerprints)
+
+
+def _get_key(server: fleet.Server) -> _Key:
+    """Return what identifies one process of a server."""
+    return server.id, server.started_at
+
+
+def classify_end(
+    head: ports.ResponseHead | None, completion: ports.Completion
+) -> RunEnd:
+    """Return how a run ended for its servers.
+
+    Parameters
+    ----------
+    head : ports.ResponseHead or None
+        Head of the response; None if none arrived.
+    completion : ports.Completion
+        How the attempt ended.
+    """
+    if completion is ports.Completion.NOT_SENT:
+        return RunEnd.NOT_RUN
+    if head is not None and not head.executed:
+        return RunEnd.NOT_RUN
+    if completion is ports.Completion.BROKEN or head is None:
+        return RunEnd.BROKEN
+    return RunEnd.COMPLETED if head.is_authentic else RunEnd.BROKEN
--- a/src/thornspool/application/routing/exchanges.py
+++ b/src/thornspool/application/routing/exchanges.py
@@ -8,6 +8,7 @@
 import structlog
 
 from thornspool.domain.fleet import timings
+from thornspool.domain.quarantine import fingerprints
 
 if typing.TYPE_CHECKING:
     from collections.abc import Callable
@@ -64,6 +65,9 @@
         Waiting times and event intervals of a stream.
     demanded : set of str
         Servers with a limit for which the request has counted as demand.
+    fingerprint : str
+        Hash of workspace, target and body, by which a request that is sent
+        again is recognized.
     """
 
     request: ports.Request
@@ -82,8 +86,18 @@
     path: str = ''
     timing: timings.StreamTiming = attrs.field(factory=timings.StreamTiming)
     demanded: set[str] = attrs.field(factory=set)
+    fingerprint: str = attrs.field(init=False)
     _excluded_until: dict[str, int] = attrs.field(factory=dict)
 
+    @fingerprint.default
+    def _compute_fingerprint(self) -> str:
+        request = self.request
+        return fingerprints.compute_fingerprint(
+            self.workspace_name,
+            f'{request.host}{request.target}',
+            request.body,
+        )
+
     @property
     def workspace_name(self) -> str:
         """Name of the workspace; empty for an anonymous caller."""
--- a/src/thornspool/application/routing/in_flight.py
+++ b/src/thornspool/application/routing/in_flight.py
@@ -13,6 +13,7 @@
     from collections.abc import Callable
     from collections.abc import Iterator
 
+    from thornspool.application.routing import crash_detection
     from thornspool.application.routing import exchanges
     from thornspool.application.routing import ports
     from thornspool.domain.fleet import messages as fleet
@@ -34,6 +35,8 @@
         Path on which it runs; empty while it waits.
     stop : callable or None
         Ends the current run; None when there is none.
+    run : crash_detection.TrackedRun or None
+        The current run, as the crash detection tracks it.
     events : events.EventBuffer
         Splits the answer into complete events.
     active_at : int
@@ -66,6 +69,7 @@
     request_size: choice.RequestSize
     hops: tuple[search.Hop, ...] = ()
     stop: Callable[[], None] | None = None
+    run: crash_detection.TrackedRun | None = None
     events: events.EventBuffer = attrs.field(factory=events.EventBuffer)
     active_at: int = 0
     event_interval: stalls.EventInterval = attrs.field(
--- a/src/thornspool/application/routing/intake.py
+++ b/src/thornspool/application/routing/intake.py
@@ -193,6 +193,7 @@
             sends=exchange.sends,
             runs=exchange.runs,
             path=exchange.path,
+            fingerprint=exchange.fingerprint,
             first_ms=None
             if first_event_at is None
             else first_event_at - request.arrived_at,
--- a/src/thornspool/application/routing/path_finding.py
+++ b/src/thornspool/application/routing/path_finding.py
@@ -58,7 +58,7 @@
     ) -> None:
         self._clock = clock
         self._routing_state = routing_state
-        self._limits = limits
+        self.limits = limits
         self._reservations = reserved
         self._budget = budget
         self._failure_domain = failure_domain
@@ -103,7 +103,7 @@
             self._random.random,
             allow_crossing=False,
             bounds=self._find_bounds(service, model),
-            exhausted=frozenset(self._limits.select_exhausted(engines)),
+            exhausted=frozenset(self.limits.select_exhausted(engines)),
         )
 
     def _find_bounds(
@@ -190,7 +190,7 @@
             in_flight.request_size,
         )
         if isinstance(preferred, search.Path):
-            self._limits.record_demand(
+            self.limits.record_demand(
                 preferred.hops[0].server.id, in_flight.exchange
             )
 
--- a/src/thornspool/application/routing/ports.py
+++ b/src/thornspool/application/routing/ports.py
@@ -266,6 +266,27 @@
     stalled: tuple[StalledRequest, ...]
 
 
+CHECK_MS = 150
+"""Timeout of a check; the connection attempt is answered at once by any host
+that runs."""
+
+
+@attrs.frozen
+class ProcessCheck:
+    """Result of a check whether the process of a server still runs.
+
+    Attributes
+    ----------
+    is_listening : bool or None
+        Whether a process listens at the address; None if nothing answered.
+    started_at : int or None
+        Start of that process, in Unix milliseconds; None if it does not tell.
+    """
+
+    is_listening: bool | None
+    started_at: int | None = None
+
+
 class OrderResult(enum.Enum):
     """Result of an order to an engine."""
 
@@ -290,6 +311,11 @@
     ) -> EngineReport | None:
         """Probe an engine for its state; None if it does not respond."""
 
+    async def check(
+        self, server: fleet.Server, wait_ms: int = CHECK_MS
+    ) -> ProcessCheck:
+        """Check whether a process listens at the address of a server."""
+
     async def assign_layers(
         self, server: fleet.Server, layers: fleet.LayerRange, order_count: int
     ) -> OrderResult:
--- a/src/thornspool/application/routing/streams.py
+++ b/src/thornspool/application/routing/streams.py
@@ -7,10 +7,10 @@
 
 import structlog
 
+from thornspool.application.routing import crash_detection
 from thornspool.application.routing import fault_attribution
 from thornspool.application.routing import in_flight as in_flight_module
 from thornspool.application.routing import listeners
-from thornspool.application.routing import path_finding
 from thornspool.application.routing import ports
 from thornspool.domain.paths import choice
 from thornspool.domain.paths import search
@@ -21,11 +21,11 @@
 
     from thornspool import clock as clock_module
     from thornspool.application.routing import exchanges
+    from thornspool.application.routing import path_finding
     from thornspool.application.routing import retry_pools
     from thornspool.application.routing import (
         routing_state as routing_state_module,
     )
-    from thornspool.application.routing import server_limits
     from thornspool.domain.paths import reservations
 
 MAX_SENDS = 6
@@ -66,16 +66,16 @@
         Source of time.
     routing_state : routing_state_module.RoutingState
         Routing state with the configuration and the engines.
-    limits : server_limits.ServerLimits
-        Limits that servers name.
+    paths : path_finding.PathFinder
+        Finds paths, within the limits that servers name.
+    crashes : crash_detection.CrashDetector
+        Detects engines that end while they run requests.
     reserved : reservations.Reservations
         Engine memory that requests reserve.
     servers : ports.ServerClient
         Client for calls to engines.
     budget : retry_pools.RetryPools
         Retry budget.
-    failure_domain : str
-        Failure domain of this entry.
     random_source : random.Random
         Source of all random choices.
     """
@@ -84,29 +84,22 @@
         self,
         clock: clock_module.Clock,
         routing_state: routing_state_module.RoutingState,
-        limits: server_limits.ServerLimits,
+        paths: path_finding.PathFinder,
+        crashes: crash_detection.CrashDetector,
         reserved: reservations.Reservations,
         servers: ports.ServerClient,
         budget: retry_pools.RetryPools,
-        failure_domain: str,
         random_source: random.Random,
     ) -> None:
         self._clock = clock
         self._routing_state = routing_state
-        self.limits = limits
+        self.paths = paths
+        self.limits = paths.limits
+        self._crashes = crashes
         self._reservations = reserved
         self._servers = servers
         self._budget = budget
         self._random = random_source
-        self.paths = path_finding.PathFinder(
-            clock,
-            routing_state,
-            limits,
-            reserved,
-            budget,
-            failure_domain,
-            random_source,
-        )
         self._fault_attribution = fault_attribution.FaultAttribution(
             clock, routing_state
         )
@@ -338,6 +331,9 @@
             functools.partial(self.handle_body, in_flight),
             functools.partial(self.handle_completion, in_flight),
         )
+        in_flight.run = self._crashes.begin(
+            exchange.fingerprint, [hop.server for hop in hops]
+        )
         in_flight.stop = self._servers.send(run, listener)
 
     def handle_head(
@@ -396,6 +392,8 @@
                 self.event_interval.record(now - in_flight.active_at)
                 in_flight.event_interval.record(now - in_flight.active_at)
             in_flight.active_at = now
+            if in_flight.run is not None:
+                in_flight.run.record_progress(now)
             self._end_prefill(in_flight)
             exchange.timing.record_event(now)
             if exchange.first_event_at is None:
@@ -420,6 +418,10 @@
         exchange = in_flight.exchange
         in_flight.stop = None
         first_server = in_flight.first_server
+        ending = crash_detection.classify_end(head, completion)
+        if in_flight.events.pending:
+            ending = crash_detection.RunEnd.BROKEN
+        self._end_run(in_flight, ending)
         if completion is ports.Completion.NOT_SENT:
             exchange.runs -= 1
             self._fault_attribution.record_unreachable(first_server)
@@ -639,6 +641,10 @@
             in_flight.hops, in_flight.request_size.tokens
         )
         in_flight.hops = hops
+        self._end_run(in_flight, crash_detection.RunEnd.LEFT)
+        in_flight.run = self._crashes.begin(
+            in_flight.exchange.fingerprint, [hop.server for hop in hops]
+        )
         in_flight.exchange.path = search.describe_path(hops)
         self._reservations.reserve(hops, in_flight.request_size.tokens)
 
@@ -708,7 +714,17 @@
             )
             in_flight.prefill_tokens = 0.0
 
+    def _end_run(
+        self,
+        in_flight: in_flight_module.InFlightRequest,
+        ending: crash_detection.RunEnd,
+    ) -> None:
+        if in_flight.run is not None:
+            run, in_flight.run = in_flight.run, None
+            self._crashes.end(run, ending)
+
     def _release(self, in_flight: in_flight_module.InFlightRequest) -> None:
+        self._end_run(in_flight, crash_detection.RunEnd.LEFT)
         self._end_prefill(in_flight)
         if in_flight.hops:
             self._reservations.release(
--- a/src/thornspool/platform/daemon.py
+++ b/src/thornspool/platform/daemon.py
@@ -20,9 +20,11 @@
 from thornspool.adapters import servers as listeners
 from thornspool.adapters import transfers
 from thornspool.application.routing import calls
+from thornspool.application.routing import crash_detection
 from thornspool.application.routing import failure_detection
 from thornspool.application.routing import intake as intake_module
 from thornspool.application.routing import membership
+from thornspool.application.routing import path_finding
 from thornspool.application.routing import placement
 from thornspool.application.routing import registration
 from thornspool.application.routing import retry_pools
@@ -213,7 +215,7 @@
         self._settings = settings
         self._clock = clock
         self._random = random_source
-        self._tasks: list[asyncio.Task[None]] = []
+        self._tasks: set[asyncio.Task[None]] = set()
         self._listeners: list[listeners.Listener] = []
 
     async def start(self) -> None:
@@ -254,7 +256,7 @@
             in_flight=self._intake.in_flight,
             left=self._describe_in_flight(),
         )
-        for task in self._tasks:
+        for task in list(self._tasks):
             task.cancel()
         for listener in self._listeners:
             await listener.stop(timeout_ms=FLUSH_TIMEOUT_MS)
@@ -365,20 +367,36 @@
                 server, notice, clock.now()
             ),
         )
+        self._crashes = crash_detection.CrashDetector(
+            clock,
+            self._routing_state,
+            servers,
+            self._server_limits.try_acquire,
+            self._run,
+        )
         self._streams = streams.StreamService(
             clock,
             self._routing_state,
-            self._server_limits,
+            path_finding.PathFinder(
+                clock,
+                self._routing_state,
+                self._server_limits,
+                held_reservations,
+                budget,
+                settings.failure_domain,
+                self._random,
+            ),
+            self._crashes,
             held_reservations,
             servers,
             budget,
-            settings.failure_domain,
             self._random,
         )
         self._calls = calls.CallService(
             clock,
             self._routing_state,
             self._server_limits,
+            self._crashes,
             servers,
             budget,
             settings.failure_domain,
@@ -427,6 +445,7 @@
                 self._placement,
                 self._intake,
                 self._server_limits,
+                self._crashes,
             ),
         )
 
@@ -512,6 +531,7 @@
 
     async def _detect(self) -> None:
         self._failure_detector.tick()
+        self._crashes.tick()
         self._routing_state.purge_expired(self._clock.now())
 
     async def _send_updates(self) -> None:
@@ -543,7 +563,9 @@
     def _run(
         self, work: typing.Coroutine[typing.Any, typing.Any, None]
     ) -> None:
-        self._tasks.append(asyncio.get_running_loop().create_task(work))
+        task = asyncio.get_running_loop().create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
 
 
 async def _run_forever(
--- a/src/thornspool/platform/engines.py
+++ b/src/thornspool/platform/engines.py
@@ -81,6 +81,7 @@
 _ENDINGS = {
     transfers.TransferResult.COMPLETE: ports.Completion.COMPLETE,
     transfers.TransferResult.NOT_SENT: ports.Completion.NOT_SENT,
+    transfers.TransferResult.REFUSED: ports.Completion.NOT_SENT,
     transfers.TransferResult.BROKEN: ports.Completion.BROKEN,
     transfers.TransferResult.TIMED_OUT: ports.Completion.BROKEN,
     transfers.TransferResult.MALFORMED: ports.Completion.BROKEN,
@@ -241,6 +242,27 @@
             ),
         )
 
+    async def check(
+        self, server: fleet.Server, wait_ms: int = ports.CHECK_MS
+    ) -> ports.ProcessCheck:
+        """Check whether a process listens at the address of a server."""
+        request = transfers.Request(
+            f'http://{server.address}/v1/report',
+            connect_timeout_ms=wait_ms,
+            timeout_ms=wait_ms,
+        )
+        try:
+            response = await self._fetch(server, request)
+        except transfer_errors.ConnectionRefused:
+            return ports.ProcessCheck(is_listening=False)
+        except transfer_errors.TransportError:
+            return ports.ProcessCheck(is_listening=None)
+        try:
+            report = msgspec.json.decode(response.body, type=_Report)
+        except (msgspec.DecodeError, UnicodeDecodeError):
+            return ports.ProcessCheck(is_listening=True)
+        return ports.ProcessCheck(True, report.born)
+
     async def _fetch(
         self, server: fleet.Server, request: transfers.Request
     ) -> transfers.Response:
--- a/src/thornspool/platform/state_metrics.py
+++ b/src/thornspool/platform/state_metrics.py
@@ -17,6 +17,9 @@
     from collections.abc import Iterable
 
     from thornspool import clock as clock_module
+    from thornspool.application.routing import (
+        crash_detection as crash_detection_module,
+    )
     from thornspool.application.routing import intake as intake_module
     from thornspool.application.routing import membership as membership_module
     from thornspool.application.routing import placement as placement_module
@@ -51,6 +54,7 @@
     placement: placement_module.PlacementService
     intake: intake_module.Intake
     server_limits: server_limits_module.ServerLimits
+    crashes: crash_detection_module.CrashDetector
 
 
 def add_entry_metrics(
@@ -97,6 +101,11 @@
             lambda: sources.retry_budget.refused_count
         ),
     )
+    metrics.add_counter(
+        'thornspool_server_ends_total',
+        'Servers that ended while they ran requests of this entry.',
+        metrics_module.make_sample_reader(lambda: sources.crashes.ended_count),
+    )
     metrics.add_counter(
         'thornspool_orders_total',
         'Orders to engines that this entry gave.',
--- a/tests/application/routing/builders.py
+++ b/tests/application/routing/builders.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import random
 import typing
 
@@ -11,8 +12,10 @@
 from tests.domain.fleet import builders as fleet_builders
 from thornspool import metrics
 from thornspool.application.routing import calls
+from thornspool.application.routing import crash_detection
 from thornspool.application.routing import failure_detection
 from thornspool.application.routing import intake
+from thornspool.application.routing import path_finding
 from thornspool.application.routing import ports
 from thornspool.application.routing import retry_pools
 from thornspool.application.routing import (
@@ -27,6 +30,8 @@
 
 HOST = 'desk.example'
 
+_tasks = set()
+
 
 def build_route(prefix, kind, service, **changes):
     """Build a route with the defaults of these tests."""
@@ -104,6 +109,17 @@
     )
 
 
+def start_task(coroutine):
+    """Run a coroutine as a task; drop it in tests without an event loop."""
+    try:
+        loop = asyncio.get_running_loop()
+    except RuntimeError:
+        coroutine.close()
+        return
+    _tasks.add(task := loop.create_task(coroutine))
+    task.add_done_callback(_tasks.discard)
+
+
 def build_limits(clock, routing_state):
     """Build the limits of servers at the only entry of a fleet."""
     return server_limits.ServerLimits(
@@ -215,6 +231,7 @@
         self.on_notice = on_notice
         self.runs = []
         self.reports = {}
+        self.checks = {}
         self.probed = []
         self.orders = []
         self.order_results = []
@@ -239,6 +256,9 @@
         self.probed.append(server.id)
         return self.reports.get(server.id)
 
+    async def check(self, server, wait_ms=ports.CHECK_MS):
+        return self.checks.get(server.id, ports.ProcessCheck(True))
+
     async def assign_layers(self, server, layers, order_count):
         self.orders.append((server.id, layers, order_count))
         if self.order_results:
@@ -267,18 +287,33 @@
             self.clock, 0.2, slack, 10_000, lambda: 1
         )
         common_arguments = (self.clock, self.routing_state)
+        self.crashes = crash_detection.CrashDetector(
+            *common_arguments,
+            self.servers,
+            self.limits.try_acquire,
+            start_task,
+        )
+        source = random.Random(1)
         self.streams = streams.StreamService(
             *common_arguments,
-            self.limits,
+            path_finding.PathFinder(
+                *common_arguments,
+                self.limits,
+                self.reserved,
+                self.budget,
+                'a',
+                source,
+            ),
+            self.crashes,
             self.reserved,
             self.servers,
             self.budget,
-            'a',
-            random.Random(1),
+            source,
         )
         self.calls = calls.CallService(
             *common_arguments,
             self.limits,
+            self.crashes,
             self.servers,
             self.budget,
             'a',
--- /dev/null
+++ b/tests/application/routing/test_crash_detection.py
@@ -0,0 +1,105 @@
+"""Tests of what shows that a server ended while it ran requests."""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+
+import attrs
+
+from tests.application.routing import builders
+from thornspool.application.routing import crash_detection
+from thornspool.application.routing import ports
+
+GONE = ports.ProcessCheck(False)
+
+
+class CrashDetectionTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.crashed = []
+        self.world = builders.World()
+        self.detector = crash_detection.CrashDetector(
+            self.world.clock,
+            self.world.routing_state,
+            self.world.servers,
+            lambda server_id: True,
+            builders.start_task,
+            lambda server, names: self.crashed.append((server.id, set(names))),
+        )
+        self.server = self.world.routing_state.servers['a-90']
+
+    def begin(self, fingerprint='one'):
+        return self.detector.begin(fingerprint, [self.server])
+
+    async def pass_time(self, milliseconds=100):
+        """Let checks end that wait for milliseconds of the real clock."""
+        self.world.clock.advance(milliseconds)
+        self.detector.tick()
+        await asyncio.sleep(
+            1.5 * crash_detection.SECOND_CHECK_DELAY_MS / 1000.0
+        )
+
+    async def break_run(self, check, fingerprint='one'):
+        self.world.servers.checks[self.server.id] = check
+        run = self.begin(fingerprint)
+        self.detector.end(run, crash_detection.RunEnd.BROKEN)
+        await self.pass_time()
+
+    async def test_only_an_ended_process_counts(self):
+        """Guards against resets and cuts that count as crashes."""
+        later = self.server.started_at + 1
+        table = (
+            ('nothing listens', GONE, True),
+            ('later process', ports.ProcessCheck(True, later), True),
+            ('alive', ports.ProcessCheck(True, self.server.started_at), False),
+            ('alive, tells no start', ports.ProcessCheck(True), False),
+            ('no answer', ports.ProcessCheck(None), False),
+        )
+        for name, check, ended in table:
+            with self.subTest(name):
+                await self.asyncSetUp()
+                await self.break_run(check)
+                wanted = [(self.server.id, {'one'})] if ended else []
+                self.assertEqual(wanted, self.crashed)
+
+    async def test_silent_end_shows_when_a_successor_is_listed(self):
+        """Guards against hosts that lose power, which close no connection."""
+        for change in (
+            {'started_at': self.server.started_at + 4_000},
+            {'id': 'a-99', 'started_at': self.server.started_at + 4_000},
+        ):
+            with self.subTest(change):
+                await self.asyncSetUp()
+                run = self.begin()
+                self.detector.end(run, crash_detection.RunEnd.LEFT)
+                self.world.routing_state.suspect(self.server.id, 'test', 0)
+                self.world.routing_state.remove_server(self.server.id, 3_600)
+                await self.pass_time(4_000)
+                self.assertEqual([], self.crashed)
+                self.world.add(attrs.evolve(self.server, **change))
+                await self.pass_time()
+                self.assertEqual([(self.server.id, {'one'})], self.crashed)
+
+    async def test_requests_that_the_server_runs_for_a_while_are_not_named(
+        self,
+    ):
+        """Guards against streams that are blamed for a request beside them."""
+        old, young = self.begin('old'), self.begin('young')
+        old.record_progress(0)
+        old.record_progress(crash_detection.ESTABLISHED_MS)
+        young.record_progress(crash_detection.ESTABLISHED_MS)
+        await self.break_run(GONE, 'cause')
+        self.assertEqual([(self.server.id, {'young', 'cause'})], self.crashed)
+
+    async def test_planned_end_counts_for_no_request(self):
+        """Guards against requests blamed for the end of a leaving server."""
+        self.world.add(attrs.evolve(self.server, draining=True))
+        await self.break_run(GONE)
+        self.assertEqual([], self.crashed)
+
+    async def test_end_counts_once(self):
+        """Guards against one crash that counts for each broken connection."""
+        await self.break_run(GONE)
+        await self.break_run(GONE)
+        self.assertEqual(1, len(self.crashed))
+        self.assertEqual(1, self.detector.ended_count)
--- a/tests/simulation/engines.py
+++ b/tests/simulation/engines.py
@@ -375,6 +375,19 @@
             engine.orders, False, engine.slowdown, engine.server.started_at, ()
         )
 
+    async def check(self, server, client, wait_ms):
+        engine = self.by_address.get(server.address)
+        if engine is None or engine.state == 'crashed':
+            await loops.sleep_ms(2 * ENTRY_LATENCY_MS)
+            return ports.ProcessCheck(False)
+        if engine.state == 'unresponsive':
+            await loops.sleep_ms(wait_ms)
+            return ports.ProcessCheck(None)
+        self.record_arrival(server, client.host, 'probe')
+        await loops.sleep_ms(4 * ENTRY_LATENCY_MS)
+        self.answer(server, client)
+        return ports.ProcessCheck(True, engine.server.started_at)
+
     async def assign_layers(self, server, layers, client):
         engine = self.by_address[server.address]
         await loops.sleep_ms(2 * ENTRY_LATENCY_MS)
@@ -517,6 +530,9 @@
     async def probe(self, server, wait_ms=ports.REPORT_MS):
         return await self._engines.probe(server, self, wait_ms)
 
+    async def check(self, server, wait_ms=ports.CHECK_MS):
+        return await self._engines.check(server, self, wait_ms)
+
     async def assign_layers(self, server, layers, order_count):
         return await self._engines.assign_layers(server, layers, self)
 
--- a/tests/simulation/world.py
+++ b/tests/simulation/world.py
@@ -13,9 +13,11 @@
 from tests.simulation import loops
 from thornspool import metrics
 from thornspool.application.routing import calls
+from thornspool.application.routing import crash_detection
 from thornspool.application.routing import failure_detection
 from thornspool.application.routing import intake
 from thornspool.application.routing import membership
+from thornspool.application.routing import path_finding
 from thornspool.application.routing import placement
 from thornspool.application.routing import retry_pools
 from thornspool.application.routing import (
@@ -146,20 +148,36 @@
             self.send_update,
             lambda: 1,
         )
+        self.crashes = crash_detection.CrashDetector(
+            clock,
+            self.routing_state,
+            servers,
+            self.limits.try_acquire,
+            world.engines.start_task,
+        )
         self.streams = streams.StreamService(
             clock,
             self.routing_state,
-            self.limits,
+            path_finding.PathFinder(
+                clock,
+                self.routing_state,
+                self.limits,
+                reserved,
+                self.budget,
+                domain,
+                randomness,
+            ),
+            self.crashes,
             reserved,
             servers,
             self.budget,
-            domain,
             randomness,
         )
         self.calls = calls.CallService(
             clock,
             self.routing_state,
             self.limits,
+            self.crashes,
             servers,
             self.budget,
             domain,
@@ -236,6 +254,7 @@
 
     def run_detection_tick(self):
         self.failure_detector.tick()
+        self.crashes.tick()
         self.routing_state.purge_expired(self.clock.now())
 
     def run_broadcast_tick(self):
