--- a/tests/engine_rules.py
+++ b/tests/engine_rules.py
@@ -21,6 +21,8 @@
 LIMIT_FACTOR = 1.5
 LIMIT_SLACK = 5
 MAX_ARRIVALS_IN_REST = 2
+CRASHES_BEFORE_REFUSAL = 3
+MAX_RETRIES_OF_CRASHES = 3
 TOLD_MS = 500
 """Time after an answer from which its host is bound by it."""
 
@@ -48,6 +50,19 @@
     is_leaving: bool = False
 
 
+@attrs.frozen
+class Crash:
+    """End of a server under a request that crashes what runs it.
+
+    ``content`` stands for path, caller and body of the request, which stay
+    the same when it is sent again.
+    """
+
+    at: int
+    server: str
+    content: str
+
+
 @attrs.frozen
 class Excuse:
     """Time in which a host is not bound by what servers state."""
@@ -183,6 +198,53 @@
     return violations
 
 
+def find_crash_violations(
+    arrivals: Sequence[Arrival],
+    crashes: Sequence[Crash],
+    contents: Mapping[str, str],
+    contact_ms: int,
+    excuses: Sequence[Excuse] = (),
+) -> list[str]:
+    """Find requests that were sent on although they crash servers.
+
+    A request that crashes the servers that run it reaches servers in more than
+    three retries, sent later than ``contact_ms`` after it has crashed the
+    third one. Rerouting it to other servers counts like a retry.
+
+    Parameters
+    ----------
+    arrivals, crashes : sequence
+        What reached the servers, and their ends.
+    contents : mapping of str to str
+        Contents of the requests that crash servers, by id of the attempt.
+    contact_ms : int
+        Milliseconds after which a host is bound.
+    excuses : sequence of Excuse, optional
+        Times in which a host is not bound.
+    """
+    violations = []
+    for content in sorted({one.content for one in crashes}):
+        ends = sorted(one.at for one in crashes if one.content == content)
+        if len(ends) < CRASHES_BEFORE_REFUSAL:
+            continue
+        bound_at = ends[CRASHES_BEFORE_REFUSAL - 1] + contact_ms
+        late = [
+            one
+            for one in arrivals
+            if contents.get(one.attempt) == content
+            and one.kind not in {'probe', 'order'}
+            and one.at > bound_at
+            and not _is_excused(one.host, one.at, excuses)
+        ]
+        if len(late) > MAX_RETRIES_OF_CRASHES:
+            violations.append(
+                f'{content} reached servers {len(late)} times later than '
+                f'{contact_ms} ms after it had crashed the third; '
+                f'{len(ends)} ended in all'
+            )
+    return violations
+
+
 def _list_limited_periods(
     answers: Sequence[Answer],
 ) -> list[tuple[int, int, list[tuple[int, float]]]]:
--- a/tests/simulation/callers.py
+++ b/tests/simulation/callers.py
@@ -40,8 +40,11 @@
         Running requests that were moved to another path.
     sent_at : dict of str to int
         Times at which the requests were sent, by id of the attempt.
-    arrivals, answers : list
-        What reached the engines, and what they stated in their answers.
+    arrivals, answers, crashes : list
+        What reached the engines, what they stated in their answers, and
+        which of them ended under a request.
+    reasons : collections.Counter
+        Requests that were not on time, by the reason of the last refusal.
     """
 
     counts: collections.Counter = attrs.field(factory=collections.Counter)
@@ -53,6 +56,8 @@
     sent_at: dict = attrs.field(factory=dict)
     arrivals: list = attrs.field(factory=list)
     answers: list = attrs.field(factory=list)
+    crashes: list = attrs.field(factory=list)
+    reasons: collections.Counter = attrs.field(factory=collections.Counter)
 
     @property
     def total(self):
@@ -114,6 +119,7 @@
             builders.build_request(
                 '/brief/x',
                 id=key,
+                body=_choose_body(number),
                 arrived_at=world.clock.now(),
                 prompt_tokens=prompt,
                 output_tokens=hint,
@@ -129,9 +135,15 @@
     outcome = _classify(workload, reply)
     results.counts[outcome] += 1
     if outcome != 'on_time':
+        results.reasons[reply.reason] += 1
         results.late_at[int(began_s)] += 1
 
 
+def _choose_body(number):
+    """Return a body; one in five requests has the same as others."""
+    return b'shared' if number % 5 == 0 else b'%d' % number
+
+
 def _classify(workload, reply):
     """Return the outcome of a request, as counted in the results."""
     if reply.aborted:
@@ -174,6 +186,7 @@
         results.reroutes = world.engines.reroutes
         results.arrivals = world.engines.arrivals
         results.answers = world.engines.answers
+        results.crashes = world.engines.crashes
         results.refused_runs = world.engines.refused
         results.refused_retries = sum(
             one.budget.refused_count for one in world.entries.values()
--- a/tests/simulation/conditions.py
+++ b/tests/simulation/conditions.py
@@ -5,6 +5,7 @@
 import random
 
 from tests import engine_rules
+from tests.application.routing import builders
 from tests.simulation import loops
 from tests.simulation import world as world_module
 
@@ -110,6 +111,52 @@
     return announce
 
 
+def send_crashing_request(seed, contents, body=b'crash', place=0, at_ms=1_000):
+    """Return a fault in which a request crashes engines and comes again.
+
+    Parameters
+    ----------
+    seed : int
+        Seed of all choices.
+    contents : dict
+        Extended by the body of each attempt, by its id.
+    body : bytes, optional
+        Body of the request.
+    place : int, optional
+        Place in the path of the engine that it crashes.
+    at_ms : int, optional
+        Virtual milliseconds from the start of the load to its first attempt.
+    """
+
+    async def send(simulated):
+        source = random.Random(f'{seed} {body}')
+        simulated.engines.crashing[body] = place
+        await loops.sleep_ms(at_ms)
+        while True:
+            key = f'{body.decode()}-{len(contents)}'
+            contents[key] = body.decode()
+            simulated.engines.output_tokens[key] = 100.0
+            reply = builders.FakeResponseWriter()
+            simulated.choose_entry(source).intake.serve(
+                builders.build_request(
+                    '/brief/x',
+                    id=key,
+                    body=body,
+                    arrived_at=simulated.clock.now(),
+                    prompt_tokens=500.0,
+                    output_tokens=100.0,
+                ),
+                reply,
+            )
+            while not (reply.whole or reply.aborted):
+                await loops.sleep_ms(5)
+            await loops.sleep_ms(
+                max(source.uniform(100, 1_500), reply.retry_after_ms or 0)
+            )
+
+    return send
+
+
 def combine(*faults):
     """Return a fault that runs several ones at the same time."""
 
--- a/tests/simulation/engines.py
+++ b/tests/simulation/engines.py
@@ -42,6 +42,9 @@
 LIST_UPDATE_MS = 600
 """Time until a change of an engine appears in the list of engines."""
 
+RESTART_MS = 3_200
+"""Time until an engine that a request has crashed is back."""
+
 DELISTING_MS = 3_000
 """Time until a lost engine is removed from the list of engines."""
 
@@ -149,6 +152,8 @@
         self.reroutes = 0
         self.arrivals = []
         self.answers = []
+        self.crashing = {}
+        self.crashes = []
 
     def find_engine(self, name):
         return next(
@@ -239,8 +244,27 @@
                 return
         self._reserve(active, active.hops, active.tokens)
         await loops.sleep_ms(self._prefill(active, active.hops))
+        self._crash_under(active.run.request, active.hops)
         await self._write(active, first, first_event)
 
+    def _crash_under(self, request, hops):
+        """Crash an engine if it begins to run a request that crashes it.
+
+        ``crashing`` has the place in the path of the engine that each such
+        request crashes, by its body.
+        """
+        place = self.crashing.get(request.body)
+        if place is None:
+            return
+        engine = hops[place % len(hops)][0]
+        if engine.state == 'up':
+            self.crashes.append(
+                engine_rules.Crash(
+                    self._clock.now(), engine.server.id, request.body.decode()
+                )
+            )
+            self.crash(engine.server.id, restart_ms=RESTART_MS)
+
     async def _write(self, active, first, first_event):
         """Send the events of a run until its answer is complete or cut."""
         answer = self.output_tokens[active.run.request.id]
@@ -441,6 +465,8 @@
             )
             self._reserve(active, new, active.tokens)
             active.prefill_ms += self._prefill(active, new)
+        if new:
+            self._crash_under(active.run.request, path)
         return ports.OrderResult.BEGUN
 
     def _release_left_engines(self, active, retained):
