Refuse requests that crash the servers that run them, at all entries

Cause: the quarantine knew such requests on the own interface alone. On the platform no code related a request to the servers that ended under it.

The quarantine's records and service now decide for both. On the platform a request becomes a suspect once two servers have ended just as they began to run it, and then runs on trial, on servers that are reserved for it among all suspects; a server that ends in its trial condemns it. Entries exchange the records as datagrams. Only the end of a process counts, once for each run; a completion clears, and a condemned request explains the deaths beside it. Refusals extend the verdict, so that it lasts for as long as the request comes. Suspects are not rerouted, and while checks are in progress a further retry waits. Model requests and calls to plain servers go the same way.

--- a/src/thornspool/application/quarantine.py
+++ b/src/thornspool/application/quarantine.py
@@ -58,6 +58,10 @@
         Source of the monotonic time.
     draw : callable
         Returns random numbers from 0 to 1, used to choose peers.
+    suspect_deaths : int, optional
+        Deaths of targets from which on a request is a suspect.
+    max_sync_records : int, optional
+        Largest number of records in a reply to a peer.
 
     Attributes
     ----------
@@ -72,13 +76,16 @@
         peers: ports.Peers,
         clock: clock_module.Clock,
         draw: Callable[[], float],
+        suspect_deaths: int = 1,
+        max_sync_records: int = MAX_SYNC_RECORDS,
     ) -> None:
         self._members = members
         self._incarnation = incarnation
         self._peers = peers
         self._clock = clock
         self._draw = draw
-        self._records = records.QuarantineRecords(incarnation)
+        self._max_sync_records = max_sync_records
+        self._records = records.QuarantineRecords(incarnation, suspect_deaths)
         self._reservations = reservations.Reservations()
         self._completed = completions.CompletedRequests()
         self._trials: dict[str, _Trial] = {}
@@ -98,6 +105,16 @@
         self.verdicts[type(verdict).__name__.lower()] += 1
         return verdict
 
+    def count_deaths(self, fingerprint: str) -> int:
+        """Count the targets that a request may have crashed."""
+        return self._records.count_deaths(fingerprint, self._clock.now())
+
+    def record_refusal(self, fingerprint: str) -> None:
+        """Record that a condemned request came again and was refused."""
+        update = self._records.record_refusal(fingerprint, self._clock.now())
+        if update is not None:
+            self._broadcast(update)
+
     def set_suspect_handler(
         self, handler: Callable[[frozenset[str]], None]
     ) -> None:
@@ -417,7 +434,7 @@
         now = self._clock.now()
         if request.digest == self._records.compute_digest(now):
             return messages.QuarantineNews(())
-        return self._records.describe_latest(now, MAX_SYNC_RECORDS)
+        return self._records.describe_latest(now, self._max_sync_records)
 
     async def _handle_reservation(
         self, _sender: str, request: messages.ReservationRequest
--- a/src/thornspool/application/routing/calls.py
+++ b/src/thornspool/application/routing/calls.py
@@ -20,6 +20,7 @@
 from thornspool.application.routing import (
     routing_state as routing_state_module,
 )
+from thornspool.application.routing import run_permits
 from thornspool.domain.fleet import server_scores
 
 if typing.TYPE_CHECKING:
@@ -55,6 +56,9 @@
 MAX_QUEUE_WAIT_MS = 40
 """Maximum wait for a usable server, an eighth of the target latencies."""
 
+MAX_PERMIT_WAIT_MS = 1_500
+"""Maximum wait of a call that may have crashed servers for its trial."""
+
 logger = structlog.get_logger(__name__)
 
 
@@ -77,6 +81,8 @@
     generation : int
         Incremented for each attempt, so that late data of earlier attempts
         is dropped.
+    trial_at : int
+        Time in milliseconds from which a reservation may be tried again.
     head : ports.ResponseHead or None
         Head of the current response, once received.
     body : bytearray
@@ -87,6 +93,7 @@
     server: fleet.Server | None = None
     cancel: Callable[[], None] | None = None
     run: crash_detection.TrackedRun | None = None
+    trial_at: int = 0
     sent_at: int = 0
     generation: int = 0
     head: ports.ResponseHead | None = None
@@ -104,8 +111,8 @@
         Known servers and their failure suspicions.
     limits : server_limits.ServerLimits
         Limits that servers name.
-    crashes : crash_detection.CrashDetector
-        Detects servers that end while they run requests.
+    permits : run_permits.RunPermits
+        Decides which requests may run, as far as they may crash servers.
     servers : ports.ServerClient
         Client for the servers.
     retry_budget : retry_pools.RetryPools
@@ -121,7 +128,7 @@
         clock: clock_module.Clock,
         routing_state: routing_state_module.RoutingState,
         limits: server_limits.ServerLimits,
-        crashes: crash_detection.CrashDetector,
+        permits: run_permits.RunPermits,
         servers: ports.ServerClient,
         retry_budget: retry_pools.RetryPools,
         failure_domain: str,
@@ -130,7 +137,7 @@
         self._clock = clock
         self._routing_state = routing_state
         self._limits = limits
-        self._crashes = crashes
+        self._permits = permits
         self._servers = servers
         self._retry_budget = retry_budget
         self._failure_domain = failure_domain
@@ -188,10 +195,70 @@
     def _start_attempt(self, call: Call) -> None:
         exchange = call.exchange
         now = self._clock.now()
+        permit = self._permits.check(exchange.fingerprint)
+        if permit is run_permits.Permit.DENIED:
+            self._fail(
+                call,
+                'quarantined',
+                self._permits.compute_retry_after(exchange.fingerprint),
+            )
+            return
         server = self._choose_server(exchange, now)
         if server is None:
             self._queue_or_refuse(call, now)
+        elif permit is run_permits.Permit.GRANTED:
+            self._send(call, server)
+        elif permit is run_permits.Permit.ON_TRIAL and now >= call.trial_at:
+            self._permits.reserve(
+                exchange.fingerprint,
+                [server],
+                max(1, exchange.compute_remaining_ms(now)),
+                functools.partial(self._start_trial, call, server),
+            )
+        else:
+            self._wait_for_permit(call)
+
+    def _wait_for_permit(self, call: Call) -> None:
+        """Queue a call that may have crashed servers; refuse it in time."""
+        waited_ms = self._clock.now() - call.exchange.request.arrived_at
+        if waited_ms < MAX_PERMIT_WAIT_MS:
+            self._queued.append(call)
+            return
+        self._fail(call, 'no_trial', run_permits.RETRY_AFTER_MS)
+
+    def _start_trial(
+        self,
+        call: Call,
+        server: fleet.Server,
+        trial: run_permits.Trial | None,
+    ) -> None:
+        """Send a suspect to a server that is reserved for it, or queue it."""
+        exchange = call.exchange
+        now = self._clock.now()
+        if trial is not None and (
+            exchange.ended
+            or not self._routing_state.is_usable(server, now)
+            or not self._limits.has_room(server.id)
+        ):
+            self._permits.abandon(trial)
+            trial = None
+        if exchange.ended:
+            return
+        if trial is None:
+            exchange.exclude([server.id], now)
+            call.trial_at = now + run_permits.TRIAL_POLL_MS
+            self._wait_for_permit(call)
             return
+        self._send(call, server, trial)
+
+    def _send(
+        self,
+        call: Call,
+        server: fleet.Server,
+        trial: run_permits.Trial | None = None,
+    ) -> None:
+        exchange = call.exchange
+        now = self._clock.now()
         exchange.sends += 1
         exchange.runs += 1
         call.server = server
@@ -217,7 +284,7 @@
             call.body.extend,
             functools.partial(self.handle_completion, call),
         )
-        call.run = self._crashes.begin(exchange.fingerprint, [server])
+        call.run = self._permits.begin(exchange.fingerprint, [server], trial)
         call.cancel = self._servers.send(run, listener)
 
     def _choose_server(
@@ -411,7 +478,7 @@
     def _end_run(self, call: Call, ending: crash_detection.RunEnd) -> None:
         if call.run is not None:
             run, call.run = call.run, None
-            self._crashes.end(run, ending)
+            self._permits.end(run, ending)
 
     def _end_attempt(self, call: Call) -> None:
         self._end_run(call, crash_detection.RunEnd.LEFT)
--- a/src/thornspool/application/routing/crash_detection.py
+++ b/src/thornspool/application/routing/crash_detection.py
@@ -16,6 +16,9 @@
 import structlog
 
 from thornspool.application.routing import ports
+from thornspool.application.routing import (
+    routing_state as routing_state_module,
+)
 
 if typing.TYPE_CHECKING:
     from collections.abc import Callable
@@ -23,9 +26,6 @@
     from collections.abc import Iterable
 
     from thornspool import clock as clock_module
-    from thornspool.application.routing import (
-        routing_state as routing_state_module,
-    )
     from thornspool.domain.fleet import messages as fleet
 
 ESTABLISHED_MS = 500
@@ -89,6 +89,17 @@
         milliseconds; None before the first.
     ended_at : int or None
         Time of its end in milliseconds; None while it runs.
+    is_on_trial : bool
+        Whether it is the trial of a suspect.
+    on_resolved : callable
+        Called once it is known whether it ended a server.
+    doubts : int
+        Servers that it may have ended.
+    origin : TrackedRun or None
+        The run from which it continues on a changed path.
+    is_implicated : bool
+        Whether one of its servers ended under it. Others that end at about
+        the same time are a coincidence or a consequence.
     """
 
     fingerprint: str
@@ -96,6 +107,24 @@
     first_progress_at: int | None = None
     last_progress_at: int | None = None
     ended_at: int | None = None
+    is_on_trial: bool = False
+    on_resolved: Callable[[], None] = lambda: None
+    doubts: int = 0
+    origin: TrackedRun | None = None
+    is_implicated: bool = False
+
+    def may_have_ended(self, server: fleet.Server) -> bool:
+        """Return whether the run may have ended a server."""
+        if self.is_established or self.is_implicated:
+            return False
+        origin = self.origin
+        return not (
+            origin is not None
+            and origin.is_implicated
+            and any(
+                _get_key(one) == _get_key(server) for one in origin.servers
+            )
+        )
 
     def record_progress(self, now: int) -> None:
         """Record an event of the response."""
@@ -158,9 +187,6 @@
         Returns whether a server accepts a check now.
     start_task : callable
         Runs a coroutine as a background task.
-    on_crash : callable, optional
-        Called with the server and the fingerprints of the requests that may
-        have ended it.
     """
 
     def __init__(
@@ -170,26 +196,46 @@
         servers: ports.ServerClient,
         try_acquire: Callable[[str], bool],
         start_task: Callable[[Coroutine[typing.Any, typing.Any, None]], None],
-        on_crash: Callable[
-            [fleet.Server, frozenset[str]], None
-        ] = lambda server, fingerprints: None,
     ) -> None:
         self._clock = clock
         self._routing_state = routing_state
         self._servers = servers
         self._try_acquire = try_acquire
         self._start_task = start_task
-        self._on_crash = on_crash
+        self._on_crash: Callable[[fleet.Server, frozenset[str]], None] = (
+            lambda server, fingerprints: None
+        )
         self._processes: dict[_Key, _Process] = {}
         self._ended: dict[_Key, int] = {}
         self._revision = 0
         self.ended_count = 0
 
+    def set_crash_handler(
+        self, handler: Callable[[fleet.Server, frozenset[str]], None]
+    ) -> None:
+        """Set the callback for servers that ended.
+
+        It receives the server and the fingerprints of the requests that had
+        just begun there.
+        """
+        self._on_crash = handler
+
+    def count_checks(self, fingerprint: str) -> int:
+        """Count the servers that are being checked after they broke a run."""
+        return sum(
+            process.is_checking
+            and any(run.fingerprint == fingerprint for run in process.doubtful)
+            for process in self._processes.values()
+        )
+
     def begin(
-        self, fingerprint: str, servers: Iterable[fleet.Server]
+        self,
+        fingerprint: str,
+        servers: Iterable[fleet.Server],
+        origin: TrackedRun | None = None,
     ) -> TrackedRun:
-        """Record that a run is sent to servers."""
-        run = TrackedRun(fingerprint, tuple(servers))
+        """Record that a run is sent to servers, or continues on them."""
+        run = TrackedRun(fingerprint, tuple(servers), origin=origin)
         for server in run.servers:
             self._find_process(server).running.add(run)
         return run
@@ -204,45 +250,50 @@
         ending : RunEnd
             How it ended.
         """
-        now = self._clock.now()
-        run.ended_at = now
+        run.ended_at = self._clock.now()
+        is_doubtful = (
+            ending in {RunEnd.BROKEN, RunEnd.LEFT}
+            and not run.is_established
+            and not any(_get_key(one) in self._ended for one in run.servers)
+        )
         for server in run.servers:
             process = self._find_process(server)
             process.running.discard(run)
-            if self._is_doubtful(run, server, ending):
+            # A server that leaves ends by itself, with the runs that it has.
+            if is_doubtful and server.id not in self._routing_state.leaving:
                 process.doubtful.add(run)
+                run.doubts += 1
             self._drop_if_unused(process)
         if ending is RunEnd.COMPLETED:
             self._clear(run.fingerprint)
+        if not run.doubts:
+            run.on_resolved()
         elif ending is RunEnd.BROKEN:
             self._start_check(run.servers[0])
         for server in run.servers:
-            if server.id in self._routing_state.suspicions:
+            if run.is_on_trial or server.id in self._routing_state.suspicions:
                 self._start_check(server)
 
-    def _is_doubtful(
-        self, run: TrackedRun, server: fleet.Server, ending: RunEnd
-    ) -> bool:
-        """Return whether a run that ended may have ended its server.
-
-        A server that leaves ends by itself, with the runs that it still has.
-        """
-        return (
-            ending in {RunEnd.BROKEN, RunEnd.LEFT}
-            and not run.is_established
-            and server.id not in self._routing_state.leaving
-            and _get_key(server) not in self._ended
-        )
-
     def _clear(self, fingerprint: str) -> None:
         """Drop the doubts about a request that a server has completed."""
         for process in list(self._processes.values()):
-            process.doubtful = {
-                run
-                for run in process.doubtful
-                if run.fingerprint != fingerprint
-            }
-            self._drop_if_unused(process)
+            self._resolve(
+                process,
+                [
+                    run
+                    for run in process.doubtful
+                    if run.fingerprint == fingerprint
+                ],
+            )
+
+    def _resolve(self, process: _Process, runs: Iterable[TrackedRun]) -> None:
+        """Drop the doubts about runs at a process."""
+        for run in list(runs):
+            process.doubtful.discard(run)
+            run.doubts -= 1
+            if not run.doubts:
+                run.on_resolved()
+        self._drop_if_unused(process)
 
     def tick(self) -> None:
         """Apply successors in the server list, and repeat checks."""
@@ -252,18 +303,20 @@
             for server in self._find_replaced():
                 self._record_end(server, 'replaced')
         for process in list(self._processes.values()):
-            process.doubtful = {
-                run
-                for run in process.doubtful
-                if run.ended_at is not None and now - run.ended_at <= DOUBT_MS
-            }
+            self._resolve(
+                process,
+                [
+                    run
+                    for run in process.doubtful
+                    if run.ended_at is None or now - run.ended_at > DOUBT_MS
+                ],
+            )
             if (
                 process.doubtful
                 and process.checks
                 and now - process.checked_at >= RECHECK_MS
             ):
                 self._start_check(process.server)
-            self._drop_if_unused(process)
         self._ended = {
             key: at for key, at in self._ended.items() if now - at <= ENDED_MS
         }
@@ -331,7 +384,7 @@
             self._record_end(process.server, 'restarted')
         elif found.is_listening:
             process.checks = 0
-            process.doubtful.clear()
+            self._resolve(process, process.doubtful)
         self._drop_if_unused(process)
 
     def _record_end(self, server: fleet.Server, evidence: str) -> None:
@@ -340,26 +393,36 @@
         process = self._processes.get(key)
         if process is None or key in self._ended:
             return
-        self._ended[key] = self._clock.now()
+        now = self._clock.now()
+        self._ended[key] = now
+        self._routing_state.suspect(
+            server.id, routing_state_module.NOT_REACHED, now
+        )
         runs = set(process.doubtful)
         if server.id not in self._routing_state.leaving:
             runs |= process.running
-        process.doubtful.clear()
-        fingerprints = frozenset(
-            run.fingerprint for run in runs if not run.is_established
-        )
-        if not fingerprints:
-            return
-        self.ended_count += 1
-        logger.warning(
-            'server_ended',
-            server=server.id,
-            born=server.started_at,
-            evidence=evidence,
-            runs=len(runs),
-            fingerprints=','.join(sorted(fingerprints)),
-        )
-        self._on_crash(server, fingerprints)
+        runs = {run for run in runs if run.may_have_ended(server)}
+        fingerprints = frozenset(run.fingerprint for run in runs)
+        if fingerprints:
+            self.ended_count += 1
+            for run in runs:
+                run.is_implicated = True
+            logger.warning(
+                'server_ended',
+                server=server.id,
+                born=server.started_at,
+                evidence=evidence,
+                runs=len(runs),
+                fingerprints=','.join(sorted(fingerprints)),
+            )
+            self._on_crash(server, fingerprints)
+        self._resolve_everywhere(process.doubtful)
+
+    def _resolve_everywhere(self, runs: set[TrackedRun]) -> None:
+        """Drop the doubts about runs that one of their servers has broken."""
+        explained = set(runs)
+        for process in list(self._processes.values()):
+            self._resolve(process, process.doubtful & explained)
 
 
 def _get_key(server: fleet.Server) -> _Key:
--- a/src/thornspool/application/routing/in_flight.py
+++ b/src/thornspool/application/routing/in_flight.py
@@ -16,6 +16,7 @@
     from thornspool.application.routing import crash_detection
     from thornspool.application.routing import exchanges
     from thornspool.application.routing import ports
+    from thornspool.application.routing import run_permits
     from thornspool.domain.fleet import messages as fleet
     from thornspool.domain.paths import choice
     from thornspool.domain.paths import search
@@ -37,6 +38,10 @@
         Ends the current run; None when there is none.
     run : crash_detection.TrackedRun or None
         The current run, as the crash detection tracks it.
+    trial : run_permits.Trial or None
+        Reservation of the engines for the next run of a suspect.
+    trial_at : int
+        Time in milliseconds from which a reservation may be tried again.
     events : events.EventBuffer
         Splits the answer into complete events.
     active_at : int
@@ -70,6 +75,8 @@
     hops: tuple[search.Hop, ...] = ()
     stop: Callable[[], None] | None = None
     run: crash_detection.TrackedRun | None = None
+    trial: run_permits.Trial | None = None
+    trial_at: int = 0
     events: events.EventBuffer = attrs.field(factory=events.EventBuffer)
     active_at: int = 0
     event_interval: stalls.EventInterval = attrs.field(
--- a/src/thornspool/application/routing/rerouting.py
+++ b/src/thornspool/application/routing/rerouting.py
@@ -69,7 +69,9 @@
         in_flight.exchange.exclude(suspected, self._clock.now())
         may_retry = self._service.may_retry(in_flight)
         hops = None
-        if in_flight.head is not None or not may_retry:
+        if (
+            in_flight.head is not None or not may_retry
+        ) and self._service.may_reroute(in_flight):
             # A new run costs little before the engine has answered.
             hops = self._choose_path(in_flight, suspected)
         if hops is not None and self._service.limits.try_acquire(
--- a/src/thornspool/application/routing/streams.py
+++ b/src/thornspool/application/routing/streams.py
@@ -12,6 +12,7 @@
 from thornspool.application.routing import in_flight as in_flight_module
 from thornspool.application.routing import listeners
 from thornspool.application.routing import ports
+from thornspool.application.routing import run_permits
 from thornspool.domain.paths import choice
 from thornspool.domain.paths import search
 from thornspool.domain.paths import stalls
@@ -68,8 +69,8 @@
         Routing state with the configuration and the engines.
     paths : path_finding.PathFinder
         Finds paths, within the limits that servers name.
-    crashes : crash_detection.CrashDetector
-        Detects engines that end while they run requests.
+    permits : run_permits.RunPermits
+        Decides which requests may run, as far as they may crash engines.
     reserved : reservations.Reservations
         Engine memory that requests reserve.
     servers : ports.ServerClient
@@ -85,7 +86,7 @@
         clock: clock_module.Clock,
         routing_state: routing_state_module.RoutingState,
         paths: path_finding.PathFinder,
-        crashes: crash_detection.CrashDetector,
+        permits: run_permits.RunPermits,
         reserved: reservations.Reservations,
         servers: ports.ServerClient,
         budget: retry_pools.RetryPools,
@@ -95,7 +96,7 @@
         self._routing_state = routing_state
         self.paths = paths
         self.limits = paths.limits
-        self._crashes = crashes
+        self._permits = permits
         self._reservations = reserved
         self._servers = servers
         self._budget = budget
@@ -168,6 +169,10 @@
             Path that the caller has just found; None to find one.
         """
         now = self._clock.now()
+        permit = self._permits.check(in_flight.exchange.fingerprint)
+        if permit is run_permits.Permit.DENIED:
+            self._deny(in_flight)
+            return
         found = path or self.paths.find(in_flight)
         if found is None:
             self._fail(in_flight, 'service_unknown', 1_000)
@@ -175,11 +180,81 @@
             self._wait_or_refuse(in_flight, found)
         elif self._would_be_cut(in_flight, found, now):
             self._fail(in_flight, 'draining', DRAINING_RETRY_MS)
+        elif permit is run_permits.Permit.UNKNOWN:
+            self._wait_for_permit(in_flight)
+        elif permit is run_permits.Permit.ON_TRIAL:
+            self._reserve_trial(in_flight, found.hops)
         elif in_flight.needs_retry and not self._acquire_retry(in_flight):
             self._wait_for_retry(in_flight)
         else:
             self._send(in_flight, found.hops)
 
+    def _deny(self, in_flight: in_flight_module.InFlightRequest) -> None:
+        """Refuse a request that crashes the engines that run it."""
+        self._fail(
+            in_flight,
+            'quarantined',
+            self._permits.compute_retry_after(in_flight.exchange.fingerprint),
+        )
+
+    def _wait_for_permit(
+        self, in_flight: in_flight_module.InFlightRequest
+    ) -> None:
+        """Queue a request that may have crashed engines; refuse it in time."""
+        waited_ms = self._clock.now() - in_flight.exchange.request.arrived_at
+        if self._may_wait(
+            in_flight, choice.NoPathReason.NO_CAPACITY, waited_ms
+        ):
+            self._enqueue(in_flight)
+            return
+        self._fail(in_flight, 'no_trial', run_permits.RETRY_AFTER_MS)
+
+    def _reserve_trial(
+        self,
+        in_flight: in_flight_module.InFlightRequest,
+        hops: tuple[search.Hop, ...],
+    ) -> None:
+        """Reserve the engines of a path for the trial of a suspect."""
+        exchange = in_flight.exchange
+        if self._clock.now() < in_flight.trial_at:
+            self._wait_for_permit(in_flight)
+            return
+        self._permits.reserve(
+            exchange.fingerprint,
+            [hop.server for hop in hops],
+            max(1, exchange.compute_remaining_ms(self._clock.now())),
+            functools.partial(self._start_trial, in_flight, hops),
+        )
+
+    def _start_trial(
+        self,
+        in_flight: in_flight_module.InFlightRequest,
+        hops: tuple[search.Hop, ...],
+        trial: run_permits.Trial | None,
+    ) -> None:
+        """Send a suspect on a path that is reserved for it, or queue it."""
+        exchange = in_flight.exchange
+        now = self._clock.now()
+        usable = all(
+            self._routing_state.is_usable(hop.server, now) for hop in hops
+        )
+        if trial is not None and (exchange.ended or not usable):
+            self._permits.abandon(trial)
+            trial = None
+        if exchange.ended:
+            return
+        if trial is None:
+            # Another path may be free of other suspects.
+            exchange.exclude([hops[0].server.id], now)
+            in_flight.trial_at = now + run_permits.TRIAL_POLL_MS
+            self._wait_for_permit(in_flight)
+        elif in_flight.needs_retry and not self._acquire_retry(in_flight):
+            self._permits.abandon(trial)
+            self._wait_for_retry(in_flight)
+        else:
+            in_flight.trial = trial
+            self._send(in_flight, hops)
+
     def _wait_or_refuse(
         self,
         in_flight: in_flight_module.InFlightRequest,
@@ -331,9 +406,12 @@
             functools.partial(self.handle_body, in_flight),
             functools.partial(self.handle_completion, in_flight),
         )
-        in_flight.run = self._crashes.begin(
-            exchange.fingerprint, [hop.server for hop in hops]
+        in_flight.run = self._permits.begin(
+            exchange.fingerprint,
+            [hop.server for hop in hops],
+            in_flight.trial,
         )
+        in_flight.trial = None
         in_flight.stop = self._servers.send(run, listener)
 
     def handle_head(
@@ -607,6 +685,17 @@
         in_flight.lost_runs += int(self._has_lost_engine(in_flight))
         self._retry_or_fail(in_flight, reason, path)
 
+    def may_reroute(self, in_flight: in_flight_module.InFlightRequest) -> bool:
+        """Return whether a run may continue on other engines.
+
+        A request that may have crashed engines would crash the new ones too,
+        and a trial has no other engines reserved.
+        """
+        run = in_flight.run
+        return run is None or (
+            not run.is_on_trial and self._permits.may_reroute(run)
+        )
+
     def _find_retry_path(
         self, in_flight: in_flight_module.InFlightRequest
     ) -> search.Path | None:
@@ -641,10 +730,10 @@
             in_flight.hops, in_flight.request_size.tokens
         )
         in_flight.hops = hops
-        self._end_run(in_flight, crash_detection.RunEnd.LEFT)
-        in_flight.run = self._crashes.begin(
-            in_flight.exchange.fingerprint, [hop.server for hop in hops]
-        )
+        if in_flight.run is not None:
+            in_flight.run = self._permits.reroute(
+                in_flight.run, [hop.server for hop in hops]
+            )
         in_flight.exchange.path = search.describe_path(hops)
         self._reservations.reserve(hops, in_flight.request_size.tokens)
 
@@ -721,7 +810,7 @@
     ) -> None:
         if in_flight.run is not None:
             run, in_flight.run = in_flight.run, None
-            self._crashes.end(run, ending)
+            self._permits.end(run, ending)
 
     def _release(self, in_flight: in_flight_module.InFlightRequest) -> None:
         self._end_run(in_flight, crash_detection.RunEnd.LEFT)
--- a/src/thornspool/domain/quarantine/messages.py
+++ b/src/thornspool/domain/quarantine/messages.py
@@ -74,11 +74,14 @@
     cleared_age_ms : int or None
         Milliseconds since the request last completed; earlier deaths do
         not count.
+    refused_age_ms : int or None
+        Milliseconds since a refusal that extends the verdict.
     """
 
     fingerprint: str
     deaths: tuple[Death, ...]
     cleared_age_ms: int | None = None
+    refused_age_ms: int | None = None
 
 
 @attrs.frozen
--- a/src/thornspool/domain/quarantine/records.py
+++ b/src/thornspool/domain/quarantine/records.py
@@ -11,6 +11,8 @@
 
 from __future__ import annotations
 
+import itertools
+
 import attrs
 import xxhash
 
@@ -28,6 +30,9 @@
 Several entries may observe the same death at different times.
 """
 
+REFUSAL_UPDATE_MS = CONDEMNED_TTL_MS // 4
+"""Interval at which the refusals of a condemned request extend its verdict."""
+
 MAX_RECORDS = 4096
 MAX_DEATHS = 8
 
@@ -47,6 +52,7 @@
 class _Record:
     deaths: tuple[Death, ...]
     cleared_at: int | None = None
+    refused_at: int | None = None
 
 
 class QuarantineRecords:
@@ -56,10 +62,13 @@
     ----------
     incarnation : str
         Incarnation of the local entry.
+    suspect_deaths : int, optional
+        Deaths of targets from which on a request is a suspect.
     """
 
-    def __init__(self, incarnation: str) -> None:
+    def __init__(self, incarnation: str, suspect_deaths: int = 1) -> None:
         self._incarnation = incarnation
+        self._suspect_deaths = suspect_deaths
         self._sequence = 0
         self._records: dict[str, _Record] = {}
         self._index = index.DeathIndex()
@@ -105,14 +114,18 @@
     def record_completion(
         self, fingerprint: str, now: int
     ) -> messages.QuarantineNews | None:
-        """Clear a suspect that completed.
+        """Clear a request that completed of its deaths so far.
 
         Returns
         -------
         QuarantineNews or None
-            State update to broadcast; None if the request was no suspect.
+            State update to broadcast; None if the request has no deaths or
+            is condemned.
         """
-        if not isinstance(self.check(fingerprint, now), messages.Suspect):
+        deaths = self._list_deaths(fingerprint)
+        if not deaths or isinstance(
+            self.check(fingerprint, now), messages.Condemned
+        ):
             return None
         record = attrs.evolve(self._records[fingerprint], cleared_at=now)
         self._records[fingerprint] = record
@@ -124,13 +137,48 @@
         remaining_ms = self._compute_condemned_ms(fingerprint, deaths, now)
         if remaining_ms > 0:
             return messages.Condemned(remaining_ms)
-        for death in deaths:
-            if death.at + SUSPECT_TTL_MS > now and (
-                death.on_trial or not self._is_explained(death, now)
-            ):
-                return messages.Suspect()
+        on_trial = any(
+            one.on_trial and one.at + SUSPECT_TTL_MS > now for one in deaths
+        )
+        if on_trial or (
+            self._count_unexplained(deaths, now) >= self._suspect_deaths
+        ):
+            return messages.Suspect()
         return messages.Clear()
 
+    def count_deaths(self, fingerprint: str, now: int) -> int:
+        """Count the targets that a request may have crashed."""
+        return self._count_unexplained(self._list_deaths(fingerprint), now)
+
+    def _count_unexplained(self, deaths: list[Death], now: int) -> int:
+        return len(
+            {
+                death.target
+                for death in deaths
+                if death.at + SUSPECT_TTL_MS > now
+                and not self._is_explained(death, now)
+            }
+        )
+
+    def record_refusal(
+        self, fingerprint: str, now: int
+    ) -> messages.QuarantineNews | None:
+        """Extend the verdict on a condemned request that came again.
+
+        Returns
+        -------
+        QuarantineNews or None
+            State update to broadcast; None while the last one is recent.
+        """
+        record = self._records.get(fingerprint)
+        if record is None or not any(one.on_trial for one in record.deaths):
+            return None
+        since = max(record.refused_at or 0, record.deaths[-1].at)
+        if now - since < REFUSAL_UPDATE_MS:
+            return None
+        self._records[fingerprint] = attrs.evolve(record, refused_at=now)
+        return self._build_update([fingerprint], now)
+
     @property
     def count(self) -> int:
         """Number of requests that have a record."""
@@ -160,15 +208,22 @@
                 for one in record.deaths
             )
             cleared_at = _subtract(now, record.cleared_age_ms)
-            self._merge(record.fingerprint, _Record(deaths, cleared_at))
+            refused_at = _subtract(now, record.refused_age_ms)
+            self._merge(
+                record.fingerprint, _Record(deaths, cleared_at, refused_at)
+            )
         self._enforce_bound(now)
 
     def describe_latest(
         self, now: int, max_records: int
     ) -> messages.QuarantineNews:
-        """Return the most recent records that have not expired."""
+        """Return the most recent records, and before them those of trials."""
         self._drop_expired(now)
-        return self._build_update(list(self._records)[-max_records:], now)
+        names = sorted(self._records, key=self._has_death_on_trial)
+        return self._build_update(names[-max_records:], now)
+
+    def _has_death_on_trial(self, fingerprint: str) -> bool:
+        return any(one.on_trial for one in self._records[fingerprint].deaths)
 
     def compute_digest(self, now: int) -> int:
         """Hash the records that have not expired.
@@ -201,28 +256,37 @@
         self, fingerprint: str, deaths: list[Death], now: int
     ) -> int:
         """Return how long a request stays condemned; 0 if it is not."""
+        record = self._records.get(fingerprint)
+        refused_at = 0 if record is None else record.refused_at or 0
         for death in reversed(deaths):
             if not death.on_trial or death.at + VERDICT_DELAY_MS > now:
                 continue
-            remaining_ms = death.at + CONDEMNED_TTL_MS - now
+            remaining_ms = max(death.at, refused_at) + CONDEMNED_TTL_MS - now
             if remaining_ms > 0 and not self._is_ambiguous(fingerprint, death):
                 return remaining_ms
         return 0
 
     def _is_ambiguous(self, fingerprint: str, death: Death) -> bool:
-        """Return whether another repeated suspect was at the same death."""
+        """Return whether another suspect was at the same death.
+
+        It was a suspect if it has enough other deaths.
+        """
         return any(
-            _has_this_and_other_death(self._list_deaths(name), death)
+            _has_this_and_other_deaths(
+                self._list_deaths(name), death, self._suspect_deaths
+            )
             for name in self._index.list_repeated(death.target)
             if name != fingerprint
         )
 
     def _is_explained(self, death: Death, now: int) -> bool:
-        """Return whether the trial of a condemned request caused a death."""
-        for name in self._index.list_on_trial(death.target):
+        """Return whether a condemned request was at the same death."""
+        for name in itertools.chain(
+            self._index.list_on_trial(death.target),
+            self._index.list_repeated(death.target),
+        ):
             deaths = self._list_deaths(name)
-            causes = [one for one in deaths if one.on_trial]
-            if any(_is_same_death(one, death) for one in causes) and (
+            if any(_is_same_death(one, death) for one in deaths) and (
                 self._compute_condemned_ms(name, deaths, now) > 0
             ):
                 return True
@@ -233,8 +297,11 @@
         by_id = {(one.reporter, one.sequence): one for one in new.deaths}
         by_id.update({(one.reporter, one.sequence): one for one in old.deaths})
         deaths = sorted(by_id.values(), key=_get_time)[-MAX_DEATHS:]
-        cleared_at = _pick_later(old.cleared_at, new.cleared_at)
-        self._records[fingerprint] = _Record(tuple(deaths), cleared_at)
+        self._records[fingerprint] = _Record(
+            tuple(deaths),
+            _pick_later(old.cleared_at, new.cleared_at),
+            _pick_later(old.refused_at, new.refused_at),
+        )
         self._index.add(fingerprint, deaths)
 
     def _enforce_bound(self, now: int) -> None:
@@ -286,15 +353,22 @@
         expired = [
             name
             for name, record in self._records.items()
-            if not any(_is_live(one, now) for one in record.deaths)
+            if not any(_is_live(record, one, now) for one in record.deaths)
         ]
         for name in expired:
             self._pop(name)
 
 
-def _has_this_and_other_death(deaths: list[Death], death: Death) -> bool:
-    matching = [one for one in deaths if _is_same_death(one, death)]
-    return bool(matching) and len(matching) < len(deaths)
+def _has_this_and_other_deaths(
+    deaths: list[Death], death: Death, other_count: int
+) -> bool:
+    others = {
+        (one.target, one.at // SAME_DEATH_MS)
+        for one in deaths
+        if not _is_same_death(one, death)
+    }
+    has_this = any(_is_same_death(one, death) for one in deaths)
+    return has_this and len(others) >= other_count
 
 
 def _is_same_death(one: Death, other: Death) -> bool:
@@ -302,9 +376,10 @@
     return one.target == other.target and is_close
 
 
-def _is_live(death: Death, now: int) -> bool:
-    ttl_ms = CONDEMNED_TTL_MS if death.on_trial else SUSPECT_TTL_MS
-    return death.at + ttl_ms > now
+def _is_live(record: _Record, death: Death, now: int) -> bool:
+    if not death.on_trial:
+        return death.at + SUSPECT_TTL_MS > now
+    return max(death.at, record.refused_at or 0) + CONDEMNED_TTL_MS > now
 
 
 def _get_time(death: Death) -> int:
@@ -318,7 +393,12 @@
         )
         for one in record.deaths
     )
-    return messages.Record(name, deaths, _subtract(now, record.cleared_at))
+    return messages.Record(
+        name,
+        deaths,
+        _subtract(now, record.cleared_at),
+        _subtract(now, record.refused_at),
+    )
 
 
 def _subtract(now: int, other: int | None) -> int | None:
--- a/src/thornspool/platform/daemon.py
+++ b/src/thornspool/platform/daemon.py
@@ -19,10 +19,12 @@
 from thornspool import metrics as metrics_module
 from thornspool.adapters import servers as listeners
 from thornspool.adapters import transfers
+from thornspool.application import quarantine
 from thornspool.application.routing import calls
 from thornspool.application.routing import crash_detection
 from thornspool.application.routing import failure_detection
 from thornspool.application.routing import intake as intake_module
+from thornspool.application.routing import members
 from thornspool.application.routing import membership
 from thornspool.application.routing import path_finding
 from thornspool.application.routing import placement
@@ -31,6 +33,7 @@
 from thornspool.application.routing import (
     routing_state as routing_state_module,
 )
+from thornspool.application.routing import run_permits
 from thornspool.application.routing import server_limits
 from thornspool.application.routing import streams
 from thornspool.domain.entries import leadership
@@ -42,6 +45,7 @@
 from thornspool.platform import callers
 from thornspool.platform import engines
 from thornspool.platform import follower
+from thornspool.platform import peer_calls
 from thornspool.platform import peers
 from thornspool.platform import registry
 from thornspool.platform import settings as settings_module
@@ -226,6 +230,7 @@
         )
         self._listen()
         self._run(self._follower.run())
+        self._run(self._run_quarantine())
         self._run_periodically(REGISTRATION_INTERVAL_MS, self._register)
         self._run_periodically(FAST_TICK_INTERVAL_MS, self._tick_quickly)
         self._run_periodically(DETECTION_INTERVAL_MS, self._detect)
@@ -329,6 +334,19 @@
             self._apply_state_update,
             self._follower.apply_change_set,
             lambda message: self._server_limits.apply_message(message),
+            lambda call, address: self._peer_calls.receive(call, address),
+        )
+        self._peer_calls = peer_calls.PeerCalls(
+            local_record.incarnation, self._peer_socket.send_call, self._run
+        )
+        self._quarantine = quarantine.QuarantineService(
+            members.RegisteredMembers(clock, self._view),
+            local_record.incarnation,
+            self._peer_calls,
+            clock,
+            self._random.random,
+            run_permits.SUSPECT_DEATHS,
+            run_permits.MAX_SYNC_RECORDS,
         )
         self._server_limits = server_limits.ServerLimits(
             clock,
@@ -374,6 +392,9 @@
             self._server_limits.try_acquire,
             self._run,
         )
+        permits = run_permits.RunPermits(
+            self._quarantine, self._crashes, self._run
+        )
         self._streams = streams.StreamService(
             clock,
             self._routing_state,
@@ -386,7 +407,7 @@
                 settings.failure_domain,
                 self._random,
             ),
-            self._crashes,
+            permits,
             held_reservations,
             servers,
             budget,
@@ -396,7 +417,7 @@
             clock,
             self._routing_state,
             self._server_limits,
-            self._crashes,
+            permits,
             servers,
             budget,
             settings.failure_domain,
@@ -446,6 +467,7 @@
                 self._intake,
                 self._server_limits,
                 self._crashes,
+                self._quarantine,
             ),
         )
 
@@ -515,6 +537,12 @@
         body, content_type = self._metrics.render()
         return 200, body, content_type
 
+    async def _run_quarantine(self) -> None:
+        """Fetch the records of the quarantine once peers are known."""
+        while not self._view.peers:
+            await asyncio.sleep(FAST_TICK_INTERVAL_MS / _MS_PER_S)
+        await self._quarantine.run()
+
     async def _register(self) -> None:
         await self._registration.tick()
 
--- a/src/thornspool/platform/peers.py
+++ b/src/thornspool/platform/peers.py
@@ -19,6 +19,7 @@
 from thornspool.domain.fleet import named_limits
 from thornspool.domain.limits import messages as limit_messages
 from thornspool.platform import follower
+from thornspool.platform import peer_calls
 from thornspool.platform import store
 
 if typing.TYPE_CHECKING:
@@ -102,10 +103,20 @@
     grants: list[limit_messages.PackedGrant]
 
 
+class _Call(msgspec.Struct, array_like=True, tag=4):
+    # Number of the kind of message, see peer_calls.
+    kind: int
+    sender: str
+    # Matches replies with requests; 0 for a message without a reply.
+    sequence: int
+    is_reply: bool
+    body: bytes
+
+
 _ChangedItems = list[tuple[str, int, bytes | None]]
 
 _DECODER = msgspec.msgpack.Decoder(
-    _StateUpdate | _ChangeSet | _LimitReport | _LimitReply
+    _StateUpdate | _ChangeSet | _LimitReport | _LimitReply | _Call
 )
 
 Message = (
@@ -113,6 +124,7 @@
     | follower.ChangeSet
     | limit_messages.PeerReport
     | limit_messages.PeerReply
+    | peer_calls.Call
 )
 
 
@@ -215,6 +227,14 @@
                 ),
                 message.limits,
             )
+        if isinstance(message, _Call):
+            return peer_calls.Call(
+                message.kind,
+                message.sender,
+                message.sequence,
+                message.is_reply,
+                message.body,
+            )
         if isinstance(message, _LimitReply):
             return limit_messages.PeerReply(
                 message.host,
@@ -291,6 +311,8 @@
         Called with each change set that is received.
     on_limit_message : callable
         Called with each report or reply about the limits of servers.
+    on_call : callable
+        Called with each other message, and the ``ip:port`` of its sender.
     """
 
     def __init__(
@@ -300,10 +322,12 @@
         on_limit_message: Callable[
             [limit_messages.PeerReport | limit_messages.PeerReply], None
         ],
+        on_call: Callable[[peer_calls.Call, str], None],
     ) -> None:
         self._on_state_update = on_state_update
         self._on_change_set = on_change_set
         self._on_limit_message = on_limit_message
+        self._on_call = on_call
         self._transport: asyncio.DatagramTransport | None = None
 
     async def open(self, ip: str, port: int) -> None:
@@ -317,13 +341,15 @@
         """Store the transport of the bound socket."""
         self._transport = typing.cast(asyncio.DatagramTransport, transport)
 
-    def datagram_received(self, data: bytes, addr: object) -> None:
+    def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
         """Decode one datagram and call its handler."""
         message = decode_datagram(data)
         if isinstance(message, messages.StateUpdate):
             self._on_state_update(message)
         elif isinstance(message, follower.ChangeSet):
             self._on_change_set(message)
+        elif isinstance(message, peer_calls.Call):
+            self._on_call(message, f'{addr[0]}:{addr[1]}')
         elif message is not None:
             self._on_limit_message(message)
 
@@ -347,6 +373,18 @@
         """Send a report or a reply about limits to ``ip:port``."""
         self._send_raw(address, encode_limit_message(message))
 
+    def send_call(self, address: str, call: peer_calls.Call) -> None:
+        """Send a request, a reply or another message to ``ip:port``."""
+        raw = msgspec.msgpack.encode(
+            _Call(
+                call.kind, call.sender, call.sequence, call.is_reply, call.body
+            )
+        )
+        if len(raw) > MAX_DATAGRAM_BYTES:
+            logger.warning('news_too_large', bytes=len(raw))
+            return
+        self._send_raw(address, raw)
+
     def send_change_set(
         self, addresses: Iterable[str], change_set: follower.ChangeSet
     ) -> None:
--- a/src/thornspool/platform/state_metrics.py
+++ b/src/thornspool/platform/state_metrics.py
@@ -8,6 +8,7 @@
 import attrs
 
 from thornspool import metrics as metrics_module
+from thornspool import state_metrics as common_metrics
 from thornspool.domain.entries import messages
 from thornspool.domain.placement import orders as orders_module
 from thornspool.platform import store
@@ -17,6 +18,7 @@
     from collections.abc import Iterable
 
     from thornspool import clock as clock_module
+    from thornspool.application import quarantine as quarantine_module
     from thornspool.application.routing import (
         crash_detection as crash_detection_module,
     )
@@ -55,6 +57,7 @@
     intake: intake_module.Intake
     server_limits: server_limits_module.ServerLimits
     crashes: crash_detection_module.CrashDetector
+    quarantine: quarantine_module.QuarantineService
 
 
 def add_entry_metrics(
@@ -64,6 +67,7 @@
     _add_entry(metrics, sources)
     _add_store(metrics, sources)
     _add_engines(metrics, sources)
+    common_metrics.add_quarantine_metrics(metrics, sources.quarantine)
 
 
 def _add_entry(
--- a/src/thornspool/state_metrics.py
+++ b/src/thornspool/state_metrics.py
@@ -16,6 +16,7 @@
     from thornspool import clock as clock_module
     from thornspool import composition
     from thornspool.adapters.peers import traffic as traffic_module
+    from thornspool.application import quarantine as quarantine_module
 
 _MS_PER_S = 1000
 
@@ -125,6 +126,14 @@
         'Attempts and records of actions that are not settled.',
         metrics_module.make_sample_reader(lambda: services.actions.open_count),
     )
+    add_quarantine_metrics(metrics, services.quarantine)
+
+
+def add_quarantine_metrics(
+    metrics: metrics_module.Metrics,
+    quarantine: quarantine_module.QuarantineService,
+) -> None:
+    """Add the verdicts and the records of the quarantine."""
     # The quarantine counts its verdicts as it returns them. Computing all
     # verdicts at each scrape would block the event loop, since each one
     # compares all records.
@@ -132,15 +141,13 @@
         'thornspool_quarantine_verdicts_total',
         'Verdicts on whether requests may run.',
         lambda: metrics_module.list_samples_by_label(
-            'verdict', services.quarantine.verdicts
+            'verdict', quarantine.verdicts
         ),
     )
     metrics.add_gauge(
         'thornspool_quarantine_records',
         'Requests that were in flight on a target that died.',
-        metrics_module.make_sample_reader(
-            lambda: services.quarantine.record_count
-        ),
+        metrics_module.make_sample_reader(lambda: quarantine.record_count),
     )
 
 
--- a/standins/kv_fleet.py
+++ b/standins/kv_fleet.py
@@ -11,7 +11,9 @@
 null ends it) or ``{"rest": ID, "host": HOST, "seconds": NUMBER, "for_s":
 NUMBER}`` (the server turns the host away and asks it for rest) or ``{"leave":
 ID}`` (the server states in its responses that it leaves; its store entry stays
-as it is).
+as it is) or ``{"crash_on": TEXT}`` (a request with the text in its body
+crashes each server that runs it; a new one starts at its address after a
+while).
 ``GET /control`` returns what the servers ran, which layers they hold, and with
 ``?log=1`` what arrived at them and what they answered.
 
@@ -48,6 +50,7 @@
 EVENTS = 40
 _LAYER_MB = 1000.0
 _HEARTBEAT_INTERVAL_MS = 1200
+RESTART_S = 2.0
 
 
 @attrs.define(eq=False)
@@ -138,6 +141,7 @@
         self.runs: collections.Counter[str] = collections.Counter()
         self.wrong_paths = 0
         self.lose_answers = 0
+        self.crash_on = ''
         self.log: list[dict[str, typing.Any]] = []
 
     def find_by_address(self, address: str) -> Server | None:
@@ -234,6 +238,27 @@
             self.set_header('At-Server', fault)
         self.finish()
 
+    async def crash_if_told(self) -> bool:
+        """Crash the server if it may not survive this request.
+
+        Returns
+        -------
+        bool
+            Whether the server has crashed.
+        """
+        text = self.fleet.crash_on
+        if not text or text.encode() not in self.request.body:
+            return False
+        await self.flush()
+        await asyncio.sleep(STEP_S)
+        if self.server.is_alive:
+            self.record('crash', content=text)
+            await stop_server(self.server)
+            asyncio.get_running_loop().call_later(
+                RESTART_S, restart_server, self.fleet, self.server
+            )
+        return True
+
     def add_response_headers(self) -> None:
         """Set the headers that a server adds to its responses."""
         self.state_condition()
@@ -301,6 +326,8 @@
         first = int(self.request.headers.get('Last-Event-Id', -1)) + 1
         self.add_response_headers()
         self.set_header('Content-Type', 'text/event-stream')
+        if await self.crash_if_told():
+            return
         for index in range(first, EVENTS):
             await asyncio.sleep(STEP_S)
             dead_server = next(
@@ -355,6 +382,8 @@
 
     async def _run(self) -> None:
         self.fleet.runs[self.request.headers['Attempt-Id']] += 1
+        if await self.crash_if_told():
+            return
         await asyncio.sleep(STEP_S)
         if self.fleet.lose_answers > 0:
             self.fleet.lose_answers -= 1
@@ -391,11 +420,7 @@
         """Apply the commands of a test."""
         commands = json.loads(self.request.body)
         if 'kill' in commands:
-            server = self.fleet.servers[commands['kill']]
-            server.is_alive = False
-            assert server.listener is not None
-            server.listener.stop()
-            await server.listener.close_all_connections()
+            await stop_server(self.fleet.servers[commands['kill']])
         if 'drain' in commands:
             server = self.fleet.servers[commands['drain']]
             server.state = 'draining'
@@ -404,6 +429,7 @@
             name = commands['add']
             domain = name.split('-')[0]
             start_server(self.fleet, Server(name, MODEL_SERVICE, domain))
+        self.fleet.crash_on = commands.get('crash_on', self.fleet.crash_on)
         self._set_conditions(commands)
         if 'put' in commands:
             self.fleet.put(commands['put'], commands['document'])
@@ -425,8 +451,26 @@
             server.rests[commands['host']] = (until, commands['seconds'])
 
 
-def start_server(fleet: Fleet, server: Server) -> None:
-    """Start a server on a free port and register it in the store."""
+async def stop_server(server: Server) -> None:
+    """Stop a server without notice; its store entry remains."""
+    server.is_alive = False
+    assert server.listener is not None
+    server.listener.stop()
+    await server.listener.close_all_connections()
+
+
+def restart_server(fleet: Fleet, server: Server) -> None:
+    """Start a new server at the address of one that has crashed."""
+    del fleet.servers[server.id]
+    fleet.delete(f'servers/{server.id}')
+    port = int(server.address.rpartition(':')[2])
+    start_server(
+        fleet, Server(f'{server.id}x', server.service, server.domain), port
+    )
+
+
+def start_server(fleet: Fleet, server: Server, port: int = 0) -> None:
+    """Start a server, on a free port by default, and register it."""
     shared = {'fleet': fleet, 'server': server}
     is_plain = server.service == PLAIN_SERVICE
     handler = PlainHandler if is_plain else StreamHandler
@@ -438,7 +482,7 @@
         ],
         log_function=lambda handler: None,
     )
-    sockets = netutil.bind_sockets(0, common.LOOPBACK)
+    sockets = netutil.bind_sockets(port, common.LOOPBACK)
     server.address = f'{common.LOOPBACK}:{sockets[0].getsockname()[1]}'
     server.started_at_ms = time.time_ns() // 1_000_000
     server.listener = httpserver.HTTPServer(application)
--- a/tests/application/routing/builders.py
+++ b/tests/application/routing/builders.py
@@ -11,22 +11,26 @@
 from tests import builders as common
 from tests.domain.fleet import builders as fleet_builders
 from thornspool import metrics
+from thornspool.application import quarantine
 from thornspool.application.routing import calls
 from thornspool.application.routing import crash_detection
 from thornspool.application.routing import failure_detection
 from thornspool.application.routing import intake
+from thornspool.application.routing import members
 from thornspool.application.routing import path_finding
 from thornspool.application.routing import ports
 from thornspool.application.routing import retry_pools
 from thornspool.application.routing import (
     routing_state as routing_state_module,
 )
+from thornspool.application.routing import run_permits
 from thornspool.application.routing import server_limits
 from thornspool.application.routing import streams
 from thornspool.domain.entries import messages as entries
 from thornspool.domain.entries import view as view_module
 from thornspool.domain.paths import reservations
 from thornspool.domain.routing import messages as routing
+from thornspool.platform import peer_calls
 
 HOST = 'desk.example'
 
@@ -130,6 +134,21 @@
     )
 
 
+def build_quarantine(clock):
+    """Build the quarantine of the only entry of a fleet."""
+    record = build_record()
+    return quarantine.QuarantineService(
+        members.RegisteredMembers(clock, view_module.View(record)),
+        record.incarnation,
+        peer_calls.PeerCalls(
+            record.incarnation, lambda address, call: None, start_task
+        ),
+        clock,
+        random.Random(1).random,
+        run_permits.SUSPECT_DEATHS,
+    )
+
+
 class FakeResponseWriter:
     """Records the answer that a caller receives."""
 
@@ -293,6 +312,10 @@
             self.limits.try_acquire,
             start_task,
         )
+        self.quarantine = build_quarantine(self.clock)
+        self.permits = run_permits.RunPermits(
+            self.quarantine, self.crashes, start_task
+        )
         source = random.Random(1)
         self.streams = streams.StreamService(
             *common_arguments,
@@ -304,7 +327,7 @@
                 'a',
                 source,
             ),
-            self.crashes,
+            self.permits,
             self.reserved,
             self.servers,
             self.budget,
@@ -313,7 +336,7 @@
         self.calls = calls.CallService(
             *common_arguments,
             self.limits,
-            self.crashes,
+            self.permits,
             self.servers,
             self.budget,
             'a',
--- a/tests/application/routing/test_crash_detection.py
+++ b/tests/application/routing/test_crash_detection.py
@@ -24,7 +24,9 @@
             self.world.servers,
             lambda server_id: True,
             builders.start_task,
-            lambda server, names: self.crashed.append((server.id, set(names))),
+        )
+        self.detector.set_crash_handler(
+            lambda server, names: self.crashed.append((server.id, set(names)))
         )
         self.server = self.world.routing_state.servers['a-90']
 
--- a/tests/engine_rules.py
+++ b/tests/engine_rules.py
@@ -81,7 +81,7 @@
         common = (line['at_ms'], line['server'], line['host'])
         if line['event'] == 'arrival':
             arrivals.append(Arrival(*common, line['kind'], line['attempt']))
-        else:
+        elif line['event'] == 'answer':
             answers.append(
                 Answer(
                     *common,
@@ -93,6 +93,15 @@
     return arrivals, answers
 
 
+def read_crashes(lines: Iterable[dict[str, typing.Any]]) -> list[Crash]:
+    """Read the ends of servers under requests from the log of the servers."""
+    return [
+        Crash(line['at_ms'], line['server'], line['content'])
+        for line in lines
+        if line['event'] == 'crash'
+    ]
+
+
 def find_limit_violations(
     arrivals: Sequence[Arrival],
     answers: Sequence[Answer],
--- a/tests/platform/deployment.py
+++ b/tests/platform/deployment.py
@@ -134,6 +134,7 @@
         number: int | str,
         key: str = kv_fleet.KEY,
         host: str = '',
+        body: bytes = b'{}',
         **headers: str,
     ) -> Response:
         """Send a request and read its response to the end.
@@ -153,7 +154,7 @@
             **headers,
         }
         try:
-            connection.request(method, path, b'{}', sent)
+            connection.request(method, path, body, sent)
             response = connection.getresponse()
             try:
                 body, complete = response.read(), True
--- a/tests/simulation/world.py
+++ b/tests/simulation/world.py
@@ -12,10 +12,12 @@
 from tests.simulation import engines as engines_module
 from tests.simulation import loops
 from thornspool import metrics
+from thornspool.application import quarantine
 from thornspool.application.routing import calls
 from thornspool.application.routing import crash_detection
 from thornspool.application.routing import failure_detection
 from thornspool.application.routing import intake
+from thornspool.application.routing import members
 from thornspool.application.routing import membership
 from thornspool.application.routing import path_finding
 from thornspool.application.routing import placement
@@ -23,6 +25,7 @@
 from thornspool.application.routing import (
     routing_state as routing_state_module,
 )
+from thornspool.application.routing import run_permits
 from thornspool.application.routing import server_limits
 from thornspool.application.routing import streams
 from thornspool.domain.entries import messages
@@ -32,6 +35,7 @@
 from thornspool.domain.placement import orders as orders_module
 from thornspool.domain.placement import planning
 from thornspool.domain.routing import messages as routing
+from thornspool.platform import peer_calls
 
 FAST_TICK_MS = 25
 """Interval of starting, timing out and watching streams."""
@@ -155,6 +159,23 @@
             self.limits.try_acquire,
             world.engines.start_task,
         )
+        self.calls_to_peers = peer_calls.PeerCalls(
+            self.view.local.incarnation,
+            self.send_call,
+            world.engines.start_task,
+        )
+        self.quarantine = quarantine.QuarantineService(
+            members.RegisteredMembers(clock, self.view),
+            self.view.local.incarnation,
+            self.calls_to_peers,
+            clock,
+            randomness.random,
+            run_permits.SUSPECT_DEATHS,
+            run_permits.MAX_SYNC_RECORDS,
+        )
+        permits = run_permits.RunPermits(
+            self.quarantine, self.crashes, world.engines.start_task
+        )
         self.streams = streams.StreamService(
             clock,
             self.routing_state,
@@ -167,7 +188,7 @@
                 domain,
                 randomness,
             ),
-            self.crashes,
+            permits,
             reserved,
             servers,
             self.budget,
@@ -177,7 +198,7 @@
             clock,
             self.routing_state,
             self.limits,
-            self.crashes,
+            permits,
             servers,
             self.budget,
             domain,
@@ -218,6 +239,14 @@
             self, address, Entry.receive_limit_message, message
         )
 
+    def send_call(self, address, call):
+        self._world.deliver(
+            self, address, Entry.receive_call, (call, self.view.local.peers)
+        )
+
+    def receive_call(self, message):
+        self.calls_to_peers.receive(*message)
+
     def run_fast_tick(self):
         self.streams.tick()
         self.failure_detector.check_idle_streams()
@@ -395,6 +424,7 @@
         )
 
     def _start_entry(self, entry, randomness):
+        self.engines.start_task(entry.quarantine.run())
         for interval_ms, tick in (
             (FAST_TICK_MS, entry.run_fast_tick),
             (DETECTION_TICK_MS, entry.run_detection_tick),
