Keep the verdicts on requests that crash servers in the store

Callers saw such a request crash servers again after all entries had lost power at once: the records of the quarantine were in memory alone, and an entry that joined had them only once a peer had answered.

The first entry that refuses a condemned request writes a key for it to the store.

--- a/src/thornspool/application/quarantine.py
+++ b/src/thornspool/application/quarantine.py
@@ -109,6 +109,14 @@
         """Count the targets that a request may have crashed."""
         return self._records.count_deaths(fingerprint, self._clock.now())
 
+    def condemn(self, fingerprint: str) -> None:
+        """Apply a verdict that was kept since an earlier time."""
+        self._records.condemn(fingerprint, self._clock.now())
+
+    def forget(self, fingerprint: str) -> None:
+        """Drop the record of a request at this entry."""
+        self._records.forget(fingerprint)
+
     def record_refusal(self, fingerprint: str) -> None:
         """Record that a condemned request came again and was refused."""
         update = self._records.record_refusal(fingerprint, self._clock.now())
--- a/src/thornspool/application/routing/run_permits.py
+++ b/src/thornspool/application/routing/run_permits.py
@@ -71,6 +71,8 @@
         Detects servers that end while they run requests.
     start_task : callable
         Runs a coroutine as a background task.
+    keep_verdict : callable, optional
+        Called with the fingerprint of each request that is denied.
     """
 
     def __init__(
@@ -78,10 +80,12 @@
         quarantine: quarantine_module.QuarantineService,
         crashes: crash_detection.CrashDetector,
         start_task: Callable[[Coroutine[typing.Any, typing.Any, None]], None],
+        keep_verdict: Callable[[str], None] = lambda fingerprint: None,
     ) -> None:
         self._quarantine = quarantine
         self._crashes = crashes
         self._start_task = start_task
+        self._keep_verdict = keep_verdict
         crashes.set_crash_handler(self._handle_crash)
 
     def check(self, fingerprint: str) -> Permit:
@@ -89,6 +93,7 @@
         verdict = self._quarantine.check(fingerprint)
         if isinstance(verdict, messages.Condemned):
             self._quarantine.record_refusal(fingerprint)
+            self._keep_verdict(fingerprint)
             return Permit.DENIED
         if isinstance(verdict, messages.Suspect):
             return Permit.ON_TRIAL
--- a/src/thornspool/domain/quarantine/records.py
+++ b/src/thornspool/domain/quarantine/records.py
@@ -37,6 +37,9 @@
 MAX_DEATHS = 8
 
 
+_KEPT_REPORTER = 'kept'
+
+
 @attrs.frozen
 class Death:
     """A death as stored locally; ``at`` is by the local monotonic clock."""
@@ -160,6 +163,22 @@
             }
         )
 
+    def condemn(self, fingerprint: str, now: int) -> None:
+        """Apply a verdict that was kept since an earlier time."""
+        death = Death(
+            f'kept {fingerprint}',
+            _KEPT_REPORTER,
+            0,
+            on_trial=True,
+            at=now - VERDICT_DELAY_MS,
+        )
+        self._merge(fingerprint, _Record((death,)))
+        self._enforce_bound(now)
+
+    def forget(self, fingerprint: str) -> None:
+        """Drop the record of a request."""
+        self._pop(fingerprint)
+
     def record_refusal(
         self, fingerprint: str, now: int
     ) -> messages.QuarantineNews | None:
--- a/src/thornspool/platform/daemon.py
+++ b/src/thornspool/platform/daemon.py
@@ -35,6 +35,7 @@
 )
 from thornspool.application.routing import run_permits
 from thornspool.application.routing import server_limits
+from thornspool.application.routing import stored_verdicts
 from thornspool.application.routing import streams
 from thornspool.domain.entries import leadership
 from thornspool.domain.entries import messages
@@ -232,6 +233,7 @@
         self._run(self._follower.run())
         self._run(self._run_quarantine())
         self._run_periodically(REGISTRATION_INTERVAL_MS, self._register)
+        self._run_periodically(REGISTRATION_INTERVAL_MS, self._keep_verdicts)
         self._run_periodically(FAST_TICK_INTERVAL_MS, self._tick_quickly)
         self._run_periodically(DETECTION_INTERVAL_MS, self._detect)
         self._run_periodically(STATE_UPDATE_INTERVAL_MS, self._send_updates)
@@ -310,6 +312,13 @@
         )
         self._view = view_module.View(local_record)
         self._leadership = leadership.Leadership(local_record.incarnation)
+        self._peer_socket = peers.PeerSocket(
+            self._apply_state_update,
+            lambda change_set: self._follower.apply_change_set(change_set),
+            lambda message: self._server_limits.apply_message(message),
+            lambda call, address: self._peer_calls.receive(call, address),
+        )
+        self._build_quarantine(local_record.incarnation)
         self._follower = follower.Follower(
             clock,
             store,
@@ -328,26 +337,9 @@
                 lambda: self._membership.hand_over_collecting(),
                 self._random.random,
             ),
+            self._verdicts,
         )
         held_reservations = reservations.Reservations()
-        self._peer_socket = peers.PeerSocket(
-            self._apply_state_update,
-            self._follower.apply_change_set,
-            lambda message: self._server_limits.apply_message(message),
-            lambda call, address: self._peer_calls.receive(call, address),
-        )
-        self._peer_calls = peer_calls.PeerCalls(
-            local_record.incarnation, self._peer_socket.send_call, self._run
-        )
-        self._quarantine = quarantine.QuarantineService(
-            members.RegisteredMembers(clock, self._view),
-            local_record.incarnation,
-            self._peer_calls,
-            clock,
-            self._random.random,
-            run_permits.SUSPECT_DEATHS,
-            run_permits.MAX_SYNC_RECORDS,
-        )
         self._server_limits = server_limits.ServerLimits(
             clock,
             self._routing_state,
@@ -393,7 +385,7 @@
             self._run,
         )
         permits = run_permits.RunPermits(
-            self._quarantine, self._crashes, self._run
+            self._quarantine, self._crashes, self._run, self._verdicts.keep
         )
         self._streams = streams.StreamService(
             clock,
@@ -471,6 +463,23 @@
             ),
         )
 
+    def _build_quarantine(self, incarnation: str) -> None:
+        self._peer_calls = peer_calls.PeerCalls(
+            incarnation, self._peer_socket.send_call, self._run
+        )
+        self._quarantine = quarantine.QuarantineService(
+            members.RegisteredMembers(self._clock, self._view),
+            incarnation,
+            self._peer_calls,
+            self._clock,
+            self._random.random,
+            run_permits.SUSPECT_DEATHS,
+            run_permits.MAX_SYNC_RECORDS,
+        )
+        self._verdicts = stored_verdicts.StoredVerdicts(
+            self._quarantine, registry.Registry(self._store)
+        )
+
     def _apply_state_update(self, state_update: messages.StateUpdate) -> None:
         """Apply a peer's state update; reroute streams from its suspects."""
         self._membership.apply_update(state_update)
@@ -546,6 +555,9 @@
     async def _register(self) -> None:
         await self._registration.tick()
 
+    async def _keep_verdicts(self) -> None:
+        await self._verdicts.tick()
+
     async def _tick_quickly(self) -> None:
         self._streams.tick()
         self._calls.tick()
--- a/src/thornspool/platform/follower.py
+++ b/src/thornspool/platform/follower.py
@@ -21,6 +21,7 @@
     from thornspool.application.routing import (
         routing_state as routing_state_module,
     )
+    from thornspool.application.routing import stored_verdicts
     from thornspool.domain.entries import leadership as leadership_module
     from thornspool.domain.entries import view as view_module
 
@@ -213,6 +214,8 @@
         Wait of a watch, in milliseconds.
     coordination : Coordination, optional
         Callbacks for sharing store calls.
+    verdicts : stored_verdicts.StoredVerdicts, optional
+        Receives the verdicts on requests that crash servers.
 
     Attributes
     ----------
@@ -232,6 +235,7 @@
         leadership: leadership_module.Leadership,
         watch_ms: int = MAX_WATCH_MS,
         coordination: Coordination | None = None,
+        verdicts: stored_verdicts.StoredVerdicts | None = None,
     ) -> None:
         self._clock = clock
         self._store = store
@@ -247,6 +251,7 @@
         )
         self._watch_ms = watch_ms
         self._coordination = coordination or Coordination()
+        self._verdicts = verdicts
         self._sends_feed = False
         self._received_feed = False
         self._reachable = False
@@ -494,6 +499,8 @@
             self._leadership.apply_holder(
                 registry.decode_leader(value, revision), now
             )
+        elif key.startswith(registry.VERDICTS_PREFIX) and self._verdicts:
+            self._verdicts.apply(key.removeprefix(registry.VERDICTS_PREFIX))
 
     def _apply_configuration(self, value: bytes) -> None:
         try:
@@ -515,6 +522,8 @@
             self._view.remove(key.removeprefix(registry.ENTRIES_PREFIX))
         elif key == registry.LEADER_KEY:
             self._leadership.apply_holder(None, now)
+        elif key.startswith(registry.VERDICTS_PREFIX) and self._verdicts:
+            self._verdicts.remove(key.removeprefix(registry.VERDICTS_PREFIX))
 
     def _record_reachable(self, reachable: bool, reason: str) -> None:
         if reachable is not self._reachable:
--- a/src/thornspool/platform/registry.py
+++ b/src/thornspool/platform/registry.py
@@ -16,10 +16,12 @@
 
 if typing.TYPE_CHECKING:
     from collections.abc import Iterator
+    from collections.abc import Sequence
 
 PREFIX = 'thornspool/'
 ENTRIES_PREFIX = PREFIX + 'entries/'
 LEADER_KEY = PREFIX + 'lead'
+VERDICTS_PREFIX = PREFIX + 'quarantine/'
 
 logger = structlog.get_logger(__name__)
 
@@ -72,6 +74,18 @@
         with _translate_errors():
             return await self._store.write({LEADER_KEY: revision}, [put])
 
+    async def keep_verdict(
+        self, fingerprint: str, surplus: Sequence[str]
+    ) -> None:
+        """Write the verdict on a request, and delete surplus ones."""
+        key = VERDICTS_PREFIX + fingerprint
+        with _translate_errors():
+            await self._store.write(
+                {key: 0},
+                [store_module.Put(key, b'{}')],
+                [VERDICTS_PREFIX + name for name in surplus],
+            )
+
     async def release_leadership(self, revision: int) -> None:
         """Delete the leader key if its revision is unchanged."""
         with _translate_errors():
--- a/tests/platform/test_crashes.py
+++ b/tests/platform/test_crashes.py
@@ -61,7 +61,7 @@
                     host=name,
                     body=b'%d' % number,
                 )
-                statuses.append((response.status, response.headers))
+                statuses.append(response.status)
             time.sleep(0.1)
         return statuses
 
@@ -86,11 +86,29 @@
                 arrivals, crashes, self.attempts, CONTACT_MS
             ),
         )
+        self.check_refused_by_all(path)
+        self.assertEqual([200] * 10, statuses[-10:])
+        self.restart_all()
+        self.check_refused_by_all(path)
+        log = self.deployment.read_fleet(log=True)['log']
+        self.assertEqual(crashes, engine_rules.read_crashes(log))
+
+    def check_refused_by_all(self, path):
         for name in self.entries:
             status, took_s = self.send(name, path, CONTENT.encode())
             self.assertEqual(503, status)
             self.assertLess(took_s, 0.5)
-        self.assertEqual([200] * 10, [one[0] for one in statuses[-10:]])
+
+    def restart_all(self):
+        """Kill all entries at the same moment and start them again."""
+        for entry in self.entries.values():
+            entry.popen.kill()
+        for entry in self.entries.values():
+            entry.popen.wait()
+            self.deployment.restart(entry)
+        deployment.wait_until(
+            lambda: all(entry.is_ready() for entry in self.entries.values())
+        )
 
     def test_model_request_that_crashes_engines_is_refused(self):
         """Guards against a request that comes again and crashes engines."""
