--- a/standins/kv_fleet.py
+++ b/standins/kv_fleet.py
@@ -412,6 +412,10 @@
                     for name, server in self.fleet.servers.items()
                     if server.is_alive and server.service == MODEL_SERVICE
                 },
+                'records': {
+                    name: server.describe()
+                    for name, server in self.fleet.servers.items()
+                },
                 'log': self.fleet.log if self.get_arguments('log') else [],
             }
         )
