Keep a departure until a record shows a later start of the server

Callers' requests went to a plain server that had said that it leaves, once its record in the list lacked its start or named an earlier one: 63 requests, the first 4.41 s after the statement.

Cause: a departure was kept by id and start, and a record with any other start counted as a new process. Records may come late, and other writers may leave fields out, so that only a later start shows a restart.

Where a departure was read while the record lacked the start, the first start that is listed belongs to it.

--- a/src/thornspool/domain/fleet/departures.py
+++ b/src/thornspool/domain/fleet/departures.py
@@ -2,7 +2,9 @@
 
 A server says so in all its responses; its record in the list may show it late
 or never. Once an entry has read such a response, the server stays excluded
-until its process ends, and the entry reports it to the others.
+until its process ends, and the entry reports it to the others. Only a record
+with a later start shows that the process has ended: records may come late, and
+records of other writers may lack the start.
 """
 
 from __future__ import annotations
@@ -53,6 +55,7 @@
 
     has_unsent: bool = False
     _departures: dict[int, Departure] = attrs.field(factory=dict)
+    _last_runs: dict[str, messages.Server] = attrs.field(factory=dict)
 
     def record(self, server: messages.Server, now: int) -> bool:
         """Record that a server leaves.
@@ -69,13 +72,16 @@
         bool
             Whether this was not known.
         """
-        run_hash = compute_run_hash(server)
-        if run_hash in self._departures:
+        if self.get_since(server) is not None:
             return False
-        self._departures[run_hash] = Departure(now, now)
-        self.has_unsent = True
+        self._add(server, Departure(now, now))
         return True
 
+    def _add(self, server: messages.Server, departure: Departure) -> None:
+        self._departures[compute_run_hash(server)] = departure
+        self._last_runs[server.id] = server
+        self.has_unsent = True
+
     def record_reported(self, reported: Iterable[int], now: int) -> set[int]:
         """Record departures that a peer reports; return the new ones."""
         new = set(reported) - set(self._departures)
@@ -87,9 +93,25 @@
         """Return since when a server leaves; None if it does not."""
         if not self._departures:
             return None
-        departure = self._departures.get(compute_run_hash(server))
+        departure = self._find(server)
         return None if departure is None else departure.since
 
+    def _find(self, server: messages.Server) -> Departure | None:
+        """Find the departure of a server by its record."""
+        last_run = self._last_runs.get(server.id)
+        departure = self._departures.get(compute_run_hash(server))
+        if departure is not None:
+            if last_run is None or _is_later(server, last_run):
+                self._last_runs[server.id] = server
+            return departure
+        if last_run is None or _is_later(server, last_run):
+            return None
+        departure = self._departures.get(compute_run_hash(last_run))
+        if departure is not None and last_run.started_at is None:
+            # The first start that is known belongs to the leaving process.
+            self._add(server, departure)
+        return departure
+
     def list_announced(self) -> tuple[int, ...]:
         """List the departures that are reported to peers."""
         return tuple(self._departures)
@@ -99,7 +121,7 @@
         if not self._departures:
             return
         for server in listed:
-            departure = self._departures.get(compute_run_hash(server))
+            departure = self._find(server)
             if departure is not None:
                 departure.listed_at = now
         self._departures = {
@@ -107,6 +129,20 @@
             for run_hash, departure in self._departures.items()
             if now - departure.listed_at <= RETENTION_MS
         }
+        self._last_runs = {
+            name: server
+            for name, server in self._last_runs.items()
+            if compute_run_hash(server) in self._departures
+        }
+
+
+def _is_later(server: messages.Server, last_run: messages.Server) -> bool:
+    """Return whether a record shows a later process than the last known."""
+    return (
+        server.started_at is not None
+        and last_run.started_at is not None
+        and server.started_at > last_run.started_at
+    )
 
 
 def compute_run_hash(server: messages.Server) -> int:
--- a/tests/domain/fleet/test_departures.py
+++ b/tests/domain/fleet/test_departures.py
@@ -34,6 +34,29 @@
         self.assertEqual(20, other.get_since(SERVER))
         self.assertEqual(announced, other.list_announced())
 
+    def test_only_a_later_start_ends_a_departure(self):
+        """Guards against records that come late or lack the start."""
+        unknown = attrs.evolve(SERVER, started_at=None)
+        earlier = attrs.evolve(SERVER, started_at=SERVER.started_at - 1)
+        for first in (SERVER, unknown):
+            with self.subTest(first.started_at):
+                departures = departures_module.Departures()
+                departures.record(first, 10)
+                for record in (unknown, SERVER, earlier, unknown):
+                    self.assertEqual(10, departures.get_since(record))
+                    self.assertFalse(departures.record(record, 20))
+                self.assertIsNone(departures.get_since(RESTARTED))
+                self.assertEqual(10, departures.get_since(unknown))
+
+    def test_reported_departure_holds_for_records_without_a_start(self):
+        """Guards against entries that know only the reported hash."""
+        other = departures_module.Departures()
+        self.departures.record(SERVER, 10)
+        other.record_reported(self.departures.list_announced(), 20)
+        self.assertEqual(20, other.get_since(SERVER))
+        unknown = attrs.evolve(SERVER, started_at=None)
+        self.assertEqual(20, other.get_since(unknown))
+
     def test_departure_outlasts_the_record_of_its_server(self):
         """Guards against use of a leaving server whose record returns."""
         self.departures.record(SERVER, 0)
