Ignore changes of the store that a copy has passed

A server that was removed from the list was listed again by a change set that came late: the copy forgets the revision of a removed key, and applied the older record anew, until it read all keys. Requests could then go to a server that had left.

A change set, and the answer of a watch, now apply only what is newer than the revision of the copy, which has everything up to it.

--- a/src/thornspool/platform/follower.py
+++ b/src/thornspool/platform/follower.py
@@ -16,6 +16,7 @@
 
 if typing.TYPE_CHECKING:
     from collections.abc import Callable
+    from collections.abc import Iterable
 
     from thornspool import clock as clock_module
     from thornspool.application.routing import (
@@ -421,8 +422,7 @@
         changes = await self._store.watch('', since, self._choose_watch_ms())
         self._routing_state.record_store_contact(self._clock.now())
         self._received_feed = False
-        for item in changes.items:
-            self._apply(item)
+        self._apply_new(changes.items)
         self.revision = max(self.revision, changes.revision)
         self._pass_on(ChangeSet(since, changes.revision, changes.items))
         # The response includes every write acknowledged before the call was
@@ -463,12 +463,20 @@
         if change_set.exact and change_set.since != self.revision:
             return
         self._routing_state.record_store_contact(self._clock.now())
-        for item in change_set.items:
-            self._apply(item)
+        self._apply_new(change_set.items)
         if change_set.until > self.revision:
             self.revision = change_set.until
             self._retain(change_set)
 
+    def _apply_new(self, items: Iterable[store_module.Item]) -> None:
+        """Apply the changes that this copy has not reached yet.
+
+        A change that comes late may list a key that was removed since.
+        """
+        for item in items:
+            if item.revision > self.revision:
+                self._apply(item)
+
     def _apply(self, item: store_module.Item) -> None:
         """Apply a change; a duplicate or an older one has no effect."""
         if item.revision <= self._key_revisions.get(item.key, 0):
--- a/tests/platform/test_following.py
+++ b/tests/platform/test_following.py
@@ -247,6 +247,30 @@
         self.assertEqual(4, self.routing_state.configuration.version)
         self.assertEqual(base + 2, self.follower.revision)
 
+    async def test_late_change_does_not_restore_a_removed_server(self):
+        """Guards against records that arrive after their removal."""
+        key = 'servers/a-1'
+        base = self.follower.revision
+        record = kv_fleet.Server('a-1', 'ledger', 'a', '127.0.0.1:9')
+        listed = follower.ChangeSet(
+            base,
+            base + 1,
+            (
+                store_module.Item(
+                    key, base + 1, json.dumps(record.describe()).encode()
+                ),
+            ),
+        )
+        removed = follower.ChangeSet(
+            base + 1, base + 2, (store_module.Item(key, base + 2, None),)
+        )
+        self.follower.apply_change_set(listed)
+        self.assertIn('a-1', self.routing_state.servers)
+        self.follower.apply_change_set(removed)
+        self.assertIn('a-1', self.routing_state.unlisted)
+        self.follower.apply_change_set(listed)
+        self.assertIn('a-1', self.routing_state.unlisted)
+
     async def test_ignores_changes_after_a_gap(self):
         """A datagram with a change was lost."""
         base = self.follower.revision
