Count no end of a server whose record lacks its start

A record that lacks the start of its server counted as an earlier process once the start was listed, so that requests that had just begun there were named as the possible cause of an end that did not happen. Only a start that is later than a known one shows an end now.

--- a/src/thornspool/application/routing/crash_detection.py
+++ b/src/thornspool/application/routing/crash_detection.py
@@ -333,10 +333,12 @@
         return [
             process.server
             for process in self._processes.values()
-            if (process.server.started_at or 0)
-            < max(
-                started.get(process.server.id, 0),
-                started.get(process.server.address, 0),
+            if _is_later(
+                max(
+                    started.get(process.server.id, 0),
+                    started.get(process.server.address, 0),
+                ),
+                process.server.started_at,
             )
         ]
 
@@ -377,10 +379,9 @@
                 found = await self._servers.check(process.server)
         finally:
             process.is_checking = False
-        started_at = process.server.started_at
         if found.is_listening is False:
             self._record_end(process.server, 'not_listening')
-        elif found.is_listening and found.started_at not in {None, started_at}:
+        elif _is_later(found.started_at, process.server.started_at):
             self._record_end(process.server, 'restarted')
         elif found.is_listening:
             process.checks = 0
@@ -430,6 +431,11 @@
     return server.id, server.started_at
 
 
+def _is_later(found: int | None, known: int | None) -> bool:
+    """Return whether a start is later than one that is known."""
+    return found is not None and known is not None and found > known
+
+
 def classify_end(
     head: ports.ResponseHead | None, completion: ports.Completion
 ) -> RunEnd:
--- a/tests/application/routing/test_crash_detection.py
+++ b/tests/application/routing/test_crash_detection.py
@@ -55,6 +55,7 @@
             ('later process', ports.ProcessCheck(True, later), True),
             ('alive', ports.ProcessCheck(True, self.server.started_at), False),
             ('alive, tells no start', ports.ProcessCheck(True), False),
+            ('earlier start', ports.ProcessCheck(True, later - 2), False),
             ('no answer', ports.ProcessCheck(None), False),
         )
         for name, check, ended in table:
@@ -82,6 +83,16 @@
                 await self.pass_time()
                 self.assertEqual([(self.server.id, {'one'})], self.crashed)
 
+    async def test_record_that_gains_its_start_shows_no_end(self):
+        """Guards against records that lack the start of their server."""
+        listed = self.server
+        self.server = attrs.evolve(listed, started_at=None)
+        self.world.add(self.server)
+        self.begin()
+        self.world.add(listed)
+        await self.pass_time()
+        self.assertEqual([], self.crashed)
+
     async def test_requests_that_the_server_runs_for_a_while_are_not_named(
         self,
     ):
