--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -95,9 +95,7 @@
     )
     await asyncio.to_thread(world.deployment.control, crash_on='overflow')
     crashing = asyncio.create_task(
-        callers.send_crashing(
-            world.random.choice(callers_module.CRASHING_KINDS)
-        )
+        callers.send_crashing(random.Random(seed + 2))
     )
     faults = faults_module.Faults(world)
     await faults.inject(seconds)
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -102,16 +102,13 @@
         """Send one request to an entry and wait for its end."""
         return await self._send_one(kind, kv_fleet.KEY, entry)
 
-    async def send_crashing(self, kind: str) -> None:
+    async def send_crashing(self, source: random.Random) -> None:
         """Send a request that crashes servers, again and again."""
+        kind = source.choice(CRASHING_KINDS)
         while True:
-            await self._send_one(
-                kind,
-                kv_fleet.KEY,
-                self._random.choice(sorted(self._list_entries())),
-                CRASHING_BODY,
-            )
-            await asyncio.sleep(self._random.uniform(0.2, 1.5))
+            entry = source.choice(sorted(self._list_entries()))
+            await self._send_one(kind, kv_fleet.KEY, entry, CRASHING_BODY)
+            await asyncio.sleep(source.uniform(0.2, 1.5))
 
     async def finish(self) -> None:
         """Wait for the requests in flight."""
@@ -157,7 +154,8 @@
         transfer = self._session.start(
             self._build_transfer(request), handle_head, handle_body, handle_end
         )
-        disconnects = self._random.random() < 0.05
+        is_crashing = body == CRASHING_BODY
+        disconnects = not is_crashing and self._random.random() < 0.05
         try:
             timeout_s = 0.2 if disconnects else DEADLINE_MS / 1000 + 2
             await asyncio.wait_for(done.wait(), timeout_s)
