Name no request for the end of a server whose record was removed

Some servers leave unannounced: their record is removed, and they end a while later with the runs that they still have. Such an end was counted against young requests there, as only listed servers that leave were exempt. Now a server has to be listed and staying. The new test of tests.application.routing.test_crash_detection failed before.

--- a/src/thornspool/application/routing/crash_detection.py
+++ b/src/thornspool/application/routing/crash_detection.py
@@ -259,8 +259,7 @@
         for server in run.servers:
             process = self._find_process(server)
             process.running.discard(run)
-            # A server that leaves ends by itself, with the runs that it has.
-            if is_doubtful and server.id not in self._routing_state.leaving:
+            if is_doubtful and self._is_staying(server):
                 process.doubtful.add(run)
                 run.doubts += 1
             self._drop_if_unused(process)
@@ -274,6 +273,16 @@
             if run.is_on_trial or server.id in self._routing_state.suspicions:
                 self._start_check(server)
 
+    def _is_staying(self, server: fleet.Server) -> bool:
+        """Return whether a server is listed and does not leave.
+
+        Others end by themselves, with the runs that they still have.
+        """
+        return (
+            server.id in self._routing_state.servers
+            and server.id not in self._routing_state.leaving
+        )
+
     def _clear(self, fingerprint: str) -> None:
         """Drop the doubts about a request that a server has completed."""
         for process in list(self._processes.values()):
@@ -400,7 +409,7 @@
             server.id, routing_state_module.NOT_REACHED, now
         )
         runs = set(process.doubtful)
-        if server.id not in self._routing_state.leaving:
+        if self._is_staying(server):
             runs |= process.running
         runs = {run for run in runs if run.may_have_ended(server)}
         fingerprints = frozenset(run.fingerprint for run in runs)
--- a/tests/application/routing/test_crash_detection.py
+++ b/tests/application/routing/test_crash_detection.py
@@ -110,6 +110,21 @@
         await self.break_run(GONE)
         self.assertEqual([], self.crashed)
 
+    async def test_end_after_the_removal_of_the_record_counts_for_none(self):
+        """Guards against requests blamed for a server that left unannounced.
+
+        Its record is removed first, and it serves on for a while.
+        """
+        run = self.begin()
+        state = self.world.routing_state
+        state.remove_server(self.server.id, self.world.clock.now())
+        self.world.advance(1_500)
+        self.assertNotIn(self.server.id, state.servers)
+        self.world.servers.checks[self.server.id] = GONE
+        self.detector.end(run, crash_detection.RunEnd.BROKEN)
+        await self.pass_time()
+        self.assertEqual([], self.crashed)
+
     async def test_end_counts_once(self):
         """Guards against one crash that counts for each broken connection."""
         await self.break_run(GONE)
