--- /dev/null
+++ b/tests/application/routing/test_run_permits.py
@@ -0,0 +1,131 @@
+"""Tests of requests that may have crashed servers."""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+
+from tests.application.routing import builders
+from thornspool.application.routing import crash_detection
+from thornspool.application.routing import ports
+from thornspool.application.routing import run_permits
+from thornspool.domain.quarantine import fingerprints
+from thornspool.domain.quarantine import messages
+from thornspool.domain.quarantine import records
+
+PATHS = ('/brief/x', '/read/x', '/hold/x')
+GONE = ports.ProcessCheck(False)
+
+
+def compute_fingerprint(path):
+    return fingerprints.compute_fingerprint(
+        'north', f'{builders.HOST}{path}', b'{}'
+    )
+
+
+class RunPermitsTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.world = builders.World()
+        self.quarantine = self.world.quarantine
+
+    def crash(self, path, *targets):
+        """Record ends of servers that the request may have caused."""
+        for target in targets:
+            self.quarantine.record_crash(target, [compute_fingerprint(path)])
+
+    def check(self, path):
+        return self.world.permits.check(compute_fingerprint(path))
+
+    async def run_tasks(self):
+        for _ in range(10):
+            await asyncio.sleep(0)
+
+    async def test_condemned_request_is_refused_at_once(self):
+        """Guards against a request that crashes every server."""
+        for path in PATHS:
+            with self.subTest(path):
+                self.quarantine.condemn(compute_fingerprint(path))
+                reply = self.world.serve(path)
+                self.assertEqual(
+                    (503, 'quarantined'), (reply.status, reply.reason)
+                )
+                self.assertGreater(reply.retry_after_ms, 60_000)
+        self.assertEqual([], self.world.servers.runs)
+
+    async def test_verdict_lasts_while_the_request_comes_again(self):
+        """Guards against a verdict that expires while callers retry."""
+        path = PATHS[0]
+        self.quarantine.condemn(compute_fingerprint(path))
+        for _ in range(6):
+            self.world.clock.advance(records.CONDEMNED_TTL_MS // 2)
+            self.assertIs(run_permits.Permit.DENIED, self.check(path))
+        self.world.clock.advance(records.CONDEMNED_TTL_MS + 1)
+        self.assertIs(run_permits.Permit.GRANTED, self.check(path))
+
+    async def test_completion_clears_a_request(self):
+        """Guards against a frequent request blamed for ends of its servers."""
+        path = '/read/x'
+        self.crash(path, 't1')
+        self.world.serve(path)
+        self.world.servers.last.answer()
+        self.assertEqual(
+            0, self.quarantine.count_deaths(compute_fingerprint(path))
+        )
+        self.crash(path, 't2')
+        self.assertIs(run_permits.Permit.GRANTED, self.check(path))
+
+    async def test_end_in_a_trial_condemns_a_suspect(self):
+        """Guards against a third retry of a request that ended two servers."""
+        for path in ('/brief/x', '/read/x'):
+            with self.subTest(path):
+                self.crash(path, f'{path} 1', f'{path} 2')
+                self.assertIs(run_permits.Permit.ON_TRIAL, self.check(path))
+                count = len(self.world.servers.runs)
+                self.world.serve(path, arrived_at=self.world.clock.now())
+                await self.run_tasks()
+                self.assertEqual(count + 1, len(self.world.servers.runs))
+                run = self.world.servers.last
+                self.world.servers.checks[run.run.server.id] = GONE
+                run.end(ports.Completion.BROKEN)
+                await asyncio.sleep(
+                    2 * crash_detection.SECOND_CHECK_DELAY_MS / 1000.0
+                )
+                self.world.clock.advance(records.VERDICT_DELAY_MS)
+                self.assertIsInstance(
+                    self.quarantine.check(compute_fingerprint(path)),
+                    messages.Condemned,
+                )
+
+    async def test_suspect_that_is_served_needs_no_further_trial(self):
+        """Guards against trials of requests that only ran beside the cause."""
+        path = '/read/x'
+        self.crash(path, 't1', 't2')
+        reply = self.world.serve(path)
+        await self.run_tasks()
+        self.world.servers.last.answer()
+        self.assertEqual(200, reply.status)
+        self.assertIs(run_permits.Permit.GRANTED, self.check(path))
+
+    async def test_second_retry_waits_for_the_check_of_a_broken_run(self):
+        """Guards against servers that end while the end before is checked."""
+        path = '/read/x'
+        self.crash(path, 't1')
+        self.world.serve(path)
+        run = self.world.servers.last
+        self.world.servers.checks[run.run.server.id] = GONE
+        run.end(ports.Completion.BROKEN)
+        self.assertIs(run_permits.Permit.UNKNOWN, self.check(path))
+        self.assertEqual(1, len(self.world.servers.runs))
+        await asyncio.sleep(2 * crash_detection.SECOND_CHECK_DELAY_MS / 1000.0)
+        self.assertIs(run_permits.Permit.ON_TRIAL, self.check(path))
+
+    async def test_request_that_lost_an_engine_is_not_rerouted_again(self):
+        """Guards against path changes that crash one engine after another."""
+        self.world.serve()
+        run = next(iter(self.world.streams.in_flight_requests)).run
+        self.assertTrue(self.world.permits.may_reroute(run))
+        self.crash('/brief/x', 't1')
+        self.assertFalse(self.world.permits.may_reroute(run))
+        run.record_progress(0)
+        run.record_progress(crash_detection.ESTABLISHED_MS)
+        self.assertTrue(self.world.permits.may_reroute(run))
