--- a/tests/application/routing/test_calls.py
+++ b/tests/application/routing/test_calls.py
@@ -6,6 +6,7 @@
 
 from tests.application.routing import builders
 from thornspool.application.routing import ports
+from thornspool.domain.routing import messages as routing
 
 
 class ActionTest(unittest.TestCase):
@@ -127,6 +128,22 @@
         share = sum(run.run.server.id == 'a-90' for run in self.servers.runs)
         self.assertLess(share, 8)
 
+    def test_call_ends_at_the_time_limit_of_its_route(self):
+        """Guards against calls held for as long as their callers would wait."""
+        route = builders.build_route(
+            '/read/', routing.Kind.IDEMPOTENT, 'ledger', timeout_ms=900
+        )
+        self.world.routing_state.apply_configuration(
+            builders.build_configuration(
+                2, routes=routing.group_routes([route])
+            )
+        )
+        reply = self.world.serve('/read/x', timeout_ms=20_000)
+        self.world.advance(875)
+        self.assertIsNone(reply.status)
+        self.world.advance(50)
+        self.assertEqual((504, 'deadline'), (reply.status, reply.reason))
+
     def test_disconnect_of_the_caller_cancels_the_call(self):
         reply = self.world.serve('/read/1')
         reply.leave()
