--- a/tests/application/routing/test_calls.py
+++ b/tests/application/routing/test_calls.py
@@ -129,7 +129,7 @@
         self.assertLess(share, 8)
 
     def test_call_ends_at_the_time_limit_of_its_route(self):
-        """Guards against calls held for as long as their callers would wait."""
+        """Guards against calls that are held past the time of their route."""
         route = builders.build_route(
             '/read/', routing.Kind.IDEMPOTENT, 'ledger', timeout_ms=900
         )
