Check that a lapsed server stays listed after an outage

The test passed with the mechanism switched off: a server that has been dropped counts as usable, as nothing is known against it. It now checks that the server is still listed, and fails then.

--- a/tests/application/routing/test_calls.py
+++ b/tests/application/routing/test_calls.py
@@ -277,6 +277,7 @@
     def test_expired_server_is_usable_until_its_return_is_due(self):
         server = self.routing_state.servers['a-0']
         self.routing_state.purge_expired(self.return_at + 2_000)
+        self.assertIn('a-0', self.routing_state.servers)
         self.assertTrue(
             self.routing_state.is_usable(server, self.return_at + 2_000)
         )
