--- a/standins/kv_fleet.py
+++ b/standins/kv_fleet.py
@@ -12,8 +12,7 @@
 NUMBER}`` (the server turns the host away and asks it for rest) or ``{"leave":
 ID}`` (the server states in its responses that it leaves; its store entry stays
 as it is) or ``{"crash_on": TEXT}`` (a request with the text in its body
-crashes each server that runs it; a new one starts at its address after a
-while).
+crashes each server that runs it, and it starts anew after a while).
 ``GET /control`` returns what the servers ran, which layers they hold, and with
 ``?log=1`` what arrived at them and what they answered.
 
@@ -51,6 +50,7 @@
 _LAYER_MB = 1000.0
 _HEARTBEAT_INTERVAL_MS = 1200
 RESTART_S = 2.0
+REGISTRATION_RETRY_S = 0.5
 
 
 @attrs.define(eq=False)
@@ -463,18 +463,31 @@
     await server.listener.close_all_connections()
 
 
-def restart_server(fleet: Fleet, server: Server) -> None:
-    """Start a new server at the address of one that has crashed."""
-    del fleet.servers[server.id]
-    fleet.delete(f'servers/{server.id}')
-    port = int(server.address.rpartition(':')[2])
-    start_server(
-        fleet, Server(f'{server.id}x', server.service, server.domain), port
-    )
+def restart_server(fleet: Fleet, crashed: Server) -> None:
+    """Start a server anew, under its id and at its address."""
+    server = Server(crashed.id, crashed.service, crashed.domain)
+    listen(fleet, server, int(crashed.address.rpartition(':')[2]))
+    _register_until_stored(fleet, server)
+
+
+def _register_until_stored(fleet: Fleet, server: Server) -> None:
+    """Register a server; try again while the store does not answer."""
+    try:
+        fleet.publish_server(server)
+    except OSError:
+        asyncio.get_running_loop().call_later(
+            REGISTRATION_RETRY_S, _register_until_stored, fleet, server
+        )
 
 
-def start_server(fleet: Fleet, server: Server, port: int = 0) -> None:
-    """Start a server, on a free port by default, and register it."""
+def start_server(fleet: Fleet, server: Server) -> None:
+    """Start a server on a free port and register it in the store."""
+    listen(fleet, server)
+    fleet.publish_server(server)
+
+
+def listen(fleet: Fleet, server: Server, port: int = 0) -> None:
+    """Let a server listen, on a free port by default."""
     shared = {'fleet': fleet, 'server': server}
     is_plain = server.service == PLAIN_SERVICE
     handler = PlainHandler if is_plain else StreamHandler
@@ -492,7 +505,6 @@
     server.listener = httpserver.HTTPServer(application)
     server.listener.add_sockets(sockets)
     fleet.servers[server.id] = server
-    fleet.publish_server(server)
 
 
 def build_configuration(
