Count runs at engines that still run as attempts

Cause: a run did not count as an attempt if its first engine was suspected since it did not answer this entry, or was not reached. On a lossy link the engines run on, and streams that left them were sent to one engine after the other. The engines that may be left out are those that ended.

A run is now left out only if the crash detection has shown that the process of its first engine ended. RoutingState.is_lost had no other use and is gone; the test that used it asks the crash detection, and still counts the runs.

Evidence: test_runs_at_engines_that_still_run_count_as_attempts got three runs before, two now; a stream whose engine ended still gets its third.

--- a/src/thornspool/application/routing/crash_detection.py
+++ b/src/thornspool/application/routing/crash_detection.py
@@ -220,6 +220,10 @@
         """
         self._on_crash = handler
 
+    def has_ended(self, server: fleet.Server) -> bool:
+        """Return whether the process of a server is known to have ended."""
+        return _get_key(server) in self._ended
+
     def count_checks(self, fingerprint: str) -> int:
         """Count the servers that are being checked after they broke a run."""
         return sum(
--- a/src/thornspool/application/routing/in_flight.py
+++ b/src/thornspool/application/routing/in_flight.py
@@ -58,8 +58,8 @@
         Head of the engine's answer; None before it arrives.
     body : bytearray
         Body of an answer that is not a stream of events.
-    lost_runs : int
-        Runs that ended because their engine was lost.
+    used_servers : list of fleet.Server
+        First engines of its runs.
     prefill_tokens : float
         Prompt tokens that its engines still have to process; 0 after the first
         event.
@@ -87,7 +87,7 @@
     generation: int = 0
     head: ports.ResponseHead | None = None
     body: bytearray = attrs.field(factory=bytearray)
-    lost_runs: int = 0
+    used_servers: list[fleet.Server] = attrs.field(factory=list)
     prefill_tokens: float = 0.0
     needs_retry: bool = False
     may_cross: bool | None = None
--- a/src/thornspool/application/routing/routing_state.py
+++ b/src/thornspool/application/routing/routing_state.py
@@ -643,23 +643,6 @@
                 per_s=reported.per_s,
             )
 
-    def is_lost(self, server_id: str) -> bool:
-        """Return whether this entry itself observed that a server is gone.
-
-        Peers may be mistaken, and a server that only waits for another one is
-        still running.
-
-        Parameters
-        ----------
-        server_id : str
-            Id of the server.
-        """
-        suspicion = self.suspicions.get(server_id)
-        return suspicion is not None and suspicion.reason in {
-            NO_REPORT,
-            NOT_REACHED,
-        }
-
     def _may_suspect(self) -> bool:
         max_suspects = max(MIN_SUSPECTS, MAX_SUSPECT_SHARE * len(self.servers))
         return len(self.suspicions) < max_suspects
--- a/src/thornspool/application/routing/run_permits.py
+++ b/src/thornspool/application/routing/run_permits.py
@@ -111,6 +111,10 @@
             self._quarantine.count_deaths(run.fingerprint)
         )
 
+    def count_ended(self, servers: Iterable[fleet.Server]) -> int:
+        """Count the servers whose processes are known to have ended."""
+        return sum(self._crashes.has_ended(server) for server in servers)
+
     def compute_retry_after(self, fingerprint: str) -> int:
         """Compute when a denied request may run again, in milliseconds."""
         verdict = self._quarantine.check(fingerprint)
--- a/src/thornspool/application/routing/streams.py
+++ b/src/thornspool/application/routing/streams.py
@@ -379,6 +379,7 @@
         exchange.runs += 1
         exchange.timing.record_send(now)
         in_flight.needs_retry = False
+        in_flight.used_servers.append(hops[0].server)
         in_flight.hops = hops
         in_flight.active_at = now
         in_flight.probed_at = now
@@ -501,11 +502,11 @@
             ending = crash_detection.RunEnd.BROKEN
         self._end_run(in_flight, ending)
         if completion is ports.Completion.NOT_SENT:
-            exchange.runs -= 1
+            self._uncount_run(in_flight)
             self._fault_attribution.record_unreachable(first_server)
             self._retry_or_fail(in_flight, 'not_reached')
         elif head is not None and not head.executed:
-            exchange.runs -= 1
+            self._uncount_run(in_flight)
             self._handle_refusal(in_flight, head)
         elif completion is ports.Completion.BROKEN or head is None:
             self._fault_attribution.record_broken_run(in_flight)
@@ -522,6 +523,13 @@
         else:
             self._retry_or_fail(in_flight, 'malformed')
 
+    def _uncount_run(
+        self, in_flight: in_flight_module.InFlightRequest
+    ) -> None:
+        """Record that the last run did not take place."""
+        in_flight.exchange.runs -= 1
+        del in_flight.used_servers[-1:]
+
     def _handle_refusal(
         self,
         in_flight: in_flight_module.InFlightRequest,
@@ -554,13 +562,17 @@
     def may_retry(self, in_flight: in_flight_module.InFlightRequest) -> bool:
         """Return whether a request that may have run may run again.
 
+        Runs whose first engine has ended do not count towards the attempts
+        that the route allows. An engine that only does not answer this entry
+        may still run the request.
+
         Parameters
         ----------
         in_flight : in_flight_module.InFlightRequest
             The request.
         """
         exchange = in_flight.exchange
-        lost = in_flight.lost_runs + int(self._has_lost_engine(in_flight))
+        lost = self._permits.count_ended(in_flight.used_servers)
         return (
             exchange.route.retryable
             and exchange.runs < exchange.route.attempts + lost
@@ -569,19 +581,6 @@
             > MIN_REMAINING_MS
         )
 
-    def _has_lost_engine(
-        self, in_flight: in_flight_module.InFlightRequest
-    ) -> bool:
-        """Return whether the first engine of a run is lost.
-
-        Such a run does not count towards the attempts that the route allows. A
-        run whose first engine only waits for another engine does.
-        """
-        first_server = in_flight.first_server
-        return first_server is not None and self._routing_state.is_lost(
-            first_server.id
-        )
-
     def _may_resend(self, in_flight: in_flight_module.InFlightRequest) -> bool:
         """Return whether a request that did not run may be sent again."""
         exchange = in_flight.exchange
@@ -682,7 +681,6 @@
             in_flight.stop()
             in_flight.stop = None
         in_flight.generation += 1
-        in_flight.lost_runs += int(self._has_lost_engine(in_flight))
         self._retry_or_fail(in_flight, reason, path)
 
     def may_reroute(self, in_flight: in_flight_module.InFlightRequest) -> bool:
--- a/tests/application/routing/builders.py
+++ b/tests/application/routing/builders.py
@@ -363,14 +363,7 @@
         self.routing_state.apply_configuration(build_configuration())
         self.routing_state.freshness.confirm(0)
         for failure_domain in ('a', 'b'):
-            for number, (first, end) in enumerate(
-                ((0, 27), (27, 54), (54, 80))
-            ):
-                self.add(
-                    fleet_builders.build_engine(
-                        f'{failure_domain}-{number}', 'large', first, end
-                    )
-                )
+            self.add_replica(failure_domain)
         for number, domain in enumerate('abc'):
             self.add(
                 fleet_builders.build_server(
@@ -378,6 +371,15 @@
                 )
             )
 
+    def add_replica(self, failure_domain):
+        """Add the engines of a model replica in a failure domain."""
+        for number, (first, end) in enumerate(((0, 27), (27, 54), (54, 80))):
+            self.add(
+                fleet_builders.build_engine(
+                    f'{failure_domain}-{number}', 'large', first, end
+                )
+            )
+
     def add(self, server):
         """Add a server to the server list."""
         self.routing_state.apply_server(server, self.clock.now())
--- a/tests/application/routing/test_failure_detection.py
+++ b/tests/application/routing/test_failure_detection.py
@@ -579,7 +579,8 @@
         first = self.names[0]
         await self.probe_unresponsive({first})
         self.assertIn(first, self.world.routing_state.suspicions)
-        self.assertFalse(self.world.routing_state.is_lost(first))
+        server = self.world.routing_state.servers[first]
+        self.assertFalse(self.world.crashes.has_ended(server))
         for run in self.servers.runs[len(self.runs) :]:
             run.end(ports.Completion.BROKEN)
         self.assertEqual(2 * len(self.runs), len(self.servers.runs))
--- a/tests/application/routing/test_run_permits.py
+++ b/tests/application/routing/test_run_permits.py
@@ -8,6 +8,9 @@
 from tests.application.routing import builders
 from thornspool.application.routing import crash_detection
 from thornspool.application.routing import ports
+from thornspool.application.routing import (
+    routing_state as routing_state_module,
+)
 from thornspool.application.routing import run_permits
 from thornspool.domain.quarantine import fingerprints
 from thornspool.domain.quarantine import messages
@@ -119,6 +122,45 @@
         await asyncio.sleep(2 * crash_detection.SECOND_CHECK_DELAY_MS / 1000.0)
         self.assertIs(run_permits.Permit.ON_TRIAL, self.check(path))
 
+    async def test_runs_at_engines_that_still_run_count_as_attempts(self):
+        """Guards against attempts beyond those of the route on a lossy link.
+
+        Engines that do not answer this entry are suspected, though they run.
+        """
+        self.world.add_replica('c')
+        self.world.serve()
+        in_flight = next(iter(self.world.streams.in_flight_requests))
+        for number in range(3):
+            run = self.world.servers.last
+            run.begin()
+            run.send(number, number + 1)
+            server_id = run.run.server.id
+            self.world.servers.checks[server_id] = ports.ProcessCheck(None)
+            self.world.routing_state.suspect(
+                server_id,
+                routing_state_module.NO_REPORT,
+                self.world.clock.now(),
+            )
+            self.world.streams.fail_over(in_flight, 'engine_lost')
+            await self.run_tasks()
+            self.world.advance(25)
+        self.assertEqual(2, len(self.world.servers.runs))
+
+    async def test_run_at_an_engine_that_ended_is_no_attempt(self):
+        """Guards against streams that are cut for the end of an engine."""
+        self.world.add_replica('c')
+        self.world.serve()
+        for check in (GONE, ports.ProcessCheck(True)):
+            run = self.world.servers.last
+            run.begin()
+            self.world.servers.checks[run.run.server.id] = check
+            run.end(ports.Completion.BROKEN)
+            await asyncio.sleep(
+                2 * crash_detection.SECOND_CHECK_DELAY_MS / 1000.0
+            )
+            self.world.advance(25)
+        self.assertEqual(3, len(self.world.servers.runs))
+
     async def test_request_that_lost_an_engine_is_not_rerouted_again(self):
         """Guards against path changes that crash one engine after another."""
         self.world.serve()
