--- a/tools/mechanisms.py
+++ b/tools/mechanisms.py
@@ -102,8 +102,19 @@
     'repath': (
         Edit(
             f'{_ROUTING}/rerouting.py',
-            'if in_flight.head is not None or not may_retry:\n',
-            'if not may_retry:\n',
+            'in_flight.head is not None or not may_retry\n',
+            'not may_retry\n',
+        ),
+    ),
+    'quarantine': (
+        Edit(
+            f'{_ROUTING}/run_permits.py',
+            'verdict = self._quarantine.check(fingerprint)\n'
+            '        if isinstance(verdict, messages.Condemned):\n'
+            '            self._quarantine.record_refusal',
+            'return Permit.GRANTED\n'
+            '        if isinstance(verdict, messages.Condemned):\n'
+            '            self._quarantine.record_refusal',
         ),
     ),
     'drawn-holders': (
