Test departures of plain servers around outages of the store

Entries with their real copies, state updates and calls run in virtual time against a store that fails, and the rule is counted from what servers get.

--- a/tests/application/routing/builders.py
+++ b/tests/application/routing/builders.py
@@ -149,6 +149,18 @@
     )
 
 
+def build_permits(clock, routing_state, servers):
+    """Build the permits of runs at the only entry of a fleet."""
+    crashes = crash_detection.CrashDetector(
+        clock,
+        routing_state,
+        servers,
+        build_limits(clock, routing_state).try_acquire,
+        start_task,
+    )
+    return run_permits.RunPermits(build_quarantine(clock), crashes, start_task)
+
+
 class FakeResponseWriter:
     """Records the answer that a caller receives."""
 
--- a/tests/engine_rules.py
+++ b/tests/engine_rules.py
@@ -72,6 +72,14 @@
     until: int
 
 
+@attrs.frozen
+class Departure:
+    """Acknowledgement of the store that a server leaves or has left."""
+
+    at: int
+    server: str
+
+
 def read_log(
     lines: Iterable[dict[str, typing.Any]],
 ) -> tuple[list[Arrival], list[Answer]]:
@@ -207,6 +215,63 @@
     return violations
 
 
+def find_listing_violations(
+    arrivals: Sequence[Arrival],
+    departures: Sequence[Departure],
+    sent_at: Mapping[str, int],
+    drain_ms: int,
+    contact_ms: int,
+    unstable: Sequence[Excuse] = (),
+    excuses: Sequence[Excuse] = (),
+) -> list[str]:
+    """Find requests to servers that the store had shown as leaving or gone.
+
+    A request that a caller sent later than ``drain_ms`` after the store had
+    acknowledged the departure reaches the server. The store was undisturbed
+    for ``contact_ms`` before it acknowledged the departure, and before the
+    caller sent the request.
+
+    Parameters
+    ----------
+    arrivals, departures : sequence
+        What reached the servers, and when the store knew that they left.
+    sent_at : mapping of str to int
+        Times at which callers sent their requests, by id of the attempt.
+    drain_ms, contact_ms : int
+        Bounds in milliseconds.
+    unstable : sequence of Excuse, optional
+        Times in which the store was disturbed, for whichever host.
+    excuses : sequence of Excuse, optional
+        Times in which a host is not bound.
+    """
+    violations = []
+    for departure in departures:
+        if _was_unstable(departure.at, contact_ms, unstable):
+            continue
+        for one in arrivals:
+            if one.server != departure.server or one.attempt not in sent_at:
+                continue
+            at = sent_at[one.attempt]
+            if (
+                at - departure.at > drain_ms
+                and not _was_unstable(at, contact_ms, unstable)
+                and not _is_excused(one.host, at, excuses)
+            ):
+                violations.append(
+                    f'{one.server} left at {departure.at} and got '
+                    f'{one.attempt}, sent {at - departure.at} ms later'
+                )
+    return violations
+
+
+def _was_unstable(
+    at: int, contact_ms: int, unstable: Iterable[Excuse]
+) -> bool:
+    return any(
+        one.since <= at and at - contact_ms <= one.until for one in unstable
+    )
+
+
 def find_crash_violations(
     arrivals: Sequence[Arrival],
     crashes: Sequence[Crash],
