Share departures that the list shows, and date the store's return once

Cause: what the list shows of a departure was known to one copy alone and was forgotten with the record, and each entry dated the store's return by its own first contact, so that the waits added up.

Departures of records are kept for the process and told like stated ones. Removed records can return, so a removal is told with the revision of the copy that lacks it; a copy that has reached it is not bound. The return is dated by the store's first answer to any entry, and a missing record allows use for 2.85 s at most since the last call without an answer. What a copy shows after an interruption, or in a record that was missing, allows no further use.

Ruled out: older contents of a record that are applied later. One test compares a dict with {} where it compared a set with set().

--- a/src/thornspool/application/routing/membership.py
+++ b/src/thornspool/application/routing/membership.py
@@ -158,6 +158,7 @@
             or self._routing_state.retained_ranges.has_unsent
             or self._routing_state.named_limits.has_unsent
             or self._routing_state.departures.has_unsent
+            or self._routing_state.removals.has_unsent
         ):
             self._broadcast(self._list_affected_peers())
         self._routing_state.unreported_suspects.clear()
@@ -166,6 +167,7 @@
         self._routing_state.retained_ranges.has_unsent = False
         self._routing_state.named_limits.has_unsent = False
         self._routing_state.departures.has_unsent = False
+        self._routing_state.removals.has_unsent = False
 
     def _list_affected_peers(self) -> list[view_module.Peer]:
         if self._view.is_mesh:
@@ -250,6 +252,9 @@
         routing_state.apply_reported_breaks(update.host, update.failing, now)
         routing_state.apply_reported_refusals(update.refusing, now, direct)
         routing_state.apply_reported_departures(update.departures, now)
+        routing_state.apply_reported_removals(
+            update.removals, self._read_revision(), now
+        )
         for server_hash, reported in update.limits.items():
             routing_state.apply_reported_limit(
                 server_hash, reported, now, update.echoed_stamp, direct
@@ -271,19 +276,20 @@
         )
 
     def _apply_freshness(self, update: messages.StateUpdate, now: int) -> None:
-        """Apply the freshness of a peer whose copy has the same revision.
+        """Apply the freshness of a peer's copy.
+
+        It confirms a copy of the same revision.
 
         A datagram may have been in transit for any time. The peer sent it
         after it had received the stamp of this entry that it echoes, so the
         age is counted from that stamp.
         """
-        if update.revision != self._read_revision():
-            return
         if update.echoed_stamp > now:
             return
-        self._routing_state.freshness.confirm(
-            update.echoed_stamp - update.proof_age_ms
-        )
+        proven_at = update.echoed_stamp - update.proof_age_ms
+        self._routing_state.record_peer_contact(proven_at)
+        if update.revision == self._read_revision():
+            self._routing_state.freshness.confirm(proven_at)
 
     def _apply_feed_update(
         self, update: messages.StateUpdate, now: int
@@ -619,5 +625,6 @@
                 now, direct_only
             ),
             departures=self._routing_state.departures.list_announced(),
+            removals=self._routing_state.removals.list_announced(),
         )
         self._send(peer.record.peers, update)
--- a/src/thornspool/application/routing/routing_state.py
+++ b/src/thornspool/application/routing/routing_state.py
@@ -12,6 +12,7 @@
 from thornspool.domain.fleet import named_limits as named_limits_module
 from thornspool.domain.fleet import outliers as outliers_module
 from thornspool.domain.fleet import refusals as refusals_module
+from thornspool.domain.fleet import removals as removals_module
 from thornspool.domain.fleet import rests as rests_module
 from thornspool.domain.fleet import retained_ranges as retained_ranges_module
 from thornspool.domain.fleet import server_hashes
@@ -28,7 +29,8 @@
 This applies to plain servers, and to engines whose record was removed without
 notice, while their neighbours load their layers. The shortest time for which a
 server continues to serve is 2 s from the store's acknowledgement, and entries
-see the change within some 200 ms of it.
+see the change within some 200 ms of it. A change that a copy shows after an
+interruption may be older, so the server gets no request from then on.
 """
 
 STORE_OUTAGE_AGE_MS = 3_000
@@ -44,6 +46,18 @@
 Servers that are alive register again within some 2 s.
 """
 
+LAPSE_USE_MS = 2_850
+"""Time for which a server whose record is missing after an outage is used,
+since the last call that the store left unanswered.
+
+The store may have returned at any time since that call, and entries have to
+know 3 s after its return which servers have left.
+"""
+
+MAX_RETURN_DELAY_MS = 2_200
+"""Longest time from the store's return to the first answer to an entry: the
+timeout of a call and the delay of the next one."""
+
 SUSPICION_MS = 4_000
 """Time for which a server that failed is excluded.
 
@@ -90,6 +104,8 @@
 The answer may be unread while the event loop is busy.
 """
 
+_REPORTED_EVIDENCE = frozenset({'reported', 'peer_list'})
+
 logger = structlog.get_logger(__name__)
 
 
@@ -126,8 +142,9 @@
         Time in milliseconds since when a server is leaving.
     unlisted : dict of str to int
         Time in milliseconds since when a server has no record.
-    unlisted_while_settling : set of str
-        Servers whose records were removed right after the store's return.
+    unlisted_while_settling : dict of str to int
+        Servers whose records were removed right after the store's return, and
+        the revision of the copy that showed it.
     suspicions : dict of str to Suspicion
         Servers that are excluded after a failure.
     slowdowns : slowdowns_module.Slowdowns
@@ -141,7 +158,9 @@
     named_limits : named_limits_module.NamedLimits
         Limits that servers name.
     departures : departures_module.Departures
-        Servers that state in their responses that they leave.
+        Servers that leave, by their own statement or by their records.
+    removals : removals_module.Removals
+        Servers whose records were removed.
     rests : rests_module.Rests
         Servers that want no requests of this entry for a time.
     freshness : confirmations.Freshness
@@ -153,7 +172,14 @@
     first_contact_at : int or None
         Time in milliseconds of the first answer of the store.
     store_returned_at : int or None
-        Time in milliseconds at which the store was last available again.
+        Time in milliseconds at which the store was last available again, to
+        this entry or to a peer.
+    store_failed_at : int or None
+        Time in milliseconds at which the last call that the store did not
+        answer was sent; None before the first, and while calls succeed.
+    lapse_use_until : int
+        Time in milliseconds until which servers are used whose records are
+        missing since the store's return.
     unreported_suspects : list of str
         Suspected servers that are not yet reported to peers.
     probe_candidates : set of str
@@ -164,7 +190,7 @@
     servers: dict[str, fleet.Server] = attrs.field(factory=dict)
     leaving: dict[str, int] = attrs.field(factory=dict)
     unlisted: dict[str, int] = attrs.field(factory=dict)
-    unlisted_while_settling: set[str] = attrs.field(factory=set)
+    unlisted_while_settling: dict[str, int] = attrs.field(factory=dict)
     suspicions: dict[str, Suspicion] = attrs.field(factory=dict)
     slowdowns: slowdowns_module.Slowdowns = attrs.field(
         factory=slowdowns_module.Slowdowns
@@ -184,6 +210,9 @@
     departures: departures_module.Departures = attrs.field(
         factory=departures_module.Departures
     )
+    removals: removals_module.Removals = attrs.field(
+        factory=removals_module.Removals
+    )
     rests: rests_module.Rests = attrs.field(factory=rests_module.Rests)
     freshness: confirmations.Freshness = attrs.field(
         factory=confirmations.Freshness
@@ -192,6 +221,8 @@
     revision: int = 0
     first_contact_at: int | None = None
     store_returned_at: int | None = None
+    store_failed_at: int | None = None
+    lapse_use_until: int = 0
     unreported_suspects: list[str] = attrs.field(factory=list)
     probe_candidates: set[str] = attrs.field(factory=set)
     _id_by_address: dict[str, str] = attrs.field(factory=dict, init=False)
@@ -236,7 +267,69 @@
         if self.freshness.confirmed_at is None:
             self.first_contact_at = now
         elif self.is_stale(now):
-            self.store_returned_at = now
+            if not self._knows_return():
+                self.store_returned_at = now
+            self._limit_lapse_use(self.store_returned_at or now)
+        self.store_failed_at = None
+
+    def _limit_lapse_use(self, returned_at: int) -> None:
+        """Limit the use of servers whose records are missing after an outage.
+
+        Parameters
+        ----------
+        returned_at : int
+            Latest time in milliseconds at which the store has returned.
+        """
+        earliest = returned_at
+        if self.store_failed_at is not None:
+            earliest = max(
+                returned_at - MAX_RETURN_DELAY_MS,
+                min(returned_at, self.store_failed_at),
+            )
+        until = earliest + LAPSE_USE_MS
+        if self.lapse_use_until > returned_at:
+            until = min(until, self.lapse_use_until)
+        self.lapse_use_until = until
+
+    def record_store_failure(self, sent_at: int) -> None:
+        """Record that the store has not answered a call.
+
+        Parameters
+        ----------
+        sent_at : int
+            Time in milliseconds at which the call was sent.
+        """
+        self.store_failed_at = sent_at
+
+    def record_peer_contact(self, at: int) -> None:
+        """Record that the store has answered a peer at a time or later.
+
+        Servers register again from the store's return on, and not from the
+        time at which it answers this entry.
+
+        Parameters
+        ----------
+        at : int
+            Time in milliseconds.
+        """
+        confirmed_at = self.freshness.confirmed_at
+        if (
+            confirmed_at is not None
+            and at > confirmed_at + STORE_OUTAGE_AGE_MS
+            and not self._knows_return()
+        ):
+            self.store_returned_at = at
+
+    def _knows_return(self) -> bool:
+        """Return whether the store has returned since the last confirmation.
+
+        A peer has then been answered before this entry.
+        """
+        return (
+            self.store_returned_at is not None
+            and self.freshness.confirmed_at is not None
+            and self.store_returned_at > self.freshness.confirmed_at
+        )
 
     def is_stale(self, now: int) -> bool:
         """Return whether the copy is older than with an available store.
@@ -288,7 +381,10 @@
             Current time in milliseconds.
         """
         current = self.servers.get(server.id)
-        self.unlisted_while_settling.discard(server.id)
+        was_listed = current is not None and server.id not in self.unlisted
+        if self.unlisted_while_settling.pop(server.id, None) is not None:
+            was_listed = False
+        self.removals.forget(departures_module.compute_run_hash(server))
         if current == server and server.id not in self.unlisted:
             return
         self.unlisted.pop(server.id, None)
@@ -298,14 +394,16 @@
         self.servers[server.id] = server
         self.servers_changed_at = now
         self.revision += 1
+        if server.draining and self.departures.record(
+            server, self._date_departure(was_listed, now)
+        ):
+            self._log_departure(server.id, 'listed', now)
         leaving_since = self.departures.get_since(server)
-        if leaving_since is not None:
+        if leaving_since is None:
+            self.leaving.pop(server.id, None)
+        else:
             # The server may have had no record in between.
             self.leaving[server.id] = leaving_since
-        elif server.draining:
-            self.leaving.setdefault(server.id, now)
-        else:
-            self.leaving.pop(server.id, None)
         suspicion = self.suspicions.get(server.id)
         if suspicion is not None and suspicion.started_at != server.started_at:
             del self.suspicions[server.id]
@@ -318,7 +416,28 @@
             born=server.started_at,
         )
 
-    def remove_server(self, server_id: str, now: int) -> None:
+    def _date_departure(self, was_listed: bool, now: int) -> int:
+        """Return since when a server leaves whose record shows it now.
+
+        After an interruption of the copy, and in a record that was missing
+        before, it may have done so for any time.
+        """
+        if not was_listed or self.is_stale(now) or self.is_settling(now):
+            return now - LEAVING_USE_MS - 1
+        return now
+
+    def _log_departure(self, server_id: str, evidence: str, now: int) -> None:
+        logger.info(
+            'server_leaves',
+            server=server_id,
+            evidence=evidence,
+            reported=evidence in _REPORTED_EVIDENCE,
+            copy_age_ms=self.freshness.compute_age(now),
+        )
+
+    def remove_server(
+        self, server_id: str, now: int, revision: int = 0
+    ) -> None:
         """Record that the record of a server was removed.
 
         Some servers leave without notice: their record is removed first, and
@@ -331,22 +450,33 @@
             Id of the server.
         now : int
             Current time in milliseconds.
+        revision : int, optional
+            Revision of a copy that lacks the record.
         """
-        if server_id not in self.servers:
+        server = self.servers.get(server_id)
+        if server is None:
             return
         if self.is_settling(now):
-            self.unlisted_while_settling.add(server_id)
+            self.unlisted_while_settling[server_id] = revision
             logger.info('server_lapsed', server=server_id)
             return
+        self._record_removal(server, revision, now)
         if server_id in self.suspicions:
             # It failed before its record was removed, so it no longer serves.
             self._drop(server_id, now)
             return
         self.servers_changed_at = now
-        self.leaving.setdefault(server_id, now)
+        self.leaving.setdefault(server_id, self._date_departure(True, now))
         self.unlisted.setdefault(server_id, now)
         logger.info('server_unlisted', server=server_id)
 
+    def _record_removal(
+        self, server: fleet.Server, revision: int, now: int
+    ) -> None:
+        self.removals.record(
+            departures_module.compute_run_hash(server), revision, now
+        )
+
     def purge_expired(self, now: int) -> None:
         """Drop expired servers, suspicions and measurements.
 
@@ -355,13 +485,17 @@
         now : int
             Current time in milliseconds.
         """
-        if self.unlisted_while_settling and not self.is_settling(now):
+        if self.unlisted_while_settling and self._has_settled(now):
             # They have not registered again in time, and refuse every run.
             unlisted_while_settling, self.unlisted_while_settling = (
                 self.unlisted_while_settling,
-                set(),
+                {},
             )
-            for server_id in unlisted_while_settling:
+            for server_id, revision in unlisted_while_settling.items():
+                if server_id in self.servers:
+                    self._record_removal(
+                        self.servers[server_id], revision, now
+                    )
                 self._drop(server_id, now)
         for server_id, since in list(self.unlisted.items()):
             if now - since > LEAVING_USE_MS:
@@ -377,6 +511,17 @@
         self.rests.forget_old(now)
         self.departures.forget_old(self.servers.values(), now)
 
+    def _has_settled(self, now: int) -> bool:
+        """Return whether servers have had the time to register again.
+
+        They can't do so while the store is unavailable once more.
+        """
+        return (
+            not self.is_settling(now)
+            and self.store_failed_at is None
+            and not self.is_stale(now)
+        )
+
     def _drop_predecessor(self, server: fleet.Server, now: int) -> None:
         """Drop the server that a newer one at its address has replaced."""
         predecessor = self.servers.get(
@@ -566,7 +711,7 @@
             Current time in milliseconds.
         """
         if notice.is_leaving and self.departures.record(server, now):
-            logger.info('server_leaves', server=server.id, reported=False)
+            self._log_departure(server.id, 'stated', now)
             self._mark_leaving(server.id, now)
         if notice.rest_ms > 0 and self.rests.record(
             server.id, notice.rest_ms, now
@@ -601,9 +746,32 @@
             return
         for server in self.servers.values():
             if departures_module.compute_run_hash(server) in new:
-                logger.info('server_leaves', server=server.id, reported=True)
+                self._log_departure(server.id, 'reported', now)
                 self._mark_leaving(server.id, now)
 
+    def apply_reported_removals(
+        self, reported: typing.Mapping[int, int], copy_revision: int, now: int
+    ) -> None:
+        """Apply a peer's report of servers that its copy does not list.
+
+        Parameters
+        ----------
+        reported : mapping of int to int
+            Revision of the peer's copy, by the hash of the server's run.
+        copy_revision : int
+            Revision of the local copy.
+        now : int
+            Current time in milliseconds.
+        """
+        self.removals.forget_old(copy_revision, now)
+        new = self.removals.record_reported(reported, copy_revision, now)
+        if not new:
+            return
+        self.revision += 1
+        for server in self.servers.values():
+            if departures_module.compute_run_hash(server) in new:
+                self._log_departure(server.id, 'peer_list', now)
+
     def _mark_leaving(self, server_id: str, now: int) -> None:
         if server_id in self.servers and server_id not in self.leaving:
             self.leaving[server_id] = now
@@ -662,7 +830,16 @@
         if server.draining and server.kind:
             # Draining engines refuse new requests at once.
             return False
+        if (
+            server.id in self.unlisted_while_settling
+            and now > self.lapse_use_until
+        ):
+            return False
         since = self.leaving.get(server.id)
+        if since is None:
+            since = self.removals.find_since(
+                departures_module.compute_run_hash(server)
+            )
         return since is None or now - since <= LEAVING_USE_MS
 
     def list_servers(self, service: str, now: int) -> list[fleet.Server]:
--- a/src/thornspool/domain/entries/messages.py
+++ b/src/thornspool/domain/entries/messages.py
@@ -99,7 +99,11 @@
     limits : dict of int to named_limits.ReportedLimit
         Limits that servers name, and recent ends of limits, by server hash.
     departures : tuple of int
-        Hashes of servers' processes that state that they leave.
+        Hashes of servers' processes that leave, as they state or their
+        records show.
+    removals : dict of int to int
+        Hashes of servers' processes that the sender's copy of the list lacks,
+        with the revision of the copy.
     rejection_ms : int
         Milliseconds for which the sender should not collect, as the store
         rejects it; 0 for an entry that may collect.
@@ -124,3 +128,4 @@
     rejection_ms: int = 0
     limits: dict[int, named_limits.ReportedLimit] = attrs.field(factory=dict)
     departures: tuple[int, ...] = ()
+    removals: dict[int, int] = attrs.field(factory=dict)
--- a/src/thornspool/platform/follower.py
+++ b/src/thornspool/platform/follower.py
@@ -257,6 +257,7 @@
         self._received_feed = False
         self._reachable = False
         self._pause_ms = RETRY_MS
+        self._called_at = clock.now()
         self._outage_max_age_ms = self._draw_uniform(OUTAGE_MAX_AGE_RANGE_MS)
 
     async def run(self) -> None:
@@ -280,6 +281,7 @@
                 self._must_read_all = True
             except exceptions.StoreError as error:
                 self._record_reachable(False, str(error))
+                self._routing_state.record_store_failure(self._called_at)
                 self._coordination.hand_over_collection()
                 await self._wait_before_retry()
 
@@ -331,7 +333,7 @@
 
     async def _read_all(self) -> None:
         """Read all keys and remove those that no longer exist."""
-        sent_at = self._clock.now()
+        sent_at = self._called_at = self._clock.now()
         snapshot = await self._store.read_all('')
         # Changes from another entry may have been applied meanwhile.
         since = self.revision
@@ -417,7 +419,7 @@
         return ChangeSet(revision, self.revision, tuple(items.values()), exact)
 
     async def _watch(self) -> None:
-        sent_at = self._clock.now()
+        sent_at = self._called_at = self._clock.now()
         since = self.revision
         changes = await self._store.watch('', since, self._choose_watch_ms())
         self._routing_state.record_store_contact(self._clock.now())
@@ -483,7 +485,7 @@
             return
         if item.value is None:
             self._key_revisions.pop(item.key, None)
-            self._remove(item.key)
+            self._remove(item.key, item.revision)
             return
         self._key_revisions[item.key] = item.revision
         self._apply_value(item.key, item.value, item.revision)
@@ -498,7 +500,7 @@
                 self._routing_state.apply_server(server, now)
             else:
                 name = key.removeprefix(documents.SERVERS_PREFIX)
-                self._routing_state.remove_server(name, now)
+                self._routing_state.remove_server(name, now, revision)
         elif key.startswith(registry.ENTRIES_PREFIX):
             record = registry.decode_record(key, value)
             if record is not None:
@@ -521,11 +523,11 @@
             return
         self._routing_state.apply_configuration(configuration)
 
-    def _remove(self, key: str) -> None:
+    def _remove(self, key: str, revision: int) -> None:
         now = self._clock.now()
         if key.startswith(documents.SERVERS_PREFIX):
             name = key.removeprefix(documents.SERVERS_PREFIX)
-            self._routing_state.remove_server(name, now)
+            self._routing_state.remove_server(name, now, revision)
         elif key.startswith(registry.ENTRIES_PREFIX):
             self._view.remove(key.removeprefix(registry.ENTRIES_PREFIX))
         elif key == registry.LEADER_KEY:
--- a/src/thornspool/platform/peers.py
+++ b/src/thornspool/platform/peers.py
@@ -77,6 +77,8 @@
     # age in milliseconds.
     limits: dict[int, tuple[int, int]] = {}
     departures: list[int] = []
+    # Revisions by hash.
+    removals: dict[int, int] = {}
 
 
 class _ChangeSet(msgspec.Struct, array_like=True, tag=1):
@@ -168,6 +170,7 @@
                 for server_hash, limit in state_update.limits.items()
             },
             list(state_update.departures),
+            state_update.removals,
         )
     )
 
@@ -297,6 +300,7 @@
             for server_hash, (units, age_ms) in message.limits.items()
         },
         tuple(message.departures),
+        message.removals,
     )
 
 
--- a/tests/application/routing/test_calls.py
+++ b/tests/application/routing/test_calls.py
@@ -296,7 +296,7 @@
         """The time to register again is over, so nothing runs there."""
         self.routing_state.purge_expired(self.return_at + 2_300)
         self.assertNotIn('a-0', self.routing_state.servers)
-        self.assertEqual(set(), self.routing_state.unlisted_while_settling)
+        self.assertEqual({}, self.routing_state.unlisted_while_settling)
 
     def test_removal_without_an_outage_applies_at_once(self):
         self.routing_state.freshness.confirm(20_000)
--- a/tests/application/routing/test_server_limits.py
+++ b/tests/application/routing/test_server_limits.py
@@ -328,6 +328,35 @@
         self.world.add(record)
         self.assertNotIn('a-90', self.list_usable('ledger'))
 
+    def test_departure_of_a_record_outlasts_the_record(self):
+        """Guards against a further second of use after each lapse."""
+        record = self.state.servers['a-90']
+        leaving = builders.attrs.evolve(record, draining=True)
+        self.world.add(leaving)
+        self.assertIn('a-90', self.list_usable('ledger'))
+        self.world.advance(routing_state_module.LEAVING_USE_MS + 25)
+        for returned in (leaving, record):
+            self.state.remove_server('a-90', self.world.clock.now())
+            self.world.advance(3_000)
+            self.assertNotIn('a-90', self.state.servers)
+            self.world.add(returned)
+            self.assertNotIn('a-90', self.list_usable('ledger'))
+
+    def test_record_that_first_shows_a_departure_allows_no_further_use(self):
+        """Guards against a second of use of servers that left long ago."""
+        record = self.state.servers['a-90']
+        leaving = builders.attrs.evolve(record, id='new', draining=True)
+        self.world.add(leaving)
+        self.assertNotIn('new', self.list_usable('ledger'))
+
+    def test_departure_read_after_an_interruption_allows_no_further_use(self):
+        """Guards against waits after an outage that add up."""
+        record = self.state.servers['a-90']
+        self.world.clock.advance(5_000)
+        self.state.record_store_contact(self.world.clock.now())
+        self.world.add(builders.attrs.evolve(record, draining=True))
+        self.assertNotIn('a-90', self.list_usable('ledger'))
+
     def test_reported_departure_counts(self):
         self.leave('a-90')
         other = builders.World()
