Test entries that lose their links to all engines

The simulated engines now cut entries off: silent, with open connections that break, or with new ones refused; the rule is counted from first tries.

--- a/tests/engine_rules.py
+++ b/tests/engine_rules.py
@@ -21,6 +21,9 @@
 LIMIT_FACTOR = 1.5
 LIMIT_SLACK = 5
 MAX_ARRIVALS_IN_REST = 2
+MIN_SERVED_RATIO = 2 / 3
+FAILED_SLACK = 10
+FAILED_SHARE = 1 / 50
 CRASHES_BEFORE_REFUSAL = 3
 MAX_RETRIES_OF_CRASHES = 3
 TOLD_MS = 500
@@ -80,6 +83,24 @@
     server: str
 
 
+@attrs.frozen
+class FirstTry:
+    """First try of a request at a host, and whether it was served."""
+
+    at: int
+    host: str
+    is_served: bool
+
+
+@attrs.frozen
+class Cut:
+    """Time in which hosts are cut off from all servers."""
+
+    hosts: frozenset[str]
+    since: int
+    until: int
+
+
 def read_log(
     lines: Iterable[dict[str, typing.Any]],
 ) -> tuple[list[Arrival], list[Answer]]:
@@ -264,6 +285,59 @@
     return violations
 
 
+def find_recovery_violations(
+    tries: Sequence[FirstTry], cuts: Sequence[Cut], contact_ms: int
+) -> list[str]:
+    """Find cuts in which callers of the cut hosts were served far worse.
+
+    From ``contact_ms`` after the hosts were cut off from all servers, first
+    tries at these hosts are served less than two thirds as often as those at
+    the others, and more than 10 and one in 50 of all first tries fail there.
+    """
+    violations = []
+    for cut in cuts:
+        own, others = count_tries(tries, cut, contact_ms)
+        failed = len(own) - sum(own)
+        is_worse = _compute_share(own) < MIN_SERVED_RATIO * _compute_share(
+            others
+        )
+        allowed = FAILED_SLACK + FAILED_SHARE * (len(own) + len(others))
+        if is_worse and failed > allowed:
+            violations.append(
+                f'hosts that were cut off at {cut.since} served {sum(own)} '
+                f'of {len(own)} first tries, the others {sum(others)} of '
+                f'{len(others)}'
+            )
+    return violations
+
+
+def count_tries(
+    tries: Sequence[FirstTry], cut: Cut, contact_ms: int
+) -> tuple[list[bool], list[bool]]:
+    """Return for the first tries at cut and other hosts if they were served.
+
+    Parameters
+    ----------
+    tries : sequence of FirstTry
+        First tries at all hosts.
+    cut : Cut
+        The cut.
+    contact_ms : int
+        Milliseconds from its start after which tries count.
+    """
+    counted = [
+        one for one in tries if cut.since + contact_ms <= one.at <= cut.until
+    ]
+    return (
+        [one.is_served for one in counted if one.host in cut.hosts],
+        [one.is_served for one in counted if one.host not in cut.hosts],
+    )
+
+
+def _compute_share(served: Sequence[bool]) -> float:
+    return sum(served) / len(served) if served else 1.0
+
+
 def _was_unstable(
     at: int, contact_ms: int, unstable: Iterable[Excuse]
 ) -> bool:
--- a/tests/simulation/callers.py
+++ b/tests/simulation/callers.py
@@ -8,6 +8,7 @@
 
 import attrs
 
+from tests import engine_rules
 from tests.application.routing import builders
 from tests.simulation import engines
 from tests.simulation import loops
@@ -45,6 +46,8 @@
         which of them ended under a request.
     reasons : collections.Counter
         Requests that were not on time, by the reason of the last refusal.
+    tries : list of engine_rules.FirstTry
+        First tries of all requests.
     """
 
     counts: collections.Counter = attrs.field(factory=collections.Counter)
@@ -58,6 +61,7 @@
     answers: list = attrs.field(factory=list)
     crashes: list = attrs.field(factory=list)
     reasons: collections.Counter = attrs.field(factory=collections.Counter)
+    tries: list = attrs.field(factory=list)
 
     @property
     def total(self):
@@ -128,6 +132,14 @@
         )
         while not (reply.whole or reply.aborted):
             await loops.sleep_ms(5)
+        if not attempt:
+            results.tries.append(
+                engine_rules.FirstTry(
+                    results.sent_at[key],
+                    entry.host,
+                    reply.status == 200 and not reply.aborted,
+                )
+            )
         if reply.status != 503 or attempt:
             break
         await loops.sleep_ms(reply.retry_after_ms or 500)
--- a/tests/simulation/conditions.py
+++ b/tests/simulation/conditions.py
@@ -179,6 +179,44 @@
     return crash
 
 
+def cut_links(cuts, kind, share, at_ms=3_000, length_ms=12_000, domain=''):
+    """Return a fault in which entries lose their links to all engines.
+
+    Parameters
+    ----------
+    cuts : list of engine_rules.Cut
+        Extended by the cut.
+    kind : str
+        Kind of the cut, see ``engines.Engines.cut``.
+    share : float
+        Share of the entries that are cut off.
+    at_ms, length_ms : int, optional
+        Virtual milliseconds from the start of the load to the cut, and its
+        length.
+    domain : str, optional
+        Failure domain of the entries; empty for all.
+    """
+
+    async def cut(simulated):
+        await loops.sleep_ms(at_ms)
+        hosts = [host for host in simulated.entries if host.startswith(domain)]
+        source = random.Random(f'{simulated.seed} links')
+        chosen = source.sample(hosts, max(1, round(share * len(hosts))))
+        began_at = simulated.clock.now()
+        for host in chosen:
+            simulated.engines.cut(host, kind)
+        await loops.sleep_ms(length_ms)
+        for host in chosen:
+            simulated.engines.heal(host)
+        cuts.append(
+            engine_rules.Cut(
+                frozenset(chosen), began_at, simulated.clock.now()
+            )
+        )
+
+    return cut
+
+
 def combine(*faults):
     """Return a fault that runs several ones at the same time."""
 
--- a/tests/simulation/engines.py
+++ b/tests/simulation/engines.py
@@ -45,6 +45,9 @@
 RESTART_MS = 3_200
 """Time until an engine that a request has crashed is back."""
 
+CONNECT_TIMEOUT_MS = 400
+"""Time after which a connection that nobody answers is given up."""
+
 DELISTING_MS = 3_000
 """Time until a lost engine is removed from the list of engines."""
 
@@ -110,6 +113,8 @@
         The current path.
     reservations : list of tuple of Engine and float
         Token-layers reserved on each engine.
+    task : asyncio.Task or None
+        Task that runs it.
     prefill_ms : float
         Milliseconds until new engines of the path have prefilled the tokens.
     """
@@ -120,6 +125,7 @@
     tokens: float
     hops: list[tuple[Engine, search.Hop]] = attrs.field(factory=list)
     reservations: list[tuple[Engine, float]] = attrs.field(factory=list)
+    task: asyncio.Task[None] | None = None
     prefill_ms: float = 0.0
 
 
@@ -154,6 +160,45 @@
         self.answers = []
         self.crashing = {}
         self.crashes = []
+        self.cuts = {}
+
+    def cut(self, host, kind):
+        """Cut the links of an entry to all engines.
+
+        Parameters
+        ----------
+        host : str
+            Host of the entry.
+        kind : str
+            ``silent`` (nothing arrives any more), ``reset`` (open connections
+            break, new ones are refused) or ``refused`` (open connections live
+            on, new ones are refused).
+        """
+        self.cuts[host] = kind
+        if kind == 'reset':
+            for active in list(self._runs.values()):
+                if active.client.host == host:
+                    active.task.cancel()
+                    active.listener.handle_completion(ports.Completion.BROKEN)
+
+    def heal(self, host):
+        """Restore the links of an entry."""
+        del self.cuts[host]
+
+    async def fail_connection(self, client, wait_ms):
+        """Fail a new connection of an entry that is cut off.
+
+        Returns
+        -------
+        str or None
+            Kind of the cut; None if there is none.
+        """
+        kind = self.cuts.get(client.host)
+        if kind == 'silent':
+            await loops.sleep_ms(min(wait_ms, CONNECT_TIMEOUT_MS))
+        elif kind is not None:
+            await loops.sleep_ms(ENTRY_LATENCY_MS)
+        return kind
 
     def find_engine(self, name):
         return next(
@@ -202,6 +247,7 @@
         active = _ActiveRun(run, listener, client, tokens)
         self._runs[run.request.id] = active
         task = self.start_task(self._run_and_release(active, first_event))
+        active.task = task
         return task.cancel
 
     async def _run_and_release(self, active, first_event):
@@ -214,6 +260,9 @@
 
     async def _serve(self, active, first_event):
         """Check the engines of a run, prefill its prompt and decode."""
+        if await self.fail_connection(active.client, CONNECT_TIMEOUT_MS):
+            active.listener.handle_completion(ports.Completion.NOT_SENT)
+            return
         await loops.sleep_ms(ENTRY_LATENCY_MS)
         self.record_arrival(
             active.run.server,
@@ -272,6 +321,8 @@
             if not await self._await_engines(active, first):
                 active.listener.handle_completion(ports.Completion.BROKEN)
                 return
+            while self.cuts.get(active.client.host) == 'silent':
+                await loops.sleep_ms(POLL_MS)
             if number == first_event:
                 self.answer(active.run.server, active.client, True)
                 active.listener.handle_head(
@@ -386,6 +437,8 @@
 
     async def probe(self, server, client, wait_ms):
         engine = self.by_address.get(server.address)
+        if await self.fail_connection(client, wait_ms):
+            return None
         if engine is None or engine.state == 'crashed':
             await loops.sleep_ms(2 * ENTRY_LATENCY_MS)
             return None
@@ -401,6 +454,9 @@
 
     async def check(self, server, client, wait_ms):
         engine = self.by_address.get(server.address)
+        cut = await self.fail_connection(client, wait_ms)
+        if cut is not None:
+            return ports.ProcessCheck(None if cut == 'silent' else False)
         if engine is None or engine.state == 'crashed':
             await loops.sleep_ms(2 * ENTRY_LATENCY_MS)
             return ports.ProcessCheck(False)
@@ -414,6 +470,8 @@
 
     async def assign_layers(self, server, layers, client):
         engine = self.by_address[server.address]
+        if await self.fail_connection(client, CONNECT_TIMEOUT_MS):
+            return ports.OrderResult.UNKNOWN
         await loops.sleep_ms(2 * ENTRY_LATENCY_MS)
         if engine.state != 'up':
             return ports.OrderResult.UNKNOWN
@@ -443,6 +501,8 @@
         self._on_change(server)
 
     async def reroute(self, request, hops, client):
+        if await self.fail_connection(client, CONNECT_TIMEOUT_MS):
+            return ports.OrderResult.UNKNOWN
         await loops.sleep_ms(2 * ENTRY_LATENCY_MS)
         self.reroutes += 1
         self.record_arrival(hops[0].server, client.host, 'reroute', request)
