Count failures of servers only while another server answers

Cause: an entry took its own fault for that of the servers and told it to all; each guard looked at one batch, and some were not asked. The class of fault is one vantage point that is taken for the truth.

One design takes the place of the guards (the plausible share of a batch, the engines in a row, the share of suspects): a connection, probe or run that fails counts, here and at peers, once another server has answered on a connection that was opened later; references are checked for it. If none answers, the links are lost: nothing counts, suspicions are retracted, no order is given, no end of a server is recorded, and a few checks find the end. Contact contradicts a suspicion, and entries check those that they suspect themselves, so that an engine that is silent for a second is back at once. One peer excludes a quarter of the servers at most, and never the last ones of a service.

Tests of the removed guards are replaced: an entry that reaches no server suspects and ejects none (test_server_evidence), one peer does not exclude the fleet. Callers of the cut entries still get only 503.

--- a/src/thornspool/application/routing/calls.py
+++ b/src/thornspool/application/routing/calls.py
@@ -17,9 +17,6 @@
 from thornspool.application.routing import crash_detection
 from thornspool.application.routing import listeners
 from thornspool.application.routing import ports
-from thornspool.application.routing import (
-    routing_state as routing_state_module,
-)
 from thornspool.application.routing import run_permits
 from thornspool.domain.fleet import server_scores
 
@@ -30,6 +27,10 @@
     from thornspool import clock as clock_module
     from thornspool.application.routing import exchanges
     from thornspool.application.routing import retry_pools
+    from thornspool.application.routing import (
+        routing_state as routing_state_module,
+    )
+    from thornspool.application.routing import server_evidence
     from thornspool.application.routing import server_limits
     from thornspool.domain.fleet import messages as fleet
 
@@ -113,8 +114,8 @@
         Limits that servers name.
     permits : run_permits.RunPermits
         Decides which requests may run, as far as they may crash servers.
-    servers : ports.ServerClient
-        Client for the servers.
+    evidence : server_evidence.ServerEvidence
+        Client for the servers, and what counts against them.
     retry_budget : retry_pools.RetryPools
         Limits retries.
     failure_domain : str
@@ -129,7 +130,7 @@
         routing_state: routing_state_module.RoutingState,
         limits: server_limits.ServerLimits,
         permits: run_permits.RunPermits,
-        servers: ports.ServerClient,
+        evidence: server_evidence.ServerEvidence,
         retry_budget: retry_pools.RetryPools,
         failure_domain: str,
         random_source: random.Random,
@@ -138,7 +139,8 @@
         self._routing_state = routing_state
         self._limits = limits
         self._permits = permits
-        self._servers = servers
+        self._evidence = evidence
+        self._servers = evidence.servers
         self._retry_budget = retry_budget
         self._failure_domain = failure_domain
         self._random = random_source
@@ -352,11 +354,7 @@
         if completion is ports.Completion.NOT_SENT:
             exchange.runs -= 1
             if call.server is not None:
-                self._routing_state.suspect(
-                    call.server.id,
-                    routing_state_module.NOT_REACHED,
-                    self._clock.now(),
-                )
+                self._evidence.record_unreachable(call.server, call.sent_at)
             self._retry_or_fail(call, 'not_reached', True)
         elif head is not None and not head.executed:
             exchange.runs -= 1
--- a/src/thornspool/application/routing/crash_detection.py
+++ b/src/thornspool/application/routing/crash_detection.py
@@ -26,6 +26,7 @@
     from collections.abc import Iterable
 
     from thornspool import clock as clock_module
+    from thornspool.application.routing import server_evidence
     from thornspool.domain.fleet import messages as fleet
 
 ESTABLISHED_MS = 500
@@ -181,8 +182,8 @@
         Source of time.
     routing_state : routing_state_module.RoutingState
         Listed servers, and those that leave or are suspected.
-    servers : ports.ServerClient
-        Client for calls to servers.
+    evidence : server_evidence.ServerEvidence
+        Client for the servers, and what counts against them.
     try_acquire : callable
         Returns whether a server accepts a check now.
     start_task : callable
@@ -193,13 +194,14 @@
         self,
         clock: clock_module.Clock,
         routing_state: routing_state_module.RoutingState,
-        servers: ports.ServerClient,
+        evidence: server_evidence.ServerEvidence,
         try_acquire: Callable[[str], bool],
         start_task: Callable[[Coroutine[typing.Any, typing.Any, None]], None],
     ) -> None:
         self._clock = clock
         self._routing_state = routing_state
-        self._servers = servers
+        self._evidence = evidence
+        self._servers = evidence.servers
         self._try_acquire = try_acquire
         self._start_task = start_task
         self._on_crash: Callable[[fleet.Server, frozenset[str]], None] = (
@@ -376,8 +378,10 @@
             or process.checks >= MAX_CHECKS
         ):
             return
-        process.checks += 1
         process.checked_at = self._clock.now()
+        if self._evidence.links.are_lost:
+            return
+        process.checks += 1
         if not self._try_acquire(server.id):
             return
         process.is_checking = True
@@ -385,15 +389,21 @@
 
     async def _check(self, process: _Process) -> None:
         """Check a server twice before it counts as ended."""
+        opened_at = self._clock.now()
         try:
             found = await self._servers.check(process.server)
             if found.is_listening is False:
                 await asyncio.sleep(SECOND_CHECK_DELAY_MS / _MS_PER_S)
+                opened_at = self._clock.now()
                 found = await self._servers.check(process.server)
         finally:
             process.is_checking = False
         if found.is_listening is False:
-            self._record_end(process.server, 'not_listening')
+            self._evidence.record_failure(
+                process.server,
+                opened_at,
+                lambda: self._record_end(process.server, 'not_listening'),
+            )
         elif _is_later(found.started_at, process.server.started_at):
             self._record_end(process.server, 'restarted')
         elif found.is_listening:
--- a/src/thornspool/application/routing/failure_detection.py
+++ b/src/thornspool/application/routing/failure_detection.py
@@ -31,6 +31,7 @@
     from thornspool import clock as clock_module
     from thornspool.application.routing import in_flight as in_flight_module
     from thornspool.application.routing import ports
+    from thornspool.application.routing import server_evidence
     from thornspool.application.routing import streams
     from thornspool.domain.fleet import messages as fleet
 
@@ -122,8 +123,8 @@
         Routing state in which suspected servers are recorded.
     service : streams.StreamService
         Service whose streams are watched.
-    servers : ports.ServerClient
-        Client for calls to engines.
+    evidence : server_evidence.ServerEvidence
+        Client for the servers, and what counts against them.
     random_source : random.Random
         Spreads the probes of many entries over time.
     count_entries : callable
@@ -137,7 +138,7 @@
         clock: clock_module.Clock,
         routing_state: routing_state_module.RoutingState,
         service: streams.StreamService,
-        servers: ports.ServerClient,
+        evidence: server_evidence.ServerEvidence,
         random_source: random.Random,
         count_entries: Callable[[], int],
         announce_suspects: Callable[[], None] = lambda: None,
@@ -145,7 +146,8 @@
         self._clock = clock
         self._routing_state = routing_state
         self._service = service
-        self._servers = servers
+        self._evidence = evidence
+        self._servers = evidence.servers
         self._random = random_source
         self._count_entries = count_entries
         self._announce_suspects = announce_suspects
@@ -158,7 +160,7 @@
         self._sweep = sweeps.Sweep()
         self._check_scheduled = False
         self._rerouter = rerouting.Rerouter(
-            clock, service, servers, self._start_task
+            clock, service, evidence.servers, self._start_task
         )
 
     def _compute_engines_per_entry(self) -> float:
@@ -424,9 +426,7 @@
         probed_at = self._clock.now()
         report = await self._servers.probe(server)
         if report is None:
-            self._routing_state.record_unanswered_probe(
-                server.id, probed_at, self._clock.now()
-            )
+            self._evidence.record_unanswered_probe(server, probed_at)
             return
         self._apply_report(server, report)
 
@@ -441,18 +441,10 @@
             for server, is_unresponsive in zip(servers, answers, strict=True)
             if is_unresponsive
         ]
-        if not stalls.is_loss_plausible(len(servers), len(unresponsive)):
-            logger.warning(
-                'own_link_doubted',
-                asked=len(servers),
-                silent=len(unresponsive),
-            )
-            return
         for server in unresponsive:
-            self._routing_state.record_unanswered_probe(
-                server.id,
+            self._evidence.record_unanswered_probe(
+                server,
                 probed_at,
-                self._clock.now(),
                 LOSS_PROBE_TIMEOUT_MS,
                 routing_state_module.NO_QUICK_REPORT,
                 MAX_PROBE_DELAY_MS,
@@ -492,8 +484,8 @@
         if report is not None:
             self._apply_report(server, report)
         elif refused:
-            self._routing_state.record_unanswered_probe(
-                server.id, probed_at, self._clock.now(), LOSS_PROBE_TIMEOUT_MS
+            self._evidence.record_unanswered_probe(
+                server, probed_at, LOSS_PROBE_TIMEOUT_MS
             )
             self._announce_losses()
         return report is None and not refused
--- a/src/thornspool/application/routing/fault_attribution.py
+++ b/src/thornspool/application/routing/fault_attribution.py
@@ -14,7 +14,7 @@
     from thornspool import clock as clock_module
     from thornspool.application.routing import in_flight as in_flight_module
     from thornspool.application.routing import ports
-    from thornspool.domain.fleet import messages as fleet
+    from thornspool.application.routing import server_evidence
 
 MAX_USUAL_SIZE_RATIO = 1.5
 """Size of a request, as a multiple of the usual size, above which a refusal
@@ -35,28 +35,19 @@
         Source of time.
     routing_state : routing_state_module.RoutingState
         Routing state in which failures are recorded.
+    evidence : server_evidence.ServerEvidence
+        Decides which failures count.
     """
 
     def __init__(
         self,
         clock: clock_module.Clock,
         routing_state: routing_state_module.RoutingState,
+        evidence: server_evidence.ServerEvidence,
     ) -> None:
         self._clock = clock
         self._routing_state = routing_state
-
-    def record_unreachable(self, server: fleet.Server | None) -> None:
-        """Suspect an engine to which no connection could be opened.
-
-        Parameters
-        ----------
-        server : fleet.Server or None
-            The engine; None when the run had no path.
-        """
-        if server is not None:
-            self._routing_state.suspect(
-                server.id, routing_state_module.NOT_REACHED, self._clock.now()
-            )
+        self._evidence = evidence
 
     def record_refusal(
         self,
@@ -130,4 +121,10 @@
         now = self._clock.now()
         in_flight.exchange.exclude([first_server.id], now)
         if in_flight.head is None:
-            self._routing_state.record_broken_run(first_server.id, now)
+            self._evidence.record_failure(
+                first_server,
+                now,
+                lambda: self._routing_state.record_broken_run(
+                    first_server.id, self._clock.now()
+                ),
+            )
--- a/src/thornspool/application/routing/membership.py
+++ b/src/thornspool/application/routing/membership.py
@@ -150,7 +150,10 @@
         and layer changes go to the local failure domain, which uses the same
         engines, and to the collectors of the other domains.
         """
-        if self._routing_state.unreported_suspects:
+        if (
+            self._routing_state.unreported_suspects
+            or self._routing_state.has_unsent_retractions
+        ):
             self._broadcast(self._view.peers.values())
         elif (
             self._routing_state.refusals.has_unsent
@@ -162,6 +165,7 @@
         ):
             self._broadcast(self._list_affected_peers())
         self._routing_state.unreported_suspects.clear()
+        self._routing_state.has_unsent_retractions = False
         self._routing_state.refusals.has_unsent = False
         self._routing_state.outliers.has_unsent = False
         self._routing_state.retained_ranges.has_unsent = False
@@ -261,8 +265,9 @@
             )
         for server_id in update.suspects:
             routing_state.suspect(
-                server_id, f'told_by_{update.host}', now, reported=True
+                server_id, f'told_by_{update.host}', now, update.host
             )
+        routing_state.apply_retractions(update.retracted, update.host)
 
     def _is_from_follower(
         self, update: messages.StateUpdate, domain: str
@@ -605,6 +610,7 @@
             proof_age_ms=-1 if age is None else age,
             reserved=reserved,
             suspects=tuple(self._routing_state.unreported_suspects),
+            retracted=tuple(self._routing_state.retractions),
             scope=scope,
             absent_hosts=absent,
             slowdowns=self._routing_state.slowdowns.list_slow(
--- a/src/thornspool/application/routing/placement.py
+++ b/src/thornspool/application/routing/placement.py
@@ -19,6 +19,7 @@
     from thornspool.application.routing import (
         routing_state as routing_state_module,
     )
+    from thornspool.application.routing import server_evidence
     from thornspool.application.routing import server_limits
     from thornspool.domain.fleet import messages as fleet
 
@@ -102,8 +103,8 @@
         Engines and their layers.
     limits : server_limits.ServerLimits
         Limits that servers name.
-    servers : ports.ServerClient
-        Client for the engines.
+    evidence : server_evidence.ServerEvidence
+        Client for the servers, and what counts against them.
     is_leader : callable
         Returns whether this entry certainly holds the leadership.
     estimate_rate : callable
@@ -115,14 +116,15 @@
         clock: clock_module.Clock,
         routing_state: routing_state_module.RoutingState,
         limits: server_limits.ServerLimits,
-        servers: ports.ServerClient,
+        evidence: server_evidence.ServerEvidence,
         is_leader: Callable[[], bool],
         estimate_rate: Callable[[str], float],
     ) -> None:
         self._clock = clock
         self._routing_state = routing_state
         self._limits = limits
-        self._servers = servers
+        self._evidence = evidence
+        self._servers = evidence.servers
         self._is_leader = is_leader
         self._estimate_rate = estimate_rate
         self._limited_since: dict[str, dict[str, int]] = {}
@@ -144,6 +146,9 @@
             self._routing_state.retained_ranges.local.clear()
             return
         now = self._clock.now()
+        if self._evidence.links.are_lost:
+            # Nothing shows which layers are covered, and no order arrives.
+            return
         if self._routing_state.is_stale(now):
             # The lease may be renewed shortly before the local copy is.
             # Orders planned from a copy that was 8 s old made a whole domain
@@ -385,9 +390,7 @@
         probed_at = self._clock.now()
         report = await self._servers.probe(server)
         if report is None:
-            self._routing_state.record_unanswered_probe(
-                server.id, probed_at, self._clock.now()
-            )
+            self._evidence.record_unanswered_probe(server, probed_at)
             return None
         if None not in {server.started_at, report.started_at} and (
             server.started_at != report.started_at
--- a/src/thornspool/application/routing/routing_state.py
+++ b/src/thornspool/application/routing/routing_state.py
@@ -7,7 +7,6 @@
 import attrs
 import structlog
 
-from thornspool.application.routing import ports
 from thornspool.domain.fleet import departures as departures_module
 from thornspool.domain.fleet import named_limits as named_limits_module
 from thornspool.domain.fleet import outliers as outliers_module
@@ -20,6 +19,7 @@
 from thornspool.domain.freshness import confirmations
 
 if typing.TYPE_CHECKING:
+    from thornspool.application.routing import ports
     from thornspool.domain.fleet import messages as fleet
     from thornspool.domain.routing import messages as routing
 
@@ -72,15 +72,18 @@
 The record is correct again after the next heartbeat, which comes every 1.2 s.
 """
 
-MAX_SUSPECT_SHARE = 0.25
-"""Largest share of all servers that one entry may suspect.
+MAX_REPORTED_SHARE = 0.25
+"""Largest share of all servers that one peer may exclude here.
 
-An entry that was suspended or lost its network gets no answer from any server.
-Without this limit it would make its peers exclude the whole fleet.
+A peer that reaches some servers may have lost its links to all others.
 """
 
-MIN_SUSPECTS = 4
-"""Number of servers that may be suspected in a fleet of any size."""
+MIN_REPORTED = 4
+"""Number of servers that one peer may exclude in a fleet of any size."""
+
+RETRACTION_MS = 1_000
+"""Time for which a retracted suspicion is reported to peers; the time of two
+state updates and more."""
 
 MISDIRECTED = 'misdirected'
 """Reason of a suspicion: the server differs from its record."""
@@ -98,12 +101,6 @@
 NOT_REACHED = 'not_reached'
 """Reason of a suspicion: no connection to the server could be opened."""
 
-MAX_PROBE_DELAY_MS = 50
-"""Delay of this entry above which an unanswered probe is ignored.
-
-The answer may be unread while the event loop is busy.
-"""
-
 _REPORTED_EVIDENCE = frozenset({'reported', 'peer_list'})
 
 logger = structlog.get_logger(__name__)
@@ -121,11 +118,17 @@
         What was observed.
     started_at : int or None
         Start of the suspected process; a restarted server is not suspected.
+    since : int
+        Time in milliseconds at which it was last observed.
+    reporter : str
+        Host of the peer that observed it; empty for this entry.
     """
 
     until: int
     reason: str
     started_at: int | None
+    since: int = 0
+    reporter: str = ''
 
 
 @attrs.define
@@ -182,6 +185,10 @@
         missing since the store's return.
     unreported_suspects : list of str
         Suspected servers that are not yet reported to peers.
+    retractions : dict of str to int
+        Servers whose suspicion was retracted, and the time in milliseconds.
+    has_unsent_retractions : bool
+        Whether there are retractions that were not reported to peers yet.
     probe_candidates : set of str
         Engines that have refused or broken runs and are to be probed.
     """
@@ -224,6 +231,8 @@
     store_failed_at: int | None = None
     lapse_use_until: int = 0
     unreported_suspects: list[str] = attrs.field(factory=list)
+    retractions: dict[str, int] = attrs.field(factory=dict)
+    has_unsent_retractions: bool = False
     probe_candidates: set[str] = attrs.field(factory=set)
     _id_by_address: dict[str, str] = attrs.field(factory=dict, init=False)
 
@@ -500,9 +509,7 @@
         for server_id, since in list(self.unlisted.items()):
             if now - since > LEAVING_USE_MS:
                 self._drop(server_id, now)
-        for server_id, suspicion in list(self.suspicions.items()):
-            if now >= suspicion.until:
-                del self.suspicions[server_id]
+        self._forget_old_suspicions(now)
         self.slowdowns.forget_old(now)
         self.refusals.forget_old(now)
         self.outliers.forget_old(now)
@@ -511,6 +518,14 @@
         self.rests.forget_old(now)
         self.departures.forget_old(self.servers.values(), now)
 
+    def _forget_old_suspicions(self, now: int) -> None:
+        for server_id, suspicion in list(self.suspicions.items()):
+            if now >= suspicion.until:
+                del self.suspicions[server_id]
+        for server_id, at in list(self.retractions.items()):
+            if now - at > RETRACTION_MS:
+                del self.retractions[server_id]
+
     def _has_settled(self, now: int) -> bool:
         """Return whether servers have had the time to register again.
 
@@ -547,7 +562,7 @@
             logger.info('server_dropped', server=server_id)
 
     def suspect(
-        self, server_id: str, reason: str, now: int, reported: bool = False
+        self, server_id: str, reason: str, now: int, reporter: str = ''
     ) -> None:
         """Exclude a server for a limited time after a failure.
 
@@ -559,59 +574,105 @@
             What was observed.
         now : int
             Current time in milliseconds.
-        reported : bool, optional
-            Whether a peer reported it. It is then not reported to other peers.
+        reporter : str, optional
+            Host of the peer that reported it, if any. It is then not reported
+            to other peers.
         """
         server = self.servers.get(server_id)
         if server is None:
             return
-        if server_id not in self.suspicions and not self._may_suspect():
-            logger.warning(
-                'suspicion_dropped', server=server_id, reason=reason
-            )
-            return
-        if server_id not in self.suspicions:
+        known = self.suspicions.get(server_id)
+        if known is None:
+            if reporter and not self._may_exclude(reporter):
+                logger.warning(
+                    'suspicion_dropped', server=server_id, reason=reason
+                )
+                return
             logger.warning('server_suspected', server=server_id, reason=reason)
-            if not reported:
-                self.unreported_suspects.append(server_id)
+        elif reporter and not known.reporter:
+            # What this entry has observed itself is more certain.
+            reporter = ''
+        if not reporter and (known is None or known.reporter):
+            self.unreported_suspects.append(server_id)
+            self.retractions.pop(server_id, None)
         duration_ms = MISDIRECTED_MS if reason == MISDIRECTED else SUSPICION_MS
         self.suspicions[server_id] = Suspicion(
-            now + duration_ms, reason, server.started_at
+            now + duration_ms, reason, server.started_at, now, reporter
         )
 
-    def record_unanswered_probe(
-        self,
-        server_id: str,
-        probed_at: int,
-        now: int,
-        wait_ms: int = ports.REPORT_MS,
-        reason: str = NO_REPORT,
-        max_delay_ms: int = MAX_PROBE_DELAY_MS,
-    ) -> None:
-        """Suspect a server that has not answered a probe in time.
+    def _may_exclude(self, reporter: str) -> bool:
+        """Return whether a peer may exclude one more server here."""
+        reported = sum(
+            suspicion.reporter == reporter
+            for suspicion in self.suspicions.values()
+        )
+        return reported < max(
+            MIN_REPORTED, MAX_REPORTED_SHARE * len(self.servers)
+        )
+
+    def list_own_suspects(self) -> list[str]:
+        """List the servers that failed for this entry itself."""
+        return [
+            server_id
+            for server_id, suspicion in self.suspicions.items()
+            if not suspicion.reporter and suspicion.reason != MISDIRECTED
+        ]
+
+    def record_contact(self, server_id: str, now: int) -> None:
+        """End the suspicion of a server from which this entry has just heard.
 
         Parameters
         ----------
         server_id : str
             Id of the server.
-        probed_at : int
-            Time in milliseconds at which the probe was sent.
         now : int
-            Time in milliseconds at which the wait ended.
-        wait_ms : int, optional
-            Timeout of the probe in milliseconds.
-        reason : str, optional
-            Reason of the suspicion.
-        max_delay_ms : int, optional
-            Delay of this entry in milliseconds above which the missing answer
-            is ignored.
+            Current time in milliseconds.
         """
-        if now - probed_at > wait_ms + max_delay_ms:
-            logger.info(
-                'silence_doubted', server=server_id, waited=now - probed_at
-            )
+        suspicion = self.suspicions.get(server_id)
+        if (
+            suspicion is None
+            or suspicion.since >= now
+            or suspicion.reason == MISDIRECTED
+        ):
             return
-        self.suspect(server_id, reason, now)
+        logger.info(
+            'suspicion_contradicted', server=server_id, reason=suspicion.reason
+        )
+        self._end_suspicion(server_id, now)
+
+    def _end_suspicion(self, server_id: str, now: int) -> None:
+        """End a suspicion; retract it if this entry has reported it."""
+        suspicion = self.suspicions.pop(server_id)
+        if not suspicion.reporter:
+            self.retractions[server_id] = now
+            self.has_unsent_retractions = True
+            if server_id in self.unreported_suspects:
+                self.unreported_suspects.remove(server_id)
+
+    def retract_suspicions(self, now: int) -> None:
+        """End all suspicions that rest on what this entry has observed."""
+        for server_id in self.list_own_suspects():
+            self._end_suspicion(server_id, now)
+
+    def apply_retractions(
+        self, retracted: typing.Iterable[str], reporter: str
+    ) -> None:
+        """End the suspicions that a peer has reported and retracts.
+
+        Parameters
+        ----------
+        retracted : iterable of str
+            Ids of the servers.
+        reporter : str
+            Host of the peer.
+        """
+        for server_id in retracted:
+            suspicion = self.suspicions.get(server_id)
+            if suspicion is not None and suspicion.reporter == reporter:
+                del self.suspicions[server_id]
+                logger.info(
+                    'suspicion_retracted', server=server_id, reporter=reporter
+                )
 
     def record_broken_run(self, server_id: str, now: int) -> None:
         """Record that an engine closed a connection before any answer.
@@ -811,10 +872,6 @@
                 per_s=reported.per_s,
             )
 
-    def _may_suspect(self) -> bool:
-        max_suspects = max(MIN_SUSPECTS, MAX_SUSPECT_SHARE * len(self.servers))
-        return len(self.suspicions) < max_suspects
-
     def is_usable(self, server: fleet.Server, now: int) -> bool:
         """Return whether a server may get requests now.
 
@@ -825,8 +882,12 @@
         now : int
             Current time in milliseconds.
         """
-        if server.id in self.suspicions:
-            return False
+        return server.id not in self.suspicions and self._is_serving(
+            server, now
+        )
+
+    def _is_serving(self, server: fleet.Server, now: int) -> bool:
+        """Return whether a server is listed and has not left."""
         if server.draining and server.kind:
             # Draining engines refuse new requests at once.
             return False
@@ -852,10 +913,21 @@
         now : int
             Current time in milliseconds.
         """
-        return [
+        of_service = [
             server
             for server in self.servers.values()
-            if server.service == service and self.is_usable(server, now)
+            if server.service == service
+        ]
+        usable = [one for one in of_service if self.is_usable(one, now)]
+        if usable:
+            return usable
+        # What peers report does not exclude the last servers of a service.
+        return [
+            server
+            for server in of_service
+            if self._is_serving(server, now)
+            and (suspicion := self.suspicions.get(server.id)) is not None
+            and suspicion.reporter
         ]
 
     def find_by_address(self, address: str) -> fleet.Server | None:
--- /dev/null
+++ b/src/thornspool/application/routing/server_evidence.py
@@ -0,0 +1,369 @@
+"""Evidence against servers: who saw it, and what contradicts it.
+
+What this entry sees of a server counts, here and at its peers, once another
+server has answered this entry on a connection that was opened later. Until
+then the entry checks reference servers. If none of them answers, the entry has
+lost its own links: what it saw says nothing about the servers, so it discards
+its suspicions and retracts them from its peers.
+
+A suspicion ends early if its server answers later: contact of this entry with
+the server contradicts what was seen before, by itself or by a peer.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import collections
+import typing
+
+import attrs
+import structlog
+
+from thornspool.application.routing import ports
+from thornspool.application.routing import (
+    routing_state as routing_state_module,
+)
+
+if typing.TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Coroutine
+    import random
+
+    from thornspool import clock as clock_module
+    from thornspool.domain.fleet import links as links_module
+    from thornspool.domain.fleet import messages as fleet
+
+REFERENCES = 3
+"""Servers that are checked after a failure, in different failure domains if
+there are several."""
+
+REFERENCE_WAIT_MS = 40
+"""Longest wait for the answer of a reference; a sound server answers within
+some 10 ms."""
+
+REFERENCE_CHECKS = 2
+"""Checks of each reference, one after the other; a lost packet affects only
+one of them."""
+
+MAX_DELAY_MS = 50
+"""Delay of this entry above which unanswered checks say nothing."""
+
+SUSPECT_CHECK_MS = 400
+"""Interval of the checks of a server that this entry suspects."""
+
+RESTORE_CHECK_MS = 350
+"""Interval of the checks whether lost links are restored."""
+
+RETENTION_MS = 10_000
+"""Time for which answers of servers are remembered."""
+
+_MS_PER_S = 1000.0
+
+logger = structlog.get_logger(__name__)
+
+
+@attrs.frozen
+class Failure:
+    """A server that has not answered.
+
+    Attributes
+    ----------
+    server : fleet.Server
+        The server.
+    opened_at : int
+        Time in milliseconds of the attempt.
+    apply : callable
+        Called once the failure counts.
+    """
+
+    server: fleet.Server
+    opened_at: int
+    apply: Callable[[], None]
+
+
+class ServerEvidence:
+    """Decides which failures of servers count.
+
+    Parameters
+    ----------
+    clock : clock_module.Clock
+        Source of time.
+    routing_state : routing_state_module.RoutingState
+        Known servers and suspicions.
+    servers : ports.ServerClient
+        Client for calls to servers, which records the answers.
+    links : links_module.Links
+        Links of this entry.
+    random_source : random.Random
+        Source of all random choices.
+    start_task : callable
+        Runs a coroutine as a background task.
+    try_acquire : callable, optional
+        Returns whether a server accepts a check now.
+    announce : callable, optional
+        Sends new evidence to peers at once.
+    """
+
+    def __init__(
+        self,
+        clock: clock_module.Clock,
+        routing_state: routing_state_module.RoutingState,
+        servers: ports.ServerClient,
+        links: links_module.Links,
+        random_source: random.Random,
+        start_task: Callable[[Coroutine[typing.Any, typing.Any, None]], None],
+        try_acquire: Callable[[str], bool] = lambda server_id: True,
+        announce: Callable[[], None] = lambda: None,
+    ) -> None:
+        self._clock = clock
+        self._routing_state = routing_state
+        self.servers = servers
+        self.links = links
+        self._random = random_source
+        self._start_task = start_task
+        self._announce = announce
+        self._try_acquire = try_acquire
+        self._failures: list[Failure] = []
+        self._suspects_checked_at: dict[str, int] = {}
+        self._is_checking = False
+        self._checked_at = clock.now()
+        self.lost_count = 0
+
+    def record_failure(
+        self, server: fleet.Server, opened_at: int, apply: Callable[[], None]
+    ) -> None:
+        """Record that a server has not answered this entry.
+
+        Parameters
+        ----------
+        server : fleet.Server
+            The server.
+        opened_at : int
+            Time in milliseconds at which the connection was opened, or at
+            which it broke.
+        apply : callable
+            Called once the failure counts; not called if the links of this
+            entry are lost.
+        """
+        restored_at = self.links.restored_at
+        if self.links.are_lost or (
+            restored_at is not None and opened_at <= restored_at
+        ):
+            return
+        if self.links.has_answer_since(opened_at, server.id):
+            apply()
+            return
+        self._failures.append(Failure(server, opened_at, apply))
+        self.check_links()
+
+    def record_unanswered_probe(
+        self,
+        server: fleet.Server,
+        probed_at: int,
+        wait_ms: int = ports.REPORT_MS,
+        reason: str = routing_state_module.NO_REPORT,
+        max_delay_ms: int = MAX_DELAY_MS,
+    ) -> None:
+        """Suspect a server that has not answered a probe in time.
+
+        Parameters
+        ----------
+        server : fleet.Server
+            The server.
+        probed_at : int
+            Time in milliseconds at which the probe was sent.
+        wait_ms : int, optional
+            Timeout of the probe in milliseconds.
+        reason : str, optional
+            Reason of the suspicion.
+        max_delay_ms : int, optional
+            Delay of this entry in milliseconds above which the missing answer
+            is ignored, as it may be unread.
+        """
+        waited_ms = self._clock.now() - probed_at
+        if waited_ms > wait_ms + max_delay_ms:
+            logger.info('silence_doubted', server=server.id, waited=waited_ms)
+            return
+        self.record_failure(
+            server, probed_at, lambda: self.suspect(server, reason)
+        )
+
+    def record_unreachable(
+        self, server: fleet.Server | None, opened_at: int
+    ) -> None:
+        """Suspect a server to which no connection could be opened.
+
+        Parameters
+        ----------
+        server : fleet.Server or None
+            The server; None when there was none.
+        opened_at : int
+            Time in milliseconds of the attempt.
+        """
+        if server is not None:
+            self.record_failure(
+                server,
+                opened_at,
+                lambda: self.suspect(server, routing_state_module.NOT_REACHED),
+            )
+
+    def suspect(self, server: fleet.Server, reason: str) -> None:
+        """Suspect a server from now on."""
+        self._routing_state.suspect(server.id, reason, self._clock.now())
+
+    def record_answer(self, server: fleet.Server, opened_at: int) -> None:
+        """Record that a server answers, on a connection opened at a time."""
+        self.links.record_answer(server.id, opened_at)
+        self._routing_state.record_contact(server.id, self._clock.now())
+
+    def check_links(self) -> None:
+        """Check references unless that is in progress or links are lost."""
+        if not self._is_checking and not self.links.are_lost:
+            self._is_checking = True
+            self._start_task(self._check_links())
+
+    def tick(self) -> None:
+        """Check whether lost links are restored; called about every 100 ms."""
+        now = self._clock.now()
+        self.links.forget_old(now, RETENTION_MS)
+        if not self.links.are_lost:
+            self._check_suspects(now)
+        if (
+            self.links.are_lost
+            and not self._is_checking
+            and now - self._checked_at >= RESTORE_CHECK_MS
+        ):
+            self._is_checking = True
+            self._start_task(self._check_restored())
+
+    def _check_suspects(self, now: int) -> None:
+        """Check the servers that this entry suspects.
+
+        A sound server may be silent for a second.
+        """
+        for server_id in self._routing_state.list_own_suspects():
+            server = self._routing_state.servers.get(server_id)
+            if (
+                server is not None
+                and now - self._suspects_checked_at.get(server_id, 0)
+                >= SUSPECT_CHECK_MS
+                and self._try_acquire(server_id)
+            ):
+                self._suspects_checked_at[server_id] = now
+                self._start_task(self._check_suspect(server))
+        self._suspects_checked_at = {
+            server_id: at
+            for server_id, at in self._suspects_checked_at.items()
+            if now - at <= SUSPECT_CHECK_MS
+        }
+
+    async def _check_suspect(self, server: fleet.Server) -> None:
+        # An answer is recorded like any other one.
+        await self.servers.check(server)
+
+    async def _check_links(self) -> None:
+        """Check references until all failures are decided."""
+        try:
+            while self._failures and not self.links.are_lost:
+                began_at = self._clock.now()
+                # Most failures are those of a server, so that one answers.
+                references = self._choose_references(1)
+                is_answered = await self._are_answering(references, 1)
+                if references and not is_answered:
+                    references = self._choose_references(REFERENCES)
+                    is_answered = await self._are_answering(
+                        references, REFERENCE_CHECKS
+                    )
+                if not references or is_answered:
+                    self._apply_failures(has_references=bool(references))
+                elif not self._was_delayed(began_at):
+                    self._lose_links()
+        finally:
+            self._is_checking = False
+
+    async def _are_answering(
+        self, servers: list[fleet.Server], checks: int
+    ) -> bool:
+        """Return whether one of some servers answers."""
+        answers = await asyncio.gather(
+            *(self._is_answering(server, checks) for server in servers)
+        )
+        return any(answers)
+
+    def _was_delayed(self, began_at: int) -> bool:
+        longest_ms = (1 + REFERENCE_CHECKS) * REFERENCE_WAIT_MS + MAX_DELAY_MS
+        return self._clock.now() - began_at > longest_ms
+
+    def _choose_references(self, count: int) -> list[fleet.Server]:
+        """Choose servers without failures, of different failure domains."""
+        excluded = {one.server.id for one in self._failures}
+        candidates = [
+            server
+            for server in self._routing_state.servers.values()
+            if server.id not in excluded
+            and server.id not in self._routing_state.suspicions
+            and server.id not in self._routing_state.leaving
+        ]
+        self._random.shuffle(candidates)
+        ranks: collections.Counter[str] = collections.Counter()
+        ranked: list[tuple[int, fleet.Server]] = []
+        for server in candidates:
+            ranked.append((ranks[server.failure_domain], server))
+            ranks[server.failure_domain] += 1
+        ranked.sort(key=lambda one: one[0])
+        return [
+            server
+            for _, server in ranked[:count]
+            if self._try_acquire(server.id)
+        ]
+
+    async def _is_answering(self, server: fleet.Server, checks: int) -> bool:
+        for _ in range(checks):
+            found = await self.servers.check(server, REFERENCE_WAIT_MS)
+            if found.is_listening:
+                return True
+        return False
+
+    def _apply_failures(self, has_references: bool) -> None:
+        """Apply the failures that a later answer confirms."""
+        failures, self._failures = self._failures, []
+        for failure in failures:
+            if not has_references or self.links.has_answer_since(
+                failure.opened_at, failure.server.id
+            ):
+                failure.apply()
+            else:
+                self._failures.append(failure)
+        self._announce()
+
+    def _lose_links(self) -> None:
+        now = self._clock.now()
+        logger.warning('links_lost', failures=len(self._failures))
+        self.lost_count += 1
+        self.links.lost_since = now
+        self._checked_at = now
+        self._failures.clear()
+        self._routing_state.retract_suspicions(now)
+        self._announce()
+
+    async def _check_restored(self) -> None:
+        """Check one server, and further ones if it answers."""
+        try:
+            self._checked_at = self._clock.now()
+            references = self._choose_references(REFERENCES)
+            if not references:
+                return
+            first, *others = references
+            if not await self._is_answering(first, 1):
+                return
+            if not others or await self._are_answering(
+                others, REFERENCE_CHECKS
+            ):
+                since = self.links.lost_since or self._clock.now()
+                self.links.lost_since = None
+                self.links.restored_at = self._clock.now()
+                logger.info(
+                    'links_restored', after_ms=self._clock.now() - since
+                )
+        finally:
+            self._is_checking = False
--- a/src/thornspool/application/routing/streams.py
+++ b/src/thornspool/application/routing/streams.py
@@ -27,6 +27,7 @@
     from thornspool.application.routing import (
         routing_state as routing_state_module,
     )
+    from thornspool.application.routing import server_evidence
     from thornspool.domain.paths import reservations
 
 MAX_SENDS = 6
@@ -73,8 +74,8 @@
         Decides which requests may run, as far as they may crash engines.
     reserved : reservations.Reservations
         Engine memory that requests reserve.
-    servers : ports.ServerClient
-        Client for calls to engines.
+    evidence : server_evidence.ServerEvidence
+        Client for the servers, and what counts against them.
     budget : retry_pools.RetryPools
         Retry budget.
     random_source : random.Random
@@ -88,21 +89,22 @@
         paths: path_finding.PathFinder,
         permits: run_permits.RunPermits,
         reserved: reservations.Reservations,
-        servers: ports.ServerClient,
+        evidence: server_evidence.ServerEvidence,
         budget: retry_pools.RetryPools,
         random_source: random.Random,
     ) -> None:
         self._clock = clock
         self._routing_state = routing_state
         self.paths = paths
+        self._evidence = evidence
         self.limits = paths.limits
         self._permits = permits
         self._reservations = reserved
-        self._servers = servers
+        self._servers = evidence.servers
         self._budget = budget
         self._random = random_source
         self._fault_attribution = fault_attribution.FaultAttribution(
-            clock, routing_state
+            clock, routing_state, evidence
         )
         self.in_flight_requests: set[in_flight_module.InFlightRequest] = set()
         self.event_interval = stalls.EventInterval()
@@ -471,6 +473,9 @@
                 self.event_interval.record(now - in_flight.active_at)
                 in_flight.event_interval.record(now - in_flight.active_at)
             in_flight.active_at = now
+            if self._routing_state.suspicions:
+                for server_id in in_flight.engines:
+                    self._routing_state.record_contact(server_id, now)
             if in_flight.run is not None:
                 in_flight.run.record_progress(now)
             self._end_prefill(in_flight)
@@ -503,7 +508,9 @@
         self._end_run(in_flight, ending)
         if completion is ports.Completion.NOT_SENT:
             self._uncount_run(in_flight)
-            self._fault_attribution.record_unreachable(first_server)
+            self._evidence.record_unreachable(
+                first_server, in_flight.active_at
+            )
             self._retry_or_fail(in_flight, 'not_reached')
         elif head is not None and not head.executed:
             self._uncount_run(in_flight)
--- a/src/thornspool/domain/entries/messages.py
+++ b/src/thornspool/domain/entries/messages.py
@@ -104,6 +104,8 @@
     removals : dict of int to int
         Hashes of servers' processes that the sender's copy of the list lacks,
         with the revision of the copy.
+    retracted : tuple of str
+        Servers that the sender had named as suspects and no longer suspects.
     rejection_ms : int
         Milliseconds for which the sender should not collect, as the store
         rejects it; 0 for an entry that may collect.
@@ -129,3 +131,4 @@
     limits: dict[int, named_limits.ReportedLimit] = attrs.field(factory=dict)
     departures: tuple[int, ...] = ()
     removals: dict[int, int] = attrs.field(factory=dict)
+    retracted: tuple[str, ...] = ()
--- a/src/thornspool/domain/fleet/outliers.py
+++ b/src/thornspool/domain/fleet/outliers.py
@@ -4,8 +4,7 @@
 answers are no sign of a faulty engine while it serves the other requests.
 An entry therefore attributes a break to an engine only while most of the
 entry's recent runs on it break, and the breaks that all entries observe count
-together. An entry whose runs break on several engines in a row attributes the
-breaks to its own network link, and ejects no engine.
+together.
 """
 
 from __future__ import annotations
@@ -41,10 +40,6 @@
 RETENTION_MS = 10_000
 """Time for which breaks and runs of an engine are retained."""
 
-LOCAL_FAULT_ENGINES = 3
-"""Consecutive engines with a broken run from which the fault is attributed to
-the entry's own network link."""
-
 MAX_EJECTED_SHARE = 0.34
 """Maximum share of ejected servers; with more, the rest is overloaded."""
 
@@ -85,12 +80,10 @@
     _break_times: dict[int, collections.deque[int]] = attrs.field(factory=dict)
     _local: dict[int, int] = attrs.field(factory=dict)
     _reported: dict[tuple[str, int], int] = attrs.field(factory=dict)
-    _consecutive: set[int] = attrs.field(factory=set)
     _runs: dict[int, Runs] = attrs.field(factory=dict)
 
     def record_success(self, name: str, now: int) -> None:
         """Record that an engine has answered a request of this entry."""
-        self._consecutive.clear()
         self._record_run(server_hashes.compute_server_hash(name), False, now)
 
     def _record_run(self, server_hash: int, broken: bool, now: int) -> None:
@@ -112,14 +105,10 @@
         -------
         bool
             Whether the break is attributed to the engine; False when the
-            entry's network link may have failed, or when the engine has
-            served most recent runs of this entry.
+            engine has served most recent runs of this entry.
         """
         server_hash = server_hashes.compute_server_hash(name)
-        self._consecutive.add(server_hash)
         self._record_run(server_hash, True, now)
-        if len(self._consecutive) >= LOCAL_FAULT_ENGINES:
-            return False
         if self._runs[server_hash].share < FAULTY_SHARE:
             return False
         self._record_break(server_hash, now)
--- a/src/thornspool/domain/paths/stalls.py
+++ b/src/thornspool/domain/paths/stalls.py
@@ -27,10 +27,6 @@
 MIN_STALLED_SHARE = 0.5
 """Minimum share of an engine's streams that are stalled if it is a suspect."""
 
-MAX_LOST_SHARE = 0.5
-"""Maximum share of the engines probed at once that may be lost together. If
-more of them do not reply, the link of the probing host has failed."""
-
 STALL_INTERVALS = 1.6
 """Idle time, in event intervals of a stream, from which it is stalled."""
 
@@ -89,27 +85,6 @@
             self.mean_ms += self.weight * (interval_ms - self.mean_ms)
 
 
-def is_loss_plausible(probed: int, unanswered: int) -> bool:
-    """Return whether engines that did not reply to a probe count as lost.
-
-    A host that is cut off from the network gets no reply from any engine. If
-    its reports counted, the whole fleet would exclude every engine of a path.
-
-    Parameters
-    ----------
-    probed : int
-        Engines that were probed at the same moment.
-    unanswered : int
-        Engines among them that did not reply.
-
-    Returns
-    -------
-    bool
-        False if so many did not reply that the link of this host has failed.
-    """
-    return probed <= 1 or unanswered <= MAX_LOST_SHARE * probed
-
-
 def find_suspects(
     streams: Iterable[tuple[Iterable[str], float]],
 ) -> list[str]:
--- a/src/thornspool/platform/daemon.py
+++ b/src/thornspool/platform/daemon.py
@@ -26,6 +26,7 @@
 from thornspool.application.routing import intake as intake_module
 from thornspool.application.routing import members
 from thornspool.application.routing import membership
+from thornspool.application.routing import observed_servers
 from thornspool.application.routing import path_finding
 from thornspool.application.routing import placement
 from thornspool.application.routing import registration
@@ -34,12 +35,14 @@
     routing_state as routing_state_module,
 )
 from thornspool.application.routing import run_permits
+from thornspool.application.routing import server_evidence
 from thornspool.application.routing import server_limits
 from thornspool.application.routing import stored_verdicts
 from thornspool.application.routing import streams
 from thornspool.domain.entries import leadership
 from thornspool.domain.entries import messages
 from thornspool.domain.entries import view as view_module
+from thornspool.domain.fleet import links
 from thornspool.domain.fleet import refusals
 from thornspool.domain.freshness import confirmations
 from thornspool.domain.paths import reservations
@@ -371,16 +374,32 @@
             registry.Registry(store),
             lambda: self._follower.previous_lease,
         )
-        servers = engines.ServerClient(
-            self._session,
-            lambda server, notice: self._routing_state.record_notice(
-                server, notice, clock.now()
+        servers = observed_servers.ObservedServers(
+            clock,
+            engines.ServerClient(
+                self._session,
+                lambda server, notice: self._routing_state.record_notice(
+                    server, notice, clock.now()
+                ),
+            ),
+            lambda server, opened_at: self._evidence.record_answer(
+                server, opened_at
             ),
         )
-        self._crashes = crash_detection.CrashDetector(
+        self._evidence = server_evidence.ServerEvidence(
             clock,
             self._routing_state,
             servers,
+            links.Links(),
+            self._random,
+            self._run,
+            self._server_limits.try_acquire,
+            self._membership.broadcast_failures,
+        )
+        self._crashes = crash_detection.CrashDetector(
+            clock,
+            self._routing_state,
+            self._evidence,
             self._server_limits.try_acquire,
             self._run,
         )
@@ -401,7 +420,7 @@
             ),
             permits,
             held_reservations,
-            servers,
+            self._evidence,
             budget,
             self._random,
         )
@@ -410,7 +429,7 @@
             self._routing_state,
             self._server_limits,
             permits,
-            servers,
+            self._evidence,
             budget,
             settings.failure_domain,
             self._random,
@@ -419,7 +438,7 @@
             clock,
             self._routing_state,
             self._streams,
-            servers,
+            self._evidence,
             self._random,
             self._view.count_entries,
             self._membership.broadcast_failures,
@@ -428,7 +447,7 @@
             clock,
             self._routing_state,
             self._server_limits,
-            servers,
+            self._evidence,
             lambda: self._leadership.may_act(clock.now()),
             budget.estimate_rate,
         )
@@ -572,6 +591,7 @@
     async def _detect(self) -> None:
         self._failure_detector.tick()
         self._crashes.tick()
+        self._evidence.tick()
         self._routing_state.purge_expired(self._clock.now())
 
     async def _send_updates(self) -> None:
--- a/src/thornspool/platform/peers.py
+++ b/src/thornspool/platform/peers.py
@@ -79,6 +79,7 @@
     departures: list[int] = []
     # Revisions by hash.
     removals: dict[int, int] = {}
+    retracted: list[str] = []
 
 
 class _ChangeSet(msgspec.Struct, array_like=True, tag=1):
@@ -171,6 +172,7 @@
             },
             list(state_update.departures),
             state_update.removals,
+            list(state_update.retracted),
         )
     )
 
@@ -301,6 +303,7 @@
         },
         tuple(message.departures),
         message.removals,
+        tuple(message.retracted),
     )
 
 
--- a/tests/application/routing/test_crash_detection.py
+++ b/tests/application/routing/test_crash_detection.py
@@ -21,7 +21,7 @@
         self.detector = crash_detection.CrashDetector(
             self.world.clock,
             self.world.routing_state,
-            self.world.servers,
+            self.world.evidence,
             lambda server_id: True,
             builders.start_task,
         )
--- a/tests/application/routing/test_placement.py
+++ b/tests/application/routing/test_placement.py
@@ -28,7 +28,7 @@
             self.world.clock,
             self.world.routing_state,
             self.world.limits,
-            self.world.servers,
+            self.world.evidence,
             lambda: self.is_leader,
             lambda service: self.rate_per_s,
         )
--- /dev/null
+++ b/tests/application/routing/test_server_evidence.py
@@ -0,0 +1,231 @@
+"""Tests of evidence against servers, and of links that this entry has lost."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import unittest
+
+from tests.application.routing import builders
+from thornspool.application.routing import observed_servers
+from thornspool.application.routing import ports
+from thornspool.application.routing import server_evidence
+from thornspool.domain.fleet import links as links_module
+from thornspool.domain.fleet import outliers
+
+LISTENING = ports.ProcessCheck(True)
+SILENT = ports.ProcessCheck(None)
+REFUSED = ports.ProcessCheck(False)
+
+
+class EvidenceTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.world = builders.World()
+        self.state = self.world.routing_state
+        self.announced = 0
+        observed = observed_servers.ObservedServers(
+            self.world.clock,
+            self.world.servers,
+            lambda server, opened_at: self.evidence.record_answer(
+                server, opened_at
+            ),
+        )
+        self.evidence = server_evidence.ServerEvidence(
+            self.world.clock,
+            self.state,
+            observed,
+            links_module.Links(),
+            random.Random(1),
+            builders.start_task,
+            announce=self.announce,
+        )
+        self.servers = list(self.state.servers.values())
+
+    def announce(self):
+        self.announced += 1
+
+    def set_checks(self, found):
+        self.world.servers.checks = {
+            server.id: found for server in self.servers
+        }
+
+    async def fail(self, *servers):
+        """Let connections to servers fail at the same time."""
+        now = self.world.clock.now()
+        for server in servers:
+            self.evidence.record_unreachable(server, now)
+        await self.pass_time(0)
+
+    async def pass_time(self, milliseconds):
+        self.world.clock.advance(milliseconds)
+        self.evidence.tick()
+        for _ in range(12):
+            await asyncio.sleep(0)
+
+    async def test_failure_counts_once_another_server_has_answered(self):
+        await self.fail(self.servers[0])
+        self.assertEqual([self.servers[0].id], list(self.state.suspicions))
+        self.assertEqual(1, self.announced)
+        self.assertFalse(self.evidence.links.are_lost)
+
+    async def test_all_failures_count_if_any_server_answers(self):
+        """Guards against losses of half of the fleet that are not found."""
+        await self.fail(*self.servers[:-1])
+        self.assertEqual(
+            {server.id for server in self.servers[:-1]},
+            set(self.state.suspicions),
+        )
+
+    async def test_entry_that_reaches_no_server_suspects_none(self):
+        """Guards against an entry without links that excludes the fleet."""
+        for found in (SILENT, REFUSED):
+            with self.subTest(found.is_listening):
+                self.set_checks(found)
+                await self.fail(*self.servers[:3])
+                self.assertTrue(self.evidence.links.are_lost)
+                await self.fail(*self.servers[3:])
+                self.assertEqual({}, self.state.suspicions)
+                self.assertEqual([], self.state.unreported_suspects)
+
+    async def test_broken_runs_of_an_entry_without_links_eject_no_engine(self):
+        """Guards against an isolated host that ejects healthy engines."""
+        self.set_checks(SILENT)
+        for number in range(20):
+            server = self.servers[number % 5]
+            self.evidence.record_failure(
+                server,
+                self.world.clock.now(),
+                lambda server=server: self.state.record_broken_run(
+                    server.id, self.world.clock.now()
+                ),
+            )
+            await self.pass_time(1)
+        now = self.world.clock.now()
+        self.assertEqual((), self.state.outliers.list_announced(now))
+        self.assertEqual(0, self.state.refusals.count_excluded(now))
+
+    async def test_broken_runs_on_many_engines_count_while_others_answer(self):
+        for server in self.servers[:6]:
+            self.evidence.record_failure(
+                server,
+                self.world.clock.now(),
+                lambda server=server: self.state.record_broken_run(
+                    server.id, self.world.clock.now()
+                ),
+            )
+            await self.pass_time(0)
+        self.assertEqual(6, len(self.state.outliers.list_announced(0)))
+        self.assertLess(0, outliers.ANNOUNCE_MS)
+
+    async def test_suspicions_are_retracted_when_the_links_are_lost(self):
+        """Guards against what was believed before the entry knew."""
+        await self.fail(self.servers[0])
+        self.set_checks(SILENT)
+        await self.pass_time(10)
+        await self.fail(self.servers[1])
+        self.assertEqual({}, self.state.suspicions)
+        self.assertEqual([self.servers[0].id], list(self.state.retractions))
+
+    async def test_restored_links_are_found_by_few_checks(self):
+        self.set_checks(SILENT)
+        await self.fail(self.servers[0])
+        for _ in range(10):
+            await self.pass_time(100)
+        self.assertTrue(self.evidence.links.are_lost)
+        self.set_checks(LISTENING)
+        await self.pass_time(server_evidence.RESTORE_CHECK_MS)
+        self.assertFalse(self.evidence.links.are_lost)
+
+    async def test_attempts_from_before_the_end_of_a_cut_say_nothing(self):
+        """Guards against suspicions when the links are restored."""
+        began_at = self.world.clock.now()
+        self.set_checks(SILENT)
+        await self.fail(self.servers[0])
+        self.set_checks(LISTENING)
+        await self.pass_time(server_evidence.RESTORE_CHECK_MS)
+        self.evidence.record_unreachable(self.servers[1], began_at)
+        await self.pass_time(0)
+        self.assertEqual({}, self.state.suspicions)
+
+    async def test_checks_that_end_late_say_nothing(self):
+        """Guards against links that count as lost after a suspension."""
+        check = self.world.servers.check
+
+        async def check_late(server, wait_ms=ports.CHECK_MS):
+            self.world.clock.advance(1_000)
+            self.set_checks(LISTENING)
+            return SILENT
+
+        self.world.servers.check = check_late
+        task = asyncio.ensure_future(self.fail(self.servers[0]))
+        await asyncio.sleep(0)
+        await task
+        self.assertFalse(self.evidence.links.are_lost)
+        self.world.servers.check = check
+        await self.pass_time(0)
+        self.assertEqual([self.servers[0].id], list(self.state.suspicions))
+
+    async def test_silence_of_a_second_ends_with_the_next_answer(self):
+        """Guards against exclusion for seconds of a sound engine."""
+        silent = self.servers[0]
+        self.world.servers.checks[silent.id] = SILENT
+        await self.fail(silent)
+        for _ in range(8):
+            await self.pass_time(100)
+        self.assertIn(silent.id, self.state.suspicions)
+        self.world.servers.checks[silent.id] = LISTENING
+        await self.pass_time(server_evidence.SUSPECT_CHECK_MS)
+        self.assertEqual({}, self.state.suspicions)
+        self.assertIn(silent.id, self.state.retractions)
+
+
+class ReportTest(unittest.TestCase):
+    """What peers report, and what contradicts it."""
+
+    def setUp(self):
+        self.world = builders.World()
+        self.state = self.world.routing_state
+        self.names = list(self.state.servers)
+
+    def report(self, *names, host='one', now=0):
+        for name in names:
+            self.state.suspect(name, f'told_by_{host}', now, host)
+
+    def test_one_peer_can_not_exclude_the_whole_fleet(self):
+        self.report(*self.names)
+        self.assertLess(len(self.state.suspicions), len(self.names))
+
+    def test_own_contact_contradicts_a_report(self):
+        """Guards against reports on engines that serve this entry."""
+        self.report('a-0', 'a-1')
+        self.state.record_contact('a-0', 0)
+        self.assertEqual({'a-0', 'a-1'}, set(self.state.suspicions))
+        self.state.record_contact('a-0', 30)
+        self.assertEqual({'a-1'}, set(self.state.suspicions))
+        self.assertEqual({}, self.state.retractions)
+
+    def test_events_of_a_stream_contradict_reports_on_its_path(self):
+        self.world.serve()
+        run = self.world.servers.last
+        run.begin()
+        path = [hop.server.id for hop in run.run.hops]
+        self.report(*path)
+        self.world.clock.advance(20)
+        run.send(0, 1)
+        self.assertEqual({}, self.state.suspicions)
+
+    def test_retraction_ends_the_report_of_its_peer_only(self):
+        self.report('a-0')
+        self.report('a-1', host='two')
+        self.state.apply_retractions(('a-0', 'a-1'), 'one')
+        self.assertEqual({'a-1'}, set(self.state.suspicions))
+
+    def test_reports_do_not_exclude_the_last_servers_of_a_service(self):
+        """Guards against plain services that one peer excludes at all."""
+        names = [one.id for one in self.state.list_servers('ledger', 0)]
+        self.report(*names)
+        usable = [one.id for one in self.state.list_servers('ledger', 0)]
+        self.assertEqual(names, usable)
+        self.state.suspect(names[0], 'not_reached', 0)
+        usable = [one.id for one in self.state.list_servers('ledger', 0)]
+        self.assertEqual(names[1:], usable)
