--- a/src/thornspool/application/routing/calls.py
+++ b/src/thornspool/application/routing/calls.py
@@ -145,17 +145,23 @@
         self._failure_domain = failure_domain
         self._random = random_source
         self._scores = server_scores.ServerScores()
+        self.take_over: Callable[[exchanges.Exchange, str, bool], bool] = (
+            lambda exchange, resume_after, is_counted: False
+        )
         self.calls: set[Call] = set()
         self._queued: list[Call] = []
 
     def serve(self, exchange: exchanges.Exchange) -> None:
         """Serve a request; its exchange ends when the response is sent."""
+        if self.take_over(exchange, '', False):
+            return
         call = Call(exchange)
         exchange.reply.set_disconnect_callback(
             lambda: self._handle_disconnect(call)
         )
         self.calls.add(call)
-        self._retry_budget.record_request(exchange.service)
+        if not exchange.is_counted:
+            self._retry_budget.record_request(exchange.service)
         self._start_attempt(call)
 
     def tick(self) -> None:
@@ -196,6 +202,9 @@
 
     def _start_attempt(self, call: Call) -> None:
         exchange = call.exchange
+        if self.take_over(exchange, '', True):
+            self.calls.discard(call)
+            return
         now = self._clock.now()
         permit = self._permits.check(exchange.fingerprint)
         if permit is run_permits.Permit.DENIED:
@@ -425,7 +434,11 @@
                 reason=reason,
                 sends=exchange.sends,
             )
-            self._start_attempt(call)
+            if self._evidence.is_checking:
+                # It may soon be clear that no server can be reached.
+                self._queued.append(call)
+            else:
+                self._start_attempt(call)
             return
         self._fail(call, reason)
 
--- a/src/thornspool/application/routing/exchanges.py
+++ b/src/thornspool/application/routing/exchanges.py
@@ -78,7 +78,7 @@
     version: int
     on_end: Callable[[Exchange, str], None]
     sends: int = 0
-    runs: int = 0
+    runs: int = attrs.field()
     response_started: bool = False
     ended: bool = False
     outcome_reason: str = ''
@@ -89,6 +89,11 @@
     fingerprint: str = attrs.field(init=False)
     _excluded_until: dict[str, int] = attrs.field(factory=dict)
 
+    @runs.default
+    def _count_prior_runs(self) -> int:
+        relay = self.request.relay
+        return 0 if relay is None else relay.prior_runs
+
     @fingerprint.default
     def _compute_fingerprint(self) -> str:
         request = self.request
@@ -164,6 +169,12 @@
             if now < until
         }
 
+    @property
+    def is_counted(self) -> bool:
+        """Whether the retry budget has counted the request elsewhere."""
+        relay = self.request.relay
+        return relay is not None and relay.is_counted
+
     def end(self, outcome: str) -> None:
         """Report the outcome, unless the request has already ended.
 
--- a/src/thornspool/application/routing/failure_detection.py
+++ b/src/thornspool/application/routing/failure_detection.py
@@ -195,6 +195,9 @@
         self._last_check_at = now
         if delay_ms > MAX_CHECK_DELAY_MS:
             return
+        if self._evidence.links.are_lost:
+            self._service.leave_lost_links()
+            return
         self.reroute_from_suspects()
         suspicious = [
             self._routing_state.servers[server_id]
--- a/src/thornspool/application/routing/intake.py
+++ b/src/thornspool/application/routing/intake.py
@@ -141,6 +141,24 @@
         else:
             self._calls.serve(exchange)
 
+    def find_priority(self, request: ports.Request) -> int:
+        """Return the priority of a request's route from 0 to 9."""
+        configuration = self._routing_state.configuration
+        route = None
+        if configuration is not None:
+            route = configuration.find_route(request.host, request.path)
+        return 9 if route is None else min(9, max(0, route.priority))
+
+    def count_relayed(self) -> int:
+        """Count the requests in progress that peers have passed on."""
+        exchanges_in_progress = [
+            one.exchange for one in self._streams.in_flight_requests
+        ]
+        exchanges_in_progress += [one.exchange for one in self._calls.calls]
+        return sum(
+            one.request.relay is not None for one in exchanges_in_progress
+        )
+
     def _choose_not_current_retry_ms(self) -> int:
         """Choose the Retry-After for a request whose key can't be checked.
 
--- a/src/thornspool/application/routing/membership.py
+++ b/src/thornspool/application/routing/membership.py
@@ -129,6 +129,7 @@
         self._tick_count = 0
         self._last_current_at = clock.now()
         self.state = messages.State.STARTING
+        self.has_lost_links: Callable[[], bool] = lambda: False
 
     def tick(self) -> None:
         """Send the periodic state updates; called every 200 ms."""
@@ -433,8 +434,13 @@
         """List the entry addresses for a caller in a failure domain."""
         now = self._clock.now()
         serving = self._view.list_serving(now)
+        linked = self._view.list_linked(now)
         if self.state is messages.State.SERVING:
             serving.append(self._view.local)
+            if not self.has_lost_links():
+                linked.append(self._view.local)
+        # Entries that reach no server pass requests on to the others.
+        serving = linked or serving
         return view_module.choose_addresses(serving, domain, MAX_ADDRESSES)
 
     def _log_peer_changes(self) -> None:
@@ -579,6 +585,7 @@
             peer.record.host
             for peer in peers
             if peer.state is not messages.State.SERVING
+            or not peer.has_links
             or not self._view.is_alive(peer, now)
         )
 
@@ -611,6 +618,7 @@
             reserved=reserved,
             suspects=tuple(self._routing_state.unreported_suspects),
             retracted=tuple(self._routing_state.retractions),
+            links_lost=self.has_lost_links(),
             scope=scope,
             absent_hosts=absent,
             slowdowns=self._routing_state.slowdowns.list_slow(
--- a/src/thornspool/application/routing/ports.py
+++ b/src/thornspool/application/routing/ports.py
@@ -16,6 +16,29 @@
 Headers = tuple[tuple[str, str], ...]
 
 
+@attrs.frozen
+class Relay:
+    """Passing on of a request by an entry that reaches no server.
+
+    Attributes
+    ----------
+    host, incarnation : str
+        Entry that passes it on.
+    receiver : str
+        Incarnation of the entry to which it is passed on.
+    prior_runs : int
+        Times that a server may have run the request before.
+    is_counted : bool
+        Whether the retry budget has counted the request before.
+    """
+
+    host: str
+    incarnation: str
+    receiver: str
+    prior_runs: int
+    is_counted: bool
+
+
 @attrs.frozen
 class Request:
     """A request as it arrived from a caller.
@@ -45,6 +68,8 @@
     resume_after : str
         Identifier of the last event that the caller has received; empty for
         a stream from its start.
+    relay : Relay or None
+        How a peer has passed it on; None for a request of a caller.
     """
 
     id: str
@@ -59,6 +84,7 @@
     prompt_tokens: float = 0.0
     output_tokens: float = 0.0
     resume_after: str = ''
+    relay: Relay | None = None
 
     @property
     def path(self) -> str:
@@ -77,6 +103,9 @@
     ) -> None:
         """Send an error response of the router itself."""
 
+    def refuse_relay(self) -> None:
+        """Refuse a request that a peer has passed on, without running it."""
+
     def begin(self, status: int, headers: Headers) -> None:
         """Begin a response of unknown length."""
 
@@ -125,6 +154,28 @@
     priority: int
 
 
+@attrs.frozen
+class RelayedRequest:
+    """A request that is passed on to a peer.
+
+    Attributes
+    ----------
+    request : Request
+        The request as it arrived.
+    remaining_ms : int
+        Time until the deadline, in milliseconds.
+    resume_after : str
+        Identifier of the last event that the caller has received.
+    relay : Relay
+        How it is passed on.
+    """
+
+    request: Request
+    remaining_ms: int
+    resume_after: str
+    relay: Relay
+
+
 @attrs.frozen
 class Load:
     """Load that a server reports with a response.
@@ -162,6 +213,8 @@
     is_authentic : bool
         Whether the response has a server's signature and the identifier of
         the request.
+    is_relay_refused : bool
+        Whether a peer refuses to serve a request that is passed on to it.
     """
 
     status: int
@@ -170,6 +223,7 @@
     fault_address: str
     load: Load | None
     is_authentic: bool
+    is_relay_refused: bool = False
 
 
 @attrs.frozen
--- /dev/null
+++ b/src/thornspool/application/routing/relays.py
@@ -0,0 +1,464 @@
+"""Requests that pass through a peer while this entry reaches no server.
+
+An entry that has lost its links to all servers still reaches its callers and
+its peers. It passes each request on to a peer that reaches servers, which
+routes it like a request of its own callers. The peer decides about limits,
+retries, departures and requests that crash servers; here only the way of the
+answer is kept. A request is passed on by one entry at most.
+"""
+
+from __future__ import annotations
+
+import collections
+import functools
+import typing
+
+import attrs
+import structlog
+
+from thornspool.application.routing import ports
+from thornspool.domain.fleet import events
+from thornspool.domain.routing import messages as routing
+
+if typing.TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Iterable
+    import random
+
+    from thornspool import clock as clock_module
+    from thornspool.application.routing import exchanges
+    from thornspool.application.routing import retry_pools
+    from thornspool.domain.entries import messages as entries
+    from thornspool.domain.entries import view as view_module
+    from thornspool.domain.fleet import links as links_module
+
+MAX_SENDS = 3
+"""Peers to which one request is passed on, one after the other."""
+
+MAX_RELAYED = 128
+"""Requests of peers that an entry serves at the same time.
+
+Each one takes processor time at both entries.
+"""
+
+SHED_SHARE = 0.05
+"""Share of that number by which it is smaller for each step of priority."""
+
+DEADLINE_MARGIN_MS = 20
+"""Time reserved to forward a response that a peer sends at its deadline."""
+
+RETRY_AFTER_MS = (300, 800)
+"""Range of Retry-After where no peer accepts a request."""
+
+logger = structlog.get_logger(__name__)
+
+_OK = 200
+_UNAVAILABLE = 503
+
+
+class PeerGateway(typing.Protocol):
+    """Passes requests on to peers."""
+
+    def send(
+        self,
+        peer: entries.Record,
+        relayed: ports.RelayedRequest,
+        listener: ports.ResponseListener,
+    ) -> Callable[[], None]:
+        """Send a request to a peer; returns a function that cancels it."""
+
+
+@attrs.define(eq=False)
+class _Relay:
+    """A request that is passed on.
+
+    Attributes
+    ----------
+    exchange : exchanges.Exchange
+        The request and its reply.
+    resume_after : str
+        Identifier of the last event that the caller has received.
+    is_counted : bool
+        Whether the retry budget has counted the request here.
+    peer : entries.Record or None
+        Peer that serves it.
+    tried : set of str
+        Hosts of the peers that did not serve it.
+    cancel : callable or None
+        Ends the transfer; None when there is none.
+    head : ports.ResponseHead or None
+        Head of the response, once received.
+    body : bytearray
+        Body of a response that is not streamed.
+    events : events.EventBuffer
+        Splits a streamed response into complete events.
+    generation : int
+        Incremented for each peer, so that late data is dropped.
+    """
+
+    exchange: exchanges.Exchange
+    resume_after: str
+    is_counted: bool
+    peer: entries.Record | None = None
+    tried: set[str] = attrs.field(factory=set)
+    cancel: Callable[[], None] | None = None
+    head: ports.ResponseHead | None = None
+    body: bytearray = attrs.field(factory=bytearray)
+    events: events.EventBuffer = attrs.field(factory=events.EventBuffer)
+    generation: int = 0
+
+
+class RelayService:
+    """Passes requests on to peers while the links of this entry are lost.
+
+    Parameters
+    ----------
+    clock : clock_module.Clock
+        Source of time.
+    view : view_module.View
+        The other entries.
+    links : links_module.Links
+        Links of this entry to the servers.
+    gateway : PeerGateway
+        Client for the peers.
+    budget : retry_pools.RetryPools
+        Retry budget.
+    random_source : random.Random
+        Source of all random choices.
+    """
+
+    def __init__(
+        self,
+        clock: clock_module.Clock,
+        view: view_module.View,
+        links: links_module.Links,
+        gateway: PeerGateway,
+        budget: retry_pools.RetryPools,
+        random_source: random.Random,
+    ) -> None:
+        self._clock = clock
+        self._view = view
+        self._links = links
+        self._gateway = gateway
+        self._budget = budget
+        self._random = random_source
+        self._relays: set[_Relay] = set()
+        self._in_flight: collections.Counter[str] = collections.Counter()
+        self.relayed_count = 0
+
+    def take_over(
+        self,
+        exchange: exchanges.Exchange,
+        resume_after: str = '',
+        is_counted: bool = False,
+    ) -> bool:
+        """Pass a request on if this entry reaches no server.
+
+        Parameters
+        ----------
+        exchange : exchanges.Exchange
+            The request, which runs nowhere now.
+        resume_after : str, optional
+            Identifier of the last event that the caller has received.
+        is_counted : bool, optional
+            Whether the retry budget has counted the request here.
+
+        Returns
+        -------
+        bool
+            Whether the request is served here from now on.
+        """
+        if not self._links.are_lost or exchange.request.relay is not None:
+            return False
+        relay = _Relay(exchange, resume_after, is_counted)
+        self._relays.add(relay)
+        exchange.reply.set_disconnect_callback(lambda: self._abandon(relay))
+        self.relayed_count += 1
+        if not exchange.ended:
+            self._send(relay)
+        return True
+
+    def tick(self) -> None:
+        """End expired requests and those of lost peers; called often."""
+        now = self._clock.now()
+        for relay in list(self._relays):
+            if relay.exchange.compute_remaining_ms(now) <= 0:
+                self._expire(relay)
+            elif relay.peer is not None and not self._is_alive(relay.peer):
+                self._end_transfer(relay)
+                self._handle_break(relay)
+
+    def _is_alive(self, peer: entries.Record) -> bool:
+        known = self._view.peers.get(peer.host)
+        return (
+            known is not None
+            and known.record.incarnation == peer.incarnation
+            and self._view.is_alive(known, self._clock.now())
+        )
+
+    def _send(self, relay: _Relay) -> None:
+        exchange = relay.exchange
+        now = self._clock.now()
+        peer = self._choose_peer(relay.tried)
+        if peer is None or len(relay.tried) >= MAX_SENDS:
+            self._fail(relay, 'links_lost')
+            return
+        relay.peer = peer
+        relay.head = None
+        relay.body.clear()
+        relay.events.drop_pending()
+        relay.generation += 1
+        self._in_flight[peer.host] += 1
+        exchange.path = peer.host
+        relay.cancel = self._gateway.send(
+            peer,
+            ports.RelayedRequest(
+                exchange.request,
+                max(
+                    1, exchange.compute_remaining_ms(now) - DEADLINE_MARGIN_MS
+                ),
+                relay.events.last_id
+                or relay.resume_after
+                or exchange.request.resume_after,
+                ports.Relay(
+                    self._view.local.host,
+                    self._view.local.incarnation,
+                    peer.incarnation,
+                    exchange.runs,
+                    relay.is_counted,
+                ),
+            ),
+            _Listener(self, relay),
+        )
+
+    def _choose_peer(self, tried: Iterable[str]) -> entries.Record | None:
+        """Choose a serving peer that reaches servers, the less loaded first.
+
+        Peers of the own failure domain are preferred.
+        """
+        candidates = [
+            record
+            for record in self._view.list_linked(self._clock.now())
+            if record.host not in tried
+        ]
+        domain = self._view.local.failure_domain
+        local = [one for one in candidates if one.failure_domain == domain]
+        candidates = local or candidates
+        if not candidates:
+            return None
+        chosen = self._random.sample(candidates, min(2, len(candidates)))
+        return min(chosen, key=lambda one: self._in_flight[one.host])
+
+    def handle_head(self, relay: _Relay, head: ports.ResponseHead) -> None:
+        """Handle the head of a peer's response."""
+        relay.head = head
+        exchange = relay.exchange
+        if self._is_stream(relay) and not exchange.response_started:
+            exchange.response_started = True
+            exchange.reply.begin(head.status, head.headers)
+
+    def _is_stream(self, relay: _Relay) -> bool:
+        head = relay.head
+        return (
+            head is not None
+            and head.status == _OK
+            and head.is_authentic
+            and relay.exchange.route.kind is routing.Kind.STREAMING
+        )
+
+    def handle_body(self, relay: _Relay, chunk: bytes) -> None:
+        """Handle a chunk of a peer's response."""
+        if not self._is_stream(relay):
+            relay.body.extend(chunk)
+            return
+        complete = relay.events.take(chunk)
+        if not complete:
+            return
+        exchange = relay.exchange
+        now = self._clock.now()
+        exchange.timing.record_event(now)
+        if exchange.first_event_at is None:
+            exchange.first_event_at = now
+        exchange.reply.write(complete)
+
+    def handle_completion(
+        self, relay: _Relay, completion: ports.Completion
+    ) -> None:
+        """Handle the end of a transfer to a peer."""
+        self._end_transfer(relay, is_over=True)
+        head = relay.head
+        if completion is ports.Completion.NOT_SENT:
+            self._try_next(relay)
+        elif completion is ports.Completion.BROKEN or head is None:
+            self._handle_break(relay)
+        elif head.is_relay_refused:
+            self._try_next(relay)
+        elif self._is_stream(relay) and relay.events.pending:
+            self._handle_break(relay)
+        elif self._is_stream(relay):
+            relay.exchange.reply.finish()
+            self._end(relay, 'served')
+        elif relay.exchange.response_started:
+            self._cut(relay)
+        elif relay.exchange.runs > 0 and head.status == _UNAVAILABLE:
+            # The request has run before it was passed on.
+            self._fail(relay, 'relayed')
+        else:
+            relay.exchange.reply.send(
+                head.status, head.headers, bytes(relay.body)
+            )
+            self._end(relay, 'served' if head.status < 400 else 'relayed')
+
+    def _try_next(self, relay: _Relay) -> None:
+        """Pass a request on to another peer, as this one has not run it."""
+        assert relay.peer is not None
+        relay.tried.add(relay.peer.host)
+        relay.peer = None
+        self._send(relay)
+
+    def _handle_break(self, relay: _Relay) -> None:
+        """Pass a request on once more if it may run again, or end it."""
+        exchange = relay.exchange
+        exchange.runs += 1
+        assert relay.peer is not None
+        relay.tried.add(relay.peer.host)
+        relay.peer = None
+        if (
+            exchange.route.retryable
+            and exchange.runs < exchange.route.attempts
+            and self._budget.acquire(
+                exchange.service, exchange.response_started
+            )
+        ):
+            self._send(relay)
+        else:
+            self._fail(relay, 'relay_broken')
+
+    def _fail(self, relay: _Relay, reason: str) -> None:
+        exchange = relay.exchange
+        self._relays.discard(relay)
+        if exchange.response_started:
+            self._cut(relay)
+        elif exchange.runs > 0:
+            exchange.refuse(502, reason)
+        else:
+            exchange.refuse(503, reason, self._random.randint(*RETRY_AFTER_MS))
+
+    def _cut(self, relay: _Relay) -> None:
+        relay.exchange.outcome_reason = 'relay_broken'
+        relay.exchange.reply.abort()
+        self._end(relay, 'cut')
+
+    def _expire(self, relay: _Relay) -> None:
+        self._end_transfer(relay)
+        exchange = relay.exchange
+        if exchange.response_started:
+            self._cut(relay)
+            return
+        self._relays.discard(relay)
+        # The peer may have run it, whatever its answer would have been.
+        exchange.refuse(504, 'deadline')
+
+    def _abandon(self, relay: _Relay) -> None:
+        """End the transfer of a caller that has closed the connection."""
+        if not relay.exchange.ended:
+            self._end_transfer(relay)
+            self._end(relay, 'caller_left')
+
+    def _end_transfer(self, relay: _Relay, is_over: bool = False) -> None:
+        cancel, relay.cancel = relay.cancel, None
+        relay.generation += 1
+        if relay.peer is not None:
+            self._in_flight[relay.peer.host] -= 1
+        if cancel is not None and not is_over:
+            cancel()
+
+    def _end(self, relay: _Relay, outcome: str) -> None:
+        self._relays.discard(relay)
+        relay.exchange.outcome_reason = (
+            relay.exchange.outcome_reason or 'relayed'
+        )
+        relay.exchange.end(outcome)
+
+
+class _Listener:
+    """Passes the output of a peer on while it serves the request."""
+
+    def __init__(self, service: RelayService, relay: _Relay) -> None:
+        self._relay = relay
+        self._generation = relay.generation
+        self._on_head = functools.partial(service.handle_head, relay)
+        self._on_body = functools.partial(service.handle_body, relay)
+        self._on_end = functools.partial(service.handle_completion, relay)
+
+    def handle_head(self, head: ports.ResponseHead) -> None:
+        if self._generation == self._relay.generation:
+            self._on_head(head)
+
+    def handle_body(self, chunk: bytes) -> None:
+        if self._generation == self._relay.generation:
+            self._on_body(chunk)
+
+    def handle_completion(self, completion: ports.Completion) -> None:
+        if self._generation == self._relay.generation:
+            self._on_end(completion)
+
+
+class RelayDoor:
+    """Accepts requests that peers without links pass on.
+
+    Parameters
+    ----------
+    view : view_module.View
+        This entry and the others.
+    links : links_module.Links
+        Links of this entry to the servers.
+    serve : callable
+        Serves a request and its reply.
+    count_relayed : callable
+        Returns the requests of peers that are in progress.
+    find_priority : callable
+        Returns the priority of a request from 0, the highest, to 9.
+    """
+
+    def __init__(
+        self,
+        view: view_module.View,
+        links: links_module.Links,
+        serve: Callable[[ports.Request, ports.ResponseWriter], None],
+        count_relayed: Callable[[], int],
+        find_priority: Callable[[ports.Request], int],
+    ) -> None:
+        self._view = view
+        self._links = links
+        self._serve = serve
+        self._count_relayed = count_relayed
+        self._find_priority = find_priority
+
+    def serve(
+        self, request: ports.Request, reply: ports.ResponseWriter
+    ) -> None:
+        """Serve a request of a peer, or refuse it without running it."""
+        if not self._is_from_peer(request.relay):
+            logger.warning('relay_denied', id=request.id)
+            reply.refuse(403, 'not_a_peer')
+        elif self._links.are_lost or self._is_full(request):
+            reply.refuse_relay()
+        else:
+            self._serve(request, reply)
+
+    def _is_from_peer(self, relay: ports.Relay | None) -> bool:
+        """Return whether a registered entry has passed the request on here.
+
+        Incarnations are drawn at random, and only entries read them.
+        """
+        if relay is None or relay.receiver != self._view.local.incarnation:
+            return False
+        peer = self._view.peers.get(relay.host)
+        return (
+            peer is not None and peer.record.incarnation == relay.incarnation
+        )
+
+    def _is_full(self, request: ports.Request) -> bool:
+        share = 1.0 - SHED_SHARE * self._find_priority(request)
+        return self._count_relayed() >= MAX_RELAYED * share
--- a/src/thornspool/application/routing/server_evidence.py
+++ b/src/thornspool/application/routing/server_evidence.py
@@ -216,6 +216,11 @@
         self.links.record_answer(server.id, opened_at)
         self._routing_state.record_contact(server.id, self._clock.now())
 
+    @property
+    def is_checking(self) -> bool:
+        """Whether it is open if the links of this entry are lost."""
+        return self._is_checking and not self.links.are_lost
+
     def check_links(self) -> None:
         """Check references unless that is in progress or links are lost."""
         if not self._is_checking and not self.links.are_lost:
--- a/src/thornspool/application/routing/streams.py
+++ b/src/thornspool/application/routing/streams.py
@@ -54,6 +54,10 @@
 DRAINING_RETRY_MS = 50
 """Retry-After of a draining entry: another entry can serve at once."""
 
+TakeOver = typing.Callable[['exchanges.Exchange', str, bool], bool]
+"""Serves a request elsewhere, after an event of its stream, and states whether
+it was counted; returns whether it is served elsewhere."""
+
 logger = structlog.get_logger(__name__)
 
 _OK = 200
@@ -106,6 +110,7 @@
         self._fault_attribution = fault_attribution.FaultAttribution(
             clock, routing_state, evidence
         )
+        self.take_over: TakeOver = _take_over_nothing
         self.in_flight_requests: set[in_flight_module.InFlightRequest] = set()
         self.event_interval = stalls.EventInterval()
         self._waiting: list[in_flight_module.InFlightRequest] = []
@@ -121,6 +126,8 @@
         exchange : exchanges.Exchange
             The request with its route.
         """
+        if self.take_over(exchange, '', False):
+            return
         request = exchange.request
         model = self._routing_state.find_model(exchange.service)
         assert model is not None
@@ -133,7 +140,8 @@
             lambda: self._abandon(in_flight)
         )
         self.in_flight_requests.add(in_flight)
-        self._budget.record_request(exchange.service)
+        if not exchange.is_counted:
+            self._budget.record_request(exchange.service)
         self._start(in_flight)
 
     def tick(self) -> None:
@@ -170,6 +178,15 @@
         path : search.Path, optional
             Path that the caller has just found; None to find one.
         """
+        if not self._hand_over(in_flight):
+            self._start_here(in_flight, path)
+
+    def _start_here(
+        self,
+        in_flight: in_flight_module.InFlightRequest,
+        path: search.Path | None,
+    ) -> None:
+        """Send a request on a path of this entry, queue it or refuse it."""
         now = self._clock.now()
         permit = self._permits.check(in_flight.exchange.fingerprint)
         if permit is run_permits.Permit.DENIED:
@@ -191,6 +208,37 @@
         else:
             self._send(in_flight, found.hops)
 
+    def _hand_over(self, in_flight: in_flight_module.InFlightRequest) -> bool:
+        """Hand a request over that can't be sent to any engine from here."""
+        exchange = in_flight.exchange
+        if (
+            exchange.runs > 0
+            and self._evidence.links.are_lost
+            and not self._acquire_retry(in_flight)
+        ):
+            return False
+        if not self.take_over(exchange, in_flight.events.last_id, True):
+            return False
+        self._release(in_flight)
+        self.in_flight_requests.discard(in_flight)
+        return True
+
+    def leave_lost_links(self) -> None:
+        """Hand over the streams that stall since the links are lost."""
+        now = self._clock.now()
+        for in_flight in list(self.in_flight_requests):
+            if (
+                in_flight.stop is not None
+                and not in_flight.rerouting
+                and self.count_idle_intervals(in_flight, now)
+                >= stalls.STALL_INTERVALS
+                and self.may_retry(in_flight)
+            ):
+                in_flight.stop()
+                in_flight.stop = None
+                in_flight.generation += 1
+                self._retry_or_fail(in_flight, 'links_lost')
+
     def _deny(self, in_flight: in_flight_module.InFlightRequest) -> None:
         """Refuse a request that crashes the engines that run it."""
         self._fail(
@@ -621,7 +669,11 @@
                 after=in_flight.events.last_id,
             )
             in_flight.needs_retry = True
-            self._start(in_flight, path)
+            if self._evidence.is_checking:
+                # It may soon be clear that no engine can be reached.
+                self._enqueue(in_flight)
+            else:
+                self._start(in_flight, path)
             return
         self._fail(in_flight, reason, self._random.randint(*RETRY_AFTER_MS))
 
@@ -831,3 +883,9 @@
     ) -> None:
         self.in_flight_requests.discard(in_flight)
         in_flight.exchange.end(outcome)
+
+
+def _take_over_nothing(
+    exchange: exchanges.Exchange, resume_after: str, is_counted: bool
+) -> bool:
+    return False
--- a/src/thornspool/domain/entries/messages.py
+++ b/src/thornspool/domain/entries/messages.py
@@ -106,6 +106,8 @@
         with the revision of the copy.
     retracted : tuple of str
         Servers that the sender had named as suspects and no longer suspects.
+    links_lost : bool
+        Whether the sender reaches no server.
     rejection_ms : int
         Milliseconds for which the sender should not collect, as the store
         rejects it; 0 for an entry that may collect.
@@ -132,3 +134,4 @@
     departures: tuple[int, ...] = ()
     removals: dict[int, int] = attrs.field(factory=dict)
     retracted: tuple[str, ...] = ()
+    links_lost: bool = False
--- a/src/thornspool/domain/entries/view.py
+++ b/src/thornspool/domain/entries/view.py
@@ -68,6 +68,8 @@
         When its copy of the store was last confirmed to be current.
     state : messages.State
         State in its last update.
+    has_links : bool
+        Whether it reached servers at its last update.
     """
 
     record: messages.Record
@@ -76,6 +78,7 @@
     last_stamp: int = 0
     confirmed_at: int | None = None
     state: messages.State = messages.State.SERVING
+    has_links: bool = True
 
 
 @attrs.define
@@ -251,6 +254,7 @@
             )
         peer.last_stamp = max(peer.last_stamp, update.stamp)
         peer.state = update.state
+        peer.has_links = not update.links_lost
         peer.confirmed_at = None
         if update.proof_age_ms >= 0:
             peer.confirmed_at = now - update.proof_age_ms
@@ -374,6 +378,14 @@
             if one.state is messages.State.SERVING and self.is_alive(one, now)
         ]
 
+    def list_linked(self, now: int) -> list[messages.Record]:
+        """List the other serving entries that reach servers."""
+        return [
+            record
+            for record in self.list_serving(now)
+            if self.peers[record.host].has_links
+        ]
+
     def count_entries(self) -> int:
         """Count the registered entries, this one included.
 
--- a/src/thornspool/platform/callers.py
+++ b/src/thornspool/platform/callers.py
@@ -38,6 +38,11 @@
 
 RequestHandler = typing.Callable[[ports.Request, ports.ResponseWriter], None]
 
+RequestDecoder = typing.Callable[
+    [httputil.RequestStartLine, httputil.HTTPHeaders, bytes, int],
+    ports.Request,
+]
+
 
 class CallerDelegate(httputil.HTTPServerConnectionDelegate):
     """Receives requests from callers.
@@ -48,19 +53,27 @@
         Source of time.
     serve : callable
         Called with each complete request and its reply.
+    decode : callable, optional
+        Decodes a request; the default is for requests of callers.
     """
 
     def __init__(
-        self, clock: clock_module.Clock, serve: RequestHandler
+        self,
+        clock: clock_module.Clock,
+        serve: RequestHandler,
+        decode: RequestDecoder | None = None,
     ) -> None:
         self._clock = clock
         self._serve = serve
+        self._decode = decode or decode_request
 
     def start_request(
         self, server_conn: object, request_conn: httputil.HTTPConnection
     ) -> httputil.HTTPMessageDelegate:
         """Create the delegate of the next request of a connection."""
-        return _RequestCollector(self._clock, self._serve, request_conn)
+        return _RequestCollector(
+            self._clock, self._serve, self._decode, request_conn
+        )
 
 
 class _RequestCollector(httputil.HTTPMessageDelegate):
@@ -70,10 +83,12 @@
         self,
         clock: clock_module.Clock,
         serve: RequestHandler,
+        decode: RequestDecoder,
         connection: httputil.HTTPConnection,
     ) -> None:
         self._clock = clock
         self._serve = serve
+        self._decode = decode
         self._connection = connection
         self._body = bytearray()
         self._start_line = httputil.RequestStartLine('', '', '')
@@ -91,7 +106,7 @@
         self._body.extend(chunk)
 
     def finish(self) -> None:
-        request = decode_request(
+        request = self._decode(
             self._start_line,
             self._headers,
             bytes(self._body),
@@ -212,6 +227,10 @@
             status, tuple(headers), msgspec.json.encode({'error': reason})
         )
 
+    def refuse_relay(self) -> None:
+        """Refuse a request that a peer has passed on, without running it."""
+        self.send(503, ((engines.RELAY_REFUSED_HEADER, '1'),), b'')
+
     def begin(self, status: int, headers: ports.Headers) -> None:
         """Start a response of unknown length."""
         if self._done or self._started:
--- a/src/thornspool/platform/daemon.py
+++ b/src/thornspool/platform/daemon.py
@@ -30,6 +30,7 @@
 from thornspool.application.routing import path_finding
 from thornspool.application.routing import placement
 from thornspool.application.routing import registration
+from thornspool.application.routing import relays
 from thornspool.application.routing import retry_pools
 from thornspool.application.routing import (
     routing_state as routing_state_module,
@@ -42,7 +43,7 @@
 from thornspool.domain.entries import leadership
 from thornspool.domain.entries import messages
 from thornspool.domain.entries import view as view_module
-from thornspool.domain.fleet import links
+from thornspool.domain.fleet import links as links_module
 from thornspool.domain.fleet import refusals
 from thornspool.domain.freshness import confirmations
 from thornspool.domain.paths import reservations
@@ -50,6 +51,7 @@
 from thornspool.platform import engines
 from thornspool.platform import follower
 from thornspool.platform import peer_calls
+from thornspool.platform import peer_gateway
 from thornspool.platform import peers
 from thornspool.platform import registry
 from thornspool.platform import settings as settings_module
@@ -374,28 +376,7 @@
             registry.Registry(store),
             lambda: self._follower.previous_lease,
         )
-        servers = observed_servers.ObservedServers(
-            clock,
-            engines.ServerClient(
-                self._session,
-                lambda server, notice: self._routing_state.record_notice(
-                    server, notice, clock.now()
-                ),
-            ),
-            lambda server, opened_at: self._evidence.record_answer(
-                server, opened_at
-            ),
-        )
-        self._evidence = server_evidence.ServerEvidence(
-            clock,
-            self._routing_state,
-            servers,
-            links.Links(),
-            self._random,
-            self._run,
-            self._server_limits.try_acquire,
-            self._membership.broadcast_failures,
-        )
+        self._build_evidence()
         self._crashes = crash_detection.CrashDetector(
             clock,
             self._routing_state,
@@ -451,7 +432,8 @@
             lambda: self._leadership.may_act(clock.now()),
             budget.estimate_rate,
         )
-        self._intake = intake_module.Intake(
+        self._build_relays(budget)
+        self._intake: intake_module.Intake = intake_module.Intake(
             clock,
             self._routing_state,
             self._streams,
@@ -478,10 +460,52 @@
                 self._intake,
                 self._server_limits,
                 self._crashes,
+                self._evidence,
+                self._relays,
                 self._quarantine,
             ),
         )
 
+    def _build_evidence(self) -> None:
+        """Connect the client for servers with the evidence against them."""
+        servers = observed_servers.ObservedServers(
+            self._clock,
+            engines.ServerClient(
+                self._session,
+                lambda server, notice: self._routing_state.record_notice(
+                    server, notice, self._clock.now()
+                ),
+            ),
+            lambda server, opened_at: self._evidence.record_answer(
+                server, opened_at
+            ),
+        )
+        self._evidence = server_evidence.ServerEvidence(
+            self._clock,
+            self._routing_state,
+            servers,
+            links_module.Links(),
+            self._random,
+            self._run,
+            self._server_limits.try_acquire,
+            self._membership.broadcast_failures,
+        )
+
+    def _build_relays(self, budget: retry_pools.RetryPools) -> None:
+        """Let peers serve requests while this entry reaches no server."""
+        links = self._evidence.links
+        self._relays = relays.RelayService(
+            self._clock,
+            self._view,
+            links,
+            peer_gateway.PeerGateway(self._session),
+            budget,
+            self._random,
+        )
+        self._streams.take_over = self._relays.take_over
+        self._calls.take_over = self._relays.take_over
+        self._membership.has_lost_links = lambda: links.are_lost
+
     def _build_quarantine(self, incarnation: str) -> None:
         self._peer_calls = peer_calls.PeerCalls(
             incarnation, self._peer_socket.send_call, self._run
@@ -524,6 +548,19 @@
             settings.callers,
             callers.CallerDelegate(self._clock, self._intake.serve),
         )
+        door = relays.RelayDoor(
+            self._view,
+            self._evidence.links,
+            self._intake.serve,
+            self._intake.count_relayed,
+            self._intake.find_priority,
+        )
+        self._open(
+            f'{settings.ip}:{settings.peer_port}',
+            callers.CallerDelegate(
+                self._clock, door.serve, peer_gateway.decode_relayed_request
+            ),
+        )
         self._open(
             settings.lookups,
             callers.QueryDelegate(
@@ -580,6 +617,7 @@
     async def _tick_quickly(self) -> None:
         self._streams.tick()
         self._calls.tick()
+        self._relays.tick()
         self._failure_detector.check_idle_streams()
         if self._membership.state is messages.State.STARTING:
             # While all entries start, lookups return no address, so this
--- a/src/thornspool/platform/engines.py
+++ b/src/thornspool/platform/engines.py
@@ -37,6 +37,9 @@
 DEADLINE_MARGIN_MS = 150
 """Time reserved to forward a response that a server sends at its deadline."""
 
+RELAY_REFUSED_HEADER = 'Relay-Refused'
+"""Header of a peer that does not serve a request that is passed on to it."""
+
 _HOP_BY_HOP_HEADERS = frozenset(
     {
         'connection',
@@ -175,7 +178,7 @@
         caller_request = run.request
 
         def handle_head(status: int, headers: transfers.Headers) -> None:
-            head = _decode_head(caller_request.id, status, headers)
+            head = decode_head(caller_request.id, status, headers)
             self._on_notice(
                 run.server, _decode_notice(status, headers, head.is_authentic)
             )
@@ -363,9 +366,10 @@
     return tuple(headers)
 
 
-def _decode_head(
+def decode_head(
     request_id: str, status: int, headers: transfers.Headers
 ) -> ports.ResponseHead:
+    """Decode the head of a response to a request."""
     values = {name.lower(): value for name, value in headers}
     dropped = _HOP_BY_HOP_HEADERS | _SERVER_RESPONSE_HEADERS
     dropped |= _list_connection_options(headers)
@@ -383,6 +387,8 @@
         is_authentic='response-seal' in values
         and 'content-encoding' not in values
         and values.get('attempt-id', request_id) == request_id,
+        is_relay_refused=RELAY_REFUSED_HEADER.lower() in values
+        and 'response-seal' not in values,
     )
 
 
--- a/src/thornspool/platform/peers.py
+++ b/src/thornspool/platform/peers.py
@@ -80,6 +80,7 @@
     # Revisions by hash.
     removals: dict[int, int] = {}
     retracted: list[str] = []
+    links_lost: bool = False
 
 
 class _ChangeSet(msgspec.Struct, array_like=True, tag=1):
@@ -173,6 +174,7 @@
             list(state_update.departures),
             state_update.removals,
             list(state_update.retracted),
+            state_update.links_lost,
         )
     )
 
@@ -304,6 +306,7 @@
         tuple(message.departures),
         message.removals,
         tuple(message.retracted),
+        message.links_lost,
     )
 
 
--- a/src/thornspool/platform/state_metrics.py
+++ b/src/thornspool/platform/state_metrics.py
@@ -25,10 +25,14 @@
     from thornspool.application.routing import intake as intake_module
     from thornspool.application.routing import membership as membership_module
     from thornspool.application.routing import placement as placement_module
+    from thornspool.application.routing import relays as relays_module
     from thornspool.application.routing import retry_pools
     from thornspool.application.routing import (
         routing_state as routing_state_module,
     )
+    from thornspool.application.routing import (
+        server_evidence as server_evidence_module,
+    )
     from thornspool.application.routing import (
         server_limits as server_limits_module,
     )
@@ -57,6 +61,8 @@
     intake: intake_module.Intake
     server_limits: server_limits_module.ServerLimits
     crashes: crash_detection_module.CrashDetector
+    evidence: server_evidence_module.ServerEvidence
+    relays: relays_module.RelayService
     quarantine: quarantine_module.QuarantineService
 
 
@@ -98,6 +104,20 @@
         'Requests of callers that have not got their whole answer.',
         metrics_module.make_sample_reader(lambda: sources.intake.in_flight),
     )
+    metrics.add_gauge(
+        'thornspool_links_lost',
+        '1 while this entry reaches no server.',
+        metrics_module.make_sample_reader(
+            lambda: sources.evidence.links.are_lost
+        ),
+    )
+    metrics.add_counter(
+        'thornspool_requests_relayed_total',
+        'Requests that this entry passed on to peers.',
+        metrics_module.make_sample_reader(
+            lambda: sources.relays.relayed_count
+        ),
+    )
     metrics.add_counter(
         'thornspool_repeats_refused_total',
         'Repeats that were due and for which the budget had no room.',
--- a/standins/kv_fleet.py
+++ b/standins/kv_fleet.py
@@ -12,7 +12,9 @@
 NUMBER}`` (the server turns the host away and asks it for rest) or ``{"leave":
 ID}`` (the server states in its responses that it leaves; its store entry stays
 as it is) or ``{"crash_on": TEXT}`` (a request with the text in its body
-crashes each server that runs it, and it starts anew after a while).
+crashes each server that runs it, and it starts anew after a while) or
+``{"alias": {ADDRESS: ADDRESS}}`` (further addresses at which servers are
+reached, in addition to those before).
 ``GET /control`` returns what the servers ran, which layers they hold, and with
 ``?log=1`` what arrived at them and what they answered.
 
@@ -142,10 +144,12 @@
         self.wrong_paths = 0
         self.lose_answers = 0
         self.crash_on = ''
+        self.aliases: dict[str, str] = {}
         self.log: list[dict[str, typing.Any]] = []
 
     def find_by_address(self, address: str) -> Server | None:
         """Return the server at an address, or None."""
+        address = self.aliases.get(address, address)
         for server in self.servers.values():
             if server.address == address:
                 return server
@@ -330,11 +334,9 @@
             return
         for index in range(first, EVENTS):
             await asyncio.sleep(STEP_S)
-            dead_server = next(
-                (hop for hop, _, _ in hops if not hop.is_alive), None
-            )
-            if dead_server is not None:
-                self.server.stalled[attempt_id] = dead_server.address
+            lost = next((one for one in hops if not one[0].is_alive), None)
+            if lost is not None:
+                self.server.stalled[attempt_id] = lost[3]
                 await asyncio.sleep(STALL_DURATION_S)
                 self.server.stalled.pop(attempt_id, None)
                 common.drop_connection(self)
@@ -343,7 +345,7 @@
             await self.flush()
         self.finish()
 
-    def _parse_path(self) -> list[tuple[Server, int, int]] | None:
+    def _parse_path(self) -> list[tuple[Server, int, int, str]] | None:
         hops = []
         next_layer = 0
         for part in self.request.headers['Hop-Count'].split(','):
@@ -363,7 +365,7 @@
             if int(first) != next_layer:
                 self.fleet.wrong_paths += 1
             next_layer = int(end)
-            hops.append((server, int(first), int(end)))
+            hops.append((server, int(first), int(end), address))
         if next_layer != LAYERS or hops[0][0] is not self.server:
             self.fleet.wrong_paths += 1
         return hops
@@ -423,6 +425,10 @@
     async def post(self) -> None:
         """Apply the commands of a test."""
         commands = json.loads(self.request.body)
+        if 'alias' in commands:
+            self.fleet.aliases.update(commands['alias'])
+            self.finish({})
+            return
         if 'kill' in commands:
             await stop_server(self.fleet.servers[commands['kill']])
         if 'drain' in commands:
--- a/tests/application/routing/builders.py
+++ b/tests/application/routing/builders.py
@@ -198,6 +198,9 @@
         self.retry_after_ms = retry_after_ms
         self.whole = True
 
+    def refuse_relay(self):
+        self.refuse(503, 'relay_refused')
+
     def begin(self, status, headers):
         self.status = status
 
--- /dev/null
+++ b/tests/application/routing/test_relays.py
@@ -0,0 +1,292 @@
+"""Tests of requests that pass through a peer."""
+
+from __future__ import annotations
+
+import random
+import unittest
+
+import attrs
+
+from tests.application.routing import builders
+from thornspool.application.routing import ports
+from thornspool.application.routing import relays
+from thornspool.domain.entries import messages
+from thornspool.domain.entries import view as view_module
+
+HEAD = ports.ResponseHead(200, (('Seal', 's'),), True, '', None, True)
+EVENT = b'id: %d\ndata: x\n\n'
+
+
+@attrs.define(eq=False)
+class Sent:
+    """A request that was passed on."""
+
+    peer: str
+    relayed: ports.RelayedRequest
+    listener: ports.ResponseListener
+    cancelled: bool = False
+
+
+class Gateway:
+    """Records what is passed on to peers."""
+
+    def __init__(self):
+        self.sent = []
+
+    @property
+    def last(self):
+        return self.sent[-1]
+
+    def send(self, peer, relayed, listener):
+        sent = Sent(peer.host, relayed, listener)
+        self.sent.append(sent)
+
+        def cancel():
+            sent.cancelled = True
+
+        return cancel
+
+
+class RelayCase(unittest.TestCase):
+    def setUp(self):
+        self.world = builders.World()
+        self.links = self.world.evidence.links
+        self.view = view_module.View(builders.build_record())
+        for host, domain in (('a-01', 'a'), ('a-02', 'a'), ('b-00', 'b')):
+            self.view.apply_record(builders.build_record(host, domain), 0)
+        self.gateway = Gateway()
+        self.relays = relays.RelayService(
+            self.world.clock,
+            self.view,
+            self.links,
+            self.gateway,
+            self.world.budget,
+            random.Random(1),
+        )
+        self.world.streams.take_over = self.relays.take_over
+        self.world.calls.take_over = self.relays.take_over
+
+    def lose_links(self):
+        self.links.lost_since = self.world.clock.now()
+
+    def pass_on(self, path='/brief/x', **changes):
+        """Pass a request on; return its reply and what was sent."""
+        self.lose_links()
+        reply = self.world.serve(path, **changes)
+        return reply, self.gateway.last
+
+
+class RelayTest(RelayCase):
+    def test_requests_pass_through_a_peer_only_while_links_are_lost(self):
+        self.world.serve()
+        self.assertEqual([], self.gateway.sent)
+        _, sent = self.pass_on(number=2)
+        self.assertIn(sent.peer, {'a-01', 'a-02'})
+        self.assertEqual(1, len(self.world.servers.runs))
+        self.links.lost_since = None
+        self.world.serve(number=3)
+        self.assertEqual(1, len(self.gateway.sent))
+
+    def test_answer_is_passed_on_unchanged(self):
+        reply, sent = self.pass_on()
+        sent.listener.handle_head(HEAD)
+        sent.listener.handle_body(EVENT % 0 + b'id: 1\nda')
+        self.assertEqual(EVENT % 0, reply.body)
+        sent.listener.handle_body(b'ta: x\n\n')
+        sent.listener.handle_completion(ports.Completion.COMPLETE)
+        self.assertEqual(
+            (200, EVENT % 0 + EVENT % 1), (reply.status, reply.body)
+        )
+        self.assertTrue(reply.whole)
+        self.assertEqual(0, self.world.intake.in_flight)
+
+    def test_refusal_of_a_peer_is_passed_on(self):
+        reply, sent = self.pass_on('/hold/x')
+        sent.listener.handle_head(attrs.evolve(HEAD, status=503))
+        sent.listener.handle_completion(ports.Completion.COMPLETE)
+        self.assertEqual(503, reply.status)
+
+    def test_peer_that_did_not_get_a_request_is_replaced(self):
+        reply, first = self.pass_on('/hold/x')
+        first.listener.handle_completion(ports.Completion.NOT_SENT)
+        second = self.gateway.last
+        self.assertNotEqual(first.peer, second.peer)
+        second.listener.handle_head(
+            attrs.evolve(HEAD, status=503, is_relay_refused=True)
+        )
+        second.listener.handle_completion(ports.Completion.COMPLETE)
+        third = self.gateway.last
+        self.assertEqual('b-00', third.peer)
+        third.listener.handle_completion(ports.Completion.NOT_SENT)
+        self.assertEqual(503, reply.status)
+        self.assertIsNotNone(reply.retry_after_ms)
+
+    def test_action_with_an_unknown_outcome_is_not_passed_on_again(self):
+        """Guards against actions that run twice through two peers."""
+        reply, sent = self.pass_on('/hold/x')
+        sent.listener.handle_completion(ports.Completion.BROKEN)
+        self.assertEqual(1, len(self.gateway.sent))
+        self.assertEqual(502, reply.status)
+
+    def test_stream_of_a_lost_peer_resumes_through_another_one(self):
+        reply, sent = self.pass_on()
+        sent.listener.handle_head(HEAD)
+        sent.listener.handle_body(EVENT % 0 + EVENT % 1 + b'id: 2')
+        sent.listener.handle_completion(ports.Completion.BROKEN)
+        second = self.gateway.last
+        self.assertEqual('1', second.relayed.resume_after)
+        self.assertEqual(1, second.relayed.relay.prior_runs)
+        second.listener.handle_head(HEAD)
+        second.listener.handle_body(EVENT % 2)
+        second.listener.handle_completion(ports.Completion.COMPLETE)
+        self.assertEqual(b''.join(EVENT % one for one in range(3)), reply.body)
+        self.assertTrue(reply.whole)
+
+    def test_runs_before_and_through_peers_count_as_attempts(self):
+        """Guards against more runs than the route allows."""
+        reply, sent = self.pass_on()
+        sent.listener.handle_completion(ports.Completion.BROKEN)
+        self.gateway.last.listener.handle_completion(ports.Completion.BROKEN)
+        self.assertEqual(2, len(self.gateway.sent))
+        self.assertEqual(502, reply.status)
+
+    def test_stream_that_breaks_when_links_are_lost_resumes_at_a_peer(self):
+        reply = self.world.serve()
+        run = self.world.servers.last
+        run.begin()
+        run.send(0, 3)
+        self.lose_links()
+        run.end(ports.Completion.BROKEN)
+        sent = self.gateway.last
+        self.assertEqual('2', sent.relayed.resume_after)
+        self.assertEqual(1, sent.relayed.relay.prior_runs)
+        self.assertTrue(sent.relayed.relay.is_counted)
+        sent.listener.handle_head(HEAD)
+        sent.listener.handle_body(EVENT % 3)
+        sent.listener.handle_completion(ports.Completion.COMPLETE)
+        self.assertEqual(b''.join(EVENT % one for one in range(4)), reply.body)
+
+    def test_close_and_deadline_of_the_caller_reach_the_peer(self):
+        """Guards against work for a caller that has left."""
+        reply, sent = self.pass_on(timeout_ms=1_000)
+        self.assertLessEqual(sent.relayed.remaining_ms, 1_000)
+        reply.leave()
+        self.assertTrue(sent.cancelled)
+        reply, sent = self.pass_on('/hold/x', number=2, timeout_ms=1_000)
+        self.world.clock.advance(1_001)
+        self.relays.tick()
+        self.assertTrue(sent.cancelled)
+        self.assertEqual(504, reply.status)
+
+    def test_request_of_a_dead_peer_is_passed_on_again(self):
+        _, sent = self.pass_on('/read/x')
+        self.view.remove(sent.peer)
+        self.relays.tick()
+        self.assertTrue(sent.cancelled)
+        self.assertNotEqual(sent.peer, self.gateway.last.peer)
+
+    def test_late_output_of_a_peer_is_dropped(self):
+        reply, sent = self.pass_on('/read/x')
+        self.view.remove(sent.peer)
+        self.relays.tick()
+        sent.listener.handle_head(HEAD)
+        sent.listener.handle_body(b'late')
+        sent.listener.handle_completion(ports.Completion.COMPLETE)
+        self.assertIsNone(reply.status)
+
+    def test_peers_without_links_get_nothing(self):
+        for peer in self.view.peers.values():
+            peer.has_links = False
+        self.lose_links()
+        reply = self.world.serve()
+        self.assertEqual([], self.gateway.sent)
+        self.assertEqual(503, reply.status)
+        self.assertIsNotNone(reply.retry_after_ms)
+
+    def test_relayed_request_is_not_passed_on_again(self):
+        """Guards against requests that circle between entries."""
+        self.lose_links()
+        relay = ports.Relay('a-01', 'a-01-1', 'a-00-1', 0, True)
+        reply = self.world.serve(relay=relay)
+        self.assertEqual([], self.gateway.sent)
+        self.assertIsNone(reply.status)
+
+    def test_request_is_counted_by_one_entry(self):
+        """Guards against a retry budget that counts a request twice."""
+        self.pass_on()
+        self.assertEqual(0.0, self.world.budget.estimate_rate('drafting'))
+        self.links.lost_since = None
+        counted = ports.Relay('a-01', 'a-01-1', 'a-00-1', 0, True)
+        self.world.serve(number=2, relay=counted)
+        self.assertEqual(0.0, self.world.budget.estimate_rate('drafting'))
+        self.world.serve(
+            number=3, relay=attrs.evolve(counted, is_counted=False)
+        )
+        self.assertLess(0.0, self.world.budget.estimate_rate('drafting'))
+
+    def test_runs_before_the_relay_count_at_the_peer(self):
+        relay = ports.Relay('a-01', 'a-01-1', 'a-00-1', 1, True)
+        reply = self.world.serve('/brief/x', relay=relay)
+        self.world.servers.last.end(ports.Completion.BROKEN)
+        self.assertEqual(502, reply.status)
+        self.assertEqual(1, len(self.world.servers.runs))
+
+
+class DoorTest(RelayCase):
+    def setUp(self):
+        super().setUp()
+        self.served = []
+        self.relayed = 0
+        self.door = relays.RelayDoor(
+            self.view,
+            self.links,
+            lambda request, reply: self.served.append(request.id),
+            lambda: self.relayed,
+            lambda request: 9 if request.path.startswith('/low') else 0,
+        )
+
+    def knock(self, path='/brief/x', relay=None):
+        reply = builders.FakeResponseWriter()
+        request = builders.build_request(path, relay=relay)
+        self.door.serve(request, reply)
+        return reply
+
+    def test_only_registered_entries_are_served(self):
+        """Guards against callers that use the address of peers."""
+        relay = ports.Relay('a-01', 'a-01-1', 'a-00-1', 0, False)
+        table = (
+            None,
+            attrs.evolve(relay, host='a-09'),
+            attrs.evolve(relay, incarnation='a-01-2'),
+            attrs.evolve(relay, receiver='a-00-2'),
+        )
+        for denied in table:
+            with self.subTest(denied):
+                self.assertEqual(403, self.knock(relay=denied).status)
+        self.assertEqual([], self.served)
+        self.knock(relay=relay)
+        self.assertEqual(1, len(self.served))
+
+    def test_full_entry_refuses_what_is_less_urgent_first(self):
+        """Guards against an entry that requests of peers overload."""
+        relay = ports.Relay('a-01', 'a-01-1', 'a-00-1', 0, False)
+        self.relayed = relays.MAX_RELAYED - 10
+        self.assertEqual(503, self.knock('/low/x', relay).status)
+        self.assertIsNone(self.knock('/brief/x', relay).status)
+        self.relayed = relays.MAX_RELAYED
+        self.assertEqual(503, self.knock('/brief/x', relay).status)
+
+    def test_entry_without_links_refuses_requests_of_peers(self):
+        self.lose_links()
+        relay = ports.Relay('a-01', 'a-01-1', 'a-00-1', 0, False)
+        self.assertEqual(503, self.knock(relay=relay).status)
+
+
+class LookupTest(RelayCase):
+    def test_entries_without_links_are_no_choice_while_others_have_them(self):
+        self.view.peers['a-01'].has_links = False
+        now = self.world.clock.now()
+        linked = [one.host for one in self.view.list_linked(now)]
+        self.assertEqual(['a-02', 'b-00'], linked)
+        self.assertEqual(3, len(self.view.list_serving(now)))
+        self.assertIs(messages.State.SERVING, self.view.peers['a-01'].state)
--- a/tests/engine_rules.py
+++ b/tests/engine_rules.py
@@ -297,6 +297,8 @@
     violations = []
     for cut in cuts:
         own, others = count_tries(tries, cut, contact_ms)
+        if not others:
+            continue
         failed = len(own) - sum(own)
         is_worse = _compute_share(own) < MIN_SERVED_RATIO * _compute_share(
             others
--- a/tests/simulation/world.py
+++ b/tests/simulation/world.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import functools
 import random
 
@@ -22,6 +23,8 @@
 from thornspool.application.routing import observed_servers
 from thornspool.application.routing import path_finding
 from thornspool.application.routing import placement
+from thornspool.application.routing import ports
+from thornspool.application.routing import relays
 from thornspool.application.routing import retry_pools
 from thornspool.application.routing import (
     routing_state as routing_state_module,
@@ -100,6 +103,89 @@
     scale: float = 1.0
 
 
+class Gateway:
+    """Connections of an entry to its peers."""
+
+    def __init__(self, world, host):
+        self._world = world
+        self._host = host
+
+    def send(self, peer, relayed, listener):
+        task = self._world.engines.start_task(
+            self._run(peer.host, relayed, listener)
+        )
+        return task.cancel
+
+    async def _run(self, host, relayed, listener):
+        await loops.sleep_ms(PEER_LATENCY_MS)
+        entry = self._world.entries[host]
+        if not entry.is_up or self._world.are_cut(self._host, host):
+            listener.handle_completion(ports.Completion.NOT_SENT)
+            return
+        reply = RelayedReply(listener)
+        request = attrs.evolve(
+            relayed.request,
+            timeout_ms=relayed.remaining_ms,
+            arrived_at=self._world.clock.now(),
+            resume_after=relayed.resume_after,
+            relay=relayed.relay,
+        )
+        try:
+            entry.door.serve(request, reply)
+            while not (reply.whole or reply.aborted):
+                await loops.sleep_ms(5)
+        except asyncio.CancelledError:
+            reply.leave()
+            raise
+
+
+class RelayedReply(builders.FakeResponseWriter):
+    """Reply of a peer, which the relaying entry receives."""
+
+    def __init__(self, listener):
+        super().__init__()
+        self._listener = listener
+
+    def _pass_head(self, status, is_relay_refused=False):
+        self._listener.handle_head(
+            ports.ResponseHead(
+                status, (), True, '', None, status == 200, is_relay_refused
+            )
+        )
+
+    def refuse(self, status, reason, retry_after_ms=None):
+        super().refuse(status, reason, retry_after_ms)
+        self._pass_head(status)
+        self._listener.handle_completion(ports.Completion.COMPLETE)
+
+    def refuse_relay(self):
+        super().refuse(503, 'relay_refused')
+        self._pass_head(503, True)
+        self._listener.handle_completion(ports.Completion.COMPLETE)
+
+    def begin(self, status, headers):
+        super().begin(status, headers)
+        self._pass_head(status)
+
+    def write(self, chunk):
+        super().write(chunk)
+        self._listener.handle_body(chunk)
+
+    def finish(self):
+        super().finish()
+        self._listener.handle_completion(ports.Completion.COMPLETE)
+
+    def abort(self):
+        super().abort()
+        self._listener.handle_completion(ports.Completion.BROKEN)
+
+    def send(self, status, headers, body):
+        super().send(status, headers, body)
+        self._pass_head(status)
+        self._listener.handle_body(body)
+        self._listener.handle_completion(ports.Completion.COMPLETE)
+
+
 class Entry:
     """One entry with its application services."""
 
@@ -240,6 +326,17 @@
             lambda: number == 0,
             self.budget.estimate_rate,
         )
+        self.relays = relays.RelayService(
+            clock,
+            self.view,
+            self.evidence.links,
+            Gateway(world, host),
+            self.budget,
+            randomness,
+        )
+        self.streams.take_over = self.relays.take_over
+        self.calls.take_over = self.relays.take_over
+        self.membership.has_lost_links = lambda: self.evidence.links.are_lost
         self.intake = intake.Intake(
             clock,
             self.routing_state,
@@ -249,6 +346,13 @@
             WITHDRAWN_KEY_MS,
             randomness,
         )
+        self.door = relays.RelayDoor(
+            self.view,
+            self.evidence.links,
+            self.intake.serve,
+            self.intake.count_relayed,
+            self.intake.find_priority,
+        )
 
     def send_update(self, address, update):
         self._world.deliver(self, address, Entry.receive_update, update)
@@ -268,6 +372,7 @@
 
     def run_fast_tick(self):
         self.streams.tick()
+        self.relays.tick()
         self.failure_detector.check_idle_streams()
         self.membership.broadcast_failures()
         self.limits.tick()
@@ -392,6 +497,10 @@
         await loops.sleep_ms(length_ms)
         self._cut_hosts.discard(host)
 
+    def are_cut(self, sender, receiver):
+        """Return whether no message passes between two entries."""
+        return bool(self._cut_hosts & {sender, receiver})
+
     def choose_entry(self, source):
         """Choose an entry that accepts requests."""
         return source.choice(
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -18,6 +18,7 @@
 
 import attrs
 
+from standins import kv_fleet
 from tests import engine_rules
 from tests.soak import callers as callers_module
 from tests.soak import checks
@@ -139,6 +140,11 @@
         *engine_rules.find_drain_violations(
             arrivals, answers, sent_at, DRAIN_MS, world.interruptions
         ),
+        *engine_rules.find_recovery_violations(
+            _list_tries(world, callers),
+            world.link_cuts,
+            world_module.CONTACT_MS,
+        ),
         *engine_rules.find_crash_violations(
             arrivals,
             engine_rules.read_crashes(log),
@@ -153,6 +159,42 @@
     ]
 
 
+def _list_tries(
+    world: world_module.World, callers: callers_module.Callers
+) -> list[engine_rules.FirstTry]:
+    """List the tries at entries that are bound, with a key that is valid.
+
+    Nobody can serve while all entries that reach servers are disturbed.
+    """
+    excuses = [*world.interruptions, *world.store_cuts]
+    tries = []
+    for one in callers.sent_requests:
+        at = round(one.sent_at * 1000)
+        disturbed = {
+            excuse.host
+            for excuse in excuses
+            if excuse.since <= at <= excuse.until
+        }
+        cut = {
+            host
+            for link_cut in world.link_cuts
+            if link_cut.since <= at <= link_cut.until
+            for host in link_cut.hosts
+        }
+        if (
+            one.key == kv_fleet.KEY
+            and one.sent_body != callers_module.CRASHING_BODY
+            and one.entry not in disturbed
+            and set(world.entries) - cut - disturbed
+        ):
+            tries.append(
+                engine_rules.FirstTry(
+                    at, one.entry, one.status == 200 and one.complete
+                )
+            )
+    return tries
+
+
 async def _check_recovery(
     world: world_module.World, callers: callers_module.Callers
 ) -> list[str]:
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -9,13 +9,12 @@
 import urllib.error
 
 from tests.soak import proxies
+from tests.soak import world as world_module
 
 if typing.TYPE_CHECKING:
     from collections.abc import Awaitable
     from collections.abc import Callable
 
-    from tests.soak import world as world_module
-
 MAX_CONCURRENT_FAULTS = 3
 """Bound on the number of concurrent faults."""
 
@@ -36,6 +35,7 @@
         self._random = world.random
         self._tasks: set[asyncio.Task[None]] = set()
         self._added_engines = 0
+        self._is_cut = False
         self.drawn: list[str] = []
         self._kinds: dict[str, Callable[[], Awaitable[None]]] = {
             'kill': self._kill,
@@ -53,6 +53,7 @@
             'answers_lost': self._lose_answers,
             'configuration': self._publish_configuration,
             'departure': self._announce_departure,
+            'links_cut': self._cut_links,
         }
 
     async def inject(self, seconds: float) -> None:
@@ -151,7 +152,10 @@
 
     async def _disturb_store_link(self) -> None:
         name = self._random.choice(sorted(self._world.to_store))
-        with self._world.interrupt(name, self._world.cuts):
+        with (
+            self._world.interrupt(name, self._world.cuts),
+            self._world.interrupt(name, self._world.store_cuts),
+        ):
             await self._disturb(self._world.to_store[name])
 
     async def _disturb_caller_link(self) -> None:
@@ -243,6 +247,24 @@
         await self._control(kill=name)
         await self._control(delete=f'servers/{name}')
 
+    async def _cut_links(self) -> None:
+        """Cut some entries, or all of a failure domain, off from servers."""
+        names = sorted(self._world.entries)
+        if self._is_cut:
+            return
+        chosen = names[:: len(world_module.DOMAINS)]
+        if self._random.random() < 0.5:
+            count = self._random.randint(1, len(names) - 1)
+            chosen = self._random.sample(names, count)
+        kind = self._random.choice(('silent', 'reset', 'refused'))
+        self._is_cut = True
+        try:
+            await self._world.cut_links(
+                chosen, kind, self._random.uniform(2.0, 9.0)
+            )
+        finally:
+            self._is_cut = False
+
     async def _lose_answers(self) -> None:
         await self._control(lose_answers=self._random.randint(1, 3))
 
--- a/tests/soak/proxies.py
+++ b/tests/soak/proxies.py
@@ -47,10 +47,27 @@
 
     async def start(self) -> None:
         """Listen on a port that the operating system assigns."""
-        self._server = await asyncio.start_server(self._serve, '127.0.0.1', 0)
+        await self._listen(0)
+        assert self._server is not None
         port = self._server.sockets[0].getsockname()[1]
         self.address = f'127.0.0.1:{port}'
 
+    async def _listen(self, port: int) -> None:
+        self._server = await asyncio.start_server(
+            self._serve, '127.0.0.1', port
+        )
+
+    def refuse(self) -> None:
+        """Refuse new connections; open ones live on."""
+        if self._server is not None:
+            self._server.close()
+            self._server = None
+
+    async def accept(self) -> None:
+        """Accept new connections again, at the same address."""
+        if self._server is None:
+            await self._listen(int(self.address.rpartition(':')[2]))
+
     async def stop(self) -> None:
         """Close the listener and all connections."""
         if self._server is not None:
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -13,6 +13,7 @@
 from tests import engine_rules
 from tests.platform import deployment
 from tests.soak import callers
+from tests.soak import links
 from tests.soak import proxies
 
 if typing.TYPE_CHECKING:
@@ -25,6 +26,9 @@
 STOP_GRACE_S = 8.0
 STOP_SLACK_S = 1.5
 
+RELAYED_MS = 8_000
+"""Time after a cut in which requests that a peer has passed on may end."""
+
 CONTACT_MS = 3_000
 """Time after a disturbance from which the users judge an entry again."""
 
@@ -52,6 +56,8 @@
         self.deployment = deployment.Deployment(scope)
         self._count = entries
         self.to_store: dict[str, proxies.Proxy] = {}
+        self.to_servers: dict[str, links.ServerLinks] = {}
+        self.link_cuts: list[engine_rules.Cut] = []
         self.to_entry: dict[str, proxies.Proxy] = {}
         self.entries: dict[str, deployment.Entry] = {}
         self.version = 1
@@ -61,13 +67,16 @@
         self.entries_in_fault: set[str] = set()
         self.interruptions: list[engine_rules.Excuse] = []
         self.cuts: list[engine_rules.Excuse] = []
+        self.store_cuts: list[engine_rules.Excuse] = []
 
     async def start(self) -> None:
         """Start entries and proxies and publish a first configuration."""
         self.configure(include_south=True)
         for number in range(self._count):
             name = f'entry-{number}'
-            self.to_store[name] = proxies.Proxy(self.deployment.store_address)
+            self.to_servers[name] = links.ServerLinks(self.deployment)
+            store_address = self.to_servers[name].start()
+            self.to_store[name] = proxies.Proxy(store_address)
             await self.to_store[name].start()
             entry = self.deployment.start_entry(
                 DOMAINS[number % len(DOMAINS)], self.to_store[name].address
@@ -80,6 +89,8 @@
         """Close the proxies."""
         for proxy in (*self.to_store.values(), *self.to_entry.values()):
             await proxy.stop()
+        for server_links in self.to_servers.values():
+            await server_links.stop()
 
     def list_entries(self) -> dict[str, str]:
         """Return the addresses of entries for callers, by entry name."""
@@ -198,6 +209,39 @@
         self.deployment.restart(entry)
         self.entries_in_fault.discard(name)
 
+    async def cut_links(
+        self, names: list[str], kind: str, length_s: float
+    ) -> None:
+        """Cut entries off from all servers for a time.
+
+        Parameters
+        ----------
+        names : list of str
+            Names of the entries.
+        kind : str
+            Kind of the cut, see ``links.ServerLinks.cut``.
+        length_s : float
+            Length of the cut in seconds.
+        """
+        since = read_clock_ms()
+        for name in names:
+            self.to_servers[name].cut(kind)
+        try:
+            await asyncio.sleep(length_s)
+        finally:
+            for name in names:
+                await self.to_servers[name].heal()
+            until = read_clock_ms()
+            self.link_cuts.append(
+                engine_rules.Cut(frozenset(names), since, until)
+            )
+            # Servers know an entry by the caller's request, which a peer may
+            # have passed on.
+            self.cuts += [
+                engine_rules.Excuse(name, since, until + RELAYED_MS)
+                for name in names
+            ]
+
     async def suspend(self, popen: subprocess.Popen[bytes]) -> None:
         """Suspend a process with SIGSTOP and resume it after a delay."""
         with contextlib.suppress(ProcessLookupError):
