--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -273,7 +273,7 @@
         )
         for status, headers, ran, genuine in table:
             with self.subTest(status=status, headers=headers):
-                head = engines._decode_head('r', status, headers)
+                head = engines.decode_head('r', status, headers)
                 self.assertEqual(
                     (ran, genuine), (head.executed, head.is_authentic)
                 )
