Hand the leadership over when its holder reaches no engine

An entry whose links are lost for 0.8 s deletes the leader key and does not claim it, and entries without links are no candidates.

--- a/src/thornspool/application/routing/registration.py
+++ b/src/thornspool/application/routing/registration.py
@@ -79,6 +79,11 @@
     find_old_lease : callable, optional
         Returns the lease of an earlier process of this host, 0 if there is
         none, and None while this is unknown.
+
+    Attributes
+    ----------
+    may_lead : callable
+        Returns whether this entry may hold the leadership.
     """
 
     def __init__(
@@ -101,6 +106,7 @@
         self._lead_lease_renewed_at = 0
         self._registered = False
         self._leaving = False
+        self.may_lead: Callable[[], bool] = lambda: True
         self._reachable = True
         self._retry_at = 0
         self._backoff_ms = INITIAL_BACKOFF_MS
@@ -110,6 +116,8 @@
         if self._clock.now() < self._retry_at:
             return
         try:
+            if not self.may_lead():
+                await self._give_up_leadership()
             await self._renew_leadership()
             await self._renew_registration()
             await self._claim_leadership()
@@ -131,6 +139,10 @@
         time if this entry were no longer registered.
         """
         self._leaving = True
+        await self._give_up_leadership()
+
+    async def _give_up_leadership(self) -> None:
+        """Delete the leader key if this entry holds it."""
         holder = self._leadership.holder
         if holder is None or not self._leadership.may_act(self._clock.now()):
             return
@@ -228,7 +240,7 @@
         return backoff_ms
 
     async def _claim_leadership(self) -> None:
-        if self._lease is None or self._leaving:
+        if self._lease is None or self._leaving or not self.may_lead():
             return
         now = self._clock.now()
         candidates = self._list_candidates(now)
@@ -277,7 +289,7 @@
             The candidates; empty if this entry may not claim it.
         """
         local_host = self._view.local.host
-        serving = [record.host for record in self._view.list_serving(now)]
+        serving = [record.host for record in self._view.list_linked(now)]
         if self._view.is_mesh:
             return [*serving, local_host]
         if not self._view.is_collector:
--- a/src/thornspool/application/routing/server_evidence.py
+++ b/src/thornspool/application/routing/server_evidence.py
@@ -54,6 +54,9 @@
 RESTORE_CHECK_MS = 350
 """Interval of the checks whether lost links are restored."""
 
+LEAD_GRACE_MS = 800
+"""Time after the loss of all links for which the leadership is kept."""
+
 RETENTION_MS = 10_000
 """Time for which answers of servers are remembered."""
 
@@ -216,6 +219,15 @@
         self.links.record_answer(server.id, opened_at)
         self._routing_state.record_contact(server.id, self._clock.now())
 
+    def may_lead(self) -> bool:
+        """Return whether this entry may give orders to engines.
+
+        An entry that reaches none hands the leadership over; it keeps it for
+        a moment, as a check may have failed by chance.
+        """
+        since = self.links.lost_since
+        return since is None or self._clock.now() - since < LEAD_GRACE_MS
+
     @property
     def is_checking(self) -> bool:
         """Whether it is open if the links of this entry are lost."""
--- a/src/thornspool/platform/daemon.py
+++ b/src/thornspool/platform/daemon.py
@@ -505,6 +505,7 @@
         self._streams.take_over = self._relays.take_over
         self._calls.take_over = self._relays.take_over
         self._membership.has_lost_links = lambda: links.are_lost
+        self._registration.may_lead = self._evidence.may_lead
 
     def _build_quarantine(self, incarnation: str) -> None:
         self._peer_calls = peer_calls.PeerCalls(
--- a/tests/application/routing/test_placement.py
+++ b/tests/application/routing/test_placement.py
@@ -20,6 +20,18 @@
 
 
 class LeaderTest(unittest.IsolatedAsyncioTestCase):
+    async def test_leader_without_links_gives_no_orders(self):
+        """Guards against layers that are reordered as nothing is seen."""
+        self.world.evidence.links.lost_since = self.world.clock.now()
+        for number in range(3):
+            self.world.routing_state.suspect(f'a-{number}', 'not_reached', 0)
+        for _ in range(60):
+            self.world.clock.advance(100)
+            self.world.routing_state.freshness.confirm(self.world.clock.now())
+            self.service.tick()
+        await asyncio.sleep(0)
+        self.assertEqual([], self.world.servers.orders)
+
     async def asyncSetUp(self):
         self.world = builders.World()
         self.is_leader = True
--- a/tests/platform/test_following.py
+++ b/tests/platform/test_following.py
@@ -715,6 +715,21 @@
         await self.service.tick()
         self.assertEqual([], self.registry.calls)
 
+    async def test_an_entry_without_links_hands_the_leadership_over(self):
+        """Guards against a leader whose orders reach no engine."""
+        await self.service.tick()
+        self.assertTrue(self.leadership.is_local)
+        self.service.may_lead = lambda: False
+        await self.service.tick()
+        self.assertFalse(self.leadership.is_local)
+        self.assertIn('release', self.registry.calls)
+        await self.service.tick()
+        self.assertFalse(self.leadership.is_local)
+        self.service.may_lead = lambda: True
+        self.clock.advance(5_000)
+        await self.service.tick()
+        self.assertTrue(self.leadership.is_local)
+
     async def test_a_leaving_entry_does_not_claim_leadership(self):
         self.service.stop_renewing()
         self.clock.advance(5_000)
