--- a/tests/adapters/test_transfers.py
+++ b/tests/adapters/test_transfers.py
@@ -3,8 +3,13 @@
 from __future__ import annotations
 
 import asyncio
+import os
+import socket
+import stat
 import unittest
 
+import pycurl
+
 from thornspool.adapters import exceptions
 from thornspool.adapters import transfers
 
@@ -44,6 +49,47 @@
             writer.close()
 
 
+class _ObservedSession(transfers.Session):
+    """Session that records the options of its sockets."""
+
+    def __init__(self):
+        super().__init__()
+        self.options = []
+
+    def _watch_socket(self, event, fd, _multi, _data):
+        # libcurl also watches descriptors of its own that are no sockets.
+        if event != pycurl.POLL_REMOVE and stat.S_ISSOCK(os.fstat(fd).st_mode):
+            self.options.append(_read_options(fd))
+        super()._watch_socket(event, fd, _multi, _data)
+
+
+def _read_options(fd):
+    """Read whether keep-alive probes are sent, and the user timeout."""
+    with socket.socket(fileno=os.dup(fd)) as copy:
+        return (
+            copy.getsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE),
+            copy.getsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT),
+        )
+
+
+class SocketOptionsTest(unittest.IsolatedAsyncioTestCase):
+    async def test_no_timeout_of_the_system_ends_a_silent_connection(self):
+        """Guards against runs that the library ends while a server pauses."""
+
+        async def respond(number, writer, body):
+            writer.write(HEAD + b'0\r\n\r\n')
+
+        peer = _Server(respond)
+        await peer.start()
+        session = _ObservedSession()
+        try:
+            await session.fetch(transfers.Request(peer.url))
+        finally:
+            session.close()
+            peer.server.close()
+        self.assertEqual({(0, 0)}, set(session.options))
+
+
 class TransferTest(unittest.IsolatedAsyncioTestCase):
     async def start(self, respond):
         self.peer = _Server(respond)
--- a/tests/simulation/conditions.py
+++ b/tests/simulation/conditions.py
@@ -217,6 +217,26 @@
     return cut
 
 
+def pause_engines(seed, at_ms, length_ms, interval_ms=2_000):
+    """Return a fault in which sound engines are silent one after the other."""
+
+    async def pause(simulated):
+        source = random.Random(f'{seed} pauses')
+        await loops.sleep_ms(at_ms)
+        while True:
+            engine = source.choice(
+                sorted(
+                    simulated.engines.by_address.values(),
+                    key=lambda one: one.server.id,
+                )
+            )
+            if engine.state == 'up':
+                await simulated.engines.pause(engine.server.id, length_ms)
+            await loops.sleep_ms(interval_ms)
+
+    return pause
+
+
 def combine(*faults):
     """Return a fault that runs several ones at the same time."""
 
--- a/tests/simulation/engines.py
+++ b/tests/simulation/engines.py
@@ -278,8 +278,7 @@
         if first.state == 'crashed':
             active.listener.handle_completion(ports.Completion.NOT_SENT)
             return
-        if first.state == 'unresponsive':
-            await loops.sleep_ms(60_000)
+        await self._await_response(first)
         until, rest_ms = first.rests.get(active.client.host, (0, 0))
         if self._clock.now() < until:
             await self._refuse(active, first, 503, rest_ms)
@@ -338,14 +337,18 @@
             )
         active.listener.handle_completion(ports.Completion.COMPLETE)
 
+    async def _await_response(self, engine):
+        """Wait while an engine does not reply."""
+        while engine.state == 'unresponsive':
+            await loops.sleep_ms(4 * POLL_MS)
+
     async def _await_engines(self, active, first):
         """Wait while engines of a path are lost; False after a failure."""
         remaining_ms = MAX_STALL_MS
         while any(engine.state != 'up' for engine, _ in active.hops):
             if first.state == 'crashed' or remaining_ms <= 0:
                 return False
-            if first.state == 'unresponsive':
-                await loops.sleep_ms(60_000)
+            await self._await_response(first)
             await loops.sleep_ms(POLL_MS)
             remaining_ms -= POLL_MS
         prefill_ms, active.prefill_ms = active.prefill_ms, 0.0
@@ -582,6 +585,13 @@
         engine.state = 'up'
         await self._update_list(engine)
 
+    async def pause(self, name, length_ms):
+        """Let a sound engine be silent for a time."""
+        engine = self.find_engine(name)
+        engine.state = 'unresponsive'
+        await loops.sleep_ms(length_ms)
+        engine.state = 'up'
+
     def slow_down(self, name, factor):
         """Set the slowdown factor of an engine; 1 for full speed."""
         self.find_engine(name).slowdown = factor
