Count overdue calls and answers of later processes as what they show

An answer of another process than the listed one no longer ends a suspicion: a restarted engine holds no layers. A request that a peer has passed on takes no retry for a further relay.

--- a/src/thornspool/application/routing/calls.py
+++ b/src/thornspool/application/routing/calls.py
@@ -84,6 +84,8 @@
         is dropped.
     trial_at : int
         Time in milliseconds from which a reservation may be tried again.
+    is_overdue : bool
+        Whether the current attempt has been recorded as overdue.
     head : ports.ResponseHead or None
         Head of the current response, once received.
     body : bytearray
@@ -97,6 +99,7 @@
     trial_at: int = 0
     sent_at: int = 0
     generation: int = 0
+    is_overdue: bool = False
     head: ports.ResponseHead | None = None
     body: bytearray = attrs.field(factory=bytearray)
 
@@ -170,24 +173,30 @@
         for call in list(self.calls):
             if call.exchange.compute_remaining_ms(now) <= 0:
                 self._expire(call)
-            elif call.cancel is not None and self._is_unresponsive(call, now):
-                self._retry_unresponsive(call)
+            elif call.cancel is not None and self._is_overdue(call, now):
+                self._handle_overdue(call)
         queued, self._queued = self._queued, []
         for call in queued:
             if not call.exchange.ended:
                 self._start_attempt(call)
 
-    def _is_unresponsive(self, call: Call, now: int) -> bool:
-        route = call.exchange.route
-        if not route.retryable or call.head is not None:
-            return False
+    def _is_overdue(self, call: Call, now: int) -> bool:
         max_wait_ms = max(
-            MIN_RESPONSE_WAIT_MS, route.target_latency_ms * RESPONSE_WAIT_SHARE
-        )
-        return (
-            now - call.sent_at > max_wait_ms
-            and call.exchange.runs < route.attempts
+            MIN_RESPONSE_WAIT_MS,
+            call.exchange.route.target_latency_ms * RESPONSE_WAIT_SHARE,
         )
+        return call.head is None and now - call.sent_at > max_wait_ms
+
+    def _handle_overdue(self, call: Call) -> None:
+        """Check the links, and retry the call if it may run again."""
+        if not call.is_overdue and call.server is not None:
+            call.is_overdue = True
+            self._evidence.record_failure(
+                call.server, call.sent_at, _ignore_overdue
+            )
+        route = call.exchange.route
+        if route.retryable and call.exchange.runs < route.attempts:
+            self._retry_unresponsive(call)
 
     def _retry_unresponsive(self, call: Call) -> None:
         if not self._retry_budget.acquire(call.exchange.service):
@@ -274,6 +283,7 @@
         exchange.runs += 1
         call.server = server
         call.sent_at = now
+        call.is_overdue = False
         call.generation += 1
         call.head = None
         call.body.clear()
@@ -499,5 +509,9 @@
         call.generation += 1
 
 
+def _ignore_overdue() -> None:
+    """Hold nothing against a server that is only slow."""
+
+
 def _store_head(call: Call, head: ports.ResponseHead) -> None:
     call.head = head
--- a/src/thornspool/application/routing/observed_servers.py
+++ b/src/thornspool/application/routing/observed_servers.py
@@ -25,15 +25,16 @@
     client : ports.ServerClient
         The client.
     on_answer : callable
-        Called with each server that answers, and the time in milliseconds at
-        which the connection was opened.
+        Called with each server that answers, the time in milliseconds at
+        which the connection was opened, and whether another process than the
+        listed one has answered.
     """
 
     def __init__(
         self,
         clock: clock_module.Clock,
         client: ports.ServerClient,
-        on_answer: Callable[[fleet.Server, int], None],
+        on_answer: Callable[[fleet.Server, int, bool], None],
     ) -> None:
         self._clock = clock
         self._client = client
@@ -48,7 +49,7 @@
             _ObservingListener(
                 listener,
                 functools.partial(
-                    self._on_answer, run.server, self._clock.now()
+                    self._on_answer, run.server, self._clock.now(), False
                 ),
             ),
         )
@@ -59,7 +60,8 @@
         """Probe an engine for its state; None if it does not respond."""
         opened_at = self._clock.now()
         report = await self._client.probe(server, wait_ms)
-        self._record(server, opened_at, report is not None)
+        if report is not None:
+            self._record(server, opened_at, report.started_at)
         return report
 
     async def check(
@@ -68,7 +70,8 @@
         """Check whether a process listens at the address of a server."""
         opened_at = self._clock.now()
         found = await self._client.check(server, wait_ms)
-        self._record(server, opened_at, found.is_listening is True)
+        if found.is_listening:
+            self._record(server, opened_at, found.started_at)
         return found
 
     async def assign_layers(
@@ -77,9 +80,8 @@
         """Order an engine to hold a range of layers."""
         opened_at = self._clock.now()
         result = await self._client.assign_layers(server, layers, order_count)
-        self._record(
-            server, opened_at, result is not ports.OrderResult.UNKNOWN
-        )
+        if result is not ports.OrderResult.UNKNOWN:
+            self._record(server, opened_at)
         return result
 
     async def reroute(
@@ -88,16 +90,20 @@
         """Order the first engine of a running request to use another path."""
         opened_at = self._clock.now()
         result = await self._client.reroute(request, hops)
-        self._record(
-            hops[0].server, opened_at, result is not ports.OrderResult.UNKNOWN
-        )
+        if result is not ports.OrderResult.UNKNOWN:
+            self._record(hops[0].server, opened_at)
         return result
 
     def _record(
-        self, server: fleet.Server, opened_at: int, answered: bool
+        self,
+        server: fleet.Server,
+        opened_at: int,
+        started_at: int | None = None,
     ) -> None:
-        if answered:
-            self._on_answer(server, opened_at)
+        is_replaced = None not in {started_at, server.started_at} and (
+            started_at != server.started_at
+        )
+        self._on_answer(server, opened_at, is_replaced)
 
 
 class _ObservingListener:
--- a/src/thornspool/application/routing/relays.py
+++ b/src/thornspool/application/routing/relays.py
@@ -16,6 +16,7 @@
 import attrs
 import structlog
 
+from thornspool.application.routing import listeners
 from thornspool.application.routing import ports
 from thornspool.domain.fleet import events
 from thornspool.domain.routing import messages as routing
@@ -228,7 +229,12 @@
                     relay.is_counted,
                 ),
             ),
-            _Listener(self, relay),
+            listeners.RunListener(
+                relay,
+                functools.partial(self.handle_head, relay),
+                functools.partial(self.handle_body, relay),
+                functools.partial(self.handle_completion, relay),
+            ),
         )
 
     def _choose_peer(self, tried: Iterable[str]) -> entries.Record | None:
@@ -381,29 +387,6 @@
         relay.exchange.end(outcome)
 
 
-class _Listener:
-    """Passes the output of a peer on while it serves the request."""
-
-    def __init__(self, service: RelayService, relay: _Relay) -> None:
-        self._relay = relay
-        self._generation = relay.generation
-        self._on_head = functools.partial(service.handle_head, relay)
-        self._on_body = functools.partial(service.handle_body, relay)
-        self._on_end = functools.partial(service.handle_completion, relay)
-
-    def handle_head(self, head: ports.ResponseHead) -> None:
-        if self._generation == self._relay.generation:
-            self._on_head(head)
-
-    def handle_body(self, chunk: bytes) -> None:
-        if self._generation == self._relay.generation:
-            self._on_body(chunk)
-
-    def handle_completion(self, completion: ports.Completion) -> None:
-        if self._generation == self._relay.generation:
-            self._on_end(completion)
-
-
 class RelayDoor:
     """Accepts requests that peers without links pass on.
 
--- a/src/thornspool/application/routing/server_evidence.py
+++ b/src/thornspool/application/routing/server_evidence.py
@@ -214,10 +214,23 @@
         """Suspect a server from now on."""
         self._routing_state.suspect(server.id, reason, self._clock.now())
 
-    def record_answer(self, server: fleet.Server, opened_at: int) -> None:
-        """Record that a server answers, on a connection opened at a time."""
+    def record_answer(
+        self, server: fleet.Server, opened_at: int, is_replaced: bool
+    ) -> None:
+        """Record that a server has answered.
+
+        Parameters
+        ----------
+        server : fleet.Server
+            The server.
+        opened_at : int
+            Time in milliseconds at which the connection was opened.
+        is_replaced : bool
+            Whether another process than the listed one has answered.
+        """
         self.links.record_answer(server.id, opened_at)
-        self._routing_state.record_contact(server.id, self._clock.now())
+        if not is_replaced:
+            self._routing_state.record_contact(server.id, self._clock.now())
 
     def may_lead(self) -> bool:
         """Return whether this entry may give orders to engines.
--- a/src/thornspool/application/routing/streams.py
+++ b/src/thornspool/application/routing/streams.py
@@ -211,11 +211,9 @@
     def _hand_over(self, in_flight: in_flight_module.InFlightRequest) -> bool:
         """Hand a request over that can't be sent to any engine from here."""
         exchange = in_flight.exchange
-        if (
-            exchange.runs > 0
-            and self._evidence.links.are_lost
-            and not self._acquire_retry(in_flight)
-        ):
+        if not self._evidence.links.are_lost or exchange.request.relay:
+            return False
+        if exchange.runs > 0 and not self._acquire_retry(in_flight):
             return False
         if not self.take_over(exchange, in_flight.events.last_id, True):
             return False
--- a/src/thornspool/platform/daemon.py
+++ b/src/thornspool/platform/daemon.py
@@ -476,9 +476,7 @@
                     server, notice, self._clock.now()
                 ),
             ),
-            lambda server, opened_at: self._evidence.record_answer(
-                server, opened_at
-            ),
+            lambda *answer: self._evidence.record_answer(*answer),
         )
         self._evidence = server_evidence.ServerEvidence(
             self._clock,
--- a/tests/application/routing/test_calls.py
+++ b/tests/application/routing/test_calls.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import unittest
 
 from tests.application.routing import builders
@@ -257,6 +258,23 @@
         self.assertIn('a-0', world.routing_state.servers)
 
 
+class OverdueTest(unittest.IsolatedAsyncioTestCase):
+    async def test_overdue_action_shows_that_the_links_are_lost(self):
+        """Guards against actions that hang one after the other.
+
+        Connections are accepted and nothing arrives, as behind a firewall.
+        """
+        world = builders.World()
+        world.isolate()
+        world.serve('/hold/x')
+        for _ in range(30):
+            world.advance(25)
+            await asyncio.sleep(0)
+        self.assertTrue(world.evidence.links.are_lost)
+        self.assertEqual({}, world.routing_state.suspicions)
+        self.assertEqual(1, len(world.servers.runs))
+
+
 class StoreReturnTest(unittest.TestCase):
     """The store was down for 8 s, and registrations of servers expired.
 
--- a/tests/application/routing/test_server_evidence.py
+++ b/tests/application/routing/test_server_evidence.py
@@ -26,9 +26,7 @@
         observed = observed_servers.ObservedServers(
             self.world.clock,
             self.world.servers,
-            lambda server, opened_at: self.evidence.record_answer(
-                server, opened_at
-            ),
+            lambda *answer: self.evidence.record_answer(*answer),
         )
         self.evidence = server_evidence.ServerEvidence(
             self.world.clock,
@@ -178,6 +176,17 @@
         self.assertEqual({}, self.state.suspicions)
         self.assertIn(silent.id, self.state.retractions)
 
+    async def test_answer_of_a_later_process_ends_no_suspicion(self):
+        """Guards against requests to layers that a restart has emptied."""
+        crashed = self.servers[0]
+        self.world.servers.checks[crashed.id] = REFUSED
+        await self.fail(crashed)
+        self.world.servers.checks[crashed.id] = ports.ProcessCheck(
+            True, crashed.started_at + 1
+        )
+        await self.pass_time(server_evidence.SUSPECT_CHECK_MS)
+        self.assertIn(crashed.id, self.state.suspicions)
+
 
 class ReportTest(unittest.TestCase):
     """What peers report, and what contradicts it."""
--- a/tests/simulation/world.py
+++ b/tests/simulation/world.py
@@ -230,9 +230,7 @@
                 ),
                 lambda: self.is_up,
             ),
-            lambda server, opened_at: self.evidence.record_answer(
-                server, opened_at
-            ),
+            lambda *answer: self.evidence.record_answer(*answer),
         )
         self.limits = server_limits.ServerLimits(
             clock, self.routing_state, self.view, self.send_limit_message
