Confirm links before a peer relies on them, and wait longer for references

The peer now has its links confirmed by an answer of the last 300 ms or a check before it serves, and gives up streams that it can't continue.

Further references now have 350 ms, and a stream leaves after 0.7 s, if a peer with links is known.

--- a/src/thornspool/application/routing/relays.py
+++ b/src/thornspool/application/routing/relays.py
@@ -179,6 +179,10 @@
             self._send(relay)
         return True
 
+    def has_linked_peer(self) -> bool:
+        """Return whether a peer that reaches servers is known."""
+        return bool(self._view.list_linked(self._clock.now()))
+
     def tick(self) -> None:
         """End expired requests and those of lost peers; called often."""
         now = self._clock.now()
@@ -394,8 +398,8 @@
     ----------
     view : view_module.View
         This entry and the others.
-    links : links_module.Links
-        Links of this entry to the servers.
+    confirm_links : callable
+        Finds out whether this entry reaches servers, and calls back.
     serve : callable
         Serves a request and its reply.
     count_relayed : callable
@@ -407,13 +411,13 @@
     def __init__(
         self,
         view: view_module.View,
-        links: links_module.Links,
+        confirm_links: Callable[[Callable[[bool], None]], None],
         serve: Callable[[ports.Request, ports.ResponseWriter], None],
         count_relayed: Callable[[], int],
         find_priority: Callable[[ports.Request], int],
     ) -> None:
         self._view = view
-        self._links = links
+        self._confirm_links = confirm_links
         self._serve = serve
         self._count_relayed = count_relayed
         self._find_priority = find_priority
@@ -425,10 +429,27 @@
         if not self._is_from_peer(request.relay):
             logger.warning('relay_denied', id=request.id)
             reply.refuse(403, 'not_a_peer')
-        elif self._links.are_lost or self._is_full(request):
+        elif self._is_full(request):
             reply.refuse_relay()
         else:
+            self._confirm_links(
+                lambda is_linked: self._admit(request, reply, is_linked)
+            )
+
+    def _admit(
+        self,
+        request: ports.Request,
+        reply: ports.ResponseWriter,
+        is_linked: bool,
+    ) -> None:
+        """Serve a request if this entry reaches servers itself.
+
+        Entries that are cut off together may not know it yet.
+        """
+        if is_linked:
             self._serve(request, reply)
+        else:
+            reply.refuse_relay()
 
     def _is_from_peer(self, relay: ports.Relay | None) -> bool:
         """Return whether a registered entry has passed the request on here.
--- a/src/thornspool/application/routing/server_evidence.py
+++ b/src/thornspool/application/routing/server_evidence.py
@@ -37,17 +37,27 @@
 """Servers that are checked after a failure, in different failure domains if
 there are several."""
 
-REFERENCE_WAIT_MS = 40
-"""Longest wait for the answer of a reference; a sound server answers within
-some 10 ms."""
+FIRST_WAIT_MS = 40
+"""Longest wait for the answer of the first reference; a sound server answers
+within some 10 ms."""
+
+REFERENCE_WAIT_MS = 350
+"""Longest wait for the answers of further references.
+
+Where hosts are busy, sound servers answer late as well, and an entry that
+takes its links for lost serves nobody by itself.
+"""
 
 REFERENCE_CHECKS = 2
-"""Checks of each reference, one after the other; a lost packet affects only
-one of them."""
+"""Checks of each further reference, one after the other; a lost packet affects
+only one of them."""
 
 MAX_DELAY_MS = 50
 """Delay of this entry above which unanswered checks say nothing."""
 
+PROOF_MS = 300
+"""Age of an answer up to which it shows that the links work."""
+
 SUSPECT_CHECK_MS = 400
 """Interval of the checks of a server that this entry suspects."""
 
@@ -246,6 +256,42 @@
         """Whether it is open if the links of this entry are lost."""
         return self._is_checking and not self.links.are_lost
 
+    def confirm_links(self, on_result: Callable[[bool], None]) -> None:
+        """Find out whether this entry reaches servers.
+
+        Parameters
+        ----------
+        on_result : callable
+            Called with the result, at once if a server has just answered.
+        """
+        proven_since = self._clock.now() - PROOF_MS
+        if self.links.are_lost:
+            on_result(False)
+        elif self.links.has_answer_since(proven_since, ''):
+            on_result(True)
+        else:
+            self._start_task(self._confirm_links(on_result))
+
+    async def _confirm_links(self, on_result: Callable[[bool], None]) -> None:
+        began_at = self._clock.now()
+        if (
+            not await self._is_any_answering()
+            and not self.links.are_lost
+            and not self._was_delayed(began_at)
+        ):
+            self._lose_links()
+        on_result(not self.links.are_lost)
+
+    async def _is_any_answering(self) -> bool:
+        """Check references; return True as well if there are none."""
+        # Most failures are those of a server, so that one answers.
+        references = self._choose_references(1)
+        if not references or await self._is_answering(
+            references[0], FIRST_WAIT_MS
+        ):
+            return True
+        return await self._are_answering(self._choose_references(REFERENCES))
+
     def check_links(self) -> None:
         """Check references unless that is in progress or links are lost."""
         if not self._is_checking and not self.links.are_lost:
@@ -296,33 +342,27 @@
         try:
             while self._failures and not self.links.are_lost:
                 began_at = self._clock.now()
-                # Most failures are those of a server, so that one answers.
-                references = self._choose_references(1)
-                is_answered = await self._are_answering(references, 1)
-                if references and not is_answered:
-                    references = self._choose_references(REFERENCES)
-                    is_answered = await self._are_answering(
-                        references, REFERENCE_CHECKS
-                    )
-                if not references or is_answered:
-                    self._apply_failures(has_references=bool(references))
+                has_references = bool(self._choose_references(1))
+                if await self._is_any_answering():
+                    self._apply_failures(has_references)
                 elif not self._was_delayed(began_at):
                     self._lose_links()
         finally:
             self._is_checking = False
 
-    async def _are_answering(
-        self, servers: list[fleet.Server], checks: int
-    ) -> bool:
+    async def _are_answering(self, servers: list[fleet.Server]) -> bool:
         """Return whether one of some servers answers."""
         answers = await asyncio.gather(
-            *(self._is_answering(server, checks) for server in servers)
+            *(
+                self._is_answering(server, REFERENCE_WAIT_MS, REFERENCE_CHECKS)
+                for server in servers
+            )
         )
         return any(answers)
 
     def _was_delayed(self, began_at: int) -> bool:
-        longest_ms = (1 + REFERENCE_CHECKS) * REFERENCE_WAIT_MS + MAX_DELAY_MS
-        return self._clock.now() - began_at > longest_ms
+        longest_ms = FIRST_WAIT_MS + REFERENCE_CHECKS * REFERENCE_WAIT_MS
+        return self._clock.now() - began_at > longest_ms + MAX_DELAY_MS
 
     def _choose_references(self, count: int) -> list[fleet.Server]:
         """Choose servers without failures, of different failure domains."""
@@ -347,9 +387,11 @@
             if self._try_acquire(server.id)
         ]
 
-    async def _is_answering(self, server: fleet.Server, checks: int) -> bool:
+    async def _is_answering(
+        self, server: fleet.Server, wait_ms: int, checks: int = 1
+    ) -> bool:
         for _ in range(checks):
-            found = await self.servers.check(server, REFERENCE_WAIT_MS)
+            found = await self.servers.check(server, wait_ms)
             if found.is_listening:
                 return True
         return False
@@ -384,11 +426,9 @@
             if not references:
                 return
             first, *others = references
-            if not await self._is_answering(first, 1):
+            if not await self._is_answering(first, REFERENCE_WAIT_MS):
                 return
-            if not others or await self._are_answering(
-                others, REFERENCE_CHECKS
-            ):
+            if not others or await self._are_answering(others):
                 since = self.links.lost_since or self._clock.now()
                 self.links.lost_since = None
                 self.links.restored_at = self._clock.now()
--- a/src/thornspool/application/routing/streams.py
+++ b/src/thornspool/application/routing/streams.py
@@ -18,6 +18,7 @@
 from thornspool.domain.paths import stalls
 
 if typing.TYPE_CHECKING:
+    from collections.abc import Callable
     import random
 
     from thornspool import clock as clock_module
@@ -51,6 +52,13 @@
 within another second.
 """
 
+LOST_LINKS_IDLE_MS = 700
+"""Idle time after which a stream is handed over while the links are lost.
+
+All servers may also be silent for a moment, and a stream that can't continue
+elsewhere would be cut. Callers abandon a stream after 2 s.
+"""
+
 DRAINING_RETRY_MS = 50
 """Retry-After of a draining entry: another entry can serve at once."""
 
@@ -111,6 +119,7 @@
             clock, routing_state, evidence
         )
         self.take_over: TakeOver = _take_over_nothing
+        self.has_linked_peer: Callable[[], bool] = lambda: False
         self.in_flight_requests: set[in_flight_module.InFlightRequest] = set()
         self.event_interval = stalls.EventInterval()
         self._waiting: list[in_flight_module.InFlightRequest] = []
@@ -222,19 +231,29 @@
         return True
 
     def leave_lost_links(self) -> None:
-        """Hand over the streams that stall since the links are lost."""
+        """Hand over the streams that stall since the links are lost.
+
+        A stream that no peer can continue waits for its engine.
+        """
         now = self._clock.now()
         for in_flight in list(self.in_flight_requests):
             if (
-                in_flight.stop is not None
-                and not in_flight.rerouting
-                and self.count_idle_intervals(in_flight, now)
-                >= stalls.STALL_INTERVALS
-                and self.may_retry(in_flight)
+                in_flight.stop is None
+                or in_flight.rerouting
+                or now - in_flight.active_at < LOST_LINKS_IDLE_MS
+            ):
+                continue
+            is_relayed = in_flight.exchange.request.relay is not None
+            if is_relayed or (
+                self.has_linked_peer() and self.may_retry(in_flight)
             ):
                 in_flight.stop()
                 in_flight.stop = None
                 in_flight.generation += 1
+            if is_relayed:
+                # The entry that passed it on may choose another peer.
+                self._fail(in_flight, 'links_lost', DRAINING_RETRY_MS)
+            elif in_flight.stop is None:
                 self._retry_or_fail(in_flight, 'links_lost')
 
     def _deny(self, in_flight: in_flight_module.InFlightRequest) -> None:
--- a/src/thornspool/platform/daemon.py
+++ b/src/thornspool/platform/daemon.py
@@ -501,6 +501,7 @@
             self._random,
         )
         self._streams.take_over = self._relays.take_over
+        self._streams.has_linked_peer = self._relays.has_linked_peer
         self._calls.take_over = self._relays.take_over
         self._membership.has_lost_links = lambda: links.are_lost
         self._registration.may_lead = self._evidence.may_lead
@@ -549,7 +550,7 @@
         )
         door = relays.RelayDoor(
             self._view,
-            self._evidence.links,
+            self._evidence.confirm_links,
             self._intake.serve,
             self._intake.count_relayed,
             self._intake.find_priority,
--- a/tests/application/routing/test_server_evidence.py
+++ b/tests/application/routing/test_server_evidence.py
@@ -176,6 +176,17 @@
         self.assertEqual({}, self.state.suspicions)
         self.assertIn(silent.id, self.state.retractions)
 
+    async def test_links_are_confirmed_before_a_peer_relies_on_them(self):
+        """Guards against requests that entries without links exchange."""
+        results = []
+        for found, expected in ((LISTENING, True), (SILENT, False)):
+            self.set_checks(found)
+            await self.pass_time(server_evidence.PROOF_MS + 1)
+            self.evidence.confirm_links(results.append)
+            await self.pass_time(0)
+            self.assertEqual(expected, results[-1])
+        self.assertTrue(self.evidence.links.are_lost)
+
     async def test_answer_of_a_later_process_ends_no_suspicion(self):
         """Guards against requests to layers that a restart has emptied."""
         crashed = self.servers[0]
