--- a/standins/kv_fleet.py
+++ b/standins/kv_fleet.py
@@ -16,7 +16,8 @@
 ``{"alias": {ADDRESS: ADDRESS}}`` (further addresses at which servers are
 reached, in addition to those before).
 ``GET /control`` returns what the servers ran, which layers they hold, and with
-``?log=1`` what arrived at them and what they answered.
+``?log=1`` what arrived at them and what they answered; with ``?listening=1``
+only the addresses at which servers listen.
 
 An attempt id of the form ``HOST.REST`` tells which host sends the request; the
 servers of the platform know it by its address.
@@ -405,6 +406,14 @@
 
     def get(self) -> None:
         """Return runs by attempt, wrong paths and held layers."""
+        listening = [
+            server.address
+            for server in self.fleet.servers.values()
+            if server.is_alive
+        ]
+        if self.get_arguments('listening'):
+            self.finish({'listening': listening})
+            return
         self.finish(
             {
                 'runs': dict(self.fleet.runs),
--- a/tests/soak/links.py
+++ b/tests/soak/links.py
@@ -70,6 +70,20 @@
         """URL of the store."""
         return self._deployment.store_url
 
+    async def follow(self, listening: set[str]) -> None:
+        """Refuse connections to servers that have ended, as their hosts do.
+
+        Parameters
+        ----------
+        listening : set of str
+            Addresses at which servers listen.
+        """
+        for address, proxy in list(self._proxies.items()):
+            if address not in listening:
+                proxy.refuse()
+            elif self._kind in {'', 'silent'}:
+                await proxy.accept()
+
     def cut(self, kind: str) -> None:
         """Cut the links to all servers.
 
@@ -99,7 +113,7 @@
         self._kind = ''
         for proxy in list(self._proxies.values()):
             proxy.link_fault = proxies.LinkFault()
-            await proxy.accept()
+        await self.follow(await read_listening(self._deployment))
 
     async def rewrite(self, items: list[dict[str, typing.Any]]) -> None:
         """Replace the addresses of servers in items of the store."""
@@ -129,6 +143,17 @@
         return proxy.address
 
 
+async def read_listening(
+    deployment: deployment_module.Deployment,
+) -> set[str]:
+    """Read the addresses at which servers listen."""
+    client = httpclient.AsyncHTTPClient()
+    response = await client.fetch(
+        f'{deployment.fleet.ready["url"]}/control?listening=1'
+    )
+    return set(json.loads(response.body)['listening'])
+
+
 class _StoreHandler(web.RequestHandler):
     """Forwards calls to the store and rewrites the records of servers."""
 
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -9,6 +9,8 @@
 import time
 import typing
 
+from tornado import httpclient
+
 from standins import kv_fleet
 from tests import engine_rules
 from tests.platform import deployment
@@ -29,6 +31,9 @@
 RESTORED_MS = 1_000
 """Time after a cut in which requests may still pass through a peer."""
 
+FOLLOW_INTERVAL_S = 0.02
+"""Interval at which it is checked which servers listen."""
+
 CONTACT_MS = 3_000
 """Time after a disturbance from which the users judge an entry again."""
 
@@ -84,9 +89,20 @@
             self.entries[name] = entry
             self.to_entry[name] = proxies.Proxy(entry.callers)
             await self.to_entry[name].start()
+        self._following = asyncio.create_task(self._follow_servers())
+
+    async def _follow_servers(self) -> None:
+        """Let the links refuse connections to servers that have ended."""
+        while True:
+            with contextlib.suppress(OSError, httpclient.HTTPError):
+                listening = await links.read_listening(self.deployment)
+                for server_links in self.to_servers.values():
+                    await server_links.follow(listening)
+            await asyncio.sleep(FOLLOW_INTERVAL_S)
 
     async def stop(self) -> None:
         """Close the proxies."""
+        self._following.cancel()
         for proxy in (*self.to_store.values(), *self.to_entry.values()):
             await proxy.stop()
         for server_links in self.to_servers.values():
