--- a/src/thornspool/application/routing/relays.py
+++ b/src/thornspool/application/routing/relays.py
@@ -399,7 +399,7 @@
     view : view_module.View
         This entry and the others.
     confirm_links : callable
-        Finds out whether this entry reaches servers, and calls back.
+        Checks whether this entry reaches servers, and passes on the result.
     serve : callable
         Serves a request and its reply.
     count_relayed : callable
@@ -444,7 +444,7 @@
     ) -> None:
         """Serve a request if this entry reaches servers itself.
 
-        Entries that are cut off together may not know it yet.
+        Entries that are cut off together detect this at different times.
         """
         if is_linked:
             self._serve(request, reply)
--- a/src/thornspool/application/routing/routing_state.py
+++ b/src/thornspool/application/routing/routing_state.py
@@ -276,7 +276,7 @@
         if self.freshness.confirmed_at is None:
             self.first_contact_at = now
         elif self.is_stale(now):
-            if not self._knows_return():
+            if not self._has_return_date():
                 self.store_returned_at = now
             self._limit_lapse_use(self.store_returned_at or now)
         self.store_failed_at = None
@@ -325,11 +325,11 @@
         if (
             confirmed_at is not None
             and at > confirmed_at + STORE_OUTAGE_AGE_MS
-            and not self._knows_return()
+            and not self._has_return_date()
         ):
             self.store_returned_at = at
 
-    def _knows_return(self) -> bool:
+    def _has_return_date(self) -> bool:
         """Return whether the store has returned since the last confirmation.
 
         A peer has then been answered before this entry.
@@ -619,7 +619,7 @@
         ]
 
     def record_contact(self, server_id: str, now: int) -> None:
-        """End the suspicion of a server from which this entry has just heard.
+        """End the suspicion of a server that has just answered this entry.
 
         Parameters
         ----------
--- a/src/thornspool/application/routing/server_evidence.py
+++ b/src/thornspool/application/routing/server_evidence.py
@@ -1,13 +1,13 @@
-"""Evidence against servers: who saw it, and what contradicts it.
+"""Evidence against servers, and what contradicts it.
 
-What this entry sees of a server counts, here and at its peers, once another
-server has answered this entry on a connection that was opened later. Until
-then the entry checks reference servers. If none of them answers, the entry has
-lost its own links: what it saw says nothing about the servers, so it discards
-its suspicions and retracts them from its peers.
+A failure that this entry observes counts as evidence against the server, here
+and at its peers, once another server has answered this entry on a connection
+that was opened later. Until then the entry checks reference servers. If none
+of them answers, the entry has lost its own links: its observations are no
+evidence, so it discards its suspicions and retracts them from its peers.
 
-A suspicion ends early if its server answers later: contact of this entry with
-the server contradicts what was seen before, by itself or by a peer.
+A later answer of the server to this entry contradicts earlier evidence of this
+entry and of its peers, and ends the suspicion.
 """
 
 from __future__ import annotations
@@ -44,8 +44,8 @@
 REFERENCE_WAIT_MS = 350
 """Longest wait for the answers of further references.
 
-Where hosts are busy, sound servers answer late as well, and an entry that
-takes its links for lost serves nobody by itself.
+Busy hosts answer late although they are sound, and an entry whose links count
+as lost serves no request by itself.
 """
 
 REFERENCE_CHECKS = 2
@@ -53,7 +53,7 @@
 only one of them."""
 
 MAX_DELAY_MS = 50
-"""Delay of this entry above which unanswered checks say nothing."""
+"""Delay of this entry above which unanswered checks are inconclusive."""
 
 PROOF_MS = 300
 """Age of an answer up to which it shows that the links work."""
@@ -257,7 +257,7 @@
         return self._is_checking and not self.links.are_lost
 
     def confirm_links(self, on_result: Callable[[bool], None]) -> None:
-        """Find out whether this entry reaches servers.
+        """Check whether this entry reaches servers.
 
         Parameters
         ----------
--- a/src/thornspool/domain/fleet/links.py
+++ b/src/thornspool/domain/fleet/links.py
@@ -21,7 +21,7 @@
         None while they work.
     restored_at : int or None
         Time in milliseconds at which they were last restored. Attempts from
-        before say nothing about servers.
+        before are no evidence against servers.
     """
 
     lost_since: int | None = None
--- a/src/thornspool/domain/fleet/removals.py
+++ b/src/thornspool/domain/fleet/removals.py
@@ -3,7 +3,7 @@
 The store may turn single entries away, so that one copy of the list lacks a
 removal that the others show. An entry reports the removals that its own copy
 shows, with the revision of the copy. A copy that has reached this revision
-shows by itself whether the server is listed, so the report says nothing there.
+shows by itself whether the server is listed, so the report does not apply.
 """
 
 from __future__ import annotations
