--- a/tools/mechanisms.py
+++ b/tools/mechanisms.py
@@ -34,8 +34,22 @@
         Edit(
             f'{_ROUTING}/fault_attribution.py',
             'if in_flight.head is None:\n'
-            '            self._routing_state.record_broken',
-            'if False:\n            self._routing_state.record_broken',
+            '            self._evidence.record_failure',
+            'if False:\n            self._evidence.record_failure',
+        ),
+    ),
+    'confirmed-evidence': (
+        Edit(
+            f'{_ROUTING}/server_evidence.py',
+            'if self.links.has_answer_since(opened_at, server.id):\n',
+            'if opened_at >= 0:\n',
+        ),
+    ),
+    'relays': (
+        Edit(
+            f'{_ROUTING}/relays.py',
+            'if not self._links.are_lost or exchange.request.relay',
+            'if self._view is not None or exchange.request.relay',
         ),
     ),
     'shared-silence': (
