Recognize subtests with messages as those of a listed test

Cause: the id of a subtest was cut off at the first parenthesis, but a subtest with a message ends with the message in brackets, so that no line matched. Evidence: the new test counts one failure and one skip with the old code, where both subtests belong to the listed test. Change: the id of the test that a subtest belongs to is looked up; no other test is matched by that.

--- a/tests/tools/test_verdict.py
+++ b/tests/tools/test_verdict.py
@@ -23,6 +23,25 @@
 )
 
 
+class _Subtests(unittest.TestCase):
+    def check(self):
+        """Fail in two subtests, one of which has a message."""
+        for keywords in ({'msg': 'silent'}, {'x': 1}):
+            with self.subTest(**keywords):
+                self.fail()
+
+
+class _SubtestResult(unittest.TestResult):
+    """Keeps the subtests that fail."""
+
+    def __init__(self):
+        super().__init__()
+        self.failed = []
+
+    def addSubTest(self, test, subtest, err):
+        self.failed.append(subtest)
+
+
 def _build_event(outcome, expected, has_error, name='tests.a.Test.test_b'):
     return types.SimpleNamespace(
         outcome=outcome,
@@ -58,7 +77,7 @@
         Only the unlisted test must fail the run; the listed one is printed.
         """
         plugin = _build_plugin({'tests.a.Test.test_b': 'line of test_b'})
-        for name in ('tests.a.Test.test_b (x=1)', 'tests.a.Test.test_c'):
+        for name in ('tests.a.Test.test_b', 'tests.a.Test.test_c'):
             event = _build_event('failed', False, True, name)
             plugin.setTestOutcome(event)
             plugin.testOutcome(event)
@@ -71,6 +90,18 @@
             out.getvalue().endswith('0 passed, 1 failed, 1 skipped\n')
         )
 
+    def test_failure_of_a_subtest_of_a_listed_test_is_skipped(self) -> None:
+        """Guards against subtests whose messages hide the test."""
+        case = _Subtests('check')
+        case.run(outcomes := _SubtestResult())
+        plugin = _build_plugin({case.id(): 'line of the test'})
+        for test in outcomes.failed:
+            event = _build_event('subtest', None, True)
+            event.test = test
+            plugin.setTestOutcome(event)
+            plugin.testOutcome(event)
+        self.assertEqual((0, 2), (plugin.failed, plugin.skipped))
+
     def test_known_failures_file_is_parsed(self) -> None:
         with tempfile.TemporaryDirectory() as folder:
             path = pathlib.Path(folder) / 'KNOWN-RED.txt'
--- a/tools/verdict.py
+++ b/tools/verdict.py
@@ -63,7 +63,9 @@
         """Convert the failure of a test that is known to fail into a skip."""
         if not _is_failure(event):
             return
-        line = self.known_failures.get(event.test.id().split(' (')[0])
+        # The id of a subtest ends with its message and its parameters.
+        test = getattr(event.test, 'test_case', event.test)
+        line = self.known_failures.get(test.id())
         if line is None:
             return
         self.seen_failures.append(line)
