Keep cut links of the tests from slowing down all others

Cause: the links of all four entries run in the event loop of the test. Each blocked connection polled every 20 ms, and the loop ran in the debug mode of IsolatedAsyncioTestCase, which takes a traceback for every task. Evidence: up to 640 tasks and a delay of the loop of 85 to 300 ms while links were cut; checks by the entry whose links were not cut went unanswered for 0.74 s, so that it took its own links for lost as well (links_lost in its log, restored after 1.0 and 7.4 s), and no peer was left. Change: blocked connections wait for the end of the fault without polling, and the debug mode is off in this test. The bounds of the test stay.

--- a/tests/platform/test_links.py
+++ b/tests/platform/test_links.py
@@ -26,8 +26,11 @@
 
 class LinksTest(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self):
+        loop = asyncio.get_running_loop()
+        # The links of all entries run in this loop.
+        loop.set_debug(False)
         # Each request of a caller blocks one thread.
-        asyncio.get_running_loop().set_default_executor(
+        loop.set_default_executor(
             concurrent.futures.ThreadPoolExecutor(THREADS)
         )
         stack = contextlib.ExitStack()
--- a/tests/soak/proxies.py
+++ b/tests/soak/proxies.py
@@ -8,10 +8,9 @@
 import attrs
 
 CHUNK_BYTES = 65_536
-POLL_S = 0.02
 
 
-@attrs.define
+@attrs.frozen
 class LinkFault:
     """Fault that a proxy applies to the bytes of all its connections.
 
@@ -42,9 +41,21 @@
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
         self._tasks: set[asyncio.Task[None]] = set()
-        self.link_fault = LinkFault()
+        self._link_fault = LinkFault()
+        self._fault_replaced = asyncio.Event()
         self.address = ''
 
+    @property
+    def link_fault(self) -> LinkFault:
+        """Fault of all connections."""
+        return self._link_fault
+
+    @link_fault.setter
+    def link_fault(self, fault: LinkFault) -> None:
+        self._link_fault = fault
+        self._fault_replaced.set()
+        self._fault_replaced = asyncio.Event()
+
     async def start(self) -> None:
         """Listen on a port that the operating system assigns."""
         await self._listen(0)
@@ -125,7 +136,7 @@
                 if upstream
                 else self.link_fault.blocks_downstream
             ):
-                await asyncio.sleep(POLL_S)
+                await self._fault_replaced.wait()
             writer.write(chunk)
             await writer.drain()
         with contextlib.suppress(OSError):
--- /dev/null
+++ b/tests/soak/test_proxies.py
@@ -0,0 +1,63 @@
+"""Tests of the proxies that delay, reset or block connections."""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+
+from tests.soak import proxies
+
+SILENT = proxies.LinkFault(blocks_upstream=True, blocks_downstream=True)
+
+
+class ProxyTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        async def echo(reader, writer):
+            while chunk := await reader.read(100):
+                writer.write(chunk)
+            writer.close()
+
+        server = await asyncio.start_server(echo, '127.0.0.1', 0)
+        self.addCleanup(server.close)
+        port = server.sockets[0].getsockname()[1]
+        self.proxy = proxies.Proxy(f'127.0.0.1:{port}')
+        await self.proxy.start()
+        self.addAsyncCleanup(self.proxy.stop)
+
+    async def connect(self):
+        ip, _, port = self.proxy.address.rpartition(':')
+        return await asyncio.open_connection(ip, int(port))
+
+    async def test_retained_bytes_are_forwarded_once_the_fault_is_over(self):
+        reader, writer = await self.connect()
+        self.addCleanup(writer.close)
+        self.proxy.link_fault = SILENT
+        writer.write(b'retained')
+        with self.assertRaises(TimeoutError):
+            await asyncio.wait_for(reader.read(100), 0.1)
+        self.proxy.link_fault = proxies.LinkFault()
+        self.assertEqual(
+            b'retained', await asyncio.wait_for(reader.read(100), 5.0)
+        )
+
+    async def test_blocked_connections_cost_no_processor_time(self):
+        """Guards against links that slow down all others while cut."""
+        connections = [await self.connect() for _ in range(20)]
+        self.proxy.link_fault = SILENT
+        for _, writer in connections:
+            self.addCleanup(writer.close)
+            writer.write(b'retained')
+        await asyncio.sleep(0.2)
+        steps = 0
+        loop = asyncio.get_running_loop()
+        call_soon = loop.call_soon
+
+        def count(*args, **keywords):
+            nonlocal steps
+            steps += 1
+            return call_soon(*args, **keywords)
+
+        loop.call_soon = count
+        await asyncio.sleep(0.3)
+        del loop.call_soon
+        self.assertLess(steps, len(connections))
