Give the proxies of the tests ports that remain free

What could be seen: a link of the soak that is never restored. Cause: a proxy that refuses connections closes its listener, and its port was one that the system also assigns to outgoing connections; once one has it, the proxy can't listen again. Evidence: the new test finds the address in the range of these ports with the old code; the collision itself was not seen. Change: the ports of proxies come from below that range, as those of entries do.

Result: the new test passes.

--- a/tests/soak/proxies.py
+++ b/tests/soak/proxies.py
@@ -7,6 +7,8 @@
 
 import attrs
 
+from tests.platform import deployment
+
 CHUNK_BYTES = 65_536
 
 
@@ -57,10 +59,9 @@
         self._fault_replaced = asyncio.Event()
 
     async def start(self) -> None:
-        """Listen on a port that the operating system assigns."""
-        await self._listen(0)
-        assert self._server is not None
-        port = self._server.sockets[0].getsockname()[1]
+        """Listen on a port that no outgoing connection occupies."""
+        (port,) = deployment.find_ports(1)
+        await self._listen(port)
         self.address = f'127.0.0.1:{port}'
 
     async def _listen(self, port: int) -> None:
--- a/tests/soak/test_proxies.py
+++ b/tests/soak/test_proxies.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import asyncio
+import pathlib
 import unittest
 
 from tests.soak import proxies
 
+EPHEMERAL_PORTS = pathlib.Path('/proc/sys/net/ipv4/ip_local_port_range')
 SILENT = proxies.LinkFault(blocks_upstream=True, blocks_downstream=True)
 
 
@@ -40,6 +42,21 @@
             b'retained', await asyncio.wait_for(reader.read(100), 5.0)
         )
 
+    async def test_addresses_remain_free_while_connections_are_refused(self):
+        """Guards against links that can't be restored.
+
+        Outgoing connections may occupy any port that the system assigns.
+        """
+        limits = EPHEMERAL_PORTS.read_text().split()
+        port = int(self.proxy.address.rpartition(':')[2])
+        self.assertNotIn(port, range(int(limits[0]), int(limits[1]) + 1))
+        self.proxy.refuse()
+        with self.assertRaises(ConnectionRefusedError):
+            await self.connect()
+        await self.proxy.accept()
+        _, writer = await self.connect()
+        writer.close()
+
     async def test_blocked_connections_cost_no_processor_time(self):
         """Guards against links that slow down all others while cut."""
         connections = [await self.connect() for _ in range(20)]
