Let failed assertions about evidence fail their tests

What was seen: a test of answers by later processes passed with the code that it guards switched off. Evidence: the warning of a coroutine that was never awaited, and the traceback in it.

Result: all 17 tests of the module pass; with the guard switched off, 1 of 17 fails now, where none did before.

--- a/tests/application/routing/test_server_evidence.py
+++ b/tests/application/routing/test_server_evidence.py
@@ -47,7 +47,7 @@
             server.id: found for server in self.servers
         }
 
-    async def fail(self, *servers):
+    async def fail_connections(self, *servers):
         """Let connections to servers fail at the same time."""
         now = self.world.clock.now()
         for server in servers:
@@ -61,14 +61,14 @@
             await asyncio.sleep(0)
 
     async def test_failure_counts_once_another_server_has_answered(self):
-        await self.fail(self.servers[0])
+        await self.fail_connections(self.servers[0])
         self.assertEqual([self.servers[0].id], list(self.state.suspicions))
         self.assertEqual(1, self.announced)
         self.assertFalse(self.evidence.links.are_lost)
 
     async def test_all_failures_count_if_any_server_answers(self):
         """Guards against losses of half of the fleet that are not found."""
-        await self.fail(*self.servers[:-1])
+        await self.fail_connections(*self.servers[:-1])
         self.assertEqual(
             {server.id for server in self.servers[:-1]},
             set(self.state.suspicions),
@@ -79,9 +79,9 @@
         for found in (SILENT, REFUSED):
             with self.subTest(found.is_listening):
                 self.set_checks(found)
-                await self.fail(*self.servers[:3])
+                await self.fail_connections(*self.servers[:3])
                 self.assertTrue(self.evidence.links.are_lost)
-                await self.fail(*self.servers[3:])
+                await self.fail_connections(*self.servers[3:])
                 self.assertEqual({}, self.state.suspicions)
                 self.assertEqual([], self.state.unreported_suspects)
 
@@ -117,16 +117,16 @@
 
     async def test_suspicions_are_retracted_when_the_links_are_lost(self):
         """Guards against what was believed before the entry knew."""
-        await self.fail(self.servers[0])
+        await self.fail_connections(self.servers[0])
         self.set_checks(SILENT)
         await self.pass_time(10)
-        await self.fail(self.servers[1])
+        await self.fail_connections(self.servers[1])
         self.assertEqual({}, self.state.suspicions)
         self.assertEqual([self.servers[0].id], list(self.state.retractions))
 
     async def test_restored_links_are_found_by_few_checks(self):
         self.set_checks(SILENT)
-        await self.fail(self.servers[0])
+        await self.fail_connections(self.servers[0])
         for _ in range(10):
             await self.pass_time(100)
         self.assertTrue(self.evidence.links.are_lost)
@@ -138,7 +138,7 @@
         """Guards against suspicions when the links are restored."""
         began_at = self.world.clock.now()
         self.set_checks(SILENT)
-        await self.fail(self.servers[0])
+        await self.fail_connections(self.servers[0])
         self.set_checks(LISTENING)
         await self.pass_time(server_evidence.RESTORE_CHECK_MS)
         self.evidence.record_unreachable(self.servers[1], began_at)
@@ -155,7 +155,7 @@
             return SILENT
 
         self.world.servers.check = check_late
-        task = asyncio.ensure_future(self.fail(self.servers[0]))
+        task = asyncio.ensure_future(self.fail_connections(self.servers[0]))
         await asyncio.sleep(0)
         await task
         self.assertFalse(self.evidence.links.are_lost)
@@ -167,7 +167,7 @@
         """Guards against exclusion for seconds of a sound engine."""
         silent = self.servers[0]
         self.world.servers.checks[silent.id] = SILENT
-        await self.fail(silent)
+        await self.fail_connections(silent)
         for _ in range(8):
             await self.pass_time(100)
         self.assertIn(silent.id, self.state.suspicions)
@@ -191,7 +191,7 @@
         """Guards against requests to layers that a restart has emptied."""
         crashed = self.servers[0]
         self.world.servers.checks[crashed.id] = REFUSED
-        await self.fail(crashed)
+        await self.fail_connections(crashed)
         self.world.servers.checks[crashed.id] = ports.ProcessCheck(
             True, crashed.started_at + 1
         )
