Let the first answer of a reference decide about failures

What callers saw: where references were silent, evidence counted late, and requests went on to servers that had ended. Where all hosts were busy, an entry with sound links took them for lost, and with it the last peer that served the callers of others. Cause: the checks of three references were awaited together, up to 0.7 s each, though one answer decides; and a check that was not answered within 0.35 s was given up before the next one was made. Evidence: both new tests fail on the old code (no suspicion after 50 ms with one answering reference; links lost although references answer within 0.7 s). Change: checks are made at intervals while earlier ones go on, and the first answer ends the wait. Servers are checked as often as before.

Result: both tests pass.

--- a/src/thornspool/application/routing/server_evidence.py
+++ b/src/thornspool/application/routing/server_evidence.py
@@ -14,6 +14,7 @@
 
 import asyncio
 import collections
+import contextlib
 import typing
 
 import attrs
@@ -42,15 +43,15 @@
 within some 10 ms."""
 
 REFERENCE_WAIT_MS = 350
-"""Longest wait for the answers of further references.
-
-Busy hosts answer late although they are sound, and an entry whose links count
-as lost serves no request by itself.
-"""
+"""Interval of the checks of further references."""
 
 REFERENCE_CHECKS = 2
-"""Checks of each further reference, one after the other; a lost packet affects
-only one of them."""
+"""Checks of each further reference; a lost packet affects only one of them.
+
+Together they wait for this many intervals. Busy hosts answer late although
+they are sound, and an entry whose links count as lost serves no request by
+itself.
+"""
 
 MAX_DELAY_MS = 50
 """Delay of this entry above which unanswered checks are inconclusive."""
@@ -139,6 +140,7 @@
         self._failures: list[Failure] = []
         self._suspects_checked_at: dict[str, int] = {}
         self._is_checking = False
+        self._checks: set[asyncio.Task[ports.ProcessCheck]] = set()
         self._checked_at = clock.now()
         self.lost_count = 0
 
@@ -286,11 +288,11 @@
         """Check references; return True as well if there are none."""
         # Most failures are those of a server, so that one answers.
         references = self._choose_references(1)
-        if not references or await self._is_answering(
-            references[0], FIRST_WAIT_MS
+        if not references or await self._await_answer(
+            references, FIRST_WAIT_MS, 1
         ):
             return True
-        return await self._are_answering(self._choose_references(REFERENCES))
+        return await self._await_answer(self._choose_references(REFERENCES))
 
     def check_links(self) -> None:
         """Check references unless that is in progress or links are lost."""
@@ -350,15 +352,50 @@
         finally:
             self._is_checking = False
 
-    async def _are_answering(self, servers: list[fleet.Server]) -> bool:
-        """Return whether one of some servers answers."""
-        answers = await asyncio.gather(
-            *(
-                self._is_answering(server, REFERENCE_WAIT_MS, REFERENCE_CHECKS)
+    async def _await_answer(
+        self,
+        servers: list[fleet.Server],
+        wait_ms: int = REFERENCE_WAIT_MS,
+        count: int = REFERENCE_CHECKS,
+    ) -> bool:
+        """Check servers until one of them answers.
+
+        Parameters
+        ----------
+        servers : list of fleet.Server
+            The servers.
+        wait_ms : int, optional
+            Interval of the checks in milliseconds; earlier ones go on.
+        count : int, optional
+            Number of checks of each server.
+
+        Returns
+        -------
+        bool
+            Whether one has answered before the end of the last interval.
+        """
+        checks: set[asyncio.Task[ports.ProcessCheck]] = set()
+        for remaining in range(count, 0, -1):
+            checks |= {
+                self._start_check(server, remaining * wait_ms)
                 for server in servers
-            )
-        )
-        return any(answers)
+            }
+            with contextlib.suppress(TimeoutError):
+                for check in asyncio.as_completed(
+                    checks, timeout=wait_ms / _MS_PER_S
+                ):
+                    if (await check).is_listening:
+                        return True
+        return False
+
+    def _start_check(
+        self, server: fleet.Server, wait_ms: int
+    ) -> asyncio.Task[ports.ProcessCheck]:
+        task = asyncio.ensure_future(self.servers.check(server, wait_ms))
+        # A check that is no longer awaited still records its answer.
+        self._checks.add(task)
+        task.add_done_callback(self._checks.discard)
+        return task
 
     def _was_delayed(self, began_at: int) -> bool:
         longest_ms = FIRST_WAIT_MS + REFERENCE_CHECKS * REFERENCE_WAIT_MS
@@ -387,15 +424,6 @@
             if self._try_acquire(server.id)
         ]
 
-    async def _is_answering(
-        self, server: fleet.Server, wait_ms: int, checks: int = 1
-    ) -> bool:
-        for _ in range(checks):
-            found = await self.servers.check(server, wait_ms)
-            if found.is_listening:
-                return True
-        return False
-
     def _apply_failures(self, has_references: bool) -> None:
         """Apply the failures that a later answer confirms."""
         failures, self._failures = self._failures, []
@@ -426,9 +454,9 @@
             if not references:
                 return
             first, *others = references
-            if not await self._is_answering(first, REFERENCE_WAIT_MS):
+            if not await self._await_answer([first]):
                 return
-            if not others or await self._are_answering(others):
+            if not others or await self._await_answer(others):
                 since = self.links.lost_since or self._clock.now()
                 self.links.lost_since = None
                 self.links.restored_at = self._clock.now()
--- a/tests/application/routing/test_server_evidence.py
+++ b/tests/application/routing/test_server_evidence.py
@@ -5,6 +5,7 @@
 import asyncio
 import random
 import unittest
+from unittest import mock
 
 from tests.application.routing import builders
 from thornspool.application.routing import observed_servers
@@ -163,6 +164,44 @@
         await self.pass_time(0)
         self.assertEqual([self.servers[0].id], list(self.state.suspicions))
 
+    async def test_silent_references_delay_no_evidence(self):
+        """Guards against failures that count late where a domain is lost."""
+        answering = self.servers[-1]
+
+        async def check(server, wait_ms=ports.CHECK_MS):
+            if server is not answering:
+                await asyncio.get_running_loop().create_future()
+            return LISTENING
+
+        self.world.servers.check = check
+        with mock.patch.multiple(
+            server_evidence, FIRST_WAIT_MS=1, REFERENCES=len(self.servers)
+        ):
+            self.evidence.record_unreachable(
+                self.servers[0], self.world.clock.now()
+            )
+            await asyncio.sleep(0.05)
+        self.assertEqual([self.servers[0].id], list(self.state.suspicions))
+
+    async def test_slow_references_are_waited_for(self):
+        """Guards against links that count as lost where all hosts are busy.
+
+        No peer has links then, so that every request would be refused.
+        """
+
+        async def check_slowly(server, wait_ms=ports.CHECK_MS):
+            await asyncio.sleep(min(wait_ms, 60) / 1000)
+            return LISTENING if wait_ms >= 60 else SILENT
+
+        self.world.servers.check = check_slowly
+        with mock.patch.multiple(
+            server_evidence, FIRST_WAIT_MS=1, REFERENCE_WAIT_MS=40
+        ):
+            await self.fail_connections(self.servers[0])
+            await asyncio.sleep(0.2)
+        self.assertFalse(self.evidence.links.are_lost)
+        self.assertEqual([self.servers[0].id], list(self.state.suspicions))
+
     async def test_silence_of_a_second_ends_with_the_next_answer(self):
         """Guards against exclusion for seconds of a sound engine."""
         silent = self.servers[0]
