Confirm links for all requests of peers by one check

What was seen: links_lost twice within 0.4 s in the log of one entry (test with processes beside load), so that the loss was dated anew and counted twice. Cause: each request of a peer without a recent answer started a check of its own, beside the one for failures, and two of them lost the links.

--- a/src/thornspool/application/routing/server_evidence.py
+++ b/src/thornspool/application/routing/server_evidence.py
@@ -95,6 +95,22 @@
     apply: Callable[[], None]
 
 
+@attrs.frozen
+class Confirmation:
+    """A question whether this entry reaches servers.
+
+    Attributes
+    ----------
+    proven_since : int
+        Time in milliseconds from which connections that are answered count.
+    on_result : callable
+        Called with the result.
+    """
+
+    proven_since: int
+    on_result: Callable[[bool], None]
+
+
 class ServerEvidence:
     """Decides which failures of servers count.
 
@@ -138,6 +154,7 @@
         self._announce = announce
         self._try_acquire = try_acquire
         self._failures: list[Failure] = []
+        self._confirmations: list[Confirmation] = []
         self._suspects_checked_at: dict[str, int] = {}
         self._is_checking = False
         self._checks: set[asyncio.Task[ports.ProcessCheck]] = set()
@@ -272,17 +289,8 @@
         elif self.links.has_answer_since(proven_since, ''):
             on_result(True)
         else:
-            self._start_task(self._confirm_links(on_result))
-
-    async def _confirm_links(self, on_result: Callable[[bool], None]) -> None:
-        began_at = self._clock.now()
-        if (
-            not await self._is_any_answering()
-            and not self.links.are_lost
-            and not self._was_delayed(began_at)
-        ):
-            self._lose_links()
-        on_result(not self.links.are_lost)
+            self._confirmations.append(Confirmation(proven_since, on_result))
+            self.check_links()
 
     async def _is_any_answering(self) -> bool:
         """Check references; return True as well if there are none."""
@@ -342,11 +350,12 @@
     async def _check_links(self) -> None:
         """Check references until all failures are decided."""
         try:
-            while self._failures and not self.links.are_lost:
+            while self._failures or self._confirmations:
                 began_at = self._clock.now()
                 has_references = bool(self._choose_references(1))
                 if await self._is_any_answering():
                     self._apply_failures(has_references)
+                    self._confirm(has_references)
                 elif not self._was_delayed(began_at):
                     self._lose_links()
         finally:
@@ -436,6 +445,17 @@
                 self._failures.append(failure)
         self._announce()
 
+    def _confirm(self, has_references: bool) -> None:
+        """Confirm the links to those who asked before the last answer."""
+        confirmations, self._confirmations = self._confirmations, []
+        for one in confirmations:
+            if not has_references or self.links.has_answer_since(
+                one.proven_since, ''
+            ):
+                one.on_result(True)
+            else:
+                self._confirmations.append(one)
+
     def _lose_links(self) -> None:
         now = self._clock.now()
         logger.warning('links_lost', failures=len(self._failures))
@@ -445,6 +465,9 @@
         self._failures.clear()
         self._routing_state.retract_suspicions(now)
         self._announce()
+        confirmations, self._confirmations = self._confirmations, []
+        for one in confirmations:
+            one.on_result(False)
 
     async def _check_restored(self) -> None:
         """Check one server, and further ones if it answers."""
--- a/tests/application/routing/test_server_evidence.py
+++ b/tests/application/routing/test_server_evidence.py
@@ -226,6 +226,49 @@
             self.assertEqual(expected, results[-1])
         self.assertTrue(self.evidence.links.are_lost)
 
+    async def test_links_are_lost_once_for_all_who_ask(self):
+        """Guards against a check of its own for each request of a peer."""
+        checked, results = [], []
+
+        async def check(server, wait_ms=ports.CHECK_MS):
+            checked.append(server.id)
+            await asyncio.sleep(0.01)
+            return SILENT
+
+        self.world.servers.check = check
+        for _ in range(5):
+            self.evidence.confirm_links(results.append)
+        self.evidence.record_unreachable(
+            self.servers[0], self.world.clock.now()
+        )
+        await asyncio.sleep(0.2)
+        self.assertEqual([False] * 5, results)
+        self.assertEqual(1, self.evidence.lost_count)
+        self.assertLessEqual(
+            len(checked),
+            1 + server_evidence.REFERENCES * server_evidence.REFERENCE_CHECKS,
+        )
+
+    async def test_confirmation_needs_an_answer_of_that_moment(self):
+        """Guards against answers from before a cut."""
+        results = []
+
+        async def check(server, wait_ms=ports.CHECK_MS):
+            await asyncio.sleep(0.01)
+            return LISTENING
+
+        self.world.servers.check = check
+        self.evidence.confirm_links(results.append)
+        for _ in range(5):
+            await asyncio.sleep(0)
+        self.world.clock.advance(2 * server_evidence.PROOF_MS)
+        self.evidence.confirm_links(results.append)
+        while not results:
+            await asyncio.sleep(0)
+        self.assertEqual([True], results)
+        await asyncio.sleep(0.1)
+        self.assertEqual([True, True], results)
+
     async def test_answer_of_a_later_process_ends_no_suspicion(self):
         """Guards against requests to layers that a restart has emptied."""
         crashed = self.servers[0]
