Drop requests that a peer withdraws while links are confirmed

What callers would see: a request runs although the peer that passed it on has given it up, as its caller has left or it is served elsewhere. Cause: the end of the connection was not observed while the entry that accepts requests of peers checked its links; the request was then started. Evidence: the new test serves both requests with the old code, and the simulation of links printed an exception of its stand-in for such a connection, which now reports the end as the platform's does. Change: the check remembers which requests are waiting.

--- a/src/thornspool/application/routing/relays.py
+++ b/src/thornspool/application/routing/relays.py
@@ -421,6 +421,7 @@
         self._serve = serve
         self._count_relayed = count_relayed
         self._find_priority = find_priority
+        self._waiting: set[ports.ResponseWriter] = set()
 
     def serve(
         self, request: ports.Request, reply: ports.ResponseWriter
@@ -432,6 +433,8 @@
         elif self._is_full(request):
             reply.refuse_relay()
         else:
+            self._waiting.add(reply)
+            reply.set_disconnect_callback(lambda: self._waiting.discard(reply))
             self._confirm_links(
                 lambda is_linked: self._admit(request, reply, is_linked)
             )
@@ -446,6 +449,10 @@
 
         Entries that are cut off together detect this at different times.
         """
+        if reply not in self._waiting:
+            # The peer has withdrawn the request.
+            return
+        self._waiting.remove(reply)
         if is_linked:
             self._serve(request, reply)
         else:
--- a/tests/application/routing/builders.py
+++ b/tests/application/routing/builders.py
@@ -183,13 +183,17 @@
         self.aborted = False
         self.reason = ''
         self.retry_after_ms = None
-        self._on_close = None
+        self._on_close = lambda: None
+        self._has_left = False
 
     def set_disconnect_callback(self, callback):
         self._on_close = callback
+        if self._has_left:
+            callback()
 
     def leave(self):
         """Close the connection from the caller's side."""
+        self._has_left = True
         self._on_close()
 
     def refuse(self, status, reason, retry_after_ms=None):
--- a/tests/application/routing/test_relays.py
+++ b/tests/application/routing/test_relays.py
@@ -239,12 +239,15 @@
         self.relayed = 0
         self.door = relays.RelayDoor(
             self.view,
-            lambda on_result: on_result(not self.links.are_lost),
+            lambda on_result: self.confirm(on_result),
             lambda request, reply: self.served.append(request.id),
             lambda: self.relayed,
             lambda request: 9 if request.path.startswith('/low') else 0,
         )
 
+    def confirm(self, on_result):
+        on_result(not self.links.are_lost)
+
     def knock(self, path='/brief/x', relay=None):
         reply = builders.FakeResponseWriter()
         request = builders.build_request(path, relay=relay)
@@ -281,6 +284,18 @@
         relay = ports.Relay('a-01', 'a-01-1', 'a-00-1', 0, False)
         self.assertEqual(503, self.knock(relay=relay).status)
 
+    def test_request_that_is_withdrawn_during_a_check_is_not_served(self):
+        """Guards against runs for peers that have passed a request on."""
+        results = []
+        self.confirm = results.append
+        relay = ports.Relay('a-01', 'a-01-1', 'a-00-1', 0, False)
+        kept = self.knock(relay=relay)
+        self.knock(relay=relay).leave()
+        for on_result in results:
+            on_result(True)
+        self.assertEqual(1, len(self.served))
+        kept.leave()
+
 
 class LookupTest(RelayCase):
     def test_entries_without_links_are_no_choice_while_others_have_them(self):
