Let failures wait while no other server accepts a check

Cause: failures counted without confirmation if no reference was chosen. That was meant for a fleet of one server, but none is chosen either if all have failed, or if the first by lot accepts no check. The leader suspected six engines 0.4 ms after their refused connections, too early for any answer, and its peers four of them; one of the two servers without a failure had named a limit of 1.1 a second. Change: references are chosen among the servers that accept a check; servers that have failed are references if there are no others; and failures that cannot be confirmed wait up to 500 ms for the answer of another server, also to a request. An answer of the server itself contradicts suspicions.

--- a/src/thornspool/application/routing/server_evidence.py
+++ b/src/thornspool/application/routing/server_evidence.py
@@ -15,6 +15,7 @@
 import asyncio
 import collections
 import contextlib
+import itertools
 import typing
 
 import attrs
@@ -71,6 +72,12 @@
 RETENTION_MS = 10_000
 """Time for which answers of servers are remembered."""
 
+UNCONFIRMED_MS = 500
+"""Time for which a failure waits while no reference accepts a check.
+
+An answer after the end of a cut says nothing about failures during the cut.
+"""
+
 _MS_PER_S = 1000.0
 
 logger = structlog.get_logger(__name__)
@@ -86,13 +93,19 @@
         The server.
     opened_at : int
         Time in milliseconds of the attempt.
+    recorded_at : int
+        Time in milliseconds at which it failed.
     apply : callable
         Called once the failure counts.
+    ends_with_answer : bool
+        Whether a later answer of the server contradicts it.
     """
 
     server: fleet.Server
     opened_at: int
+    recorded_at: int
     apply: Callable[[], None]
+    ends_with_answer: bool
 
 
 @attrs.frozen
@@ -162,7 +175,11 @@
         self.lost_count = 0
 
     def record_failure(
-        self, server: fleet.Server, opened_at: int, apply: Callable[[], None]
+        self,
+        server: fleet.Server,
+        opened_at: int,
+        apply: Callable[[], None],
+        ends_with_answer: bool = False,
     ) -> None:
         """Record that a server has not answered this entry.
 
@@ -176,6 +193,8 @@
         apply : callable
             Called once the failure counts; not called if the links of this
             entry are lost.
+        ends_with_answer : bool, optional
+            Whether a later answer of the server contradicts the failure.
         """
         restored_at = self.links.restored_at
         if self.links.are_lost or (
@@ -185,7 +204,15 @@
         if self.links.has_answer_since(opened_at, server.id):
             apply()
             return
-        self._failures.append(Failure(server, opened_at, apply))
+        self._failures.append(
+            Failure(
+                server,
+                opened_at,
+                self._clock.now(),
+                apply,
+                ends_with_answer,
+            )
+        )
         self.check_links()
 
     def record_unanswered_probe(
@@ -217,7 +244,10 @@
             logger.info('silence_doubted', server=server.id, waited=waited_ms)
             return
         self.record_failure(
-            server, probed_at, lambda: self.suspect(server, reason)
+            server,
+            probed_at,
+            lambda: self.suspect(server, reason),
+            ends_with_answer=True,
         )
 
     def record_unreachable(
@@ -237,6 +267,7 @@
                 server,
                 opened_at,
                 lambda: self.suspect(server, routing_state_module.NOT_REACHED),
+                ends_with_answer=True,
             )
 
     def suspect(self, server: fleet.Server, reason: str) -> None:
@@ -260,6 +291,13 @@
         self.links.record_answer(server.id, opened_at)
         if not is_replaced:
             self._routing_state.record_contact(server.id, self._clock.now())
+            self._failures = [
+                one
+                for one in self._failures
+                if one.server.id != server.id
+                or one.opened_at >= opened_at
+                or not one.ends_with_answer
+            ]
 
     def may_lead(self) -> bool:
         """Return whether this entry may give orders to engines.
@@ -292,15 +330,16 @@
             self._confirmations.append(Confirmation(proven_since, on_result))
             self.check_links()
 
-    async def _is_any_answering(self) -> bool:
-        """Check references; return True as well if there are none."""
+    async def _is_any_answering(self) -> bool | None:
+        """Check references; None if there is none that accepts a check."""
         # Most failures are those of a server, so that one answers.
         references = self._choose_references(1)
-        if not references or await self._await_answer(
+        if references and await self._await_answer(
             references, FIRST_WAIT_MS, 1
         ):
             return True
-        return await self._await_answer(self._choose_references(REFERENCES))
+        references = self._choose_references(REFERENCES)
+        return await self._await_answer(references) if references else None
 
     def check_links(self) -> None:
         """Check references unless that is in progress or links are lost."""
@@ -309,11 +348,13 @@
             self._start_task(self._check_links())
 
     def tick(self) -> None:
-        """Check whether lost links are restored; called about every 100 ms."""
+        """Decide what is open about the links; called about every 100 ms."""
         now = self._clock.now()
         self.links.forget_old(now, RETENTION_MS)
         if not self.links.are_lost:
             self._check_suspects(now)
+            if self._failures:
+                self.check_links()
         if (
             self.links.are_lost
             and not self._is_checking
@@ -348,16 +389,24 @@
         await self.servers.check(server)
 
     async def _check_links(self) -> None:
-        """Check references until all failures are decided."""
+        """Check references until all failures are decided.
+
+        Those that no reference decides wait for the next tick.
+        """
         try:
+            self._apply_failures()
             while self._failures or self._confirmations:
                 began_at = self._clock.now()
-                has_references = bool(self._choose_references(1))
-                if await self._is_any_answering():
-                    self._apply_failures(has_references)
-                    self._confirm(has_references)
-                elif not self._was_delayed(began_at):
-                    self._lose_links()
+                is_answering = await self._is_any_answering()
+                if is_answering is False:
+                    if not self._was_delayed(began_at):
+                        self._lose_links()
+                    continue
+                self._apply_failures()
+                self._confirm(is_answering is not None)
+                if not (self._confirmations or self._has_new(began_at)):
+                    self._drop_unconfirmed()
+                    return
         finally:
             self._is_checking = False
 
@@ -410,16 +459,25 @@
         longest_ms = FIRST_WAIT_MS + REFERENCE_CHECKS * REFERENCE_WAIT_MS
         return self._clock.now() - began_at > longest_ms + MAX_DELAY_MS
 
-    def _choose_references(self, count: int) -> list[fleet.Server]:
-        """Choose servers without failures, of different failure domains."""
-        excluded = {one.server.id for one in self._failures}
-        candidates = [
+    def _list_servers(self) -> list[fleet.Server]:
+        return [
             server
             for server in self._routing_state.servers.values()
-            if server.id not in excluded
-            and server.id not in self._routing_state.suspicions
-            and server.id not in self._routing_state.leaving
+            if server.id not in self._routing_state.leaving
         ]
+
+    def _choose_references(self, count: int) -> list[fleet.Server]:
+        """Choose servers that accept a check, of different failure domains.
+
+        Servers with failures are chosen only if there are no others: then an
+        answer of any of them shows that the links work.
+        """
+        servers = self._list_servers()
+        excluded = {one.server.id for one in self._failures}
+        excluded.update(self._routing_state.suspicions)
+        candidates = [one for one in servers if one.id not in excluded]
+        if not candidates and len(servers) > 1:
+            candidates = servers
         self._random.shuffle(candidates)
         ranks: collections.Counter[str] = collections.Counter()
         ranked: list[tuple[int, fleet.Server]] = []
@@ -427,23 +485,38 @@
             ranked.append((ranks[server.failure_domain], server))
             ranks[server.failure_domain] += 1
         ranked.sort(key=lambda one: one[0])
-        return [
-            server
-            for _, server in ranked[:count]
-            if self._try_acquire(server.id)
-        ]
+        accepting = (
+            server for _, server in ranked if self._try_acquire(server.id)
+        )
+        return list(itertools.islice(accepting, count))
+
+    def _apply_failures(self) -> None:
+        """Apply the failures that a later answer confirms.
 
-    def _apply_failures(self, has_references: bool) -> None:
-        """Apply the failures that a later answer confirms."""
+        Where there is one server only, none can be confirmed.
+        """
+        is_alone = len(self._list_servers()) <= 1
         failures, self._failures = self._failures, []
         for failure in failures:
-            if not has_references or self.links.has_answer_since(
+            if is_alone or self.links.has_answer_since(
                 failure.opened_at, failure.server.id
             ):
                 failure.apply()
             else:
                 self._failures.append(failure)
-        self._announce()
+        if len(self._failures) < len(failures):
+            self._announce()
+
+    def _has_new(self, began_at: int) -> bool:
+        return any(one.recorded_at > began_at for one in self._failures)
+
+    def _drop_unconfirmed(self) -> None:
+        now = self._clock.now()
+        self._failures = [
+            one
+            for one in self._failures
+            if now - one.recorded_at <= UNCONFIRMED_MS
+        ]
 
     def _confirm(self, has_references: bool) -> None:
         """Confirm the links to those who asked before the last answer."""
--- a/tests/application/routing/builders.py
+++ b/tests/application/routing/builders.py
@@ -282,6 +282,7 @@
         self.runs = []
         self.reports = {}
         self.checks = {}
+        self.checked = []
         self.probed = []
         self.orders = []
         self.order_results = []
@@ -307,6 +308,7 @@
         return self.reports.get(server.id)
 
     async def check(self, server, wait_ms=ports.CHECK_MS):
+        self.checked.append(server.id)
         return self.checks.get(server.id, ports.ProcessCheck(True))
 
     async def assign_layers(self, server, layers, order_count):
--- a/tests/application/routing/test_server_evidence.py
+++ b/tests/application/routing/test_server_evidence.py
@@ -24,6 +24,7 @@
         self.world = builders.World()
         self.state = self.world.routing_state
         self.announced = 0
+        self.limited = set()
         observed = observed_servers.ObservedServers(
             self.world.clock,
             self.world.servers,
@@ -36,7 +37,8 @@
             links_module.Links(),
             random.Random(1),
             builders.start_task,
-            announce=self.announce,
+            lambda server_id: server_id not in self.limited,
+            self.announce,
         )
         self.servers = list(self.state.servers.values())
 
@@ -48,6 +50,12 @@
             server.id: found for server in self.servers
         }
 
+    def keep_servers(self, count):
+        """Remove all servers but the first ones; return these."""
+        for server in self.servers[count:]:
+            del self.state.servers[server.id]
+        return self.servers[:count]
+
     async def fail_connections(self, *servers):
         """Let connections to servers fail at the same time."""
         now = self.world.clock.now()
@@ -269,6 +277,86 @@
         await asyncio.sleep(0.1)
         self.assertEqual([True, True], results)
 
+    async def test_servers_that_accept_no_check_confirm_nothing(self):
+        """Guards against entries without links whose peers name limits."""
+        failed, accepting, *limited = self.servers
+        self.limited = {server.id for server in limited}
+        self.set_checks(SILENT)
+        await self.fail_connections(failed)
+        self.assertEqual({}, self.state.suspicions)
+        self.assertTrue(self.evidence.links.are_lost)
+        self.assertEqual(accepting.id, self.world.servers.checked[0])
+
+    async def test_failure_waits_until_a_server_accepts_a_check(self):
+        """Guards against evidence that nobody could confirm."""
+        failed, other, *_ = self.servers
+        self.limited = {server.id for server in self.servers} - {failed.id}
+        probed_at = self.world.clock.now()
+        await self.pass_time(ports.REPORT_MS)
+        self.evidence.record_unanswered_probe(failed, probed_at)
+        await self.pass_time(100)
+        self.assertEqual({}, self.state.suspicions)
+        self.assertFalse(self.evidence.links.are_lost)
+        self.limited.discard(other.id)
+        await self.pass_time(100)
+        self.assertEqual([failed.id], list(self.state.suspicions))
+
+    async def test_answer_to_a_request_confirms_a_failure_that_waits(self):
+        failed, other, *_ = self.servers
+        self.limited = {server.id for server in self.servers} - {failed.id}
+        await self.fail_connections(failed)
+        self.evidence.record_answer(other, self.world.clock.now(), False)
+        await self.pass_time(100)
+        self.assertEqual([failed.id], list(self.state.suspicions))
+
+    async def test_failure_that_is_not_confirmed_soon_is_dropped(self):
+        """Guards against evidence of a cut that counts after its end."""
+        failed, other, *_ = self.servers
+        self.limited = {server.id for server in self.servers} - {failed.id}
+        await self.fail_connections(failed)
+        for _ in range(6):
+            await self.pass_time(100)
+        self.evidence.record_answer(other, self.world.clock.now(), False)
+        await self.pass_time(100)
+        self.assertEqual({}, self.state.suspicions)
+
+    async def test_server_that_answers_alone_is_checked_now_and_then(self):
+        """Guards against checks in a loop that decide nothing."""
+        alone, other = self.keep_servers(2)
+        self.world.servers.checks[other.id] = REFUSED
+        await self.fail_connections(other)
+        self.world.servers.checked.clear()
+        self.evidence.record_failure(
+            alone, self.world.clock.now() + 1, lambda: None
+        )
+        for _ in range(200):
+            await asyncio.sleep(0)
+        self.assertLess(len(self.world.servers.checked), 5)
+
+    async def test_server_that_answers_again_is_not_suspected(self):
+        """Guards against failures that count when they are out of date."""
+        failed, other, *_ = self.servers
+        self.limited = {server.id for server in self.servers} - {failed.id}
+        await self.fail_connections(failed)
+        await self.pass_time(50)
+        self.evidence.record_answer(failed, self.world.clock.now(), False)
+        self.evidence.record_answer(other, self.world.clock.now(), False)
+        await self.pass_time(100)
+        self.assertEqual({}, self.state.suspicions)
+
+    async def test_entry_to_which_all_servers_fail_at_once_suspects_none(self):
+        """Guards against an entry without links that has no reference."""
+        self.set_checks(REFUSED)
+        await self.fail_connections(*self.servers)
+        self.assertEqual({}, self.state.suspicions)
+        self.assertTrue(self.evidence.links.are_lost)
+
+    async def test_only_server_of_a_fleet_needs_no_reference(self):
+        (server,) = self.keep_servers(1)
+        self.set_checks(REFUSED)
+        await self.fail_connections(server)
+        self.assertEqual([server.id], list(self.state.suspicions))
+
     async def test_answer_of_a_later_process_ends_no_suspicion(self):
         """Guards against requests to layers that a restart has emptied."""
         crashed = self.servers[0]
