Restore the links of all entries when a cut of the soak ends

Cause: the end of the cut and the task that follows the list of servers let the same proxy listen at once; the second attempt failed, and if it was that of the cut, the entries after it were never restored. A refusal while the listener is started was lost as well, so that a link answered during a cut. Evidence: both new tests fail on the old code, the first with that error (address already in use). Change: a proxy starts its listener once, and refuses if it was told so meanwhile; links of several entries are restored independently.

--- a/tests/soak/proxies.py
+++ b/tests/soak/proxies.py
@@ -44,6 +44,8 @@
         self._target = target
         self._source = source
         self._server: asyncio.Server | None = None
+        self._is_accepting = True
+        self._lock = asyncio.Lock()
         self._writers: set[asyncio.StreamWriter] = set()
         self._tasks: set[asyncio.Task[None]] = set()
         self._link_fault = LinkFault()
@@ -74,14 +76,19 @@
 
     def refuse(self) -> None:
         """Refuse new connections; open ones live on."""
+        self._is_accepting = False
         if self._server is not None:
             self._server.close()
             self._server = None
 
     async def accept(self) -> None:
         """Accept new connections again, at the same address."""
-        if self._server is None:
-            await self._listen(int(self.address.rpartition(':')[2]))
+        self._is_accepting = True
+        async with self._lock:
+            if self._server is None:
+                await self._listen(int(self.address.rpartition(':')[2]))
+        if not self._is_accepting:
+            self.refuse()
 
     async def stop(self) -> None:
         """Close the listener and all connections."""
--- a/tests/soak/test_proxies.py
+++ b/tests/soak/test_proxies.py
@@ -57,6 +57,23 @@
         _, writer = await self.connect()
         writer.close()
 
+    async def test_callers_that_accept_connections_at_once_do_not_fail(self):
+        """Guards against links of which a part is never restored."""
+        self.proxy.refuse()
+        await asyncio.gather(self.proxy.accept(), self.proxy.accept())
+        _, writer = await self.connect()
+        writer.close()
+
+    async def test_refusal_during_the_start_of_the_listener_holds(self):
+        """Guards against links that answer while they are cut."""
+        self.proxy.refuse()
+        accepting = asyncio.create_task(self.proxy.accept())
+        await asyncio.sleep(0)
+        self.proxy.refuse()
+        await accepting
+        with self.assertRaises(ConnectionRefusedError):
+            await self.connect()
+
     async def test_blocked_connections_cost_no_processor_time(self):
         """Guards against links that slow down all others while cut."""
         connections = [await self.connect() for _ in range(20)]
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -244,8 +244,9 @@
         try:
             await asyncio.sleep(length_s)
         finally:
-            for name in names:
-                await self.to_servers[name].heal()
+            await asyncio.gather(
+                *(self.to_servers[name].heal() for name in names)
+            )
             until = read_clock_ms()
             self.link_cuts.append(
                 engine_rules.Cut(frozenset(names), since, until)
