Restore links by one server where the others have ended

What callers would see: an entry that has lost its links refuses, or passes everything on, for as long as only one server of a fleet is left. Cause: the links were restored by the answers of two servers. Evidence: the new test, where one of many servers answers, fails on the old code after 14 s. Change: a second answer of the same server restores them if no other one answers.

Result: the new test passes, as do the other 29 of the module.

--- a/src/thornspool/application/routing/server_evidence.py
+++ b/src/thornspool/application/routing/server_evidence.py
@@ -543,7 +543,11 @@
             one.on_result(False)
 
     async def _check_restored(self) -> None:
-        """Check one server, and further ones if it answers."""
+        """Check one server, and further ones if it answers.
+
+        Two answers restore the links, also of the same server if the others
+        have ended.
+        """
         try:
             self._checked_at = self._clock.now()
             references = self._choose_references(REFERENCES)
@@ -552,7 +556,11 @@
             first, *others = references
             if not await self._await_answer([first]):
                 return
-            if not others or await self._await_answer(others):
+            if (
+                not others
+                or await self._await_answer(others)
+                or await self._await_answer([first])
+            ):
                 since = self.links.lost_since or self._clock.now()
                 self.links.lost_since = None
                 self.links.restored_at = self._clock.now()
--- a/tests/application/routing/test_server_evidence.py
+++ b/tests/application/routing/test_server_evidence.py
@@ -143,6 +143,16 @@
         await self.pass_time(server_evidence.RESTORE_CHECK_MS)
         self.assertFalse(self.evidence.links.are_lost)
 
+    async def test_links_to_the_only_server_that_answers_are_restored(self):
+        """Guards against lost links where most servers have ended."""
+        self.set_checks(REFUSED)
+        await self.fail_connections(self.servers[0])
+        alone = self.servers[0]
+        self.world.servers.checks[alone.id] = LISTENING
+        for _ in range(40):
+            await self.pass_time(server_evidence.RESTORE_CHECK_MS)
+        self.assertFalse(self.evidence.links.are_lost)
+
     async def test_attempts_from_before_the_end_of_a_cut_say_nothing(self):
         """Guards against suspicions when the links are restored."""
         began_at = self.world.clock.now()
