--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -10,6 +10,7 @@
 
 import argparse
 import asyncio
+import json
 import pathlib
 import random
 import shutil
@@ -70,7 +71,9 @@
             f's{seed}', random.Random(seed + 1), world.list_entries
         )
         try:
-            report = await _run_scenario(seed, seconds, world, callers)
+            report = await _run_scenario(
+                seed, seconds, world, callers, scope.folder
+            )
         finally:
             callers.close()
             await world.stop()
@@ -86,6 +89,7 @@
     seconds: float,
     world: world_module.World,
     callers: callers_module.Callers,
+    folder: pathlib.Path,
 ) -> Report:
     await world.start()
     reason = await world.wait_until_served(START_TIMEOUT_S)
@@ -109,6 +113,7 @@
         problems.append(f'after the last fault: {reason}')
     problems += await _check_recovery(world, callers)
     fleet = await asyncio.to_thread(world.deployment.read_fleet, log=True)
+    (folder / 'servers.json').write_text(json.dumps(fleet['log']))
     problems += _check_conditions(world, callers, fleet['log'])
     if fleet['wrong_paths']:
         problems.append(f'{fleet["wrong_paths"]} paths omit or repeat layers')
