--- a/tests/soak/test_proxies.py
+++ b/tests/soak/test_proxies.py
@@ -3,12 +3,11 @@
 from __future__ import annotations
 
 import asyncio
-import pathlib
 import unittest
 
+from tests.platform import deployment
 from tests.soak import proxies
 
-EPHEMERAL_PORTS = pathlib.Path('/proc/sys/net/ipv4/ip_local_port_range')
 SILENT = proxies.LinkFault(blocks_upstream=True, blocks_downstream=True)
 
 
@@ -47,9 +46,8 @@
 
         Outgoing connections may occupy any port that the system assigns.
         """
-        limits = EPHEMERAL_PORTS.read_text().split()
         port = int(self.proxy.address.rpartition(':')[2])
-        self.assertNotIn(port, range(int(limits[0]), int(limits[1]) + 1))
+        self.assertIn(port, deployment.PORTS)
         self.proxy.refuse()
         with self.assertRaises(ConnectionRefusedError):
             await self.connect()
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -11,7 +11,13 @@
 from tests.soak import callers
 from tests.soak import checks
 
-SEEDS = (1,)
+SEEDS = (
+    1,
+    # Failures counted unconfirmed where no reference accepted a check.
+    204,
+    # The links of one of two entries were not restored.
+    212,
+)
 SECONDS = 6.0
 
 
