Let servers of the stand-in serve while the store is out

Cause: a fault of the stand-in. An engine wrote its record while it handled an order, within the event loop of all servers. With a store that answers 503, the order failed with status 500 after it was carried out, and the layers were not listed until a later order; with a silent store all servers were silent for up to 5 s.

Change: records are written in a thread, one after the other, and an order is acknowledged at once. Records of engines that execute an order are written as soon as the store accepts them, as those of restarted servers were.

--- a/standins/kv_fleet.py
+++ b/standins/kv_fleet.py
@@ -31,6 +31,7 @@
 import asyncio
 import base64
 import collections
+import contextlib
 import json
 import time
 import typing
@@ -55,7 +56,7 @@
 _LAYER_MB = 1000.0
 _HEARTBEAT_INTERVAL_MS = 1200
 RESTART_S = 2.0
-REGISTRATION_RETRY_S = 0.5
+PUBLICATION_RETRY_S = 0.5
 
 
 @attrs.define(eq=False)
@@ -150,6 +151,8 @@
         self.aliases: dict[str, str] = {}
         self.hosts: dict[str, str] = {}
         self.log: list[dict[str, typing.Any]] = []
+        self._writing = asyncio.Lock()
+        self._publications: set[asyncio.Task[None]] = set()
 
     def find_by_address(self, address: str) -> Server | None:
         """Return the server at an address, or None."""
@@ -159,20 +162,43 @@
                 return server
         return None
 
-    def put(self, key: str, document: object) -> None:
+    async def put(self, key: str, document: object) -> None:
         """Write a key of the store with the rights of its owner."""
-        value = base64.b64encode(json.dumps(document).encode()).decode()
-        self._write({'puts': [{'key': key, 'value': value, 'lease': 0}]})
+        async with self._writing:
+            await self._put(key, document)
 
-    def delete(self, key: str) -> None:
+    async def delete(self, key: str) -> None:
         """Delete a key of the store."""
-        self._write({'deletes': [key]})
+        async with self._writing:
+            await self._write({'deletes': [key]})
 
-    def publish_server(self, server: Server) -> None:
+    async def publish_server(self, server: Server) -> None:
         """Write a server's document to the store."""
-        self.put(f'servers/{server.id}', server.describe())
+        async with self._writing:
+            await self._put(f'servers/{server.id}', server.describe())
+
+    def keep_published(self, server: Server) -> None:
+        """Write a server's document as soon as the store accepts it."""
+        task = asyncio.create_task(self._publish_until_stored(server))
+        self._publications.add(task)
+        task.add_done_callback(self._publications.discard)
+
+    async def _publish_until_stored(self, server: Server) -> None:
+        while server.is_alive:
+            with contextlib.suppress(OSError):
+                await self.publish_server(server)
+                return
+            await asyncio.sleep(PUBLICATION_RETRY_S)
+
+    async def _put(self, key: str, document: object) -> None:
+        value = base64.b64encode(json.dumps(document).encode()).decode()
+        await self._write({'puts': [{'key': key, 'value': value, 'lease': 0}]})
 
-    def _write(self, body: dict[str, typing.Any]) -> None:
+    async def _write(self, body: dict[str, typing.Any]) -> None:
+        """Write to the store, in a thread: servers go on while it is down."""
+        await asyncio.to_thread(self._post, body)
+
+    def _post(self, body: dict[str, typing.Any]) -> None:
         request = urllib.request.Request(
             f'http://{self._store}/v1/kv-txn',
             json.dumps(body).encode(),
@@ -321,7 +347,7 @@
             return
         self.server.order_sequence += 1
         self.server.layers = (order['from'], order['to'])
-        self.fleet.publish_server(self.server)
+        self.fleet.keep_published(self.server)
         self.set_status(202)
         self.finish()
 
@@ -455,17 +481,17 @@
         if 'drain' in commands:
             server = self.fleet.servers[commands['drain']]
             server.state = 'draining'
-            self.fleet.publish_server(server)
+            await self.fleet.publish_server(server)
         if 'add' in commands:
             name = commands['add']
             domain = name.split('-')[0]
-            start_server(self.fleet, Server(name, MODEL_SERVICE, domain))
+            await start_server(self.fleet, Server(name, MODEL_SERVICE, domain))
         self.fleet.crash_on = commands.get('crash_on', self.fleet.crash_on)
         self._set_conditions(commands)
         if 'put' in commands:
-            self.fleet.put(commands['put'], commands['document'])
+            await self.fleet.put(commands['put'], commands['document'])
         if 'delete' in commands:
-            self.fleet.delete(commands['delete'])
+            await self.fleet.delete(commands['delete'])
         self.fleet.lose_answers = commands.get('lose_answers', 0)
         self.finish({})
 
@@ -494,23 +520,13 @@
     """Start a server anew, under its id and at its address."""
     server = Server(crashed.id, crashed.service, crashed.domain)
     listen(fleet, server, int(crashed.address.rpartition(':')[2]))
-    _register_until_stored(fleet, server)
-
-
-def _register_until_stored(fleet: Fleet, server: Server) -> None:
-    """Register a server; try again while the store does not answer."""
-    try:
-        fleet.publish_server(server)
-    except OSError:
-        asyncio.get_running_loop().call_later(
-            REGISTRATION_RETRY_S, _register_until_stored, fleet, server
-        )
+    fleet.keep_published(server)
 
 
-def start_server(fleet: Fleet, server: Server) -> None:
+async def start_server(fleet: Fleet, server: Server) -> None:
     """Start a server on a free port and register it in the store."""
     listen(fleet, server)
-    fleet.publish_server(server)
+    await fleet.publish_server(server)
 
 
 def listen(fleet: Fleet, server: Server, port: int = 0) -> None:
@@ -601,11 +617,11 @@
     fleet = Fleet(store)
     for domain in ('a', 'b'):
         for index in range(3):
-            start_server(
+            await start_server(
                 fleet, Server(f'{domain}-{index}', MODEL_SERVICE, domain)
             )
-        start_server(fleet, Server(f'{domain}-9', PLAIN_SERVICE, domain))
-    fleet.put('op/config', build_configuration(1))
+        await start_server(fleet, Server(f'{domain}-9', PLAIN_SERVICE, domain))
+    await fleet.put('op/config', build_configuration(1))
     application = web.Application(
         [('/control', ControlHandler, {'fleet': fleet})],
         log_function=lambda handler: None,
