Name what contradicts failures, and the intake of relayed requests, plainly

RelayDoor is RelayIntake now, ends_with_answer is_contradicted_by_answer and _has_new _has_failures_since. No behaviour changes: the edits are names, doc comments and their formatting.

--- a/src/thornspool/application/routing/relays.py
+++ b/src/thornspool/application/routing/relays.py
@@ -391,7 +391,7 @@
         relay.exchange.end(outcome)
 
 
-class RelayDoor:
+class RelayIntake:
     """Accepts requests that peers without links pass on.
 
     Parameters
--- a/src/thornspool/application/routing/server_evidence.py
+++ b/src/thornspool/application/routing/server_evidence.py
@@ -75,7 +75,7 @@
 UNCONFIRMED_MS = 500
 """Time for which a failure waits while no reference accepts a check.
 
-An answer after the end of a cut says nothing about failures during the cut.
+An answer after the end of a cut is no evidence about failures during the cut.
 """
 
 _MS_PER_S = 1000.0
@@ -97,7 +97,7 @@
         Time in milliseconds at which it failed.
     apply : callable
         Called once the failure counts.
-    ends_with_answer : bool
+    is_contradicted_by_answer : bool
         Whether a later answer of the server contradicts it.
     """
 
@@ -105,7 +105,7 @@
     opened_at: int
     recorded_at: int
     apply: Callable[[], None]
-    ends_with_answer: bool
+    is_contradicted_by_answer: bool
 
 
 @attrs.frozen
@@ -179,7 +179,7 @@
         server: fleet.Server,
         opened_at: int,
         apply: Callable[[], None],
-        ends_with_answer: bool = False,
+        is_contradicted_by_answer: bool = False,
     ) -> None:
         """Record that a server has not answered this entry.
 
@@ -193,7 +193,7 @@
         apply : callable
             Called once the failure counts; not called if the links of this
             entry are lost.
-        ends_with_answer : bool, optional
+        is_contradicted_by_answer : bool, optional
             Whether a later answer of the server contradicts the failure.
         """
         restored_at = self.links.restored_at
@@ -210,7 +210,7 @@
                 opened_at,
                 self._clock.now(),
                 apply,
-                ends_with_answer,
+                is_contradicted_by_answer,
             )
         )
         self.check_links()
@@ -247,7 +247,7 @@
             server,
             probed_at,
             lambda: self.suspect(server, reason),
-            ends_with_answer=True,
+            is_contradicted_by_answer=True,
         )
 
     def record_unreachable(
@@ -267,7 +267,7 @@
                 server,
                 opened_at,
                 lambda: self.suspect(server, routing_state_module.NOT_REACHED),
-                ends_with_answer=True,
+                is_contradicted_by_answer=True,
             )
 
     def suspect(self, server: fleet.Server, reason: str) -> None:
@@ -296,7 +296,7 @@
                 for one in self._failures
                 if one.server.id != server.id
                 or one.opened_at >= opened_at
-                or not one.ends_with_answer
+                or not one.is_contradicted_by_answer
             ]
 
     def may_lead(self) -> bool:
@@ -404,7 +404,9 @@
                     continue
                 self._apply_failures()
                 self._confirm(is_answering is not None)
-                if not (self._confirmations or self._has_new(began_at)):
+                if not (
+                    self._confirmations or self._has_failures_since(began_at)
+                ):
                     self._drop_unconfirmed()
                     return
         finally:
@@ -507,7 +509,7 @@
         if len(self._failures) < len(failures):
             self._announce()
 
-    def _has_new(self, began_at: int) -> bool:
+    def _has_failures_since(self, began_at: int) -> bool:
         return any(one.recorded_at > began_at for one in self._failures)
 
     def _drop_unconfirmed(self) -> None:
@@ -519,7 +521,7 @@
         ]
 
     def _confirm(self, has_references: bool) -> None:
-        """Confirm the links to those who asked before the last answer."""
+        """Confirm the links for requests from before the last answer."""
         confirmations, self._confirmations = self._confirmations, []
         for one in confirmations:
             if not has_references or self.links.has_answer_since(
--- a/src/thornspool/platform/daemon.py
+++ b/src/thornspool/platform/daemon.py
@@ -548,7 +548,7 @@
             settings.callers,
             callers.CallerDelegate(self._clock, self._intake.serve),
         )
-        door = relays.RelayDoor(
+        relay_intake = relays.RelayIntake(
             self._view,
             self._evidence.confirm_links,
             self._intake.serve,
@@ -558,7 +558,9 @@
         self._open(
             f'{settings.ip}:{settings.peer_port}',
             callers.CallerDelegate(
-                self._clock, door.serve, peer_gateway.decode_relayed_request
+                self._clock,
+                relay_intake.serve,
+                peer_gateway.decode_relayed_request,
             ),
         )
         self._open(
--- a/tests/application/routing/test_relays.py
+++ b/tests/application/routing/test_relays.py
@@ -232,12 +232,12 @@
         self.assertEqual(1, len(self.world.servers.runs))
 
 
-class DoorTest(RelayCase):
+class RelayIntakeTest(RelayCase):
     def setUp(self):
         super().setUp()
         self.served = []
         self.relayed = 0
-        self.door = relays.RelayDoor(
+        self.relay_intake = relays.RelayIntake(
             self.view,
             lambda on_result: self.confirm(on_result),
             lambda request, reply: self.served.append(request.id),
@@ -248,10 +248,10 @@
     def confirm(self, on_result):
         on_result(not self.links.are_lost)
 
-    def knock(self, path='/brief/x', relay=None):
+    def submit(self, path='/brief/x', relay=None):
         reply = builders.FakeResponseWriter()
         request = builders.build_request(path, relay=relay)
-        self.door.serve(request, reply)
+        self.relay_intake.serve(request, reply)
         return reply
 
     def test_only_registered_entries_are_served(self):
@@ -265,32 +265,32 @@
         )
         for denied in table:
             with self.subTest(denied):
-                self.assertEqual(403, self.knock(relay=denied).status)
+                self.assertEqual(403, self.submit(relay=denied).status)
         self.assertEqual([], self.served)
-        self.knock(relay=relay)
+        self.submit(relay=relay)
         self.assertEqual(1, len(self.served))
 
     def test_full_entry_refuses_what_is_less_urgent_first(self):
         """Guards against an entry that requests of peers overload."""
         relay = ports.Relay('a-01', 'a-01-1', 'a-00-1', 0, False)
         self.relayed = relays.MAX_RELAYED - 10
-        self.assertEqual(503, self.knock('/low/x', relay).status)
-        self.assertIsNone(self.knock('/brief/x', relay).status)
+        self.assertEqual(503, self.submit('/low/x', relay).status)
+        self.assertIsNone(self.submit('/brief/x', relay).status)
         self.relayed = relays.MAX_RELAYED
-        self.assertEqual(503, self.knock('/brief/x', relay).status)
+        self.assertEqual(503, self.submit('/brief/x', relay).status)
 
     def test_entry_without_links_refuses_requests_of_peers(self):
         self.lose_links()
         relay = ports.Relay('a-01', 'a-01-1', 'a-00-1', 0, False)
-        self.assertEqual(503, self.knock(relay=relay).status)
+        self.assertEqual(503, self.submit(relay=relay).status)
 
     def test_request_that_is_withdrawn_during_a_check_is_not_served(self):
         """Guards against runs for peers that have passed a request on."""
         results = []
         self.confirm = results.append
         relay = ports.Relay('a-01', 'a-01-1', 'a-00-1', 0, False)
-        kept = self.knock(relay=relay)
-        self.knock(relay=relay).leave()
+        kept = self.submit(relay=relay)
+        self.submit(relay=relay).leave()
         for on_result in results:
             on_result(True)
         self.assertEqual(1, len(self.served))
--- a/tests/simulation/world.py
+++ b/tests/simulation/world.py
@@ -131,7 +131,7 @@
             relay=relayed.relay,
         )
         try:
-            entry.door.serve(request, reply)
+            entry.relay_intake.serve(request, reply)
             while not (reply.whole or reply.aborted):
                 await loops.sleep_ms(5)
         except asyncio.CancelledError:
@@ -345,7 +345,7 @@
             WITHDRAWN_KEY_MS,
             randomness,
         )
-        self.door = relays.RelayDoor(
+        self.relay_intake = relays.RelayIntake(
             self.view,
             self.evidence.confirm_links,
             self.intake.serve,
