Let another peer serve what one peer denies to an entry without links

Found by reading, not seen by callers: a peer that does not recognize an entry answered 403, and the entry handed that answer to its caller as the router's own. It happens for a moment after a peer has restarted at its address, as requests still name the process before, and where a peer has just started and does not know the entry yet. A caller whose request a header named Relay-Host accompanied got 403 too, as its value was joined with that of the entry.

Cause: the answer lacked the mark by which a peer states that it has not run a request, and headers of callers were sent beside those between entries.

Change: the denial bears the mark, so the request passes to another peer, and headers with the names of those between entries are not passed on.

--- a/src/thornspool/application/routing/ports.py
+++ b/src/thornspool/application/routing/ports.py
@@ -103,8 +103,11 @@
     ) -> None:
         """Send an error response of the router itself."""
 
-    def refuse_relay(self) -> None:
-        """Refuse a request that a peer has passed on, without running it."""
+    def refuse_relay(self, status: int = 503) -> None:
+        """Refuse a request that a peer has passed on, without running it.
+
+        The peer may pass it on to another entry.
+        """
 
     def begin(self, status: int, headers: Headers) -> None:
         """Begin a response of unknown length."""
--- a/src/thornspool/application/routing/relays.py
+++ b/src/thornspool/application/routing/relays.py
@@ -429,7 +429,8 @@
         """Serve a request of a peer, or refuse it without running it."""
         if not self._is_from_peer(request.relay):
             logger.warning('relay_denied', id=request.id)
-            reply.refuse(403, 'not_a_peer')
+            # A peer may have passed it on to the process before this one.
+            reply.refuse_relay(403)
         elif self._is_full(request):
             reply.refuse_relay()
         else:
--- a/src/thornspool/platform/callers.py
+++ b/src/thornspool/platform/callers.py
@@ -227,9 +227,9 @@
             status, tuple(headers), msgspec.json.encode({'error': reason})
         )
 
-    def refuse_relay(self) -> None:
+    def refuse_relay(self, status: int = 503) -> None:
         """Refuse a request that a peer has passed on, without running it."""
-        self.send(503, ((engines.RELAY_REFUSED_HEADER, '1'),), b'')
+        self.send(status, ((engines.RELAY_REFUSED_HEADER, '1'),), b'')
 
     def begin(self, status: int, headers: ports.Headers) -> None:
         """Start a response of unknown length."""
--- a/src/thornspool/platform/peer_gateway.py
+++ b/src/thornspool/platform/peer_gateway.py
@@ -108,7 +108,11 @@
     caller_request, relay = relayed.request, relayed.relay
     headers = [
         ('Host', caller_request.host),
-        *caller_request.headers,
+        *(
+            (name, value)
+            for name, value in caller_request.headers
+            if name.lower() not in _RELAY_HEADERS
+        ),
         ('Deadline-Ms', str(relayed.remaining_ms)),
         (HOST_HEADER, relay.host),
         (INCARNATION_HEADER, relay.incarnation),
--- a/tests/application/routing/builders.py
+++ b/tests/application/routing/builders.py
@@ -183,6 +183,7 @@
         self.aborted = False
         self.reason = ''
         self.retry_after_ms = None
+        self.is_relay_refused = False
         self._on_close = lambda: None
         self._has_left = False
 
@@ -202,8 +203,9 @@
         self.retry_after_ms = retry_after_ms
         self.whole = True
 
-    def refuse_relay(self):
-        self.refuse(503, 'relay_refused')
+    def refuse_relay(self, status=503):
+        self.is_relay_refused = True
+        self.refuse(status, 'relay_refused')
 
     def begin(self, status, headers):
         self.status = status
--- a/tests/application/routing/test_relays.py
+++ b/tests/application/routing/test_relays.py
@@ -270,6 +270,12 @@
         self.submit(relay=relay)
         self.assertEqual(1, len(self.served))
 
+    def test_denied_request_may_pass_through_another_peer(self):
+        """Guards against 403 for callers after a peer has restarted."""
+        relay = ports.Relay('a-01', 'a-01-1', 'a-00-0', 0, False)
+        reply = self.submit(relay=relay)
+        self.assertEqual((403, True), (reply.status, reply.is_relay_refused))
+
     def test_full_entry_refuses_what_is_less_urgent_first(self):
         """Guards against an entry that requests of peers overload."""
         relay = ports.Relay('a-01', 'a-01-1', 'a-00-1', 0, False)
--- /dev/null
+++ b/tests/platform/test_peer_gateway.py
@@ -0,0 +1,59 @@
+"""Tests of the HTTP between entries for requests that are passed on."""
+
+from __future__ import annotations
+
+import unittest
+
+from tests.application.routing import builders
+from thornspool.application.routing import ports
+from thornspool.platform import peer_gateway
+
+
+class Session:
+    """Records the requests that are started."""
+
+    def __init__(self):
+        self.requests = []
+
+    def start(self, request, *handlers):
+        self.requests.append(request)
+        return self
+
+    def cancel(self):
+        pass
+
+
+class Listener:
+    """Ignores a response."""
+
+    def handle_body(self, chunk):
+        pass
+
+
+class PeerGatewayTest(unittest.TestCase):
+    def test_headers_of_callers_do_not_replace_those_of_the_entry(self):
+        """Guards against requests that peers deny for a caller's header."""
+        request = builders.build_request(
+            headers=(('Relay-Host', 'x'), ('relay-receiver', 'x'), ('A', 'b'))
+        )
+        session = Session()
+        peer_gateway.PeerGateway(session).send(
+            builders.build_record('a-01'),
+            ports.RelayedRequest(
+                request,
+                1_000,
+                '',
+                ports.Relay('a-00', 'a-00-1', 'a-01-1', 0, False),
+            ),
+            Listener(),
+        )
+        (sent,) = session.requests
+        values = [
+            (name.lower(), value)
+            for name, value in sent.headers
+            if name.lower() in {'relay-host', 'relay-receiver', 'a'}
+        ]
+        self.assertEqual(
+            [('a', 'b'), ('relay-host', 'a-00'), ('relay-receiver', 'a-01-1')],
+            values,
+        )
--- a/tests/simulation/world.py
+++ b/tests/simulation/world.py
@@ -158,9 +158,9 @@
         self._pass_head(status)
         self._listener.handle_completion(ports.Completion.COMPLETE)
 
-    def refuse_relay(self):
-        super().refuse(503, 'relay_refused')
-        self._pass_head(503, True)
+    def refuse_relay(self, status=503):
+        super().refuse_relay(status)
+        self._pass_head(status, True)
         self._listener.handle_completion(ports.Completion.COMPLETE)
 
     def begin(self, status, headers):
