Refuse requests of peers that this entry may not serve, so that others do

Found by reading, not seen by callers: an entry that drains, has no configuration yet or is turned away by the store refused the requests that a peer without links had passed on, and the peer handed this 503 to its caller, while other peers could serve it.

Cause: only the links and the number of requests in progress decided whether a request of a peer is accepted; what else makes an entry refuse was decided after that, when the answer counts as the one for the caller.

Change: the intake states whether it may serve a request now, by the same decision by which it refuses those of its callers. If not, the request is refused as one that may pass through another peer. The decision itself is unchanged (IntakeTest).

--- a/src/thornspool/application/routing/intake.py
+++ b/src/thornspool/application/routing/intake.py
@@ -90,38 +90,17 @@
         self, request: ports.Request, reply: ports.ResponseWriter
     ) -> None:
         """Serve a request."""
-        configuration = self._routing_state.configuration
-        if configuration is None:
-            self._refuse(
-                request, reply, 503, 'no_configuration', NOT_READY_RETRY_MS
-            )
-            return
-        if self.is_draining:
-            self._refuse(
-                request,
-                reply,
-                503,
-                'draining',
-                streams_module.DRAINING_RETRY_MS,
-            )
+        route = self._find_route(request)
+        unavailability = self._find_unavailability(route)
+        if unavailability is not None:
+            self._refuse(request, reply, 503, *unavailability)
             return
-        route = configuration.find_route(request.host, request.path)
-        if route is None:
+        configuration = self._routing_state.configuration
+        if configuration is None or route is None:
             self._refuse(request, reply, 404, 'no_route')
             return
         workspace = None
         if configuration.needs_keys and not route.anonymous:
-            # A withdrawn key must be rejected even when the store no longer
-            # answers this host, so keys need a recent configuration.
-            if not self.is_current():
-                self._refuse(
-                    request,
-                    reply,
-                    503,
-                    'not_current',
-                    self._choose_not_current_retry_ms(),
-                )
-                return
             workspace = configuration.workspaces.get(request.key or '')
             if workspace is None:
                 self._refuse(request, reply, 401, 'unknown_key')
@@ -141,12 +120,48 @@
         else:
             self._calls.serve(exchange)
 
+    def is_available(self, request: ports.Request) -> bool:
+        """Return whether this entry may serve a request now.
+
+        Another entry may serve it where this one may not.
+        """
+        return self._find_unavailability(self._find_route(request)) is None
+
+    def _find_route(self, request: ports.Request) -> routing.Route | None:
+        configuration = self._routing_state.configuration
+        if configuration is None:
+            return None
+        return configuration.find_route(request.host, request.path)
+
+    def _find_unavailability(
+        self, route: routing.Route | None
+    ) -> tuple[str, int] | None:
+        """Return why this entry may not serve requests of a route now.
+
+        Returns
+        -------
+        tuple of str and int, or None
+            The reason, and Retry-After in milliseconds.
+        """
+        configuration = self._routing_state.configuration
+        if configuration is None:
+            return 'no_configuration', NOT_READY_RETRY_MS
+        if self.is_draining:
+            return 'draining', streams_module.DRAINING_RETRY_MS
+        # A withdrawn key must be rejected even when the store no longer
+        # answers this host, so keys need a recent configuration.
+        if (
+            route is not None
+            and configuration.needs_keys
+            and not route.anonymous
+            and not self.is_current()
+        ):
+            return 'not_current', self._choose_not_current_retry_ms()
+        return None
+
     def find_priority(self, request: ports.Request) -> int:
         """Return the priority of a request's route from 0 to 9."""
-        configuration = self._routing_state.configuration
-        route = None
-        if configuration is not None:
-            route = configuration.find_route(request.host, request.path)
+        route = self._find_route(request)
         return 9 if route is None else min(9, max(0, route.priority))
 
     def count_relayed(self) -> int:
--- a/src/thornspool/application/routing/relays.py
+++ b/src/thornspool/application/routing/relays.py
@@ -406,6 +406,8 @@
         Returns the requests of peers that are in progress.
     find_priority : callable
         Returns the priority of a request from 0, the highest, to 9.
+    is_available : callable
+        Returns whether this entry may serve a request now.
     """
 
     def __init__(
@@ -415,12 +417,14 @@
         serve: Callable[[ports.Request, ports.ResponseWriter], None],
         count_relayed: Callable[[], int],
         find_priority: Callable[[ports.Request], int],
+        is_available: Callable[[ports.Request], bool],
     ) -> None:
         self._view = view
         self._confirm_links = confirm_links
         self._serve = serve
         self._count_relayed = count_relayed
         self._find_priority = find_priority
+        self._is_available = is_available
         self._waiting: set[ports.ResponseWriter] = set()
 
     def serve(
@@ -446,7 +450,7 @@
         reply: ports.ResponseWriter,
         is_linked: bool,
     ) -> None:
-        """Serve a request if this entry reaches servers itself.
+        """Serve a request if this entry reaches servers and may serve it.
 
         Entries that are cut off together detect this at different times.
         """
@@ -454,7 +458,7 @@
             # The peer has withdrawn the request.
             return
         self._waiting.remove(reply)
-        if is_linked:
+        if is_linked and self._is_available(request):
             self._serve(request, reply)
         else:
             reply.refuse_relay()
--- a/src/thornspool/platform/daemon.py
+++ b/src/thornspool/platform/daemon.py
@@ -554,6 +554,7 @@
             self._intake.serve,
             self._intake.count_relayed,
             self._intake.find_priority,
+            self._intake.is_available,
         )
         self._open(
             f'{settings.ip}:{settings.peer_port}',
--- a/tests/application/routing/test_calls.py
+++ b/tests/application/routing/test_calls.py
@@ -188,6 +188,23 @@
         self.world.serve('/open/1', key=None)
         self.assertEqual(1, len(self.world.servers.runs))
 
+    def test_availability_matches_what_is_refused(self):
+        """Guards against requests of peers that this entry refuses at once."""
+        intake = self.world.intake
+        keyed = builders.build_request()
+        anonymous = builders.build_request('/open/1', key=None)
+        unknown = builders.build_request('/none/')
+        for request in (keyed, anonymous, unknown):
+            self.assertTrue(intake.is_available(request))
+        self.world.clock.advance(4_300)
+        self.assertFalse(intake.is_available(keyed))
+        self.assertTrue(intake.is_available(anonymous))
+        intake.is_draining = True
+        self.assertFalse(intake.is_available(anonymous))
+        intake.is_draining = False
+        self.world.routing_state.configuration = None
+        self.assertFalse(intake.is_available(anonymous))
+
     def test_older_configuration_is_ignored(self):
         self.world.routing_state.apply_configuration(
             builders.build_configuration(version=5)
--- a/tests/application/routing/test_relays.py
+++ b/tests/application/routing/test_relays.py
@@ -237,12 +237,14 @@
         super().setUp()
         self.served = []
         self.relayed = 0
+        self.is_available = True
         self.relay_intake = relays.RelayIntake(
             self.view,
             lambda on_result: self.confirm(on_result),
             lambda request, reply: self.served.append(request.id),
             lambda: self.relayed,
             lambda request: 9 if request.path.startswith('/low') else 0,
+            lambda request: self.is_available,
         )
 
     def confirm(self, on_result):
@@ -290,6 +292,14 @@
         relay = ports.Relay('a-01', 'a-01-1', 'a-00-1', 0, False)
         self.assertEqual(503, self.submit(relay=relay).status)
 
+    def test_entry_that_may_not_serve_refuses_requests_of_peers(self):
+        """Guards against callers that get the refusal of one peer alone."""
+        self.is_available = False
+        relay = ports.Relay('a-01', 'a-01-1', 'a-00-1', 0, False)
+        reply = self.submit(relay=relay)
+        self.assertTrue(reply.is_relay_refused)
+        self.assertEqual([], self.served)
+
     def test_request_that_is_withdrawn_during_a_check_is_not_served(self):
         """Guards against runs for peers that have passed a request on."""
         results = []
--- a/tests/simulation/world.py
+++ b/tests/simulation/world.py
@@ -351,6 +351,7 @@
             self.intake.serve,
             self.intake.count_relayed,
             self.intake.find_priority,
+            self.intake.is_available,
         )
 
     def send_update(self, address, update):
