Let other peers serve what rest or a limit keeps one peer from serving

Cause: an engine had asked one of the two entries with links for rest. That entry refused each stream that was passed on to it as limited, and the entries without links handed these refusals to their callers, although the other peer served the same streams. As the peer that refuses has the fewest requests in progress, it was chosen again and again: 9 of 9 refusals of streams from 3.4 to 4.4 s came from it. What binds one entry was taken for what binds all.

Change: refusals that may apply to one entry alone (rest and shares of limits, trials, a drain, lost links) are marked when the request comes from a peer, which then passes it on to another one, three at most. Where all refuse, the caller gets the last of these refusals with its Retry-After. A request that may have run is refused with 502 as before and stays unmarked.

Result: test_refusal_of_one_peer_alone_is_not_passed_on and test_refusal_for_conditions_of_this_entry_is_marked failed before and pass now. The fake reply of peers in the simulation passed refusals twice since; that is corrected as well.

--- a/src/thornspool/application/routing/exchanges.py
+++ b/src/thornspool/application/routing/exchanges.py
@@ -24,6 +24,15 @@
 outdated server list is current again after half a second.
 """
 
+_UNAVAILABLE = 503
+
+_LOCAL_REASONS = frozenset({'draining', 'limited', 'links_lost', 'no_trial'})
+"""Reasons of refusals that may apply to this entry alone.
+
+Servers ask single entries for rest, and each entry has its own share of a
+limit.
+"""
+
 logger = structlog.get_logger(__name__)
 
 
@@ -204,5 +213,12 @@
         if self.ended:
             return
         self.outcome_reason = reason
-        self.reply.refuse(status, reason, retry_after_ms)
+        if (
+            status == _UNAVAILABLE
+            and reason in _LOCAL_REASONS
+            and self.request.relay is not None
+        ):
+            self.reply.refuse_relay(status, reason, retry_after_ms)
+        else:
+            self.reply.refuse(status, reason, retry_after_ms)
         self.end(f'refused_{status}')
--- a/src/thornspool/application/routing/ports.py
+++ b/src/thornspool/application/routing/ports.py
@@ -103,7 +103,12 @@
     ) -> None:
         """Send an error response of the router itself."""
 
-    def refuse_relay(self, status: int = 503) -> None:
+    def refuse_relay(
+        self,
+        status: int = 503,
+        reason: str = 'relay_refused',
+        retry_after_ms: int | None = None,
+    ) -> None:
         """Refuse a request that a peer has passed on, without running it.
 
         The peer may pass it on to another entry.
--- a/src/thornspool/application/routing/relays.py
+++ b/src/thornspool/application/routing/relays.py
@@ -89,6 +89,8 @@
         Ends the transfer; None when there is none.
     head : ports.ResponseHead or None
         Head of the response, once received.
+    refusal : tuple of ports.ResponseHead and bytes, or None
+        Last refusal that applies to one peer alone, and its body.
     body : bytearray
         Body of a response that is not streamed.
     events : events.EventBuffer
@@ -104,6 +106,7 @@
     tried: set[str] = attrs.field(factory=set)
     cancel: Callable[[], None] | None = None
     head: ports.ResponseHead | None = None
+    refusal: tuple[ports.ResponseHead, bytes] | None = None
     body: bytearray = attrs.field(factory=bytearray)
     events: events.EventBuffer = attrs.field(factory=events.EventBuffer)
     generation: int = 0
@@ -302,7 +305,7 @@
         elif completion is ports.Completion.BROKEN or head is None:
             self._handle_break(relay)
         elif head.is_relay_refused:
-            self._try_next(relay)
+            self._try_next(relay, head)
         elif self._is_stream(relay) and relay.events.pending:
             self._handle_break(relay)
         elif self._is_stream(relay):
@@ -319,9 +322,13 @@
             )
             self._end(relay, 'served' if head.status < 400 else 'relayed')
 
-    def _try_next(self, relay: _Relay) -> None:
+    def _try_next(
+        self, relay: _Relay, refusal: ports.ResponseHead | None = None
+    ) -> None:
         """Pass a request on to another peer, as this one has not run it."""
         assert relay.peer is not None
+        if refusal is not None and _has_retry_after(refusal):
+            relay.refusal = refusal, bytes(relay.body)
         relay.tried.add(relay.peer.host)
         relay.peer = None
         self._send(relay)
@@ -351,6 +358,10 @@
             self._cut(relay)
         elif exchange.runs > 0:
             exchange.refuse(502, reason)
+        elif relay.refusal is not None:
+            head, body = relay.refusal
+            exchange.reply.send(head.status, head.headers, body)
+            self._end(relay, 'relayed')
         else:
             exchange.refuse(503, reason, self._random.randint(*RETRY_AFTER_MS))
 
@@ -391,6 +402,10 @@
         relay.exchange.end(outcome)
 
 
+def _has_retry_after(head: ports.ResponseHead) -> bool:
+    return any(name.lower() == 'retry-after' for name, _ in head.headers)
+
+
 class RelayIntake:
     """Accepts requests that peers without links pass on.
 
--- a/src/thornspool/platform/callers.py
+++ b/src/thornspool/platform/callers.py
@@ -220,17 +220,36 @@
         self, status: int, reason: str, retry_after_ms: int | None = None
     ) -> None:
         """Send an error response that the router creates."""
-        headers = [('Content-Type', 'application/json')]
+        self._send_error(status, reason, retry_after_ms)
+
+    def refuse_relay(
+        self,
+        status: int = 503,
+        reason: str = 'relay_refused',
+        retry_after_ms: int | None = None,
+    ) -> None:
+        """Refuse a request that a peer has passed on, without running it."""
+        self._send_error(
+            status,
+            reason,
+            retry_after_ms,
+            ((engines.RELAY_REFUSED_HEADER, '1'),),
+        )
+
+    def _send_error(
+        self,
+        status: int,
+        reason: str,
+        retry_after_ms: int | None,
+        more_headers: ports.Headers = (),
+    ) -> None:
+        headers = [('Content-Type', 'application/json'), *more_headers]
         if retry_after_ms is not None:
             headers.append(('Retry-After', f'{retry_after_ms / 1000:.3f}'))
         self.send(
             status, tuple(headers), msgspec.json.encode({'error': reason})
         )
 
-    def refuse_relay(self, status: int = 503) -> None:
-        """Refuse a request that a peer has passed on, without running it."""
-        self.send(status, ((engines.RELAY_REFUSED_HEADER, '1'),), b'')
-
     def begin(self, status: int, headers: ports.Headers) -> None:
         """Start a response of unknown length."""
         if self._done or self._started:
--- a/src/thornspool/platform/engines.py
+++ b/src/thornspool/platform/engines.py
@@ -73,7 +73,14 @@
 )
 
 _SERVER_RESPONSE_HEADERS = frozenset(
-    {'content-length', 'engine-load', 'at-server', 'date', 'server'}
+    {
+        'content-length',
+        'engine-load',
+        'at-server',
+        'date',
+        'server',
+        RELAY_REFUSED_HEADER.lower(),
+    }
 )
 
 _UNAVAILABLE = 503
--- a/tests/application/routing/builders.py
+++ b/tests/application/routing/builders.py
@@ -178,6 +178,7 @@
 
     def __init__(self):
         self.status = None
+        self.headers = ()
         self.body = b''
         self.whole = False
         self.aborted = False
@@ -203,9 +204,11 @@
         self.retry_after_ms = retry_after_ms
         self.whole = True
 
-    def refuse_relay(self, status=503):
+    def refuse_relay(
+        self, status=503, reason='relay_refused', retry_after_ms=None
+    ):
         self.is_relay_refused = True
-        self.refuse(status, 'relay_refused')
+        self.refuse(status, reason, retry_after_ms)
 
     def begin(self, status, headers):
         self.status = status
@@ -221,6 +224,7 @@
 
     def send(self, status, headers, body):
         self.status = status
+        self.headers = headers
         self.body = body
         self.whole = True
 
--- a/tests/application/routing/test_relays.py
+++ b/tests/application/routing/test_relays.py
@@ -121,6 +121,48 @@
         self.assertEqual(503, reply.status)
         self.assertIsNotNone(reply.retry_after_ms)
 
+    def test_refusal_of_one_peer_alone_is_not_passed_on(self):
+        """Guards against rest of one peer that binds all entries."""
+        refusal = attrs.evolve(
+            HEAD,
+            status=503,
+            headers=(('Retry-After', '2.500'),),
+            is_authentic=False,
+            is_relay_refused=True,
+        )
+        reply, first = self.pass_on()
+        first.listener.handle_head(refusal)
+        first.listener.handle_body(b'limited')
+        first.listener.handle_completion(ports.Completion.COMPLETE)
+        self.assertIsNone(reply.status)
+        for _ in range(2):
+            last = self.gateway.last
+            last.listener.handle_head(refusal)
+            last.listener.handle_body(b'limited')
+            last.listener.handle_completion(ports.Completion.COMPLETE)
+        self.assertEqual(3, len({one.peer for one in self.gateway.sent}))
+        self.assertEqual((503, b'limited'), (reply.status, reply.body))
+        self.assertEqual(refusal.headers, reply.headers)
+
+    def test_refusal_for_conditions_of_this_entry_is_marked(self):
+        """Guards against callers of peers that get this entry's rest."""
+        self.links.lost_since = None
+        relay = ports.Relay('a-01', 'a-01-1', 'a-00-1', 0, True)
+        for server in self.world.routing_state.servers.values():
+            self.world.servers.on_notice(
+                server, ports.ServerNotice(False, rest_ms=2_500)
+            )
+        for number, path in enumerate(('/brief/x', '/hold/x')):
+            with self.subTest(path):
+                reply = self.world.serve(path, number, relay=relay)
+                self.assertEqual(
+                    (503, 'limited', 2_500),
+                    (reply.status, reply.reason, reply.retry_after_ms),
+                )
+                self.assertTrue(reply.is_relay_refused)
+                reply = self.world.serve(path, number + 10)
+                self.assertFalse(reply.is_relay_refused)
+
     def test_action_with_an_unknown_outcome_is_not_passed_on_again(self):
         """Guards against actions that run twice through two peers."""
         reply, sent = self.pass_on('/hold/x')
--- a/tests/simulation/world.py
+++ b/tests/simulation/world.py
@@ -146,21 +146,25 @@
         super().__init__()
         self._listener = listener
 
-    def _pass_head(self, status, is_relay_refused=False):
+    def _pass_head(self, status, is_relay_refused=False, retry_after_ms=None):
+        headers = ()
+        if retry_after_ms is not None:
+            headers = (('Retry-After', f'{retry_after_ms / 1000}'),)
         self._listener.handle_head(
             ports.ResponseHead(
-                status, (), True, '', None, status == 200, is_relay_refused
+                status,
+                headers,
+                True,
+                '',
+                None,
+                status == 200,
+                is_relay_refused,
             )
         )
 
     def refuse(self, status, reason, retry_after_ms=None):
         super().refuse(status, reason, retry_after_ms)
-        self._pass_head(status)
-        self._listener.handle_completion(ports.Completion.COMPLETE)
-
-    def refuse_relay(self, status=503):
-        super().refuse_relay(status)
-        self._pass_head(status, True)
+        self._pass_head(status, self.is_relay_refused, retry_after_ms)
         self._listener.handle_completion(ports.Completion.COMPLETE)
 
     def begin(self, status, headers):
