--- a/tests/application/routing/test_crash_detection.py
+++ b/tests/application/routing/test_crash_detection.py
@@ -83,6 +83,19 @@
                 await self.pass_time()
                 self.assertEqual([(self.server.id, {'one'})], self.crashed)
 
+    async def test_later_process_is_not_suspected(self):
+        """Guards against a sound server excluded for the process before."""
+        self.begin()
+        later = attrs.evolve(
+            self.server, started_at=self.server.started_at + 1
+        )
+        self.world.add(later)
+        await self.pass_time()
+        self.assertEqual([(self.server.id, {'one'})], self.crashed)
+        routing_state = self.world.routing_state
+        self.assertTrue(routing_state.is_usable(later, self.world.clock.now()))
+        self.assertEqual([], routing_state.unreported_suspects)
+
     async def test_record_that_gains_its_start_shows_no_end(self):
         """Guards against records that lack the start of their server."""
         listed = self.server
