Hold no failure against a later process than the one that failed

Change: the one way by which failures of this entry become suspicions (ServerEvidence.suspect) compares the process that failed with the listed one.

Open: peers report suspects by id, so that a peer whose list is newer than the reporter's may exclude a later process, until it answers or the report is retracted.

--- a/src/thornspool/application/routing/crash_detection.py
+++ b/src/thornspool/application/routing/crash_detection.py
@@ -417,12 +417,8 @@
         process = self._processes.get(key)
         if process is None or key in self._ended:
             return
-        now = self._clock.now()
-        self._ended[key] = now
-        if not self._is_replaced(server):
-            self._routing_state.suspect(
-                server.id, routing_state_module.NOT_REACHED, now
-            )
+        self._ended[key] = self._clock.now()
+        self._evidence.suspect(server, routing_state_module.NOT_REACHED)
         runs = set(process.doubtful)
         if self._is_staying(server):
             runs |= process.running
@@ -443,13 +439,6 @@
             self._on_crash(server, fingerprints)
         self._resolve_everywhere(process.doubtful)
 
-    def _is_replaced(self, server: fleet.Server) -> bool:
-        """Return whether a later process is listed under the same id."""
-        listed = self._routing_state.servers.get(server.id)
-        return listed is not None and _is_later(
-            listed.started_at, server.started_at
-        )
-
     def _resolve_everywhere(self, runs: set[TrackedRun]) -> None:
         """Drop the doubts about runs that one of their servers has broken."""
         explained = set(runs)
--- a/src/thornspool/application/routing/routing_state.py
+++ b/src/thornspool/application/routing/routing_state.py
@@ -600,6 +600,16 @@
             now + duration_ms, reason, server.started_at, now, reporter
         )
 
+    def has_later_process(self, server: fleet.Server) -> bool:
+        """Return whether a later process is listed under a server's id."""
+        listed = self.servers.get(server.id)
+        return (
+            listed is not None
+            and listed.started_at is not None
+            and server.started_at is not None
+            and listed.started_at > server.started_at
+        )
+
     def _may_exclude(self, reporter: str) -> bool:
         """Return whether a peer may exclude one more server here."""
         reported = sum(
--- a/src/thornspool/application/routing/server_evidence.py
+++ b/src/thornspool/application/routing/server_evidence.py
@@ -271,7 +271,9 @@
             )
 
     def suspect(self, server: fleet.Server, reason: str) -> None:
-        """Suspect a server from now on."""
+        """Suspect a server from now on, unless it has been replaced."""
+        if self._routing_state.has_later_process(server):
+            return
         self._routing_state.suspect(server.id, reason, self._clock.now())
 
     def record_answer(
--- a/tests/application/routing/test_server_evidence.py
+++ b/tests/application/routing/test_server_evidence.py
@@ -7,6 +7,8 @@
 import unittest
 from unittest import mock
 
+import attrs
+
 from tests.application.routing import builders
 from thornspool.application.routing import observed_servers
 from thornspool.application.routing import ports
@@ -81,6 +83,16 @@
         self.assertEqual(1, self.announced)
         self.assertFalse(self.evidence.links.are_lost)
 
+    async def test_failure_is_not_held_against_a_later_process(self):
+        """Guards against a sound server excluded for the process before."""
+        server = self.servers[0]
+        later = attrs.evolve(server, started_at=server.started_at + 1)
+        self.world.add(later)
+        await self.fail_connections(server)
+        self.assertEqual({}, self.state.suspicions)
+        await self.fail_connections(later)
+        self.assertEqual([server.id], list(self.state.suspicions))
+
     async def test_all_failures_count_if_any_server_answers(self):
         """Guards against losses of half of the fleet that are not found."""
         await self.fail_connections(*self.servers[:-1])
