Let tests of permits wait for the checks that they assert about

Change: it waits until no server is checked any more, ten seconds at most, and so do the two tests with the same wait. The assertions are unchanged: without the guard (has_ended always false) the test fails as before.

--- a/tests/application/routing/test_run_permits.py
+++ b/tests/application/routing/test_run_permits.py
@@ -18,6 +18,7 @@
 
 PATHS = ('/brief/x', '/read/x', '/hold/x')
 GONE = ports.ProcessCheck(False)
+TIMEOUT_S = 10.0
 
 
 def compute_fingerprint(path):
@@ -43,6 +44,13 @@
         for _ in range(10):
             await asyncio.sleep(0)
 
+    async def finish_checks(self, path):
+        """Wait until no server is checked for the request any more."""
+        async with asyncio.timeout(TIMEOUT_S):
+            while self.world.crashes.count_checks(compute_fingerprint(path)):
+                await asyncio.sleep(0.01)
+        await self.run_tasks()
+
     async def test_condemned_request_is_refused_at_once(self):
         """Guards against a request that crashes every server."""
         for path in PATHS:
@@ -90,9 +98,7 @@
                 run = self.world.servers.last
                 self.world.servers.checks[run.run.server.id] = GONE
                 run.end(ports.Completion.BROKEN)
-                await asyncio.sleep(
-                    2 * crash_detection.SECOND_CHECK_DELAY_MS / 1000.0
-                )
+                await self.finish_checks(path)
                 self.world.clock.advance(records.VERDICT_DELAY_MS)
                 self.assertIsInstance(
                     self.quarantine.check(compute_fingerprint(path)),
@@ -119,7 +125,7 @@
         run.end(ports.Completion.BROKEN)
         self.assertIs(run_permits.Permit.UNKNOWN, self.check(path))
         self.assertEqual(1, len(self.world.servers.runs))
-        await asyncio.sleep(2 * crash_detection.SECOND_CHECK_DELAY_MS / 1000.0)
+        await self.finish_checks(path)
         self.assertIs(run_permits.Permit.ON_TRIAL, self.check(path))
 
     async def test_runs_at_engines_that_still_run_count_as_attempts(self):
@@ -155,9 +161,7 @@
             run.begin()
             self.world.servers.checks[run.run.server.id] = check
             run.end(ports.Completion.BROKEN)
-            await asyncio.sleep(
-                2 * crash_detection.SECOND_CHECK_DELAY_MS / 1000.0
-            )
+            await self.finish_checks('/brief/x')
             self.world.advance(25)
         self.assertEqual(3, len(self.world.servers.runs))
 
