Log and measure what tells the hypotheses on refusals apart

A refusal named the version and the age of the copy, but not what had confirmed it, whether a peer had passed the request on, which versions peers had put in force, or whether the event loop was late. State updates carry the version of the configuration, at their end, so that earlier entries ignore it. A histogram counts denials by the age of the copy. No decision changes.

--- a/src/thornspool/application/routing/intake.py
+++ b/src/thornspool/application/routing/intake.py
@@ -32,6 +32,8 @@
 """Retry-After of an entry that can't serve yet. An entry reads its
 configuration within about 100 ms of its start; store outages last seconds."""
 
+_UNAVAILABLE = 503
+
 logger = structlog.get_logger(__name__)
 
 
@@ -56,6 +58,11 @@
         Source of randomness for the choice of services by weight.
     is_peer_current : callable, optional
         Returns whether another entry may have a current configuration.
+
+    Attributes
+    ----------
+    describe_copy : callable
+        Returns fields for the log line of a refusal.
     """
 
     def __init__(
@@ -77,6 +84,7 @@
         self._metrics = metrics
         self.max_key_age_ms = withdrawn_key_ms * confirmations.KEY_AGE_SHARE
         self._random = random_source
+        self.describe_copy: Callable[[], dict[str, typing.Any]] = dict
         self.in_flight = 0
         self.is_draining = False
 
@@ -192,9 +200,12 @@
         reason: str,
         retry_after_ms: int | None = None,
     ) -> None:
-        now = self._clock.now()
+        freshness = self._routing_state.freshness
+        copy_age_ms = freshness.compute_age(self._clock.now())
         configuration = self._routing_state.configuration
         reply.refuse(status, reason, retry_after_ms)
+        if status != _UNAVAILABLE and copy_age_ms is not None:
+            self._metrics.observe_denial(reason, copy_age_ms)
         logger.info(
             'request_refused',
             id=request.id,
@@ -205,7 +216,10 @@
             configuration=None
             if configuration is None
             else configuration.version,
-            proof_age_ms=self._routing_state.freshness.compute_age(now),
+            proof_age_ms=copy_age_ms,
+            proof_source=freshness.source,
+            relayed_by='' if request.relay is None else request.relay.host,
+            **self.describe_copy(),
         )
         self._metrics.count_event(f'refused_{reason}')
 
--- a/src/thornspool/application/routing/membership.py
+++ b/src/thornspool/application/routing/membership.py
@@ -295,7 +295,7 @@
         proven_at = update.echoed_stamp - update.proof_age_ms
         self._routing_state.record_peer_contact(proven_at)
         if update.revision == self._read_revision():
-            self._routing_state.freshness.confirm(proven_at)
+            self._routing_state.freshness.confirm(proven_at, update.host)
 
     def _apply_feed_update(
         self, update: messages.StateUpdate, now: int
@@ -619,6 +619,7 @@
             suspects=tuple(self._routing_state.unreported_suspects),
             retracted=tuple(self._routing_state.retractions),
             links_lost=self.has_lost_links(),
+            configuration_version=self._routing_state.configuration_version,
             scope=scope,
             absent_hosts=absent,
             slowdowns=self._routing_state.slowdowns.list_slow(
--- a/src/thornspool/application/routing/routing_state.py
+++ b/src/thornspool/application/routing/routing_state.py
@@ -265,6 +265,11 @@
             keys=len(configuration.workspaces),
         )
 
+    @property
+    def configuration_version(self) -> int:
+        """Version of the configuration in force; 0 before the first."""
+        return 0 if self.configuration is None else self.configuration.version
+
     def record_store_contact(self, now: int) -> None:
         """Record an answer of the store, before its content is applied.
 
--- a/src/thornspool/domain/entries/messages.py
+++ b/src/thornspool/domain/entries/messages.py
@@ -108,6 +108,8 @@
         Servers that the sender had named as suspects and no longer suspects.
     links_lost : bool
         Whether the sender reaches no server.
+    configuration_version : int
+        Version of the configuration in force at the sender; 0 for none.
     rejection_ms : int
         Milliseconds for which the sender should not collect, as the store
         rejects it; 0 for an entry that may collect.
@@ -135,3 +137,4 @@
     removals: dict[int, int] = attrs.field(factory=dict)
     retracted: tuple[str, ...] = ()
     links_lost: bool = False
+    configuration_version: int = 0
--- a/src/thornspool/domain/entries/view.py
+++ b/src/thornspool/domain/entries/view.py
@@ -70,6 +70,8 @@
         State in its last update.
     has_links : bool
         Whether it reached servers at its last update.
+    configuration_version : int
+        Version of the configuration in force there; 0 for unknown.
     """
 
     record: messages.Record
@@ -79,6 +81,7 @@
     confirmed_at: int | None = None
     state: messages.State = messages.State.SERVING
     has_links: bool = True
+    configuration_version: int = 0
 
 
 @attrs.define
@@ -255,6 +258,7 @@
         peer.last_stamp = max(peer.last_stamp, update.stamp)
         peer.state = update.state
         peer.has_links = not update.links_lost
+        peer.configuration_version = update.configuration_version
         peer.confirmed_at = None
         if update.proof_age_ms >= 0:
             peer.confirmed_at = now - update.proof_age_ms
@@ -370,6 +374,19 @@
             for one in responsive
         )
 
+    def find_newest_version(self) -> int:
+        """Find the newest version of the configuration at any peer.
+
+        Returns
+        -------
+        int
+            0 if no peer has announced one.
+        """
+        return max(
+            (one.configuration_version for one in self.peers.values()),
+            default=0,
+        )
+
     def list_serving(self, now: int) -> list[messages.Record]:
         """List the other entries to which callers may send requests."""
         return [
--- a/src/thornspool/domain/freshness/confirmations.py
+++ b/src/thornspool/domain/freshness/confirmations.py
@@ -21,6 +21,9 @@
 clock drift.
 """
 
+STORE = 'store'
+"""Source of a confirmation by an answer of the store."""
+
 
 @attrs.define
 class Freshness:
@@ -31,20 +34,26 @@
     confirmed_at : int or None
         Milliseconds of the clock that counts suspended time; None before
         the first confirmation.
+    source : str
+        What confirmed it: ``store`` or the host of a peer.
     """
 
     confirmed_at: int | None = None
+    source: str = ''
 
-    def confirm(self, at: int) -> None:
+    def confirm(self, at: int, source: str = STORE) -> None:
         """Confirm that the copy holds everything acknowledged before a time.
 
         Parameters
         ----------
         at : int
             Milliseconds of the clock; a time before the last one is ignored.
+        source : str, optional
+            ``store`` or the host of a peer.
         """
         if self.confirmed_at is None or at > self.confirmed_at:
             self.confirmed_at = at
+            self.source = source
 
     def compute_age(self, now: int) -> int | None:
         """Return the age in milliseconds; None before a confirmation."""
--- a/src/thornspool/metrics.py
+++ b/src/thornspool/metrics.py
@@ -131,6 +131,11 @@
             'thornspool_events_total',
             'Retries, refusals, target failures and the like, by name.',
         )
+        self._denial_age = self._make_histogram(
+            'thornspool_denial_copy_age_seconds',
+            'Age of the copy of the store at refusals with 401 or 404.',
+            _DURATION_BUCKETS_S,
+        )
         self._sample_readers: list[tuple[typing.Any, SampleReader]] = []
         self._tokens: dict[str, int] = collections.defaultdict(int)
         self._token_intervals: dict[str, histogram.Histogram] = {}
@@ -201,6 +206,18 @@
             {'workspace': workspace}, milliseconds / 1000
         )
 
+    def observe_denial(self, reason: str, copy_age_ms: int) -> None:
+        """Record the age of the copy on which a denial is based.
+
+        Parameters
+        ----------
+        reason : str
+            Reason of the denial.
+        copy_age_ms : int
+            Age in milliseconds.
+        """
+        self._denial_age.observe({'reason': reason}, copy_age_ms / 1000)
+
     def observe_tokens(
         self, workspace: str, count: int, milliseconds: int
     ) -> None:
--- a/src/thornspool/platform/daemon.py
+++ b/src/thornspool/platform/daemon.py
@@ -50,6 +50,7 @@
 from thornspool.platform import callers
 from thornspool.platform import engines
 from thornspool.platform import follower
+from thornspool.platform import loop_delays
 from thornspool.platform import peer_calls
 from thornspool.platform import peer_gateway
 from thornspool.platform import peers
@@ -225,6 +226,7 @@
         self._settings = settings
         self._clock = clock
         self._random = random_source
+        self._loop_delay = loop_delays.LoopDelay(FAST_TICK_INTERVAL_MS)
         self._tasks: set[asyncio.Task[None]] = set()
         self._listeners: list[listeners.Listener] = []
 
@@ -433,18 +435,7 @@
             budget.estimate_rate,
         )
         self._build_relays(budget)
-        self._intake: intake_module.Intake = intake_module.Intake(
-            clock,
-            self._routing_state,
-            self._streams,
-            self._calls,
-            self._metrics,
-            bounds.withdrawn_key_ms,
-            self._random,
-            lambda: self._view.has_current_peer(
-                self._intake.max_key_age_ms, clock.now()
-            ),
-        )
+        self._build_intake()
         state_metrics.add_entry_metrics(
             self._metrics,
             state_metrics.MetricSources(
@@ -463,9 +454,34 @@
                 self._evidence,
                 self._relays,
                 self._quarantine,
+                self._loop_delay,
             ),
         )
 
+    def _build_intake(self) -> None:
+        """Create the service that requests of callers reach first."""
+        self._intake: intake_module.Intake = intake_module.Intake(
+            self._clock,
+            self._routing_state,
+            self._streams,
+            self._calls,
+            self._metrics,
+            self._settings.bounds.withdrawn_key_ms,
+            self._random,
+            lambda: self._view.has_current_peer(
+                self._intake.max_key_age_ms, self._clock.now()
+            ),
+        )
+        self._intake.describe_copy = self._describe_copy
+
+    def _describe_copy(self) -> dict[str, typing.Any]:
+        """Build the log fields on what is known of newer configurations."""
+        return {
+            'newest_peer_version': self._view.find_newest_version(),
+            'collector': self._view.collector_choice.current,
+            'loop_delay_ms': self._loop_delay.read(self._clock.now()),
+        }
+
     def _build_evidence(self) -> None:
         """Connect the client for servers with the evidence against them."""
         servers = observed_servers.ObservedServers(
@@ -618,6 +634,7 @@
         await self._verdicts.tick()
 
     async def _tick_quickly(self) -> None:
+        self._loop_delay.record(self._clock.now())
         self._streams.tick()
         self._calls.tick()
         self._relays.tick()
--- a/src/thornspool/platform/peers.py
+++ b/src/thornspool/platform/peers.py
@@ -81,6 +81,7 @@
     removals: dict[int, int] = {}
     retracted: list[str] = []
     links_lost: bool = False
+    configuration: int = 0
 
 
 class _ChangeSet(msgspec.Struct, array_like=True, tag=1):
@@ -175,6 +176,7 @@
             state_update.removals,
             list(state_update.retracted),
             state_update.links_lost,
+            state_update.configuration_version,
         )
     )
 
@@ -307,6 +309,7 @@
         message.removals,
         tuple(message.retracted),
         message.links_lost,
+        message.configuration,
     )
 
 
--- a/src/thornspool/platform/state_metrics.py
+++ b/src/thornspool/platform/state_metrics.py
@@ -40,6 +40,7 @@
     from thornspool.domain.entries import view as view_module
     from thornspool.domain.fleet import messages as fleet
     from thornspool.domain.paths import reservations
+    from thornspool.platform import loop_delays
 
 _MS_PER_S = 1000.0
 _STATES = ('ready', 'empty', 'draining', 'suspected')
@@ -64,6 +65,7 @@
     evidence: server_evidence_module.ServerEvidence
     relays: relays_module.RelayService
     quarantine: quarantine_module.QuarantineService
+    loop_delay: loop_delays.LoopDelay
 
 
 def add_entry_metrics(
@@ -146,7 +148,21 @@
     metrics.add_gauge(
         'thornspool_configuration_version',
         'Version of the configuration in force here; 0 before the first.',
-        metrics_module.make_sample_reader(lambda: _read_version(sources)),
+        metrics_module.make_sample_reader(
+            lambda: sources.routing_state.configuration_version
+        ),
+    )
+    metrics.add_gauge(
+        'thornspool_newest_peer_configuration_version',
+        'Newest version of the configuration that a peer has announced.',
+        metrics_module.make_sample_reader(sources.view.find_newest_version),
+    )
+    metrics.add_gauge(
+        'thornspool_loop_delay_seconds',
+        'Longest delay of a periodic task in the last second.',
+        metrics_module.make_sample_reader(
+            lambda: sources.loop_delay.read(sources.clock.now()) / _MS_PER_S
+        ),
     )
     metrics.add_gauge(
         'thornspool_proof_age_seconds',
@@ -231,11 +247,6 @@
     )
 
 
-def _read_version(sources: MetricSources) -> int:
-    configuration = sources.routing_state.configuration
-    return 0 if configuration is None else configuration.version
-
-
 def _read_proof_age(sources: MetricSources) -> list[metrics_module.Sample]:
     age = sources.routing_state.freshness.compute_age(sources.clock.now())
     return [] if age is None else [metrics_module.Sample(age / _MS_PER_S)]
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -350,6 +350,7 @@
                 82: named_limits.ReportedLimit(None, 900),
             },
             departures=(83, 84),
+            configuration_version=7,
         )
         self.assertEqual(
             state_update,
