Add failing tests of denials that no current copy supports

The rule on denials with both of its limits stands in tests/engine_rules.py; the simulation of entries with a store now publishes versions and sends requests for what was just added, removed and never there.

--- a/tests/application/routing/test_intake.py
+++ b/tests/application/routing/test_intake.py
@@ -1,4 +1,4 @@
-"""Tests of requests to an entry whose local copy is outdated."""
+"""Tests of what an entry decides on its local copy of the configuration."""
 
 from __future__ import annotations
 
@@ -30,3 +30,27 @@
     def test_routes_without_keys_are_served(self):
         reply = self.world.serve('/open/x')
         self.assertIsNone(reply.status)
+
+
+class DenialTest(unittest.TestCase):
+    def setUp(self):
+        self.world = builders.World()
+
+    def test_only_a_current_copy_shows_that_a_route_does_not_exist(self):
+        """Guards against 404 for routes that the copy does not show yet."""
+        self.assertEqual(404, self.world.serve('/none/x').status)
+        for age_ms in (1_900, 4_300, 60_000):
+            with self.subTest(age_ms):
+                world = builders.World()
+                world.clock.advance(age_ms)
+                reply = world.serve('/none/x')
+                self.assertEqual(503, reply.status)
+                self.assertIsNotNone(reply.retry_after_ms)
+
+    def test_only_a_current_copy_shows_that_a_key_does_not_exist(self):
+        """Guards against 401 for keys that the copy does not show yet."""
+        self.assertEqual(401, self.world.serve(key='key-2').status)
+        self.assertEqual(401, self.world.serve(key=None).status)
+        self.world.clock.advance(1_900)
+        self.assertEqual(503, self.world.serve(key='key-2').status)
+        self.assertIsNone(self.world.serve(number=2).status)
--- a/tests/application/routing/test_membership.py
+++ b/tests/application/routing/test_membership.py
@@ -434,6 +434,22 @@
         self.assertIn('a-06', self.list_not_fed())
         self.assertFalse(self.members['a-06'].service.awaits_change_feed())
 
+    def test_lag_adds_up_while_the_collector_becomes_stale_and_fresh(self):
+        """Guards against an entry that waits for a flapping collector."""
+        for member in self.members.values():
+            member.revision = 2
+        lagging = self.members['a-06']
+        lagging.revision = 1
+        awaited = 0
+        for number in range(12):
+            stale = number % 3 == 2
+            collector = self.members['a-00'].routing_state
+            now = self.fleet.clock.now()
+            collector.freshness.confirmed_at = now - 2_500 * stale
+            self.fleet.play(400, confirm=False)
+            awaited += 400 * lagging.service.awaits_change_feed()
+        self.assertLessEqual(awaited, 2 * membership.MAX_LAG_MS)
+
     def test_entries_of_a_small_fleet_query_the_store(self):
         small = fleet_module.Fleet(hosts=2)
         small.play(3_000)
--- a/tests/application/routing/test_relays.py
+++ b/tests/application/routing/test_relays.py
@@ -355,6 +355,22 @@
         kept.leave()
 
 
+class VersionTest(RelayCase):
+    def test_entry_with_an_older_configuration_refuses_a_relay(self):
+        """Guards against 404 of a peer for a route that the sender has."""
+        relay = ports.Relay('a-01', 'a-01-1', 'a-00-1', 0, False, 2)
+        request = builders.build_request('/added/x', relay=relay)
+        self.assertFalse(self.world.intake.is_available(request))
+        self.world.routing_state.apply_configuration(
+            builders.build_configuration(version=2)
+        )
+        self.assertTrue(self.world.intake.is_available(request))
+
+    def test_version_that_routed_a_request_is_passed_on(self):
+        _, sent = self.pass_on()
+        self.assertEqual(1, sent.relayed.relay.configuration_version)
+
+
 class LookupTest(RelayCase):
     def test_entries_without_links_are_no_choice_while_others_have_them(self):
         self.view.peers['a-01'].has_links = False
--- a/tests/engine_rules.py
+++ b/tests/engine_rules.py
@@ -1,7 +1,9 @@
-"""Rules on what servers get after they have stated their condition.
+"""Rules on what servers get, and on what callers are denied.
 
-The rules are checked from what arrives at the servers and what they answer, as
-the servers log it. All times are milliseconds of one clock.
+Servers are protected after they have stated their condition; this is checked
+from what arrives at them and what they answer, as they log it. Callers must
+not be denied what the configuration allows. All times are milliseconds of one
+clock.
 """
 
 from __future__ import annotations
@@ -24,6 +26,9 @@
 MIN_SERVED_RATIO = 2 / 3
 FAILED_SLACK = 10
 FAILED_SHARE = 1 / 50
+DENIED_SLACK = 5
+DENIED_SHARE = 1 / 500
+MAX_DENIED_ELSEWHERE = 10
 CRASHES_BEFORE_REFUSAL = 3
 MAX_RETRIES_OF_CRASHES = 3
 TOLD_MS = 500
@@ -101,6 +106,39 @@
     until: int
 
 
+@attrs.frozen
+class Version:
+    """A version of the configuration.
+
+    Attributes
+    ----------
+    number : int
+        Increases with each version.
+    sent_at : int
+        Time at which the operator sent it.
+    acknowledged_at : int
+        Time at which the store acknowledged it.
+    allowed : frozenset of str
+        Targets of the requests that it allows.
+    """
+
+    number: int
+    sent_at: int
+    acknowledged_at: int
+    allowed: frozenset[str]
+
+
+@attrs.frozen
+class Denial:
+    """A request that a host itself answered with a 3xx or 4xx status."""
+
+    sent_at: int
+    at: int
+    host: str
+    target: str
+    status: int
+
+
 def read_log(
     lines: Iterable[dict[str, typing.Any]],
 ) -> tuple[list[Arrival], list[Answer]]:
@@ -395,6 +433,109 @@
     return violations
 
 
+def find_denial_violations(
+    denials: Iterable[Denial],
+    versions: Sequence[Version],
+    request_count: int,
+    configuration_ms: int,
+    contact_ms: int,
+    disturbances: Sequence[Excuse] = (),
+) -> list[str]:
+    """Find requests that were denied although the configuration allows them.
+
+    A host without a disturbance in the last ``contact_ms`` denies nothing that
+    all versions allow which may be in force: the newest one acknowledged
+    ``configuration_ms`` before the request was sent, and any later one. Where
+    an older version explains a denial, one is too many; otherwise 5 and one in
+    500 of all requests are accepted. The other hosts deny at most ten
+    requests that all versions allow.
+
+    Parameters
+    ----------
+    denials : iterable of Denial
+        What hosts denied.
+    versions : sequence of Version
+        All versions, in their order.
+    request_count : int
+        Number of all requests.
+    configuration_ms : int
+        Time after which a version must be in force, in milliseconds.
+    contact_ms : int
+        Time after a disturbance for which a host is excused, in milliseconds.
+    disturbances : sequence of Excuse, optional
+        Disturbances of hosts; an empty host stands for the store.
+
+    Returns
+    -------
+    list of str
+        One line for each violation.
+    """
+    outdated, denied, denied_elsewhere = [], 0, 0
+    for denial in denials:
+        if _is_in_touch(denial, contact_ms, disturbances):
+            may_apply = _list_applicable(denial, versions, configuration_ms)
+            if not _do_all_allow(denial, may_apply):
+                continue
+            denied += 1
+            if any(
+                denial.target not in one.allowed
+                for one in versions
+                if one.number < may_apply[0].number
+            ):
+                outdated.append(
+                    f'{denial.host} denied {denial.target} with '
+                    f'{denial.status} at {denial.at} as only versions before '
+                    f'{may_apply[0].number} allow'
+                )
+        elif _do_all_allow(denial, versions):
+            denied_elsewhere += 1
+    if denied > DENIED_SLACK + request_count * DENIED_SHARE:
+        outdated.append(
+            f'{denied} of {request_count} requests were denied by hosts in '
+            'touch although they are proper'
+        )
+    if denied_elsewhere > MAX_DENIED_ELSEWHERE:
+        outdated.append(
+            f'{denied_elsewhere} proper requests were denied by hosts that '
+            'are out of touch'
+        )
+    return outdated
+
+
+def _is_in_touch(
+    denial: Denial, contact_ms: int, disturbances: Iterable[Excuse]
+) -> bool:
+    return not any(
+        one.host in {'', denial.host}
+        and one.since <= denial.at
+        and denial.sent_at <= one.until + contact_ms
+        for one in disturbances
+    )
+
+
+def _list_applicable(
+    denial: Denial, versions: Sequence[Version], configuration_ms: int
+) -> list[Version]:
+    """List the versions that may apply to a request."""
+    in_force = max(
+        (
+            one.number
+            for one in versions
+            if one.acknowledged_at + configuration_ms < denial.sent_at
+        ),
+        default=versions[0].number,
+    )
+    return [
+        one
+        for one in versions
+        if one.number >= in_force and one.sent_at <= denial.at
+    ]
+
+
+def _do_all_allow(denial: Denial, versions: Iterable[Version]) -> bool:
+    return all(denial.target in one.allowed for one in versions)
+
+
 def _list_limited_periods(
     answers: Sequence[Answer],
 ) -> list[tuple[int, int, list[tuple[int, float]]]]:
--- a/tests/platform/test_following.py
+++ b/tests/platform/test_following.py
@@ -410,6 +410,21 @@
         self.assertIsNone(self.follower.find_changes_since(base + 6))
         self.assertIsNone(self.follower.find_changes_since(base - 1))
 
+    async def test_overlapping_change_sets_cover_what_a_copy_missed(self):
+        """Guards against missed changes that are not sent again.
+
+        A collector retains a change set of its own watch after a longer one
+        that another entry has sent.
+        """
+        base = self.follower.revision
+        self.follower.apply_change_set(
+            self.build_change_set(base, base + 6, 6)
+        )
+        self.follower._retain(self.build_change_set(base, base + 4, 4))
+        missed = self.follower.find_changes_since(base)
+        self.assertEqual((base, base + 6), (missed.since, missed.until))
+        self.assertEqual([base + 6], [one.revision for one in missed.items])
+
     async def test_sends_the_changes_of_a_full_read(self):
         """Guards against a full read by every entry after an outage.
 
--- a/tests/simulation/desks.py
+++ b/tests/simulation/desks.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import random
 
 import attrs
@@ -27,6 +28,7 @@
 from thornspool.domain.entries import view as view_module
 from thornspool.domain.paths import reservations
 from thornspool.platform import follower
+from thornspool.platform import peers
 
 DOMAINS = ('a', 'b', 'c')
 SERVERS = 4
@@ -38,6 +40,13 @@
 CONTACT_MS = 3_000
 RUN_MS = 45
 LATENCY_MS = 1
+CONFIGURATION_MS = 3_000
+WITHDRAWN_KEY_MS = 5_000
+FRAGMENT_BYTES = 1_472
+"""Payload of one packet; a datagram is lost with any of its fragments."""
+KEPT = 12
+"""Number of added routes and keys that a version allows."""
+FIRST_TARGETS = frozenset({'/read/', '/hold/', '/brief/'})
 MAX_LATE_MS = 1_500
 
 
@@ -165,7 +174,7 @@
             None,
             self.calls,
             metrics.Metrics(),
-            5_000,
+            WITHDRAWN_KEY_MS,
             source,
         )
 
@@ -213,9 +222,13 @@
             self._send_change_set(address, change_set)
 
     def _send_change_set(self, address, change_set):
-        self._desk.deliver(
-            address, lambda one: one.follower.apply_change_set(change_set)
-        )
+        size = len(peers.encode_change_set(change_set))
+        if size <= self._desk.max_change_set_bytes:
+            self._desk.deliver(
+                address,
+                lambda one: one.follower.apply_change_set(change_set),
+                math.ceil(size / FRAGMENT_BYTES),
+            )
 
 
 class Desk:
@@ -240,20 +253,65 @@
         self.arrivals, self.departures = [], []
         self.unstable, self.excuses = [], []
         self.sent_at, self.statuses = {}, []
+        self.max_change_set_bytes = peers.MAX_DATAGRAM_BYTES
+        self.versions, self.denials, self.disturbances = [], [], []
+        self.targets = ['/read/']
         self._loop = loop
         self._tasks = set()
         self.servers = {}
         self.entries = {}
         for number in range(SERVERS):
             self.add_server(f'{DOMAINS[number % len(DOMAINS)]}-{number}')
-        document = kv_fleet.build_configuration(1)
-        for route in document['routes']:
-            route['anonymous'] = True
-        self.store.put('op/config', document)
+        self.publish_configuration(FIRST_TARGETS)
         for number in range(count):
             domain = DOMAINS[number % len(DOMAINS)]
             self.add_entry(Entry(self, f'{domain}-{number:02}', domain))
 
+    def publish_configuration(self, targets):
+        """Publish a version that allows requests with these targets.
+
+        A target is the prefix of a route, or a key of the route ``/keyed/``.
+        """
+        version = len(self.versions) + 1
+        keys = [one for one in targets if not one.startswith('/')]
+        document = kv_fleet.build_configuration(version, ('first', *keys))
+        plain = next(
+            one for one in document['routes'] if one['prefix'] == '/read/'
+        )
+        document['routes'] = [
+            {**route, 'anonymous': True} for route in document['routes']
+        ]
+        document['routes'] += [
+            {**plain, 'name': one, 'prefix': one, 'anonymous': True}
+            for one in targets
+            if one.startswith('/') and one not in FIRST_TARGETS
+        ]
+        document['routes'].append(
+            {**plain, 'name': 'keyed', 'prefix': '/keyed/', 'anonymous': False}
+        )
+        now = self.clock.now()
+        self.store.put('op/config', document)
+        self.versions.append(
+            engine_rules.Version(version, now, now, frozenset(targets))
+        )
+
+    async def change_configuration(self, count, interval_ms):
+        """Add a route and a key, and remove older ones, again and again.
+
+        Callers use what was just added, what was removed, and what was never
+        there.
+        """
+        never = ['/never/', 'key-never']
+        added = []
+        for number in range(count):
+            pair = [f'/added-{number}/', f'key-{number}']
+            added.append(pair)
+            allowed = [one for two in added[-KEPT:] for one in two]
+            self.publish_configuration(FIRST_TARGETS.union(allowed))
+            recent = [one for two in added[-KEPT - 2 :] for one in two]
+            self.targets = ['/read/', *recent, *pair, *never]
+            await loops.sleep_ms(interval_ms)
+
     def start_task(self, coroutine):
         task = self._loop.create_task(coroutine)
         self._tasks.add(task)
@@ -311,6 +369,10 @@
         self.unstable.append(
             engine_rules.Excuse('', began_at, self.clock.now())
         )
+        self.disturbances += [
+            engine_rules.Excuse(host, began_at, self.clock.now())
+            for host in ([''] if hosts is None else hosts)
+        ]
 
     async def _return(self, server):
         await loops.sleep_ms(self.source.uniform(*stores.RETURN_MS))
@@ -326,11 +388,14 @@
         self.excuses.append(
             engine_rules.Excuse(host, began_at, self.clock.now() + CONTACT_MS)
         )
+        self.disturbances.append(
+            engine_rules.Excuse(host, began_at, self.clock.now())
+        )
 
-    def deliver(self, address, apply):
+    def deliver(self, address, apply, fragments=1):
         """Deliver a datagram to an entry, late or never for some of them."""
         drawn = self.source.random()
-        if drawn < self.lost_share:
+        if drawn < 1.0 - (1.0 - self.lost_share) ** fragments:
             return
         delay_ms = LATENCY_MS
         if drawn < self.lost_share + self.late_share:
@@ -352,17 +417,21 @@
             hosts = sorted(self.entries)
             entry = self.entries[hosts[number % len(hosts)]]
             if entry.is_up:
-                self.start_task(self._send(entry, f'{entry.host}.{number}'))
+                target = self.source.choice(self.targets)
+                self.start_task(
+                    self._send(entry, f'{entry.host}.{number}', target)
+                )
 
-    async def _send(self, entry, name):
-        self.sent_at[name] = self.clock.now()
+    async def _send(self, entry, name, target):
+        self.sent_at[name] = sent_at = self.clock.now()
         reply = builders.FakeResponseWriter()
+        is_key = not target.startswith('/')
         entry.intake.serve(
             builders.build_request(
-                '/read/x',
+                '/keyed/x' if is_key else f'{target}x',
                 id=name,
                 host=kv_fleet.HOST,
-                key=None,
+                key=target if is_key else None,
                 timeout_ms=2_000,
                 arrived_at=self.clock.now(),
             ),
@@ -370,7 +439,25 @@
         )
         while not (reply.whole or reply.aborted):
             await loops.sleep_ms(5)
-        self.statuses.append((self.clock.now(), entry.host, reply.status))
+        now = self.clock.now()
+        self.statuses.append((now, entry.host, reply.status))
+        if reply.status in {401, 404}:
+            self.denials.append(
+                engine_rules.Denial(
+                    sent_at, now, entry.host, target, reply.status
+                )
+            )
+
+    def find_denial_violations(self):
+        """Find requests that were denied although they are proper."""
+        return engine_rules.find_denial_violations(
+            self.denials,
+            self.versions,
+            len(self.sent_at),
+            CONFIGURATION_MS,
+            CONTACT_MS,
+            self.disturbances,
+        )
 
     def find_violations(self):
         """Find requests that reached servers that had left."""
