Deny only what a current copy of the configuration shows

Callers got 404 and 401 for routes and keys that the store had acknowledged long before, and never sent these requests again. Cause: the age of the copy was checked only where a route was found, and against the bound for withdrawn keys; the bound of the configuration was read from the settings and used nowhere.

Now one decision, domain/routing/decisions.py, says allowed, denied or unknown. A copy older than 0.85 of the bound of the configuration, or one whose version is older than a version that a peer has announced, denies nothing: the caller gets 503 with Retry-After, and the copy is confirmed by one short watch, which all callers of a second share and which is left out while the store fails. What an entry allows is unchanged.

--- a/src/thornspool/application/routing/intake.py
+++ b/src/thornspool/application/routing/intake.py
@@ -12,7 +12,7 @@
 
 from thornspool.application.routing import exchanges
 from thornspool.application.routing import streams as streams_module
-from thornspool.domain.freshness import confirmations
+from thornspool.domain.routing import decisions
 from thornspool.domain.routing import messages as routing
 
 if typing.TYPE_CHECKING:
@@ -27,12 +27,14 @@
         routing_state as routing_state_module,
     )
     from thornspool.domain.fleet import timings
+    from thornspool.domain.freshness import age_limits
 
 NOT_READY_RETRY_MS = 700
 """Retry-After of an entry that can't serve yet. An entry reads its
 configuration within about 100 ms of its start; store outages last seconds."""
 
 _UNAVAILABLE = 503
+_DENIAL_STATUSES = {'no_route': 404, 'unknown_key': 401}
 
 logger = structlog.get_logger(__name__)
 
@@ -52,15 +54,20 @@
         Serves requests to plain services.
     metrics : metrics_module.Metrics
         Counts requests, outcomes and refusals.
-    withdrawn_key_ms : int
-        Time in milliseconds after which a withdrawn key must be rejected.
+    limits : age_limits.AgeLimits
+        Ages up to which the copy of the store supports a decision.
     random_source : random.Random
         Source of randomness for the choice of services by weight.
     is_peer_current : callable, optional
-        Returns whether another entry may have a current configuration.
+        Returns whether another entry's copy may be within an age in
+        milliseconds.
 
     Attributes
     ----------
+    find_newest_version : callable
+        Returns the newest version that any peer has announced.
+    confirm_copy : callable
+        Lets the copy be confirmed soon.
     describe_copy : callable
         Returns fields for the log line of a refusal.
     """
@@ -72,9 +79,9 @@
         streams: streams_module.StreamService,
         calls: calls.CallService,
         metrics: metrics_module.Metrics,
-        withdrawn_key_ms: int,
+        limits: age_limits.AgeLimits,
         random_source: random.Random,
-        is_peer_current: Callable[[], bool] = lambda: False,
+        is_peer_current: Callable[[float], bool] = lambda age_ms: False,
     ) -> None:
         self._clock = clock
         self._is_peer_current = is_peer_current
@@ -82,8 +89,10 @@
         self._streams = streams
         self._calls = calls
         self._metrics = metrics
-        self.max_key_age_ms = withdrawn_key_ms * confirmations.KEY_AGE_SHARE
+        self._limits = limits
         self._random = random_source
+        self.find_newest_version: Callable[[], int] = lambda: 0
+        self.confirm_copy: Callable[[], None] = lambda: None
         self.describe_copy: Callable[[], dict[str, typing.Any]] = dict
         self.in_flight = 0
         self.is_draining = False
@@ -91,33 +100,31 @@
     def is_current(self) -> bool:
         """Return whether requests with a key may be served."""
         return self._routing_state.freshness.is_within(
-            self.max_key_age_ms, self._clock.now()
+            self._limits.key_ms, self._clock.now()
         )
 
     def serve(
         self, request: ports.Request, reply: ports.ResponseWriter
     ) -> None:
         """Serve a request."""
-        route = self._find_route(request)
-        unavailability = self._find_unavailability(route)
+        decision = self._decide(request)
+        unavailability = self._find_unavailability(decision)
         if unavailability is not None:
-            self._refuse(request, reply, 503, *unavailability)
+            self._refuse(request, reply, _UNAVAILABLE, *unavailability)
             return
         configuration = self._routing_state.configuration
-        if configuration is None or route is None:
-            self._refuse(request, reply, 404, 'no_route')
+        route = decision.route
+        if decision.verdict is decisions.Verdict.DENIED:
+            status = _DENIAL_STATUSES[decision.reason]
+            self._refuse(request, reply, status, decision.reason)
             return
-        workspace = None
-        if configuration.needs_keys and not route.anonymous:
-            workspace = configuration.workspaces.get(request.key or '')
-            if workspace is None:
-                self._refuse(request, reply, 401, 'unknown_key')
-                return
+        assert configuration is not None
+        assert route is not None
         exchange = exchanges.Exchange(
             request,
             reply,
             route,
-            workspace,
+            decision.workspace,
             routing.choose_service(route, self._random.random()),
             configuration.version,
             self._record_end,
@@ -133,7 +140,7 @@
 
         Another entry may serve it where this one may not.
         """
-        return self._find_unavailability(self._find_route(request)) is None
+        return self._find_unavailability(self._decide(request)) is None
 
     def _find_route(self, request: ports.Request) -> routing.Route | None:
         configuration = self._routing_state.configuration
@@ -141,31 +148,40 @@
             return None
         return configuration.find_route(request.host, request.path)
 
+    def _decide(self, request: ports.Request) -> decisions.Decision:
+        """Decide what the local copy of the configuration proves."""
+        state = self._routing_state
+        copy = decisions.Copy(
+            state.configuration,
+            state.freshness.compute_age(self._clock.now()),
+            self.find_newest_version(),
+        )
+        return decisions.decide(
+            copy, self._limits, request.host, request.path, request.key
+        )
+
     def _find_unavailability(
-        self, route: routing.Route | None
+        self, decision: decisions.Decision
     ) -> tuple[str, int] | None:
-        """Return why this entry may not serve requests of a route now.
+        """Return why this entry may not decide on a request now.
 
         Returns
         -------
         tuple of str and int, or None
             The reason, and Retry-After in milliseconds.
         """
-        configuration = self._routing_state.configuration
-        if configuration is None:
-            return 'no_configuration', NOT_READY_RETRY_MS
+        if self._routing_state.configuration is None:
+            return decision.reason, NOT_READY_RETRY_MS
         if self.is_draining:
             return 'draining', streams_module.DRAINING_RETRY_MS
-        # A withdrawn key must be rejected even when the store no longer
-        # answers this host, so keys need a recent configuration.
-        if (
-            route is not None
-            and configuration.needs_keys
-            and not route.anonymous
-            and not self.is_current()
-        ):
-            return 'not_current', self._choose_not_current_retry_ms()
-        return None
+        if decision.verdict is not decisions.Verdict.UNKNOWN:
+            return None
+        if decision.reason == 'not_current':
+            limit_ms = self._limits.key_ms
+        else:
+            limit_ms = self._limits.denial_ms
+            self.confirm_copy()
+        return decision.reason, self._choose_not_current_retry_ms(limit_ms)
 
     def find_priority(self, request: ports.Request) -> int:
         """Return the priority of a request's route from 0 to 9."""
@@ -182,13 +198,13 @@
             one.request.relay is not None for one in exchanges_in_progress
         )
 
-    def _choose_not_current_retry_ms(self) -> int:
-        """Choose the Retry-After for a request whose key can't be checked.
+    def _choose_not_current_retry_ms(self, limit_ms: float) -> int:
+        """Choose the Retry-After for a request that the copy can't decide.
 
         When the store rejects single hosts only, another entry can serve the
         request at once, and a longer wait alone would make it late.
         """
-        if self._is_peer_current():
+        if self._is_peer_current(limit_ms):
             return streams_module.DRAINING_RETRY_MS
         return NOT_READY_RETRY_MS
 
--- a/src/thornspool/domain/freshness/confirmations.py
+++ b/src/thornspool/domain/freshness/confirmations.py
@@ -12,10 +12,10 @@
 
 import attrs
 
-KEY_AGE_SHARE = 0.85
-"""Share of the bound for withdrawn keys after which keyed requests stop.
+BOUND_SHARE = 0.85
+"""Share of a bound up to which the age of the copy supports a decision.
 
-The bound runs from the store's acknowledgement to the sending of a request,
+A bound runs from the store's acknowledgement to the sending of a request,
 and a confirmation is dated at the sending of its call, so 1.0 would be safe
 with clocks that run at the same rate. The remainder covers late timers and
 clock drift.
--- a/src/thornspool/platform/daemon.py
+++ b/src/thornspool/platform/daemon.py
@@ -45,7 +45,7 @@
 from thornspool.domain.entries import view as view_module
 from thornspool.domain.fleet import links as links_module
 from thornspool.domain.fleet import refusals
-from thornspool.domain.freshness import confirmations
+from thornspool.domain.freshness import age_limits
 from thornspool.domain.paths import reservations
 from thornspool.platform import callers
 from thornspool.platform import engines
@@ -224,6 +224,9 @@
         random_source: random.Random,
     ) -> None:
         self._settings = settings
+        self._limits = age_limits.compute_limits(
+            settings.bounds.withdrawn_key_ms, settings.bounds.configuration_ms
+        )
         self._clock = clock
         self._random = random_source
         self._loop_delay = loop_delays.LoopDelay(FAST_TICK_INTERVAL_MS)
@@ -238,6 +241,7 @@
         )
         self._listen()
         self._run(self._follower.run())
+        self._run(self._follower.run_confirmations())
         self._run(self._run_quarantine())
         self._run_periodically(REGISTRATION_INTERVAL_MS, self._register)
         self._run_periodically(REGISTRATION_INTERVAL_MS, self._keep_verdicts)
@@ -332,9 +336,7 @@
             self._routing_state,
             self._view,
             self._leadership,
-            follower.compute_watch_ms(
-                bounds.withdrawn_key_ms * confirmations.KEY_AGE_SHARE
-            ),
+            follower.compute_watch_ms(self._limits.key_ms),
             follower.Coordination(
                 lambda: self._membership.is_feed_current(),
                 lambda: self._membership.is_collector_cut_off(),
@@ -466,12 +468,14 @@
             self._streams,
             self._calls,
             self._metrics,
-            self._settings.bounds.withdrawn_key_ms,
+            self._limits,
             self._random,
-            lambda: self._view.has_current_peer(
-                self._intake.max_key_age_ms, self._clock.now()
+            lambda age_ms: self._view.has_current_peer(
+                age_ms, self._clock.now()
             ),
         )
+        self._intake.confirm_copy = self._follower.request_confirmation
+        self._intake.find_newest_version = self._view.find_newest_version
         self._intake.describe_copy = self._describe_copy
 
     def _describe_copy(self) -> dict[str, typing.Any]:
@@ -659,7 +663,7 @@
     def _update_state(self) -> None:
         self._membership.update_state(
             self._routing_state.configuration is not None,
-            self._intake.max_key_age_ms,
+            self._limits.key_ms,
         )
 
     async def _plan(self) -> None:
--- a/src/thornspool/platform/follower.py
+++ b/src/thornspool/platform/follower.py
@@ -92,6 +92,16 @@
 be in force within 2 s.
 """
 
+CONFIRMATION_WATCH_MS = 1
+"""Wait of a watch that only confirms the copy."""
+
+CONFIRMATION_INTERVAL_MS = 1_000
+"""Shortest interval of confirmations that callers cause.
+
+Requests for unknown paths or with unknown keys must not make an entry call the
+store for each of them.
+"""
+
 FIRST_WATCH_DELAY_MS = 400
 """Delay between the first read of all keys and the first watch.
 
@@ -253,6 +263,7 @@
         self._watch_ms = watch_ms
         self._coordination = coordination or Coordination()
         self._verdicts = verdicts
+        self._confirmation_requested = asyncio.Event()
         self._sends_feed = False
         self._received_feed = False
         self._reachable = False
@@ -260,6 +271,31 @@
         self._called_at = clock.now()
         self._outage_max_age_ms = self._draw_uniform(OUTAGE_MAX_AGE_RANGE_MS)
 
+    def request_confirmation(self) -> None:
+        """Let the copy be confirmed soon, while the store responds."""
+        self._confirmation_requested.set()
+
+    async def run_confirmations(self) -> None:
+        """Confirm the copy on request until cancelled.
+
+        All requests within an interval share one call.
+        """
+        while True:
+            await self._confirmation_requested.wait()
+            if self._reachable and not self._must_read_all:
+                await self._confirm()
+            await asyncio.sleep(CONFIRMATION_INTERVAL_MS / _MS_PER_S)
+            self._confirmation_requested.clear()
+
+    async def _confirm(self) -> None:
+        try:
+            await self._fetch_changes(CONFIRMATION_WATCH_MS)
+        except exceptions.HistoryCompacted:
+            self._must_read_all = True
+        except exceptions.StoreError as error:
+            # The next watch finds out whether the store responds.
+            logger.info('confirmation_failed', reason=str(error))
+
     async def run(self) -> None:
         """Follow the store until cancelled."""
         while True:
@@ -419,21 +455,27 @@
         return ChangeSet(revision, self.revision, tuple(items.values()), exact)
 
     async def _watch(self) -> None:
-        sent_at = self._called_at = self._clock.now()
+        self._called_at = self._clock.now()
+        has_changes = await self._fetch_changes(self._choose_watch_ms())
+        self._received_feed = False
+        self._record_reachable(True, '')
+        self._outage_max_age_ms = self._draw_uniform(OUTAGE_MAX_AGE_RANGE_MS)
+        if has_changes:
+            await asyncio.sleep(COALESCE_MS / _MS_PER_S)
+
+    async def _fetch_changes(self, wait_ms: int) -> bool:
+        """Watch the store once and return whether anything has changed."""
+        sent_at = self._clock.now()
         since = self.revision
-        changes = await self._store.watch('', since, self._choose_watch_ms())
+        changes = await self._store.watch('', since, wait_ms)
         self._routing_state.record_store_contact(self._clock.now())
-        self._received_feed = False
         self._apply_new(changes.items)
         self.revision = max(self.revision, changes.revision)
         self._pass_on(ChangeSet(since, changes.revision, changes.items))
         # The response includes every write acknowledged before the call was
         # sent.
         self._routing_state.freshness.confirm(sent_at)
-        self._record_reachable(True, '')
-        self._outage_max_age_ms = self._draw_uniform(OUTAGE_MAX_AGE_RANGE_MS)
-        if changes.items:
-            await asyncio.sleep(COALESCE_MS / _MS_PER_S)
+        return bool(changes.items)
 
     def _is_far_behind(self) -> bool:
         """Return whether reading all keys is cheaper than a watch.
--- a/tests/application/routing/builders.py
+++ b/tests/application/routing/builders.py
@@ -30,6 +30,7 @@
 from thornspool.domain.entries import messages as entries
 from thornspool.domain.entries import view as view_module
 from thornspool.domain.fleet import links as links_module
+from thornspool.domain.freshness import age_limits
 from thornspool.domain.paths import reservations
 from thornspool.domain.routing import messages as routing
 from thornspool.platform import peer_calls
@@ -37,6 +38,7 @@
 HOST = 'desk.example'
 FAR_FUTURE = 2**62
 
+LIMITS = age_limits.compute_limits(5_000, 2_000)
 _tasks = set()
 
 
@@ -395,9 +397,9 @@
             self.streams,
             self.calls,
             self.metrics,
-            5_000,
+            LIMITS,
             random.Random(1),
-            lambda: self.others_serve,
+            lambda age_ms: self.others_serve,
         )
         self.others_serve = False
         self.routing_state.apply_configuration(build_configuration())
--- a/tests/application/routing/test_intake.py
+++ b/tests/application/routing/test_intake.py
@@ -47,6 +47,16 @@
                 self.assertEqual(503, reply.status)
                 self.assertIsNotNone(reply.retry_after_ms)
 
+    def test_copy_that_lags_behind_a_peer_shows_no_absence(self):
+        """Guards against 404 for routes that another entry serves."""
+        confirmed = []
+        self.world.intake.confirm_copy = lambda: confirmed.append(True)
+        self.world.intake.find_newest_version = lambda: 2
+        self.assertEqual(503, self.world.serve('/none/x').status)
+        self.assertEqual(503, self.world.serve(key='key-2').status)
+        self.assertEqual(2, len(confirmed))
+        self.assertIsNone(self.world.serve(number=2).status)
+
     def test_only_a_current_copy_shows_that_a_key_does_not_exist(self):
         """Guards against 401 for keys that the copy does not show yet."""
         self.assertEqual(401, self.world.serve(key='key-2').status)
--- a/tests/platform/test_following.py
+++ b/tests/platform/test_following.py
@@ -425,6 +425,34 @@
         self.assertEqual((base, base + 6), (missed.since, missed.until))
         self.assertEqual([base + 6], [one.revision for one in missed.items])
 
+    async def test_callers_cause_one_confirmation_in_an_interval(self):
+        """Guards against a call to the store for each unknown path."""
+        self.assertTrue(self.follower._reachable)
+        confirming = asyncio.create_task(self.follower.run_confirmations())
+        for _ in range(20):
+            self.follower.request_confirmation()
+            await asyncio.sleep(0.02)
+        self.assertEqual(1, self.store.calls['kv-watch'])
+        confirming.cancel()
+
+    async def test_callers_cause_no_calls_while_the_store_fails(self):
+        """Guards against a call to the store for each unknown path."""
+        self.follower._record_reachable(False, 'no answer')
+        confirming = asyncio.create_task(self.follower.run_confirmations())
+        self.follower.request_confirmation()
+        await asyncio.sleep(0.1)
+        self.assertEqual(0, self.store.calls['kv-watch'])
+        confirming.cancel()
+
+    async def test_confirmation_applies_what_the_copy_lacks(self):
+        self.put('op/config', kv_fleet.build_configuration(7))
+        confirming = asyncio.create_task(self.follower.run_confirmations())
+        self.follower.request_confirmation()
+        async with asyncio.timeout(0.5):
+            while self.routing_state.configuration.version != 7:
+                await asyncio.sleep(0.01)
+        confirming.cancel()
+
     async def test_sends_the_changes_of_a_full_read(self):
         """Guards against a full read by every entry after an outage.
 
--- a/tests/simulation/desks.py
+++ b/tests/simulation/desks.py
@@ -26,6 +26,7 @@
 from thornspool.domain.entries import leadership
 from thornspool.domain.entries import messages
 from thornspool.domain.entries import view as view_module
+from thornspool.domain.freshness import age_limits
 from thornspool.domain.paths import reservations
 from thornspool.platform import follower
 from thornspool.platform import peers
@@ -41,7 +42,7 @@
 RUN_MS = 45
 LATENCY_MS = 1
 CONFIGURATION_MS = 3_000
-WITHDRAWN_KEY_MS = 5_000
+LIMITS = age_limits.compute_limits(5_000, CONFIGURATION_MS)
 FRAGMENT_BYTES = 1_472
 """Payload of one packet; a datagram is lost with any of its fragments."""
 KEPT = 12
@@ -174,14 +175,18 @@
             None,
             self.calls,
             metrics.Metrics(),
-            WITHDRAWN_KEY_MS,
+            LIMITS,
             source,
+            lambda age_ms: self.view.has_current_peer(age_ms, clock.now()),
         )
+        self.intake.find_newest_version = self.view.find_newest_version
+        self.intake.confirm_copy = self.follower.request_confirmation
 
     def start(self):
         desk = self._desk
         self._tasks = [
             desk.start_task(self.follower.run()),
+            desk.start_task(self.follower.run_confirmations()),
             desk.start_task(loops.run_periodically(25, self._tick)),
             desk.start_task(loops.run_periodically(100, self._purge)),
             desk.start_task(loops.run_periodically(200, self._update)),
--- a/tests/simulation/world.py
+++ b/tests/simulation/world.py
@@ -37,6 +37,7 @@
 from thornspool.domain.entries import view as view_module
 from thornspool.domain.fleet import links
 from thornspool.domain.fleet import refusals
+from thornspool.domain.freshness import age_limits
 from thornspool.domain.paths import reservations
 from thornspool.domain.placement import orders as orders_module
 from thornspool.domain.placement import planning
@@ -64,7 +65,7 @@
 RETRY_WINDOW_MS = 10_000
 """Window in which the retry budget counts requests and retries."""
 
-WITHDRAWN_KEY_MS = 5_000
+LIMITS = age_limits.compute_limits(5_000, 2_000)
 """Time after which a withdrawn key must not be accepted."""
 
 
@@ -346,7 +347,7 @@
             self.streams,
             self.calls,
             metrics.Metrics(),
-            WITHDRAWN_KEY_MS,
+            LIMITS,
             randomness,
         )
         self.relay_intake = relays.RelayIntake(
--- a/tools/mechanisms.py
+++ b/tools/mechanisms.py
@@ -354,7 +354,7 @@
     'outdated-retry': (
         Edit(
             f'{_ROUTING}/intake.py',
-            'if self._is_peer_current():\n',
+            'if self._is_peer_current(limit_ms):\n',
             'if False:\n',
         ),
     ),
