Query the store before the bound of the configuration has passed

Entries that the store served denied routes and keys that had been added over 3 s before, as only older versions allow. Cause: an entry whose collector had lost the store waited for it until its copy was 3.2 to 6.0 s old, drawn at random, and 2.5 to 5 s between calls, whatever the bound of the configuration was; collectors took turns meanwhile, each after the timeout of a watch.

The ages at which an entry stops to rely on its copy, on its collector or on the feed, the watches of collectors and the delays in outages follow from the bounds of the deployment now (domain/freshness/age_limits.py). The simulation checks every 50 ms which version each entry applies.

--- a/src/thornspool/application/routing/membership.py
+++ b/src/thornspool/application/routing/membership.py
@@ -10,6 +10,7 @@
 from thornspool.domain.entries import messages
 from thornspool.domain.entries import totals as totals_module
 from thornspool.domain.entries import view as view_module
+from thornspool.domain.freshness import age_limits
 
 if typing.TYPE_CHECKING:
     from collections.abc import Callable
@@ -33,14 +34,6 @@
 """Time since the collector's last update after which an entry follows the
 store itself."""
 
-MAX_FEED_AGE_MS = 1_900
-"""Age of the collector's copy above which entries do not rely on it.
-
-A watch of a collector waits 0.8 s, and the freshness of its copy is dated at
-the sending of the request. So the copy is at most 1.6 s old while the store
-responds.
-"""
-
 MAX_LAG_MS = 500
 """Time for which the local copy may lag behind the collector's copy.
 
@@ -48,14 +41,6 @@
 state update, within 400 ms, and sends it again.
 """
 
-MAX_COPY_AGE_MS = 2_800
-"""Age of the local copy above which an entry queries the store itself although
-it receives updates.
-
-This is two intervals of state updates above the maximum age that a collector
-reports.
-"""
-
 MIN_AHEAD_MS = 500
 """Time by which the local copy must be fresher than the collector's copy to
 show that the store has responded to this entry; it covers the transmission of
@@ -97,6 +82,16 @@
         Returns the store revision of the local copy.
     send_missed : callable, optional
         Sends the changes after a revision to ``ip:port``.
+
+    Attributes
+    ----------
+    state : messages.State
+        State of this entry towards callers.
+    limits : age_limits.AgeLimits
+        Ages up to which the copies of this entry and of its collector are
+        relied on.
+    has_lost_links : callable
+        Returns whether this entry reaches no server.
     """
 
     def __init__(
@@ -129,6 +124,7 @@
         self._tick_count = 0
         self._last_current_at = clock.now()
         self.state = messages.State.STARTING
+        self.limits = age_limits.DEFAULT
         self.has_lost_links: Callable[[], bool] = lambda: False
 
     def tick(self) -> None:
@@ -314,12 +310,14 @@
 
     def _is_copy_fresh(self, now: int) -> bool:
         age = self._routing_state.freshness.compute_age(now)
-        return age is not None and age <= MAX_COPY_AGE_MS
+        return age is not None and age <= self.limits.copy_ms
 
     def _is_feed_fresh(self) -> bool:
         """Return whether the collector reached the store recently."""
         feed = self._feed_update
-        return feed is not None and 0 <= feed.proof_age_ms <= MAX_FEED_AGE_MS
+        return (
+            feed is not None and 0 <= feed.proof_age_ms <= self.limits.feed_ms
+        )
 
     def _receives_feed(self, now: int) -> bool:
         return (
--- a/src/thornspool/platform/daemon.py
+++ b/src/thornspool/platform/daemon.py
@@ -336,7 +336,7 @@
             self._routing_state,
             self._view,
             self._leadership,
-            follower.compute_watch_ms(self._limits.key_ms),
+            self._limits,
             follower.Coordination(
                 lambda: self._membership.is_feed_current(),
                 lambda: self._membership.is_collector_cut_off(),
@@ -523,6 +523,7 @@
         self._streams.take_over = self._relays.take_over
         self._streams.has_linked_peer = self._relays.has_linked_peer
         self._calls.take_over = self._relays.take_over
+        self._membership.limits = self._limits
         self._membership.has_lost_links = lambda: links.are_lost
         self._registration.may_lead = self._evidence.may_lead
 
--- a/src/thornspool/platform/follower.py
+++ b/src/thornspool/platform/follower.py
@@ -9,6 +9,7 @@
 import attrs
 import structlog
 
+from thornspool.domain.freshness import age_limits
 from thornspool.platform import documents
 from thornspool.platform import exceptions
 from thornspool.platform import registry
@@ -29,13 +30,6 @@
 MAX_WATCH_MS = 1_800
 """Longest wait of a watch; each watch is one call that the store charges."""
 
-COLLECTOR_WATCH_MS = 800
-"""Longest wait of a collector's watch.
-
-The age of its copy is up to twice that, and the age of its peers' copies is
-larger by two intervals of state updates.
-"""
-
 RECOVERY_WATCH_MS = 200
 """Wait of the first watch after a failure.
 
@@ -70,21 +64,6 @@
 The copy is confirmed within this time after the store recovers.
 """
 
-OUTAGE_RETRY_RANGE_MS = (2_500, 5_000)
-"""Range of the retry delay while the collector can't reach the store either.
-
-When the collector reaches the store, its change feed makes a call of this
-entry unnecessary.
-"""
-
-OUTAGE_MAX_AGE_RANGE_MS = (3_200, 6_000)
-"""Range of the age of the copy at which such an entry calls the store itself.
-
-Before that age, entries become collector one after the other until the store
-responds to one of them, and most shared outages end. Beyond it, an entry that
-alone can reach the store does so.
-"""
-
 FEED_WAIT_MS = 800
 """Age of the copy up to which an entry waits for its collector's feed.
 
@@ -221,8 +200,8 @@
         Receives registrations of entries.
     leadership : leadership_module.Leadership
         Receives changes of the leader.
-    watch_ms : int
-        Wait of a watch, in milliseconds.
+    limits : age_limits.AgeLimits, optional
+        Ages of the copy at which it must be confirmed.
     coordination : Coordination, optional
         Callbacks for sharing store calls.
     verdicts : stored_verdicts.StoredVerdicts, optional
@@ -244,7 +223,7 @@
         routing_state: routing_state_module.RoutingState,
         view: view_module.View,
         leadership: leadership_module.Leadership,
-        watch_ms: int = MAX_WATCH_MS,
+        limits: age_limits.AgeLimits = age_limits.DEFAULT,
         coordination: Coordination | None = None,
         verdicts: stored_verdicts.StoredVerdicts | None = None,
     ) -> None:
@@ -260,7 +239,8 @@
         self._change_sets: collections.deque[ChangeSet] = collections.deque(
             maxlen=MAX_CHANGE_SETS
         )
-        self._watch_ms = watch_ms
+        self._limits = limits
+        self._watch_ms = compute_watch_ms(limits.key_ms)
         self._coordination = coordination or Coordination()
         self._verdicts = verdicts
         self._confirmation_requested = asyncio.Event()
@@ -269,7 +249,7 @@
         self._reachable = False
         self._pause_ms = RETRY_MS
         self._called_at = clock.now()
-        self._outage_max_age_ms = self._draw_uniform(OUTAGE_MAX_AGE_RANGE_MS)
+        self._query_age_ms = self._draw_uniform(limits.query_range_ms)
 
     def request_confirmation(self) -> None:
         """Let the copy be confirmed soon, while the store responds."""
@@ -329,10 +309,10 @@
         if age is None or not self._coordination.is_follower():
             return False
         if self._coordination.is_collector_cut_off():
-            return age < self._outage_max_age_ms
+            return age < self._query_age_ms
         return age < FEED_WAIT_MS
 
-    def _draw_uniform(self, range_ms: tuple[int, int]) -> int:
+    def _draw_uniform(self, range_ms: tuple[float, float]) -> int:
         """Draw a random time, so that entries do not call simultaneously."""
         minimum, maximum = range_ms
         return round(
@@ -352,7 +332,7 @@
         self._pause_ms = min(MAX_RETRY_MS, 2 * self._pause_ms)
         if self._coordination.is_collector_cut_off():
             outage_retry_at = started_at + self._draw_uniform(
-                OUTAGE_RETRY_RANGE_MS
+                self._limits.retry_range_ms
             )
         while not self._coordination.receives_feed():
             now = self._clock.now()
@@ -459,7 +439,7 @@
         has_changes = await self._fetch_changes(self._choose_watch_ms())
         self._received_feed = False
         self._record_reachable(True, '')
-        self._outage_max_age_ms = self._draw_uniform(OUTAGE_MAX_AGE_RANGE_MS)
+        self._query_age_ms = self._draw_uniform(self._limits.query_range_ms)
         if has_changes:
             await asyncio.sleep(COALESCE_MS / _MS_PER_S)
 
@@ -492,7 +472,7 @@
             # has aged meanwhile.
             return RECOVERY_WATCH_MS
         if self._sends_feed:
-            return min(COLLECTOR_WATCH_MS, self._watch_ms)
+            return min(self._limits.collector_watch_ms, self._watch_ms)
         return self._watch_ms
 
     def apply_change_set(self, change_set: ChangeSet) -> None:
--- a/tests/application/routing/test_membership.py
+++ b/tests/application/routing/test_membership.py
@@ -10,6 +10,7 @@
 from thornspool.domain.entries import collectors
 from thornspool.domain.entries import messages
 from thornspool.domain.fleet import server_hashes
+from thornspool.domain.freshness import age_limits
 
 ENGINE_HASH = server_hashes.compute_server_hash(fleet_module.ENGINE)
 
@@ -463,6 +464,25 @@
 
 class ConstantsTest(unittest.TestCase):
     def test_old_copy_is_detected_before_keys_are_rejected(self):
-        """Keys are rejected from 0.85 of the 5 s bound on."""
-        detected_ms = membership.MAX_COPY_AGE_MS + 100
-        self.assertLess(detected_ms, 0.85 * 5_000 - 700)
+        """Keys are rejected from 0.85 of the bound on."""
+        for configuration_ms in (2_000, 3_000, 4_000):
+            with self.subTest(configuration_ms):
+                limits = age_limits.compute_limits(5_000, configuration_ms)
+                detected_ms = limits.copy_ms + 100
+                self.assertLess(detected_ms, limits.key_ms - 700)
+
+    def test_entries_query_the_store_before_the_bound_has_passed(self):
+        """Guards against entries that wait for a collector for too long."""
+        for configuration_ms in (1_500, 2_000, 3_000, 4_000, 8_000):
+            with self.subTest(configuration_ms):
+                limits = age_limits.compute_limits(5_000, configuration_ms)
+                calm_ms = 2 * (
+                    limits.collector_watch_ms + age_limits.UPDATE_INTERVAL_MS
+                )
+                self.assertLess(limits.query_range_ms[1], configuration_ms)
+                self.assertLess(limits.copy_ms, configuration_ms)
+                self.assertLess(
+                    limits.retry_range_ms[1], configuration_ms - 500
+                )
+                if configuration_ms >= 2_000:
+                    self.assertLess(calm_ms, limits.copy_ms)
--- a/tests/engine_rules.py
+++ b/tests/engine_rules.py
@@ -139,6 +139,15 @@
     status: int
 
 
+@attrs.frozen
+class InForce:
+    """Version of the configuration that a host applies at a time."""
+
+    at: int
+    host: str
+    number: int
+
+
 def read_log(
     lines: Iterable[dict[str, typing.Any]],
 ) -> tuple[list[Arrival], list[Answer]]:
@@ -472,7 +481,9 @@
     """
     outdated, denied, denied_elsewhere = [], 0, 0
     for denial in denials:
-        if _is_in_touch(denial, contact_ms, disturbances):
+        if _is_in_touch(
+            denial.host, denial.sent_at, denial.at, contact_ms, disturbances
+        ):
             may_apply = _list_applicable(denial, versions, configuration_ms)
             if not _do_all_allow(denial, may_apply):
                 continue
@@ -502,29 +513,75 @@
     return outdated
 
 
+def find_late_versions(
+    applied: Iterable[InForce],
+    versions: Sequence[Version],
+    configuration_ms: int,
+    contact_ms: int,
+    disturbances: Sequence[Excuse] = (),
+) -> list[str]:
+    """Find hosts in touch that apply a version for too long.
+
+    Parameters
+    ----------
+    applied : iterable of InForce
+        What hosts applied at some times.
+    versions, configuration_ms, contact_ms, disturbances
+        See `find_denial_violations`.
+
+    Returns
+    -------
+    list of str
+        One line for each host and version.
+    """
+    late = {}
+    for one in applied:
+        due = _find_due(one.at, versions, configuration_ms)
+        if one.number < due and _is_in_touch(
+            one.host, one.at, one.at, contact_ms, disturbances
+        ):
+            late.setdefault(
+                (one.host, one.number),
+                f'{one.host} applies version {one.number} at {one.at}, '
+                f'where {due} is due',
+            )
+    return list(late.values())
+
+
 def _is_in_touch(
-    denial: Denial, contact_ms: int, disturbances: Iterable[Excuse]
+    host: str,
+    since: int,
+    until: int,
+    contact_ms: int,
+    disturbances: Iterable[Excuse],
 ) -> bool:
     return not any(
-        one.host in {'', denial.host}
-        and one.since <= denial.at
-        and denial.sent_at <= one.until + contact_ms
+        one.host in {'', host}
+        and one.since <= until
+        and since <= one.until + contact_ms
         for one in disturbances
     )
 
 
-def _list_applicable(
-    denial: Denial, versions: Sequence[Version], configuration_ms: int
-) -> list[Version]:
-    """List the versions that may apply to a request."""
-    in_force = max(
+def _find_due(
+    at: int, versions: Sequence[Version], configuration_ms: int
+) -> int:
+    """Return the number of the version that is due at a time."""
+    return max(
         (
             one.number
             for one in versions
-            if one.acknowledged_at + configuration_ms < denial.sent_at
+            if one.acknowledged_at + configuration_ms < at
         ),
         default=versions[0].number,
     )
+
+
+def _list_applicable(
+    denial: Denial, versions: Sequence[Version], configuration_ms: int
+) -> list[Version]:
+    """List the versions that may apply to a request."""
+    in_force = _find_due(denial.sent_at, versions, configuration_ms)
     return [
         one
         for one in versions
--- a/tests/platform/test_following.py
+++ b/tests/platform/test_following.py
@@ -21,11 +21,14 @@
 from thornspool.domain.entries import leadership
 from thornspool.domain.entries import messages
 from thornspool.domain.entries import view as view_module
+from thornspool.domain.freshness import age_limits
 from thornspool.platform import exceptions
 from thornspool.platform import follower
 from thornspool.platform import registry
 from thornspool.platform import store as store_module
 
+LONG_LIMITS = age_limits.compute_limits(9_000, 4_000)
+LONGEST_LIMITS = age_limits.compute_limits(9_000, 7_000)
 LOCAL_RECORD = messages.Record('one', 'one-1', 'a', 'one:80', 'one:90')
 
 
@@ -314,7 +317,8 @@
             self.routing_state,
             view_module.View(LOCAL_RECORD),
             leadership.Leadership(LOCAL_RECORD.incarnation),
-            coordination=follower.Coordination(
+            LONGEST_LIMITS,
+            follower.Coordination(
                 receives_feed=lambda: self.receives_feed,
                 is_collector_cut_off=lambda: True,
             ),
@@ -353,7 +357,7 @@
         await asyncio.sleep(0.5)
         self.assertGreater(restarted.revision, 0)
 
-    async def restart(self, **coordination):
+    async def restart(self, limits=age_limits.DEFAULT, **coordination):
         """Replace the follower by one with other callbacks."""
         self.running.cancel()
         self.follower = follower.Follower(
@@ -362,7 +366,8 @@
             self.routing_state,
             view_module.View(LOCAL_RECORD),
             leadership.Leadership(LOCAL_RECORD.incarnation),
-            coordination=follower.Coordination(**coordination),
+            limits,
+            follower.Coordination(**coordination),
         )
         self.running = asyncio.create_task(self.follower.run())
         await asyncio.sleep(0.05)
@@ -387,7 +392,9 @@
         Each entry called the store as soon as its collector failed to.
         """
         await self.restart(
-            is_collector_cut_off=lambda: True, is_follower=lambda: True
+            LONG_LIMITS,
+            is_collector_cut_off=lambda: True,
+            is_follower=lambda: True,
         )
         calls = self.store.calls.total()
         await asyncio.sleep(2.5)
@@ -395,6 +402,16 @@
         await asyncio.sleep(1.2)
         self.assertGreater(self.store.calls.total(), calls)
 
+    async def test_no_wait_for_a_collector_exceeds_the_bound(self):
+        """Guards against an entry in touch that lags with its collector."""
+        await self.restart(
+            is_collector_cut_off=lambda: True, is_follower=lambda: True
+        )
+        self.put('op/config', kv_fleet.build_configuration(9))
+        async with asyncio.timeout(2):
+            while self.routing_state.configuration.version != 9:
+                await asyncio.sleep(0.01)
+
     async def test_retains_changes_that_another_copy_missed(self):
         """A datagram with a change was lost."""
         base = self.follower.revision
--- a/tests/simulation/desks.py
+++ b/tests/simulation/desks.py
@@ -141,13 +141,14 @@
             lambda: self.follower.revision,
             self._send_missed,
         )
+        self.membership.limits = LIMITS
         self.follower = follower.Follower(
             clock,
             stores.Client(desk.store, host),
             self.routing_state,
             self.view,
             leadership.Leadership(f'{host}-{incarnation}'),
-            follower.MAX_WATCH_MS,
+            LIMITS,
             follower.Coordination(
                 self.membership.is_feed_current,
                 self.membership.is_collector_cut_off,
@@ -260,6 +261,7 @@
         self.sent_at, self.statuses = {}, []
         self.max_change_set_bytes = peers.MAX_DATAGRAM_BYTES
         self.versions, self.denials, self.disturbances = [], [], []
+        self.applied = []
         self.targets = ['/read/']
         self._loop = loop
         self._tasks = set()
@@ -453,6 +455,27 @@
                 )
             )
 
+    def record_versions(self):
+        """Record which version each entry applies."""
+        now = self.clock.now()
+        self.applied += [
+            engine_rules.InForce(
+                now, host, entry.routing_state.configuration_version
+            )
+            for host, entry in self.entries.items()
+            if entry.is_up
+        ]
+
+    def find_late_versions(self):
+        """Find entries that apply a version for too long."""
+        return engine_rules.find_late_versions(
+            self.applied,
+            self.versions,
+            CONFIGURATION_MS,
+            CONTACT_MS,
+            self.disturbances,
+        )
+
     def find_denial_violations(self):
         """Find requests that were denied although they are proper."""
         return engine_rules.find_denial_violations(
@@ -496,6 +519,7 @@
         async def run():
             await loops.sleep_ms(3_000)
             desk.start_task(desk.send_requests())
+            desk.start_task(loops.run_periodically(50, desk.record_versions))
             desk.start_task(fault(desk))
             await loops.sleep_ms(seconds * 1000)
 
--- a/tests/simulation/test_denials.py
+++ b/tests/simulation/test_denials.py
@@ -93,8 +93,8 @@
 
 
 class DenialTest(unittest.TestCase):
-    def test_proper_requests_are_not_denied(self):
-        """Guards against denials by entries that wait for a collector."""
+    def test_versions_are_in_force_in_time(self):
+        """Guards against entries that wait for a collector for too long."""
         for fleet, count in FLEETS.items():
             for name, fault in TABLE.items():
                 with self.subTest(name, fleet=fleet):
@@ -104,6 +104,9 @@
                         self.assertGreater(len(desk.denials), 20)
                         found += [
                             f'seed {seed}: {one}'
-                            for one in desk.find_denial_violations()
+                            for one in (
+                                *desk.find_denial_violations(),
+                                *desk.find_late_versions(),
+                            )
                         ]
                     self.assertEqual([], found)
