Find missed changes among overlapping change sets

An entry that had missed a change was not sent it again, and had to query the store, where the store serves it at all. Cause: the search went back through the retained sets in the order of their arrival, and ended at the first one that did not reach the revision covered so far; a collector retains a shorter set of its own watch after a longer one that another entry has sent. The search takes the set that leads furthest back now.

--- a/src/thornspool/platform/follower.py
+++ b/src/thornspool/platform/follower.py
@@ -417,23 +417,36 @@
         items: dict[str, store_module.Item] = {}
         covered_since = self.revision
         exact = False
-        for change_set in reversed(self._change_sets):
-            if covered_since <= revision:
-                break
-            if change_set.until < covered_since:
-                return None
-            if change_set.exact and change_set.since < revision:
+        while covered_since > revision:
+            change_set = self._find_set_before(covered_since, revision)
+            if change_set is None:
                 return None
             for item in change_set.items:
                 previous = items.get(item.key)
                 if previous is None or previous.revision < item.revision:
                     items[item.key] = item
-            covered_since = min(covered_since, change_set.since)
+            covered_since = change_set.since
             exact = exact or change_set.exact
-        if covered_since > revision or self.revision <= revision:
+        if self.revision <= revision:
             return None
         return ChangeSet(revision, self.revision, tuple(items.values()), exact)
 
+    def _find_set_before(
+        self, covered_since: int, revision: int
+    ) -> ChangeSet | None:
+        """Find the retained changes that lead furthest back from a revision.
+
+        Watches of this entry and changes of other entries overlap, and are
+        retained in the order in which they arrive.
+        """
+        candidates = [
+            one
+            for one in self._change_sets
+            if one.since < covered_since <= one.until
+            and not (one.exact and one.since < revision)
+        ]
+        return min(candidates, key=lambda one: one.since, default=None)
+
     async def _watch(self) -> None:
         self._called_at = self._clock.now()
         has_changes = await self._fetch_changes(self._choose_watch_ms())
