Let waits for the change feed add up while the collector flaps

An entry that missed a change waits 0.5 s for its collector to send it again. Such an entry waits once in 3 s now, and queries the store in between; after an outage of the store its followers still wait for the collector first.

--- a/src/thornspool/application/routing/membership.py
+++ b/src/thornspool/application/routing/membership.py
@@ -41,6 +41,9 @@
 state update, within 400 ms, and sends it again.
 """
 
+CATCH_UP_INTERVAL_MS = 6 * MAX_LAG_MS
+"""Interval at which an entry that keeps lagging waits for the feed again."""
+
 MIN_AHEAD_MS = 500
 """Time by which the local copy must be fresher than the collector's copy to
 show that the store has responded to this entry; it covers the transmission of
@@ -303,11 +306,20 @@
             update.revision <= self._read_revision()
             and self._is_copy_fresh(now)
         )
-        if current or not self._is_feed_fresh():
+        if current:
             self._lagging_since = None
-        elif self._lagging_since is None:
+        elif self._is_feed_fresh() and self._may_await_again(now):
             self._lagging_since = now
 
+    def _may_await_again(self, now: int) -> bool:
+        """Return whether the copy starts to lag, or has for a long time.
+
+        The collector may become stale and fresh again in the meantime. After
+        an outage of the store, its followers wait for it once more.
+        """
+        since = self._lagging_since
+        return since is None or now - since > CATCH_UP_INTERVAL_MS
+
     def _is_copy_fresh(self, now: int) -> bool:
         age = self._routing_state.freshness.compute_age(now)
         return age is not None and age <= self.limits.copy_ms
