Let no peer with an older configuration judge a relayed request

A caller of an entry that reaches no server got the 404 or 401 of a peer, for a request that the entry itself had found allowed. Cause: a relayed request did not carry the version that allows it, so that a peer which had not applied it yet gave a definite answer, or ran the request by an older version. Relays name the version now (Relay-Configuration); a peer with an older one refuses the relay, so that another peer gets it, and confirms its copy. Whether relays took part in what the users saw is open: their record has no line on it.

--- a/src/thornspool/application/routing/intake.py
+++ b/src/thornspool/application/routing/intake.py
@@ -140,6 +140,16 @@
 
         Another entry may serve it where this one may not.
         """
+        relay = request.relay
+        if (
+            relay is not None
+            and relay.configuration_version
+            > self._routing_state.configuration_version
+        ):
+            # The sender's configuration allows the request; an older one
+            # may lack its route.
+            self.confirm_copy()
+            return False
         return self._find_unavailability(self._decide(request)) is None
 
     def _find_route(self, request: ports.Request) -> routing.Route | None:
--- a/src/thornspool/application/routing/ports.py
+++ b/src/thornspool/application/routing/ports.py
@@ -30,6 +30,8 @@
         Times that a server may have run the request before.
     is_counted : bool
         Whether the retry budget has counted the request before.
+    configuration_version : int
+        Version of the configuration that allows the request; 0 for unknown.
     """
 
     host: str
@@ -37,6 +39,7 @@
     receiver: str
     prior_runs: int
     is_counted: bool
+    configuration_version: int = 0
 
 
 @attrs.frozen
--- a/src/thornspool/application/routing/relays.py
+++ b/src/thornspool/application/routing/relays.py
@@ -234,6 +234,7 @@
                     peer.incarnation,
                     exchange.runs,
                     relay.is_counted,
+                    exchange.version,
                 ),
             ),
             listeners.RunListener(
--- a/src/thornspool/platform/peer_gateway.py
+++ b/src/thornspool/platform/peer_gateway.py
@@ -26,6 +26,7 @@
 RECEIVER_HEADER = 'Relay-Receiver'
 RUNS_HEADER = 'Relay-Runs'
 COUNTED_HEADER = 'Relay-Counted'
+VERSION_HEADER = 'Relay-Configuration'
 
 _RELAY_HEADERS = frozenset(
     name.lower()
@@ -35,6 +36,7 @@
         RECEIVER_HEADER,
         RUNS_HEADER,
         COUNTED_HEADER,
+        VERSION_HEADER,
     )
 )
 
@@ -119,6 +121,7 @@
         (RECEIVER_HEADER, relay.receiver),
         (RUNS_HEADER, str(relay.prior_runs)),
         (COUNTED_HEADER, str(int(relay.is_counted))),
+        (VERSION_HEADER, str(relay.configuration_version)),
     ]
     if caller_request.key is not None:
         headers.append(('Authorization', f'Bearer {caller_request.key}'))
@@ -160,6 +163,7 @@
             headers.get(RECEIVER_HEADER, ''),
             _parse_count(headers.get(RUNS_HEADER, '')),
             headers.get(COUNTED_HEADER, '') == '1',
+            _parse_count(headers.get(VERSION_HEADER, '')),
         ),
     )
 
--- a/tests/platform/test_peer_gateway.py
+++ b/tests/platform/test_peer_gateway.py
@@ -4,6 +4,8 @@
 
 import unittest
 
+from tornado import httputil
+
 from tests.application.routing import builders
 from thornspool.application.routing import ports
 from thornspool.platform import peer_gateway
@@ -57,3 +59,23 @@
             [('a', 'b'), ('relay-host', 'a-00'), ('relay-receiver', 'a-01-1')],
             values,
         )
+
+    def test_relay_survives_encoding(self):
+        """Guards against peers that judge by an older configuration."""
+        relay = ports.Relay('a-00', 'a-00-1', 'a-01-1', 2, True, 7)
+        session = Session()
+        peer_gateway.PeerGateway(session).send(
+            builders.build_record('a-01'),
+            ports.RelayedRequest(builders.build_request(), 1_000, '', relay),
+            Listener(),
+        )
+        headers = httputil.HTTPHeaders()
+        for name, value in session.requests[0].headers:
+            headers.add(name, value)
+        decoded = peer_gateway.decode_relayed_request(
+            httputil.RequestStartLine('POST', '/brief/x', 'HTTP/1.1'),
+            headers,
+            b'',
+            0,
+        )
+        self.assertEqual(relay, decoded.relay)
