Check denials in the soak, whose routes and keys come and go

Until now routes never changed in the soak, and its checks looked at withdrawn keys only, never at a proper request that was refused. Operators now add a route and a key with each version and withdraw the oldest, several times in a second or two, at times with 600 further routes; three of ten requests use what was just added, just withdrawn, or never there. Each 3xx and 4xx of an entry is checked against the versions that may apply, in touch and out of touch. New faults: several entries that the store turns away together; outages of the store and resets of links to it are recorded, as they excuse entries.

--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -38,6 +38,11 @@
 DRAIN_MS = 2_000
 """Time after which an entry may send no request to a server that leaves."""
 
+CONFIGURATION_MS = 2_000
+"""Time after which a version of the configuration must be in force."""
+
+DENIAL_STATUSES = frozenset(range(300, 500)) - {408, 421, 429}
+
 
 @attrs.define
 class Report:
@@ -68,7 +73,10 @@
     with processes.open_processes() as scope:
         world = world_module.World(scope, source, ENTRIES)
         callers = callers_module.Callers(
-            f's{seed}', random.Random(seed + 1), world.list_entries
+            f's{seed}',
+            random.Random(seed + 1),
+            world.list_entries,
+            world.draw_recent,
         )
         try:
             report = await _run_scenario(
@@ -106,6 +114,8 @@
     await faults.inject(seconds)
     crashing.cancel()
     reason = await world.wait_until_served(RECOVERY_TIMEOUT_S)
+    if load.done():
+        load.result()
     load.cancel()
     await callers.finish()
     problems = list(world.problems)
@@ -117,6 +127,7 @@
     problems += _check_conditions(world, callers, fleet['log'])
     if fleet['wrong_paths']:
         problems.append(f'{fleet["wrong_paths"]} paths omit or repeat layers')
+    problems += _check_denials(world, callers)
     problems += checks.check_requests(
         callers.sent_requests, fleet['runs'], world.revoked_at
     )
@@ -164,6 +175,31 @@
     ]
 
 
+def _check_denials(
+    world: world_module.World, callers: callers_module.Callers
+) -> list[str]:
+    """Check that entries deny only what the configuration does not allow."""
+    return engine_rules.find_denial_violations(
+        [
+            engine_rules.Denial(
+                round(one.sent_at * 1000),
+                round(one.ended_at * 1000),
+                one.entry,
+                one.target,
+                one.status,
+            )
+            for one in callers.sent_requests
+            if one.status in DENIAL_STATUSES and not one.signed
+        ],
+        world.versions,
+        len(callers.sent_requests),
+        CONFIGURATION_MS,
+        # The disturbances include the time until an entry is judged again.
+        0,
+        [*world.interruptions, *world.store_cuts, *world.store_outages],
+    )
+
+
 def _list_tries(
     world: world_module.World, callers: callers_module.Callers
 ) -> list[engine_rules.FirstTry]:
@@ -188,6 +224,7 @@
         }
         if (
             one.key == kv_fleet.KEY
+            and not one.prefix
             and one.sent_body != callers_module.CRASHING_BODY
             and one.entry not in disturbed
             and set(world.entries) - cut - disturbed
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -20,6 +20,8 @@
 CRASHING_BODY = b'{"text": "overflow"}'
 CRASHING_KINDS = ('brief', 'hold')
 KINDS = ('brief', 'brief', 'hold', 'read')
+RECENT_SHARE = 0.3
+"""Share of requests for routes and with keys that come and go."""
 
 
 @attrs.define
@@ -34,6 +36,8 @@
         Seconds of the monotonic clock.
     status : int
         HTTP status; 0 when no response head arrived.
+    ended_at : float
+        Seconds of the monotonic clock at the response's end.
     body : bytes
         Body as far as received.
     complete : bool
@@ -44,6 +48,8 @@
         ``Retry-After`` of the response, or empty.
     sent_body : bytes
         Body of the request.
+    prefix : str
+        Prefix of the path where it is not the kind.
     """
 
     id: str
@@ -52,11 +58,18 @@
     entry: str
     sent_at: float
     status: int = 0
+    ended_at: float = 0.0
     body: bytes = b''
     complete: bool = False
     signed: bool = False
     retry_after: str = ''
     sent_body: bytes = b'{}'
+    prefix: str = ''
+
+    @property
+    def target(self) -> str:
+        """Route and key, as the versions of the configuration list them."""
+        return f'{self.prefix or self.kind} {self.key}'
 
 
 class Callers:
@@ -70,6 +83,9 @@
         Source of every random choice.
     list_entries : callable
         Returns the addresses of entries for callers, by entry name.
+    draw_recent : callable
+        Draws the prefix of a route and a key that are or were allowed, or
+        never were.
     """
 
     def __init__(
@@ -77,7 +93,9 @@
         name: str,
         source: random.Random,
         list_entries: Callable[[], dict[str, str]],
+        draw_recent: Callable[[random.Random], tuple[str, str]],
     ) -> None:
+        self._draw_recent = draw_recent
         self._name = name
         self._random = source
         self._list_entries = list_entries
@@ -92,8 +110,12 @@
             kind = self._random.choice(KINDS)
             key = self._random.choice((kv_fleet.KEY, SOUTH_KEY))
             entry = self._random.choice(sorted(self._list_entries()))
+            prefix = ''
+            if self._random.random() < RECENT_SHARE:
+                kind = 'read'
+                prefix, key = self._draw_recent(self._random)
             task = asyncio.create_task(
-                self._send_in_background(kind, key, entry)
+                self._send_in_background(kind, key, entry, prefix)
             )
             self._tasks.add(task)
             task.add_done_callback(self._tasks.discard)
@@ -119,12 +141,17 @@
         self._session.close()
 
     async def _send_in_background(
-        self, kind: str, key: str, entry: str
+        self, kind: str, key: str, entry: str, prefix: str
     ) -> None:
-        await self._send_one(kind, key, entry)
+        await self._send_one(kind, key, entry, prefix=prefix)
 
     async def _send_one(
-        self, kind: str, key: str, entry: str, body: bytes = b'{}'
+        self,
+        kind: str,
+        key: str,
+        entry: str,
+        body: bytes = b'{}',
+        prefix: str = '',
     ) -> SentRequest:
         number = len(self.sent_requests)
         request = SentRequest(
@@ -134,6 +161,7 @@
             entry,
             time.monotonic(),
             sent_body=body,
+            prefix=prefix,
         )
         self.sent_requests.append(request)
         done = asyncio.Event()
@@ -148,6 +176,7 @@
             request.body += chunk
 
         def handle_end(ending: transfers.TransferResult) -> None:
+            request.ended_at = time.monotonic()
             request.complete = ending is transfers.TransferResult.COMPLETE
             done.set()
 
@@ -168,7 +197,7 @@
         is_crashing = request.sent_body == CRASHING_BODY
         name = 'same' if is_crashing else request.id
         return transfers.Request(
-            f'http://{address}/{request.kind}/{name}',
+            f'http://{address}/{request.prefix or request.kind}/{name}',
             'GET' if request.kind == 'read' else 'POST',
             (
                 ('Host', kv_fleet.HOST),
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -45,6 +45,7 @@
             'pause_store': self._suspend_store,
             'store_busy': self._break_store,
             'store_history': self._drop_history,
+            'turned_away': self._turn_away,
             'store_link': self._disturb_store_link,
             'caller_link': self._disturb_caller_link,
             'reset': self._reset_connections,
@@ -59,11 +60,16 @@
     async def inject(self, seconds: float) -> None:
         """Inject faults for a period and wait until all have ended.
 
-        Servers name limits and ask for rest all the while.
+        Servers name limits and ask for rest, and operators change routes and
+        keys, all the while.
         """
         conditions = [
             asyncio.create_task(self._repeat(seconds, state_condition))
-            for state_condition in (self._limit_server, self._ask_for_rest)
+            for state_condition in (
+                self._limit_server,
+                self._ask_for_rest,
+                self._change_routes,
+            )
         ]
         end = asyncio.get_running_loop().time() + seconds
         while asyncio.get_running_loop().time() < end:
@@ -129,13 +135,15 @@
                 popen.send_signal(signal.SIGHUP)
 
     async def _suspend_store(self) -> None:
-        await self._world.suspend(self._world.deployment.store.popen)
+        with self._world.interrupt('', self._world.store_outages):
+            await self._world.suspend(self._world.deployment.store.popen)
 
     async def _break_store(self) -> None:
         mode = self._random.choice(('busy', 'silent'))
-        await self._control_store(mode=mode)
-        await asyncio.sleep(self._random.uniform(0.5, 4.0))
-        await self._control_store(mode='up')
+        with self._world.interrupt('', self._world.store_outages):
+            await self._control_store(mode=mode)
+            await asyncio.sleep(self._random.uniform(0.5, 4.0))
+            await self._control_store(mode='up')
 
     async def _drop_history(self) -> None:
         await self._control_store(drop_history=True)
@@ -151,7 +159,22 @@
         )
 
     async def _disturb_store_link(self) -> None:
-        name = self._random.choice(sorted(self._world.to_store))
+        await self._disturb_link_of(
+            self._random.choice(sorted(self._world.to_store))
+        )
+
+    async def _turn_away(self) -> None:
+        """Let the store serve only some of the entries for a time."""
+        names = sorted(self._world.to_store)
+        count = self._random.randint(1, len(names) - 1)
+        await asyncio.gather(
+            *(
+                self._disturb_link_of(name)
+                for name in self._random.sample(names, count)
+            )
+        )
+
+    async def _disturb_link_of(self, name: str) -> None:
         with (
             self._world.interrupt(name, self._world.cuts),
             self._world.interrupt(name, self._world.store_cuts),
@@ -181,8 +204,14 @@
             *self._world.to_store.values(),
             *self._world.to_entry.values(),
         )
-        for proxy in all_proxies:
-            if self._random.random() < 0.5:
+        chosen = [one for one in all_proxies if self._random.random() < 0.5]
+        with contextlib.ExitStack() as interruptions:
+            for name, proxy in self._world.to_store.items():
+                if proxy in chosen:
+                    interruptions.enter_context(
+                        self._world.interrupt(name, self._world.store_cuts)
+                    )
+            for proxy in chosen:
                 proxy.reset()
 
     async def _lose_engine(self) -> None:
@@ -271,3 +300,10 @@
     async def _publish_configuration(self) -> None:
         include_south = self._random.random() < 0.5
         await asyncio.to_thread(lambda: self._world.configure(include_south))
+
+    async def _change_routes(self) -> None:
+        """Publish a version with a new route and key, at times a large one."""
+        more_routes = 600 if self._random.random() < 0.1 else 0
+        await asyncio.to_thread(
+            lambda: self._world.configure(more_routes=more_routes)
+        )
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -6,15 +6,16 @@
 import contextlib
 import signal
 import subprocess
+import threading
 import time
 import typing
 
+import attrs
 from tornado import httpclient
 
-from standins import kv_fleet
 from tests import engine_rules
 from tests.platform import deployment
-from tests.soak import callers
+from tests.soak import configurations
 from tests.soak import links
 from tests.soak import proxies
 
@@ -63,7 +64,9 @@
         self.to_entry: dict[str, proxies.Proxy] = {}
         self.entries: dict[str, deployment.Entry] = {}
         self.version = 1
-        self.keys = [kv_fleet.KEY]
+        self.versions: list[engine_rules.Version] = []
+        self.store_outages: list[engine_rules.Excuse] = []
+        self._publishing = threading.Lock()
         self.revoked_at: float | None = None
         self.problems: list[str] = []
         self.entries_in_fault: set[str] = set()
@@ -111,15 +114,41 @@
         """Return the addresses of entries for callers, by entry name."""
         return {name: proxy.address for name, proxy in self.to_entry.items()}
 
-    def configure(self, include_south: bool) -> None:
-        """Publish a configuration with or without the second API key."""
-        self.version += 1
-        document = kv_fleet.build_configuration(self.version)
-        if include_south:
-            workspace = {'name': 'south', 'api_keys': [callers.SOUTH_KEY]}
-            document['tenants'].append(workspace)
-        self.deployment.control(put='op/config', document=document)
-        self.revoked_at = None if include_south else time.monotonic()
+    def configure(
+        self, include_south: bool | None = None, more_routes: int = 0
+    ) -> None:
+        """Publish a configuration with a route and a key that are new.
+
+        The routes and keys of earlier versions are withdrawn in their order.
+
+        Parameters
+        ----------
+        include_south : bool, optional
+            Whether it has the second API key; by default as before.
+        more_routes : int, optional
+            Number of further routes, which make the configuration large.
+        """
+        with self._publishing:
+            if include_south is None:
+                include_south = self.revoked_at is None
+            self.version += 1
+            document, version = configurations.build_version(
+                self.version, include_south, more_routes, read_clock_ms()
+            )
+            # Until the store has acknowledged it, it may or may not apply.
+            self.versions.append(version)
+            self.deployment.control(put='op/config', document=document)
+            self.versions[-1] = attrs.evolve(
+                version, acknowledged_at=read_clock_ms()
+            )
+            if include_south:
+                self.revoked_at = None
+            elif self.revoked_at is None:
+                self.revoked_at = time.monotonic()
+
+    def draw_recent(self, source: random.Random) -> tuple[str, str]:
+        """Draw a route and a key of which one may have just changed."""
+        return configurations.draw_recent(self.version, source)
 
     async def wait_until_served(self, timeout_s: float) -> str:
         """Wait until all entries serve.
