Accept bodies of the size that the configuration allows

The limits of the configuration were decoded and used nowhere: a proper request with a body of more than 8 MiB got a 400 of the HTTP library, which callers do not send again, where the configuration allows larger ones. Suspected only; no deployment that we have names a larger size, and the users' record speaks of 404 or 401. The test failed before, as listeners had no such limit to set.

--- a/src/thornspool/adapters/servers.py
+++ b/src/thornspool/adapters/servers.py
@@ -214,6 +214,22 @@
         )
         self._server.add_sockets(self._sockets)
 
+    def allow_body(self, body_limit_bytes: int) -> None:
+        """Accept bodies of at least a size on new connections.
+
+        Parameters
+        ----------
+        body_limit_bytes : int
+            Size in bytes; a smaller one than before has no effect.
+        """
+        if self._server is None or body_limit_bytes <= self._body_limit_bytes:
+            return
+        self._body_limit_bytes = body_limit_bytes
+        self._server.conn_params.max_body_size = body_limit_bytes
+        self._server.max_buffer_size = (
+            body_limit_bytes + _HEADER_ALLOWANCE_BYTES
+        )
+
     def disable_keep_alive(self) -> None:
         """Disable keep-alive: close each connection after its next response.
 
--- a/src/thornspool/platform/daemon.py
+++ b/src/thornspool/platform/daemon.py
@@ -577,7 +577,7 @@
             self._intake.find_priority,
             self._intake.is_available,
         )
-        self._open(
+        self._peer_listener = self._open(
             f'{settings.ip}:{settings.peer_port}',
             callers.CallerDelegate(
                 self._clock,
@@ -662,8 +662,12 @@
         self._membership.tick()
 
     def _update_state(self) -> None:
+        configuration = self._routing_state.configuration
+        if configuration is not None:
+            for listener in (self._caller_listener, self._peer_listener):
+                listener.allow_body(configuration.max_body_bytes)
         self._membership.update_state(
-            self._routing_state.configuration is not None,
+            configuration is not None,
             self._limits.key_ms,
         )
 
--- a/tests/adapters/test_servers.py
+++ b/tests/adapters/test_servers.py
@@ -107,3 +107,31 @@
         url = listener.read_url()
         await listener.stop()
         self.assertEqual(url, listener.read_url())
+
+
+class _Receiver(web.RequestHandler):
+    def post(self) -> None:
+        self.write(str(len(self.request.body)))
+
+
+class BodyLimitTest(unittest.IsolatedAsyncioTestCase):
+    async def post(self, listener: servers.Listener, size: int) -> bytes:
+        """Send a body; return the status line."""
+        port = int(listener.read_url().rpartition(':')[2])
+        reader, writer = await asyncio.open_connection('127.0.0.1', port)
+        head = f'POST / HTTP/1.1\r\nHost: x\r\nContent-Length: {size}\r\n\r\n'
+        async with asyncio.timeout(LIMIT_S):
+            writer.write(head.encode() + b'x' * size)
+            status_line = await reader.readline()
+        writer.close()
+        return status_line
+
+    async def test_bodies_up_to_the_configured_size_are_accepted(self) -> None:
+        """Guards against 400 for bodies that the configuration allows."""
+        listener = servers.Listener('127.0.0.1:0', None, 100_000)
+        listener.start(web.Application([('/', _Receiver)]))
+        self.assertIn(b' 400 ', await self.post(listener, 200_000))
+        listener.allow_body(200_000)
+        listener.allow_body(1_000)
+        self.assertIn(b' 200 ', await self.post(listener, 200_000))
+        await listener.stop()
