--- a/tools/mechanisms.py
+++ b/tools/mechanisms.py
@@ -5,6 +5,7 @@
 import attrs
 
 _ROUTING = 'src/thornspool/application/routing'
+_DOMAIN = 'src/thornspool/domain'
 _FLEET = 'src/thornspool/domain/fleet'
 _PATHS = 'src/thornspool/domain/paths'
 _RETRIES = 'src/thornspool/domain/retries'
@@ -340,7 +341,7 @@
     'patience-in-shared-outages': (
         Edit(
             f'{_PLATFORM}/follower.py',
-            'return age < self._outage_max_age_ms\n',
+            'return age < self._query_age_ms\n',
             'return False\n',
         ),
     ),
@@ -358,4 +359,67 @@
             'if False:\n',
         ),
     ),
+    'denials-of-current-copies': (
+        Edit(
+            f'{_DOMAIN}/routing/decisions.py',
+            'not copy.is_within(limits.denial_ms)\n',
+            'False\n',
+        ),
+    ),
+    'versions-of-peers': (
+        Edit(
+            f'{_DOMAIN}/routing/decisions.py',
+            'or configuration.version < copy.newest_version\n',
+            'or False\n',
+        ),
+    ),
+    'confirmations': (
+        Edit(
+            f'{_PLATFORM}/follower.py',
+            'if self._reachable and not self._must_read_all:\n',
+            'if False:\n',
+        ),
+    ),
+    'shared-confirmations': (
+        Edit(
+            f'{_PLATFORM}/follower.py',
+            'await asyncio.sleep(CONFIRMATION_INTERVAL_MS / _MS_PER_S)\n',
+            'await asyncio.sleep(0)\n',
+        ),
+    ),
+    'bounded-waits': (
+        Edit(
+            f'{_DOMAIN}/freshness/age_limits.py',
+            'return self.denial_ms - QUERY_SPREAD_MS, self.denial_ms\n',
+            'return 3_200, 6_000\n',
+        ),
+    ),
+    'bounded-copies': (
+        Edit(
+            f'{_DOMAIN}/freshness/age_limits.py',
+            'return min(MAX_COPY_AGE_MS, self.denial_ms)\n',
+            'return MAX_COPY_AGE_MS\n',
+        ),
+    ),
+    'versions-of-relays': (
+        Edit(
+            f'{_ROUTING}/intake.py',
+            'relay is not None\n            and relay.configuration_version\n',
+            'False\n            and relay.configuration_version\n',
+        ),
+    ),
+    'overlapping-changes': (
+        Edit(
+            f'{_PLATFORM}/follower.py',
+            'for one in self._change_sets\n',
+            'for one in list(self._change_sets)[-1:]\n',
+        ),
+    ),
+    'waits-that-add-up': (
+        Edit(
+            f'{_ROUTING}/membership.py',
+            'return since is None or now - since > CATCH_UP_INTERVAL_MS\n',
+            'return since is None or now - since > MAX_LAG_MS\n',
+        ),
+    ),
 }
