Reserve the ports of tests among all runs on the machine

Two runs of the tests at once failed with "address already in use", 4 of 10 runs of tests.platform.test_links, five at once: a run took a port that was free for a moment, before an entry of the other run bound it or while a link refused connections. A port is now reserved by a name in the abstract namespace until the process ends.

--- a/tests/platform/deployment.py
+++ b/tests/platform/deployment.py
@@ -30,21 +30,40 @@
 the entry bound it.
 """
 
-_allocated_ports: set[int] = set()
+_reservations: list[socket.socket] = []
 
 
 def find_ports(count: int) -> list[int]:
-    """Find free loopback ports that this process has not allocated yet."""
+    """Find free loopback ports that no run of the tests has allocated.
+
+    A port stays allocated until this process ends, since a link that refuses
+    connections leaves its port free for a while.
+    """
     found: list[int] = []
     source = random.Random()
     while len(found) < count:
         port = source.choice(PORTS)
-        if port not in _allocated_ports and _is_free(port):
-            _allocated_ports.add(port)
+        if _is_free(port) and _reserve(port):
             found.append(port)
     return found
 
 
+def _reserve(port: int) -> bool:
+    """Reserve a port among all runs of the tests on this machine.
+
+    The reservation is a name in the abstract namespace of Unix sockets, which
+    ends with the process that holds it.
+    """
+    reservation = socket.socket(socket.AF_UNIX, socket.SOCK_DGRAM)
+    try:
+        reservation.bind(f'\0thornspool-test-port-{port}')
+    except OSError:
+        reservation.close()
+        return False
+    _reservations.append(reservation)
+    return True
+
+
 def _is_free(port: int) -> bool:
     with socket.socket() as probe:
         try:
--- /dev/null
+++ b/tests/platform/test_deployment.py
@@ -0,0 +1,36 @@
+"""Tests of the ports that tests with processes allocate."""
+
+from __future__ import annotations
+
+import subprocess
+import sys
+import unittest
+
+from tests.platform import deployment
+
+_RESERVE = """
+import sys
+from tests.platform import deployment
+print(deployment._reserve(int(sys.argv[1])))
+"""
+
+
+class PortTest(unittest.TestCase):
+    def reserve_elsewhere(self, port):
+        """Reserve a port in another process, which ends at once."""
+        return subprocess.run(
+            [sys.executable, '-c', _RESERVE, str(port)],
+            cwd=deployment.ROOT,
+            capture_output=True,
+            text=True,
+            check=True,
+        ).stdout.strip()
+
+    def test_two_runs_allocate_different_ports(self):
+        """Guards against a port that another run takes while it is free."""
+        (port,) = deployment.find_ports(1)
+        self.assertTrue(deployment._is_free(port))
+        self.assertEqual('False', self.reserve_elsewhere(port))
+        self.assertFalse(deployment._reserve(port))
+        self.assertEqual('True', self.reserve_elsewhere(1))
+        self.assertTrue(deployment._reserve(1))
