Confirm the copy before a denial, in place of 503 at once

A caller with a wrong key got 503 in calm, where an entry of a small fleet had last confirmed its copy over 1.7 s before: tests.platform.test_whole_path, which expects 401, failed on. Such a request now waits for the shared confirmation, some milliseconds while the store responds and at most 0.75 s, and is decided then; a route that was added meanwhile is served. A confirmation that fails leaves 503, and while the store fails there is none. The newest version of peers is kept by the view instead of being searched for each request. tests.platform.test_whole_path passes.

--- a/src/thornspool/application/routing/intake.py
+++ b/src/thornspool/application/routing/intake.py
@@ -34,6 +34,9 @@
 configuration within about 100 ms of its start; store outages last seconds."""
 
 _UNAVAILABLE = 503
+_NOT_CONFIRMED_REASONS = frozenset(
+    {'route_not_confirmed', 'key_not_confirmed'}
+)
 _DENIAL_STATUSES = {'no_route': 404, 'unknown_key': 401}
 
 logger = structlog.get_logger(__name__)
@@ -67,7 +70,8 @@
     find_newest_version : callable
         Returns the newest version that any peer has announced.
     confirm_copy : callable
-        Lets the copy be confirmed soon.
+        Confirms the copy and then calls a function; returns False if this
+        can't be done now.
     describe_copy : callable
         Returns fields for the log line of a refusal.
     """
@@ -92,7 +96,9 @@
         self._limits = limits
         self._random = random_source
         self.find_newest_version: Callable[[], int] = lambda: 0
-        self.confirm_copy: Callable[[], None] = lambda: None
+        self.confirm_copy: Callable[[Callable[[], None]], bool] = (
+            lambda on_end: False
+        )
         self.describe_copy: Callable[[], dict[str, typing.Any]] = dict
         self.in_flight = 0
         self.is_draining = False
@@ -106,8 +112,29 @@
     def serve(
         self, request: ports.Request, reply: ports.ResponseWriter
     ) -> None:
-        """Serve a request."""
+        """Serve a request, once the copy is confirmed if that is needed."""
         decision = self._decide(request)
+
+        def serve_confirmed() -> None:
+            self.in_flight -= 1
+            self._serve_decided(request, reply, self._decide(request))
+
+        if (
+            decision.reason in _NOT_CONFIRMED_REASONS
+            and not self.is_draining
+            and self.confirm_copy(serve_confirmed)
+        ):
+            self.in_flight += 1
+        else:
+            self._serve_decided(request, reply, decision)
+
+    def _serve_decided(
+        self,
+        request: ports.Request,
+        reply: ports.ResponseWriter,
+        decision: decisions.Decision,
+    ) -> None:
+        """Serve, deny or refuse a request."""
         unavailability = self._find_unavailability(decision)
         if unavailability is not None:
             self._refuse(request, reply, _UNAVAILABLE, *unavailability)
@@ -148,7 +175,7 @@
         ):
             # The sender's configuration allows the request; an older one
             # may lack its route.
-            self.confirm_copy()
+            self.confirm_copy(lambda: None)
             return False
         return self._find_unavailability(self._decide(request)) is None
 
@@ -186,11 +213,11 @@
             return 'draining', streams_module.DRAINING_RETRY_MS
         if decision.verdict is not decisions.Verdict.UNKNOWN:
             return None
-        if decision.reason == 'not_current':
-            limit_ms = self._limits.key_ms
-        else:
-            limit_ms = self._limits.denial_ms
-            self.confirm_copy()
+        limit_ms = (
+            self._limits.denial_ms
+            if decision.reason in _NOT_CONFIRMED_REASONS
+            else self._limits.key_ms
+        )
         return decision.reason, self._choose_not_current_retry_ms(limit_ms)
 
     def find_priority(self, request: ports.Request) -> int:
--- a/src/thornspool/domain/entries/view.py
+++ b/src/thornspool/domain/entries/view.py
@@ -70,8 +70,6 @@
         State in its last update.
     has_links : bool
         Whether it reached servers at its last update.
-    configuration_version : int
-        Version of the configuration in force there; 0 for unknown.
     """
 
     record: messages.Record
@@ -81,7 +79,6 @@
     confirmed_at: int | None = None
     state: messages.State = messages.State.SERVING
     has_links: bool = True
-    configuration_version: int = 0
 
 
 @attrs.define
@@ -108,6 +105,8 @@
         Entries that a collector reports as unresponsive or not serving.
     last_update_at : int
         When the last update of any peer was received.
+    newest_version : int
+        Newest version of the configuration that a peer has announced.
     """
 
     local: messages.Record
@@ -117,6 +116,7 @@
     )
     absent: dict[str, Absence] = attrs.field(factory=dict)
     last_update_at: int = 0
+    newest_version: int = 0
     _domain_updates: dict[str, int] = attrs.field(factory=dict)
 
     def apply_record(self, record: messages.Record, now: int) -> None:
@@ -258,7 +258,9 @@
         peer.last_stamp = max(peer.last_stamp, update.stamp)
         peer.state = update.state
         peer.has_links = not update.links_lost
-        peer.configuration_version = update.configuration_version
+        self.newest_version = max(
+            self.newest_version, update.configuration_version
+        )
         peer.confirmed_at = None
         if update.proof_age_ms >= 0:
             peer.confirmed_at = now - update.proof_age_ms
@@ -374,19 +376,6 @@
             for one in responsive
         )
 
-    def find_newest_version(self) -> int:
-        """Find the newest version of the configuration at any peer.
-
-        Returns
-        -------
-        int
-            0 if no peer has announced one.
-        """
-        return max(
-            (one.configuration_version for one in self.peers.values()),
-            default=0,
-        )
-
     def list_serving(self, now: int) -> list[messages.Record]:
         """List the other entries to which callers may send requests."""
         return [
--- a/src/thornspool/platform/daemon.py
+++ b/src/thornspool/platform/daemon.py
@@ -475,13 +475,13 @@
             ),
         )
         self._intake.confirm_copy = self._follower.request_confirmation
-        self._intake.find_newest_version = self._view.find_newest_version
+        self._intake.find_newest_version = lambda: self._view.newest_version
         self._intake.describe_copy = self._describe_copy
 
     def _describe_copy(self) -> dict[str, typing.Any]:
         """Build the log fields on what is known of newer configurations."""
         return {
-            'newest_peer_version': self._view.find_newest_version(),
+            'newest_peer_version': self._view.newest_version,
             'collector': self._view.collector_choice.current,
             'loop_delay_ms': self._loop_delay.read(self._clock.now()),
         }
--- a/src/thornspool/platform/follower.py
+++ b/src/thornspool/platform/follower.py
@@ -81,6 +81,9 @@
 store for each of them.
 """
 
+MAX_CONFIRMATION_WAITERS = 256
+"""Requests of callers that wait for one confirmation."""
+
 FIRST_WATCH_DELAY_MS = 400
 """Delay between the first read of all keys and the first watch.
 
@@ -244,6 +247,8 @@
         self._coordination = coordination or Coordination()
         self._verdicts = verdicts
         self._confirmation_requested = asyncio.Event()
+        self._confirmation_waiters: list[Callable[[], None]] = []
+        self._next_confirmation_at = 0
         self._sends_feed = False
         self._received_feed = False
         self._reachable = False
@@ -251,21 +256,49 @@
         self._called_at = clock.now()
         self._query_age_ms = self._draw_uniform(limits.query_range_ms)
 
-    def request_confirmation(self) -> None:
-        """Let the copy be confirmed soon, while the store responds."""
-        self._confirmation_requested.set()
+    def request_confirmation(self, on_end: Callable[[], None]) -> bool:
+        """Confirm the copy by one call for all that request it meanwhile.
 
-    async def run_confirmations(self) -> None:
-        """Confirm the copy on request until cancelled.
+        Parameters
+        ----------
+        on_end : callable
+            Called when the call has succeeded or failed.
 
-        All requests within an interval share one call.
+        Returns
+        -------
+        bool
+            False if no call is made, as the store fails or the last call was
+            made just before; ``on_end`` is not called then.
         """
+        if (
+            not self._reachable
+            or self._must_read_all
+            or len(self._confirmation_waiters) >= MAX_CONFIRMATION_WAITERS
+        ):
+            return False
+        if not self._confirmation_waiters:
+            now = self._clock.now()
+            if now < self._next_confirmation_at:
+                return False
+            self._next_confirmation_at = now + CONFIRMATION_INTERVAL_MS
+            self._confirmation_requested.set()
+        self._confirmation_waiters.append(on_end)
+        return True
+
+    async def run_confirmations(self) -> None:
+        """Confirm the copy on request until cancelled."""
         while True:
             await self._confirmation_requested.wait()
-            if self._reachable and not self._must_read_all:
-                await self._confirm()
-            await asyncio.sleep(CONFIRMATION_INTERVAL_MS / _MS_PER_S)
             self._confirmation_requested.clear()
+            await self._confirm()
+            waiters, self._confirmation_waiters = (
+                self._confirmation_waiters,
+                [],
+            )
+            loop = asyncio.get_running_loop()
+            for on_end in waiters:
+                # An error in one of them must not end this task.
+                loop.call_soon(on_end)
 
     async def _confirm(self) -> None:
         try:
--- a/src/thornspool/platform/state_metrics.py
+++ b/src/thornspool/platform/state_metrics.py
@@ -155,7 +155,7 @@
     metrics.add_gauge(
         'thornspool_newest_peer_configuration_version',
         'Newest version of the configuration that a peer has announced.',
-        metrics_module.make_sample_reader(sources.view.find_newest_version),
+        metrics_module.make_sample_reader(lambda: sources.view.newest_version),
     )
     metrics.add_gauge(
         'thornspool_loop_delay_seconds',
--- a/tools/mechanisms.py
+++ b/tools/mechanisms.py
@@ -376,15 +376,15 @@
     'confirmations': (
         Edit(
             f'{_PLATFORM}/follower.py',
-            'if self._reachable and not self._must_read_all:\n',
-            'if False:\n',
+            'await self._fetch_changes(CONFIRMATION_WATCH_MS)\n',
+            'await asyncio.sleep(0)\n',
         ),
     ),
     'shared-confirmations': (
         Edit(
             f'{_PLATFORM}/follower.py',
-            'await asyncio.sleep(CONFIRMATION_INTERVAL_MS / _MS_PER_S)\n',
-            'await asyncio.sleep(0)\n',
+            'if now < self._next_confirmation_at:\n',
+            'if False:\n',
         ),
     ),
     'bounded-waits': (
