--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -56,7 +56,10 @@
 
 
 async def run_seed(
-    seed: int, seconds: float, folder: pathlib.Path | None = None
+    seed: int,
+    seconds: float,
+    folder: pathlib.Path | None = None,
+    entries: int = ENTRIES,
 ) -> Report:
     """Run one seed.
 
@@ -68,10 +71,12 @@
         Duration of the fault injection.
     folder : pathlib.Path, optional
         Folder for the logs when a check fails.
+    entries : int, optional
+        Number of entries; more than 12 follow the store through collectors.
     """
     source = random.Random(seed)
     with processes.open_processes() as scope:
-        world = world_module.World(scope, source, ENTRIES)
+        world = world_module.World(scope, source, entries)
         callers = callers_module.Callers(
             f's{seed}',
             random.Random(seed + 1),
@@ -267,7 +272,9 @@
     async def run_one(seed: int) -> None:
         nonlocal failed
         async with semaphore:
-            report = await run_seed(seed, options.seconds, options.logs)
+            report = await run_seed(
+                seed, options.seconds, options.logs, options.entries
+            )
         failed += bool(report.problems)
         result = 'WRONG' if report.problems else 'held'
         print(
@@ -295,6 +302,12 @@
     parser.add_argument(
         '--jobs', type=int, default=2, help='seeds at the same time'
     )
+    parser.add_argument(
+        '--entries',
+        type=int,
+        default=ENTRIES,
+        help='entries of a seed; more than 12 have collectors',
+    )
     parser.add_argument(
         '--logs', type=pathlib.Path, help='folder for logs of failed seeds'
     )
