List entries in all look-ups that reach servers again

In a fleet with collectors, an entry that had lost its links to the servers and reached them again stayed out of the look-ups of all hosts but its collector's, until it broadcast something else. Cause: the loss is broadcast, the end of it is told to the collector alone, and a collector's report that nobody else is absent did not count for links. A report of a collector that names an entry neither absent nor unlinked now ends the loss, as it already ended the start.

--- a/src/thornspool/domain/entries/view.py
+++ b/src/thornspool/domain/entries/view.py
@@ -222,10 +222,10 @@
         collector: messages.Record,
         update: messages.StateUpdate,
     ) -> None:
-        """Mark a starting entry as serving where a collector confirms it.
+        """Mark an entry as serving and linked where a collector confirms it.
 
-        An entry announces only once that it serves again. When that datagram
-        was lost, callers were not directed to the entry until it restarted.
+        An entry announces only once that it serves again, and to its collector
+        alone that it reaches servers again.
         """
         inside = (
             peer.record.host != collector.host
@@ -235,7 +235,10 @@
                 or peer.record.failure_domain == collector.failure_domain
             )
         )
-        if inside and peer.state is messages.State.STARTING:
+        if not inside:
+            return
+        peer.has_links = True
+        if peer.state is messages.State.STARTING:
             peer.state = messages.State.SERVING
 
     def apply_update(
--- a/tests/application/routing/test_membership.py
+++ b/tests/application/routing/test_membership.py
@@ -286,6 +286,21 @@
         for host in ('a-00', 'a-03', 'b-00', 'b-05', 'c-07'):
             self.assertIn('b-04:80', self.list_addresses(host, 'b'), host)
 
+    def test_entry_that_reaches_servers_again_is_listed_everywhere(self):
+        """Guards against entries that stay out of look-ups for good."""
+        member = self.members['a-05']
+        member.service.has_lost_links = lambda: True
+        member.routing_state.has_unsent_retractions = True
+        member.service.broadcast_failures()
+        self.fleet.play(1_000)
+        member.service.has_lost_links = lambda: False
+        self.fleet.play(3_000)
+        now = self.fleet.clock.now()
+        for host in ('a-00', 'a-03', 'b-00', 'b-03'):
+            with self.subTest(host):
+                linked = self.members[host].view.list_linked(now)
+                self.assertIn('a-05', [one.host for one in linked])
+
     def test_lost_datagrams_make_few_entries_absent(self):
         fleet = fleet_module.Fleet(loss=0.05)
         fleet.play(3_000)
--- a/tests/simulation/test_denials.py
+++ b/tests/simulation/test_denials.py
@@ -43,6 +43,11 @@
     desk.lost_share = 0.3
 
 
+async def delay_datagrams(desk):
+    """Deliver nearly half of the datagrams late, as busy entries do."""
+    desk.late_share = 0.4
+
+
 async def lose_change_sets(desk):
     """Lose all change sets, as if they were too large for datagrams."""
     desk.max_change_set_bytes = 0
@@ -73,6 +78,7 @@
     'half turned away': turn_away,
     'collectors turned away on and off': turn_away_in_turn,
     'datagrams lost': lose_datagrams,
+    'datagrams late': delay_datagrams,
     'change sets too large': lose_change_sets,
     'history lost': lose_history,
     'outages': interrupt,
