Keep the faults and requests of the soak's earlier seeds

Changes of routes and entries that the store turns away drew from the source of the other faults, so that seeds which had shown a fault played other ones. They have a source of their own now, as have the requests for recent routes and keys.

--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -115,7 +115,7 @@
     crashing = asyncio.create_task(
         callers.send_crashing(random.Random(seed + 2))
     )
-    faults = faults_module.Faults(world)
+    faults = faults_module.Faults(world, random.Random(f'{seed} changes'))
     await faults.inject(seconds)
     crashing.cancel()
     reason = await world.wait_until_served(RECOVERY_TIMEOUT_S)
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import random
 import time
 import typing
 
@@ -13,7 +14,6 @@
 
 if typing.TYPE_CHECKING:
     from collections.abc import Callable
-    import random
 
 SOUTH_KEY = 'key-south'
 DEADLINE_MS = 6_000
@@ -98,6 +98,8 @@
         self._draw_recent = draw_recent
         self._name = name
         self._random = source
+        # Separate, so that the other requests of a seed stay.
+        self._recent = random.Random(f'{name} recent')
         self._list_entries = list_entries
         self._session = transfers.Session()
         self._tasks: set[asyncio.Task[None]] = set()
@@ -111,9 +113,9 @@
             key = self._random.choice((kv_fleet.KEY, SOUTH_KEY))
             entry = self._random.choice(sorted(self._list_entries()))
             prefix = ''
-            if self._random.random() < RECENT_SHARE:
+            if self._recent.random() < RECENT_SHARE:
                 kind = 'read'
-                prefix, key = self._draw_recent(self._random)
+                prefix, key = self._draw_recent(self._recent)
             task = asyncio.create_task(
                 self._send_in_background(kind, key, entry, prefix)
             )
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -14,6 +14,7 @@
 if typing.TYPE_CHECKING:
     from collections.abc import Awaitable
     from collections.abc import Callable
+    import random
 
 MAX_CONCURRENT_FAULTS = 3
 """Bound on the number of concurrent faults."""
@@ -28,10 +29,16 @@
     ----------
     world : world_module.World
         Processes and proxies that the faults affect.
+    change_source : random.Random
+        Source of the choices for changes of the configuration and for entries
+        that the store turns away, so that the other faults of a seed stay.
     """
 
-    def __init__(self, world: world_module.World) -> None:
+    def __init__(
+        self, world: world_module.World, change_source: random.Random
+    ) -> None:
         self._world = world
+        self._changes = change_source
         self._random = world.random
         self._tasks: set[asyncio.Task[None]] = set()
         self._added_engines = 0
@@ -45,7 +52,6 @@
             'pause_store': self._suspend_store,
             'store_busy': self._break_store,
             'store_history': self._drop_history,
-            'turned_away': self._turn_away,
             'store_link': self._disturb_store_link,
             'caller_link': self._disturb_caller_link,
             'reset': self._reset_connections,
@@ -64,11 +70,12 @@
         keys, all the while.
         """
         conditions = [
-            asyncio.create_task(self._repeat(seconds, state_condition))
-            for state_condition in (
-                self._limit_server,
-                self._ask_for_rest,
-                self._change_routes,
+            asyncio.create_task(self._repeat(seconds, inject, source))
+            for inject, source in (
+                (self._limit_server, self._random),
+                (self._ask_for_rest, self._random),
+                (self._change_routes, self._changes),
+                (self._turn_away, self._changes),
             )
         ]
         end = asyncio.get_running_loop().time() + seconds
@@ -86,14 +93,17 @@
         await asyncio.gather(*self._tasks, *conditions)
 
     async def _repeat(
-        self, seconds: float, inject: Callable[[], Awaitable[None]]
+        self,
+        seconds: float,
+        inject: Callable[[], Awaitable[None]],
+        source: random.Random,
     ) -> None:
         """Inject one kind of fault again and again for a period."""
         end = asyncio.get_running_loop().time() + seconds
         while asyncio.get_running_loop().time() < end:
             with contextlib.suppress(OSError, urllib.error.URLError):
                 await inject()
-            await asyncio.sleep(self._random.uniform(0.0, 1.0))
+            await asyncio.sleep(source.uniform(0.0, 1.0))
 
     async def _inject_fault(self, kind: str) -> None:
         try:
@@ -160,35 +170,38 @@
 
     async def _disturb_store_link(self) -> None:
         await self._disturb_link_of(
-            self._random.choice(sorted(self._world.to_store))
+            self._random.choice(sorted(self._world.to_store)), self._random
         )
 
     async def _turn_away(self) -> None:
         """Let the store serve only some of the entries for a time."""
+        await asyncio.sleep(self._changes.uniform(1.0, 6.0))
         names = sorted(self._world.to_store)
-        count = self._random.randint(1, len(names) - 1)
+        count = self._changes.randint(1, len(names) - 1)
         await asyncio.gather(
             *(
-                self._disturb_link_of(name)
-                for name in self._random.sample(names, count)
+                self._disturb_link_of(name, self._changes)
+                for name in self._changes.sample(names, count)
             )
         )
 
-    async def _disturb_link_of(self, name: str) -> None:
+    async def _disturb_link_of(self, name: str, source: random.Random) -> None:
         with (
             self._world.interrupt(name, self._world.cuts),
             self._world.interrupt(name, self._world.store_cuts),
         ):
-            await self._disturb(self._world.to_store[name])
+            await self._disturb(self._world.to_store[name], source)
 
     async def _disturb_caller_link(self) -> None:
         name = self._random.choice(sorted(self._world.to_entry))
-        await self._disturb(self._world.to_entry[name])
+        await self._disturb(self._world.to_entry[name], self._random)
 
-    async def _disturb(self, proxy: proxies.Proxy) -> None:
-        proxy.link_fault = self._random.choice(
+    async def _disturb(
+        self, proxy: proxies.Proxy, source: random.Random
+    ) -> None:
+        proxy.link_fault = source.choice(
             (
-                proxies.LinkFault(delay_s=self._random.uniform(0.02, 0.3)),
+                proxies.LinkFault(delay_s=source.uniform(0.02, 0.3)),
                 proxies.LinkFault(blocks_upstream=True),
                 proxies.LinkFault(blocks_downstream=True),
                 proxies.LinkFault(
@@ -196,7 +209,7 @@
                 ),
             )
         )
-        await asyncio.sleep(self._random.uniform(0.5, 4.0))
+        await asyncio.sleep(source.uniform(0.5, 4.0))
         proxy.link_fault = proxies.LinkFault()
 
     async def _reset_connections(self) -> None:
@@ -303,7 +316,7 @@
 
     async def _change_routes(self) -> None:
         """Publish a version with a new route and key, at times a large one."""
-        more_routes = 600 if self._random.random() < 0.1 else 0
+        more_routes = 600 if self._changes.random() < 0.1 else 0
         await asyncio.to_thread(
             lambda: self._world.configure(more_routes=more_routes)
         )
