--- a/tests/platform/deployment.py
+++ b/tests/platform/deployment.py
@@ -30,7 +30,11 @@
 the entry bound it.
 """
 
+BLOCK_PORTS = 100
+"""Ports that one reservation covers; each holds a file descriptor."""
+
 _reservations: list[socket.socket] = []
+_unused_ports: list[int] = []
 
 
 def find_ports(count: int) -> list[int]:
@@ -40,23 +44,35 @@
     connections leaves its port free for a while.
     """
     found: list[int] = []
-    source = random.Random()
     while len(found) < count:
-        port = source.choice(PORTS)
-        if _is_free(port) and _reserve(port):
+        if not _unused_ports:
+            _unused_ports.extend(_reserve_block())
+        port = _unused_ports.pop()
+        if _is_free(port):
             found.append(port)
     return found
 
 
-def _reserve(port: int) -> bool:
-    """Reserve a port among all runs of the tests on this machine.
+def _reserve_block() -> list[int]:
+    """Reserve ports that no other run uses; return them in random order."""
+    source = random.Random()
+    firsts = list(PORTS[::BLOCK_PORTS])
+    source.shuffle(firsts)
+    first = next(one for one in firsts if _reserve(one))
+    block = list(range(first, min(first + BLOCK_PORTS, PORTS.stop)))
+    source.shuffle(block)
+    return block
+
+
+def _reserve(first: int) -> bool:
+    """Reserve a block of ports among all runs of the tests on this machine.
 
     The reservation is a name in the abstract namespace of Unix sockets, which
     ends with the process that holds it.
     """
     reservation = socket.socket(socket.AF_UNIX, socket.SOCK_DGRAM)
     try:
-        reservation.bind(f'\0thornspool-test-port-{port}')
+        reservation.bind(f'\0thornspool-test-ports-{first}')
     except OSError:
         reservation.close()
         return False
--- a/tests/platform/test_deployment.py
+++ b/tests/platform/test_deployment.py
@@ -17,7 +17,7 @@
 
 class PortTest(unittest.TestCase):
     def reserve_elsewhere(self, port):
-        """Reserve a port in another process, which ends at once."""
+        """Reserve ports in another process, which ends at once."""
         return subprocess.run(
             [sys.executable, '-c', _RESERVE, str(port)],
             cwd=deployment.ROOT,
@@ -30,7 +30,15 @@
         """Guards against a port that another run takes while it is free."""
         (port,) = deployment.find_ports(1)
         self.assertTrue(deployment._is_free(port))
-        self.assertEqual('False', self.reserve_elsewhere(port))
-        self.assertFalse(deployment._reserve(port))
+        offset = (port - deployment.PORTS.start) % deployment.BLOCK_PORTS
+        self.assertEqual('False', self.reserve_elsewhere(port - offset))
+        self.assertFalse(deployment._reserve(port - offset))
         self.assertEqual('True', self.reserve_elsewhere(1))
         self.assertTrue(deployment._reserve(1))
+
+    def test_many_ports_need_few_file_descriptors(self):
+        """Guards against a soak that ends as select() gets none below 1024."""
+        before = len(deployment._reservations)
+        ports = deployment.find_ports(500)
+        self.assertEqual(500, len(set(ports)))
+        self.assertLessEqual(len(deployment._reservations) - before, 7)
