Let the test of port reservations use a name of its own run

Cause: the test reserved the fixed name 1, in another process and then itself until its end, so that a second run at the same time found it taken.

Change: the name is the second port of the block that the run has reserved. No other run uses names within a block that it doesn't hold. All four assertions stay as strict: the block is refused to another process and to a second reservation, a free name is granted to both.

With reservations that are not shared among processes the test fails.

--- a/tests/platform/test_deployment.py
+++ b/tests/platform/test_deployment.py
@@ -31,10 +31,13 @@
         (port,) = deployment.find_ports(1)
         self.assertTrue(deployment._is_free(port))
         offset = (port - deployment.PORTS.start) % deployment.BLOCK_PORTS
-        self.assertEqual('False', self.reserve_elsewhere(port - offset))
-        self.assertFalse(deployment._reserve(port - offset))
-        self.assertEqual('True', self.reserve_elsewhere(1))
-        self.assertTrue(deployment._reserve(1))
+        first = port - offset
+        self.assertEqual('False', self.reserve_elsewhere(first))
+        self.assertFalse(deployment._reserve(first))
+        # Only the run that holds the block uses the names within it.
+        unreserved = first + 1
+        self.assertEqual('True', self.reserve_elsewhere(unreserved))
+        self.assertTrue(deployment._reserve(unreserved))
 
     def test_many_ports_need_few_file_descriptors(self):
         """Guards against a soak that ends as select() gets none below 1024."""
