Print what broke each connection in the test of a lost domain

Its logs were not kept.

Not traced: two runs at once beside five busy processes, and one beside the load of other work, held. The slowest streams took 17.5, 13.9 and 15.1 s after their start, since suspects run on trial one after the other; at 30 s the client would count them as broken. This could account for streams, not for holds. Three more of each are also what one lost entry without engines accounts for: its own two streams and two holds, and one retry of each.

Change: each break prints the entry, its exit code and the client's error, so that the next failure tells these apart. No assertion changes.

--- a/tests/processes/test_domains.py
+++ b/tests/processes/test_domains.py
@@ -116,6 +116,12 @@
         generation = asyncio.create_task(self.run_stream(prompt, entry))
         self.streams[prompt] = generation
 
+    def record_broken(self, kind, entry, error):
+        """Count a broken connection; print its entry, exit code and error."""
+        self.broken[kind] += 1
+        exit_code = self.cluster.entries[entry].popen.poll()
+        print(kind, entry, exit_code, error)
+
     async def run_stream(self, prompt, entry):
         """Generate a text; retry refusals, and use another entry if broken."""
         for _ in range(MAX_ATTEMPTS):
@@ -123,8 +129,8 @@
                 answer = await self.cluster.generate(
                     prompt, entry, max_tokens=TOKENS
                 )
-            except ConnectionError:
-                self.broken['streams'] += 1
+            except ConnectionError as error:
+                self.record_broken('streams', entry, error)
                 entry = next(self.others)
                 continue
             if answer.status != REFUSED:
@@ -140,8 +146,8 @@
         for number in range(MAX_ATTEMPTS):
             try:
                 await self.senders.send(key, [entry], is_resent=number > 0)
-            except ConnectionError:
-                self.broken['holds'] += 1
+            except ConnectionError as error:
+                self.record_broken('holds', entry, error)
                 entry = next(self.others)
                 continue
             if self.senders.replies[key][-1].outcome != 'not run':
