Decode the shared parts of a prompt

Requests state the parts of their prompts in Prompt-Prefix, which was only forwarded. The identifiers of all parts but the last, which belongs to the request itself, are kept with the request, so that logs and later decisions can name them. Nothing uses them yet.

--- a/src/thornspool/application/routing/ports.py
+++ b/src/thornspool/application/routing/ports.py
@@ -71,6 +71,9 @@
     resume_after : str
         Identifier of the last event that the caller has received; empty for
         a stream from its start.
+    prompt_parts : tuple of str
+        Identifiers of the parts of the prompt that other requests may share,
+        in order; the last part of a prompt is its own and left out.
     relay : Relay or None
         How a peer has passed it on; None for a request of a caller.
     """
@@ -87,6 +90,7 @@
     prompt_tokens: float = 0.0
     output_tokens: float = 0.0
     resume_after: str = ''
+    prompt_parts: tuple[str, ...] = ()
     relay: Relay | None = None
 
     @property
--- a/src/thornspool/platform/callers.py
+++ b/src/thornspool/platform/callers.py
@@ -29,6 +29,9 @@
 addresses expire. Each lookup takes 0.2 ms of processor time.
 """
 
+MAX_PROMPT_PARTS = 64
+"""Parts of a prompt that are read; further ones are ignored."""
+
 LOOKUP_PATH = '/v1/lookup'
 READINESS_PATH = '/v1/readiness'
 
@@ -172,6 +175,7 @@
         prompt_tokens=prompt,
         output_tokens=expected or 0.0,
         resume_after=headers.get('Last-Event-Id', ''),
+        prompt_parts=_parse_parts(headers.get('Prompt-Prefix', '')),
     )
 
 
@@ -182,6 +186,16 @@
         return 0.0
 
 
+def _parse_parts(text: str) -> tuple[str, ...]:
+    """Parse the identifiers of the shared parts of a prompt.
+
+    The size of a part is not read, and the last part is left out.
+    """
+    entries = [entry for entry in text.split(',') if entry.strip()]
+    names = [entry.partition(':')[0].strip().lower() for entry in entries]
+    return tuple(dict.fromkeys(names[:-1]))[:MAX_PROMPT_PARTS]
+
+
 def _parse_usage(text: str) -> tuple[float, float]:
     """Parse the number of prompt tokens and the limit on output tokens."""
     prompt, _, max_output = text.partition(',')
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -210,6 +210,19 @@
             (1460.0, 80.0), (read.prompt_tokens, read.output_tokens)
         )
 
+    def test_decodes_the_shared_parts_of_a_prompt(self):
+        table = (
+            ('5c1e07a2:800,91BD3F06:410,e4402b7d:250', '5c1e07a2 91bd3f06'),
+            ('a:1 , b:2,, a:3, own:4', 'a b'),
+            ('own:4', ''),
+            ('', ''),
+        )
+        for text, expected in table:
+            with self.subTest(text):
+                read = self.decode(Host='h', Prompt_Prefix=text)
+                self.assertEqual(tuple(expected.split()), read.prompt_parts)
+                self.assertIn(('Prompt-Prefix', text), read.headers)
+
     def test_malformed_headers_are_treated_as_missing(self):
         read = self.decode(
             Host='h', Deadline_Ms='soon', Token_Usage='x', Length_Hint='-'
