Name the parts of prompts on servers that ended

Callers of model requests lost most of 26 s while servers ended one after the other under requests that share one part of their prompts. The log named the requests on each server by fingerprints, of which no two were alike, so that the account of the incident could not tell which part they had in common, nor which parts other requests had run well meanwhile.

server_ended now has the parts of the runs that may have ended the server: those that this entry has not seen run well (parts), and the others (proven_parts).

--- a/src/thornspool/application/routing/crash_detection.py
+++ b/src/thornspool/application/routing/crash_detection.py
@@ -19,6 +19,8 @@
 from thornspool.application.routing import (
     routing_state as routing_state_module,
 )
+from thornspool.domain.quarantine import fingerprints as fingerprints_module
+from thornspool.domain.quarantine import proofs
 
 if typing.TYPE_CHECKING:
     from collections.abc import Callable
@@ -101,6 +103,10 @@
     is_implicated : bool
         Whether one of its servers ended under it. Others that end at about
         the same time are a coincidence or a consequence.
+    parts : tuple of str
+        Names of the parts of its prompt that other requests share.
+    on_established : callable
+        Called once its servers have run it for a while.
     """
 
     fingerprint: str
@@ -113,6 +119,8 @@
     doubts: int = 0
     origin: TrackedRun | None = None
     is_implicated: bool = False
+    parts: tuple[str, ...] = ()
+    on_established: Callable[[], None] = lambda: None
 
     def may_have_ended(self, server: fleet.Server) -> bool:
         """Return whether the run may have ended a server."""
@@ -129,9 +137,12 @@
 
     def record_progress(self, now: int) -> None:
         """Record an event of the response."""
+        was_established = self.is_established
         if self.first_progress_at is None:
             self.first_progress_at = now
         self.last_progress_at = now
+        if self.is_established and not was_established:
+            self.on_established()
 
     @property
     def is_established(self) -> bool:
@@ -210,6 +221,7 @@
         self._processes: dict[_Key, _Process] = {}
         self._ended: dict[_Key, int] = {}
         self._revision = 0
+        self.proven_parts = proofs.ProvenParts()
         self.ended_count = 0
 
     def set_crash_handler(
@@ -239,9 +251,13 @@
         fingerprint: str,
         servers: Iterable[fleet.Server],
         origin: TrackedRun | None = None,
+        parts: tuple[str, ...] = (),
     ) -> TrackedRun:
         """Record that a run is sent to servers, or continues on them."""
-        run = TrackedRun(fingerprint, tuple(servers), origin=origin)
+        run = TrackedRun(
+            fingerprint, tuple(servers), origin=origin, parts=parts
+        )
+        run.on_established = lambda: self._record_proof(run)
         for server in run.servers:
             self._find_process(server).running.add(run)
         return run
@@ -270,7 +286,7 @@
                 run.doubts += 1
             self._drop_if_unused(process)
         if ending is RunEnd.COMPLETED:
-            self._clear(run.fingerprint)
+            self._record_completion(run)
         if not run.doubts:
             run.on_resolved()
         elif ending is RunEnd.BROKEN:
@@ -279,6 +295,11 @@
             if run.is_on_trial or server.id in self._routing_state.suspicions:
                 self._start_check(server)
 
+    def _record_proof(self, run: TrackedRun) -> None:
+        """Record that servers ran the parts of a run well."""
+        for part in run.parts:
+            self.proven_parts.record(part, self._clock.now())
+
     def _is_staying(self, server: fleet.Server) -> bool:
         """Return whether a server is listed and does not leave.
 
@@ -289,15 +310,17 @@
             and server.id not in self._routing_state.leaving
         )
 
-    def _clear(self, fingerprint: str) -> None:
+    def _record_completion(self, run: TrackedRun) -> None:
         """Drop the doubts about a request that a server has completed."""
+        if run.first_progress_at is not None:
+            self._record_proof(run)
         for process in list(self._processes.values()):
             self._resolve(
                 process,
                 [
-                    run
-                    for run in process.doubtful
-                    if run.fingerprint == fingerprint
+                    one
+                    for one in process.doubtful
+                    if one.fingerprint == run.fingerprint
                 ],
             )
 
@@ -435,10 +458,21 @@
                 evidence=evidence,
                 runs=len(runs),
                 fingerprints=','.join(sorted(fingerprints)),
+                **self._describe_parts(runs),
             )
             self._on_crash(server, fingerprints)
         self._resolve_everywhere(process.doubtful)
 
+    def _describe_parts(self, runs: Iterable[TrackedRun]) -> dict[str, str]:
+        """Describe the parts of runs by whether others ran them well."""
+        parts = sorted({part for run in runs for part in run.parts})
+        proven = [part for part in parts if part in self.proven_parts]
+        unproven = [part for part in parts if part not in self.proven_parts]
+        return {
+            'parts': fingerprints_module.shorten(unproven),
+            'proven_parts': fingerprints_module.shorten(proven),
+        }
+
     def _resolve_everywhere(self, runs: set[TrackedRun]) -> None:
         """Drop the doubts about runs that one of their servers has broken."""
         explained = set(runs)
--- a/src/thornspool/application/routing/exchanges.py
+++ b/src/thornspool/application/routing/exchanges.py
@@ -77,6 +77,8 @@
     fingerprint : str
         Hash of workspace, target and body, by which a request that is sent
         again is recognized.
+    parts : tuple of str
+        Names of the parts of its prompt that other requests share.
     """
 
     request: ports.Request
@@ -96,6 +98,7 @@
     timing: timings.StreamTiming = attrs.field(factory=timings.StreamTiming)
     demanded: set[str] = attrs.field(factory=set)
     fingerprint: str = attrs.field(init=False)
+    parts: tuple[str, ...] = attrs.field(init=False)
     _excluded_until: dict[str, int] = attrs.field(factory=dict)
 
     @runs.default
@@ -112,6 +115,13 @@
             request.body,
         )
 
+    @parts.default
+    def _compute_parts(self) -> tuple[str, ...]:
+        return tuple(
+            fingerprints.compute_part_name(self.service, part)
+            for part in self.request.prompt_parts
+        )
+
     @property
     def workspace_name(self) -> str:
         """Name of the workspace; empty for an anonymous caller."""
--- a/src/thornspool/application/routing/intake.py
+++ b/src/thornspool/application/routing/intake.py
@@ -12,6 +12,7 @@
 
 from thornspool.application.routing import exchanges
 from thornspool.application.routing import streams as streams_module
+from thornspool.domain.quarantine import fingerprints
 from thornspool.domain.routing import decisions
 from thornspool.domain.routing import messages as routing
 
@@ -294,6 +295,7 @@
             runs=exchange.runs,
             path=exchange.path,
             fingerprint=exchange.fingerprint,
+            parts=fingerprints.shorten(exchange.parts),
             first_ms=None
             if first_event_at is None
             else first_event_at - request.arrived_at,
--- a/src/thornspool/application/routing/run_permits.py
+++ b/src/thornspool/application/routing/run_permits.py
@@ -169,9 +169,10 @@
         fingerprint: str,
         servers: Iterable[fleet.Server],
         trial: Trial | None = None,
+        parts: tuple[str, ...] = (),
     ) -> crash_detection.TrackedRun:
         """Record that a request is sent to servers."""
-        run = self._crashes.begin(fingerprint, servers)
+        run = self._crashes.begin(fingerprint, servers, parts=parts)
         if trial is not None:
             for target in trial.targets:
                 self._quarantine.record_start(fingerprint, target)
@@ -186,7 +187,7 @@
     ) -> crash_detection.TrackedRun:
         """Record that a run continues on other servers."""
         self._crashes.end(run, crash_detection.RunEnd.LEFT)
-        return self._crashes.begin(run.fingerprint, servers, run)
+        return self._crashes.begin(run.fingerprint, servers, run, run.parts)
 
     def end(
         self,
--- a/src/thornspool/application/routing/streams.py
+++ b/src/thornspool/application/routing/streams.py
@@ -478,6 +478,7 @@
             exchange.fingerprint,
             [hop.server for hop in hops],
             in_flight.trial,
+            exchange.parts,
         )
         in_flight.trial = None
         in_flight.stop = self._servers.send(run, listener)
--- a/src/thornspool/domain/quarantine/fingerprints.py
+++ b/src/thornspool/domain/quarantine/fingerprints.py
@@ -1,9 +1,17 @@
-"""Fingerprints of requests."""
+"""Fingerprints of requests and of parts of their prompts."""
 
 from __future__ import annotations
 
+import typing
+
 import xxhash
 
+if typing.TYPE_CHECKING:
+    from collections.abc import Iterable
+
+SHORT_DIGITS = 8
+"""Digits of the name of a part in the log."""
+
 
 def fingerprint_call(
     workspace: str, service: str, operation: str, body: bytes
@@ -42,3 +50,28 @@
         digest.update(len(part).to_bytes(8, 'big'))
         digest.update(part)
     return digest.hexdigest()
+
+
+def compute_part_name(service: str, part: str) -> str:
+    """Compute the name of a part of a prompt.
+
+    It does not depend on the caller, since callers share parts.
+
+    Parameters
+    ----------
+    service : str
+        Service that handles the requests.
+    part : str
+        Identifier of the part.
+
+    Returns
+    -------
+    str
+        32 hexadecimal digits.
+    """
+    return compute_fingerprint('', f'part {service}', part.encode())
+
+
+def shorten(names: Iterable[str]) -> str:
+    """Return the beginnings of names for the log, separated by commas."""
+    return ','.join(name[:SHORT_DIGITS] for name in names)
--- a/src/thornspool/platform/state_metrics.py
+++ b/src/thornspool/platform/state_metrics.py
@@ -76,6 +76,13 @@
     _add_store(metrics, sources)
     _add_engines(metrics, sources)
     common_metrics.add_quarantine_metrics(metrics, sources.quarantine)
+    metrics.add_gauge(
+        'thornspool_quarantine_proven_parts',
+        'Parts of prompts that ran well at servers of this entry.',
+        metrics_module.make_sample_reader(
+            lambda: len(sources.crashes.proven_parts)
+        ),
+    )
 
 
 def _add_entry(
--- a/tests/application/routing/test_crash_detection.py
+++ b/tests/application/routing/test_crash_detection.py
@@ -6,6 +6,7 @@
 import unittest
 
 import attrs
+from structlog import testing
 
 from tests.application.routing import builders
 from thornspool.application.routing import crash_detection
@@ -138,6 +139,20 @@
         await self.pass_time()
         self.assertEqual([], self.crashed)
 
+    async def test_end_tells_which_parts_of_prompts_ran_well(self):
+        """Guards against ends whose log does not tell parts apart."""
+        shared, other = 'a' * 32, 'b' * 32
+        first = self.detector.begin('first', [self.server], parts=(shared,))
+        for now in (0, crash_detection.ESTABLISHED_MS):
+            first.record_progress(now)
+        self.detector.begin('second', [self.server], parts=(shared, other))
+        with testing.capture_logs() as logs:
+            await self.break_run(GONE)
+        ended = next(one for one in logs if one['event'] == 'server_ended')
+        self.assertEqual(
+            ('b' * 8, 'a' * 8), (ended['parts'], ended['proven_parts'])
+        )
+
     async def test_end_counts_once(self):
         """Guards against one crash that counts for each broken connection."""
         await self.break_run(GONE)
