--- a/tests/application/routing/test_run_permits.py
+++ b/tests/application/routing/test_run_permits.py
@@ -5,6 +5,8 @@
 import asyncio
 import unittest
 
+import attrs
+
 from tests.application.routing import builders
 from thornspool.application.routing import crash_detection
 from thornspool.application.routing import ports
@@ -19,6 +21,8 @@
 PATHS = ('/brief/x', '/read/x', '/hold/x')
 GONE = ports.ProcessCheck(False)
 TIMEOUT_S = 10.0
+MAX_ENDED = 5
+"""Servers that requests with one part may end before all are refused."""
 
 
 def compute_fingerprint(path):
@@ -175,3 +179,82 @@
         run.record_progress(0)
         run.record_progress(crash_detection.ESTABLISHED_MS)
         self.assertTrue(self.world.permits.may_reroute(run))
+
+
+class PromptPartTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.world = builders.World()
+        self.served = 0
+        self.ended = []
+
+    async def serve(self, *parts):
+        """Serve a request of its own that has the parts in its prompt."""
+        self.served += 1
+        reply = self.world.serve(
+            number=self.served,
+            body=b'own %d' % self.served,
+            prompt_parts=parts,
+        )
+        await self.pass_time(0)
+        return reply
+
+    async def pass_time(self, milliseconds=25):
+        """Advance the clock, and let checks end that wait for real time."""
+        for _ in range(10):
+            await asyncio.sleep(0)
+        self.world.advance(milliseconds)
+        self.world.crashes.tick()
+        await asyncio.sleep(0.005)
+
+    async def serve_crashing(self, *parts):
+        """Serve a request that ends each server that begins to run it."""
+        runs = self.world.servers.runs
+        count = len(runs)
+        reply = await self.serve(*parts)
+        async with asyncio.timeout(TIMEOUT_S):
+            while not (reply.whole or reply.aborted):
+                if count < len(runs):
+                    count += 1
+                    await self.crash(runs[count - 1])
+                await self.pass_time()
+        return reply
+
+    async def crash(self, run):
+        """End the server of a run, and start it again."""
+        server = run.run.server
+        self.ended.append(server.id)
+        run.begin()
+        self.world.servers.checks[server.id] = GONE
+        run.end(ports.Completion.BROKEN)
+        async with asyncio.timeout(TIMEOUT_S):
+            while not self.world.crashes.has_ended(server):
+                await self.pass_time()
+        del self.world.servers.checks[server.id]
+        self.world.add(
+            attrs.evolve(server, started_at=server.started_at + 4_000)
+        )
+
+    async def run_well(self, *parts):
+        """Serve a request whose run makes progress and is completed."""
+        reply = await self.serve(*parts)
+        run = self.world.servers.last
+        run.begin()
+        run.send(0, 1)
+        self.world.advance(crash_detection.ESTABLISHED_MS)
+        run.send(1, 2)
+        run.end()
+        self.assertEqual((200, True), (reply.status, reply.whole))
+
+    async def test_part_that_crashes_servers_is_refused(self):
+        """Guards against requests, no two alike, with a part that crashes."""
+        await self.run_well('shared')
+        for _ in range(MAX_ENDED):
+            reply = await self.serve_crashing('shared', 'crashing')
+            await self.pass_time(records.VERDICT_DELAY_MS)
+        self.assertLess(len(self.ended), MAX_ENDED)
+        count = len(self.world.servers.runs)
+        reply = await self.serve('shared', 'crashing')
+        self.assertEqual((503, 'quarantined'), (reply.status, reply.reason))
+        self.assertGreater(reply.retry_after_ms, 60_000)
+        self.assertEqual(count, len(self.world.servers.runs))
+        await self.run_well('shared')
