Tell who ends an answer early, and whether a run that is left has ended

Callers saw answers that broke off; the logs could not tell why. A connection that this process closed at its stop ended as outcome=caller_left, like one that the caller had closed, and run_repeated named a reason but not whether the run before had ended for certain or its engine only did not answer.

request_ended now has ended_by (caller, stop, deadline, entry) and answers that the stop cuts end as outcome=cut reason=stopping; run_repeated has proof (none, not_sent, refused, connection_closed, server_ended, replaced) and idle_ms. thornspool_answers_cut_total counts by ended_by. A relayed answer that meets its deadline is logged with this reason, no longer as relay_broken. A reset by the network still looks like a caller that closes.

No routing decision is changed.

--- a/src/thornspool/adapters/servers.py
+++ b/src/thornspool/adapters/servers.py
@@ -240,7 +240,11 @@
         if self._server is not None:
             self._server.conn_params.no_keep_alive = True
 
-    async def stop(self, timeout_ms: int = RESPONSE_TIMEOUT_MS) -> None:
+    async def stop(
+        self,
+        timeout_ms: int = RESPONSE_TIMEOUT_MS,
+        before_close: Callable[[], None] = lambda: None,
+    ) -> None:
         """Stop accepting, finish pending responses and close connections.
 
         Parameters
@@ -248,6 +252,8 @@
         timeout_ms : int, optional
             Maximum wait in milliseconds for clients that read their
             responses slowly or not at all.
+        before_close : callable, optional
+            Called right before the remaining connections are closed.
         """
         if self._server is None:
             return
@@ -263,4 +269,5 @@
             logger.warning(
                 'answers_cut', count=len(self._server.busy_connections)
             )
+        before_close()
         await self._server.close_all_connections()
--- a/src/thornspool/application/routing/intake.py
+++ b/src/thornspool/application/routing/intake.py
@@ -102,6 +102,11 @@
         self.describe_copy: Callable[[], dict[str, typing.Any]] = dict
         self.in_flight = 0
         self.is_draining = False
+        self._is_closing = False
+
+    def begin_closing(self) -> None:
+        """Record that this entry closes the remaining connections itself."""
+        self._is_closing = True
 
     def is_current(self) -> bool:
         """Return whether requests with a key may be served."""
@@ -281,11 +286,18 @@
         now = self._clock.now()
         request = exchange.request
         first_event_at = exchange.first_event_at
+        if outcome == 'caller_left' and self._is_closing:
+            outcome = 'cut'
+            exchange.outcome_reason = 'stopping'
+        ended_by = _find_ended_by(outcome, exchange.outcome_reason)
+        if ended_by:
+            self._metrics.count_cut_answer(ended_by)
         logger.info(
             'request_ended',
             id=request.id,
             route=exchange.route.name,
             outcome=outcome,
+            ended_by=ended_by,
             reason=exchange.outcome_reason,
             workspace=exchange.workspace_name,
             service=exchange.service,
@@ -314,6 +326,15 @@
             )
 
 
+def _find_ended_by(outcome: str, reason: str) -> str:
+    """Return who ended a request without a complete answer, or nothing."""
+    if outcome == 'caller_left':
+        return 'caller'
+    if outcome != 'cut':
+        return ''
+    return {'stopping': 'stop', 'deadline': 'deadline'}.get(reason, 'entry')
+
+
 def describe_timing(timing: timings.StreamTiming) -> dict[str, typing.Any]:
     """Build the log fields for the queueing and event gaps of a stream.
 
--- a/src/thornspool/application/routing/relays.py
+++ b/src/thornspool/application/routing/relays.py
@@ -366,8 +366,8 @@
         else:
             exchange.refuse(503, reason, self._random.randint(*RETRY_AFTER_MS))
 
-    def _cut(self, relay: _Relay) -> None:
-        relay.exchange.outcome_reason = 'relay_broken'
+    def _cut(self, relay: _Relay, reason: str = 'relay_broken') -> None:
+        relay.exchange.outcome_reason = reason
         relay.exchange.reply.abort()
         self._end(relay, 'cut')
 
@@ -375,7 +375,7 @@
         self._end_transfer(relay)
         exchange = relay.exchange
         if exchange.response_started:
-            self._cut(relay)
+            self._cut(relay, 'deadline')
             return
         self._relays.discard(relay)
         # The peer may have run it, whatever its answer would have been.
--- a/src/thornspool/application/routing/streams.py
+++ b/src/thornspool/application/routing/streams.py
@@ -13,6 +13,7 @@
 from thornspool.application.routing import listeners
 from thornspool.application.routing import ports
 from thornspool.application.routing import run_permits
+from thornspool.application.routing import run_proofs
 from thornspool.domain.paths import choice
 from thornspool.domain.paths import search
 from thornspool.domain.paths import stalls
@@ -254,7 +255,9 @@
                 # The entry that passed it on may choose another peer.
                 self._fail(in_flight, 'links_lost', DRAINING_RETRY_MS)
             elif in_flight.stop is None:
-                self._retry_or_fail(in_flight, 'links_lost')
+                self._retry_or_fail(
+                    in_flight, 'links_lost', run_proofs.Proof.NONE
+                )
 
     def _deny(self, in_flight: in_flight_module.InFlightRequest) -> None:
         """Refuse a request that crashes the engines that run it."""
@@ -576,16 +579,20 @@
             self._evidence.record_unreachable(
                 first_server, in_flight.active_at
             )
-            self._retry_or_fail(in_flight, 'not_reached')
+            self._retry_or_fail(
+                in_flight, 'not_reached', run_proofs.Proof.NOT_SENT
+            )
         elif head is not None and not head.executed:
             self._uncount_run(in_flight)
             self._handle_refusal(in_flight, head)
         elif completion is ports.Completion.BROKEN or head is None:
             self._fault_attribution.record_broken_run(in_flight)
-            self._retry_or_fail(in_flight, 'broken')
+            self._retry_or_fail(in_flight, 'broken', run_proofs.Proof.CLOSED)
         elif head.status == _OK and head.is_authentic:
             if in_flight.events.pending:
-                self._retry_or_fail(in_flight, 'broken')
+                self._retry_or_fail(
+                    in_flight, 'broken', run_proofs.Proof.CLOSED
+                )
                 return
             self._release(in_flight)
             exchange.reply.finish()
@@ -593,7 +600,9 @@
         elif head.is_authentic and not exchange.response_started:
             self._handle_failure(in_flight, head)
         else:
-            self._retry_or_fail(in_flight, 'malformed')
+            self._retry_or_fail(
+                in_flight, 'malformed', run_proofs.Proof.CLOSED
+            )
 
     def _uncount_run(
         self, in_flight: in_flight_module.InFlightRequest
@@ -609,7 +618,11 @@
     ) -> None:
         """Retry a request that an engine reports not to have run."""
         self._fault_attribution.record_refusal(in_flight, head)
-        self._retry_or_fail(in_flight, f'refused_by_engine_{head.status}')
+        self._retry_or_fail(
+            in_flight,
+            f'refused_by_engine_{head.status}',
+            run_proofs.Proof.REFUSED,
+        )
 
     def _handle_failure(
         self,
@@ -666,6 +679,7 @@
         self,
         in_flight: in_flight_module.InFlightRequest,
         reason: str,
+        proof: run_proofs.Proof,
         path: search.Path | None = None,
     ) -> None:
         """Send a request once more if this is allowed, or end it."""
@@ -682,6 +696,8 @@
                 'run_repeated',
                 id=exchange.request.id,
                 reason=reason,
+                proof=proof.value,
+                idle_ms=self._clock.now() - in_flight.active_at,
                 sends=exchange.sends,
                 after=in_flight.events.last_id,
             )
@@ -757,7 +773,12 @@
             in_flight.stop()
             in_flight.stop = None
         in_flight.generation += 1
-        self._retry_or_fail(in_flight, reason, path)
+        proof = run_proofs.find_server_proof(
+            self._routing_state,
+            self._permits,
+            [hop.server for hop in in_flight.hops],
+        )
+        self._retry_or_fail(in_flight, reason, proof, path)
 
     def may_reroute(self, in_flight: in_flight_module.InFlightRequest) -> bool:
         """Return whether a run may continue on other engines.
--- a/src/thornspool/metrics.py
+++ b/src/thornspool/metrics.py
@@ -112,6 +112,10 @@
         self._requests = self._make_counter(
             'thornspool_requests_total', 'Requests of callers by outcome.'
         )
+        self._cut_answers = self._make_counter(
+            'thornspool_answers_cut_total',
+            'Requests that ended without a complete answer, by who ended it.',
+        )
         self._latency = self._make_histogram(
             'thornspool_request_duration_seconds',
             'Time from the request to the end of its answer.',
@@ -200,6 +204,16 @@
         self._requests.inc({**labels, 'outcome': outcome})
         self._latency.observe(labels, milliseconds / 1000)
 
+    def count_cut_answer(self, ended_by: str) -> None:
+        """Count a request that ended without a complete answer.
+
+        Parameters
+        ----------
+        ended_by : str
+            ``caller``, ``stop`` of this process, ``deadline`` or ``entry``.
+        """
+        self._cut_answers.inc({'ended_by': ended_by})
+
     def observe_first_token(self, workspace: str, milliseconds: int) -> None:
         """Record the milliseconds from a request to its first token."""
         self._first_token.observe(
--- a/src/thornspool/platform/daemon.py
+++ b/src/thornspool/platform/daemon.py
@@ -277,7 +277,7 @@
         for task in list(self._tasks):
             task.cancel()
         for listener in self._listeners:
-            await listener.stop(timeout_ms=FLUSH_TIMEOUT_MS)
+            await listener.stop(FLUSH_TIMEOUT_MS, self._intake.begin_closing)
         self._registration.stop_renewing()
         self._peer_socket.close()
         self._session.close()
--- a/tests/application/routing/test_intake.py
+++ b/tests/application/routing/test_intake.py
@@ -4,11 +4,16 @@
 
 import unittest
 
+import structlog
+
 from tests.application.routing import builders
 from thornspool.application.routing import intake
+from thornspool.application.routing import ports
 from thornspool.application.routing import streams
 from thornspool.domain.routing import messages as routing
 
+BROKEN = ports.Completion.BROKEN
+
 
 class OutdatedEntryTest(unittest.TestCase):
     def setUp(self):
@@ -120,3 +125,72 @@
         self.world.intake.is_draining = True
         self.assertEqual(503, self.world.serve('/none/x').status)
         self.assertEqual([], self.waiting)
+
+
+class CutAnswerTest(unittest.TestCase):
+    """Guards against cut answers whose cause can't be told."""
+
+    def test_log_and_metric_name_who_ended_an_answer(self):
+        cases = (
+            ('caller', {}, lambda world, reply: reply.leave()),
+            ('stop', {}, _close_all),
+            (
+                'deadline',
+                {'timeout_ms': 400},
+                lambda world, reply: world.advance(500),
+            ),
+            (
+                'entry',
+                {'path': '/once/x'},
+                lambda world, reply: world.servers.last.end(
+                    ports.Completion.BROKEN
+                ),
+            ),
+            ('', {}, lambda world, reply: world.servers.last.end()),
+        )
+        for ended_by, changes, end in cases:
+            with self.subTest(ended_by=ended_by):
+                world = builders.World()
+                reply = world.serve(**changes)
+                world.servers.last.begin()
+                world.servers.last.send(0, 3)
+                with structlog.testing.capture_logs() as lines:
+                    end(world, reply)
+                (line,) = (
+                    one for one in lines if one['event'] == 'request_ended'
+                )
+                self.assertEqual(ended_by, line['ended_by'])
+                counted = f'_answers_cut_total{{ended_by="{ended_by}"}} 1'
+                rendered = world.metrics.render()[0].decode()
+                self.assertEqual(bool(ended_by), counted in rendered)
+
+    def test_log_tells_a_proven_end_from_a_missing_answer(self):
+        cases = (
+            (
+                'connection_closed',
+                lambda world: world.servers.last.end(BROKEN),
+            ),
+            ('refused', lambda world: world.servers.last.refuse()),
+            ('none', _fail_over),
+        )
+        for proof, end in cases:
+            with self.subTest(proof=proof):
+                world = builders.World()
+                world.serve()
+                world.clock.advance(70)
+                with structlog.testing.capture_logs() as lines:
+                    end(world)
+                (line,) = (
+                    one for one in lines if one['event'] == 'run_repeated'
+                )
+                self.assertEqual((proof, 70), (line['proof'], line['idle_ms']))
+
+
+def _close_all(world, reply):
+    world.intake.begin_closing()
+    reply.leave()
+
+
+def _fail_over(world):
+    (in_flight,) = world.streams.in_flight_requests
+    world.streams.fail_over(in_flight, 'silent')
