--- a/standins/kv_fleet.py
+++ b/standins/kv_fleet.py
@@ -33,12 +33,15 @@
 import collections
 import contextlib
 import json
+import socket
+import struct
 import time
 import typing
 import urllib.request
 
 import attrs
 from tornado import httpserver
+from tornado import iostream
 from tornado import netutil
 from tornado import web
 
@@ -56,6 +59,7 @@
 _LAYER_MB = 1000.0
 _HEARTBEAT_INTERVAL_MS = 1200
 RESTART_S = 2.0
+_BROKEN_EVENT = EVENTS // 2
 PUBLICATION_RETRY_S = 0.5
 
 
@@ -148,6 +152,7 @@
         self.wrong_paths = 0
         self.lose_answers = 0
         self.crash_on = ''
+        self.unframed: list[str] | None = None
         self.aliases: dict[str, str] = {}
         self.hosts: dict[str, str] = {}
         self.log: list[dict[str, typing.Any]] = []
@@ -304,6 +309,35 @@
         self.set_header('Response-Seal', f'seal-{self.server.id}')
         self.set_header('Attempt-Id', self.request.headers['Attempt-Id'])
 
+    def take_ending(self) -> str | None:
+        """Return how the response ends; None if it has a length or chunks."""
+        unframed = self.fleet.unframed
+        if unframed is None:
+            return None
+        return unframed.pop(0) if unframed else 'whole'
+
+    def detach(self) -> iostream.IOStream:
+        """Write the head without a length or chunks; return the stream."""
+        self._auto_finish = False
+        connection: typing.Any = self.request.connection
+        stream: iostream.IOStream = connection.detach()
+        self.set_header('Connection', 'close')
+        lines = [f'HTTP/1.1 {self.get_status()} OK']
+        lines += [f'{one}: {value}' for one, value in self._headers.get_all()]
+        stream.write('\r\n'.join([*lines, '\r\n']).encode('latin-1'))
+        return stream
+
+
+async def end_connection(stream: iostream.IOStream, ending: str) -> None:
+    """Close or reset the connection of a response."""
+    with contextlib.suppress(iostream.StreamClosedError):
+        await stream.write(b'')
+    if ending == 'reset':
+        stream.socket.setsockopt(
+            socket.SOL_SOCKET, socket.SO_LINGER, struct.pack('ii', 1, 0)
+        )
+    stream.close()
+
 
 class ReportHandler(_Handler):
     """``GET /v1/report``: state of an engine."""
@@ -367,6 +401,10 @@
         self.set_header('Content-Type', 'text/event-stream')
         if await self.crash_if_told():
             return
+        ending = self.take_ending()
+        if ending is not None:
+            await self._write_unframed(first, ending)
+            return
         for index in range(first, EVENTS):
             await asyncio.sleep(STEP_S)
             lost = next((one for one in hops if not one[0].is_alive), None)
@@ -380,6 +418,21 @@
             await self.flush()
         self.finish()
 
+    async def _write_unframed(self, first: int, ending: str) -> None:
+        """Write a stream that ends with its connection."""
+        stream = self.detach()
+        for index in range(first, EVENTS):
+            await asyncio.sleep(STEP_S)
+            event = f'id: {index}\ndata: word{index}\n\n'.encode()
+            is_broken = ending != 'whole' and index == _BROKEN_EVENT
+            try:
+                await stream.write(event[:6] if is_broken else event)
+            except iostream.StreamClosedError:
+                return
+            if is_broken:
+                break
+        await end_connection(stream, ending)
+
     def _parse_path(self) -> list[tuple[Server, int, int, str]] | None:
         hops = []
         next_layer = 0
@@ -428,7 +481,16 @@
             return
         self.add_response_headers()
         workspace = self.request.headers.get('Tenant', '')
-        self.finish(f'{self.server.id} for {workspace}')
+        text = f'{self.server.id} for {workspace}'
+        ending = self.take_ending()
+        if ending is None:
+            self.finish(text)
+            return
+        stream = self.detach()
+        sent = text if ending == 'whole' else text[: len(text) // 2]
+        with contextlib.suppress(iostream.StreamClosedError):
+            await stream.write(sent.encode())
+        await end_connection(stream, ending)
 
 
 class ControlHandler(web.RequestHandler):
@@ -487,6 +549,7 @@
             domain = name.split('-')[0]
             await start_server(self.fleet, Server(name, MODEL_SERVICE, domain))
         self.fleet.crash_on = commands.get('crash_on', self.fleet.crash_on)
+        self.fleet.unframed = commands.get('unframed', self.fleet.unframed)
         self._set_conditions(commands)
         if 'put' in commands:
             await self.fleet.put(commands['put'], commands['document'])
