Hold the ends of servers against parts of prompts

What callers saw: requests that share one part of their prompts, no two alike, ended servers one after the other, for as long as they came. Most model requests were refused or cut meanwhile, as no server held the first layers.

Cause: the quarantine knew whole requests only. Where no two are alike, each one ends three servers before it is condemned, and the next begins anew at every entry. The streams beside them collect as many ends and are tried in their place.

The parts that requests share are now names in the same quarantine, with the same records, messages, reservations and stored verdicts. An end names the parts that have not run well; those in use by others are proven by 0.5 s of progress or a complete answer, and an entry with a proof answers peers that name such a part with a clearance. A part is tried from two ends on, condemned by an end in its trial, and refused at once from then on. Requests that stand beside it are not suspects by ends that it explains. Requests without parts keep the verdicts that they had.

--- a/src/thornspool/application/quarantine.py
+++ b/src/thornspool/application/quarantine.py
@@ -13,6 +13,7 @@
 from thornspool.application import ports
 from thornspool.domain.limits import ownership
 from thornspool.domain.quarantine import completions
+from thornspool.domain.quarantine import fingerprints
 from thornspool.domain.quarantine import messages
 from thornspool.domain.quarantine import ownership_history
 from thornspool.domain.quarantine import records
@@ -37,8 +38,20 @@
 
 @attrs.define(eq=False)
 class _Trial:
-    """Trial of one suspect on the targets that are reserved for it."""
+    """Trial of a request on the targets that are reserved for it.
 
+    Attributes
+    ----------
+    names : tuple of str
+        Those of its fingerprint and the parts of its prompt that are
+        suspects.
+    targets : tuple of str
+        Names of the targets.
+    started : bool
+        Whether it was sent.
+    """
+
+    names: tuple[str, ...]
     targets: tuple[str, ...]
     started: bool = False
 
@@ -91,6 +104,9 @@
         self._trials: dict[str, _Trial] = {}
         self.verdicts = collections.Counter(clear=0, suspect=0, condemned=0)
         self._on_suspects: Callable[[frozenset[str]], None] = lambda _: None
+        self._has_proof: Callable[[str, Iterable[str]], bool] = (
+            lambda part, ended: False
+        )
         self._ownership = ownership_history.OwnershipHistory(
             incarnation, clock.now()
         )
@@ -99,15 +115,57 @@
         peers.handle(messages.ReservationRequest, self._handle_reservation)
         peers.handle(messages.ReservationRelease, self._handle_release)
 
-    def check(self, fingerprint: str) -> messages.Verdict:
-        """Return the verdict on a request before its placement."""
-        verdict = self._records.check(fingerprint, self._clock.now())
+    def check(
+        self, fingerprint: str, parts: tuple[str, ...] = ()
+    ) -> messages.Verdict:
+        """Return the verdict on a request before its placement.
+
+        Parameters
+        ----------
+        fingerprint : str
+            Fingerprint of the request.
+        parts : tuple of str, optional
+            Names of the parts of its prompt.
+        """
+        verdict = self._judge((fingerprint, *parts))
         self.verdicts[type(verdict).__name__.lower()] += 1
         return verdict
 
-    def count_deaths(self, fingerprint: str) -> int:
-        """Count the targets that a request may have crashed."""
-        return self._records.count_deaths(fingerprint, self._clock.now())
+    def _judge(self, names: tuple[str, ...]) -> messages.Verdict:
+        """Return the strictest verdict on the names of a request."""
+        now = self._clock.now()
+        found: messages.Verdict = messages.Clear()
+        for name in names:
+            others = frozenset(names) - {name}
+            verdict = self._records.check(name, now, others)
+            if isinstance(verdict, messages.Condemned):
+                return verdict
+            if isinstance(verdict, messages.Suspect):
+                found = verdict
+        return found
+
+    def list_condemned(self, names: Iterable[str]) -> list[str]:
+        """List those of the names that are condemned by themselves."""
+        now = self._clock.now()
+        return [
+            name
+            for name in names
+            if isinstance(self._records.check(name, now), messages.Condemned)
+        ]
+
+    def count_deaths(self, name: str, others: Iterable[str] = ()) -> int:
+        """Count the targets that a request or a part may have crashed.
+
+        Parameters
+        ----------
+        name : str
+            Fingerprint of the request, or name of a part of its prompt.
+        others : iterable of str, optional
+            Other names of the same request.
+        """
+        return self._records.count_deaths(
+            name, self._clock.now(), frozenset(others) - {name}
+        )
 
     def condemn(self, fingerprint: str) -> None:
         """Apply a verdict that was kept since an earlier time."""
@@ -135,6 +193,50 @@
         """
         self._on_suspects = handler
 
+    def set_proof(self, find: Callable[[str, Iterable[str]], bool]) -> None:
+        """Set what tells whether a part of prompts ran well at this entry.
+
+        Parameters
+        ----------
+        find : callable
+            Called with the name of the part and the targets that ended under
+            it at peers.
+        """
+        self._has_proof = find
+
+    def has_suspect_part(self, part: str, target: str) -> bool:
+        """Return whether another part may have caused a target's death."""
+        return self._records.has_suspect_part(part, target)
+
+    def _contradict(self, update: messages.QuarantineNews) -> None:
+        """Clear the parts of prompts that ran well at this entry.
+
+        An entry that has just started, or that gets few requests with a part,
+        names it at every death.
+        """
+        now = self._clock.now()
+        cleared = [
+            found
+            for record in update.records
+            if fingerprints.is_part(record.fingerprint)
+            and self._records.list_targets(record.fingerprint)
+            and self._has_proof(
+                record.fingerprint,
+                self._records.list_targets(record.fingerprint),
+            )
+            and (
+                found := self._records.record_completion(
+                    record.fingerprint, now
+                )
+            )
+        ]
+        if cleared:
+            self._broadcast(
+                messages.QuarantineNews(
+                    tuple(one for news in cleared for one in news.records)
+                )
+            )
+
     def _report_suspects(self, update: messages.QuarantineNews) -> None:
         now = self._clock.now()
         suspects = frozenset(
@@ -192,43 +294,85 @@
         longest_ms : int, optional
             Maximum duration of the run, in milliseconds.
         """
-        verdict = self.check(fingerprint)
+        found = await self.reserve_trial((fingerprint,), targets, longest_ms)
+        return found is not None
+
+    async def reserve_trial(
+        self, names: tuple[str, ...], targets: tuple[str, ...], longest_ms: int
+    ) -> tuple[str, ...] | None:
+        """Reserve targets for a request whose names may include suspects.
+
+        Parameters
+        ----------
+        names : tuple of str
+            Fingerprint of the request and names of the parts of its prompt.
+        targets : tuple of str
+            Names of the targets, which are the stages of one route.
+        longest_ms : int
+            Maximum duration of the run, in milliseconds.
+
+        Returns
+        -------
+        tuple of str or None
+            The names on trial, empty if it needs no trial; None if the
+            request may not run on these targets now.
+        """
+        verdict = self.check(names[0], names[1:])
         if isinstance(verdict, messages.Clear):
-            return True
+            return ()
         if isinstance(verdict, messages.Condemned):
-            return False
-        if self._records.is_awaiting_verdict(fingerprint, self._clock.now()):
-            return False
-        if fingerprint in self._trials or self._is_on_trial(targets):
-            return False
-        self._trials[fingerprint] = _Trial(targets)
+            return None
+        suspects = self._list_suspects(names)
+        if not self._may_try(suspects, targets):
+            return None
+        trial = _Trial(suspects, targets)
+        self._trials.update(dict.fromkeys(suspects, trial))
         reserved = False
         try:
-            reserved = await self._reserve_all(
-                fingerprint, targets, longest_ms
-            )
+            reserved = await self._reserve_all(names, trial, longest_ms)
         finally:
             # Also runs when the caller cancels during the reservation:
             # unused reservations would delay the other suspects.
             if not reserved:
-                self._end_trial(fingerprint)
-        return reserved
+                self._end_trial(trial)
+        return suspects if reserved else None
 
-    def _is_on_trial(self, targets: tuple[str, ...]) -> bool:
-        return any(
+    def _list_suspects(self, names: tuple[str, ...]) -> tuple[str, ...]:
+        now = self._clock.now()
+        return tuple(
+            name
+            for name in names
+            if isinstance(
+                self._records.check(name, now, frozenset(names) - {name}),
+                messages.Suspect,
+            )
+        )
+
+    def _may_try(
+        self, suspects: tuple[str, ...], targets: tuple[str, ...]
+    ) -> bool:
+        now = self._clock.now()
+        if any(
+            name in self._trials
+            or self._records.is_awaiting_verdict(name, now)
+            for name in suspects
+        ):
+            return False
+        return not any(
             one in trial.targets
             for trial in self._trials.values()
             for one in targets
         )
 
     async def _reserve_all(
-        self, fingerprint: str, targets: tuple[str, ...], longest_ms: int
+        self, names: tuple[str, ...], trial: _Trial, longest_ms: int
     ) -> bool:
-        for name in _list_reserved_names(fingerprint, targets):
+        for name in _list_reserved_names(trial):
             if not await self._reserve(name, longest_ms):
                 return False
         # The verdict may have changed during the reservation.
-        return not isinstance(self.check(fingerprint), messages.Condemned)
+        verdict = self.check(names[0], names[1:])
+        return not isinstance(verdict, messages.Condemned)
 
     def may_send(self, fingerprint: str, target: str) -> bool:
         """Return whether a call may be sent to a target at this moment.
@@ -271,7 +415,7 @@
         """
         current = self._trials.get(fingerprint)
         if current is trial and current is not None and not current.started:
-            self._end_trial(fingerprint)
+            self._end_trial(current)
 
     def _find_trial(self, fingerprint: str, target: str) -> _Trial | None:
         trial = self._trials.get(fingerprint)
@@ -294,21 +438,24 @@
             Whether the target completed the request and still runs; this
             clears a suspect.
         """
-        if self._find_trial(fingerprint, target):
-            self._end_trial(fingerprint)
+        trial = self._find_trial(fingerprint, target)
+        if trial is not None:
+            self._end_trial(trial)
         if succeeded:
             self.record_completion(fingerprint)
 
     def record_completion(self, fingerprint: str) -> None:
         """Record that a target completed a request and still runs."""
         self._completed.add(fingerprint)
-        update = self._records.record_completion(
-            fingerprint, self._clock.now()
-        )
+        self.clear(fingerprint)
+
+    def clear(self, name: str) -> None:
+        """Clear a request, or a part of prompts, of its deaths so far."""
+        update = self._records.record_completion(name, self._clock.now())
         if update is not None:
             self._broadcast(update)
 
-    def record_crash(self, target: str, fingerprints: Iterable[str]) -> None:
+    def record_crash(self, target: str, names: Iterable[str]) -> None:
         """Record that a target died.
 
         Call this before `record_end` of the requests in flight on it.
@@ -317,10 +464,11 @@
         ----------
         target : str
             Name of the target.
-        fingerprints : iterable of str
-            Fingerprints of this entry's requests on the target.
+        names : iterable of str
+            Fingerprints of this entry's requests on the target, and parts of
+            their prompts that may have caused its death.
         """
-        in_flight = frozenset(fingerprints)
+        in_flight = frozenset(names)
         for one in in_flight:
             self._completed.discard(one)
         on_trial = frozenset(
@@ -371,6 +519,7 @@
         except exceptions.PeerUnreachable:
             return
         self._records.merge(update, self._clock.now())
+        self._contradict(update)
 
     def _broadcast(self, update: messages.QuarantineNews) -> None:
         for member in self._list_others():
@@ -393,17 +542,20 @@
             return False
         return bool(reply.reserved)
 
-    def _end_trial(self, fingerprint: str) -> None:
-        targets = self._trials.pop(fingerprint).targets
-        request_name, *names = _list_reserved_names(fingerprint, targets)
+    def _end_trial(self, trial: _Trial) -> None:
+        for name in trial.names:
+            del self._trials[name]
+        now = self._clock.now()
+        names = [_describe_target(target) for target in trial.targets]
         # After a death in its trial the request stays reserved until the
         # reservation expires. Otherwise an entry that has not yet received
         # the update about the death would start another trial and lose one
         # more target.
-        if not self._records.is_awaiting_verdict(
-            fingerprint, self._clock.now()
-        ):
-            names.append(request_name)
+        names += [
+            _describe_request(name)
+            for name in trial.names
+            if not self._records.is_awaiting_verdict(name, now)
+        ]
         for name in names:
             release = messages.ReservationRelease(name, self._incarnation)
             owner = ownership.find_owner(name, self._refresh_view())
@@ -434,6 +586,7 @@
         self, _sender: str, update: messages.QuarantineNews
     ) -> None:
         self._records.merge(update, self._clock.now())
+        self._contradict(update)
         self._report_suspects(update)
 
     async def _handle_digest(
@@ -462,10 +615,18 @@
         self._reservations.release(release.name, release.holder)
 
 
-def _list_reserved_names(
-    fingerprint: str, targets: tuple[str, ...]
-) -> list[str]:
+def _list_reserved_names(trial: _Trial) -> list[str]:
     # All entries reserve in the same order. Otherwise two suspects could
     # each hold a target that the other needs.
-    target_names = [f'target {target}' for target in sorted(targets)]
-    return [f'request {fingerprint}', *target_names]
+    return [
+        *(_describe_request(name) for name in sorted(trial.names)),
+        *(_describe_target(target) for target in sorted(trial.targets)),
+    ]
+
+
+def _describe_request(name: str) -> str:
+    return f'request {name}'
+
+
+def _describe_target(target: str) -> str:
+    return f'target {target}'
--- a/src/thornspool/application/routing/crash_detection.py
+++ b/src/thornspool/application/routing/crash_detection.py
@@ -10,6 +10,7 @@
 
 import asyncio
 import enum
+import functools
 import typing
 
 import attrs
@@ -135,6 +136,10 @@
             )
         )
 
+    def has_name(self, name: str) -> bool:
+        """Return whether the request or a part of its prompt has a name."""
+        return name == self.fingerprint or name in self.parts
+
     def record_progress(self, now: int) -> None:
         """Record an event of the response."""
         was_established = self.is_established
@@ -216,7 +221,11 @@
         self._try_acquire = try_acquire
         self._start_task = start_task
         self._on_crash: Callable[[fleet.Server, frozenset[str]], None] = (
-            lambda server, fingerprints: None
+            lambda server, names: None
+        )
+        self._on_proof: Callable[[TrackedRun], None] = lambda run: None
+        self._is_explained: Callable[[str, str], bool] = lambda part, target: (
+            False
         )
         self._processes: dict[_Key, _Process] = {}
         self._ended: dict[_Key, int] = {}
@@ -229,20 +238,42 @@
     ) -> None:
         """Set the callback for servers that ended.
 
-        It receives the server and the fingerprints of the requests that had
-        just begun there.
+        It receives the server and the names that may have caused its end:
+        the fingerprints of the requests that had just begun there, and the
+        parts of their prompts that did not run well before.
         """
         self._on_crash = handler
 
+    def set_proof_handler(self, handler: Callable[[TrackedRun], None]) -> None:
+        """Set the callback for runs that show that their parts run well."""
+        self._on_proof = handler
+
+    def set_explanation(self, find: Callable[[str, str], bool]) -> None:
+        """Set what tells whether others may have caused an end.
+
+        Parameters
+        ----------
+        find : callable
+            Returns whether a suspect other than a part of prompts may have
+            caused the end of a target, both given by their names.
+        """
+        self._is_explained = find
+
     def has_ended(self, server: fleet.Server) -> bool:
         """Return whether the process of a server is known to have ended."""
         return _get_key(server) in self._ended
 
-    def count_checks(self, fingerprint: str) -> int:
-        """Count the servers that are being checked after they broke a run."""
+    def count_checks(self, name: str) -> int:
+        """Count the servers that are being checked after they broke a run.
+
+        Parameters
+        ----------
+        name : str
+            Fingerprint of the request, or name of a part of its prompt.
+        """
         return sum(
             process.is_checking
-            and any(run.fingerprint == fingerprint for run in process.doubtful)
+            and any(run.has_name(name) for run in process.doubtful)
             for process in self._processes.values()
         )
 
@@ -298,7 +329,8 @@
     def _record_proof(self, run: TrackedRun) -> None:
         """Record that servers ran the parts of a run well."""
         for part in run.parts:
-            self.proven_parts.record(part, self._clock.now())
+            self.proven_parts.record(part)
+        self._on_proof(run)
 
     def _is_staying(self, server: fleet.Server) -> bool:
         """Return whether a server is listed and does not leave.
@@ -460,9 +492,26 @@
                 fingerprints=','.join(sorted(fingerprints)),
                 **self._describe_parts(runs),
             )
-            self._on_crash(server, fingerprints)
+            self._on_crash(
+                server, fingerprints | self._name_parts(server, runs)
+            )
         self._resolve_everywhere(process.doubtful)
 
+    def _name_parts(
+        self, server: fleet.Server, runs: set[TrackedRun]
+    ) -> frozenset[str]:
+        """Find the parts that may have caused the end of a process."""
+        parts = {part for run in runs for part in run.parts}
+        for part in parts:
+            self.proven_parts.record_end(
+                part,
+                get_target(server),
+                functools.partial(self._is_explained, part),
+            )
+        return frozenset(
+            part for part in parts if part not in self.proven_parts
+        )
+
     def _describe_parts(self, runs: Iterable[TrackedRun]) -> dict[str, str]:
         """Describe the parts of runs by whether others ran them well."""
         parts = sorted({part for run in runs for part in run.parts})
@@ -480,6 +529,11 @@
             self._resolve(process, process.doubtful & explained)
 
 
+def get_target(server: fleet.Server) -> str:
+    """Return the name by which the quarantine knows a server's process."""
+    return f'{server.id}@{server.started_at}'
+
+
 def _get_key(server: fleet.Server) -> _Key:
     """Return what identifies one process of a server."""
     return server.id, server.started_at
--- a/src/thornspool/application/routing/run_permits.py
+++ b/src/thornspool/application/routing/run_permits.py
@@ -10,6 +10,7 @@
 from __future__ import annotations
 
 import enum
+import functools
 import typing
 
 import attrs
@@ -54,9 +55,18 @@
 
 @attrs.define(eq=False)
 class Trial:
-    """Trial of a suspect on reserved servers."""
+    """Trial of a suspect on reserved servers.
 
-    fingerprint: str
+    Attributes
+    ----------
+    names : tuple of str
+        Those of its fingerprint and the parts of its prompt that are
+        suspects.
+    targets : tuple of str
+        Names of the processes of the servers.
+    """
+
+    names: tuple[str, ...]
     targets: tuple[str, ...]
 
 
@@ -72,7 +82,7 @@
     start_task : callable
         Runs a coroutine as a background task.
     keep_verdict : callable, optional
-        Called with the fingerprint of each request that is denied.
+        Called with each name that is condemned when it is denied.
     """
 
     def __init__(
@@ -87,37 +97,60 @@
         self._start_task = start_task
         self._keep_verdict = keep_verdict
         crashes.set_crash_handler(self._handle_crash)
+        crashes.set_proof_handler(self._handle_proof)
+        crashes.set_explanation(quarantine.has_suspect_part)
+        quarantine.set_proof(self._has_proof)
 
-    def check(self, fingerprint: str) -> Permit:
-        """Return whether a request may be sent now."""
-        verdict = self._quarantine.check(fingerprint)
+    def check(self, fingerprint: str, parts: tuple[str, ...] = ()) -> Permit:
+        """Return whether a request may be sent now.
+
+        Parameters
+        ----------
+        fingerprint : str
+            Fingerprint of the request.
+        parts : tuple of str, optional
+            Names of the parts of its prompt.
+        """
+        verdict = self._quarantine.check(fingerprint, parts)
+        names = (fingerprint, *parts)
         if isinstance(verdict, messages.Condemned):
-            self._quarantine.record_refusal(fingerprint)
-            self._keep_verdict(fingerprint)
+            for name in names:
+                self._quarantine.record_refusal(name)
+            for name in self._quarantine.list_condemned(names):
+                self._keep_verdict(name)
             return Permit.DENIED
         if isinstance(verdict, messages.Suspect):
             return Permit.ON_TRIAL
-        unresolved = self._crashes.count_checks(fingerprint)
-        if not unresolved:
-            return Permit.GRANTED
-        deaths = self._quarantine.count_deaths(fingerprint)
-        if unresolved + deaths < SUSPECT_DEATHS:
-            return Permit.GRANTED
-        return Permit.UNKNOWN
+        if any(self._is_unknown(name, names) for name in names):
+            return Permit.UNKNOWN
+        return Permit.GRANTED
+
+    def _is_unknown(self, name: str, names: tuple[str, ...]) -> bool:
+        """Return whether a check in progress may make a name a suspect."""
+        if name in self._crashes.proven_parts:
+            return False
+        unresolved = self._crashes.count_checks(name)
+        return unresolved > 0 and (
+            unresolved + self._quarantine.count_deaths(name, names)
+            >= SUSPECT_DEATHS
+        )
 
     def may_reroute(self, run: crash_detection.TrackedRun) -> bool:
         """Return whether a run may continue on servers that it lacks now."""
-        return run.is_established or not (
-            self._quarantine.count_deaths(run.fingerprint)
+        names = (run.fingerprint, *run.parts)
+        return run.is_established or not any(
+            self._quarantine.count_deaths(name, names) for name in names
         )
 
     def count_ended(self, servers: Iterable[fleet.Server]) -> int:
         """Count the servers whose processes are known to have ended."""
         return sum(self._crashes.has_ended(server) for server in servers)
 
-    def compute_retry_after(self, fingerprint: str) -> int:
+    def compute_retry_after(
+        self, fingerprint: str, parts: tuple[str, ...] = ()
+    ) -> int:
         """Compute when a denied request may run again, in milliseconds."""
-        verdict = self._quarantine.check(fingerprint)
+        verdict = self._quarantine.check(fingerprint, parts)
         if isinstance(verdict, messages.Condemned):
             return verdict.retry_after_ms
         return RETRY_AFTER_MS
@@ -128,6 +161,7 @@
         servers: Iterable[fleet.Server],
         longest_ms: int,
         on_reply: Callable[[Trial | None], None],
+        parts: tuple[str, ...] = (),
     ) -> None:
         """Reserve servers for a trial.
 
@@ -142,23 +176,25 @@
         on_reply : callable
             Called with the trial, which must be begun or abandoned, or with
             None if it is not possible now.
+        parts : tuple of str, optional
+            Names of the parts of its prompt.
         """
-        trial = Trial(fingerprint, tuple(get_target(one) for one in servers))
-        self._start_task(self._reserve(trial, longest_ms, on_reply))
+        targets = tuple(crash_detection.get_target(one) for one in servers)
+        names = (fingerprint, *parts)
+        self._start_task(self._reserve(names, targets, longest_ms, on_reply))
 
     async def _reserve(
         self,
-        trial: Trial,
+        names: tuple[str, ...],
+        targets: tuple[str, ...],
         longest_ms: int,
         on_reply: Callable[[Trial | None], None],
     ) -> None:
-        reserved = await self._quarantine.reserve_run_on_all(
-            trial.fingerprint, trial.targets, longest_ms
+        suspects = await self._quarantine.reserve_trial(
+            names, targets, longest_ms
         )
-        if reserved and self._quarantine.find_trial(trial.fingerprint) is None:
-            # It was cleared meanwhile and needs no trial.
-            reserved = False
-        on_reply(trial if reserved else None)
+        # Without suspects, it was cleared meanwhile and needs no trial.
+        on_reply(Trial(suspects, targets) if suspects else None)
 
     def abandon(self, trial: Trial) -> None:
         """Release the servers of a trial that does not begin."""
@@ -175,7 +211,7 @@
         run = self._crashes.begin(fingerprint, servers, parts=parts)
         if trial is not None:
             for target in trial.targets:
-                self._quarantine.record_start(fingerprint, target)
+                self._quarantine.record_start(trial.names[0], target)
             run.is_on_trial = True
             run.on_resolved = lambda: self._end_trial(trial)
         return run
@@ -201,15 +237,36 @@
 
     def _end_trial(self, trial: Trial) -> None:
         self._quarantine.record_end(
-            trial.fingerprint, trial.targets[0], succeeded=False
+            trial.names[0], trial.targets[0], succeeded=False
         )
 
     def _handle_crash(
-        self, server: fleet.Server, fingerprints: frozenset[str]
+        self, server: fleet.Server, names: frozenset[str]
     ) -> None:
-        self._quarantine.record_crash(get_target(server), fingerprints)
+        self._quarantine.record_crash(
+            crash_detection.get_target(server), names
+        )
 
+    def _handle_proof(self, run: crash_detection.TrackedRun) -> None:
+        """Clear the names of a run that went well.
 
-def get_target(server: fleet.Server) -> str:
-    """Return the name by which the quarantine knows a server's process."""
-    return f'{server.id}@{server.started_at}'
+        Requests without parts of prompts are cleared by their completion.
+        """
+        if not run.parts:
+            return
+        for name in (run.fingerprint, *run.parts):
+            self._quarantine.clear(name)
+        if run.is_on_trial:
+            run.is_on_trial = False
+            run.on_resolved()
+            run.on_resolved = lambda: None
+
+    def _has_proof(self, part: str, ended: Iterable[str]) -> bool:
+        """Return whether a part ran well, although targets ended under it."""
+        for target in ended:
+            self._crashes.proven_parts.record_end(
+                part,
+                target,
+                functools.partial(self._quarantine.has_suspect_part, part),
+            )
+        return part in self._crashes.proven_parts
--- a/src/thornspool/application/routing/streams.py
+++ b/src/thornspool/application/routing/streams.py
@@ -197,7 +197,8 @@
     ) -> None:
         """Send a request on a path of this entry, queue it or refuse it."""
         now = self._clock.now()
-        permit = self._permits.check(in_flight.exchange.fingerprint)
+        exchange = in_flight.exchange
+        permit = self._permits.check(exchange.fingerprint, exchange.parts)
         if permit is run_permits.Permit.DENIED:
             self._deny(in_flight)
             return
@@ -258,10 +259,13 @@
 
     def _deny(self, in_flight: in_flight_module.InFlightRequest) -> None:
         """Refuse a request that crashes the engines that run it."""
+        exchange = in_flight.exchange
         self._fail(
             in_flight,
             'quarantined',
-            self._permits.compute_retry_after(in_flight.exchange.fingerprint),
+            self._permits.compute_retry_after(
+                exchange.fingerprint, exchange.parts
+            ),
         )
 
     def _wait_for_permit(
@@ -291,6 +295,7 @@
             [hop.server for hop in hops],
             max(1, exchange.compute_remaining_ms(self._clock.now())),
             functools.partial(self._start_trial, in_flight, hops),
+            exchange.parts,
         )
 
     def _start_trial(
--- a/src/thornspool/domain/quarantine/fingerprints.py
+++ b/src/thornspool/domain/quarantine/fingerprints.py
@@ -9,8 +9,14 @@
 if typing.TYPE_CHECKING:
     from collections.abc import Iterable
 
-SHORT_DIGITS = 8
-"""Digits of the name of a part in the log."""
+PART_PREFIX = '0' * 8
+"""Beginning of the names of parts, which tells them from fingerprints.
+
+Names of both kinds have the same form, so that messages and stored verdicts
+carry either.
+"""
+
+_SHORT_DIGITS = 8
 
 
 def fingerprint_call(
@@ -55,7 +61,8 @@
 def compute_part_name(service: str, part: str) -> str:
     """Compute the name of a part of a prompt.
 
-    It does not depend on the caller, since callers share parts.
+    It does not depend on the caller, since callers share parts. A service
+    may run well what crashes the servers of another.
 
     Parameters
     ----------
@@ -69,9 +76,15 @@
     str
         32 hexadecimal digits.
     """
-    return compute_fingerprint('', f'part {service}', part.encode())
+    digest = compute_fingerprint('', f'part {service}', part.encode())
+    return PART_PREFIX + digest[len(PART_PREFIX) :]
+
+
+def is_part(name: str) -> bool:
+    """Return whether a name is that of a part of a prompt."""
+    return name.startswith(PART_PREFIX)
 
 
 def shorten(names: Iterable[str]) -> str:
-    """Return the beginnings of names for the log, separated by commas."""
-    return ','.join(name[:SHORT_DIGITS] for name in names)
+    """Return the ends of names for the log, separated by commas."""
+    return ','.join(name[-_SHORT_DIGITS:] for name in names)
--- a/src/thornspool/domain/quarantine/records.py
+++ b/src/thornspool/domain/quarantine/records.py
@@ -7,18 +7,27 @@
 both then have two deaths, and the cause cannot be determined. Entries detect
 this from each other's updates, so a verdict is delayed for
 `VERDICT_DELAY_MS` and is computed again when a late update arrives.
+
+Parts of prompts that requests share have records like whole requests. They
+are names of the same form; a request is judged by its fingerprint and by the
+names of its parts together.
 """
 
 from __future__ import annotations
 
 import itertools
+import typing
 
 import attrs
 import xxhash
 
+from thornspool.domain.quarantine import fingerprints
 from thornspool.domain.quarantine import index
 from thornspool.domain.quarantine import messages
 
+if typing.TYPE_CHECKING:
+    from collections.abc import Set as AbstractSet
+
 SUSPECT_TTL_MS = 600_000
 CONDEMNED_TTL_MS = 3_600_000
 VERDICT_DELAY_MS = 1000
@@ -33,9 +42,15 @@
 REFUSAL_UPDATE_MS = CONDEMNED_TTL_MS // 4
 """Interval at which the refusals of a condemned request extend its verdict."""
 
+PROBATION_MS = CONDEMNED_TTL_MS
+"""Time after a verdict on a part of prompts in which it runs on trial."""
+
 MAX_RECORDS = 4096
 MAX_DEATHS = 8
 
+MAX_PART_DEATHS = 24
+"""Deaths of a part of prompts, which each entry reports by itself."""
+
 
 _KEPT_REPORTER = 'kept'
 
@@ -134,35 +149,72 @@
         self._records[fingerprint] = record
         return self._build_update([fingerprint], now)
 
-    def check(self, fingerprint: str, now: int) -> messages.Verdict:
-        """Return the verdict on a request."""
-        deaths = self._list_deaths(fingerprint)
-        remaining_ms = self._compute_condemned_ms(fingerprint, deaths, now)
+    def check(
+        self,
+        name: str,
+        now: int,
+        others: AbstractSet[str] = frozenset(),
+    ) -> messages.Verdict:
+        """Return the verdict on a request, or on a part of its prompt.
+
+        Parameters
+        ----------
+        name : str
+            Fingerprint of the request, or name of the part.
+        now : int
+            Monotonic milliseconds.
+        others : set of str, optional
+            Other names of the same request. It may not run if either this
+            name or one of them is the cause of a death in a trial.
+        """
+        deaths = self._list_deaths(name)
+        remaining_ms = self._compute_condemned_ms(name, deaths, now, others)
         if remaining_ms > 0:
             return messages.Condemned(remaining_ms)
+        ttl_ms = SUSPECT_TTL_MS
+        if fingerprints.is_part(name):
+            ttl_ms = CONDEMNED_TTL_MS + PROBATION_MS
         on_trial = any(
-            one.on_trial and one.at + SUSPECT_TTL_MS > now for one in deaths
+            one.on_trial and one.at + ttl_ms > now for one in deaths
         )
         if on_trial or (
-            self._count_unexplained(deaths, now) >= self._suspect_deaths
+            self.count_deaths(name, now, others) >= self._suspect_deaths
         ):
             return messages.Suspect()
         return messages.Clear()
 
-    def count_deaths(self, fingerprint: str, now: int) -> int:
-        """Count the targets that a request may have crashed."""
-        return self._count_unexplained(self._list_deaths(fingerprint), now)
-
-    def _count_unexplained(self, deaths: list[Death], now: int) -> int:
+    def count_deaths(
+        self,
+        name: str,
+        now: int,
+        others: AbstractSet[str] = frozenset(),
+    ) -> int:
+        """Count the targets that a request or a part may have crashed."""
         return len(
             {
                 death.target
-                for death in deaths
+                for death in self._list_deaths(name)
                 if death.at + SUSPECT_TTL_MS > now
-                and not self._is_explained(death, now)
+                and not self._is_explained(name, death, now, others)
             }
         )
 
+    def has_suspect_part(self, part: str, target: str) -> bool:
+        """Return whether another part of prompts may have caused a death.
+
+        It has deaths on the target and on others that nothing contradicts.
+        """
+        return any(
+            name != part
+            and fingerprints.is_part(name)
+            and target in self.list_targets(name)
+            for name in self._index.list_repeated(target)
+        )
+
+    def list_targets(self, name: str) -> set[str]:
+        """Return the targets of the deaths after the last clearance."""
+        return {death.target for death in self._list_deaths(name)}
+
     def condemn(self, fingerprint: str, now: int) -> None:
         """Apply a verdict that was kept since an earlier time."""
         death = Death(
@@ -184,13 +236,20 @@
     ) -> messages.QuarantineNews | None:
         """Extend the verdict on a condemned request that came again.
 
+        Verdicts on parts are not extended, since requests of many callers
+        may have them. Once they expire, the part runs on trial.
+
         Returns
         -------
         QuarantineNews or None
             State update to broadcast; None while the last one is recent.
         """
         record = self._records.get(fingerprint)
-        if record is None or not any(one.on_trial for one in record.deaths):
+        if (
+            record is None
+            or fingerprints.is_part(fingerprint)
+            or not any(one.on_trial for one in record.deaths)
+        ):
             return None
         since = max(record.refused_at or 0, record.deaths[-1].at)
         if now - since < REFUSAL_UPDATE_MS:
@@ -236,9 +295,18 @@
     def describe_latest(
         self, now: int, max_records: int
     ) -> messages.QuarantineNews:
-        """Return the most recent records, and before them those of trials."""
+        """Return the most recent records, and before them those of trials.
+
+        Those of parts of prompts take precedence over those of requests.
+        """
         self._drop_expired(now)
-        names = sorted(self._records, key=self._has_death_on_trial)
+        names = sorted(
+            self._records,
+            key=lambda name: (
+                self._has_death_on_trial(name),
+                fingerprints.is_part(name),
+            ),
+        )
         return self._build_update(names[-max_records:], now)
 
     def _has_death_on_trial(self, fingerprint: str) -> bool:
@@ -272,7 +340,11 @@
         ]
 
     def _compute_condemned_ms(
-        self, fingerprint: str, deaths: list[Death], now: int
+        self,
+        fingerprint: str,
+        deaths: list[Death],
+        now: int,
+        others: AbstractSet[str] = frozenset(),
     ) -> int:
         """Return how long a request stays condemned; 0 if it is not."""
         record = self._records.get(fingerprint)
@@ -281,32 +353,78 @@
             if not death.on_trial or death.at + VERDICT_DELAY_MS > now:
                 continue
             remaining_ms = max(death.at, refused_at) + CONDEMNED_TTL_MS - now
-            if remaining_ms > 0 and not self._is_ambiguous(fingerprint, death):
+            if remaining_ms > 0 and not self._is_ambiguous(
+                fingerprint, death, others
+            ):
                 return remaining_ms
         return 0
 
-    def _is_ambiguous(self, fingerprint: str, death: Death) -> bool:
+    def _is_ambiguous(
+        self, name: str, death: Death, others: AbstractSet[str]
+    ) -> bool:
         """Return whether another suspect was at the same death.
 
-        It was a suspect if it has enough other deaths.
+        It was a suspect if it has enough other deaths. The other names of
+        the same request do not count: if one of them is the cause, the
+        request may not run either.
         """
         return any(
             _has_this_and_other_deaths(
-                self._list_deaths(name), death, self._suspect_deaths
+                self._list_rival_deaths(name, rival, death),
+                death,
+                self._suspect_deaths,
             )
-            for name in self._index.list_repeated(death.target)
-            if name != fingerprint
+            for rival in self._index.list_repeated(death.target)
+            if rival != name and rival not in others
         )
 
-    def _is_explained(self, death: Death, now: int) -> bool:
-        """Return whether a condemned request was at the same death."""
-        for name in itertools.chain(
+    def _list_rival_deaths(
+        self, name: str, rival: str, death: Death
+    ) -> list[Death]:
+        """Return the deaths that count towards a rival at the same death.
+
+        The part of a prompt also explains the other deaths that it shares
+        with a request that was not on trial.
+        """
+        deaths = self._list_deaths(rival)
+        if not fingerprints.is_part(name) or fingerprints.is_part(rival):
+            return deaths
+        own = self._list_deaths(name)
+        return [
+            one
+            for one in deaths
+            if one.on_trial
+            or _is_same_death(one, death)
+            or not _contains_death(own, one)
+        ]
+
+    def _is_explained(
+        self,
+        name: str,
+        death: Death,
+        now: int,
+        others: AbstractSet[str],
+    ) -> bool:
+        """Return whether a condemned request was at the same death.
+
+        A part of other prompts that is a suspect explains the deaths of
+        requests as well: they have moved on together with those that have
+        the part, and their trials would delay its trial.
+        """
+        for other in itertools.chain(
             self._index.list_on_trial(death.target),
             self._index.list_repeated(death.target),
         ):
-            deaths = self._list_deaths(name)
-            if any(_is_same_death(one, death) for one in deaths) and (
-                self._compute_condemned_ms(name, deaths, now) > 0
+            deaths = self._list_deaths(other)
+            if not _contains_death(deaths, death):
+                continue
+            if self._compute_condemned_ms(other, deaths, now) > 0:
+                return True
+            if (
+                fingerprints.is_part(other)
+                and not fingerprints.is_part(name)
+                and other not in others
+                and self.count_deaths(other, now) >= self._suspect_deaths
             ):
                 return True
         return False
@@ -315,7 +433,10 @@
         old = self._pop(fingerprint)
         by_id = {(one.reporter, one.sequence): one for one in new.deaths}
         by_id.update({(one.reporter, one.sequence): one for one in old.deaths})
-        deaths = sorted(by_id.values(), key=_get_time)[-MAX_DEATHS:]
+        bound = MAX_DEATHS
+        if fingerprints.is_part(fingerprint):
+            bound = MAX_PART_DEATHS
+        deaths = sorted(by_id.values(), key=_get_time)[-bound:]
         self._records[fingerprint] = _Record(
             tuple(deaths),
             _pick_later(old.cleared_at, new.cleared_at),
@@ -372,7 +493,9 @@
         expired = [
             name
             for name, record in self._records.items()
-            if not any(_is_live(record, one, now) for one in record.deaths)
+            if not any(
+                _is_live(name, record, one, now) for one in record.deaths
+            )
         ]
         for name in expired:
             self._pop(name)
@@ -395,10 +518,17 @@
     return one.target == other.target and is_close
 
 
-def _is_live(record: _Record, death: Death, now: int) -> bool:
+def _contains_death(deaths: list[Death], death: Death) -> bool:
+    return any(_is_same_death(one, death) for one in deaths)
+
+
+def _is_live(name: str, record: _Record, death: Death, now: int) -> bool:
     if not death.on_trial:
         return death.at + SUSPECT_TTL_MS > now
-    return max(death.at, record.refused_at or 0) + CONDEMNED_TTL_MS > now
+    ttl_ms = CONDEMNED_TTL_MS
+    if fingerprints.is_part(name):
+        ttl_ms += PROBATION_MS
+    return max(death.at, record.refused_at or 0) + ttl_ms > now
 
 
 def _get_time(death: Death) -> int:
--- a/tools/mechanisms.py
+++ b/tools/mechanisms.py
@@ -124,12 +124,10 @@
     'quarantine': (
         Edit(
             f'{_ROUTING}/run_permits.py',
-            'verdict = self._quarantine.check(fingerprint)\n'
-            '        if isinstance(verdict, messages.Condemned):\n'
-            '            self._quarantine.record_refusal',
+            'verdict = self._quarantine.check(fingerprint, parts)\n'
+            '        names = (fingerprint, *parts)\n',
             'return Permit.GRANTED\n'
-            '        if isinstance(verdict, messages.Condemned):\n'
-            '            self._quarantine.record_refusal',
+            '        names = (fingerprint, *parts)\n',
         ),
     ),
     'drawn-holders': (
