--- a/tools/mechanisms.py
+++ b/tools/mechanisms.py
@@ -126,8 +126,7 @@
             f'{_ROUTING}/run_permits.py',
             'verdict = self._quarantine.check(fingerprint, parts)\n'
             '        names = (fingerprint, *parts)\n',
-            'return Permit.GRANTED\n'
-            '        names = (fingerprint, *parts)\n',
+            'return Permit.GRANTED\n        names = (fingerprint, *parts)\n',
         ),
     ),
     'drawn-holders': (
