Keep a part apart from the request that was tried with it

A request that crashes servers by itself and has a part of its own in its prompt ended its trial under both names. The part was condemned at once, for all requests that have it, because the ends that both share did not count for the request as its rival. They do now where the request was on trial itself: the request is denied, and the part is tried once more with another request.

test_part_is_no_rival_of_its_own_request failed before. The other tests of the new module guard what the change before already did: denial of names that were tried together, elimination, requests beside a suspect part, the time after a verdict, and the order of records in replies to peers.

--- a/src/thornspool/domain/quarantine/records.py
+++ b/src/thornspool/domain/quarantine/records.py
@@ -387,15 +387,19 @@
         with a request that was not on trial.
         """
         deaths = self._list_deaths(rival)
-        if not fingerprints.is_part(name) or fingerprints.is_part(rival):
+        if (
+            not fingerprints.is_part(name)
+            or fingerprints.is_part(rival)
+            or any(
+                one.on_trial and _is_same_death(one, death) for one in deaths
+            )
+        ):
             return deaths
         own = self._list_deaths(name)
         return [
             one
             for one in deaths
-            if one.on_trial
-            or _is_same_death(one, death)
-            or not _contains_death(own, one)
+            if _is_same_death(one, death) or not _contains_death(own, one)
         ]
 
     def _is_explained(
--- /dev/null
+++ b/tests/domain/quarantine/test_records_of_parts.py
@@ -0,0 +1,99 @@
+"""Tests of the records of parts of prompts."""
+
+from __future__ import annotations
+
+import unittest
+
+from thornspool.domain.quarantine import fingerprints
+from thornspool.domain.quarantine import messages
+from thornspool.domain.quarantine import records
+
+SUSPECT_DEATHS = 2
+TRIAL_AT = 1_000
+JUDGED_AT = TRIAL_AT + records.VERDICT_DELAY_MS
+PART, OTHER = (
+    fingerprints.compute_part_name('drafting', part) for part in ('a', 'b')
+)
+
+
+class PartRecordsTest(unittest.TestCase):
+    def setUp(self):
+        self.records = records.QuarantineRecords('e', SUSPECT_DEATHS)
+
+    def record_deaths(self, targets, *names):
+        for target in targets:
+            self.records.record_death(target, frozenset(names), frozenset(), 0)
+
+    def record_trial(self, target, *names, now=TRIAL_AT, beside=()):
+        on_trial = frozenset(names)
+        self.records.record_death(
+            target, on_trial | frozenset(beside), on_trial, now
+        )
+
+    def check(self, name, *others, now=JUDGED_AT):
+        return type(self.records.check(name, now, frozenset(others)))
+
+    def test_names_on_trial_together_deny_requests_with_all_of_them(self):
+        """Guards against a sound part that is condemned for another one."""
+        self.record_deaths('tu', PART, OTHER)
+        self.record_trial('v', PART, OTHER)
+        self.assertIs(messages.Condemned, self.check(PART, OTHER))
+        self.assertIs(messages.Suspect, self.check(PART))
+        self.assertIs(messages.Suspect, self.check(OTHER))
+
+    def test_last_name_of_a_trial_is_condemned(self):
+        """Guards against a cause that hides behind a part that ran well."""
+        self.record_deaths('tu', PART, OTHER)
+        self.record_trial('v', PART, OTHER)
+        self.records.record_completion(OTHER, JUDGED_AT)
+        self.assertIs(messages.Condemned, self.check(PART))
+        self.assertIs(messages.Clear, self.check(OTHER))
+
+    def test_part_is_no_rival_of_its_own_request(self):
+        """Guards against a request that is tried on and on with its parts."""
+        self.record_deaths('tu', PART, 'request')
+        self.record_trial('v', PART, 'request')
+        self.assertIs(messages.Condemned, self.check('request', PART))
+        self.assertIs(messages.Suspect, self.check(PART, 'another request'))
+        self.record_trial('w', PART, beside=['another request'])
+        self.assertIs(messages.Condemned, self.check(PART, 'third request'))
+
+    def test_requests_beside_a_suspect_part_need_no_trial(self):
+        """Guards against trials of streams that move on with the cause."""
+        self.record_deaths('tu', PART, 'beside')
+        self.assertIs(messages.Suspect, self.check(PART))
+        self.assertIs(messages.Clear, self.check('beside'))
+        self.assertEqual(0, self.records.count_deaths('beside', 0))
+        self.assertIs(messages.Suspect, self.check('beside', PART))
+        self.records.record_completion(PART, JUDGED_AT)
+        self.assertIs(messages.Suspect, self.check('beside'))
+
+    def test_requests_beside_the_trial_of_a_part_are_no_rivals(self):
+        """Guards against a part that streams beside it keep on trial."""
+        self.record_deaths('tuw', PART, 'beside')
+        self.record_trial('v', PART, beside=['beside'])
+        self.assertIs(messages.Condemned, self.check(PART))
+        self.record_deaths('xy', 'beside')
+        self.assertIs(messages.Suspect, self.check(PART))
+
+    def test_part_runs_on_trial_after_its_verdict(self):
+        """Guards against servers that end again once a verdict expires."""
+        self.record_trial('t', PART)
+        self.assertIs(messages.Condemned, self.check(PART))
+        end = TRIAL_AT + records.CONDEMNED_TTL_MS
+        self.assertIsNone(self.records.record_refusal(PART, end - 1))
+        self.assertIs(messages.Suspect, self.check(PART, now=end))
+        end += records.PROBATION_MS
+        self.assertIs(messages.Suspect, self.check(PART, now=end - 1))
+        self.assertIs(messages.Clear, self.check(PART, now=end))
+        self.records.compute_digest(end)
+        self.assertEqual(0, self.records.count)
+
+    def test_replies_to_peers_contain_suspect_parts(self):
+        """Guards against suspects that the requests beside them displace."""
+        self.record_deaths('tu', PART)
+        for number in range(100):
+            self.record_deaths('v', f'request {number}')
+        update = self.records.describe_latest(0, 64)
+        self.assertEqual(64, len(update.records))
+        self.assertIn(PART, {one.fingerprint for one in update.records})
