Reproduce engines that crash on one part of a prompt

The simulated engines now end as they begin to write an answer on such a part, 50 to 120 ms after the run began, some after the first event, and are back 3.2 s later with another start. The callers of all workloads send parts: most share the first one, some a second one, few have another first one or none. They honour Retry-After up to a third of the 20 s that they wait, as those of the platform do; a verdict made the simulated ones wait for an hour.

One sound body of several requests is condemned: verdicts fall on bystanders.

Known red until the fix.

--- a/tests/simulation/callers.py
+++ b/tests/simulation/callers.py
@@ -12,6 +12,7 @@
 from tests.application.routing import builders
 from tests.simulation import engines
 from tests.simulation import loops
+from tests.simulation import prompt_parts
 from tests.simulation import world as world_module
 
 CALLER_LATENCY_MS = 3
@@ -48,6 +49,10 @@
         Requests that were not on time, by the reason of the last refusal.
     tries : list of engine_rules.FirstTry
         First tries of all requests.
+    attempts : list of part_rules.FirstAttempt
+        The same with what they share with others.
+    disordered : list of str
+        Requests whose events were missing, duplicated or out of order.
     """
 
     counts: collections.Counter = attrs.field(factory=collections.Counter)
@@ -62,6 +67,8 @@
     crashes: list = attrs.field(factory=list)
     reasons: collections.Counter = attrs.field(factory=collections.Counter)
     tries: list = attrs.field(factory=list)
+    attempts: list = attrs.field(factory=list)
+    disordered: list = attrs.field(factory=list)
 
     @property
     def total(self):
@@ -127,6 +134,7 @@
                 arrived_at=world.clock.now(),
                 prompt_tokens=prompt,
                 output_tokens=hint,
+                prompt_parts=prompt_parts.list_parts(number),
             ),
             reply,
         )
@@ -140,9 +148,16 @@
                     reply.status == 200 and not reply.aborted,
                 )
             )
+            results.attempts.append(
+                prompt_parts.build_attempt(
+                    results.sent_at[key], entry.host, reply, number
+                )
+            )
+        if not prompt_parts.is_in_order(reply, answer):
+            results.disordered.append(key)
         if reply.status != 503 or attempt:
             break
-        await loops.sleep_ms(reply.retry_after_ms or 500)
+        await loops.sleep_ms(prompt_parts.compute_backoff(reply))
         entry = world.choose_entry(source)
     outcome = _classify(workload, reply)
     results.counts[outcome] += 1
--- a/tests/simulation/engines.py
+++ b/tests/simulation/engines.py
@@ -6,6 +6,7 @@
 import contextlib
 import itertools
 import math
+import random
 import typing
 
 import attrs
@@ -45,6 +46,9 @@
 RESTART_MS = 3_200
 """Time until an engine that a request has crashed is back."""
 
+FIRST_TOKEN_MS = (50, 120)
+"""Times from the start of a run to the first token on a crashing part."""
+
 CONNECT_TIMEOUT_MS = 400
 """Time after which a connection that nobody answers is given up."""
 
@@ -159,6 +163,7 @@
         self.arrivals = []
         self.answers = []
         self.crashing = {}
+        self.crashing_parts = set()
         self.crashes = []
         self.cuts = {}
 
@@ -291,8 +296,10 @@
                 await self._refuse(active, engine, status)
                 return
         self._reserve(active, active.hops, active.tokens)
-        await loops.sleep_ms(self._prefill(active, active.hops))
+        prefill_ms = self._prefill(active, active.hops)
+        await loops.sleep_ms(prefill_ms)
         self._crash_under(active.run.request, active.hops)
+        await self._crash_under_part(active, first, first_event, prefill_ms)
         await self._write(active, first, first_event)
 
     def _crash_under(self, request, hops):
@@ -313,6 +320,33 @@
             )
             self.crash(engine.server.id, restart_ms=RESTART_MS)
 
+    async def _crash_under_part(self, active, first, first_event, ran_ms):
+        """Crash the first engine as it begins to write on a crashing part.
+
+        Some of the engines have written the first event by then.
+        """
+        request = active.run.request
+        part = next(
+            (
+                one
+                for one in request.prompt_parts
+                if one in self.crashing_parts
+            ),
+            None,
+        )
+        if part is None:
+            return
+        source = random.Random(f'{request.id} {first.server.id}')
+        await loops.sleep_ms(source.uniform(*FIRST_TOKEN_MS) - ran_ms)
+        if first.state != 'up':
+            return
+        if source.random() < 0.5 and active.client.host not in self.cuts:
+            self._write_event(active, first_event, is_first=True)
+        self.crashes.append(
+            engine_rules.Crash(self._clock.now(), first.server.id, part)
+        )
+        self.crash(first.server.id, restart_ms=RESTART_MS)
+
     async def _write(self, active, first, first_event):
         """Send the events of a run until its answer is complete or cut."""
         answer = self.output_tokens[active.run.request.id]
@@ -322,12 +356,7 @@
                 return
             while self.cuts.get(active.client.host) == 'silent':
                 await loops.sleep_ms(POLL_MS)
-            if number == first_event:
-                self.answer(active.run.server, active.client, True)
-                active.listener.handle_head(
-                    ports.ResponseHead(200, (), True, '', None, True)
-                )
-            active.listener.handle_body(b'id: %d\ndata: x\n\n' % number)
+            self._write_event(active, number, number == first_event)
             if (number + 1) * STEPS_PER_EVENT >= answer:
                 break
             active.tokens += STEPS_PER_EVENT
@@ -337,6 +366,15 @@
             )
         active.listener.handle_completion(ports.Completion.COMPLETE)
 
+    def _write_event(self, active, number, is_first):
+        """Send an event, after the head if it is the first one."""
+        if is_first:
+            self.answer(active.run.server, active.client, True)
+            active.listener.handle_head(
+                ports.ResponseHead(200, (), True, '', None, True)
+            )
+        active.listener.handle_body(b'id: %d\ndata: x\n\n' % number)
+
     async def _await_response(self, engine):
         """Wait while an engine does not reply."""
         while engine.state == 'unresponsive':
--- a/tests/simulation/world.py
+++ b/tests/simulation/world.py
@@ -616,4 +616,8 @@
     return builders.build_configuration(
         routes=routing.group_routes([route]),
         services={'drafting': routing.Service('drafting', model)},
+        workspaces={
+            'key-1': routing.Workspace('north'),
+            'key-2': routing.Workspace('south'),
+        },
     )
