--- a/tests/simulation/world.py
+++ b/tests/simulation/world.py
@@ -636,4 +636,8 @@
         version,
         routes=routing.group_routes([route]),
         services={'drafting': routing.Service('drafting', model)},
+        workspaces={
+            'key-1': routing.Workspace('north'),
+            'key-2': routing.Workspace('south'),
+        },
     )
