Read more parts of a prompt

A caller could keep a part that crashes engines from being read by naming 64 other parts before it. 512 parts take some 6 kB of a header; further ones stay unread, so that one request costs little to decode.

--- a/src/thornspool/platform/callers.py
+++ b/src/thornspool/platform/callers.py
@@ -29,7 +29,7 @@
 addresses expire. Each lookup takes 0.2 ms of processor time.
 """
 
-MAX_PROMPT_PARTS = 64
+MAX_PROMPT_PARTS = 512
 """Parts of a prompt that are read; further ones are ignored."""
 
 LOOKUP_PATH = '/v1/lookup'
