Keep a stalled run open until another one delivers the next event

Callers lost streams whose engine went on a second later. Cause: an entry ended the run of a stalled stream first and then asked for a path, a retry, a limit or a trial, each of which could be refused; so nothing was left to go on with, and the stream was cut.

Now the stalled run stays open while a second one runs behind the last event (application/routing/second_runs.py). The run that delivers the next event goes on alone, the other is cancelled. A run that fails while the other is open just ends. Only what is proven ends a run: its connection broke, it was not sent or refused, the caller left, the deadline. Path, retry, limit and reservation are taken for one stream after the other, the most urgent first; next first engines are spread; the first engine of an open run is avoided, as engines know runs by the request. A third run replaces the second one, or the first if its engine is proven to have ended. Suspects and trials get no second run. A change of path reserves its engines before it is ordered.

Tests that demanded that the first run is stopped as soon as the second is sent now demand the second run within the same time, and that the first is stopped when the second delivers: stopping it at once is the fault. The test of late output now covers both orders; the fuzzing counts every stopped run as executed, not only those that a failover stopped. The engines of the simulation keep runs by engine and request, as two of one request may be open.

--- a/src/thornspool/application/routing/failure_detection.py
+++ b/src/thornspool/application/routing/failure_detection.py
@@ -178,11 +178,11 @@
             logger.warning('entry_stood_still', milliseconds=delay_ms)
             for in_flight in self._service.in_flight_requests:
                 in_flight.active_at = now
+                for run in in_flight.open_runs:
+                    run.active_at = now
             return
-        for in_flight in list(self._service.in_flight_requests):
-            if in_flight.stop is None or in_flight.rerouting:
-                continue
-            self._check_stream(in_flight, now)
+        for in_flight, run in self._list_running():
+            self._check_stream(in_flight, run, now)
         self._probe_refusing(now)
         self._probe_late_streams(now)
         self._probe_slow(now)
@@ -215,10 +215,10 @@
         """Find the engines that stalled streams have in common."""
         return stalls.find_suspects(
             (
-                in_flight.engines,
-                self._service.count_idle_intervals(in_flight, now),
+                run.engines,
+                self._service.count_idle_intervals(in_flight, run, now),
             )
-            for in_flight in self._list_running()
+            for in_flight, run in self._list_running()
             if in_flight.events.count
         )
 
@@ -239,19 +239,30 @@
         self._check_scheduled = False
         self.reroute_from_suspects()
 
-    def _list_running(self) -> list[in_flight_module.InFlightRequest]:
+    def _list_running(
+        self,
+    ) -> list[
+        tuple[in_flight_module.InFlightRequest, in_flight_module.OpenRun]
+    ]:
+        """List the running streams with their latest runs."""
         return [
-            in_flight
+            (in_flight, in_flight.latest)
             for in_flight in self._service.in_flight_requests
-            if in_flight.stop is not None and not in_flight.rerouting
+            if in_flight.latest is not None and not in_flight.rerouting
         ]
 
     def reroute_from_suspects(self) -> None:
-        """Reroute streams away from suspected engines."""
+        """Reroute streams away from suspected engines.
+
+        The most urgent come first, then the oldest, as the retries and the
+        memory that they need elsewhere are limited.
+        """
         if not self._routing_state.suspicions:
             return
-        for in_flight in self._list_running():
-            self._reroute_from_suspects(in_flight)
+        for in_flight, run in sorted(
+            self._list_running(), key=lambda one: one[0].rank
+        ):
+            self._reroute_from_suspects(in_flight, run)
 
     def _probe_refusing(self, now: int) -> None:
         """Probe the engines that have refused requests.
@@ -271,27 +282,24 @@
                 self._probe_within_budget(server, now)
 
     def _check_stream(
-        self, in_flight: in_flight_module.InFlightRequest, now: int
+        self,
+        in_flight: in_flight_module.InFlightRequest,
+        run: in_flight_module.OpenRun,
+        now: int,
     ) -> None:
-        if self._reroute_from_suspects(in_flight):
+        if self._reroute_from_suspects(in_flight, run):
             return
-        idle_ms = now - in_flight.active_at
+        idle_ms = now - run.active_at
         has_events = in_flight.events.count > 0
         if idle_ms < (STALL_PROBE_MS if has_events else FIRST_EVENT_PROBE_MS):
             return
         if idle_ms >= FAILOVER_IDLE_MS and self._service.may_retry(in_flight):
-            server_ids = [hop.server.id for hop in in_flight.hops]
-            in_flight.exchange.exclude(server_ids, now)
+            in_flight.exchange.exclude(run.engines, now)
             self._service.fail_over(in_flight, 'silent')
             return
-        first_server = in_flight.first_server
-        if (
-            first_server is None
-            or now - in_flight.probed_at < probe_budget.PROBE_INTERVAL_MS
-        ):
-            return
-        in_flight.probed_at = now
-        self._probe_unless_recent(first_server, now)
+        if now - run.probed_at >= probe_budget.PROBE_INTERVAL_MS:
+            run.probed_at = now
+            self._probe_unless_recent(run.first_server, now)
 
     def _probe_late_streams(self, now: int) -> None:
         """Probe the engines of late streams for their speed.
@@ -301,8 +309,9 @@
         """
         late_engines: collections.Counter[str] = collections.Counter()
         for in_flight in self._service.in_flight_requests:
-            if in_flight.stop is not None and self._is_late(in_flight, now):
-                late_engines.update(hop.server.id for hop in in_flight.hops)
+            run = in_flight.latest
+            if run is not None and self._is_late(in_flight, run, now):
+                late_engines.update(run.engines)
         for server_id, _ in late_engines.most_common():
             if self._routing_state.slowdowns.is_fresh(server_id, now):
                 continue
@@ -313,9 +322,12 @@
                 return
 
     def _is_late(
-        self, in_flight: in_flight_module.InFlightRequest, now: int
+        self,
+        in_flight: in_flight_module.InFlightRequest,
+        run: in_flight_module.OpenRun,
+        now: int,
     ) -> bool:
-        idle_ms = now - in_flight.active_at
+        idle_ms = now - run.active_at
         has_events = in_flight.events.count > 0
         return idle_ms >= (
             LATE_EVENT_MS if has_events else LATE_FIRST_EVENT_MS
@@ -384,7 +396,9 @@
             self._start_task(self._probe(server))
 
     def _reroute_from_suspects(
-        self, in_flight: in_flight_module.InFlightRequest
+        self,
+        in_flight: in_flight_module.InFlightRequest,
+        run: in_flight_module.OpenRun,
     ) -> bool:
         """Reroute a stream when an engine of its path is suspected.
 
@@ -394,14 +408,14 @@
             Whether the stream has to leave its path.
         """
         suspected = [
-            hop.server.id
-            for hop in in_flight.hops
-            if hop.server.id in self._routing_state.suspicions
+            server_id
+            for server_id in run.engines
+            if server_id in self._routing_state.suspicions
         ]
         if not suspected:
             return False
         idle_intervals = self._service.count_idle_intervals(
-            in_flight, self._clock.now()
+            in_flight, run, self._clock.now()
         )
         has_events = in_flight.events.count > 0
         needed_intervals = stalls.STALL_INTERVALS
--- a/src/thornspool/application/routing/fault_attribution.py
+++ b/src/thornspool/application/routing/fault_attribution.py
@@ -52,6 +52,7 @@
     def record_refusal(
         self,
         in_flight: in_flight_module.InFlightRequest,
+        run: in_flight_module.OpenRun,
         head: ports.ResponseHead,
     ) -> None:
         """Exclude the engine that reports that it has not run a request.
@@ -60,12 +61,12 @@
         ----------
         in_flight : in_flight_module.InFlightRequest
             The refused request.
+        run : in_flight_module.OpenRun
+            The run that the engine has refused.
         head : ports.ResponseHead
             Head of the answer, which names the refusing engine.
         """
-        refusing = in_flight.find_server(head.fault_address)
-        if refusing is None:
-            return
+        refusing = run.find_server(head.fault_address)
         now = self._clock.now()
         in_flight.exchange.exclude([refusing.id], now)
         if self._has_usual_size(
@@ -103,7 +104,9 @@
         )
 
     def record_broken_run(
-        self, in_flight: in_flight_module.InFlightRequest
+        self,
+        in_flight: in_flight_module.InFlightRequest,
+        run: in_flight_module.OpenRun,
     ) -> None:
         """Exclude the first engine of a broken run for this request.
 
@@ -114,13 +117,13 @@
         ----------
         in_flight : in_flight_module.InFlightRequest
             The request whose run broke.
+        run : in_flight_module.OpenRun
+            The run.
         """
-        first_server = in_flight.first_server
-        if first_server is None:
-            return
+        first_server = run.first_server
         now = self._clock.now()
         in_flight.exchange.exclude([first_server.id], now)
-        if in_flight.head is None:
+        if run.head is None:
             self._evidence.record_failure(
                 first_server,
                 now,
--- a/src/thornspool/application/routing/in_flight.py
+++ b/src/thornspool/application/routing/in_flight.py
@@ -23,86 +23,69 @@
 
 
 @attrs.define(eq=False)
-class InFlightRequest:
-    """A model request that waits for a path or runs on one.
+class OpenRun:
+    """A run of a request that is in progress.
 
     Attributes
     ----------
-    exchange : exchanges.Exchange
-        The request and its outcome.
-    request_size : choice.RequestSize
-        Tokens for which it needs memory.
     hops : tuple of search.Hop
-        Path on which it runs; empty while it waits.
-    stop : callable or None
-        Ends the current run; None when there is none.
-    run : crash_detection.TrackedRun or None
-        The current run, as the crash detection tracks it.
-    trial : run_permits.Trial or None
-        Reservation of the engines for the next run of a suspect.
-    trial_at : int
-        Time in milliseconds from which a reservation may be tried again.
-    events : events.EventBuffer
-        Splits the answer into complete events.
+        Its path.
+    sent_at : int
+        Time in milliseconds at which it was sent.
     active_at : int
-        Time in milliseconds of its last event, or of its last send.
-    event_interval : stalls.EventInterval
-        Average interval between its events.
+        Time in milliseconds of its last event, or of its send.
+    events : events.EventBuffer
+        Splits its answer into complete events; continues the count and the
+        identifiers of the runs before it.
+    stop : callable or None
+        Cancels it; None once it has ended.
+    tracked : crash_detection.TrackedRun or None
+        The run as the crash detection tracks it.
     probed_at : int
         Time in milliseconds when its first engine was last probed for it.
-    rerouting : bool
-        Whether its path is being changed now.
     generation : int
-        Changes with each run, so that output of earlier runs is dropped.
+        Changes when the run ends, so that its later output is dropped.
     head : ports.ResponseHead or None
-        Head of the engine's answer; None before it arrives.
+        Head of its answer; None before it arrives.
     body : bytearray
         Body of an answer that is not a stream of events.
-    used_servers : list of fleet.Server
-        First engines of its runs.
     prefill_tokens : float
         Prompt tokens that its engines still have to process; 0 after the first
         event.
-    needs_retry : bool
-        Whether its next send counts as a retry.
-    may_cross : bool or None
-        Whether its path may use engines of several failure domains; None until
-        this is drawn.
     """
 
-    exchange: exchanges.Exchange
-    request_size: choice.RequestSize
-    hops: tuple[search.Hop, ...] = ()
+    hops: tuple[search.Hop, ...]
+    sent_at: int
+    active_at: int
+    events: events.EventBuffer
     stop: Callable[[], None] | None = None
-    run: crash_detection.TrackedRun | None = None
-    trial: run_permits.Trial | None = None
-    trial_at: int = 0
-    events: events.EventBuffer = attrs.field(factory=events.EventBuffer)
-    active_at: int = 0
-    event_interval: stalls.EventInterval = attrs.field(
-        factory=lambda: stalls.EventInterval(stalls.STREAM_INTERVAL_WEIGHT)
-    )
-    probed_at: int = 0
-    rerouting: bool = False
+    tracked: crash_detection.TrackedRun | None = None
+    probed_at: int = attrs.field()
     generation: int = 0
     head: ports.ResponseHead | None = None
     body: bytearray = attrs.field(factory=bytearray)
-    used_servers: list[fleet.Server] = attrs.field(factory=list)
     prefill_tokens: float = 0.0
-    needs_retry: bool = False
-    may_cross: bool | None = None
+
+    @probed_at.default
+    def _start_probe_interval(self) -> int:
+        return self.sent_at
 
     @property
-    def first_server(self) -> fleet.Server | None:
+    def first_server(self) -> fleet.Server:
         """First engine of its path."""
-        return self.hops[0].server if self.hops else None
+        return self.hops[0].server
+
+    @property
+    def servers(self) -> list[fleet.Server]:
+        """Engines of its path."""
+        return [hop.server for hop in self.hops]
 
     @property
     def engines(self) -> Iterator[str]:
         """Ids of the engines of its path."""
         return (hop.server.id for hop in self.hops)
 
-    def find_server(self, address: str) -> fleet.Server | None:
+    def find_server(self, address: str) -> fleet.Server:
         """Find the engine of its path at an address.
 
         The path is searched and not the server list, as another engine may
@@ -115,10 +98,98 @@
 
         Returns
         -------
-        fleet.Server or None
+        fleet.Server
             The first engine of the path when none has this address.
         """
         for hop in self.hops:
             if hop.server.address == address:
                 return hop.server
         return self.first_server
+
+
+@attrs.define(eq=False)
+class InFlightRequest:
+    """A model request that waits for a path or runs on one.
+
+    While its run stalls, a second one may be open. The run that delivers the
+    next event goes on alone.
+
+    Attributes
+    ----------
+    exchange : exchanges.Exchange
+        The request and its outcome.
+    request_size : choice.RequestSize
+        Tokens for which it needs memory.
+    current : OpenRun or None
+        Its run, the older one of two; None while it waits.
+    second : OpenRun or None
+        Its other run while the current one stalls.
+    second_at : int
+        Time in milliseconds from which a second run may be tried again.
+    trial : run_permits.Trial or None
+        Reservation of the engines for the next run of a suspect.
+    trial_at : int
+        Time in milliseconds from which a reservation may be tried again.
+    events : events.EventBuffer
+        Events that the caller has received.
+    active_at : int
+        Time in milliseconds of its last event, or of its last send.
+    event_interval : stalls.EventInterval
+        Average interval between its events.
+    rerouting : bool
+        Whether the path of the current run is being changed now.
+    used_servers : list of fleet.Server
+        First engines of its runs.
+    needs_retry : bool
+        Whether its next send counts as a retry.
+    may_cross : bool or None
+        Whether its path may use engines of several failure domains; None until
+        this is drawn.
+    """
+
+    exchange: exchanges.Exchange
+    request_size: choice.RequestSize
+    current: OpenRun | None = None
+    second: OpenRun | None = None
+    second_at: int = 0
+    trial: run_permits.Trial | None = None
+    trial_at: int = 0
+    events: events.EventBuffer = attrs.field(factory=events.EventBuffer)
+    active_at: int = 0
+    event_interval: stalls.EventInterval = attrs.field(
+        factory=lambda: stalls.EventInterval(stalls.STREAM_INTERVAL_WEIGHT)
+    )
+    rerouting: bool = False
+    used_servers: list[fleet.Server] = attrs.field(factory=list)
+    needs_retry: bool = False
+    may_cross: bool | None = None
+
+    @property
+    def open_runs(self) -> list[OpenRun]:
+        """Its runs, the older one first."""
+        return [run for run in (self.current, self.second) if run is not None]
+
+    @property
+    def latest(self) -> OpenRun | None:
+        """The run that was sent last."""
+        return self.second or self.current
+
+    @property
+    def rank(self) -> tuple[int, int]:
+        """Rank among the requests that wait; the most urgent is the lowest."""
+        return self.exchange.priority, self.exchange.request.arrived_at
+
+    def add(self, run: OpenRun) -> None:
+        """Add a run, as the second one if there is one."""
+        if self.current is None:
+            self.current = run
+        else:
+            self.second = run
+
+    def remove(self, run: OpenRun) -> None:
+        """Remove a run; the other one goes on as the current one."""
+        if run is self.current:
+            self.current = self.second
+            self.second = None
+        elif run is self.second:
+            self.second = None
--- a/src/thornspool/application/routing/path_finding.py
+++ b/src/thornspool/application/routing/path_finding.py
@@ -12,6 +12,7 @@
 from thornspool.domain.paths import search
 
 if typing.TYPE_CHECKING:
+    from collections.abc import Iterable
     import random
 
     from thornspool import clock as clock_module
@@ -144,7 +145,9 @@
         return in_flight.exchange.list_excluded(now) | excluded
 
     def find(
-        self, in_flight: in_flight_module.InFlightRequest
+        self,
+        in_flight: in_flight_module.InFlightRequest,
+        avoided: Iterable[str] = (),
     ) -> search.Path | choice.NoPathReason | None:
         """Find a path for a request.
 
@@ -152,6 +155,8 @@
         ----------
         in_flight : in_flight_module.InFlightRequest
             The request.
+        avoided : iterable of str, optional
+            Ids of further engines to exclude.
 
         Returns
         -------
@@ -159,7 +164,7 @@
             The path, or the reason why none exists; None when the service is
             no longer in the configuration.
         """
-        excluded = self.list_excluded(in_flight)
+        excluded = self.list_excluded(in_flight).union(avoided)
         fleet_snapshot = self.describe(in_flight.exchange.service, excluded)
         if fleet_snapshot is None:
             return None
--- a/src/thornspool/application/routing/rerouting.py
+++ b/src/thornspool/application/routing/rerouting.py
@@ -68,16 +68,21 @@
         """
         in_flight.exchange.exclude(suspected, self._clock.now())
         may_retry = self._service.may_retry(in_flight)
+        run = in_flight.current
         hops = None
         if (
-            in_flight.head is not None or not may_retry
-        ) and self._service.may_reroute(in_flight):
+            run is not None
+            and in_flight.second is None
+            and (run.head is not None or not may_retry)
+            and self._service.may_reroute(in_flight)
+        ):
             # A new run costs little before the engine has answered.
-            hops = self._choose_path(in_flight, suspected)
+            hops = self._choose_path(in_flight, run, suspected)
         if hops is not None and self._service.limits.try_acquire(
             hops[0].server.id
         ):
             in_flight.rerouting = True
+            self._service.reserve(in_flight, hops)
             self._start_task(self._change_path(in_flight, hops))
         elif may_retry:
             self._service.fail_over(in_flight, 'engine_lost')
@@ -91,6 +96,7 @@
             changed = await self._order_path_change(in_flight, hops)
         finally:
             in_flight.rerouting = False
+            self._service.release(in_flight, hops)
         if not changed and self._service.may_retry(in_flight):
             self._service.fail_over(in_flight, 'engine_lost')
 
@@ -106,11 +112,11 @@
         bool
             False when the stream has to resume in a new run instead.
         """
-        generation = in_flight.generation
+        run = in_flight.current
         result = await self._servers.reroute(
             in_flight.exchange.request.id, hops
         )
-        if in_flight.exchange.ended or in_flight.generation != generation:
+        if in_flight.exchange.ended or in_flight.current is not run:
             return True
         logger.info(
             'path_mended',
@@ -124,7 +130,10 @@
         return True
 
     def _choose_path(
-        self, in_flight: in_flight_module.InFlightRequest, suspected: list[str]
+        self,
+        in_flight: in_flight_module.InFlightRequest,
+        run: in_flight_module.OpenRun,
+        suspected: list[str],
     ) -> tuple[search.Hop, ...] | None:
         """Choose a path on which a stalled run can continue.
 
@@ -135,7 +144,7 @@
         """
         exchange = in_flight.exchange
         excluded = self._service.paths.list_excluded(in_flight)
-        first_hop = in_flight.hops[0]
+        first_hop = run.hops[0]
         if first_hop.server.id in excluded:
             return None
         fleet_snapshot = self._service.paths.describe(
@@ -146,7 +155,7 @@
         hops = choice.choose_repair(
             fleet_snapshot,
             in_flight.request_size,
-            in_flight.hops,
+            run.hops,
             frozenset(suspected),
         )
         if hops is not None or self._service.may_retry(in_flight):
--- a/src/thornspool/application/routing/streams.py
+++ b/src/thornspool/application/routing/streams.py
@@ -14,6 +14,8 @@
 from thornspool.application.routing import ports
 from thornspool.application.routing import run_permits
 from thornspool.application.routing import run_proofs
+from thornspool.application.routing import second_runs
+from thornspool.domain.fleet import events
 from thornspool.domain.paths import choice
 from thornspool.domain.paths import search
 from thornspool.domain.paths import stalls
@@ -119,6 +121,9 @@
         self._fault_attribution = fault_attribution.FaultAttribution(
             clock, routing_state, evidence
         )
+        self._second_runs = second_runs.SecondRuns(
+            clock, routing_state, paths, permits, evidence, budget, self
+        )
         self.take_over: TakeOver = _take_over_nothing
         self.has_linked_peer: Callable[[], bool] = lambda: False
         self.in_flight_requests: set[in_flight_module.InFlightRequest] = set()
@@ -164,12 +169,7 @@
 
     def _retry_waiting(self) -> None:
         waiting, self._waiting = self._waiting, []
-        waiting.sort(
-            key=lambda in_flight: (
-                in_flight.exchange.priority,
-                in_flight.exchange.request.arrived_at,
-            )
-        )
+        waiting.sort(key=lambda in_flight: in_flight.rank)
         for in_flight in waiting:
             if not in_flight.exchange.ended:
                 self._start(in_flight)
@@ -207,7 +207,7 @@
             self._fail(in_flight, 'service_unknown', 1_000)
         elif isinstance(found, choice.NoPathReason):
             self._wait_or_refuse(in_flight, found)
-        elif self._would_be_cut(in_flight, found, now):
+        elif self.would_be_cut(in_flight, found, now):
             self._fail(in_flight, 'draining', DRAINING_RETRY_MS)
         elif permit is run_permits.Permit.UNKNOWN:
             self._wait_for_permit(in_flight)
@@ -216,7 +216,7 @@
         elif in_flight.needs_retry and not self._acquire_retry(in_flight):
             self._wait_for_retry(in_flight)
         else:
-            self._send(in_flight, found.hops)
+            self.send(in_flight, found.hops)
 
     def _hand_over(self, in_flight: in_flight_module.InFlightRequest) -> bool:
         """Hand a request over that can't be sent to any engine from here."""
@@ -227,7 +227,6 @@
             return False
         if not self.take_over(exchange, in_flight.events.last_id, True):
             return False
-        self._release(in_flight)
         self.in_flight_requests.discard(in_flight)
         return True
 
@@ -238,8 +237,9 @@
         """
         now = self._clock.now()
         for in_flight in list(self.in_flight_requests):
+            run = in_flight.current
             if (
-                in_flight.stop is None
+                run is None
                 or in_flight.rerouting
                 or now - in_flight.active_at < LOST_LINKS_IDLE_MS
             ):
@@ -248,13 +248,11 @@
             if is_relayed or (
                 self.has_linked_peer() and self.may_retry(in_flight)
             ):
-                in_flight.stop()
-                in_flight.stop = None
-                in_flight.generation += 1
+                self._close_all(in_flight)
             if is_relayed:
                 # The entry that passed it on may choose another peer.
                 self._fail(in_flight, 'links_lost', DRAINING_RETRY_MS)
-            elif in_flight.stop is None:
+            elif in_flight.current is None:
                 self._retry_or_fail(
                     in_flight, 'links_lost', run_proofs.Proof.NONE
                 )
@@ -323,7 +321,7 @@
             self._wait_for_retry(in_flight)
         else:
             in_flight.trial = trial
-            self._send(in_flight, hops)
+            self.send(in_flight, hops)
 
     def _wait_or_refuse(
         self,
@@ -400,7 +398,7 @@
         """
         self._shutdown_at = at
 
-    def _would_be_cut(
+    def would_be_cut(
         self,
         in_flight: in_flight_module.InFlightRequest,
         path: search.Path,
@@ -411,6 +409,15 @@
         Long answers take 7 s and more, which is most of the grace period.
         Those accepted in its first seconds were cut at its end, and their
         callers had to request the rest from another entry.
+
+        Parameters
+        ----------
+        in_flight : in_flight_module.InFlightRequest
+            The request.
+        path : search.Path
+            The path on which it would run.
+        now : int
+            Current time in milliseconds.
         """
         if self._shutdown_at is None or in_flight.exchange.response_started:
             return False
@@ -438,11 +445,20 @@
         """
         return self._clock.now() - in_flight.active_at < MAX_QUEUE_MS
 
-    def _send(
+    def send(
         self,
         in_flight: in_flight_module.InFlightRequest,
         hops: tuple[search.Hop, ...],
     ) -> None:
+        """Send a request on a path, beside its open run if it has one.
+
+        Parameters
+        ----------
+        in_flight : in_flight_module.InFlightRequest
+            The request.
+        hops : tuple of search.Hop
+            The path.
+        """
         exchange = in_flight.exchange
         now = self._clock.now()
         exchange.sends += 1
@@ -450,199 +466,211 @@
         exchange.timing.record_send(now)
         in_flight.needs_retry = False
         in_flight.used_servers.append(hops[0].server)
-        in_flight.hops = hops
         in_flight.active_at = now
-        in_flight.probed_at = now
-        in_flight.generation += 1
-        in_flight.head = None
-        in_flight.body.clear()
-        in_flight.events.drop_pending()
-        self.limits.record_send(hops[0].server.id)
-        self._reservations.reserve(hops, in_flight.request_size.tokens)
-        in_flight.prefill_tokens = in_flight.request_size.prompt_tokens
-        self._reservations.begin_prefill(hops, in_flight.prefill_tokens)
-        run = ports.Run(
-            exchange.request,
-            hops[0].server,
+        run = in_flight_module.OpenRun(
             hops,
-            exchange.compute_remaining_ms(now),
-            exchange.workspace_name,
-            in_flight.events.last_id or exchange.request.resume_after,
-            exchange.priority,
+            now,
+            now,
+            events.EventBuffer(
+                in_flight.events.last_id, in_flight.events.count
+            ),
+            prefill_tokens=in_flight.request_size.prompt_tokens,
         )
+        in_flight.add(run)
+        self.limits.record_send(hops[0].server.id)
+        self._reservations.reserve(hops, in_flight.request_size.tokens)
+        self._reservations.begin_prefill(hops, run.prefill_tokens)
         exchange.path = search.describe_path(hops)
-        listener = listeners.RunListener(
-            in_flight,
-            functools.partial(self.handle_head, in_flight),
-            functools.partial(self.handle_body, in_flight),
-            functools.partial(self.handle_completion, in_flight),
-        )
-        in_flight.run = self._permits.begin(
-            exchange.fingerprint,
-            [hop.server for hop in hops],
-            in_flight.trial,
+        run.tracked = self._permits.begin(
+            exchange.fingerprint, run.servers, in_flight.trial
         )
         in_flight.trial = None
-        in_flight.stop = self._servers.send(run, listener)
+        run.stop = self._servers.send(
+            ports.Run(
+                exchange.request,
+                hops[0].server,
+                hops,
+                exchange.compute_remaining_ms(now),
+                exchange.workspace_name,
+                in_flight.events.last_id or exchange.request.resume_after,
+                exchange.priority,
+            ),
+            listeners.RunListener(
+                run,
+                functools.partial(self._handle_head, in_flight, run),
+                functools.partial(self._handle_body, in_flight, run),
+                functools.partial(self._handle_completion, in_flight, run),
+            ),
+        )
 
-    def handle_head(
+    def _handle_head(
         self,
         in_flight: in_flight_module.InFlightRequest,
+        run: in_flight_module.OpenRun,
         head: ports.ResponseHead,
     ) -> None:
         """Handle the head of an engine's answer.
 
-        Parameters
-        ----------
-        in_flight : in_flight_module.InFlightRequest
-            The request.
-        head : ports.ResponseHead
-            The head.
+        With two open runs, the one that delivers the first event answers.
         """
-        exchange = in_flight.exchange
-        in_flight.head = head
-        first_server = in_flight.first_server
-        if first_server is not None:
-            self._routing_state.outliers.record_success(
-                first_server.id, self._clock.now()
-            )
-        if not head.executed:
-            return
+        run.head = head
+        self._routing_state.outliers.record_success(
+            run.first_server.id, self._clock.now()
+        )
         if (
-            head.status == _OK
+            head.executed
+            and head.status == _OK
             and head.is_authentic
-            and not exchange.response_started
+            and in_flight.second is None
+            and not in_flight.exchange.response_started
         ):
-            in_flight.active_at = self._clock.now()
+            run.active_at = in_flight.active_at = self._clock.now()
+            self._begin_reply(in_flight, head)
+
+    def _begin_reply(
+        self,
+        in_flight: in_flight_module.InFlightRequest,
+        head: ports.ResponseHead,
+    ) -> None:
+        exchange = in_flight.exchange
+        if not exchange.response_started:
             exchange.response_started = True
             exchange.reply.begin(head.status, head.headers)
 
-    def handle_body(
-        self, in_flight: in_flight_module.InFlightRequest, chunk: bytes
+    def _handle_body(
+        self,
+        in_flight: in_flight_module.InFlightRequest,
+        run: in_flight_module.OpenRun,
+        chunk: bytes,
     ) -> None:
-        """Handle a chunk of an engine's answer.
-
-        Parameters
-        ----------
-        in_flight : in_flight_module.InFlightRequest
-            The request.
-        chunk : bytes
-            The chunk.
-        """
-        head = in_flight.head
-        exchange = in_flight.exchange
+        """Handle a chunk of an engine's answer."""
+        head = run.head
         if head is None or head.status != _OK or not head.is_authentic:
-            in_flight.body.extend(chunk)
+            run.body.extend(chunk)
             return
-        now = self._clock.now()
-        complete = in_flight.events.take(chunk)
+        complete = run.events.take(chunk)
         if complete:
-            if in_flight.events.count > 1:
-                self.event_interval.record(now - in_flight.active_at)
-                in_flight.event_interval.record(now - in_flight.active_at)
-            in_flight.active_at = now
-            if self._routing_state.suspicions:
-                for server_id in in_flight.engines:
-                    self._routing_state.record_contact(server_id, now)
-            if in_flight.run is not None:
-                in_flight.run.record_progress(now)
-            self._end_prefill(in_flight)
-            exchange.timing.record_event(now)
-            if exchange.first_event_at is None:
-                exchange.first_event_at = now
-            exchange.reply.write(complete)
-
-    def handle_completion(
+            self._second_runs.settle(in_flight, run)
+            self._begin_reply(in_flight, head)
+            self._deliver(in_flight, run, complete)
+
+    def _deliver(
         self,
         in_flight: in_flight_module.InFlightRequest,
-        completion: ports.Completion,
+        run: in_flight_module.OpenRun,
+        complete: bytes,
     ) -> None:
-        """Handle the end of a run.
-
-        Parameters
-        ----------
-        in_flight : in_flight_module.InFlightRequest
-            The request.
-        completion : ports.Completion
-            How the run ended.
-        """
-        head = in_flight.head
+        """Forward complete events of the only open run."""
         exchange = in_flight.exchange
-        in_flight.stop = None
-        first_server = in_flight.first_server
+        now = self._clock.now()
+        if run.events.count > 1:
+            self.event_interval.record(now - run.active_at)
+            in_flight.event_interval.record(now - run.active_at)
+        in_flight.events = run.events
+        run.active_at = in_flight.active_at = now
+        if self._routing_state.suspicions:
+            for server_id in run.engines:
+                self._routing_state.record_contact(server_id, now)
+        if run.tracked is not None:
+            run.tracked.record_progress(now)
+        self._end_prefill(run)
+        exchange.timing.record_event(now)
+        if exchange.first_event_at is None:
+            exchange.first_event_at = now
+        exchange.reply.write(complete)
+
+    def _handle_completion(
+        self,
+        in_flight: in_flight_module.InFlightRequest,
+        run: in_flight_module.OpenRun,
+        completion: ports.Completion,
+    ) -> None:
+        """Handle the end of a run."""
+        head = run.head
+        run.stop = None
         ending = crash_detection.classify_end(head, completion)
-        if in_flight.events.pending:
+        if run.events.pending:
             ending = crash_detection.RunEnd.BROKEN
-        self._end_run(in_flight, ending)
+        if (
+            ending is crash_detection.RunEnd.COMPLETED
+            and head is not None
+            and head.status == _OK
+            and head.is_authentic
+        ):
+            self._finish(in_flight, run, head)
+            return
+        self.close_run(in_flight, run, ending)
         if completion is ports.Completion.NOT_SENT:
-            self._uncount_run(in_flight)
-            self._evidence.record_unreachable(
-                first_server, in_flight.active_at
-            )
+            self._uncount_run(in_flight, run)
+            self._evidence.record_unreachable(run.first_server, run.active_at)
             self._retry_or_fail(
-                in_flight, 'not_reached', run_proofs.Proof.NOT_SENT
+                in_flight, 'not_reached', run_proofs.Proof.NOT_SENT, run
             )
         elif head is not None and not head.executed:
-            self._uncount_run(in_flight)
-            self._handle_refusal(in_flight, head)
+            self._uncount_run(in_flight, run)
+            self._fault_attribution.record_refusal(in_flight, run, head)
+            self._retry_or_fail(
+                in_flight,
+                f'refused_by_engine_{head.status}',
+                run_proofs.Proof.REFUSED,
+                run,
+            )
         elif completion is ports.Completion.BROKEN or head is None:
-            self._fault_attribution.record_broken_run(in_flight)
-            self._retry_or_fail(in_flight, 'broken', run_proofs.Proof.CLOSED)
-        elif head.status == _OK and head.is_authentic:
-            if in_flight.events.pending:
-                self._retry_or_fail(
-                    in_flight, 'broken', run_proofs.Proof.CLOSED
-                )
-                return
-            self._release(in_flight)
-            exchange.reply.finish()
-            self._end(in_flight, 'served')
-        elif head.is_authentic and not exchange.response_started:
-            self._handle_failure(in_flight, head)
+            self._fault_attribution.record_broken_run(in_flight, run)
+            self._retry_or_fail(
+                in_flight, 'broken', run_proofs.Proof.CLOSED, run
+            )
+        elif run.events.pending:
+            self._retry_or_fail(
+                in_flight, 'broken', run_proofs.Proof.CLOSED, run
+            )
+        elif head.is_authentic and not in_flight.exchange.response_started:
+            self._handle_failure(in_flight, run, head)
         else:
             self._retry_or_fail(
-                in_flight, 'malformed', run_proofs.Proof.CLOSED
+                in_flight, 'malformed', run_proofs.Proof.CLOSED, run
             )
 
-    def _uncount_run(
-        self, in_flight: in_flight_module.InFlightRequest
+    def _finish(
+        self,
+        in_flight: in_flight_module.InFlightRequest,
+        run: in_flight_module.OpenRun,
+        head: ports.ResponseHead,
     ) -> None:
-        """Record that the last run did not take place."""
-        in_flight.exchange.runs -= 1
-        del in_flight.used_servers[-1:]
+        """Complete the answer, as a run has delivered all of it."""
+        self._second_runs.settle(in_flight, run)
+        self.close_run(in_flight, run, crash_detection.RunEnd.COMPLETED)
+        self._begin_reply(in_flight, head)
+        in_flight.exchange.reply.finish()
+        self._end(in_flight, 'served')
 
-    def _handle_refusal(
+    def _uncount_run(
         self,
         in_flight: in_flight_module.InFlightRequest,
-        head: ports.ResponseHead,
+        run: in_flight_module.OpenRun,
     ) -> None:
-        """Retry a request that an engine reports not to have run."""
-        self._fault_attribution.record_refusal(in_flight, head)
-        self._retry_or_fail(
-            in_flight,
-            f'refused_by_engine_{head.status}',
-            run_proofs.Proof.REFUSED,
-        )
+        """Record that a run did not take place."""
+        in_flight.exchange.runs -= 1
+        in_flight.used_servers.remove(run.first_server)
 
     def _handle_failure(
         self,
         in_flight: in_flight_module.InFlightRequest,
+        run: in_flight_module.OpenRun,
         head: ports.ResponseHead,
     ) -> None:
         """Retry a request that failed at its engine, or pass on its answer."""
         exchange = in_flight.exchange
-        if self.may_retry(in_flight) and self._budget.acquire(
+        if in_flight.current is not None:
+            self._log_failed_run(in_flight, run, f'engine_{head.status}')
+        elif self.may_retry(in_flight) and self._budget.acquire(
             exchange.service
         ):
-            first_server = in_flight.first_server
-            if first_server is not None:
-                exchange.exclude([first_server.id], self._clock.now())
-            self._release(in_flight)
+            exchange.exclude([run.first_server.id], self._clock.now())
             self._start(in_flight)
-            return
-        self._release(in_flight)
-        exchange.reply.send(head.status, head.headers, bytes(in_flight.body))
-        self._end(in_flight, f'engine_{head.status}')
+        else:
+            exchange.reply.send(head.status, head.headers, bytes(run.body))
+            self._end(in_flight, f'engine_{head.status}')
 
     def may_retry(self, in_flight: in_flight_module.InFlightRequest) -> bool:
         """Return whether a request that may have run may run again.
@@ -680,35 +708,57 @@
         in_flight: in_flight_module.InFlightRequest,
         reason: str,
         proof: run_proofs.Proof,
-        path: search.Path | None = None,
+        run: in_flight_module.OpenRun | None = None,
     ) -> None:
-        """Send a request once more if this is allowed, or end it."""
+        """Send a request once more if this is allowed, or end it.
+
+        A request that has another run open goes on with that one.
+        """
         exchange = in_flight.exchange
+        if in_flight.current is not None:
+            self._log_failed_run(in_flight, run, reason)
+            return
         ran = exchange.runs > 0
-        self._release(in_flight)
         allowed = (
             self.may_retry(in_flight) if ran else self._may_resend(in_flight)
         )
         exchange.outcome_reason = reason
         exchange.timing.record_disruption(reason)
-        if allowed:
-            logger.info(
-                'run_repeated',
-                id=exchange.request.id,
-                reason=reason,
-                proof=proof.value,
-                idle_ms=self._clock.now() - in_flight.active_at,
-                sends=exchange.sends,
-                after=in_flight.events.last_id,
+        if not allowed:
+            self._fail(
+                in_flight, reason, self._random.randint(*RETRY_AFTER_MS)
             )
-            in_flight.needs_retry = True
-            if self._evidence.is_checking:
-                # It may soon be clear that no engine can be reached.
-                self._enqueue(in_flight)
-            else:
-                self._start(in_flight, path)
             return
-        self._fail(in_flight, reason, self._random.randint(*RETRY_AFTER_MS))
+        active_at = in_flight.active_at if run is None else run.active_at
+        logger.info(
+            'run_repeated',
+            id=exchange.request.id,
+            reason=reason,
+            proof=proof.value,
+            idle_ms=self._clock.now() - active_at,
+            sends=exchange.sends,
+            after=in_flight.events.last_id,
+        )
+        in_flight.needs_retry = True
+        if self._evidence.is_checking:
+            # It may soon be clear that no engine can be reached.
+            self._enqueue(in_flight)
+        else:
+            self._start(in_flight)
+
+    def _log_failed_run(
+        self,
+        in_flight: in_flight_module.InFlightRequest,
+        run: in_flight_module.OpenRun | None,
+        reason: str,
+    ) -> None:
+        """Log that one of two runs has failed."""
+        logger.info(
+            'second_run_failed',
+            id=in_flight.exchange.request.id,
+            reason=reason,
+            server=None if run is None else run.first_server.id,
+        )
 
     def compute_event_interval(
         self, in_flight: in_flight_module.InFlightRequest
@@ -733,29 +783,28 @@
         )
 
     def count_idle_intervals(
-        self, in_flight: in_flight_module.InFlightRequest, now: int
+        self,
+        in_flight: in_flight_module.InFlightRequest,
+        run: in_flight_module.OpenRun,
+        now: int,
     ) -> float:
-        """Return the idle time of a stream in units of its event interval.
+        """Return the idle time of a run in units of its event interval.
 
         Parameters
         ----------
         in_flight : in_flight_module.InFlightRequest
             The request.
+        run : in_flight_module.OpenRun
+            One of its runs.
         now : int
             Current time in milliseconds.
         """
-        return (now - in_flight.active_at) / self.compute_event_interval(
-            in_flight
-        )
+        return (now - run.active_at) / self.compute_event_interval(in_flight)
 
     def fail_over(
         self, in_flight: in_flight_module.InFlightRequest, reason: str
     ) -> None:
-        """Fail a stalled request over to another path.
-
-        A stream that has no other path, or no retry left, stays on its path.
-        Its engine may still continue, as the suspicion of another engine may
-        be wrong, while leaving the path would certainly cut the stream.
+        """Start a second run of a stalled request on another path.
 
         Parameters
         ----------
@@ -764,21 +813,7 @@
         reason : str
             Reason for the log.
         """
-        if in_flight.exchange.ended or not in_flight.hops:
-            return
-        path = self._find_retry_path(in_flight)
-        if path is None:
-            return
-        if in_flight.stop is not None:
-            in_flight.stop()
-            in_flight.stop = None
-        in_flight.generation += 1
-        proof = run_proofs.find_server_proof(
-            self._routing_state,
-            self._permits,
-            [hop.server for hop in in_flight.hops],
-        )
-        self._retry_or_fail(in_flight, reason, proof, path)
+        self._second_runs.start(in_flight, reason)
 
     def may_reroute(self, in_flight: in_flight_module.InFlightRequest) -> bool:
         """Return whether a run may continue on other engines.
@@ -786,24 +821,28 @@
         A request that may have crashed engines would crash the new ones too,
         and a trial has no other engines reserved.
         """
-        run = in_flight.run
-        return run is None or (
-            not run.is_on_trial and self._permits.may_reroute(run)
+        run = in_flight.current
+        if run is None or run.tracked is None:
+            return True
+        return not run.tracked.is_on_trial and self._permits.may_reroute(
+            run.tracked
         )
 
-    def _find_retry_path(
-        self, in_flight: in_flight_module.InFlightRequest
-    ) -> search.Path | None:
-        """Find another path on which a request may be retried now."""
-        exchange = in_flight.exchange
-        if not self.may_retry(in_flight):
-            return None
-        if not self._budget.can_acquire(
-            exchange.service, exchange.response_started
-        ):
-            return None
-        found = self.paths.find(in_flight)
-        return found if isinstance(found, search.Path) else None
+    def reserve(
+        self,
+        in_flight: in_flight_module.InFlightRequest,
+        hops: tuple[search.Hop, ...],
+    ) -> None:
+        """Reserve a path while it is open whether a request will use it."""
+        self._reservations.reserve(hops, in_flight.request_size.tokens)
+
+    def release(
+        self,
+        in_flight: in_flight_module.InFlightRequest,
+        hops: tuple[search.Hop, ...],
+    ) -> None:
+        """Release a path that was reserved for a request."""
+        self._reservations.release(hops, in_flight.request_size.tokens)
 
     def apply_path_change(
         self,
@@ -819,16 +858,14 @@
         hops : tuple of search.Hop
             The new path.
         """
+        run = in_flight.current
+        assert run is not None
         in_flight.exchange.timing.record_disruption('path_changed')
-        self._end_prefill(in_flight)
-        self._reservations.release(
-            in_flight.hops, in_flight.request_size.tokens
-        )
-        in_flight.hops = hops
-        if in_flight.run is not None:
-            in_flight.run = self._permits.reroute(
-                in_flight.run, [hop.server for hop in hops]
-            )
+        self._end_prefill(run)
+        self._reservations.release(run.hops, in_flight.request_size.tokens)
+        run.hops = hops
+        if run.tracked is not None:
+            run.tracked = self._permits.reroute(run.tracked, run.servers)
         in_flight.exchange.path = search.describe_path(hops)
         self._reservations.reserve(hops, in_flight.request_size.tokens)
 
@@ -840,7 +877,6 @@
     ) -> None:
         """End a request that can't be served now."""
         exchange = in_flight.exchange
-        self._release(in_flight)
         if exchange.response_started:
             exchange.outcome_reason = reason
             exchange.reply.abort()
@@ -864,11 +900,7 @@
 
     def _expire(self, in_flight: in_flight_module.InFlightRequest) -> None:
         exchange = in_flight.exchange
-        if in_flight.stop is not None:
-            in_flight.stop()
-            in_flight.stop = None
-        in_flight.generation += 1
-        self._release(in_flight)
+        self._close_all(in_flight)
         if exchange.response_started:
             exchange.outcome_reason = 'deadline'
             exchange.reply.abort()
@@ -879,42 +911,48 @@
             self._finish_refused(in_flight, 503, 'deadline', 500)
 
     def _abandon(self, in_flight: in_flight_module.InFlightRequest) -> None:
-        """End the run of a caller that has closed the connection."""
+        """End the runs of a caller that has closed the connection."""
         if in_flight.exchange.ended:
             return
-        if in_flight.stop is not None:
-            in_flight.stop()
-            in_flight.stop = None
-        in_flight.generation += 1
-        self._release(in_flight)
+        self._close_all(in_flight)
         self._end(in_flight, 'caller_left')
 
-    def _end_prefill(
-        self, in_flight: in_flight_module.InFlightRequest
-    ) -> None:
-        if in_flight.prefill_tokens:
-            self._reservations.end_prefill(
-                in_flight.hops, in_flight.prefill_tokens
-            )
-            in_flight.prefill_tokens = 0.0
+    def _end_prefill(self, run: in_flight_module.OpenRun) -> None:
+        if run.prefill_tokens:
+            self._reservations.end_prefill(run.hops, run.prefill_tokens)
+            run.prefill_tokens = 0.0
 
-    def _end_run(
+    def close_run(
         self,
         in_flight: in_flight_module.InFlightRequest,
-        ending: crash_detection.RunEnd,
+        run: in_flight_module.OpenRun,
+        ending: crash_detection.RunEnd = crash_detection.RunEnd.LEFT,
     ) -> None:
-        if in_flight.run is not None:
-            run, in_flight.run = in_flight.run, None
-            self._permits.end(run, ending)
-
-    def _release(self, in_flight: in_flight_module.InFlightRequest) -> None:
-        self._end_run(in_flight, crash_detection.RunEnd.LEFT)
-        self._end_prefill(in_flight)
-        if in_flight.hops:
-            self._reservations.release(
-                in_flight.hops, in_flight.request_size.tokens
-            )
-            in_flight.hops = ()
+        """End a run and release what is reserved for it.
+
+        Parameters
+        ----------
+        in_flight : in_flight_module.InFlightRequest
+            The request.
+        run : in_flight_module.OpenRun
+            The run; it is cancelled unless it has ended by itself.
+        ending : crash_detection.RunEnd, optional
+            How it ended for its engines.
+        """
+        run.generation += 1
+        in_flight.remove(run)
+        stop, run.stop = run.stop, None
+        if stop is not None:
+            stop()
+        if run.tracked is not None:
+            tracked, run.tracked = run.tracked, None
+            self._permits.end(tracked, ending)
+        self._end_prefill(run)
+        self._reservations.release(run.hops, in_flight.request_size.tokens)
+
+    def _close_all(self, in_flight: in_flight_module.InFlightRequest) -> None:
+        for run in in_flight.open_runs:
+            self.close_run(in_flight, run)
 
     def _end(
         self, in_flight: in_flight_module.InFlightRequest, outcome: str
--- a/tests/application/routing/test_failure_detection.py
+++ b/tests/application/routing/test_failure_detection.py
@@ -63,6 +63,9 @@
         self.assertNotIn(
             self.middle.id, [hop.server.id for hop in second.run.hops]
         )
+        self.assertFalse(self.run.stopped)
+        second.begin()
+        second.send(3, 4)
         self.assertTrue(self.run.stopped)
 
     async def test_stream_leaves_an_unresponsive_first_engine(self):
@@ -196,6 +199,10 @@
         self.world.advance(500)
         self.world.routing_state.suspect(middle.id, 'no_report', 500)
         await self.pass_time(100)
+        third = self.servers.last
+        self.assertIsNot(second, third)
+        third.begin()
+        third.send(0, 1)
         self.assertTrue(second.stopped)
         self.assertNotIn(
             'request-2', [request for request, _ in self.servers.reroutes]
@@ -214,8 +221,10 @@
         self.report_stalled_by(self.middle)
         await self.pass_time(500)
         self.assertEqual(1, len(self.servers.reroutes))
-        self.assertTrue(self.run.stopped)
         self.assertEqual('2', self.servers.last.run.resume_after)
+        self.servers.last.begin()
+        self.servers.last.send(3, 4)
+        self.assertTrue(self.run.stopped)
 
     async def test_stream_without_another_path_stays(self):
         """Guards against cut streams when no failure domain has a path left.
@@ -359,7 +368,7 @@
             (in_flight,) = self.world.streams.in_flight_requests
             self.servers.last.begin()
             self.world.routing_state.suspect(
-                in_flight.first_server.id,
+                in_flight.current.first_server.id,
                 'told_by_one',
                 self.world.clock.now(),
                 reporter='one',
@@ -454,6 +463,15 @@
             await self.pass_time(25)
         await self.pass_time(25)
         self.assertLessEqual(self.world.clock.now() - began, 130)
+        resumed = self.servers.runs[len(self.runs) :]
+        self.assertEqual(
+            {run.run.request.id for run in through},
+            {run.run.request.id for run in resumed},
+        )
+        for run in resumed:
+            self.assertNotIn('a-1', [hop.server.id for hop in run.run.hops])
+            run.begin()
+            run.send(40, 41)
         self.assertTrue(all(run.stopped for run in through))
         self.assertEqual(['a-1'], list(self.world.routing_state.suspicions))
 
@@ -612,8 +630,10 @@
         del self.servers.reports[lost]
         await self.pass_time(150)
         self.assertEqual([lost], list(self.world.routing_state.suspicions))
-        self.assertTrue(self.run.stopped)
         self.assertIsNot(self.run, self.servers.last)
+        self.servers.last.begin()
+        self.servers.last.send(20, 21)
+        self.assertTrue(self.run.stopped)
 
     async def test_no_engine_is_probed_while_the_stream_progresses(self):
         self.assertEqual([], self.servers.probed)
@@ -644,9 +664,12 @@
         self.world.routing_state.suspect(self.names[1], 'told_by_b', now, 'b')
         self.world.clock.advance(50)
         self.world.failure_detector.reroute_from_suspects()
-        self.assertFalse(self.run.stopped)
+        self.assertIs(self.run, self.servers.last)
         self.world.clock.advance(20)
         self.world.failure_detector.reroute_from_suspects()
+        self.assertIsNot(self.run, self.servers.last)
+        self.servers.last.begin()
+        self.servers.last.send(21, 22)
         self.assertTrue(self.run.stopped)
 
 
--- a/tests/application/routing/test_fuzzing.py
+++ b/tests/application/routing/test_fuzzing.py
@@ -80,6 +80,10 @@
         runs = self.world.servers.runs
         self.open_runs.extend(runs[self.collected_count :])
         self.collected_count = len(runs)
+        for run in self.open_runs:
+            if run.stopped:
+                # Its server may have executed it.
+                self.executions[run.run.request.id] += 1
         self.open_runs = [run for run in self.open_runs if not run.stopped]
 
     def send_request(self):
@@ -174,18 +178,11 @@
         in_flight_requests = [
             in_flight
             for in_flight in self.world.streams.in_flight_requests
-            if in_flight.stop is not None
+            if in_flight.open_runs
         ]
         if in_flight_requests:
             in_flight = self.source.choice(in_flight_requests)
             self.world.streams.fail_over(in_flight, 'silent')
-            for run in self.open_runs:
-                # A run that was not stopped continues and is counted when
-                # it completes.
-                if run.stopped and (
-                    run.run.request is in_flight.exchange.request
-                ):
-                    self.executions[run.run.request.id] += 1
 
 
 class FuzzingTest(unittest.TestCase):
--- a/tests/application/routing/test_run_permits.py
+++ b/tests/application/routing/test_run_permits.py
@@ -168,7 +168,7 @@
     async def test_request_that_lost_an_engine_is_not_rerouted_again(self):
         """Guards against path changes that crash one engine after another."""
         self.world.serve()
-        run = next(iter(self.world.streams.in_flight_requests)).run
+        run = next(iter(self.world.streams.in_flight_requests)).current.tracked
         self.assertTrue(self.world.permits.may_reroute(run))
         self.crash('/brief/x', 't1')
         self.assertFalse(self.world.permits.may_reroute(run))
--- a/tests/application/routing/test_streams.py
+++ b/tests/application/routing/test_streams.py
@@ -217,21 +217,37 @@
     def test_late_output_of_an_abandoned_run_is_dropped(self):
         """Guards against output of an abandoned run in the answer.
 
-        An unresponsive engine continues after its stream has failed over.
+        The run that did not go on first continues after it was ended.
         """
-        reply = self.world.serve()
-        first = self.servers.last
-        first.begin()
-        first.send(0, 3)
-        in_flight = next(iter(self.world.streams.in_flight_requests))
-        self.world.streams.fail_over(in_flight, 'silent')
-        second = self.servers.last
-        second.begin()
-        first.send(3, 8)
-        first.end(ports.Completion.BROKEN)
-        second.send(3, 10)
-        second.end()
-        self.assertEqual(ALL_EVENTS, reply.body)
+        for late in (0, 1):
+            with self.subTest(late=late):
+                self.setUp()
+                reply = self.world.serve()
+                first = self.servers.last
+                first.begin()
+                first.send(0, 3)
+                first.listener.handle_body(b'id: 3\nda')
+                in_flight = next(iter(self.world.streams.in_flight_requests))
+                self.world.streams.fail_over(in_flight, 'silent')
+                second = self.servers.last
+                second.begin()
+                self.assertFalse(first.stopped)
+                runs = [first, second]
+                abandoned, kept = runs[late], runs[1 - late]
+                if kept is first:
+                    kept.listener.handle_body(b'ta: x\n\n')
+                    kept.send(4, 5)
+                else:
+                    kept.send(3, 5)
+                self.assertTrue(abandoned.stopped)
+                self.assertFalse(kept.stopped)
+                abandoned.send(3, 8)
+                abandoned.end(ports.Completion.BROKEN)
+                kept.send(5, 10)
+                kept.end()
+                self.assertEqual(ALL_EVENTS, reply.body)
+                self.assertTrue(reply.whole)
+                self.assertEqual({}, self.world.reserved.local)
 
     def test_retries_are_limited_by_the_budget(self):
         """Guards against unlimited retries when every engine fails."""
--- a/tests/simulation/engines.py
+++ b/tests/simulation/engines.py
@@ -245,18 +245,19 @@
         first_event = int(run.resume_after or -1) + 1
         tokens = run.request.prompt_tokens + first_event * STEPS_PER_EVENT
         active = _ActiveRun(run, listener, client, tokens)
-        self._runs[run.request.id] = active
-        task = self.start_task(self._run_and_release(active, first_event))
+        key = run.server.address, run.request.id
+        self._runs[key] = active
+        task = self.start_task(self._run_and_release(active, key, first_event))
         active.task = task
         return task.cancel
 
-    async def _run_and_release(self, active, first_event):
+    async def _run_and_release(self, active, key, first_event):
         try:
             await self._serve(active, first_event)
         finally:
             self._release(active)
-            if self._runs.get(active.run.request.id) is active:
-                del self._runs[active.run.request.id]
+            if self._runs.get(key) is active:
+                del self._runs[key]
 
     async def _serve(self, active, first_event):
         """Check the engines of a run, prefill its prompt and decode."""
@@ -509,7 +510,7 @@
         await loops.sleep_ms(2 * ENTRY_LATENCY_MS)
         self.reroutes += 1
         self.record_arrival(hops[0].server, client.host, 'reroute', request)
-        active = self._runs.get(request)
+        active = self._runs.get((hops[0].server.address, request))
         if active is None or active.hops[0][0].state != 'up':
             return ports.OrderResult.REFUSED
         path = [(self.by_address[hop.server.address], hop) for hop in hops]
