Test what keeps two runs of a request apart, and let it be switched off

Tests of the spread over first engines, the order of urgency, the first event or end that decides between two runs, two runs at most, none at the first engine of another, none for suspects, and none left behind the caller or the deadline. tools/mechanisms.py gets five entries for them, and the entries on ejection and on changes of path follow the code.

--- a/tests/application/routing/builders.py
+++ b/tests/application/routing/builders.py
@@ -454,3 +454,14 @@
             if look:
                 self.failure_detector.check_idle_streams()
             self.routing_state.purge_expired(self.clock.now())
+
+
+def serve_with_priority(world, priority, name):
+    """Serve a request of a workspace with a priority."""
+    configuration = world.routing_state.configuration
+    workspaces = dict(configuration.workspaces)
+    workspaces[name] = routing.Workspace(name, priority)
+    world.routing_state.configuration = attrs.evolve(
+        configuration, workspaces=workspaces
+    )
+    return world.serve(key=name, id=name)
--- a/tests/application/routing/test_streams.py
+++ b/tests/application/routing/test_streams.py
@@ -340,8 +340,8 @@
             self.world.serve(number=number)
             if len(self.servers.runs) <= number:
                 break
-        plain = serve_with_priority(self.world, 5, 'plain')
-        urgent = serve_with_priority(self.world, 0, 'urgent')
+        plain = builders.serve_with_priority(self.world, 5, 'plain')
+        urgent = builders.serve_with_priority(self.world, 0, 'urgent')
         for run in self.servers.runs[:2]:
             run.begin()
             run.end()
@@ -352,17 +352,6 @@
         self.assertIsNone(urgent.status)
 
 
-def serve_with_priority(world, priority, name):
-    """Serve a request of a workspace with a priority."""
-    configuration = world.routing_state.configuration
-    workspaces = dict(configuration.workspaces)
-    workspaces[name] = builders.routing.Workspace(name, priority)
-    world.routing_state.configuration = attrs.evolve(
-        configuration, workspaces=workspaces
-    )
-    return world.serve(key=name, id=name)
-
-
 class OutlierTest(unittest.TestCase):
     """Engines reset connections while their health checks pass."""
 
--- a/tools/mechanisms.py
+++ b/tools/mechanisms.py
@@ -34,8 +34,7 @@
     'outlier-ejection': (
         Edit(
             f'{_ROUTING}/fault_attribution.py',
-            'if in_flight.head is None:\n'
-            '            self._evidence.record_failure',
+            'if run.head is None:\n            self._evidence.record_failure',
             'if False:\n            self._evidence.record_failure',
         ),
     ),
@@ -117,8 +116,46 @@
     'repath': (
         Edit(
             f'{_ROUTING}/rerouting.py',
-            'in_flight.head is not None or not may_retry\n',
-            'not may_retry\n',
+            'run.head is not None or not may_retry)\n',
+            'not may_retry)\n',
+        ),
+    ),
+    'stalled-runs-stay-open': (
+        Edit(
+            f'{_ROUTING}/second_runs.py',
+            'if in_flight.second is not None:\n'
+            '            self._owner.close_run('
+            'in_flight, self._choose_surplus(in_flight))\n',
+            'for run in in_flight.open_runs:\n'
+            '            self._owner.close_run(in_flight, run)\n',
+        ),
+    ),
+    'end-of-surplus-runs': (
+        Edit(
+            f'{_ROUTING}/second_runs.py',
+            'if other is not run:\n',
+            'if other is None:\n',
+        ),
+    ),
+    'spread-of-second-runs': (
+        Edit(
+            f'{_ROUTING}/second_runs.py',
+            'SPREAD_MS = 100\n',
+            'SPREAD_MS = 0\n',
+        ),
+    ),
+    'one-run-at-a-first-engine': (
+        Edit(
+            f'{_ROUTING}/second_runs.py',
+            'own = {run.first_server.id for run in in_flight.open_runs}\n',
+            'own: set[str] = set()\n',
+        ),
+    ),
+    'urgent-streams-first': (
+        Edit(
+            f'{_ROUTING}/failure_detection.py',
+            'key=lambda one: one[0].rank\n',
+            'key=lambda one: id(one[0])\n',
         ),
     ),
     'quarantine': (
