Let the test of the spread fail without the spread

It passed with SPREAD_MS = 0, as the costs alone spread equal replicas. Two of the three are now slower than the third: without the spread, all 20 streams go to one engine and the test fails; with it, it passes.

--- a/tests/application/routing/test_second_runs.py
+++ b/tests/application/routing/test_second_runs.py
@@ -51,6 +51,11 @@
         world = builders.World()
         for domain in 'cd':
             world.add_replica(domain)
+            for number in range(3):
+                # Streams prefer the other replicas.
+                world.routing_state.slowdowns.record_probe(
+                    f'{domain}-{number}', 2.5, STALL_MS
+                )
         for number in range(STREAMS):
             world.serve(number=number)
         first_runs = list(world.servers.runs)
@@ -66,6 +71,7 @@
             run.run.server.id for run in world.servers.runs[STREAMS:]
         )
         self.assertEqual(len(stalled), chosen.total())
+        self.assertEqual(3, len(chosen))
         self.assertLessEqual(
             max(chosen.values()) - min(chosen.values()), 1, chosen
         )
