Leave streams on their engines where a handover would cut them

While an entry reaches no server, a stream that stalled for 0.7 s was stopped and only then lacked a retry; a relayed stream was always broken off, also if its sender could not pass it on again. All servers may also be silent for a moment.

A stream now stays unless a retry is available and a peer with links is known; a relayed one, unless its sender has an attempt and a retry left. Both tests (test_stream_without_a_retry_stays, test_relayed_stream_that_may_not_run_again_stays) failed on the code before and pass. Still open: once handed over, a stream is cut if no peer accepts it, as its run has been stopped by then.

--- a/src/thornspool/application/routing/streams.py
+++ b/src/thornspool/application/routing/streams.py
@@ -233,7 +233,8 @@
     def leave_lost_links(self) -> None:
         """Hand over the streams that stall since the links are lost.
 
-        A stream that no peer can continue waits for its engine.
+        A stream that no peer can continue, or that lacks a retry, waits for
+        its engine.
         """
         now = self._clock.now()
         for in_flight in list(self.in_flight_requests):
@@ -244,19 +245,34 @@
                 or now - in_flight.active_at < LOST_LINKS_IDLE_MS
             ):
                 continue
-            is_relayed = in_flight.exchange.request.relay is not None
-            if is_relayed or (
-                self.has_linked_peer() and self.may_retry(in_flight)
-            ):
+            if in_flight.exchange.request.relay is not None:
+                self._return_to_peer(in_flight)
+            elif self.has_linked_peer() and self._may_leave(in_flight):
                 self._close_all(in_flight)
-            if is_relayed:
-                # The entry that passed it on may choose another peer.
-                self._fail(in_flight, 'links_lost', DRAINING_RETRY_MS)
-            elif in_flight.current is None:
                 self._retry_or_fail(
                     in_flight, 'links_lost', run_proofs.Proof.NONE
                 )
 
+    def _may_leave(self, in_flight: in_flight_module.InFlightRequest) -> bool:
+        """Return whether a stream may run again and a retry is available."""
+        exchange = in_flight.exchange
+        return self.may_retry(in_flight) and self._budget.can_acquire(
+            exchange.service, exchange.response_started
+        )
+
+    def _return_to_peer(
+        self, in_flight: in_flight_module.InFlightRequest
+    ) -> None:
+        """Break a relayed stream off if its sender may pass it on again."""
+        exchange = in_flight.exchange
+        relay = exchange.request.relay
+        assert relay is not None
+        if relay.prior_runs + 1 < exchange.route.attempts and self._may_leave(
+            in_flight
+        ):
+            self._close_all(in_flight)
+            self._fail(in_flight, 'links_lost', DRAINING_RETRY_MS)
+
     def _deny(self, in_flight: in_flight_module.InFlightRequest) -> None:
         """Refuse a request that crashes the engines that run it."""
         self._fail(
--- a/tests/application/routing/test_relays.py
+++ b/tests/application/routing/test_relays.py
@@ -10,6 +10,7 @@
 from tests.application.routing import builders
 from thornspool.application.routing import ports
 from thornspool.application.routing import relays
+from thornspool.application.routing import streams
 from thornspool.domain.entries import messages
 from thornspool.domain.entries import view as view_module
 
@@ -274,6 +275,54 @@
         self.assertEqual(1, len(self.world.servers.runs))
 
 
+class StallTest(RelayCase):
+    """Streams stall while this entry reaches no server."""
+
+    def stall(self, **changes):
+        """Serve a stream that stalls; return its reply and its run."""
+        self.world.streams.has_linked_peer = lambda: True
+        reply = self.world.serve(**changes)
+        run = self.world.servers.last
+        run.begin()
+        run.send(0, 4)
+        self.lose_links()
+        self.world.clock.advance(streams.LOST_LINKS_IDLE_MS)
+        return reply, run
+
+    def check_stays(self, reply, run):
+        self.world.streams.leave_lost_links()
+        self.assertFalse(run.stopped)
+        self.assertEqual([], self.gateway.sent)
+        run.send(4, 10)
+        run.end()
+        self.assertTrue(reply.whole)
+
+    def test_stream_is_handed_over(self):
+        _, run = self.stall()
+        self.world.streams.leave_lost_links()
+        self.assertTrue(run.stopped)
+        self.assertEqual('3', self.gateway.last.relayed.resume_after)
+
+    def test_stream_without_a_retry_stays(self):
+        """Guards against cut streams while all servers are silent."""
+        reply, run = self.stall()
+        while self.world.budget.acquire('drafting', urgent=True):
+            pass
+        self.check_stays(reply, run)
+
+    def test_relayed_stream_that_may_not_run_again_stays(self):
+        """Guards against a break that the sender can only pass on."""
+        relay = ports.Relay('a-01', 'a-01-1', 'a-00-1', 1, True)
+        self.check_stays(*self.stall(relay=relay))
+
+    def test_relayed_stream_returns_to_its_sender(self):
+        relay = ports.Relay('a-01', 'a-01-1', 'a-00-1', 0, True)
+        reply, run = self.stall(relay=relay)
+        self.world.streams.leave_lost_links()
+        self.assertTrue(run.stopped)
+        self.assertTrue(reply.aborted)
+
+
 class RelayIntakeTest(RelayCase):
     def setUp(self):
         super().setUp()
