Keep a call at its server where no other one could take it

The attempt of an idempotent call that was overdue was cancelled before it was known whether another server accepts it, so that callers got 502 although their server answered a moment later. The attempt is now cancelled only if another server accepts a call now and the request may run. test_read_without_another_server_stays_at_its_own failed before and passes. Still open: the next server may refuse after the first attempt was cancelled.

--- a/src/thornspool/application/routing/calls.py
+++ b/src/thornspool/application/routing/calls.py
@@ -199,7 +199,10 @@
             self._retry_unresponsive(call)
 
     def _retry_unresponsive(self, call: Call) -> None:
-        if not self._retry_budget.acquire(call.exchange.service):
+        """Cancel an attempt if the call can be sent to another server now."""
+        if not self._has_other_server(call) or not self._retry_budget.acquire(
+            call.exchange.service
+        ):
             return
         assert call.cancel is not None
         call.cancel()
@@ -209,6 +212,18 @@
         self._end_attempt(call)
         self._start_attempt(call)
 
+    def _has_other_server(self, call: Call) -> bool:
+        exchange = call.exchange
+        if self._evidence.links.are_lost:
+            # A peer may reach a server.
+            return True
+        permit = self._permits.check(exchange.fingerprint)
+        return permit is run_permits.Permit.GRANTED and any(
+            self._limits.has_room(server.id)
+            for server in self._list_candidates(exchange, self._clock.now())
+            if call.server is None or server.id != call.server.id
+        )
+
     def _start_attempt(self, call: Call) -> None:
         exchange = call.exchange
         if self.take_over(exchange, '', True):
--- a/tests/application/routing/test_calls.py
+++ b/tests/application/routing/test_calls.py
@@ -90,6 +90,17 @@
         self.world = builders.World()
         self.servers = self.world.servers
 
+    def test_read_without_another_server_stays_at_its_own(self):
+        """Guards against a 502 for a read whose server goes on."""
+        for name in ('b-91', 'c-92'):
+            del self.world.routing_state.servers[name]
+        reply = self.world.serve('/read/1')
+        run = self.servers.last
+        self.world.advance(1_000)
+        self.assertFalse(run.stopped)
+        run.answer()
+        self.assertEqual(200, reply.status)
+
     def test_failed_read_is_retried_at_another_server(self):
         """One in seven reads fails at a healthy server."""
         reply = self.world.serve('/read/1')
