Let servers stall beside planned work in the soak (red)

What callers saw: streams cut although their engines had only been unresponsive for a second and continued (LOST). The soak suspended entries and the store, no servers, and nothing judged who had ended a request.

No request may be ended by an entry though a run of it could continue. All seeds, old ones too, are now judged by the users' rule around planned work, cuts beside changes compared with cuts at other times, and by that on kept connections. The simulated servers log how each run ends.

--- a/standins/kv_fleet.py
+++ b/standins/kv_fleet.py
@@ -94,6 +94,9 @@
     rests : dict of str to tuple of float
         Hosts that it turns away: until when, in seconds of the monotonic
         clock, and the seconds of rest that it asks for.
+    suspended_until : float
+        Time until which it is unresponsive, in seconds of the monotonic
+        clock.
     """
 
     id: str
@@ -110,6 +113,12 @@
     limit_per_s: float | None = None
     is_leaving: bool = False
     rests: dict[str, tuple[float, float]] = attrs.field(factory=dict)
+    suspended_until: float = 0.0
+
+    async def wait_until_resumed(self) -> None:
+        """Wait while the server is unresponsive."""
+        while (wait_s := self.suspended_until - time.monotonic()) > 0:
+            await asyncio.sleep(wait_s)
 
     def describe(self) -> dict[str, typing.Any]:
         """Return the document of the server in the store."""
@@ -219,7 +228,14 @@
         self.fleet = fleet
         self.server = server
 
-    def prepare(self) -> None:
+        self._lost_address = ''
+        self._is_running = False
+
+    async def prepare(self) -> None:
+        await self.server.wait_until_resumed()
+        connection: typing.Any = self.request.connection
+        if connection.stream is None or connection.stream.closed():
+            raise web.Finish
         host = self.record('arrival')['host']
         until, rest_s = self.server.rests.get(host, (0.0, 0.0))
         if time.monotonic() < until:
@@ -245,6 +261,22 @@
         self.fleet.log.append(line)
         return line
 
+    def begin_run(self) -> None:
+        """Log that the server begins to run the request."""
+        self._is_running = True
+        self.record('run')
+
+    def end_run(self, end: str) -> None:
+        """Log the end of a run, unless it has ended."""
+        if self._is_running:
+            self._is_running = False
+            self.record('run_end', end=end)
+
+    def on_connection_close(self) -> None:
+        """Log that the server or the other side has closed the connection."""
+        is_lost = bool(self._lost_address) or not self.server.is_alive
+        self.end_run('broken' if is_lost else 'stopped')
+
     def _find_host(self, default: str) -> str:
         """Return the host that has opened the connection, if it is known."""
         return self.fleet.hosts.get(self.request.remote_ip or '', default)
@@ -296,6 +328,7 @@
         await self.flush()
         await asyncio.sleep(STEP_S)
         if self.server.is_alive:
+            self.end_run('broken')
             self.record('crash', content=text)
             await stop_server(self.server)
             asyncio.get_running_loop().call_later(
@@ -396,6 +429,7 @@
             return
         attempt_id = self.request.headers['Attempt-Id']
         self.fleet.runs[attempt_id] += 1
+        self.begin_run()
         first = int(self.request.headers.get('Last-Event-Id', -1)) + 1
         self.add_response_headers()
         self.set_header('Content-Type', 'text/event-stream')
@@ -407,15 +441,22 @@
             return
         for index in range(first, EVENTS):
             await asyncio.sleep(STEP_S)
+            for hop in hops:
+                await hop[0].wait_until_resumed()
             lost = next((one for one in hops if not one[0].is_alive), None)
             if lost is not None:
+                self._lost_address = lost[3]
                 self.server.stalled[attempt_id] = lost[3]
                 await asyncio.sleep(STALL_DURATION_S)
                 self.server.stalled.pop(attempt_id, None)
+                self.end_run('broken')
                 common.drop_connection(self)
                 return
             self.write(f'id: {index}\ndata: word{index}\n\n')
             await self.flush()
+            if index == first:
+                self.record('first_event')
+        self.end_run('complete')
         self.finish()
 
     async def _write_unframed(self, first: int, ending: str) -> None:
@@ -428,9 +469,11 @@
             try:
                 await stream.write(event[:6] if is_broken else event)
             except iostream.StreamClosedError:
+                self.end_run('stopped')
                 return
             if is_broken:
                 break
+        self.end_run('complete' if ending == 'whole' else 'broken')
         await end_connection(stream, ending)
 
     def _parse_path(self) -> list[tuple[Server, int, int, str]] | None:
@@ -472,13 +515,17 @@
 
     async def _run(self) -> None:
         self.fleet.runs[self.request.headers['Attempt-Id']] += 1
+        self.begin_run()
         if await self.crash_if_told():
             return
         await asyncio.sleep(STEP_S)
+        await self.server.wait_until_resumed()
         if self.fleet.lose_answers > 0:
             self.fleet.lose_answers -= 1
+            self.end_run('broken')
             common.drop_connection(self)
             return
+        self.end_run('complete')
         self.add_response_headers()
         workspace = self.request.headers.get('Tenant', '')
         text = f'{self.server.id} for {workspace}'
@@ -565,6 +612,9 @@
             server.limit_per_s = commands['per_s']
         if 'leave' in commands:
             self.fleet.servers[commands['leave']].is_leaving = True
+        for name in commands.get('suspend', ()):
+            server = self.fleet.servers[name]
+            server.suspended_until = time.monotonic() + commands['for_s']
         if 'rest' in commands:
             server = self.fleet.servers[commands['rest']]
             until = time.monotonic() + commands['for_s']
--- a/tests/platform/deployment.py
+++ b/tests/platform/deployment.py
@@ -216,7 +216,10 @@
         self.entries: list[Entry] = []
 
     def start_entry(
-        self, domain: str = 'a', store_address: str | None = None
+        self,
+        domain: str = 'a',
+        store_address: str | None = None,
+        retry_slack: int = 100,
     ) -> Entry:
         """Start an entry without waiting until it is ready."""
         ports = find_ports(5)
@@ -233,7 +236,7 @@
             },
             'port_range': [ports[3], ports[4]],
             'platform': {'address': store_address or self.store_address},
-            'bounds': {'grace_s': 8, 'budget_slack': 100},
+            'bounds': {'grace_s': 8, 'budget_slack': retry_slack},
         }
         path = self._running.folder / f'{name}.json'
         path.write_text(json.dumps(settings))
--- a/tests/simulation/engines.py
+++ b/tests/simulation/engines.py
@@ -267,7 +267,13 @@
         try:
             await self._serve(active, first_event)
         except asyncio.CancelledError:
-            self._record_end(active, answer_rules.RunEnd.STOPPED)
+            is_lost = any(one.state == 'crashed' for one, _ in active.hops)
+            self._record_end(
+                active,
+                answer_rules.RunEnd.BROKEN
+                if is_lost
+                else answer_rules.RunEnd.STOPPED,
+            )
             raise
         finally:
             self._release(active)
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -21,9 +21,12 @@
 
 from standins import kv_fleet
 from tests import engine_rules
+from tests.soak import answers
 from tests.soak import callers as callers_module
 from tests.soak import checks
 from tests.soak import faults as faults_module
+from tests.soak import kept_callers
+from tests.soak import stalls as stalls_module
 from tests.soak import world as world_module
 from tools import processes
 
@@ -35,6 +38,9 @@
 
 MEAN_REQUEST_INTERVAL_S = 0.04
 
+FEW_RETRIES = 10
+"""Retries beyond the ratio that seeds with stalls allow."""
+
 DRAIN_MS = 2_000
 """Time after which an entry may send no request to a server that leaves."""
 
@@ -60,6 +66,7 @@
     seconds: float,
     folder: pathlib.Path | None = None,
     entries: int = ENTRIES,
+    stalls: bool = False,
 ) -> Report:
     """Run one seed.
 
@@ -73,10 +80,17 @@
         Folder for the logs when a check fails.
     entries : int, optional
         Number of entries; more than 12 follow the store through collectors.
+    stalls : bool, optional
+        Whether sound servers stall beside planned work, without any fault.
     """
     source = random.Random(seed)
     with processes.open_processes() as scope:
-        world = world_module.World(scope, source, entries)
+        world = world_module.World(
+            scope,
+            source,
+            entries,
+            **({'retry_slack': FEW_RETRIES} if stalls else {}),
+        )
         callers = callers_module.Callers(
             f's{seed}',
             random.Random(seed + 1),
@@ -84,9 +98,8 @@
             world.draw_recent,
         )
         try:
-            report = await _run_scenario(
-                seed, seconds, world, callers, scope.folder
-            )
+            run = _run_stalls if stalls else _run_scenario
+            report = await run(seed, seconds, world, callers, scope.folder)
         finally:
             callers.close()
             await world.stop()
@@ -136,6 +149,53 @@
     problems += checks.check_requests(
         callers.sent_requests, fleet['runs'], world.revoked_at
     )
+    problems += answers.check_planned_work(
+        world, callers.sent_requests, fleet['log']
+    )
+    served = sum(one.status == 200 for one in callers.sent_requests)
+    return Report(
+        seed, problems, faults.drawn, len(callers.sent_requests), served
+    )
+
+
+async def _run_stalls(
+    seed: int,
+    seconds: float,
+    world: world_module.World,
+    callers: callers_module.Callers,
+    folder: pathlib.Path,
+) -> Report:
+    """Let sound servers stall beside planned work."""
+    await world.start()
+    reason = await world.wait_until_served(START_TIMEOUT_S)
+    if reason:
+        return Report(seed, [f'at the start: {reason}'], [], 0, 0)
+    kept = kept_callers.KeptCallers(f's{seed}', world, callers.sent_requests)
+    load = asyncio.create_task(
+        callers.send_continuously(MEAN_REQUEST_INTERVAL_S)
+    )
+    kept_load = asyncio.create_task(kept.run())
+    faults = stalls_module.Stalls(world, random.Random(f'{seed} stalls'))
+    await faults.inject(seconds)
+    reason = await world.wait_until_served(RECOVERY_TIMEOUT_S)
+    load.cancel()
+    kept.stop()
+    await kept_load
+    await callers.finish()
+    problems = list(world.problems)
+    if reason:
+        problems.append(f'after the last stall: {reason}')
+    fleet = await asyncio.to_thread(world.deployment.read_fleet, log=True)
+    (folder / 'servers.json').write_text(json.dumps(fleet['log']))
+    problems += checks.check_requests(
+        callers.sent_requests, fleet['runs'], world.revoked_at
+    )
+    problems += answers.check_planned_work(
+        world, callers.sent_requests, fleet['log']
+    )
+    problems += answers.check_stalls(
+        world, callers.sent_requests, fleet['log']
+    )
     served = sum(one.status == 200 for one in callers.sent_requests)
     return Report(
         seed, problems, faults.drawn, len(callers.sent_requests), served
@@ -273,7 +333,11 @@
         nonlocal failed
         async with semaphore:
             report = await run_seed(
-                seed, options.seconds, options.logs, options.entries
+                seed,
+                options.seconds,
+                options.logs,
+                options.entries,
+                options.stalls,
             )
         failed += bool(report.problems)
         result = 'WRONG' if report.problems else 'held'
@@ -308,6 +372,11 @@
         default=ENTRIES,
         help='entries of a seed; more than 12 have collectors',
     )
+    parser.add_argument(
+        '--stalls',
+        action='store_true',
+        help='let sound servers stall beside planned work, without faults',
+    )
     parser.add_argument(
         '--logs', type=pathlib.Path, help='folder for logs of failed seeds'
     )
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -50,6 +50,10 @@
         Body of the request.
     prefix : str
         Prefix of the path where it is not the kind.
+    has_left : bool
+        Whether the caller closed the connection before the end.
+    is_on_kept_connection : bool
+        Whether another request preceded it on its connection.
     """
 
     id: str
@@ -65,6 +69,8 @@
     retry_after: str = ''
     sent_body: bytes = b'{}'
     prefix: str = ''
+    has_left: bool = False
+    is_on_kept_connection: bool = False
 
     @property
     def target(self) -> str:
@@ -192,6 +198,8 @@
             await asyncio.wait_for(done.wait(), timeout_s)
         except TimeoutError:
             transfer.cancel()
+            request.has_left = True
+            request.ended_at = time.monotonic()
         return request
 
     def _build_transfer(self, request: SentRequest) -> transfers.Request:
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import contextlib
-import signal
 import typing
 import urllib.error
 
@@ -140,9 +139,7 @@
     async def _send_hangup(self) -> None:
         name = self._draw_entry()
         if name:
-            popen = self._world.entries[name].popen
-            with contextlib.suppress(ProcessLookupError):
-                popen.send_signal(signal.SIGHUP)
+            await self._world.hang_up(name)
 
     async def _suspend_store(self) -> None:
         with self._world.interrupt('', self._world.store_outages):
@@ -194,7 +191,8 @@
 
     async def _disturb_caller_link(self) -> None:
         name = self._random.choice(sorted(self._world.to_entry))
-        await self._disturb(self._world.to_entry[name], self._random)
+        with self._world.interrupt(name, self._world.caller_cuts):
+            await self._disturb(self._world.to_entry[name], self._random)
 
     async def _disturb(
         self, proxy: proxies.Proxy, source: random.Random
@@ -219,11 +217,15 @@
         )
         chosen = [one for one in all_proxies if self._random.random() < 0.5]
         with contextlib.ExitStack() as interruptions:
-            for name, proxy in self._world.to_store.items():
-                if proxy in chosen:
-                    interruptions.enter_context(
-                        self._world.interrupt(name, self._world.store_cuts)
-                    )
+            for links, cuts in (
+                (self._world.to_store, self._world.store_cuts),
+                (self._world.to_entry, self._world.caller_cuts),
+            ):
+                for name, proxy in links.items():
+                    if proxy in chosen:
+                        interruptions.enter_context(
+                            self._world.interrupt(name, cuts)
+                        )
             for proxy in chosen:
                 proxy.reset()
 
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -21,6 +21,8 @@
     331,
 )
 SECONDS = 6.0
+STALL_SEED = 402
+STALL_SECONDS = 12.0
 
 
 class SoakTest(unittest.TestCase):
@@ -37,6 +39,17 @@
                 self.assertEqual([], report.problems)
                 self.assertGreater(report.served, 0)
 
+    def test_no_request_is_cut_while_servers_stall(self):
+        """Guards against runs that are left for servers that continue.
+
+        Servers stall alone and together, beside changes, SIGHUP and SIGTERM.
+        """
+        report = asyncio.run(
+            soak.run_seed(STALL_SEED, STALL_SECONDS, stalls=True)
+        )
+        self.assertEqual([], report.problems)
+        self.assertGreater(report.served, 0)
+
 
 class CheckTest(unittest.TestCase):
     """Each check must find the violation that it covers."""
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -13,6 +13,7 @@
 import attrs
 from tornado import httpclient
 
+from tests import answer_rules
 from tests import engine_rules
 from tests.platform import deployment
 from tests.soak import configurations
@@ -47,6 +48,8 @@
         Source of every random choice.
     entries : int
         Number of entries.
+    retry_slack : int, optional
+        Retries that all entries may send beyond their ratio.
     """
 
     def __init__(
@@ -54,8 +57,10 @@
         scope: processes.Processes,
         source: random.Random,
         entries: int,
+        retry_slack: int = 100,
     ) -> None:
         self.random = source
+        self._retry_slack = retry_slack
         self.deployment = deployment.Deployment(scope)
         self._count = entries
         self.to_store: dict[str, proxies.Proxy] = {}
@@ -73,6 +78,10 @@
         self.interruptions: list[engine_rules.Excuse] = []
         self.cuts: list[engine_rules.Excuse] = []
         self.store_cuts: list[engine_rules.Excuse] = []
+        self.stops: list[answer_rules.Signal] = []
+        self.hangups: list[answer_rules.Signal] = []
+        self.downtimes: list[engine_rules.Excuse] = []
+        self.caller_cuts: list[engine_rules.Excuse] = []
 
     async def start(self) -> None:
         """Start entries and proxies and publish a first configuration."""
@@ -86,7 +95,9 @@
             self.to_store[name] = proxies.Proxy(store_address)
             await self.to_store[name].start()
             entry = self.deployment.start_entry(
-                DOMAINS[number % len(DOMAINS)], self.to_store[name].address
+                DOMAINS[number % len(DOMAINS)],
+                self.to_store[name].address,
+                self._retry_slack,
             )
             self.entries[name] = entry
             self.to_entry[name] = proxies.Proxy(entry.callers)
@@ -233,6 +244,7 @@
         self.entries_in_fault.add(name)
         entry = self.entries[name]
         began = time.monotonic()
+        self.stops.append(answer_rules.Signal(name, read_clock_ms()))
         entry.popen.terminate()
         try:
             code = await asyncio.to_thread(
@@ -253,6 +265,23 @@
         self.deployment.restart(entry)
         self.entries_in_fault.discard(name)
 
+    async def replace(self, name: str) -> None:
+        """Stop an entry, start it again and wait until it is ready."""
+        await self._terminate(name)
+        self.entries_in_fault.add(name)
+        since = read_clock_ms()
+        await asyncio.to_thread(_wait_until_ready, self.entries[name])
+        self.downtimes.append(
+            engine_rules.Excuse(name, since, read_clock_ms())
+        )
+        self.entries_in_fault.discard(name)
+
+    async def hang_up(self, name: str) -> None:
+        """Send SIGHUP to an entry."""
+        with contextlib.suppress(ProcessLookupError):
+            self.hangups.append(answer_rules.Signal(name, read_clock_ms()))
+            self.entries[name].popen.send_signal(signal.SIGHUP)
+
     async def cut_links(
         self, names: list[str], kind: str, length_s: float
     ) -> None:
@@ -291,6 +320,14 @@
                 popen.send_signal(signal.SIGCONT)
 
 
+def _wait_until_ready(entry: deployment.Entry) -> None:
+    """Wait until an entry that has started again is ready, or ends."""
+    with contextlib.suppress(AssertionError):
+        deployment.wait_until(
+            lambda: entry.is_ready() or entry.popen.poll() is not None
+        )
+
+
 def read_clock_ms() -> int:
     """Return the time of the clock that servers log, in milliseconds."""
     return time.monotonic_ns() // 1_000_000
