Recover clearances that entries have lost

A part of prompts that many requests share is cleared often. An entry that lost a later clearance kept it as a suspect until its deaths expired: the digest told only whether a record was ever cleared, so that its peers saw no difference. A message that came late also made its deaths more recent than the clearance that followed it. The digest now counts the deaths that are not cleared, and a record keeps the earliest time of each death.

--- a/src/thornspool/domain/quarantine/records.py
+++ b/src/thornspool/domain/quarantine/records.py
@@ -323,7 +323,8 @@
             death_ids = sorted(
                 (one.reporter, one.sequence) for one in record.deaths
             )
-            text = f'{name} {death_ids} {record.cleared_at is not None}'
+            uncleared = len(self._list_deaths(name))
+            text = f'{name} {death_ids} {uncleared}'
             digest ^= xxhash.xxh3_64_intdigest(text.encode())
         return digest
 
@@ -435,8 +436,10 @@
 
     def _merge(self, fingerprint: str, new: _Record) -> None:
         old = self._pop(fingerprint)
-        by_id = {(one.reporter, one.sequence): one for one in new.deaths}
-        by_id.update({(one.reporter, one.sequence): one for one in old.deaths})
+        by_id: dict[tuple[str, int], Death] = {}
+        # A message may come late, which makes its deaths seem more recent.
+        for one in sorted((*new.deaths, *old.deaths), key=_get_time):
+            by_id.setdefault((one.reporter, one.sequence), one)
         bound = MAX_DEATHS
         if fingerprints.is_part(fingerprint):
             bound = MAX_PART_DEATHS
--- a/tests/application/test_quarantine.py
+++ b/tests/application/test_quarantine.py
@@ -23,6 +23,7 @@
 from thornspool.domain.quarantine import records
 
 CRASHER = 'crasher'
+PART = fingerprints.compute_part_name('drafting', 'part')
 
 
 class Fleet:
@@ -183,6 +184,40 @@
         self.assertTrue(await subject.start(0, 'other', 't2'))
 
 
+@mock.patch.object(quarantine, 'logger')
+class PartTest(unittest.IsolatedAsyncioTestCase):
+    def build(self, *proven: int) -> Fleet:
+        """Build entries, of which some have seen the part run well."""
+        subject = Fleet()
+        for entry in proven:
+            subject.entries[entry].set_proof(lambda part, ended: True)
+        return subject
+
+    async def test_proof_of_a_peer_clears_a_part(self, _: mock.Mock) -> None:
+        """Guards against a part in use that an entry without proof names."""
+        for proven in ((0,), (0, 1), ()):
+            with self.subTest(proven):
+                subject = self.build(*proven)
+                for target in ('t1', 't2'):
+                    subject.entries[2].record_crash(target, [PART])
+                await subject.network.deliver()
+                self.assertEqual(
+                    {'Clear' if proven else 'Suspect'}, subject.check(PART)
+                )
+
+    async def test_proof_does_not_clear_a_condemned_part(
+        self, _: mock.Mock
+    ) -> None:
+        """Guards against a verdict that an outdated proof undoes."""
+        subject = self.build(0)
+        subject.entries[0].condemn(PART)
+        subject.entries[2].record_crash('t1', [PART])
+        await subject.network.deliver()
+        self.assertIsInstance(
+            subject.entries[0].check(PART), messages.Condemned
+        )
+
+
 class RecordsTest(unittest.TestCase):
     def test_verdicts_expire(self) -> None:
         checked = records.QuarantineRecords('e')
--- a/tests/domain/quarantine/test_records_of_parts.py
+++ b/tests/domain/quarantine/test_records_of_parts.py
@@ -97,3 +97,44 @@
         update = self.records.describe_latest(0, 64)
         self.assertEqual(64, len(update.records))
         self.assertIn(PART, {one.fingerprint for one in update.records})
+
+
+class SynchronizationTest(unittest.TestCase):
+    def setUp(self):
+        self.here = records.QuarantineRecords('e1')
+        self.there = records.QuarantineRecords('e2')
+
+    def record_death(self, target, now, delay_ms=0):
+        update = self.here.record_death(
+            target, frozenset({PART}), frozenset(), now
+        )
+        self.there.merge(update, now + delay_ms)
+
+    def clear(self, now):
+        """Clear the part at one entry, whose message is lost."""
+        return self.here.record_completion(PART, now)
+
+    def check(self, now):
+        return type(self.there.check(PART, now))
+
+    def test_digests_differ_after_a_lost_clearance(self):
+        """Guards against a part cleared before that stays a suspect."""
+        self.record_death('t', 0)
+        self.there.merge(self.clear(1), 1)
+        self.record_death('u', 2)
+        self.clear(3)
+        self.assertIs(messages.Suspect, self.check(4))
+        self.assertNotEqual(
+            self.here.compute_digest(4), self.there.compute_digest(4)
+        )
+        self.there.merge(self.here.describe_latest(4, 64), 4)
+        self.assertIs(messages.Clear, self.check(4))
+        self.assertEqual(
+            self.here.compute_digest(4), self.there.compute_digest(4)
+        )
+
+    def test_late_death_does_not_outlast_its_clearance(self):
+        """Guards against a late message that makes a death seem recent."""
+        self.record_death('t', 0, delay_ms=2_000)
+        self.there.merge(self.clear(100), 100)
+        self.assertIs(messages.Clear, self.check(2_000))
