Reproduce engines that crash on a part of a prompt with real processes

The simulation shows the fault between entries in one process, without the decoding of Prompt-Prefix and the store. The stand-in of the fleet now crashes engines that begin to answer requests with a given part that is not the last one, half of the time after the first event, and starts them anew.

--- a/standins/kv_fleet.py
+++ b/standins/kv_fleet.py
@@ -13,9 +13,11 @@
 ID}`` (the server states in its responses that it leaves; its store entry stays
 as it is) or ``{"crash_on": TEXT}`` (a request with the text in its body
 crashes each server that runs it, and it starts anew after a while) or
-``{"alias": {ADDRESS: ADDRESS}}`` (further addresses at which servers are
-reached, in addition to those before) or ``{"sources": {IP: HOST}}`` (hosts
-that open connections from an address, in addition to those before).
+``{"crash_on_part": ID}`` (the same for a part of the prompt that is not the
+last one, on engines) or ``{"alias": {ADDRESS: ADDRESS}}`` (further addresses
+at which servers are reached, in addition to those before) or ``{"sources":
+{IP: HOST}}`` (hosts that open connections from an address, in addition to
+those before).
 ``GET /control`` returns what the servers ran, which layers they hold, and with
 ``?log=1`` what arrived at them and what they answered; with ``?listening=1``
 only the addresses at which servers listen.
@@ -148,6 +150,7 @@
         self.wrong_paths = 0
         self.lose_answers = 0
         self.crash_on = ''
+        self.crash_on_part = ''
         self.aliases: dict[str, str] = {}
         self.hosts: dict[str, str] = {}
         self.log: list[dict[str, typing.Any]] = []
@@ -277,27 +280,45 @@
             self.set_header('At-Server', fault)
         self.finish()
 
-    async def crash_if_told(self) -> bool:
+    async def crash_if_told(self, first_event: str = '') -> bool:
         """Crash the server if it may not survive this request.
 
+        Parameters
+        ----------
+        first_event : str, optional
+            Event that may be written before the crash.
+
         Returns
         -------
         bool
             Whether the server has crashed.
         """
-        text = self.fleet.crash_on
-        if not text or text.encode() not in self.request.body:
+        cause = self._find_crash_cause()
+        if not cause:
             return False
         await self.flush()
         await asyncio.sleep(STEP_S)
+        if first_event and len(self.fleet.log) % 2:
+            self.write(first_event)
+            await self.flush()
         if self.server.is_alive:
-            self.record('crash', content=text)
+            self.record('crash', content=cause)
             await stop_server(self.server)
             asyncio.get_running_loop().call_later(
                 RESTART_S, restart_server, self.fleet, self.server
             )
         return True
 
+    def _find_crash_cause(self) -> str:
+        """Return the text or part of the prompt that crashes the server."""
+        text = self.fleet.crash_on
+        if text and text.encode() in self.request.body:
+            return text
+        prefix = self.request.headers.get('Prompt-Prefix', '')
+        parts = [one.partition(':')[0] for one in prefix.split(',')]
+        part = self.fleet.crash_on_part
+        return part if part in parts[:-1] else ''
+
     def add_response_headers(self) -> None:
         """Set the headers that a server adds to its responses."""
         self.state_condition()
@@ -365,7 +386,7 @@
         first = int(self.request.headers.get('Last-Event-Id', -1)) + 1
         self.add_response_headers()
         self.set_header('Content-Type', 'text/event-stream')
-        if await self.crash_if_told():
+        if await self.crash_if_told(_format_event(first)):
             return
         for index in range(first, EVENTS):
             await asyncio.sleep(STEP_S)
@@ -376,7 +397,7 @@
                 self.server.stalled.pop(attempt_id, None)
                 common.drop_connection(self)
                 return
-            self.write(f'id: {index}\ndata: word{index}\n\n')
+            self.write(_format_event(index))
             await self.flush()
         self.finish()
 
@@ -406,6 +427,10 @@
         return hops
 
 
+def _format_event(index: int) -> str:
+    return f'id: {index}\ndata: word{index}\n\n'
+
+
 class PlainHandler(_Handler):
     """Run calls and actions of a plain server."""
 
@@ -487,6 +512,9 @@
             domain = name.split('-')[0]
             await start_server(self.fleet, Server(name, MODEL_SERVICE, domain))
         self.fleet.crash_on = commands.get('crash_on', self.fleet.crash_on)
+        self.fleet.crash_on_part = commands.get(
+            'crash_on_part', self.fleet.crash_on_part
+        )
         self._set_conditions(commands)
         if 'put' in commands:
             await self.fleet.put(commands['put'], commands['document'])
