--- a/tests/simulation/prompt_parts.py
+++ b/tests/simulation/prompt_parts.py
@@ -96,6 +96,7 @@
     crashes_at_ms=0,
     key=KEY,
     count_invented=0,
+    middle='',
 ):
     """Return a fault in which requests with a part of their prompts crash.
 
@@ -121,6 +122,8 @@
         Key of their caller.
     count_invented : int, optional
         Further parts of each request that no other request has.
+    middle : str, optional
+        Part of sound requests that all of them name; by default they differ.
     """
 
     async def send(simulated):
@@ -128,8 +131,9 @@
         await loops.sleep_ms(at_ms)
         simulated.engines.start_task(_turn_bad(simulated, part, crashes_at_ms))
         while True:
-            number = len(sent.attempts)
-            shared = [FIRST, f'middle-{source.randrange(MIDDLE_PARTS)}']
+            number = len(sent.parts)
+            drawn = f'middle-{source.randrange(MIDDLE_PARTS)}'
+            shared = [FIRST, middle or drawn]
             shared.insert(place, part)
             invented = [f'{part}-{number}-{i}' for i in range(count_invented)]
             simulated.engines.start_task(
