--- a/Makefile
+++ b/Makefile
@@ -28,7 +28,7 @@
 	$(BIN)/mypy
 
 test: setup
-	HYPOTHESIS_PROFILE=ci $(BIN)/python -m nose2 -s tests -t .
+	HYPOTHESIS_PROFILE=ci $(BIN)/python -m tools.grouped_tests
 
 demo: setup
 	$(BIN)/python -m tools.demo
