Leave a request at a peer that only sends no updates

A request that was passed on was withdrawn from its peer, and its answer cut, as soon as the peer counted as absent for missing updates, also where no other peer could get it: a suspended peer goes on a second later. It is now withdrawn for a proof (the peer's registration is gone or is another process's), or if it may run again, a retry is left and another peer is known. test_request_stays_at_a_peer_without_updates_if_it_must failed before (the action was withdrawn) and passes.

--- a/src/thornspool/application/routing/relays.py
+++ b/src/thornspool/application/routing/relays.py
@@ -192,16 +192,34 @@
         for relay in list(self._relays):
             if relay.exchange.compute_remaining_ms(now) <= 0:
                 self._expire(relay)
-            elif relay.peer is not None and not self._is_alive(relay.peer):
+            elif relay.peer is not None and self._is_lost(relay, relay.peer):
                 self._end_transfer(relay)
                 self._handle_break(relay)
 
-    def _is_alive(self, peer: entries.Record) -> bool:
+    def _is_lost(self, relay: _Relay, peer: entries.Record) -> bool:
+        """Return whether to withdraw a request from a peer.
+
+        A peer that only sends no updates may still answer, so that a request
+        stays there unless it can be passed on again.
+        """
         known = self._view.peers.get(peer.host)
+        if known is None or known.record.incarnation != peer.incarnation:
+            return True
+        return not self._view.is_alive(
+            known, self._clock.now()
+        ) and self._may_pass_on(relay, peer)
+
+    def _may_pass_on(self, relay: _Relay, peer: entries.Record) -> bool:
+        """Return whether another peer may get a request after this one."""
+        exchange = relay.exchange
         return (
-            known is not None
-            and known.record.incarnation == peer.incarnation
-            and self._view.is_alive(known, self._clock.now())
+            exchange.route.retryable
+            and exchange.runs + 1 < exchange.route.attempts
+            and len(relay.tried) + 1 < MAX_SENDS
+            and self._choose_peer({*relay.tried, peer.host}) is not None
+            and self._budget.can_acquire(
+                exchange.service, exchange.response_started
+            )
         )
 
     def _send(self, relay: _Relay) -> None:
--- a/tests/application/routing/test_relays.py
+++ b/tests/application/routing/test_relays.py
@@ -228,6 +228,25 @@
         self.assertTrue(sent.cancelled)
         self.assertNotEqual(sent.peer, self.gateway.last.peer)
 
+    def test_request_stays_at_a_peer_without_updates_if_it_must(self):
+        """Guards against cut answers whose peer is suspended for a second."""
+        for path, attempts_left in (('/hold/x', False), ('/read/x', True)):
+            with self.subTest(path):
+                self.setUp()
+                reply, sent = self.pass_on(path)
+                self.silence(sent.peer)
+                self.relays.tick()
+                self.assertEqual(attempts_left, sent.cancelled)
+                if not attempts_left:
+                    sent.listener.handle_head(HEAD)
+                    sent.listener.handle_body(b'done')
+                    sent.listener.handle_completion(ports.Completion.COMPLETE)
+                    self.assertEqual(b'done', reply.body)
+
+    def silence(self, host):
+        """Let a peer count as absent, though it is registered."""
+        self.view.peers[host].last_update_at = -builders.FAR_FUTURE
+
     def test_late_output_of_a_peer_is_dropped(self):
         reply, sent = self.pass_on('/read/x')
         self.view.remove(sent.peer)
