--- a/standins/kv_fleet.py
+++ b/standins/kv_fleet.py
@@ -13,9 +13,11 @@
 ID}`` (the server states in its responses that it leaves; its store entry stays
 as it is) or ``{"crash_on": TEXT}`` (a request with the text in its body
 crashes each server that runs it, and it starts anew after a while) or
-``{"alias": {ADDRESS: ADDRESS}}`` (further addresses at which servers are
-reached, in addition to those before) or ``{"sources": {IP: HOST}}`` (hosts
-that open connections from an address, in addition to those before).
+``{"crash_on_part": ID}`` (the same for a part of the prompt that is not the
+last one, on engines) or ``{"alias": {ADDRESS: ADDRESS}}`` (further addresses
+at which servers are reached, in addition to those before) or ``{"sources":
+{IP: HOST}}`` (hosts that open connections from an address, in addition to
+those before).
 ``GET /control`` returns what the servers ran, which layers they hold, and with
 ``?log=1`` what arrived at them and what they answered; with ``?listening=1``
 only the addresses at which servers listen.
@@ -33,12 +35,15 @@
 import collections
 import contextlib
 import json
+import socket
+import struct
 import time
 import typing
 import urllib.request
 
 import attrs
 from tornado import httpserver
+from tornado import iostream
 from tornado import netutil
 from tornado import web
 
@@ -56,6 +61,7 @@
 _LAYER_MB = 1000.0
 _HEARTBEAT_INTERVAL_MS = 1200
 RESTART_S = 2.0
+_BROKEN_EVENT = EVENTS // 2
 PUBLICATION_RETRY_S = 0.5
 
 
@@ -90,6 +96,9 @@
     rests : dict of str to tuple of float
         Hosts that it turns away: until when, in seconds of the monotonic
         clock, and the seconds of rest that it asks for.
+    suspended_until : float
+        Time until which it is unresponsive, in seconds of the monotonic
+        clock.
     """
 
     id: str
@@ -106,6 +115,12 @@
     limit_per_s: float | None = None
     is_leaving: bool = False
     rests: dict[str, tuple[float, float]] = attrs.field(factory=dict)
+    suspended_until: float = 0.0
+
+    async def wait_until_resumed(self) -> None:
+        """Wait while the server is unresponsive."""
+        while (wait_s := self.suspended_until - time.monotonic()) > 0:
+            await asyncio.sleep(wait_s)
 
     def describe(self) -> dict[str, typing.Any]:
         """Return the document of the server in the store."""
@@ -148,6 +163,8 @@
         self.wrong_paths = 0
         self.lose_answers = 0
         self.crash_on = ''
+        self.unframed: list[str] | None = None
+        self.crash_on_part = ''
         self.aliases: dict[str, str] = {}
         self.hosts: dict[str, str] = {}
         self.log: list[dict[str, typing.Any]] = []
@@ -214,7 +231,14 @@
         self.fleet = fleet
         self.server = server
 
-    def prepare(self) -> None:
+        self._lost_address = ''
+        self._is_running = False
+
+    async def prepare(self) -> None:
+        await self.server.wait_until_resumed()
+        connection: typing.Any = self.request.connection
+        if connection.stream is None or connection.stream.closed():
+            raise web.Finish
         host = self.record('arrival')['host']
         until, rest_s = self.server.rests.get(host, (0.0, 0.0))
         if time.monotonic() < until:
@@ -240,6 +264,22 @@
         self.fleet.log.append(line)
         return line
 
+    def begin_run(self) -> None:
+        """Log that the server begins to run the request."""
+        self._is_running = True
+        self.record('run')
+
+    def end_run(self, end: str) -> None:
+        """Log the end of a run, unless it has ended."""
+        if self._is_running:
+            self._is_running = False
+            self.record('run_end', end=end)
+
+    def on_connection_close(self) -> None:
+        """Log that the server or the other side has closed the connection."""
+        is_lost = bool(self._lost_address) or not self.server.is_alive
+        self.end_run('broken' if is_lost else 'stopped')
+
     def _find_host(self, default: str) -> str:
         """Return the host that has opened the connection, if it is known."""
         return self.fleet.hosts.get(self.request.remote_ip or '', default)
@@ -277,33 +317,84 @@
             self.set_header('At-Server', fault)
         self.finish()
 
-    async def crash_if_told(self) -> bool:
+    async def crash_if_told(self, first_event: str = '') -> bool:
         """Crash the server if it may not survive this request.
 
+        Parameters
+        ----------
+        first_event : str, optional
+            Event that may be written before the crash.
+
         Returns
         -------
         bool
             Whether the server has crashed.
         """
-        text = self.fleet.crash_on
-        if not text or text.encode() not in self.request.body:
+        cause = self._find_crash_cause()
+        if not cause:
             return False
         await self.flush()
         await asyncio.sleep(STEP_S)
+        if first_event and len(self.fleet.log) % 2:
+            self.write(first_event)
+            await self.flush()
         if self.server.is_alive:
-            self.record('crash', content=text)
+            self.end_run('broken')
+            self.record('crash', content=cause)
             await stop_server(self.server)
             asyncio.get_running_loop().call_later(
                 RESTART_S, restart_server, self.fleet, self.server
             )
+        # The connections of a server that another request has crashed are
+        # closed one after the other.
+        common.drop_connection(self)
         return True
 
+    def _find_crash_cause(self) -> str:
+        """Return the text or part of the prompt that crashes the server."""
+        text = self.fleet.crash_on
+        if text and text.encode() in self.request.body:
+            return text
+        prefix = self.request.headers.get('Prompt-Prefix', '')
+        parts = [one.partition(':')[0] for one in prefix.split(',')]
+        part = self.fleet.crash_on_part
+        return part if part in parts[:-1] else ''
+
     def add_response_headers(self) -> None:
         """Set the headers that a server adds to its responses."""
         self.state_condition()
         self.set_header('Response-Seal', f'seal-{self.server.id}')
         self.set_header('Attempt-Id', self.request.headers['Attempt-Id'])
 
+    def take_ending(self) -> str | None:
+        """Return how the response ends; None if it has a length or chunks."""
+        unframed = self.fleet.unframed
+        if unframed is None:
+            return None
+        return unframed.pop(0) if unframed else 'whole'
+
+    def detach(self) -> iostream.IOStream:
+        """Write the head without a length or chunks; return the stream."""
+        self._auto_finish = False
+        connection: typing.Any = self.request.connection
+        stream: iostream.IOStream = connection.detach()
+        self.set_header('Connection', 'close')
+        lines = [f'HTTP/1.1 {self.get_status()} OK']
+        lines += [f'{one}: {value}' for one, value in self._headers.get_all()]
+        stream.write('\r\n'.join([*lines, '\r\n']).encode('latin-1'))
+        return stream
+
+
+async def end_connection(stream: iostream.IOStream, ending: str) -> None:
+    """Close or reset the connection of a response."""
+    with contextlib.suppress(iostream.StreamClosedError):
+        await stream.write(b'')
+    if ending == 'reset':
+        stream.socket.setsockopt(
+            socket.SOL_SOCKET, socket.SO_LINGER, struct.pack('ii', 1, 0)
+        )
+    stream.close()
+
 
 class ReportHandler(_Handler):
     """``GET /v1/report``: state of an engine."""
@@ -362,24 +453,53 @@
             return
         attempt_id = self.request.headers['Attempt-Id']
         self.fleet.runs[attempt_id] += 1
+        self.begin_run()
         first = int(self.request.headers.get('Last-Event-Id', -1)) + 1
         self.add_response_headers()
         self.set_header('Content-Type', 'text/event-stream')
-        if await self.crash_if_told():
+        if await self.crash_if_told(_format_event(first)):
+            return
+        ending = self.take_ending()
+        if ending is not None:
+            await self._write_unframed(first, ending)
             return
         for index in range(first, EVENTS):
             await asyncio.sleep(STEP_S)
+            for hop in hops:
+                await hop[0].wait_until_resumed()
             lost = next((one for one in hops if not one[0].is_alive), None)
             if lost is not None:
+                self._lost_address = lost[3]
                 self.server.stalled[attempt_id] = lost[3]
                 await asyncio.sleep(STALL_DURATION_S)
                 self.server.stalled.pop(attempt_id, None)
+                self.end_run('broken')
                 common.drop_connection(self)
                 return
-            self.write(f'id: {index}\ndata: word{index}\n\n')
+            self.write(_format_event(index))
             await self.flush()
+            if index == first:
+                self.record('first_event')
+        self.end_run('complete')
         self.finish()
 
+    async def _write_unframed(self, first: int, ending: str) -> None:
+        """Write a stream that ends with its connection."""
+        stream = self.detach()
+        for index in range(first, EVENTS):
+            await asyncio.sleep(STEP_S)
+            event = f'id: {index}\ndata: word{index}\n\n'.encode()
+            is_broken = ending != 'whole' and index == _BROKEN_EVENT
+            try:
+                await stream.write(event[:6] if is_broken else event)
+            except iostream.StreamClosedError:
+                self.end_run('stopped')
+                return
+            if is_broken:
+                break
+        self.end_run('complete' if ending == 'whole' else 'broken')
+        await end_connection(stream, ending)
+
     def _parse_path(self) -> list[tuple[Server, int, int, str]] | None:
         hops = []
         next_layer = 0
@@ -406,6 +526,10 @@
         return hops
 
 
+def _format_event(index: int) -> str:
+    return f'id: {index}\ndata: word{index}\n\n'
+
+
 class PlainHandler(_Handler):
     """Run calls and actions of a plain server."""
 
@@ -419,16 +543,29 @@
 
     async def _run(self) -> None:
         self.fleet.runs[self.request.headers['Attempt-Id']] += 1
+        self.begin_run()
         if await self.crash_if_told():
             return
         await asyncio.sleep(STEP_S)
+        await self.server.wait_until_resumed()
         if self.fleet.lose_answers > 0:
             self.fleet.lose_answers -= 1
+            self.end_run('broken')
             common.drop_connection(self)
             return
+        self.end_run('complete')
         self.add_response_headers()
         workspace = self.request.headers.get('Tenant', '')
-        self.finish(f'{self.server.id} for {workspace}')
+        text = f'{self.server.id} for {workspace}'
+        ending = self.take_ending()
+        if ending is None:
+            self.finish(text)
+            return
+        stream = self.detach()
+        sent = text if ending == 'whole' else text[: len(text) // 2]
+        with contextlib.suppress(iostream.StreamClosedError):
+            await stream.write(sent.encode())
+        await end_connection(stream, ending)
 
 
 class ControlHandler(web.RequestHandler):
@@ -487,6 +624,10 @@
             domain = name.split('-')[0]
             await start_server(self.fleet, Server(name, MODEL_SERVICE, domain))
         self.fleet.crash_on = commands.get('crash_on', self.fleet.crash_on)
+        self.fleet.unframed = commands.get('unframed', self.fleet.unframed)
+        self.fleet.crash_on_part = commands.get(
+            'crash_on_part', self.fleet.crash_on_part
+        )
         self._set_conditions(commands)
         if 'put' in commands:
             await self.fleet.put(commands['put'], commands['document'])
@@ -502,6 +643,9 @@
             server.limit_per_s = commands['per_s']
         if 'leave' in commands:
             self.fleet.servers[commands['leave']].is_leaving = True
+        for name in commands.get('suspend', ()):
+            server = self.fleet.servers[name]
+            server.suspended_until = time.monotonic() + commands['for_s']
         if 'rest' in commands:
             server = self.fleet.servers[commands['rest']]
             until = time.monotonic() + commands['for_s']
--- a/tests/application/routing/test_streams.py
+++ b/tests/application/routing/test_streams.py
@@ -217,21 +217,37 @@
     def test_late_output_of_an_abandoned_run_is_dropped(self):
         """Guards against output of an abandoned run in the answer.
 
-        An unresponsive engine continues after its stream has failed over.
+        The run that did not go on first continues after it was ended.
         """
-        reply = self.world.serve()
-        first = self.servers.last
-        first.begin()
-        first.send(0, 3)
-        in_flight = next(iter(self.world.streams.in_flight_requests))
-        self.world.streams.fail_over(in_flight, 'silent')
-        second = self.servers.last
-        second.begin()
-        first.send(3, 8)
-        first.end(ports.Completion.BROKEN)
-        second.send(3, 10)
-        second.end()
-        self.assertEqual(ALL_EVENTS, reply.body)
+        for late in (0, 1):
+            with self.subTest(late=late):
+                self.setUp()
+                reply = self.world.serve()
+                first = self.servers.last
+                first.begin()
+                first.send(0, 3)
+                first.listener.handle_body(b'id: 3\nda')
+                in_flight = next(iter(self.world.streams.in_flight_requests))
+                self.world.streams.fail_over(in_flight, 'silent')
+                second = self.servers.last
+                second.begin()
+                self.assertFalse(first.stopped)
+                runs = [first, second]
+                abandoned, kept = runs[late], runs[1 - late]
+                if kept is first:
+                    kept.listener.handle_body(b'ta: x\n\n')
+                    kept.send(4, 5)
+                else:
+                    kept.send(3, 5)
+                self.assertTrue(abandoned.stopped)
+                self.assertFalse(kept.stopped)
+                abandoned.send(3, 8)
+                abandoned.end(ports.Completion.BROKEN)
+                kept.send(5, 10)
+                kept.end()
+                self.assertEqual(ALL_EVENTS, reply.body)
+                self.assertTrue(reply.whole)
+                self.assertEqual({}, self.world.reserved.local)
 
     def test_retries_are_limited_by_the_budget(self):
         """Guards against unlimited retries when every engine fails."""
@@ -324,8 +340,8 @@
             self.world.serve(number=number)
             if len(self.servers.runs) <= number:
                 break
-        plain = serve_with_priority(self.world, 5, 'plain')
-        urgent = serve_with_priority(self.world, 0, 'urgent')
+        plain = builders.serve_with_priority(self.world, 5, 'plain')
+        urgent = builders.serve_with_priority(self.world, 0, 'urgent')
         for run in self.servers.runs[:2]:
             run.begin()
             run.end()
@@ -336,17 +352,6 @@
         self.assertIsNone(urgent.status)
 
 
-def serve_with_priority(world, priority, name):
-    """Serve a request of a workspace with a priority."""
-    configuration = world.routing_state.configuration
-    workspaces = dict(configuration.workspaces)
-    workspaces[name] = builders.routing.Workspace(name, priority)
-    world.routing_state.configuration = attrs.evolve(
-        configuration, workspaces=workspaces
-    )
-    return world.serve(key=name, id=name)
-
-
 class OutlierTest(unittest.TestCase):
     """Engines reset connections while their health checks pass."""
 
--- a/tests/simulation/engines.py
+++ b/tests/simulation/engines.py
@@ -6,10 +6,12 @@
 import contextlib
 import itertools
 import math
+import random
 import typing
 
 import attrs
 
+from tests import answer_rules
 from tests import engine_rules
 from tests.simulation import loops
 from thornspool.application.routing import ports
@@ -45,6 +47,9 @@
 RESTART_MS = 3_200
 """Time until an engine that a request has crashed is back."""
 
+FIRST_TOKEN_MS = (50, 120)
+"""Times from the start of a run to the first token on a crashing part."""
+
 CONNECT_TIMEOUT_MS = 400
 """Time after which a connection that nobody answers is given up."""
 
@@ -78,6 +83,8 @@
         Limit on requests that it names in its responses.
     is_leaving : bool
         Whether it states in its responses that it leaves.
+    accepts : bool
+        Whether it accepts connections while it is unresponsive.
     rests : dict of str to tuple of int
         Hosts that it turns away: until when, in virtual milliseconds, and for
         how long it asks for rest.
@@ -92,6 +99,7 @@
     orders: int = 0
     limit_per_s: float | None = None
     is_leaving: bool = False
+    accepts: bool = True
     rests: dict[str, tuple[int, int]] = attrs.field(factory=dict)
 
 
@@ -117,6 +125,8 @@
         Task that runs it.
     prefill_ms : float
         Milliseconds until new engines of the path have prefilled the tokens.
+    record : answer_rules.Run or None
+        Record of the run once it has arrived.
     """
 
     run: ports.Run
@@ -127,6 +137,11 @@
     reservations: list[tuple[Engine, float]] = attrs.field(factory=list)
     task: asyncio.Task[None] | None = None
     prefill_ms: float = 0.0
+    record: answer_rules.Run | None = None
+
+    @property
+    def key(self):
+        return self.run.request.id, self.run.hops[0].server.address
 
 
 class Engines:
@@ -159,8 +174,10 @@
         self.arrivals = []
         self.answers = []
         self.crashing = {}
+        self.crashing_parts = set()
         self.crashes = []
         self.cuts = {}
+        self.run_records = []
 
     def cut(self, host, kind):
         """Cut the links of an entry to all engines.
@@ -178,6 +195,7 @@
         if kind == 'reset':
             for active in list(self._runs.values()):
                 if active.client.host == host:
+                    self._record_end(active, answer_rules.RunEnd.BROKEN)
                     active.task.cancel()
                     active.listener.handle_completion(ports.Completion.BROKEN)
 
@@ -245,7 +263,7 @@
         first_event = int(run.resume_after or -1) + 1
         tokens = run.request.prompt_tokens + first_event * STEPS_PER_EVENT
         active = _ActiveRun(run, listener, client, tokens)
-        self._runs[run.request.id] = active
+        self._runs[active.key] = active
         task = self.start_task(self._run_and_release(active, first_event))
         active.task = task
         return task.cancel
@@ -253,10 +271,35 @@
     async def _run_and_release(self, active, first_event):
         try:
             await self._serve(active, first_event)
+        except asyncio.CancelledError:
+            is_lost = any(one.state == 'crashed' for one, _ in active.hops)
+            self._record_end(
+                active,
+                answer_rules.RunEnd.BROKEN
+                if is_lost
+                else answer_rules.RunEnd.STOPPED,
+            )
+            raise
         finally:
             self._release(active)
-            if self._runs.get(active.run.request.id) is active:
-                del self._runs[active.run.request.id]
+            if self._runs.get(active.key) is active:
+                del self._runs[active.key]
+
+    def _record_run(self, active):
+        """Log that a run arrives at its first engine."""
+        active.record = answer_rules.Run(
+            active.run.request.id,
+            active.run.server.id,
+            active.client.host,
+            self._clock.now(),
+        )
+        self.run_records.append(active.record)
+
+    def _record_end(self, active, end):
+        """Log the end of a run that has arrived."""
+        if active.record is not None and active.record.ended_at is None:
+            active.record.ended_at = self._clock.now()
+            active.record.end = end
 
     async def _serve(self, active, first_event):
         """Check the engines of a run, prefill its prompt and decode."""
@@ -264,6 +307,11 @@
             active.listener.handle_completion(ports.Completion.NOT_SENT)
             return
         await loops.sleep_ms(ENTRY_LATENCY_MS)
+        engine = self.by_address[active.run.server.address]
+        if engine.state == 'unresponsive' and not engine.accepts:
+            await loops.sleep_ms(CONNECT_TIMEOUT_MS)
+            active.listener.handle_completion(ports.Completion.NOT_SENT)
+            return
         self.record_arrival(
             active.run.server,
             active.client.host,
@@ -278,6 +326,7 @@
         if first.state == 'crashed':
             active.listener.handle_completion(ports.Completion.NOT_SENT)
             return
+        self._record_run(active)
         await self._await_response(first)
         until, rest_ms = first.rests.get(active.client.host, (0, 0))
         if self._clock.now() < until:
@@ -291,8 +340,11 @@
                 await self._refuse(active, engine, status)
                 return
         self._reserve(active, active.hops, active.tokens)
-        await loops.sleep_ms(self._prefill(active, active.hops))
+        active.record.began_at = self._clock.now()
+        prefill_ms = self._prefill(active, active.hops)
+        await loops.sleep_ms(prefill_ms)
         self._crash_under(active.run.request, active.hops)
+        await self._crash_under_part(active, first, first_event, prefill_ms)
         await self._write(active, first, first_event)
 
     def _crash_under(self, request, hops):
@@ -313,21 +365,44 @@
             )
             self.crash(engine.server.id, restart_ms=RESTART_MS)
 
+    async def _crash_under_part(self, active, first, first_event, ran_ms):
+        """Crash the first engine as it begins to write on a crashing part.
+
+        Some of the engines have written the first event by then.
+        """
+        request = active.run.request
+        part = next(
+            (
+                one
+                for one in request.prompt_parts
+                if one in self.crashing_parts
+            ),
+            None,
+        )
+        if part is None:
+            return
+        source = random.Random(f'{request.id} {first.server.id}')
+        await loops.sleep_ms(source.uniform(*FIRST_TOKEN_MS) - ran_ms)
+        if first.state != 'up':
+            return
+        if source.random() < 0.5 and active.client.host not in self.cuts:
+            self._write_event(active, first_event, is_first=True)
+        self.crashes.append(
+            engine_rules.Crash(self._clock.now(), first.server.id, part)
+        )
+        self.crash(first.server.id, restart_ms=RESTART_MS)
+
     async def _write(self, active, first, first_event):
         """Send the events of a run until its answer is complete or cut."""
         answer = self.output_tokens[active.run.request.id]
         for number in itertools.count(first_event):
             if not await self._await_engines(active, first):
+                self._record_end(active, answer_rules.RunEnd.BROKEN)
                 active.listener.handle_completion(ports.Completion.BROKEN)
                 return
             while self.cuts.get(active.client.host) == 'silent':
                 await loops.sleep_ms(POLL_MS)
-            if number == first_event:
-                self.answer(active.run.server, active.client, True)
-                active.listener.handle_head(
-                    ports.ResponseHead(200, (), True, '', None, True)
-                )
-            active.listener.handle_body(b'id: %d\ndata: x\n\n' % number)
+            self._write_event(active, number, number == first_event)
             if (number + 1) * STEPS_PER_EVENT >= answer:
                 break
             active.tokens += STEPS_PER_EVENT
@@ -335,8 +410,19 @@
             await loops.sleep_ms(
                 self._compute_step(active.hops) * STEPS_PER_EVENT
             )
+        self._record_end(active, answer_rules.RunEnd.COMPLETE)
         active.listener.handle_completion(ports.Completion.COMPLETE)
 
+    def _write_event(self, active, number, is_first):
+        """Send an event, after the head if it is the first one."""
+        if is_first:
+            active.record.first_event_at = self._clock.now()
+            self.answer(active.run.server, active.client, True)
+            active.listener.handle_head(
+                ports.ResponseHead(200, (), True, '', None, True)
+            )
+        active.listener.handle_body(b'id: %d\ndata: x\n\n' % number)
+
     async def _await_response(self, engine):
         """Wait while an engine does not reply."""
         while engine.state == 'unresponsive':
@@ -374,6 +460,7 @@
     async def _refuse(self, active, engine, status, rest_ms=0):
         self.refused += 1
         await loops.sleep_ms(REFUSAL_MS)
+        self._record_end(active, answer_rules.RunEnd.REFUSED)
         self.answer(active.run.server, active.client, rest_ms=rest_ms)
         active.listener.handle_head(
             ports.ResponseHead(
@@ -509,8 +596,12 @@
         await loops.sleep_ms(2 * ENTRY_LATENCY_MS)
         self.reroutes += 1
         self.record_arrival(hops[0].server, client.host, 'reroute', request)
-        active = self._runs.get(request)
-        if active is None or active.hops[0][0].state != 'up':
+        active = self._runs.get((request, hops[0].server.address))
+        if (
+            active is None
+            or not active.hops
+            or active.hops[0][0].state != 'up'
+        ):
             return ports.OrderResult.REFUSED
         path = [(self.by_address[hop.server.address], hop) for hop in hops]
         current = {(id(engine), hop) for engine, hop in active.hops}
@@ -585,12 +676,22 @@
         engine.state = 'up'
         await self._update_list(engine)
 
-    async def pause(self, name, length_ms):
-        """Let a sound engine be silent for a time."""
+    async def pause(self, name, length_ms, accepts=True):
+        """Let a sound engine be silent for a time.
+
+        Parameters
+        ----------
+        name : str
+            Name of the engine.
+        length_ms : float
+            Milliseconds until it continues.
+        accepts : bool, optional
+            Whether it accepts connections meanwhile.
+        """
         engine = self.find_engine(name)
-        engine.state = 'unresponsive'
+        engine.state, engine.accepts = 'unresponsive', accepts
         await loops.sleep_ms(length_ms)
-        engine.state = 'up'
+        engine.state, engine.accepts = 'up', True
 
     def slow_down(self, name, factor):
         """Set the slowdown factor of an engine; 1 for full speed."""
