--- a/tests/platform/test_following.py
+++ b/tests/platform/test_following.py
@@ -480,6 +480,20 @@
             await ended.wait()
         confirming.cancel()
 
+    async def test_error_in_a_confirmation_ends_the_wait(self):
+        """Guards against requests that get neither answer nor refusal."""
+
+        def fail(change_set):
+            raise ValueError('unexpected')
+
+        self.follower._pass_on = fail
+        ended = asyncio.Event()
+        confirming = asyncio.create_task(self.follower.run_confirmations())
+        self.assertTrue(self.follower.request_confirmation(ended.set))
+        async with asyncio.timeout(1.5):
+            await ended.wait()
+        confirming.cancel()
+
     async def test_confirmation_applies_what_the_copy_lacks(self):
         self.put('op/config', kv_fleet.build_configuration(7))
         confirming = asyncio.create_task(self.follower.run_confirmations())
