--- /dev/null
+++ b/tests/application/routing/test_review.py
@@ -0,0 +1,30 @@
+"""Tests of runs that are ended before another one has taken their place."""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+
+from tests.application.routing import builders
+from tests.application.routing import test_relays
+from tests.domain.fleet import builders as fleet_builders
+from thornspool.application.routing import ports
+
+SILENCE_MS = 4_000
+
+
+class HandoverTest(test_relays.RelayCase):
+    """Streams and calls that leave while this entry reaches no server."""
+
+    stall = test_relays.StallTest.stall
+
+    def test_stream_that_no_peer_accepts_stays(self):
+        """Guards against a cut stream whose engine goes on."""
+        reply, run = self.stall()
+        self.world.streams.leave_lost_links()
+        for _ in range(3):
+            self.gateway.last.listener.handle_completion(
+                ports.Completion.NOT_SENT
+            )
+        self.assertFalse(reply.aborted)
+        self.assertFalse(run.stopped)
