--- a/tests/application/routing/test_review.py
+++ b/tests/application/routing/test_review.py
@@ -28,3 +28,15 @@
             )
         self.assertFalse(reply.aborted)
         self.assertFalse(run.stopped)
+
+    def test_read_without_a_linked_peer_stays(self):
+        """Guards against a 502 for a read whose server goes on."""
+        for peer in self.view.peers.values():
+            peer.has_links = False
+        reply = self.world.serve('/read/1')
+        run = self.world.servers.last
+        self.lose_links()
+        self.world.advance(600)
+        self.assertFalse(run.stopped)
+        run.answer()
+        self.assertEqual(200, reply.status)
