--- a/tests/application/routing/test_review.py
+++ b/tests/application/routing/test_review.py
@@ -40,3 +40,15 @@
         self.assertFalse(run.stopped)
         run.answer()
         self.assertEqual(200, reply.status)
+
+    def test_stream_of_a_peer_without_heartbeats_stays(self):
+        """Guards against a cut stream that its peer still delivers."""
+        reply, sent = self.pass_on()
+        sent.listener.handle_head(test_relays.HEAD)
+        sent.listener.handle_body(test_relays.EVENT % 0)
+        while self.world.budget.acquire('drafting', urgent=True):
+            pass
+        self.world.clock.advance(SILENCE_MS)
+        self.relays.tick()
+        self.assertFalse(sent.cancelled)
+        self.assertFalse(reply.aborted)
