--- a/tests/application/routing/test_review.py
+++ b/tests/application/routing/test_review.py
@@ -52,3 +52,20 @@
         self.relays.tick()
         self.assertFalse(sent.cancelled)
         self.assertFalse(reply.aborted)
+
+
+class CallTest(unittest.TestCase):
+    def setUp(self):
+        self.world = builders.World()
+        self.servers = self.world.servers
+
+    def test_overdue_read_stays_if_the_next_server_refuses(self):
+        """Guards against a 502 for a read whose server goes on."""
+        reply = self.world.serve('/read/1')
+        first = self.servers.last
+        self.world.advance(500)
+        self.assertIsNot(first, self.servers.last)
+        for _ in range(3):
+            self.servers.last.refuse()
+        self.assertFalse(first.stopped)
+        self.assertIsNone(reply.status)
