--- a/tests/application/routing/test_review.py
+++ b/tests/application/routing/test_review.py
@@ -69,3 +69,17 @@
             self.servers.last.refuse()
         self.assertFalse(first.stopped)
         self.assertIsNone(reply.status)
+
+
+class ConfirmationTest(unittest.TestCase):
+    def test_caller_that_leaves_during_a_confirmation_gets_no_run(self):
+        """Guards against work for a caller that has left."""
+        for path in ('/brief/x', '/read/x', '/hold/x'):
+            with self.subTest(path):
+                world = builders.World()
+                reply = builders.FakeResponseWriter()
+                reply.leave()
+                world.intake.serve(builders.build_request(path), reply)
+                self.assertEqual([], world.servers.runs)
+                self.assertEqual(0, world.intake.in_flight)
+                self.assertEqual(set(), world.streams.in_flight_requests)
