--- a/tests/application/routing/test_review.py
+++ b/tests/application/routing/test_review.py
@@ -83,3 +83,39 @@
                 self.assertEqual([], world.servers.runs)
                 self.assertEqual(0, world.intake.in_flight)
                 self.assertEqual(set(), world.streams.in_flight_requests)
+
+
+class EndedEngineTest(unittest.TestCase):
+    def setUp(self):
+        self.world = builders.World(slack=4.0)
+        self.servers = self.world.servers
+
+    def lose_engine(self):
+        """Serve a request whose first engine has ended for certain."""
+        reply = self.world.serve()
+        run = self.servers.last
+        server = run.run.server
+        self.world.permits.count_ended = lambda servers: sum(
+            one.id == server.id for one in servers
+        )
+        self.world.clock.advance(600)
+        self.world.routing_state.suspect(
+            server.id, 'x', self.world.clock.now()
+        )
+        return reply, run
+
+    def watch(self, milliseconds):
+        for _ in range(0, milliseconds, 50):
+            self.world.advance(50)
+            self.world.failure_detector.reroute_from_suspects()
+
+    def test_suspect_at_an_ended_engine_is_refused_or_tried(self):
+        """Guards against a request that is held until its deadline."""
+        _, run = self.lose_engine()
+        (in_flight,) = self.world.streams.in_flight_requests
+        for target in ('t1', 't2'):
+            self.world.quarantine.record_crash(
+                target, frozenset({in_flight.exchange.fingerprint})
+            )
+        self.watch(5_000)
+        self.assertTrue(run.stopped)
