--- a/tests/application/routing/test_review.py
+++ b/tests/application/routing/test_review.py
@@ -104,11 +104,27 @@
         )
         return reply, run
 
+    def test_request_at_an_ended_engine_without_a_path_is_refused(self):
+        """Guards against a request that is held until its deadline."""
+        for name in ('b-0', 'b-1', 'b-2'):
+            del self.world.routing_state.servers[name]
+        reply, _ = self.lose_engine()
+        self.watch(5_000)
+        self.assertIsNotNone(reply.status)
+
     def watch(self, milliseconds):
         for _ in range(0, milliseconds, 50):
             self.world.advance(50)
             self.world.failure_detector.reroute_from_suspects()
 
+    def test_request_at_an_ended_engine_without_a_retry_is_refused(self):
+        """Guards against a request that is held until its deadline."""
+        reply, _ = self.lose_engine()
+        while self.world.budget.acquire('drafting', urgent=True):
+            pass
+        self.watch(5_000)
+        self.assertIsNotNone(reply.status)
+
     def test_suspect_at_an_ended_engine_is_refused_or_tried(self):
         """Guards against a request that is held until its deadline."""
         _, run = self.lose_engine()
