--- a/tests/application/routing/test_review.py
+++ b/tests/application/routing/test_review.py
@@ -135,3 +135,27 @@
             )
         self.watch(5_000)
         self.assertTrue(run.stopped)
+
+
+class PathChangeTest(unittest.IsolatedAsyncioTestCase):
+    async def test_refused_change_of_path_is_not_ordered_without_pause(self):
+        """Guards against an order for each check of a stalled stream."""
+        world = builders.World(slack=4.0)
+        world.add(fleet_builders.build_engine('a-7', 'large', 27, 54))
+        world.serve()
+        run = world.servers.last
+        run.begin()
+        run.send(0, 4)
+        while world.budget.acquire('drafting', urgent=True):
+            pass
+        world.clock.advance(200)
+        world.routing_state.suspect(
+            run.run.hops[1].server.id, 'x', world.clock.now()
+        )
+        world.servers.reroute_result = ports.OrderResult.REFUSED
+        for _ in range(100):
+            world.clock.advance(10)
+            world.failure_detector.reroute_from_suspects()
+            await asyncio.sleep(0)
+            await asyncio.sleep(0)
+        self.assertLessEqual(len(world.servers.reroutes), 20)
