Run nothing for callers that left during a confirmation

A caller that closed its connection while its request waited for the confirmation of the configuration still got a run, which nothing cancelled before its deadline: the request was registered after its end.

--- a/src/thornspool/application/routing/calls.py
+++ b/src/thornspool/application/routing/calls.py
@@ -162,6 +162,8 @@
         exchange.reply.set_disconnect_callback(
             lambda: self._handle_disconnect(call)
         )
+        if exchange.ended:
+            return
         self.calls.add(call)
         if not exchange.is_counted:
             self._retry_budget.record_request(exchange.service)
--- a/src/thornspool/application/routing/streams.py
+++ b/src/thornspool/application/routing/streams.py
@@ -154,6 +154,8 @@
         exchange.reply.set_disconnect_callback(
             lambda: self._abandon(in_flight)
         )
+        if exchange.ended:
+            return
         self.in_flight_requests.add(in_flight)
         if not exchange.is_counted:
             self._budget.record_request(exchange.service)
