Keep an overdue read at its server while no peer has links

While an entry had lost its links, an overdue read was cancelled to be passed on without asking whether any peer reaches servers, and got 502 though its server went on.

--- a/src/thornspool/application/routing/calls.py
+++ b/src/thornspool/application/routing/calls.py
@@ -151,6 +151,7 @@
         self.take_over: Callable[[exchanges.Exchange, str, bool], bool] = (
             lambda exchange, resume_after, is_counted: False
         )
+        self.has_linked_peer: Callable[[], bool] = lambda: False
         self.calls: set[Call] = set()
         self._queued: list[Call] = []
 
@@ -217,8 +218,7 @@
     def _has_other_server(self, call: Call) -> bool:
         exchange = call.exchange
         if self._evidence.links.are_lost:
-            # A peer may reach a server.
-            return True
+            return self.has_linked_peer()
         permit = self._permits.check(exchange.fingerprint)
         return permit is run_permits.Permit.GRANTED and any(
             self._limits.has_room(server.id)
--- a/src/thornspool/platform/daemon.py
+++ b/src/thornspool/platform/daemon.py
@@ -522,6 +522,7 @@
         )
         self._streams.take_over = self._relays.take_over
         self._streams.has_linked_peer = self._relays.has_linked_peer
+        self._calls.has_linked_peer = self._relays.has_linked_peer
         self._calls.take_over = self._relays.take_over
         self._membership.limits = self._limits
         self._membership.has_lost_links = lambda: links.are_lost
--- a/tests/application/routing/test_relays.py
+++ b/tests/application/routing/test_relays.py
@@ -66,6 +66,7 @@
         )
         self.world.streams.take_over = self.relays.take_over
         self.world.calls.take_over = self.relays.take_over
+        self.world.calls.has_linked_peer = self.relays.has_linked_peer
 
     def lose_links(self):
         self.links.lost_since = self.world.clock.now()
--- a/tests/simulation/world.py
+++ b/tests/simulation/world.py
@@ -345,6 +345,7 @@
         )
         self.streams.take_over = self.relays.take_over
         self.streams.has_linked_peer = self.relays.has_linked_peer
+        self.calls.has_linked_peer = self.relays.has_linked_peer
         self.calls.take_over = self.relays.take_over
         self.membership.has_lost_links = lambda: self.evidence.links.are_lost
         self.intake = intake.Intake(
