Hand streams over later while no engine responds

This does not remove the cause: a handover still stops the run before the peer has delivered an event. What would: a relay as second run, which wins by its first event.

--- a/src/thornspool/application/routing/streams.py
+++ b/src/thornspool/application/routing/streams.py
@@ -55,11 +55,11 @@
 within another second.
 """
 
-LOST_LINKS_IDLE_MS = 700
+LOST_LINKS_IDLE_MS = 1_500
 """Idle time after which a stream is handed over while the links are lost.
 
-All servers may also be silent for a moment, and a stream that can't continue
-elsewhere would be cut. Callers abandon a stream after 2 s.
+All servers may also be unresponsive for a second, and a stream that no peer
+accepts would be cut. Callers abandon a stream after 2 s.
 """
 
 DRAINING_RETRY_MS = 50
