Count the ends of a part that ran well before over all entries

Each entry had a proof of its own from before, named the part only after four ends of its own runs, and let the whole requests beside it be condemned instead.

Ends now name all parts. A death states whether the part was proven at an entry before (was_proven, false where an older entry does not send it), and an entry with a proof marks what a peer reports without one. Four such deaths that no suspect part explains, counted over all entries, make a proven part a suspect, and two deaths in trials condemn it, so that a part of many requests is not withheld for a coincidence. A run clears a proven part only of the deaths before the run began.

--- a/src/thornspool/application/quarantine.py
+++ b/src/thornspool/application/quarantine.py
@@ -104,9 +104,7 @@
         self._trials: dict[str, _Trial] = {}
         self.verdicts = collections.Counter(clear=0, suspect=0, condemned=0)
         self._on_suspects: Callable[[frozenset[str]], None] = lambda _: None
-        self._has_proof: Callable[[str, Iterable[str]], bool] = (
-            lambda part, ended: False
-        )
+        self._has_proof: Callable[[str], bool] = lambda part: False
         self._ownership = ownership_history.OwnershipHistory(
             incarnation, clock.now()
         )
@@ -193,49 +191,32 @@
         """
         self._on_suspects = handler
 
-    def set_proof(self, find: Callable[[str, Iterable[str]], bool]) -> None:
+    def set_proof(self, find: Callable[[str], bool]) -> None:
         """Set what tells whether a part of prompts ran well at this entry.
 
         Parameters
         ----------
         find : callable
-            Called with the name of the part and the targets that ended under
-            it at peers.
+            Called with the name of the part.
         """
         self._has_proof = find
 
-    def has_suspect_part(self, part: str, target: str) -> bool:
-        """Return whether another part may have caused a target's death."""
-        return self._records.has_suspect_part(part, target)
-
     def _contradict(self, update: messages.QuarantineNews) -> None:
-        """Clear the parts of prompts that ran well at this entry.
+        """Report the parts of prompts that ran well at this entry.
 
         An entry that has just started, or that gets few requests with a part,
-        names it at every death.
+        has no proof of it when a target dies.
         """
         now = self._clock.now()
-        cleared = [
-            found
+        names = [
+            record.fingerprint
             for record in update.records
             if fingerprints.is_part(record.fingerprint)
-            and self._records.list_targets(record.fingerprint)
-            and self._has_proof(
-                record.fingerprint,
-                self._records.list_targets(record.fingerprint),
-            )
-            and (
-                found := self._records.record_completion(
-                    record.fingerprint, now
-                )
-            )
+            and self._has_proof(record.fingerprint)
+            and self._records.mark_proven(record.fingerprint, now)
         ]
-        if cleared:
-            self._broadcast(
-                messages.QuarantineNews(
-                    tuple(one for news in cleared for one in news.records)
-                )
-            )
+        if names:
+            self._broadcast(self._records.describe(names, now))
 
     def _report_suspects(self, update: messages.QuarantineNews) -> None:
         now = self._clock.now()
@@ -449,9 +430,18 @@
         self._completed.add(fingerprint)
         self.clear(fingerprint)
 
-    def clear(self, name: str) -> None:
-        """Clear a request, or a part of prompts, of its deaths so far."""
-        update = self._records.record_completion(name, self._clock.now())
+    def clear(self, name: str, at: int | None = None) -> None:
+        """Clear a request, or a part of prompts, of its deaths.
+
+        Parameters
+        ----------
+        name : str
+            Fingerprint of the request, or name of the part.
+        at : int, optional
+            Time up to which deaths are cleared, in monotonic milliseconds;
+            now by default.
+        """
+        update = self._records.record_completion(name, self._clock.now(), at)
         if update is not None:
             self._broadcast(update)
 
@@ -480,8 +470,13 @@
             in_flight=len(in_flight),
             on_trial=len(on_trial),
         )
+        proven = frozenset(
+            one
+            for one in in_flight
+            if fingerprints.is_part(one) and self._has_proof(one)
+        )
         update = self._records.record_death(
-            target, in_flight, on_trial, self._clock.now()
+            target, in_flight, on_trial, self._clock.now(), proven
         )
         self._broadcast(update)
         self._report_suspects(update)
--- a/src/thornspool/application/routing/crash_detection.py
+++ b/src/thornspool/application/routing/crash_detection.py
@@ -10,7 +10,6 @@
 
 import asyncio
 import enum
-import functools
 import typing
 
 import attrs
@@ -223,9 +222,8 @@
         self._on_crash: Callable[[fleet.Server, frozenset[str]], None] = (
             lambda server, names: None
         )
-        self._on_proof: Callable[[TrackedRun], None] = lambda run: None
-        self._is_explained: Callable[[str, str], bool] = lambda part, target: (
-            False
+        self._on_proof: Callable[[TrackedRun, frozenset[str]], None] = (
+            lambda run, known: None
         )
         self._processes: dict[_Key, _Process] = {}
         self._ended: dict[_Key, int] = {}
@@ -240,24 +238,18 @@
 
         It receives the server and the names that may have caused its end:
         the fingerprints of the requests that had just begun there, and the
-        parts of their prompts that did not run well before.
+        parts of their prompts.
         """
         self._on_crash = handler
 
-    def set_proof_handler(self, handler: Callable[[TrackedRun], None]) -> None:
-        """Set the callback for runs that show that their parts run well."""
-        self._on_proof = handler
-
-    def set_explanation(self, find: Callable[[str, str], bool]) -> None:
-        """Set what tells whether others may have caused an end.
+    def set_proof_handler(
+        self, handler: Callable[[TrackedRun, frozenset[str]], None]
+    ) -> None:
+        """Set the callback for runs that show that their parts run well.
 
-        Parameters
-        ----------
-        find : callable
-            Returns whether a suspect other than a part of prompts may have
-            caused the end of a target, both given by their names.
+        It receives the run and the parts that others showed before.
         """
-        self._is_explained = find
+        self._on_proof = handler
 
     def has_ended(self, server: fleet.Server) -> bool:
         """Return whether the process of a server is known to have ended."""
@@ -328,9 +320,12 @@
 
     def _record_proof(self, run: TrackedRun) -> None:
         """Record that servers ran the parts of a run well."""
+        known = frozenset(
+            part for part in run.parts if part in self.proven_parts
+        )
         for part in run.parts:
             self.proven_parts.record(part)
-        self._on_proof(run)
+        self._on_proof(run, known)
 
     def _is_staying(self, server: fleet.Server) -> bool:
         """Return whether a server is listed and does not leave.
@@ -493,25 +488,11 @@
                 **self._describe_parts(runs),
             )
             self._on_crash(
-                server, fingerprints | self._name_parts(server, runs)
+                server,
+                fingerprints | {part for run in runs for part in run.parts},
             )
         self._resolve_everywhere(process.doubtful)
 
-    def _name_parts(
-        self, server: fleet.Server, runs: set[TrackedRun]
-    ) -> frozenset[str]:
-        """Find the parts that may have caused the end of a process."""
-        parts = {part for run in runs for part in run.parts}
-        for part in parts:
-            self.proven_parts.record_end(
-                part,
-                get_target(server),
-                functools.partial(self._is_explained, part),
-            )
-        return frozenset(
-            part for part in parts if part not in self.proven_parts
-        )
-
     def _describe_parts(self, runs: Iterable[TrackedRun]) -> dict[str, str]:
         """Describe the parts of runs by whether others ran them well."""
         parts = sorted({part for run in runs for part in run.parts})
--- a/src/thornspool/application/routing/run_permits.py
+++ b/src/thornspool/application/routing/run_permits.py
@@ -10,7 +10,6 @@
 from __future__ import annotations
 
 import enum
-import functools
 import typing
 
 import attrs
@@ -98,8 +97,7 @@
         self._keep_verdict = keep_verdict
         crashes.set_crash_handler(self._handle_crash)
         crashes.set_proof_handler(self._handle_proof)
-        crashes.set_explanation(quarantine.has_suspect_part)
-        quarantine.set_proof(self._has_proof)
+        quarantine.set_proof(crashes.proven_parts.__contains__)
 
     def check(self, fingerprint: str, parts: tuple[str, ...] = ()) -> Permit:
         """Return whether a request may be sent now.
@@ -247,26 +245,22 @@
             crash_detection.get_target(server), names
         )
 
-    def _handle_proof(self, run: crash_detection.TrackedRun) -> None:
+    def _handle_proof(
+        self, run: crash_detection.TrackedRun, known: frozenset[str]
+    ) -> None:
         """Clear the names of a run that went well.
 
         Requests without parts of prompts are cleared by their completion.
+        A part that ran well before may crash servers since, while runs with
+        it go on that began earlier.
         """
         if not run.parts:
             return
         for name in (run.fingerprint, *run.parts):
-            self._quarantine.clear(name)
+            self._quarantine.clear(
+                name, run.first_progress_at if name in known else None
+            )
         if run.is_on_trial:
             run.is_on_trial = False
             run.on_resolved()
             run.on_resolved = lambda: None
-
-    def _has_proof(self, part: str, ended: Iterable[str]) -> bool:
-        """Return whether a part ran well, although targets ended under it."""
-        for target in ended:
-            self._crashes.proven_parts.record_end(
-                part,
-                target,
-                functools.partial(self._quarantine.has_suspect_part, part),
-            )
-        return part in self._crashes.proven_parts
--- a/src/thornspool/domain/quarantine/messages.py
+++ b/src/thornspool/domain/quarantine/messages.py
@@ -52,6 +52,8 @@
         Whether the request ran there on trial, apart from other suspects.
     age_ms : int
         Milliseconds since the death.
+    was_proven : bool
+        Whether an entry had seen the part of prompts run well before.
     """
 
     target: str
@@ -59,6 +61,7 @@
     sequence: int
     on_trial: bool
     age_ms: int
+    was_proven: bool = False
 
 
 @attrs.frozen
--- a/src/thornspool/domain/quarantine/records.py
+++ b/src/thornspool/domain/quarantine/records.py
@@ -26,6 +26,7 @@
 from thornspool.domain.quarantine import messages
 
 if typing.TYPE_CHECKING:
+    from collections.abc import Iterable
     from collections.abc import Set as AbstractSet
 
 SUSPECT_TTL_MS = 600_000
@@ -48,6 +49,16 @@
 MAX_RECORDS = 4096
 MAX_DEATHS = 8
 
+PROVEN_PART_DEATHS = 4
+"""Deaths of targets from which on a part that ran well before is a suspect.
+
+All requests of a route may share a part, so that it is at the deaths that any
+other part causes.
+"""
+
+PROVEN_PART_TRIALS = 2
+"""Deaths in trials that condemn a part that ran well before."""
+
 MAX_PART_DEATHS = 24
 """Deaths of a part of prompts, which each entry reports by itself."""
 
@@ -64,6 +75,7 @@
     sequence: int
     on_trial: bool
     at: int
+    was_proven: bool = False
 
 
 @attrs.frozen
@@ -97,6 +109,7 @@
         in_flight: frozenset[str],
         on_trial: frozenset[str],
         now: int,
+        proven: AbstractSet[str] = frozenset(),
     ) -> messages.QuarantineNews:
         """Record that a target died.
 
@@ -110,6 +123,8 @@
             Those of them that ran there on trial.
         now : int
             Monotonic milliseconds.
+        proven : set of str, optional
+            Parts of prompts that ran well before.
 
         Returns
         -------
@@ -124,28 +139,38 @@
                 self._sequence,
                 name in on_trial,
                 now,
+                name in proven,
             )
             self._merge(name, _Record((death,)))
         self._enforce_bound(now)
         return self._build_update(sorted(in_flight), now)
 
     def record_completion(
-        self, fingerprint: str, now: int
+        self, fingerprint: str, now: int, at: int | None = None
     ) -> messages.QuarantineNews | None:
         """Clear a request that completed of its deaths so far.
 
+        Parameters
+        ----------
+        fingerprint : str
+            Fingerprint of the request, or name of a part of its prompt.
+        now : int
+            Monotonic milliseconds.
+        at : int, optional
+            Time up to which deaths are cleared; now by default.
+
         Returns
         -------
         QuarantineNews or None
             State update to broadcast; None if the request has no deaths or
             is condemned.
         """
-        deaths = self._list_deaths(fingerprint)
-        if not deaths or isinstance(
-            self.check(fingerprint, now), messages.Condemned
-        ):
+        at = now if at is None else at
+        if not any(
+            death.at <= at for death in self._list_deaths(fingerprint)
+        ) or isinstance(self.check(fingerprint, now), messages.Condemned):
             return None
-        record = attrs.evolve(self._records[fingerprint], cleared_at=now)
+        record = attrs.evolve(self._records[fingerprint], cleared_at=at)
         self._records[fingerprint] = record
         return self._build_update([fingerprint], now)
 
@@ -177,43 +202,82 @@
         on_trial = any(
             one.on_trial and one.at + ttl_ms > now for one in deaths
         )
-        if on_trial or (
-            self.count_deaths(name, now, others) >= self._suspect_deaths
-        ):
+        if on_trial or self._has_suspect_deaths(name, now, others):
             return messages.Suspect()
         return messages.Clear()
 
+    def _has_suspect_deaths(
+        self, name: str, now: int, others: AbstractSet[str] = frozenset()
+    ) -> bool:
+        unproven = self.count_deaths(name, now, others)
+        if unproven >= self._suspect_deaths:
+            return True
+        return (
+            fingerprints.is_part(name)
+            and len(self._find_unexplained(name, now, others))
+            >= PROVEN_PART_DEATHS
+        )
+
     def count_deaths(
         self,
         name: str,
         now: int,
         others: AbstractSet[str] = frozenset(),
     ) -> int:
-        """Count the targets that a request or a part may have crashed."""
+        """Count the targets that a request or a part may have crashed.
+
+        Deaths of a part that ran well before do not count.
+        """
         return len(
             {
                 death.target
                 for death in self._list_deaths(name)
-                if death.at + SUSPECT_TTL_MS > now
+                if not death.was_proven
+                and death.at + SUSPECT_TTL_MS > now
                 and not self._is_explained(name, death, now, others)
             }
         )
 
-    def has_suspect_part(self, part: str, target: str) -> bool:
-        """Return whether another part of prompts may have caused a death.
+    def _find_unexplained(
+        self, name: str, now: int, others: AbstractSet[str]
+    ) -> set[str]:
+        return {
+            death.target
+            for death in self._list_deaths(name)
+            if death.at + SUSPECT_TTL_MS > now
+            and not self._is_explained(name, death, now, others)
+        }
 
-        It has deaths on the target and on others that nothing contradicts.
+    def mark_proven(self, name: str, now: int) -> bool:
+        """Record that a part of prompts ran well before its deaths.
+
+        Returns
+        -------
+        bool
+            Whether this was new for one of the deaths that are not cleared;
+            False if the part is condemned.
         """
-        return any(
-            name != part
-            and fingerprints.is_part(name)
-            and target in self.list_targets(name)
-            for name in self._index.list_repeated(target)
+        deaths = self._list_deaths(name)
+        if all(one.was_proven for one in deaths) or (
+            self._compute_condemned_ms(name, deaths, now) > 0
+        ):
+            return False
+        record = self._records[name]
+        self._merge(
+            name,
+            _Record(
+                tuple(
+                    attrs.evolve(one, was_proven=True) for one in record.deaths
+                )
+            ),
         )
+        return True
 
-    def list_targets(self, name: str) -> set[str]:
-        """Return the targets of the deaths after the last clearance."""
-        return {death.target for death in self._list_deaths(name)}
+    def describe(
+        self, names: Iterable[str], now: int
+    ) -> messages.QuarantineNews:
+        """Return the records of names, to broadcast to other entries."""
+        return self._build_update(list(names), now)
 
     def condemn(self, fingerprint: str, now: int) -> None:
         """Apply a verdict that was kept since an earlier time."""
@@ -282,6 +346,7 @@
                     one.sequence,
                     one.on_trial,
                     now - one.age_ms,
+                    one.was_proven,
                 )
                 for one in record.deaths
             )
@@ -321,7 +386,8 @@
         digest = 0
         for name, record in self._records.items():
             death_ids = sorted(
-                (one.reporter, one.sequence) for one in record.deaths
+                (one.reporter, one.sequence, one.was_proven)
+                for one in record.deaths
             )
             uncleared = len(self._list_deaths(name))
             text = f'{name} {death_ids} {uncleared}'
@@ -350,6 +416,7 @@
         """Return how long a request stays condemned; 0 if it is not."""
         record = self._records.get(fingerprint)
         refused_at = 0 if record is None else record.refused_at or 0
+        proven: dict[str, int] = {}
         for death in reversed(deaths):
             if not death.on_trial or death.at + VERDICT_DELAY_MS > now:
                 continue
@@ -357,7 +424,11 @@
             if remaining_ms > 0 and not self._is_ambiguous(
                 fingerprint, death, others
             ):
-                return remaining_ms
+                if not death.was_proven:
+                    return remaining_ms
+                proven.setdefault(death.target, remaining_ms)
+        if len(proven) >= PROVEN_PART_TRIALS:
+            return max(proven.values())
         return 0
 
     def _is_ambiguous(
@@ -385,16 +456,15 @@
         """Return the deaths that count towards a rival at the same death.
 
         The part of a prompt also explains the other deaths that it shares
-        with a request that was not on trial.
+        with a request that was not on trial. Deaths of a part that ran well
+        before do not make it a rival, unless it was on trial.
         """
         deaths = self._list_deaths(rival)
-        if (
-            not fingerprints.is_part(name)
-            or fingerprints.is_part(rival)
-            or any(
-                one.on_trial and _is_same_death(one, death) for one in deaths
-            )
-        ):
+        if any(one.on_trial and _is_same_death(one, death) for one in deaths):
+            return deaths
+        if fingerprints.is_part(rival):
+            return [one for one in deaths if not one.was_proven]
+        if not fingerprints.is_part(name):
             return deaths
         own = self._list_deaths(name)
         return [
@@ -414,7 +484,8 @@
 
         A part of other prompts that is a suspect explains the deaths of
         requests as well: they have moved on together with those that have
-        the part, and their trials would delay its trial.
+        the part, and their trials would delay its trial. A suspect part that
+        never ran well explains the deaths of parts that did.
         """
         for other in itertools.chain(
             self._index.list_on_trial(death.target),
@@ -425,11 +496,15 @@
                 continue
             if self._compute_condemned_ms(other, deaths, now) > 0:
                 return True
-            if (
-                fingerprints.is_part(other)
-                and not fingerprints.is_part(name)
+            if not fingerprints.is_part(other) or other == name:
+                continue
+            if death.was_proven:
+                if self.count_deaths(other, now) >= self._suspect_deaths:
+                    return True
+            elif (
+                not fingerprints.is_part(name)
                 and other not in others
-                and self.count_deaths(other, now) >= self._suspect_deaths
+                and self._has_suspect_deaths(other, now)
             ):
                 return True
         return False
@@ -439,7 +514,11 @@
         by_id: dict[tuple[str, int], Death] = {}
         # A message may come late, which makes its deaths seem more recent.
         for one in sorted((*new.deaths, *old.deaths), key=_get_time):
-            by_id.setdefault((one.reporter, one.sequence), one)
+            known = by_id.setdefault((one.reporter, one.sequence), one)
+            if one.was_proven and not known.was_proven:
+                by_id[one.reporter, one.sequence] = attrs.evolve(
+                    known, was_proven=True
+                )
         bound = MAX_DEATHS
         if fingerprints.is_part(fingerprint):
             bound = MAX_PART_DEATHS
@@ -545,7 +624,12 @@
 def _describe_record(name: str, record: _Record, now: int) -> messages.Record:
     deaths = tuple(
         messages.Death(
-            one.target, one.reporter, one.sequence, one.on_trial, now - one.at
+            one.target,
+            one.reporter,
+            one.sequence,
+            one.on_trial,
+            now - one.at,
+            one.was_proven,
         )
         for one in record.deaths
     )
--- a/tests/application/test_quarantine.py
+++ b/tests/application/test_quarantine.py
@@ -190,7 +190,7 @@
         """Build entries, of which some have seen the part run well."""
         subject = Fleet()
         for entry in proven:
-            subject.entries[entry].set_proof(lambda part, ended: True)
+            subject.entries[entry].set_proof(lambda part: True)
         return subject
 
     async def test_proof_of_a_peer_clears_a_part(self, _: mock.Mock) -> None:
--- a/tests/domain/quarantine/test_records_of_parts.py
+++ b/tests/domain/quarantine/test_records_of_parts.py
@@ -99,6 +99,76 @@
         self.assertIn(PART, {one.fingerprint for one in update.records})
 
 
+class ProvenPartTest(unittest.TestCase):
+    def setUp(self):
+        self.records = records.QuarantineRecords('e', SUSPECT_DEATHS)
+        self.targets = [
+            f't{number}' for number in range(records.PROVEN_PART_DEATHS)
+        ]
+
+    def record_deaths(self, targets, *names, now=0, on_trial=()):
+        for target in targets:
+            self.records.record_death(
+                target,
+                frozenset(names),
+                frozenset(on_trial),
+                now,
+                frozenset({PART}),
+            )
+
+    def check(self, name, now=0):
+        return type(self.records.check(name, now))
+
+    def test_part_is_a_suspect_after_several_deaths(self):
+        """Guards against a part that begins to crash servers later."""
+        self.record_deaths(self.targets[:-1] * 2, PART)
+        self.assertIs(messages.Clear, self.check(PART))
+        self.record_deaths(self.targets[-1:], PART)
+        self.assertIs(messages.Suspect, self.check(PART))
+
+    def test_new_proof_begins_a_new_count(self):
+        """Guards against a shared part that is blamed for many ends."""
+        self.record_deaths(self.targets[:-1], PART)
+        self.records.record_completion(PART, 10, 5)
+        self.record_deaths(self.targets[-1:], PART, now=10)
+        self.assertIs(messages.Clear, self.check(PART, 10))
+
+    def test_run_that_began_earlier_proves_nothing(self):
+        """Guards against deaths that runs of a time before clear."""
+        self.record_deaths(self.targets, PART, now=10)
+        self.assertIsNone(self.records.record_completion(PART, 20, 5))
+        self.assertIs(messages.Suspect, self.check(PART, 20))
+
+    def test_deaths_that_a_suspect_explains_do_not_count(self):
+        """Guards against a shared part that is blamed beside another one."""
+        self.record_deaths(self.targets, PART, OTHER)
+        self.assertIs(messages.Suspect, self.check(OTHER))
+        self.assertIs(messages.Clear, self.check(PART))
+        others = [f'{target} later' for target in self.targets]
+        self.record_deaths(others, PART)
+        self.assertIs(messages.Suspect, self.check(PART))
+
+    def test_two_deaths_in_trials_condemn(self):
+        """Guards against a part in use that a coincidence withholds."""
+        self.record_deaths(self.targets, PART)
+        now = 0
+        for target, verdict in (
+            ('u', messages.Suspect),
+            ('v', messages.Condemned),
+        ):
+            self.record_deaths([target], PART, now=now, on_trial=[PART])
+            now += records.VERDICT_DELAY_MS
+            self.assertIs(verdict, self.check(PART, now))
+
+    def test_part_beside_a_trial_is_no_rival(self):
+        """Guards against a cause that parts in use beside it protect."""
+        self.record_deaths(self.targets, PART, OTHER)
+        self.record_deaths(['u'], PART, OTHER, on_trial=[OTHER])
+        self.assertIs(
+            messages.Condemned, self.check(OTHER, records.VERDICT_DELAY_MS)
+        )
+
+
 class SynchronizationTest(unittest.TestCase):
     def setUp(self):
         self.here = records.QuarantineRecords('e1')
