Show that each mechanism for parts of prompts has a test

The parts themselves, proofs of an entry and of its peers, clearance by progress and only of what came before the run, what parts explain, the names of one request that are no rivals, and the time on trial after a verdict can each be disabled.

--- a/tests/application/routing/test_run_permits.py
+++ b/tests/application/routing/test_run_permits.py
@@ -258,3 +258,64 @@
         self.assertGreater(reply.retry_after_ms, 60_000)
         self.assertEqual(count, len(self.world.servers.runs))
         await self.run_well('shared')
+
+    def check(self, *parts):
+        """Return whether a request with the parts may be sent."""
+        names = [
+            fingerprints.compute_part_name('drafting', part) for part in parts
+        ]
+        return self.world.permits.check('fingerprint', tuple(names))
+
+    async def test_part_that_ran_well_is_no_suspect_after_two_ends(self):
+        """Guards against a part in use that is held back for what it met."""
+        await self.run_well('shared')
+        for _ in range(2):
+            reply = await self.serve('shared')
+            await self.crash(self.world.servers.last)
+            reply.leave()
+        self.assertIs(run_permits.Permit.GRANTED, self.check('shared'))
+        self.assertIs(run_permits.Permit.GRANTED, self.check('other'))
+
+    async def test_progress_in_a_trial_clears_a_part(self):
+        """Guards against requests that wait for the whole trial of another."""
+        for _ in range(2):
+            reply = await self.serve('shared')
+            await self.crash(self.world.servers.last)
+            reply.leave()
+        self.assertIs(run_permits.Permit.ON_TRIAL, self.check('shared'))
+        await self.serve('shared')
+        run = self.world.servers.last
+        run.begin()
+        run.send(0, 1)
+        self.assertIs(run_permits.Permit.ON_TRIAL, self.check('shared'))
+        self.world.advance(crash_detection.ESTABLISHED_MS)
+        run.send(1, 2)
+        self.assertIs(run_permits.Permit.GRANTED, self.check('shared'))
+
+    async def test_check_in_progress_holds_back_a_part_not_seen_well(self):
+        """Guards against servers that end while the end before is checked."""
+        await self.run_well('shared')
+        self.world.quarantine.record_crash(
+            't1', [fingerprints.compute_part_name('drafting', 'new')]
+        )
+        await self.serve('shared', 'new')
+        run = self.world.servers.last
+        self.world.servers.checks[run.run.server.id] = GONE
+        run.end(ports.Completion.BROKEN)
+        self.assertIs(run_permits.Permit.UNKNOWN, self.check('new'))
+        self.assertIs(run_permits.Permit.GRANTED, self.check('shared'))
+
+    async def test_run_that_began_before_the_ends_clears_no_part(self):
+        """Guards against a part that crashes servers since it last ran."""
+        await self.run_well('shared')
+        await self.serve('shared')
+        run = self.world.servers.last
+        run.begin()
+        run.send(0, 1)
+        self.world.advance(2 * crash_detection.ESTABLISHED_MS)
+        names = [fingerprints.compute_part_name('drafting', 'shared')]
+        for number in range(records.PROVEN_PART_DEATHS):
+            self.world.quarantine.record_crash(f't{number}', names)
+        run.send(1, 2)
+        run.end()
+        self.assertIs(run_permits.Permit.ON_TRIAL, self.check('shared'))
--- a/tools/mechanisms.py
+++ b/tools/mechanisms.py
@@ -129,6 +129,71 @@
             'return Permit.GRANTED\n        names = (fingerprint, *parts)\n',
         ),
     ),
+    'parts-of-prompts': (
+        Edit(
+            f'{_ROUTING}/exchanges.py',
+            'for part in self.request.prompt_parts\n',
+            'for part in ()\n',
+        ),
+    ),
+    'proofs-of-parts': (
+        Edit(
+            f'{_ROUTING}/run_permits.py',
+            'quarantine.set_proof(crashes.proven_parts.__contains__)\n',
+            'pass\n',
+        ),
+    ),
+    'proofs-of-peers': (
+        Edit(
+            'src/thornspool/application/quarantine.py',
+            'and self._records.mark_proven(record.fingerprint, now)\n',
+            'and False\n',
+        ),
+    ),
+    'cleared-by-progress': (
+        Edit(
+            f'{_ROUTING}/crash_detection.py',
+            'run.on_established = lambda: self._record_proof(run)\n',
+            'pass\n',
+        ),
+    ),
+    'parts-explain-requests': (
+        Edit(
+            f'{_DOMAIN}/quarantine/records.py',
+            'and self._has_suspect_deaths(other, now)\n',
+            'and False\n',
+        ),
+    ),
+    'parts-explain-proven-parts': (
+        Edit(
+            f'{_DOMAIN}/quarantine/records.py',
+            'if death.was_proven:\n'
+            '                if self.count_deaths(other, now)',
+            'if death.was_proven:\n'
+            '                if -self.count_deaths(other, now)',
+        ),
+    ),
+    'own-names-no-rivals': (
+        Edit(
+            f'{_DOMAIN}/quarantine/records.py',
+            'if rival != name and rival not in others\n',
+            'if rival != name\n',
+        ),
+    ),
+    'proof-by-start': (
+        Edit(
+            f'{_ROUTING}/run_permits.py',
+            'name, run.first_progress_at if name in known else None\n',
+            'name\n',
+        ),
+    ),
+    'probation-of-parts': (
+        Edit(
+            f'{_DOMAIN}/quarantine/records.py',
+            'ttl_ms = CONDEMNED_TTL_MS + PROBATION_MS\n',
+            'ttl_ms = CONDEMNED_TTL_MS\n',
+        ),
+    ),
     'drawn-holders': (
         Edit(
             f'{_PATHS}/choice.py',
