End runs whose first engine is proven to have ended

A run that stays open until another one delivers was kept even at an engine that was known to have ended, where its connection did not break: a suspect of the quarantine kept its dead run until the deadline, with no trial and no refusal (new with the open runs), and a request without a retry or a path was held for seconds. A proof now ends the run as a broken connection does: the request runs elsewhere, waits for a path, or is refused.

--- a/src/thornspool/application/routing/failure_detection.py
+++ b/src/thornspool/application/routing/failure_detection.py
@@ -262,7 +262,10 @@
         for in_flight, run in sorted(
             self._list_running(), key=lambda one: one[0].rank
         ):
-            self._reroute_from_suspects(in_flight, run)
+            if run in in_flight.open_runs and not self._service.end_proven(
+                in_flight, run
+            ):
+                self._reroute_from_suspects(in_flight, run)
 
     def _probe_refusing(self, now: int) -> None:
         """Probe the engines that have refused requests.
--- a/src/thornspool/application/routing/streams.py
+++ b/src/thornspool/application/routing/streams.py
@@ -841,6 +841,34 @@
         """
         self._second_runs.start(in_flight, reason)
 
+    def end_proven(
+        self,
+        in_flight: in_flight_module.InFlightRequest,
+        run: in_flight_module.OpenRun,
+    ) -> bool:
+        """End a run whose first engine is proven to have ended.
+
+        Parameters
+        ----------
+        in_flight : in_flight_module.InFlightRequest
+            The request, which runs elsewhere from then on, waits or fails.
+        run : in_flight_module.OpenRun
+            The run.
+
+        Returns
+        -------
+        bool
+            False if nothing proves that the run can't continue.
+        """
+        proof = run_proofs.find_server_proof(
+            self._routing_state, self._permits, [run.first_server]
+        )
+        if proof is run_proofs.Proof.NONE:
+            return False
+        self.close_run(in_flight, run)
+        self._retry_or_fail(in_flight, 'engine_lost', proof, run)
+        return True
+
     def may_reroute(self, in_flight: in_flight_module.InFlightRequest) -> bool:
         """Return whether a run may continue on other engines.
 
