Keep a shared part from a verdict that another part of a trial explains

The first part was condemned, and no run could clear it.

All parts of a run that have not run well are now on trial together. A death in the trial denies requests that have all of them; a part is condemned when the others are cleared, or when no other one was at two such deaths. A good run that began after the death lifts the verdict on a part. The three new tests of records fail without the change by design of the cases (not run against the code before).

--- a/src/thornspool/application/quarantine.py
+++ b/src/thornspool/application/quarantine.py
@@ -304,6 +304,14 @@
         if isinstance(verdict, messages.Condemned):
             return None
         suspects = self._list_suspects(names)
+        # Any part that never ran well may be the cause of a death.
+        suspects += tuple(
+            name
+            for name in names
+            if name not in suspects
+            and fingerprints.is_part(name)
+            and not self._has_proof(name)
+        )
         if not self._may_try(suspects, targets):
             return None
         trial = _Trial(suspects, targets)
--- a/src/thornspool/application/routing/run_permits.py
+++ b/src/thornspool/application/routing/run_permits.py
@@ -256,9 +256,11 @@
         """
         if not run.parts:
             return
+        condemned = self._quarantine.list_condemned(run.parts)
         for name in (run.fingerprint, *run.parts):
+            is_known = name in known or name in condemned
             self._quarantine.clear(
-                name, run.first_progress_at if name in known else None
+                name, run.first_progress_at if is_known else None
             )
         if run.is_on_trial:
             run.is_on_trial = False
--- a/src/thornspool/domain/quarantine/records.py
+++ b/src/thornspool/domain/quarantine/records.py
@@ -57,7 +57,11 @@
 """
 
 PROVEN_PART_TRIALS = 2
-"""Deaths in trials that condemn a part that ran well before."""
+"""Deaths in trials that condemn a part that ran well before.
+
+As many condemn a part that was tried together with other parts, if none of
+them was at all of these deaths.
+"""
 
 MAX_PART_DEATHS = 24
 """Deaths of a part of prompts, which each entry reports by itself."""
@@ -162,13 +166,17 @@
         Returns
         -------
         QuarantineNews or None
-            State update to broadcast; None if the request has no deaths or
-            is condemned.
+            State update to broadcast; None if there is nothing to clear, or
+            if the request is condemned. Many requests may have a part, so
+            that a good run of one of them also lifts a verdict.
         """
         at = now if at is None else at
         if not any(
             death.at <= at for death in self._list_deaths(fingerprint)
-        ) or isinstance(self.check(fingerprint, now), messages.Condemned):
+        ) or (
+            not fingerprints.is_part(fingerprint)
+            and isinstance(self.check(fingerprint, now), messages.Condemned)
+        ):
             return None
         record = attrs.evolve(self._records[fingerprint], cleared_at=at)
         self._records[fingerprint] = record
@@ -416,39 +424,57 @@
         """Return how long a request stays condemned; 0 if it is not."""
         record = self._records.get(fingerprint)
         refused_at = 0 if record is None else record.refused_at or 0
-        proven: dict[str, int] = {}
+        rivals: dict[str, set[str]] = {}
+        latest_ms = 0
         for death in reversed(deaths):
             if not death.on_trial or death.at + VERDICT_DELAY_MS > now:
                 continue
             remaining_ms = max(death.at, refused_at) + CONDEMNED_TTL_MS - now
-            if remaining_ms > 0 and not self._is_ambiguous(
-                fingerprint, death, others
-            ):
-                if not death.was_proven:
-                    return remaining_ms
-                proven.setdefault(death.target, remaining_ms)
-        if len(proven) >= PROVEN_PART_TRIALS:
-            return max(proven.values())
+            if remaining_ms <= 0:
+                continue
+            found = self._find_rivals(fingerprint, death, others)
+            if not found and not death.was_proven:
+                return remaining_ms
+            latest_ms = max(latest_ms, remaining_ms)
+            rivals.setdefault(death.target, found)
+        # No rival was at all of these deaths.
+        if (
+            fingerprints.is_part(fingerprint)
+            and len(rivals) >= PROVEN_PART_TRIALS
+            and not set.intersection(*rivals.values())
+        ):
+            return latest_ms
         return 0
 
-    def _is_ambiguous(
+    def _find_rivals(
         self, name: str, death: Death, others: AbstractSet[str]
-    ) -> bool:
-        """Return whether another suspect was at the same death.
+    ) -> set[str]:
+        """Find the other suspects at the same death.
 
-        It was a suspect if it has enough other deaths. The other names of
-        the same request do not count: if one of them is the cause, the
-        request may not run either.
+        They are suspects if they have enough other deaths, or if they are
+        parts that were tried together with this name. The other names of the
+        same request do not count: if one of them is the cause, the request
+        may not run either.
         """
-        return any(
-            _has_this_and_other_deaths(
+        found = {
+            rival
+            for rival in self._index.list_repeated(death.target)
+            if _has_this_and_other_deaths(
                 self._list_rival_deaths(name, rival, death),
                 death,
                 self._suspect_deaths,
             )
-            for rival in self._index.list_repeated(death.target)
-            if rival != name and rival not in others
-        )
+        }
+        found |= {
+            rival
+            for rival in self._index.list_on_trial(death.target)
+            if fingerprints.is_part(rival)
+            and any(
+                one.on_trial and _is_same_death(one, death)
+                for one in self._list_deaths(rival)
+            )
+        }
+        return found - others - {name}
 
     def _list_rival_deaths(
         self, name: str, rival: str, death: Death
--- a/tests/domain/quarantine/test_records_of_parts.py
+++ b/tests/domain/quarantine/test_records_of_parts.py
@@ -49,6 +49,34 @@
         self.assertIs(messages.Condemned, self.check(PART))
         self.assertIs(messages.Clear, self.check(OTHER))
 
+    def test_part_that_was_tried_beside_a_new_part_is_not_condemned(self):
+        """Guards against a part in use that is condemned for a new one."""
+        self.record_deaths('tu', PART)
+        self.record_trial('v', PART, OTHER)
+        self.assertIs(messages.Suspect, self.check(PART))
+        self.assertIs(messages.Condemned, self.check(PART, OTHER))
+        self.records.record_completion(PART, JUDGED_AT)
+        self.assertIs(messages.Condemned, self.check(OTHER))
+
+    def test_part_of_all_trials_is_condemned(self):
+        """Guards against a cause that hides behind ever new parts."""
+        third = fingerprints.compute_part_name('drafting', 'c')
+        self.record_deaths('tu', PART)
+        self.record_trial('v', PART, OTHER)
+        self.record_trial('w', PART, third)
+        self.assertIs(messages.Condemned, self.check(PART))
+        self.assertIs(messages.Suspect, self.check(OTHER))
+
+    def test_later_run_lifts_the_verdict_on_a_part(self):
+        """Guards against a sound part that is refused to the end."""
+        self.record_trial('t', PART)
+        self.assertIs(messages.Condemned, self.check(PART))
+        self.assertIsNone(
+            self.records.record_completion(PART, JUDGED_AT, TRIAL_AT - 1)
+        )
+        self.records.record_completion(PART, JUDGED_AT)
+        self.assertIs(messages.Clear, self.check(PART))
+
     def test_part_is_no_rival_of_its_own_request(self):
         """Guards against a request that is tried on and on with its parts."""
         self.record_deaths('tu', PART, 'request')
--- a/tools/mechanisms.py
+++ b/tools/mechanisms.py
@@ -176,14 +176,14 @@
     'own-names-no-rivals': (
         Edit(
             f'{_DOMAIN}/quarantine/records.py',
-            'if rival != name and rival not in others\n',
-            'if rival != name\n',
+            'return found - others - {name}\n',
+            'return found - {name}\n',
         ),
     ),
     'proof-by-start': (
         Edit(
             f'{_ROUTING}/run_permits.py',
-            'name, run.first_progress_at if name in known else None\n',
+            'name, run.first_progress_at if is_known else None\n',
             'name\n',
         ),
     ),
