Reproduce a crashing part beside a request that crashes engines

A request whose body crashes engines as soon as callers come shares its parts with sound requests, and another part crashes engines as well. Requests with that part must be withheld, and half of the last hundred sound requests must begin.

--- a/tests/simulation/conditions.py
+++ b/tests/simulation/conditions.py
@@ -111,7 +111,9 @@
     return announce
 
 
-def send_crashing_request(seed, contents, body=b'crash', place=0, at_ms=1_000):
+def send_crashing_request(
+    seed, contents, body=b'crash', place=0, at_ms=1_000, parts=()
+):
     """Return a fault in which a request crashes engines and comes again.
 
     Parameters
@@ -126,6 +128,8 @@
         Place in the path of the engine that it crashes.
     at_ms : int, optional
         Virtual milliseconds from the start of the load to its first attempt.
+    parts : tuple of str, optional
+        Parts of its prompt that other requests share.
     """
 
     async def send(simulated):
@@ -145,6 +149,7 @@
                     arrived_at=simulated.clock.now(),
                     prompt_tokens=500.0,
                     output_tokens=100.0,
+                    prompt_parts=parts,
                 ),
                 reply,
             )
--- a/tests/simulation/test_crashing_parts.py
+++ b/tests/simulation/test_crashing_parts.py
@@ -17,6 +17,9 @@
 CALM_MS = 5_000
 """Time from the start of the load without any fault."""
 
+LAST_ATTEMPTS = 100
+"""First attempts that show the service after all verdicts."""
+
 PLACES = {'first': 0, 'in the middle': 1, 'last': 2}
 DENIALS = ('quarantined', 'no_trial')
 """Reasons of refusals that requests get for crashes of engines."""
@@ -112,6 +115,46 @@
 
 
 class SoundPartTest(PartTestCase):
+    def test_parts_of_a_crashing_request_are_served(self):
+        """Guards against verdicts on what only stood beside the cause.
+
+        A request whose body crashes engines comes as soon as callers do, and
+        shares its parts with sound requests and with a part that crashes
+        engines too.
+        """
+        for seed in (1, 2):
+            with self.subTest(seed=seed):
+                sent, contents = prompt_parts.Sent(), {}
+                results = self.simulate(
+                    mixes.SHORT,
+                    seed,
+                    conditions.send_crashing_request(
+                        seed,
+                        contents,
+                        at_ms=0,
+                        parts=(prompt_parts.FIRST, 'middle-1'),
+                    ),
+                    prompt_parts.send_part(seed, sent, at_ms=1_500),
+                )
+                crashes = [
+                    one for one in results.crashes if one.content == 'bad'
+                ]
+                self.assertEqual(
+                    [],
+                    part_rules.find_part_violations(
+                        results.arrivals,
+                        crashes,
+                        sent.parts,
+                        conditions.CONTACT_MS,
+                    ),
+                )
+                last = [
+                    one.has_begun for one in results.attempts[-LAST_ATTEMPTS:]
+                ]
+                self.assertGreaterEqual(
+                    sum(last), part_rules.MIN_BEGUN_RATIO * len(last)
+                )
+
     def test_parts_without_end_leave_bounded_records(self):
         """Guards against memory that grows with parts which callers invent."""
         sent, worlds = prompt_parts.Sent(), []
