Let a part of prompts crash engines in the soak

The soak sent requests that crash servers with one body only. A calm time of 4 s comes first. Both rules are checked after each seed: entries that are disturbed are excused, for the second one also those without links. The stream requests of all seeds carry parts. The seeds without the option draw as before.

--- a/tests/platform/test_crashing_parts.py
+++ b/tests/platform/test_crashing_parts.py
@@ -22,7 +22,7 @@
 
 SECONDS = 14.0
 CONTACT_MS = 3_000
-SENDERS = 4
+SENDERS = 6
 """Sound requests at the same time."""
 
 
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -21,6 +21,7 @@
 
 from standins import kv_fleet
 from tests import engine_rules
+from tests import part_rules
 from tests.soak import callers as callers_module
 from tests.soak import checks
 from tests.soak import faults as faults_module
@@ -35,6 +36,9 @@
 
 MEAN_REQUEST_INTERVAL_S = 0.04
 
+CALM_S = 4.0
+"""Time before the faults of a seed with a part that crashes engines."""
+
 DRAIN_MS = 2_000
 """Time after which an entry may send no request to a server that leaves."""
 
@@ -60,6 +64,7 @@
     seconds: float,
     folder: pathlib.Path | None = None,
     entries: int = ENTRIES,
+    with_part: bool = False,
 ) -> Report:
     """Run one seed.
 
@@ -73,6 +78,8 @@
         Folder for the logs when a check fails.
     entries : int, optional
         Number of entries; more than 12 follow the store through collectors.
+    with_part : bool, optional
+        Whether a part of prompts crashes engines all the while.
     """
     source = random.Random(seed)
     with processes.open_processes() as scope:
@@ -85,7 +92,7 @@
         )
         try:
             report = await _run_scenario(
-                seed, seconds, world, callers, scope.folder
+                seed, seconds, world, callers, scope.folder, with_part
             )
         finally:
             callers.close()
@@ -103,6 +110,7 @@
     world: world_module.World,
     callers: callers_module.Callers,
     folder: pathlib.Path,
+    with_part: bool,
 ) -> Report:
     await world.start()
     reason = await world.wait_until_served(START_TIMEOUT_S)
@@ -116,8 +124,10 @@
         callers.send_crashing(random.Random(seed + 2))
     )
     faults = faults_module.Faults(world, random.Random(f'{seed} changes'))
+    tasks = await _start_part(seed, world, callers) if with_part else []
     await faults.inject(seconds)
-    crashing.cancel()
+    for task in (crashing, *tasks):
+        task.cancel()
     reason = await world.wait_until_served(RECOVERY_TIMEOUT_S)
     if load.done():
         load.result()
@@ -133,6 +143,7 @@
     if fleet['wrong_paths']:
         problems.append(f'{fleet["wrong_paths"]} paths omit or repeat layers')
     problems += _check_denials(world, callers)
+    problems += _check_parts(world, callers, fleet['log'])
     problems += checks.check_requests(
         callers.sent_requests, fleet['runs'], world.revoked_at
     )
@@ -142,6 +153,22 @@
     )
 
 
+async def _start_part(
+    seed: int, world: world_module.World, callers: callers_module.Callers
+) -> list[asyncio.Task[None]]:
+    """Send requests with a part that crashes engines, after a calm time."""
+    source = random.Random(seed + 3)
+    sound = asyncio.create_task(callers.send_sound_parts(source))
+    await asyncio.sleep(CALM_S)
+    await asyncio.to_thread(
+        world.deployment.control, crash_on_part=callers_module.CRASHING_PART
+    )
+    crashing = asyncio.create_task(
+        callers.send_crashing_parts(random.Random(seed + 4))
+    )
+    return [sound, crashing]
+
+
 def _check_conditions(
     world: world_module.World,
     callers: callers_module.Callers,
@@ -180,6 +207,60 @@
     ]
 
 
+def _check_parts(
+    world: world_module.World,
+    callers: callers_module.Callers,
+    log: list[dict[str, typing.Any]],
+) -> list[str]:
+    """Check that a part that crashes engines is withheld, and it alone."""
+    arrivals, _ = engine_rules.read_log(log)
+    crashes = [
+        one
+        for one in engine_rules.read_crashes(log)
+        if one.content == callers_module.CRASHING_PART
+    ]
+    excuses = [*world.interruptions, *world.cuts]
+    out_of_touch = [
+        *excuses,
+        *world.store_cuts,
+        *(
+            engine_rules.Excuse(
+                host, cut.since, cut.until + world_module.CONTACT_MS
+            )
+            for cut in world.link_cuts
+            for host in cut.hosts
+        ),
+    ]
+    return [
+        *part_rules.find_part_violations(
+            arrivals,
+            crashes,
+            {one.id: one.parts for one in callers.sent_requests},
+            world_module.CONTACT_MS,
+            excuses,
+        ),
+        *part_rules.find_withheld_violations(
+            [
+                part_rules.FirstAttempt(
+                    round(one.sent_at * 1000),
+                    one.entry,
+                    one.kind,
+                    one.key,
+                    one.parts,
+                    one.status == 200,
+                )
+                for one in callers.sent_requests
+                if one.kind == 'brief'
+                and one.key == kv_fleet.KEY
+                and one.sent_body != callers_module.CRASHING_BODY
+            ],
+            crashes,
+            world_module.CONTACT_MS,
+            out_of_touch,
+        ),
+    ]
+
+
 def _check_denials(
     world: world_module.World, callers: callers_module.Callers
 ) -> list[str]:
@@ -231,6 +312,7 @@
             one.key == kv_fleet.KEY
             and not one.prefix
             and one.sent_body != callers_module.CRASHING_BODY
+            and callers_module.CRASHING_PART not in one.parts
             and one.entry not in disturbed
             and set(world.entries) - cut - disturbed
         ):
@@ -273,7 +355,11 @@
         nonlocal failed
         async with semaphore:
             report = await run_seed(
-                seed, options.seconds, options.logs, options.entries
+                seed,
+                options.seconds,
+                options.logs,
+                options.entries,
+                options.part,
             )
         failed += bool(report.problems)
         result = 'WRONG' if report.problems else 'held'
@@ -311,6 +397,11 @@
     parser.add_argument(
         '--logs', type=pathlib.Path, help='folder for logs of failed seeds'
     )
+    parser.add_argument(
+        '--part',
+        action='store_true',
+        help='let a part of prompts crash engines; takes 20 seconds or more',
+    )
     return asyncio.run(_run_all(parser.parse_args()))
 
 
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import hashlib
 import random
 import time
 import typing
@@ -19,6 +20,15 @@
 DEADLINE_MS = 6_000
 CRASHING_BODY = b'{"text": "overflow"}'
 CRASHING_KINDS = ('brief', 'hold')
+CRASHING_PART = '0bad'
+FIRST_PART = '0f'
+MIDDLE_PARTS = 3
+MEAN_PART_INTERVAL_S = 0.65
+"""Mean interval of requests with a part that crashes engines."""
+
+MEAN_SOUND_INTERVAL_S = 0.15
+"""Mean interval of further sound requests beside them."""
+
 KINDS = ('brief', 'brief', 'hold', 'read')
 RECENT_SHARE = 0.3
 """Share of requests for routes and with keys that come and go."""
@@ -50,6 +60,8 @@
         Body of the request.
     prefix : str
         Prefix of the path where it is not the kind.
+    parts : tuple of str
+        Parts of its prompt that other requests share.
     """
 
     id: str
@@ -65,6 +77,7 @@
     retry_after: str = ''
     sent_body: bytes = b'{}'
     prefix: str = ''
+    parts: tuple[str, ...] = ()
 
     @property
     def target(self) -> str:
@@ -143,9 +156,45 @@
         self._session.close()
 
     async def _send_in_background(
-        self, kind: str, key: str, entry: str, prefix: str
+        self,
+        kind: str,
+        key: str,
+        entry: str,
+        prefix: str = '',
+        parts: tuple[str, ...] = (),
+    ) -> None:
+        await self._send_one(kind, key, entry, prefix=prefix, parts=parts)
+
+    async def send_crashing_parts(self, source: random.Random) -> None:
+        """Send requests that share a part which crashes engines.
+
+        Each is new otherwise, and its other parts are those of sound ones.
+        """
+        place = source.randrange(3)
+        while True:
+            await asyncio.sleep(source.expovariate(1 / MEAN_PART_INTERVAL_S))
+            parts = [*self._list_parts(source.randrange(MIDDLE_PARTS))]
+            parts.insert(place, CRASHING_PART)
+            self._start_brief(source, tuple(parts))
+
+    async def send_sound_parts(self, source: random.Random) -> None:
+        """Send sound requests of the same caller."""
+        while True:
+            await asyncio.sleep(source.expovariate(1 / MEAN_SOUND_INTERVAL_S))
+            self._start_brief(source, self._list_parts(source.randrange(9)))
+
+    def _start_brief(
+        self, source: random.Random, parts: tuple[str, ...]
     ) -> None:
-        await self._send_one(kind, key, entry, prefix=prefix)
+        entry = source.choice(sorted(self._list_entries()))
+        task = asyncio.create_task(
+            self._send_in_background('brief', kv_fleet.KEY, entry, parts=parts)
+        )
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    def _list_parts(self, number: int) -> tuple[str, ...]:
+        return FIRST_PART, f'{number % MIDDLE_PARTS}e'
 
     async def _send_one(
         self,
@@ -154,8 +203,11 @@
         entry: str,
         body: bytes = b'{}',
         prefix: str = '',
+        parts: tuple[str, ...] = (),
     ) -> SentRequest:
         number = len(self.sent_requests)
+        if kind == 'brief' and not parts:
+            parts = self._list_parts(number)
         request = SentRequest(
             f'{entry}.{self._name}-{number}',
             kind,
@@ -164,6 +216,7 @@
             time.monotonic(),
             sent_body=body,
             prefix=prefix,
+            parts=parts,
         )
         self.sent_requests.append(request)
         done = asyncio.Event()
@@ -198,6 +251,8 @@
         address = self._list_entries().get(request.entry, '127.0.0.1:9')
         is_crashing = request.sent_body == CRASHING_BODY
         name = 'same' if is_crashing else request.id
+        own_part = hashlib.sha256(request.id.encode()).hexdigest()[:8]
+        prompt = ','.join(f'{one}:100' for one in (*request.parts, own_part))
         return transfers.Request(
             f'http://{address}/{request.prefix or request.kind}/{name}',
             'GET' if request.kind == 'read' else 'POST',
@@ -206,6 +261,7 @@
                 ('Attempt-Id', request.id),
                 ('Deadline-Ms', str(DEADLINE_MS)),
                 ('Token-Usage', '500,200'),
+                *([('Prompt-Prefix', prompt)] if request.parts else []),
                 ('Authorization', f'Bearer {request.key}'),
             ),
             None if request.kind == 'read' else request.sent_body,
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -21,6 +21,8 @@
     331,
 )
 SECONDS = 6.0
+PART_SEED = 2
+PART_SECONDS = 18.0
 
 
 class SoakTest(unittest.TestCase):
@@ -37,6 +39,16 @@
                 self.assertEqual([], report.problems)
                 self.assertGreater(report.served, 0)
 
+    def test_part_that_crashes_engines_is_withheld_and_no_other(self):
+        """Guards against requests of which only a part is the same.
+
+        All other faults go on beside them.
+        """
+        report = asyncio.run(
+            soak.run_seed(PART_SEED, PART_SECONDS, with_part=True)
+        )
+        self.assertEqual([], report.problems)
+
 
 class CheckTest(unittest.TestCase):
     """Each check must find the violation that it covers."""
