--- a/src/thornspool/application/routing/crash_detection.py
+++ b/src/thornspool/application/routing/crash_detection.py
@@ -19,6 +19,8 @@
 from thornspool.application.routing import (
     routing_state as routing_state_module,
 )
+from thornspool.domain.quarantine import fingerprints as fingerprints_module
+from thornspool.domain.quarantine import proofs
 
 if typing.TYPE_CHECKING:
     from collections.abc import Callable
@@ -101,6 +103,10 @@
     is_implicated : bool
         Whether one of its servers ended under it. Others that end at about
         the same time are a coincidence or a consequence.
+    parts : tuple of str
+        Names of the parts of its prompt that other requests share.
+    on_established : callable
+        Called once its servers have run it for a while.
     """
 
     fingerprint: str
@@ -113,6 +119,8 @@
     doubts: int = 0
     origin: TrackedRun | None = None
     is_implicated: bool = False
+    parts: tuple[str, ...] = ()
+    on_established: Callable[[], None] = lambda: None
 
     def may_have_ended(self, server: fleet.Server) -> bool:
         """Return whether the run may have ended a server."""
@@ -127,11 +135,18 @@
             )
         )
 
+    def has_name(self, name: str) -> bool:
+        """Return whether the request or a part of its prompt has a name."""
+        return name == self.fingerprint or name in self.parts
+
     def record_progress(self, now: int) -> None:
         """Record an event of the response."""
+        was_established = self.is_established
         if self.first_progress_at is None:
             self.first_progress_at = now
         self.last_progress_at = now
+        if self.is_established and not was_established:
+            self.on_established()
 
     @property
     def is_established(self) -> bool:
@@ -205,11 +220,15 @@
         self._try_acquire = try_acquire
         self._start_task = start_task
         self._on_crash: Callable[[fleet.Server, frozenset[str]], None] = (
-            lambda server, fingerprints: None
+            lambda server, names: None
+        )
+        self._on_proof: Callable[[TrackedRun, frozenset[str]], None] = (
+            lambda run, known: None
         )
         self._processes: dict[_Key, _Process] = {}
         self._ended: dict[_Key, int] = {}
         self._revision = 0
+        self.proven_parts = proofs.ProvenParts()
         self.ended_count = 0
 
     def set_crash_handler(
@@ -217,20 +236,36 @@
     ) -> None:
         """Set the callback for servers that ended.
 
-        It receives the server and the fingerprints of the requests that had
-        just begun there.
+        It receives the server and the names that may have caused its end:
+        the fingerprints of the requests that had just begun there, and the
+        parts of their prompts.
         """
         self._on_crash = handler
 
+    def set_proof_handler(
+        self, handler: Callable[[TrackedRun, frozenset[str]], None]
+    ) -> None:
+        """Set the callback for runs that show that their parts run well.
+
+        It receives the run and the parts that others showed before.
+        """
+        self._on_proof = handler
+
     def has_ended(self, server: fleet.Server) -> bool:
         """Return whether the process of a server is known to have ended."""
         return _get_key(server) in self._ended
 
-    def count_checks(self, fingerprint: str) -> int:
-        """Count the servers that are being checked after they broke a run."""
+    def count_checks(self, name: str) -> int:
+        """Count the servers that are being checked after they broke a run.
+
+        Parameters
+        ----------
+        name : str
+            Fingerprint of the request, or name of a part of its prompt.
+        """
         return sum(
             process.is_checking
-            and any(run.fingerprint == fingerprint for run in process.doubtful)
+            and any(run.has_name(name) for run in process.doubtful)
             for process in self._processes.values()
         )
 
@@ -239,9 +274,13 @@
         fingerprint: str,
         servers: Iterable[fleet.Server],
         origin: TrackedRun | None = None,
+        parts: tuple[str, ...] = (),
     ) -> TrackedRun:
         """Record that a run is sent to servers, or continues on them."""
-        run = TrackedRun(fingerprint, tuple(servers), origin=origin)
+        run = TrackedRun(
+            fingerprint, tuple(servers), origin=origin, parts=parts
+        )
+        run.on_established = lambda: self._record_proof(run)
         for server in run.servers:
             self._find_process(server).running.add(run)
         return run
@@ -270,7 +309,7 @@
                 run.doubts += 1
             self._drop_if_unused(process)
         if ending is RunEnd.COMPLETED:
-            self._clear(run.fingerprint)
+            self._record_completion(run)
         if not run.doubts:
             run.on_resolved()
         elif ending is RunEnd.BROKEN:
@@ -279,6 +318,15 @@
             if run.is_on_trial or server.id in self._routing_state.suspicions:
                 self._start_check(server)
 
+    def _record_proof(self, run: TrackedRun) -> None:
+        """Record that servers ran the parts of a run well."""
+        known = frozenset(
+            part for part in run.parts if part in self.proven_parts
+        )
+        for part in run.parts:
+            self.proven_parts.record(part)
+        self._on_proof(run, known)
+
     def _is_staying(self, server: fleet.Server) -> bool:
         """Return whether a server is listed and does not leave.
 
@@ -289,15 +337,17 @@
             and server.id not in self._routing_state.leaving
         )
 
-    def _clear(self, fingerprint: str) -> None:
+    def _record_completion(self, run: TrackedRun) -> None:
         """Drop the doubts about a request that a server has completed."""
+        if run.first_progress_at is not None:
+            self._record_proof(run)
         for process in list(self._processes.values()):
             self._resolve(
                 process,
                 [
-                    run
-                    for run in process.doubtful
-                    if run.fingerprint == fingerprint
+                    one
+                    for one in process.doubtful
+                    if one.fingerprint == run.fingerprint
                 ],
             )
 
@@ -435,10 +485,24 @@
                 evidence=evidence,
                 runs=len(runs),
                 fingerprints=','.join(sorted(fingerprints)),
+                **self._describe_parts(runs),
+            )
+            self._on_crash(
+                server,
+                fingerprints | {part for run in runs for part in run.parts},
             )
-            self._on_crash(server, fingerprints)
         self._resolve_everywhere(process.doubtful)
 
+    def _describe_parts(self, runs: Iterable[TrackedRun]) -> dict[str, str]:
+        """Describe the parts of runs by whether others ran them well."""
+        parts = sorted({part for run in runs for part in run.parts})
+        proven = [part for part in parts if part in self.proven_parts]
+        unproven = [part for part in parts if part not in self.proven_parts]
+        return {
+            'parts': fingerprints_module.shorten(unproven),
+            'proven_parts': fingerprints_module.shorten(proven),
+        }
+
     def _resolve_everywhere(self, runs: set[TrackedRun]) -> None:
         """Drop the doubts about runs that one of their servers has broken."""
         explained = set(runs)
@@ -446,6 +510,11 @@
             self._resolve(process, process.doubtful & explained)
 
 
+def get_target(server: fleet.Server) -> str:
+    """Return the name by which the quarantine knows a server's process."""
+    return f'{server.id}@{server.started_at}'
+
+
 def _get_key(server: fleet.Server) -> _Key:
     """Return what identifies one process of a server."""
     return server.id, server.started_at
--- a/src/thornspool/domain/quarantine/fingerprints.py
+++ b/src/thornspool/domain/quarantine/fingerprints.py
@@ -1,9 +1,23 @@
-"""Fingerprints of requests."""
+"""Fingerprints of requests and of parts of their prompts."""
 
 from __future__ import annotations
 
+import typing
+
 import xxhash
 
+if typing.TYPE_CHECKING:
+    from collections.abc import Iterable
+
+PART_PREFIX = '0' * 8
+"""Beginning of the names of parts, which tells them from fingerprints.
+
+Names of both kinds have the same form, so that messages and stored verdicts
+carry either.
+"""
+
+_SHORT_DIGITS = 8
+
 
 def fingerprint_call(
     workspace: str, service: str, operation: str, body: bytes
@@ -42,3 +56,35 @@
         digest.update(len(part).to_bytes(8, 'big'))
         digest.update(part)
     return digest.hexdigest()
+
+
+def compute_part_name(service: str, part: str) -> str:
+    """Compute the name of a part of a prompt.
+
+    It does not depend on the caller, since callers share parts. A service
+    may run well what crashes the servers of another.
+
+    Parameters
+    ----------
+    service : str
+        Service that handles the requests.
+    part : str
+        Identifier of the part.
+
+    Returns
+    -------
+    str
+        32 hexadecimal digits.
+    """
+    digest = compute_fingerprint('', f'part {service}', part.encode())
+    return PART_PREFIX + digest[len(PART_PREFIX) :]
+
+
+def is_part(name: str) -> bool:
+    """Return whether a name is that of a part of a prompt."""
+    return name.startswith(PART_PREFIX)
+
+
+def shorten(names: Iterable[str]) -> str:
+    """Return the ends of names for the log, separated by commas."""
+    return ','.join(name[-_SHORT_DIGITS:] for name in names)
