--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -10,6 +10,7 @@
 
 import argparse
 import asyncio
+import functools
 import json
 import pathlib
 import random
@@ -21,6 +22,7 @@
 
 from standins import kv_fleet
 from tests import engine_rules
+from tests import part_rules
 from tests.soak import answers
 from tests.soak import callers as callers_module
 from tests.soak import checks
@@ -41,6 +43,9 @@
 FEW_RETRIES = 10
 """Retries beyond the ratio that seeds with stalls allow."""
 
+CALM_S = 4.0
+"""Time before the faults of a seed with a part that crashes engines."""
+
 DRAIN_MS = 2_000
 """Time after which an entry may send no request to a server that leaves."""
 
@@ -67,6 +72,7 @@
     folder: pathlib.Path | None = None,
     entries: int = ENTRIES,
     stalls: bool = False,
+    with_part: bool = False,
 ) -> Report:
     """Run one seed.
 
@@ -82,6 +88,8 @@
         Number of entries; more than 12 follow the store through collectors.
     stalls : bool, optional
         Whether sound servers stall beside planned work, without any fault.
+    with_part : bool, optional
+        Whether a part of prompts crashes engines all the while.
     """
     source = random.Random(seed)
     with processes.open_processes() as scope:
@@ -98,7 +106,11 @@
             world.draw_recent,
         )
         try:
-            run = _run_stalls if stalls else _run_scenario
+            run = (
+                _run_stalls
+                if stalls
+                else functools.partial(_run_scenario, with_part=with_part)
+            )
             report = await run(seed, seconds, world, callers, scope.folder)
         finally:
             callers.close()
@@ -116,6 +128,7 @@
     world: world_module.World,
     callers: callers_module.Callers,
     folder: pathlib.Path,
+    with_part: bool,
 ) -> Report:
     await world.start()
     reason = await world.wait_until_served(START_TIMEOUT_S)
@@ -129,8 +142,10 @@
         callers.send_crashing(random.Random(seed + 2))
     )
     faults = faults_module.Faults(world, random.Random(f'{seed} changes'))
+    tasks = await _start_part(seed, world, callers) if with_part else []
     await faults.inject(seconds)
-    crashing.cancel()
+    for task in (crashing, *tasks):
+        task.cancel()
     reason = await world.wait_until_served(RECOVERY_TIMEOUT_S)
     if load.done():
         load.result()
@@ -146,6 +161,7 @@
     if fleet['wrong_paths']:
         problems.append(f'{fleet["wrong_paths"]} paths omit or repeat layers')
     problems += _check_denials(world, callers)
+    problems += _check_parts(world, callers, fleet['log'])
     problems += checks.check_requests(
         callers.sent_requests, fleet['runs'], world.revoked_at
     )
@@ -202,6 +218,22 @@
     )
 
 
+async def _start_part(
+    seed: int, world: world_module.World, callers: callers_module.Callers
+) -> list[asyncio.Task[None]]:
+    """Send requests with a part that crashes engines, after a calm time."""
+    source = random.Random(seed + 3)
+    sound = asyncio.create_task(callers.send_sound_parts(source))
+    await asyncio.sleep(CALM_S)
+    await asyncio.to_thread(
+        world.deployment.control, crash_on_part=callers_module.CRASHING_PART
+    )
+    crashing = asyncio.create_task(
+        callers.send_crashing_parts(random.Random(seed + 4))
+    )
+    return [sound, crashing]
+
+
 def _check_conditions(
     world: world_module.World,
     callers: callers_module.Callers,
@@ -240,6 +272,60 @@
     ]
 
 
+def _check_parts(
+    world: world_module.World,
+    callers: callers_module.Callers,
+    log: list[dict[str, typing.Any]],
+) -> list[str]:
+    """Check that a part that crashes engines is withheld, and it alone."""
+    arrivals, _ = engine_rules.read_log(log)
+    crashes = [
+        one
+        for one in engine_rules.read_crashes(log)
+        if one.content == callers_module.CRASHING_PART
+    ]
+    excuses = [*world.interruptions, *world.cuts]
+    out_of_touch = [
+        *excuses,
+        *world.store_cuts,
+        *(
+            engine_rules.Excuse(
+                host, cut.since, cut.until + world_module.CONTACT_MS
+            )
+            for cut in world.link_cuts
+            for host in cut.hosts
+        ),
+    ]
+    return [
+        *part_rules.find_part_violations(
+            arrivals,
+            crashes,
+            {one.id: one.parts for one in callers.sent_requests},
+            world_module.CONTACT_MS,
+            excuses,
+        ),
+        *part_rules.find_withheld_violations(
+            [
+                part_rules.FirstAttempt(
+                    round(one.sent_at * 1000),
+                    one.entry,
+                    one.kind,
+                    one.key,
+                    one.parts,
+                    one.status == 200,
+                )
+                for one in callers.sent_requests
+                if one.kind == 'brief'
+                and one.key == kv_fleet.KEY
+                and one.sent_body != callers_module.CRASHING_BODY
+            ],
+            crashes,
+            world_module.CONTACT_MS,
+            out_of_touch,
+        ),
+    ]
+
+
 def _check_denials(
     world: world_module.World, callers: callers_module.Callers
 ) -> list[str]:
@@ -291,6 +377,7 @@
             one.key == kv_fleet.KEY
             and not one.prefix
             and one.sent_body != callers_module.CRASHING_BODY
+            and callers_module.CRASHING_PART not in one.parts
             and one.entry not in disturbed
             and set(world.entries) - cut - disturbed
         ):
@@ -338,6 +425,7 @@
                 options.logs,
                 options.entries,
                 options.stalls,
+                options.part,
             )
         failed += bool(report.problems)
         result = 'WRONG' if report.problems else 'held'
@@ -380,6 +468,11 @@
     parser.add_argument(
         '--logs', type=pathlib.Path, help='folder for logs of failed seeds'
     )
+    parser.add_argument(
+        '--part',
+        action='store_true',
+        help='let a part of prompts crash engines; takes 20 seconds or more',
+    )
     return asyncio.run(_run_all(parser.parse_args()))
 
 
