Give no second run to requests with a suspect part of the prompt

Second runs asked for a permit by the whole request alone, so that a request with a part that crashes engines could crash two at once.

--- a/src/thornspool/application/routing/second_runs.py
+++ b/src/thornspool/application/routing/second_runs.py
@@ -180,7 +180,7 @@
             for run in in_flight.open_runs
         ):
             return False
-        permit = self._permits.check(exchange.fingerprint)
+        permit = self._permits.check(exchange.fingerprint, exchange.parts)
         return permit is run_permits.Permit.GRANTED
 
     def _find_path(
--- a/tests/application/routing/test_second_runs.py
+++ b/tests/application/routing/test_second_runs.py
@@ -238,14 +238,20 @@
 
     def test_suspect_gets_no_second_run(self):
         """Guards against a crash of two engines by one request."""
-        reply = self.world.serve()
-        (in_flight,) = self.world.streams.in_flight_requests
-        fingerprint = in_flight.exchange.fingerprint
-        for target in ('t1', 't2'):
-            self.world.quarantine.record_crash(
-                target, frozenset({fingerprint})
-            )
-        self.world.clock.advance(STALL_MS)
-        self.world.streams.fail_over(in_flight, 'engine_lost')
-        self.assertEqual(1, len(self.servers.runs))
-        self.assertIsNone(reply.status)
+        for named in ('request', 'part'):
+            with self.subTest(named):
+                self.setUp()
+                reply = self.world.serve(prompt_parts=('aa',))
+                (in_flight,) = self.world.streams.in_flight_requests
+                exchange = in_flight.exchange
+                name = exchange.fingerprint
+                if named == 'part':
+                    (name,) = exchange.parts
+                for target in ('t1', 't2'):
+                    self.world.quarantine.record_crash(
+                        target, frozenset({name})
+                    )
+                self.world.clock.advance(STALL_MS)
+                self.world.streams.fail_over(in_flight, 'engine_lost')
+                self.assertEqual(1, len(self.servers.runs))
+                self.assertIsNone(reply.status)
