--- a/src/thornspool/application/routing/exchanges.py
+++ b/src/thornspool/application/routing/exchanges.py
@@ -24,6 +24,12 @@
 outdated server list is current again after half a second.
 """
 
+MAX_PARTS = 32
+"""Parts of a prompt that are named; further ones are ignored.
+
+The verdict on a request compares all its names with each other.
+"""
+
 _UNAVAILABLE = 503
 
 _LOCAL_REASONS = frozenset({'draining', 'limited', 'links_lost', 'no_trial'})
@@ -119,7 +125,7 @@
     def _compute_parts(self) -> tuple[str, ...]:
         return tuple(
             fingerprints.compute_part_name(self.service, part)
-            for part in self.request.prompt_parts
+            for part in self.request.prompt_parts[:MAX_PARTS]
         )
 
     @property
--- a/src/thornspool/platform/callers.py
+++ b/src/thornspool/platform/callers.py
@@ -29,9 +29,6 @@
 addresses expire. Each lookup takes 0.2 ms of processor time.
 """
 
-MAX_PROMPT_PARTS = 512
-"""Parts of a prompt that are read; further ones are ignored."""
-
 LOOKUP_PATH = '/v1/lookup'
 READINESS_PATH = '/v1/readiness'
 
@@ -193,7 +190,7 @@
     """
     entries = [entry for entry in text.split(',') if entry.strip()]
     names = [entry.partition(':')[0].strip().lower() for entry in entries]
-    return tuple(dict.fromkeys(names[:-1]))[:MAX_PROMPT_PARTS]
+    return tuple(dict.fromkeys(names[:-1]))
 
 
 def _parse_usage(text: str) -> tuple[float, float]:
--- a/tests/application/routing/test_intake.py
+++ b/tests/application/routing/test_intake.py
@@ -127,6 +127,15 @@
         self.assertEqual([], self.waiting)
 
 
+class PartTest(unittest.TestCase):
+    def test_further_parts_of_a_prompt_are_ignored(self):
+        """Guards against requests whose verdict takes seconds to find."""
+        world = builders.World()
+        world.serve(prompt_parts=tuple(f'part-{one}' for one in range(200)))
+        (in_flight,) = world.streams.in_flight_requests
+        self.assertEqual(32, len(in_flight.exchange.parts))
+
+
 class CutAnswerTest(unittest.TestCase):
     """Guards against cut answers whose cause can't be told."""
 
