--- a/tools/mechanisms.py
+++ b/tools/mechanisms.py
@@ -169,7 +169,7 @@
     'parts-of-prompts': (
         Edit(
             f'{_ROUTING}/exchanges.py',
-            'for part in self.request.prompt_parts\n',
+            'for part in self.request.prompt_parts[:MAX_PARTS]\n',
             'for part in ()\n',
         ),
     ),
