--- a/review/common/world.py
+++ b/review/common/world.py
@@ -503,7 +503,7 @@
                 stderr=subprocess.STDOUT,
                 env={
                     'PATH': os.environ['PATH'],
-                    'HOME': os.environ.get('HOME', '/tmp'),
+                    'HOME': os.environ.get('HOME', '/'),
                     'PYTHONPATH': str(DEPS),
                     'PYTHONDONTWRITEBYTECODE': '1',
                     'THORNSPOOL_NODE_FILE': str(self.settings),
