Show actions that run at a service no configuration names

An entry of another writer under the id of a sound server names another service and lacks version, slots, cold_remaining_ms and sequence. The entries of the system take it as the record of the server and send booking actions there, and callers get its 200.

--- a/review/common/world.py
+++ b/review/common/world.py
@@ -203,6 +203,7 @@
             return
         self.runs.append(attempt)
         self.world.runs.setdefault(attempt, []).append(self.id)
+        self.world.targets[attempt] = target
         self.world.record(f'server {self.id} runs {attempt}')
         if self.fault is not None and await self.fault(
             self, request, reader, writer
@@ -555,7 +556,9 @@
         self.tasks = set()
         self.entries = []
         self.runs = {}
+        self.targets = {}
         self.version = 0
+        self.tenants = None
         self.store_address = ''
 
     async def start(self, entries=3, engines=3, plain=3, routes=None):
@@ -629,11 +632,16 @@
         """Write a configuration; returns when the store has accepted it."""
         self.version += 3
         document = build_configuration(self.version, routes, keys)
+        if self.tenants is not None:
+            document['tenants'] = self.tenants
         await self.put('op/config', document)
         self.record(f'configuration {self.version} is acknowledged')
 
     async def put(self, key, document):
-        value = base64.b64encode(json.dumps(document).encode()).decode()
+        await self.put_raw(key, json.dumps(document).encode())
+
+    async def put_raw(self, key, raw):
+        value = base64.b64encode(raw).decode()
         await self.write({'puts': [{'key': key, 'value': value, 'lease': 0}]})
 
     async def delete(self, key):
