--- a/review/1/play.py
+++ b/review/1/play.py
@@ -1,103 +1,96 @@
-"""Calls and actions whose server spoils one byte of the answer's head."""
+"""One unreadable entry in the server list ends the copy of all entries."""
 
 from __future__ import annotations
 
 import asyncio
 import pathlib
+import time
 
-import spoiling
+import heartbeats
 import world as world_module
 
-TIMEOUT_S = 1.5
-GRACE_S = 0.5
-RATE_PER_S = 40
+DEPTH = 2_000
+UNREADABLE = b'{"sequence":' + b'[' * DEPTH + b']' * DEPTH + b'}'
+"""Bytes of another writer; 4 kB, where ``value_bytes`` allows 1 MB."""
 
+CONFIG_S = world_module.BOUNDS['config_ms'] / 1000
+CONTACT_S = world_module.BOUNDS['contact_ms'] / 1000
+SENDS = 60
+INTERVAL_S = 0.1
 
-def answer_soundly_or_not(spoiler):
-    """Answer like a sound plain server, but for the spoiled heads."""
 
-    async def answer(server, request, reader, writer):
-        headers = request[2]
-        attempt = headers['attempt-id']
-        await asyncio.sleep(server.work_s)
-        header = spoiler.choose_header(server, attempt)
-        world_module.write_response(
-            writer,
-            200,
-            [*server.seal(attempt), header],
-            f'{server.id} for {attempt}'.encode(),
-        )
-        await writer.drain()
-        server.world.record(f'server {server.id} answers {attempt} 200')
-        return True
-
-    return answer
+def build_routes(service):
+    """Build the routes; ``/open/`` needs no key and changes its service."""
+    return [
+        world_module.build_route('/read/', 'idempotent', 'ledger'),
+        world_module.build_route(
+            '/open/', 'idempotent', service, anonymous=True
+        ),
+    ]
 
 
-async def play(world, troubled):
-    await world.start(entries=3, engines=0, plain=5)
-    servers = list(world.servers.values())
-    spoiler = spoiling.Spoiler(servers)
-    for server in servers:
-        server.fault = answer_soundly_or_not(spoiler)
-    spoiler.is_on = troubled
+async def send(world, path, label):
     calls = []
-    for number in range(round(RATE_PER_S * spoiling.FOR_S)):
-        entry = world.entries[number % 3]
-        method, path = (
-            ('POST', '/hold/1') if number % 2 else ('GET', '/read/1')
-        )
+    for index in range(SENDS):
+        entry = world.entries[index % len(world.entries)]
         calls.append(
-            asyncio.create_task(
+            asyncio.ensure_future(
                 world_module.call(
                     world,
                     entry,
-                    method,
+                    'GET',
                     path,
-                    f'{path[1:5]}-{number}',
-                    body=b'%d' % number,
-                    deadline_ms=3000,
-                    wait_s=6.0,
+                    f'{label}-{index:03}',
+                    deadline_ms=3_000,
                 )
             )
         )
-        await asyncio.sleep(1 / RATE_PER_S)
-    spoiler.is_on = False
-    answers = await asyncio.gather(*calls)
-    return judge(world, spoiler, answers)
+        await asyncio.sleep(INTERVAL_S)
+    return await asyncio.gather(*calls)
 
 
-def judge(world, spoiler, answers):
-    """Apply the rule CONFIG on requests that are unanswered in time."""
-    unanswered = [one for one in answers if is_open(one, TIMEOUT_S)]
-    late = [one for one in unanswered if is_open(one, TIMEOUT_S + GRACE_S)]
-    never = [one for one in late if not one.raw]
-    record = world.record
-    record(f'{len(answers)} requests, {len(spoiler.spoiled)} spoiled answers')
-    record(f'{len(unanswered)} requests unanswered at the timeout of 1.5 s')
-    record(f'{len(late)} of them unanswered half a second later')
-    for one in never:
-        runs = world.runs.get(one.attempt, [])
-        reason = (
-            'its answer was spoiled'
-            if one.attempt in spoiler.spoiled
-            else 'a sound server had answered it'
-        )
-        record(
-            f'{one.attempt} ran at {",".join(runs)} and had no answer after '
-            f'{one.took_s:.1f} s; {reason}'
+async def play(world, troubled):
+    await world.start(
+        entries=3, engines=0, plain=3, routes=build_routes('ledger')
+    )
+    for index, domain in enumerate('abc'):
+        await world.add_server(f'catalog-{index}', 'catalog', domain)
+    heartbeats.start(world)
+    await asyncio.sleep(CONTACT_S)
+    if troubled:
+        await world.put_raw('servers/from-another-writer', UNREADABLE)
+        world.record('another writer writes servers/from-another-writer')
+    await asyncio.sleep(1.0)
+    await world.publish(build_routes('catalog'))
+    acknowledged_at = time.monotonic()
+    await asyncio.sleep(CONFIG_S + 0.1)
+    answers = await send(world, '/open/1', 'open')
+    by_old = [
+        one
+        for one in answers
+        if one.sent_at > acknowledged_at + CONFIG_S
+        and any(name.startswith('ledger') for name in runs_of(world, one))
+    ]
+    keyed = await send(world, '/read/1', 'read')
+    served = sum(one.status == 200 for one in keyed)
+    for entry in world.entries:
+        world.record(
+            f'{entry.name} is {"" if await entry.is_ready() else "not "}ready'
         )
-    print(
-        f'{len(answers)} requests, {len(spoiler.spoiled)} spoiled, '
-        f'{len(unanswered)} unanswered at their timeout, {len(late)} half a '
-        f'second later, {len(never)} after 6 s'
+    world.record(
+        f'{len(by_old)} of {len(answers)} requests that were sent later than '
+        f'{CONFIG_S:.0f} s after the acknowledgement were run by the old '
+        'service'
     )
-    return len(late) > len(unanswered) / 2
+    world.record(f'{served} of {len(keyed)} requests with a key were served')
+    if not troubled and served < 0.95 * len(keyed):
+        raise RuntimeError('the deployment serves too little')
+    return bool(by_old)
 
 
-def is_open(answer, after_s):
-    """Return whether a request has no answer some time after its sending."""
-    return not answer.status and answer.took_s > after_s
+def runs_of(world, answer):
+    return world.runs.get(answer.attempt, [])
 
 
-world_module.main(pathlib.Path(__file__).parent, play)
+if __name__ == '__main__':
+    world_module.main(pathlib.Path(__file__).parent, play)
--- a/review/1/streams.sh
+++ b/review/2/streams.sh
@@ -5,4 +5,4 @@
 cd "$(dirname "$0")/../.." || exit 2
 export PYTHONDONTWRITEBYTECODE=1
 export PYTHONPATH=target/deps:review/common
-exec python3 review/1/streams.py
+exec python3 review/2/streams.py
