Show a version that comes too late after connections go silent

The read that follows a time-out goes over the other kept connection, which is silent too, so that entries that are in touch again run requests at the old service 3 s and more after a version.

--- a/review/build.sh
+++ b/review/build.sh
@@ -6,5 +6,5 @@
 cd "$(dirname "$0")/.."
 export PYTHONDONTWRITEBYTECODE=1
 PYTHONPATH=target/deps:src:. python3 -c 'import standins.kv_store'
-PYTHONPATH=target/deps:review/common python3 -c 'import world, heartbeats'
+PYTHONPATH=target/deps:review/common python3 -c 'import world, heartbeats, silent_proxy, store_proxy, spoiling'
 echo 'the stand-ins are ready'
--- a/review/common/world.py
+++ b/review/common/world.py
@@ -450,6 +450,7 @@
         self.log = world.folder / f'{name}.log'
         self.popen = None
         self.settings = world.folder / f'{name}.json'
+        self.store_address = ''
 
     def write_settings(self, **changes):
         document = {
@@ -478,7 +479,7 @@
             },
             'bounds': BOUNDS,
             'platform': {
-                'address': self.world.store_address,
+                'address': self.store_address or self.world.store_address,
                 'form': 'kv',
                 'writes_per_s': 400,
                 'reads_per_s': 2000,
@@ -559,6 +560,7 @@
         self.targets = {}
         self.version = 0
         self.tenants = None
+        self.proxies = []
         self.store_address = ''
 
     async def start(self, entries=3, engines=3, plain=3, routes=None):
@@ -576,6 +578,8 @@
         for index in range(entries):
             entry = Entry(self, f'edge-{index}', domains[index % 3])
             self.entries.append(entry)
+            if self.proxies:
+                entry.store_address = self.proxies[index].address
             entry.start()
         await self.wait_until_ready(engines > 0)
 
