Translate every error of decoding where documents are decoded

Cause: msgspec raises RecursionError for such a document, and UnicodeDecodeError or ValueError for others. Each decoder had its own list of errors, so that some bytes raised what its caller does not expect. How deep a document may be depended on the stack at the call (900 was read, 985 was not), so that one process could read what another one could not.

Change: `decoding` is the one boundary. It translates whatever a decoder or a conversion raises, and has a bound of its own on the depth of JSON (512). All decoders of the platform use it: the configuration, server entries, registrations, the leader key, responses of the store, reports of engines, datagrams and calls of peers, the settings file.

--- a/src/thornspool/platform/documents.py
+++ b/src/thornspool/platform/documents.py
@@ -7,6 +7,7 @@
 import msgspec
 import structlog
 
+from thornspool import decoding
 from thornspool.domain.fleet import messages as fleet
 from thornspool.domain.routing import messages as routing
 from thornspool.platform import exceptions
@@ -127,12 +128,19 @@
         If the document is malformed; the message names the field.
     """
     try:
-        document = msgspec.json.decode(raw, type=_Configuration)
-        routes = [_convert_route(route) for route in document.routes]
-    except (msgspec.DecodeError, ValueError) as error:
+        document = decoding.decode_json(raw, _Configuration)
+        with decoding.translate_errors():
+            return _convert_configuration(document)
+    except decoding.DecodeError as error:
         raise exceptions.DecodeError(
             f'Malformed configuration: {error}.'
         ) from error
+
+
+def _convert_configuration(
+    document: _Configuration,
+) -> routing.Configuration:
+    routes = [_convert_route(route) for route in document.routes]
     return routing.Configuration(
         version=document.version,
         routes=routing.group_routes(routes),
@@ -216,8 +224,8 @@
         None for a malformed entry, which is logged.
     """
     try:
-        entry = msgspec.json.decode(raw, type=_ServerEntry)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        entry = decoding.decode_json(raw, _ServerEntry)
+    except decoding.DecodeError as error:
         logger.warning('server_entry_ignored', key=key, reason=str(error))
         return None
     layers = None
--- a/src/thornspool/platform/engines.py
+++ b/src/thornspool/platform/engines.py
@@ -8,6 +8,7 @@
 import msgspec
 import structlog
 
+from thornspool import decoding
 from thornspool.adapters import exceptions as transfer_errors
 from thornspool.adapters import transfers
 from thornspool.application.routing import ports
@@ -239,11 +240,10 @@
             response = await self._fetch(server, request)
             if response.status != 200:
                 return None
-            report = msgspec.json.decode(response.body, type=_Report)
+            report = decoding.decode_json(response.body, _Report)
         except (
             transfer_errors.TransportError,
-            msgspec.DecodeError,
-            UnicodeDecodeError,
+            decoding.DecodeError,
         ) as error:
             logger.warning(
                 'report_failed', server=server.id, reason=str(error)
@@ -277,8 +277,8 @@
         except transfer_errors.TransportError:
             return ports.ProcessCheck(is_listening=None)
         try:
-            report = msgspec.json.decode(response.body, type=_Report)
-        except (msgspec.DecodeError, UnicodeDecodeError):
+            report = decoding.decode_json(response.body, _Report)
+        except decoding.DecodeError:
             return ports.ProcessCheck(is_listening=True)
         return ports.ProcessCheck(True, report.born)
 
--- a/src/thornspool/platform/peer_calls.py
+++ b/src/thornspool/platform/peer_calls.py
@@ -9,6 +9,7 @@
 import msgspec
 import structlog
 
+from thornspool import decoding
 from thornspool.application import exceptions
 from thornspool.domain.quarantine import messages
 
@@ -129,8 +130,8 @@
             logger.warning('datagram_malformed', reason=f'kind {call.kind}')
             return
         try:
-            message: typing.Any = msgspec.msgpack.decode(call.body, type=kind)
-        except msgspec.DecodeError as error:
+            message: typing.Any = decoding.decode_msgpack(call.body, kind)
+        except decoding.DecodeError as error:
             logger.warning('datagram_malformed', reason=str(error))
             return
         if call.is_reply:
--- a/src/thornspool/platform/peers.py
+++ b/src/thornspool/platform/peers.py
@@ -15,6 +15,7 @@
 import msgspec
 import structlog
 
+from thornspool import decoding
 from thornspool.domain.entries import messages
 from thornspool.domain.fleet import named_limits
 from thornspool.domain.limits import messages as limit_messages
@@ -255,47 +256,58 @@
 def decode_datagram(raw: bytes) -> Message | None:
     """Decode a datagram; malformed ones are logged and give None."""
     try:
-        message = _DECODER.decode(raw)
-        if isinstance(message, _ChangeSet):
-            return _convert_change_set(message)
-        if isinstance(message, _LimitReport):
-            return limit_messages.PeerReport(
-                message.host,
-                message.incarnation,
-                limit_messages.DemandReport(
-                    message.sequence, tuple(message.lines)
-                ),
-                message.limits,
-            )
-        if isinstance(message, _Call):
-            return peer_calls.Call(
-                message.kind,
-                message.sender,
-                message.sequence,
-                message.is_reply,
-                message.body,
-            )
-        if isinstance(message, _FailureNotice):
-            return messages.FailureNotice(
-                message.host,
-                message.incarnation,
-                tuple(message.suspects),
-                tuple(message.retracted),
-            )
-        if isinstance(message, _LimitReply):
-            return limit_messages.PeerReply(
-                message.host,
-                message.incarnation,
-                limit_messages.GrantReply(
-                    message.sequence, message.ttl_ms, tuple(message.grants)
-                ),
-            )
-        return _convert_state_update(message)
-    except (msgspec.DecodeError, ValueError, zlib.error) as error:
+        with decoding.translate_errors():
+            return _convert_message(_DECODER.decode(raw))
+    except decoding.DecodeError as error:
         logger.warning('datagram_malformed', reason=str(error))
         return None
 
 
+def _convert_message(
+    message: _StateUpdate
+    | _ChangeSet
+    | _LimitReport
+    | _LimitReply
+    | _Call
+    | _FailureNotice,
+) -> Message:
+    if isinstance(message, _ChangeSet):
+        return _convert_change_set(message)
+    if isinstance(message, _LimitReport):
+        return limit_messages.PeerReport(
+            message.host,
+            message.incarnation,
+            limit_messages.DemandReport(
+                message.sequence, tuple(message.lines)
+            ),
+            message.limits,
+        )
+    if isinstance(message, _Call):
+        return peer_calls.Call(
+            message.kind,
+            message.sender,
+            message.sequence,
+            message.is_reply,
+            message.body,
+        )
+    if isinstance(message, _FailureNotice):
+        return messages.FailureNotice(
+            message.host,
+            message.incarnation,
+            tuple(message.suspects),
+            tuple(message.retracted),
+        )
+    if isinstance(message, _LimitReply):
+        return limit_messages.PeerReply(
+            message.host,
+            message.incarnation,
+            limit_messages.GrantReply(
+                message.sequence, message.ttl_ms, tuple(message.grants)
+            ),
+        )
+    return _convert_state_update(message)
+
+
 def _convert_change_set(message: _ChangeSet) -> follower.ChangeSet:
     items = msgspec.msgpack.decode(
         zlib.decompress(message.items), type=_ChangedItems
--- a/src/thornspool/platform/registry.py
+++ b/src/thornspool/platform/registry.py
@@ -8,6 +8,7 @@
 import msgspec
 import structlog
 
+from thornspool import decoding
 from thornspool.application.routing import exceptions as routing_errors
 from thornspool.domain.entries import leadership
 from thornspool.domain.entries import messages
@@ -142,7 +143,7 @@
 
 def _decode(key: str, raw: bytes) -> _Record | None:
     try:
-        return msgspec.json.decode(raw, type=_Record)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        return decoding.decode_json(raw, _Record)
+    except decoding.DecodeError as error:
         logger.warning('own_key_malformed', key=key, reason=str(error))
         return None
--- a/src/thornspool/platform/settings.py
+++ b/src/thornspool/platform/settings.py
@@ -8,6 +8,7 @@
 import attrs
 import msgspec
 
+from thornspool import decoding
 from thornspool.platform import exceptions
 
 FILE_VARIABLE = 'THORNSPOOL_NODE_FILE'
@@ -175,8 +176,8 @@
 def decode_settings(raw: bytes, source: str) -> NodeSettings:
     """Decode settings from JSON; error messages name ``source``."""
     try:
-        document = msgspec.json.decode(raw, type=_NodeFile)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        document = decoding.decode_json(raw, _NodeFile)
+    except decoding.DecodeError as error:
         raise exceptions.SettingsFileError(f'{source}: {error}.') from error
     bounds = document.bounds
     return NodeSettings(
--- a/src/thornspool/platform/store.py
+++ b/src/thornspool/platform/store.py
@@ -10,6 +10,7 @@
 import attrs
 import msgspec
 
+from thornspool import decoding
 from thornspool.adapters import exceptions as transfer_errors
 from thornspool.adapters import transfers
 from thornspool.platform import exceptions
@@ -393,8 +394,8 @@
 def _decode_body(response: transfers.Response, body_type: type[Body]) -> Body:
     _raise_for_status(response)
     try:
-        return msgspec.json.decode(response.body, type=body_type)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        return decoding.decode_json(response.body, body_type)
+    except decoding.DecodeError as error:
         raise exceptions.StoreOutcomeUnknown(
             f'The response of the store is malformed: {error}.'
         ) from error
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -11,6 +11,21 @@
 
 WALL_START = 1_790_000_000_000
 
+UNREADABLE_DOCUMENTS = {
+    'empty': b'',
+    'no JSON': b'{"state":',
+    'another type': b'[1]',
+    'no UTF-8': b'{"name":"\xff\xfe"}',
+    'lone surrogate': b'{"name":"\\ud800"}',
+    'zeros': b'\x00' * 9,
+    'long number': b'{"name":' + b'9' * 5_000 + b'}',
+    'nested arrays': b'{"sequence":' + b'[' * 2_000 + b']' * 2_000 + b'}',
+    'nested objects': b'{"a":' * 2_000 + b'1' + b'}' * 2_000,
+    'nearly too deep': b'{"sequence":' + b'[' * 985 + b']' * 985 + b'}',
+    'opening brackets': b'[' * 500_000,
+}
+"""Bytes that no decoder of a JSON document accepts, by what is wrong."""
+
 
 class FakeClock(clock.Clock):
     """Clock whose time changes only when a test advances it."""
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -4,10 +4,14 @@
 
 import json
 import unittest
+from unittest import mock
+import zlib
 
+import msgspec
 from tornado import httputil
 
 from standins import kv_fleet
+from tests import builders
 from tests.application.routing import builders as routing_builders
 from tests.domain.fleet import builders as fleet_builders
 from thornspool.application.routing import ports
@@ -21,6 +25,7 @@
 from thornspool.platform import engines
 from thornspool.platform import exceptions
 from thornspool.platform import follower
+from thornspool.platform import peer_calls
 from thornspool.platform import peers
 from thornspool.platform import registry
 from thornspool.platform import settings
@@ -119,8 +124,12 @@
         for changes in table:
             with self.subTest(changes):
                 self.assertIsNone(self.decode(**changes))
-        for raw in (b'', b'null', b'[1]', b'\xff\xfe', b'{"state":'):
-            with self.subTest(raw):
+        for raw in (
+            b'null',
+            b'\xff\xfe',
+            *builders.UNREADABLE_DOCUMENTS.values(),
+        ):
+            with self.subTest(raw[:20]):
                 self.assertIsNone(documents.decode_server('servers/i', raw))
         missing = {k: v for k, v in SERVER_ENTRY.items() if k != 'address'}
         raw = json.dumps(missing).encode()
@@ -184,6 +193,12 @@
         base = kv_fleet.build_configuration(1)['routes'][0]
         with self.assertRaises(exceptions.DecodeError):
             self.decode(routes=[{**base, 'kind': 'magic'}])
+        for name, raw in builders.UNREADABLE_DOCUMENTS.items():
+            with (
+                self.subTest(name),
+                self.assertRaises(exceptions.DecodeError),
+            ):
+                documents.decode_configuration(raw)
 
 
 class RequestTest(unittest.TestCase):
@@ -424,14 +439,36 @@
 
     def test_malformed_datagrams_are_ignored(self):
         table = (b'', b'\x00', b'\xff' * 9, b'\x93\x01\x02\x03')
-        for raw in (*table, b'\x94\x01\x01\x02\xc4\x01x'):
-            with self.subTest(raw):
+        deep = b'\x91' * 50_000
+        items = zlib.compress(b'\x91' * 9_000 + b'\x90')
+        for raw in (
+            *table,
+            deep,
+            b'\x92\x00' + deep,
+            msgspec.msgpack.encode([1, 1, 2, items, False]),
+            b'\x94\x01\x01\x02\xc4\x01x',
+        ):
+            with self.subTest(raw[:20]):
                 self.assertIsNone(peers.decode_datagram(raw))
 
+    def test_malformed_bodies_of_calls_are_ignored(self):
+        """Guards against a peer's bytes that end the handling of calls."""
+        calls = peer_calls.PeerCalls('h-1', mock.Mock(), mock.Mock())
+        for kind in (0, *peer_calls.KINDS):
+            for body in (b'', b'\xff', b'\x91' * 50_000):
+                with self.subTest(kind, body=body[:9]):
+                    calls.receive(
+                        peer_calls.Call(kind, 'h-2', 0, False, body), 'h:1'
+                    )
+
 
 class RegistryKeysTest(unittest.TestCase):
     def test_malformed_values_are_ignored(self):
-        for raw in (b'', b'{}', b'\xff', b'{"host":1}'):
-            with self.subTest(raw):
+        for raw in (
+            b'{}',
+            b'{"host":1}',
+            *builders.UNREADABLE_DOCUMENTS.values(),
+        ):
+            with self.subTest(raw[:20]):
                 self.assertIsNone(registry.decode_record('k', raw))
                 self.assertIsNone(registry.decode_leader(raw, 3))
