Let an error concern the one change of the store that caused it

Besides, after a configuration that an entry can't read, requests were denied by the version before it.

Cause: an exception while one key was applied ended the whole batch, and the task, before the copy's revision moved. The revision of the key was stored first, so that after a mere restart of the task the key would have been skipped as a duplicate, and the copy called current without it. A configuration that can't be read was logged, and the copy was confirmed all the same.

Change: the follower applies each change by itself, in the first read, a watch and a feed alike. One that raises is logged with its key, counted, and counts as a removed server where it is an entry of a server. While the newest configuration can't be applied, nothing confirms the copy, neither the store nor a peer, so that it ages and denies nothing; the next one that can be applied ends that. Such a copy is watched on and not read anew in a loop.

--- a/src/thornspool/domain/freshness/confirmations.py
+++ b/src/thornspool/domain/freshness/confirmations.py
@@ -36,10 +36,14 @@
         the first confirmation.
     source : str
         What confirmed it: ``store`` or the host of a peer.
+    is_withheld : bool
+        Whether the copy lacks a change that it has received, so that nothing
+        can confirm it.
     """
 
     confirmed_at: int | None = None
     source: str = ''
+    is_withheld: bool = False
 
     def confirm(self, at: int, source: str = STORE) -> None:
         """Confirm that the copy holds everything acknowledged before a time.
@@ -47,10 +51,13 @@
         Parameters
         ----------
         at : int
-            Milliseconds of the clock; a time before the last one is ignored.
+            Milliseconds of the clock; a time before the last one is ignored,
+            and so is each time while confirmations are withheld.
         source : str, optional
             ``store`` or the host of a peer.
         """
+        if self.is_withheld:
+            return
         if self.confirmed_at is None or at > self.confirmed_at:
             self.confirmed_at = at
             self.source = source
--- a/src/thornspool/platform/follower.py
+++ b/src/thornspool/platform/follower.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import collections
+import contextlib
 import typing
 
 import attrs
@@ -217,6 +218,8 @@
     previous_lease : int or None
         Lease under which an earlier process of this host is registered; 0
         for none, None before the first read.
+    unapplied_count : int
+        Changes that could not be applied because of an error.
     """
 
     def __init__(
@@ -238,6 +241,7 @@
         self.revision = 0
         self._must_read_all = True
         self.previous_lease: int | None = None
+        self.unapplied_count = 0
         self._key_revisions: dict[str, int] = {}
         self._change_sets: collections.deque[ChangeSet] = collections.deque(
             maxlen=MAX_CHANGE_SETS
@@ -511,7 +515,11 @@
 
         A watch returns each version of a key that was written meanwhile.
         """
-        age = self._routing_state.freshness.compute_age(self._clock.now())
+        freshness = self._routing_state.freshness
+        if freshness.is_withheld and self.revision:
+            # The copy has all changes, and ages for another reason.
+            return False
+        age = freshness.compute_age(self._clock.now())
         return age is None or age > FULL_READ_AGE_MS
 
     def _choose_watch_ms(self) -> int:
@@ -551,20 +559,54 @@
                 self._apply(item)
 
     def _apply(self, item: store_module.Item) -> None:
-        """Apply a change; a duplicate or an older one has no effect."""
+        """Apply a change; a duplicate or an older one has no effect.
+
+        An error concerns the change alone, whatever it is: the others of the
+        same answer are applied, and the copy continues after it.
+        """
         if item.revision <= self._key_revisions.get(item.key, 0):
             return
         if item.value is None:
             self._key_revisions.pop(item.key, None)
-            self._remove(item.key, item.revision)
-            return
-        self._key_revisions[item.key] = item.revision
-        self._apply_value(item.key, item.value, item.revision)
+        else:
+            self._key_revisions[item.key] = item.revision
+        try:
+            if item.value is None:
+                self._remove(item.key, item.revision)
+            else:
+                self._apply_value(item.key, item.value, item.revision)
+        except Exception as error:
+            logger.exception(
+                'change_not_applied', key=item.key, revision=item.revision
+            )
+            self._handle_unapplied(item, str(error))
+
+    def _handle_unapplied(self, item: store_module.Item, reason: str) -> None:
+        """Keep the copy from being used for what a change has replaced."""
+        self.unapplied_count += 1
+        if item.key == documents.CONFIGURATION_KEY:
+            self._withhold_confirmations(item.revision, reason)
+        elif item.key.startswith(documents.SERVERS_PREFIX):
+            name = item.key.removeprefix(documents.SERVERS_PREFIX)
+            with contextlib.suppress(Exception):
+                self._routing_state.remove_server(
+                    name, self._clock.now(), item.revision
+                )
+
+    def _withhold_confirmations(self, revision: int, reason: str) -> None:
+        """Let the copy age, as the newest configuration is not in force.
+
+        A confirmed copy would deny, or serve, by an older configuration.
+        """
+        self._routing_state.freshness.is_withheld = True
+        logger.error(
+            'configuration_malformed', revision=revision, reason=reason
+        )
 
     def _apply_value(self, key: str, value: bytes, revision: int) -> None:
         now = self._clock.now()
         if key == documents.CONFIGURATION_KEY:
-            self._apply_configuration(value)
+            self._apply_configuration(value, revision)
         elif key.startswith(documents.SERVERS_PREFIX):
             server = documents.decode_server(key, value)
             if server is not None:
@@ -583,16 +625,16 @@
         elif key.startswith(registry.VERDICTS_PREFIX) and self._verdicts:
             self._verdicts.apply(key.removeprefix(registry.VERDICTS_PREFIX))
 
-    def _apply_configuration(self, value: bytes) -> None:
+    def _apply_configuration(self, value: bytes, revision: int) -> None:
         try:
             configuration = documents.decode_configuration(value)
         except exceptions.DecodeError as error:
             # The store accepts only valid configurations, so this one uses a
-            # schema that this version does not support. The configuration in
-            # force stays.
-            logger.error('configuration_malformed', reason=str(error))
+            # schema that this version does not support.
+            self._withhold_confirmations(revision, str(error))
             return
         self._routing_state.apply_configuration(configuration)
+        self._routing_state.freshness.is_withheld = False
 
     def _remove(self, key: str, revision: int) -> None:
         now = self._clock.now()
--- a/tests/platform/test_following.py
+++ b/tests/platform/test_following.py
@@ -6,6 +6,9 @@
 import base64
 import json
 import unittest
+from unittest import mock
+
+import attrs
 
 from standins import common
 from standins import kv_fleet
@@ -148,6 +151,88 @@
         self.put('servers/i-1', {'state': 'ready'})
         await self.wait(lambda: 'i-1' in self.routing_state.leaving)
 
+    def put_raw(self, key, raw):
+        value = base64.b64encode(raw).decode()
+        return self.state.write([{'key': key, 'value': value}], [])
+
+    async def test_unreadable_entries_do_not_stop_the_copy(self):
+        """Guards against one entry of another writer that ends all copies."""
+        version = 3
+        for name, raw in builders.UNREADABLE_DOCUMENTS.items():
+            with self.subTest(name):
+                version += 1
+                self.put_raw('servers/from-another-writer', raw)
+                await asyncio.sleep(0.05)
+                self.put('op/config', kv_fleet.build_configuration(version))
+                await self.wait_for_version(version)
+                self.assertNotIn(
+                    'from-another-writer', self.routing_state.servers
+                )
+
+    async def test_unreadable_entries_do_not_stop_a_start(self):
+        """Guards against a restart that never gets a configuration."""
+        for name, raw in builders.UNREADABLE_DOCUMENTS.items():
+            self.put_raw(f'servers/{name}', raw)
+        self.routing_state.configuration = None
+        self.routing_state.servers.clear()
+        self.running.cancel()
+        started = follower.Follower(
+            clock_module.Clock(),
+            self.store,
+            self.routing_state,
+            self.view,
+            self.leadership,
+        )
+        self.running = asyncio.create_task(started.run())
+        await self.wait(lambda: self.routing_state.configuration, 2)
+        self.assertEqual(['i-1'], list(self.routing_state.servers))
+
+    async def wait_for_version(self, version):
+        await self.wait(
+            lambda: self.routing_state.configuration_version == version, 2
+        )
+
+    async def test_change_that_can_not_be_applied_concerns_no_other(self):
+        """Guards against an odd value that keeps others from being applied."""
+        apply_server = self.routing_state.apply_server
+
+        def apply(server, now):
+            if server.id == 'i-1':
+                raise OverflowError(server.id)
+            apply_server(server, now)
+
+        with mock.patch.object(
+            routing_state_module.RoutingState,
+            'apply_server',
+            lambda state, *change: apply(*change),
+        ):
+            self.put('servers/i-1', SERVER_ENTRY)
+            self.put('servers/i-2', SERVER_ENTRY)
+            self.put('op/config', kv_fleet.build_configuration(4))
+            await self.wait_for_version(4)
+        self.assertIn('i-2', self.routing_state.servers)
+        self.assertIn('i-1', self.routing_state.leaving)
+        self.assertEqual(1, self.follower.unapplied_count)
+
+    async def test_copy_without_the_newest_configuration_is_not_confirmed(
+        self,
+    ):
+        """Guards against denials by a version that has been replaced."""
+        freshness = self.routing_state.freshness
+        now = clock_module.Clock().now
+        self.put_raw('op/config', b'[' * 2_000)
+        self.put('servers/i-2', SERVER_ENTRY)
+        await self.wait(lambda: 'i-2' in self.routing_state.servers)
+        confirmed_at = freshness.confirmed_at
+        calls = self.store.calls.copy()
+        await asyncio.sleep(2.2)
+        freshness.confirm(now(), 'two')
+        self.assertEqual(confirmed_at, freshness.confirmed_at)
+        self.assertLess((self.store.calls - calls).total(), 4)
+        self.put('op/config', kv_fleet.build_configuration(4))
+        await self.wait_for_version(4)
+        await self.wait(lambda: freshness.is_within(500, now()), 2)
+
     async def test_changes_in_a_lost_history_are_detected(self):
         """The store loses its history while a server is removed."""
         self.state.history.clear()
@@ -274,6 +359,39 @@
         self.follower.apply_change_set(listed)
         self.assertIn('a-1', self.routing_state.unlisted)
 
+    async def test_change_that_can_not_be_applied_concerns_no_other(self):
+        """Guards against a peer's change that keeps others out of force."""
+        base = self.follower.revision
+        table = builders.UNREADABLE_DOCUMENTS.items()
+        for version, (name, raw) in enumerate(table, 4):
+            with self.subTest(name):
+                change_set = self.build_change_set(base, base + 2, version)
+                odd = store_module.Item('servers/odd', base + 1, raw)
+                self.follower.apply_change_set(
+                    attrs.evolve(change_set, items=(odd, *change_set.items))
+                )
+                base += 2
+                self.assertEqual(
+                    version, self.routing_state.configuration_version
+                )
+                self.assertEqual(base, self.follower.revision)
+
+    async def test_configuration_that_can_not_be_read_withholds_proofs(self):
+        """Guards against a peer's proof of a copy that lacks a version."""
+        freshness = self.routing_state.freshness
+        base = self.follower.revision
+        item = store_module.Item('op/config', base + 1, b'[' * 2_000)
+        self.follower.apply_change_set(
+            follower.ChangeSet(base, base + 1, (item,))
+        )
+        freshness.confirm(self.clock.now() + 100, 'two')
+        self.assertEqual('store', freshness.source)
+        self.follower.apply_change_set(
+            self.build_change_set(base + 1, base + 2, 4)
+        )
+        freshness.confirm(self.clock.now() + 100, 'two')
+        self.assertEqual('two', freshness.source)
+
     async def test_ignores_changes_after_a_gap(self):
         """A datagram with a change was lost."""
         base = self.follower.revision
