Restart tasks that have to run until the process ends

Cause: the daemon started the follower, its confirmations and the quarantine as plain tasks, and dropped a finished task with its exception; so did the failure detection and the placement. Only periodic tasks went on after an error. Probes of several engines were gathered without catching, so that an error of one kept the others that are lost from being recorded. A request that waited for the reservation of a trial waited until its deadline when the reservation failed.

Change: `tasks.BackgroundTasks` runs all of them. Readiness needs no further state: a follower that fails confirms no copy, and an entry with an old copy is not ready. A failed probe says nothing about other engines, and a failed reservation is answered.

--- a/src/thornspool/application/routing/failure_detection.py
+++ b/src/thornspool/application/routing/failure_detection.py
@@ -15,6 +15,7 @@
 
 import structlog
 
+from thornspool import tasks
 from thornspool.application.routing import probe_budget
 from thornspool.application.routing import rerouting
 from thornspool.application.routing import (
@@ -136,6 +137,13 @@
         Returns the number of entries that send probes.
     announce_suspects : callable, optional
         Sends the suspected servers to peers.
+
+    Attributes
+    ----------
+    start_task : callable
+        Runs a coroutine as a background task.
+    is_link_busy : callable
+        Returns whether the link of this host is busy.
     """
 
     def __init__(
@@ -156,7 +164,7 @@
         self._random = random_source
         self._count_entries = count_entries
         self._announce_suspects = announce_suspects
-        self._tasks: set[asyncio.Task[None]] = set()
+        self.start_task = tasks.BackgroundTasks(clock).start
         self._probe_budget = probe_budget.ProbeBudget(
             clock.now(), self._compute_engines_per_entry
         )
@@ -167,7 +175,10 @@
         self._sweep = sweeps.Sweep()
         self._check_scheduled = False
         self._rerouter = rerouting.Rerouter(
-            clock, service, evidence.servers, self._start_task
+            clock,
+            service,
+            evidence.servers,
+            lambda work: self.start_task(work),
         )
 
     def _compute_engines_per_entry(self) -> float:
@@ -218,7 +229,7 @@
             server for server in suspicious if self._acquire_probe(server, now)
         ]
         if selected:
-            self._start_task(self._probe_suspicious(selected))
+            self.start_task(self._probe_suspicious(selected))
 
     def _find_suspicious(self, now: int) -> list[str]:
         """Find the engines that stalled streams have in common."""
@@ -241,7 +252,7 @@
         """
         if not self._check_scheduled:
             self._check_scheduled = True
-            self._start_task(self._check_later(after_ms))
+            self.start_task(self._check_later(after_ms))
 
     async def _check_later(self, after_ms: float) -> None:
         await asyncio.sleep(max(1.0, after_ms) / _MS_PER_S)
@@ -356,7 +367,7 @@
         if not self._probe_budget.has_capacity(now):
             return False
         if self._acquire_probe(server, now):
-            self._start_task(self._probe(server))
+            self.start_task(self._probe(server))
         return True
 
     def _acquire_probe(self, server: fleet.Server, now: int) -> bool:
@@ -405,7 +416,7 @@
             and self._probe_budget.record_probe(server, now)
             and self._service.limits.try_acquire(server.id)
         ):
-            self._start_task(self._probe(server))
+            self.start_task(self._probe(server))
 
     def _reroute_from_suspects(
         self,
@@ -443,13 +454,6 @@
         self._rerouter.reroute(in_flight, suspected)
         return True
 
-    def _start_task(
-        self, coroutine: typing.Coroutine[typing.Any, typing.Any, None]
-    ) -> None:
-        task = asyncio.get_running_loop().create_task(coroutine)
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
-
     async def _probe(self, server: fleet.Server) -> None:
         """Probe an engine for its speed and the servers it waits for."""
         probed_at = self._clock.now()
@@ -463,13 +467,16 @@
         """Probe engines that may be lost, with a short timeout."""
         probed_at = self._clock.now()
         answers = await asyncio.gather(
-            *(self._is_unresponsive(server) for server in servers)
+            *(self._is_unresponsive(server) for server in servers),
+            return_exceptions=True,
         )
-        unresponsive = [
-            server
-            for server, is_unresponsive in zip(servers, answers, strict=True)
-            if is_unresponsive
-        ]
+        unresponsive = []
+        for server, answer in zip(servers, answers, strict=True):
+            if isinstance(answer, BaseException):
+                # An engine whose answer can't be handled has answered.
+                logger.error('probe_failed', server=server.id, exc_info=answer)
+            elif answer:
+                unresponsive.append(server)
         if unresponsive and self._is_busy():
             logger.info(
                 'silence_doubted',
--- a/src/thornspool/application/routing/placement.py
+++ b/src/thornspool/application/routing/placement.py
@@ -9,6 +9,7 @@
 import attrs
 import structlog
 
+from thornspool import tasks
 from thornspool.application.routing import ports
 from thornspool.domain.placement import orders as orders_module
 from thornspool.domain.placement import planning
@@ -120,6 +121,11 @@
         Returns whether this entry certainly holds the leadership.
     estimate_rate : callable
         Returns the requests per second of all entries to a service.
+
+    Attributes
+    ----------
+    start_task : callable
+        Runs a coroutine as a background task.
     """
 
     def __init__(
@@ -144,7 +150,7 @@
         self._order_counts: dict[str, int] = {}
         self._backoff_until: dict[str, int] = {}
         self._domain_members: dict[str, tuple[frozenset[str], int]] = {}
-        self._tasks: set[asyncio.Task[None]] = set()
+        self.start_task = tasks.BackgroundTasks(clock).start
         self._settled_situations: dict[str, object] = {}
         self._coverage_gaps: dict[tuple[str, str], list[fleet.LayerRange]] = {}
         self.order_count = 0
@@ -369,9 +375,7 @@
         self._pending_orders[order.server.id] = PendingOrder(
             order.layers, order.server.started_at, expires_at
         )
-        task = asyncio.get_running_loop().create_task(sending)
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        self.start_task(sending)
 
     async def _announce_and_send_order(
         self, order: orders_module.Order
--- a/src/thornspool/application/routing/run_permits.py
+++ b/src/thornspool/application/routing/run_permits.py
@@ -188,9 +188,14 @@
         longest_ms: int,
         on_reply: Callable[[Trial | None], None],
     ) -> None:
-        suspects = await self._quarantine.reserve_trial(
-            names, targets, longest_ms
-        )
+        try:
+            suspects = await self._quarantine.reserve_trial(
+                names, targets, longest_ms
+            )
+        except Exception:
+            # The request waits for the reply and would wait for ever.
+            on_reply(None)
+            raise
         # Without suspects, it was cleared meanwhile and needs no trial.
         on_reply(Trial(suspects, targets) if suspects else None)
 
--- a/src/thornspool/platform/daemon.py
+++ b/src/thornspool/platform/daemon.py
@@ -18,6 +18,7 @@
 from thornspool import exceptions
 from thornspool import logs
 from thornspool import metrics as metrics_module
+from thornspool import tasks
 from thornspool.adapters import servers as listeners
 from thornspool.adapters import transfers
 from thornspool.application import quarantine
@@ -64,8 +65,6 @@
 from thornspool.platform import store as store_module
 
 if typing.TYPE_CHECKING:
-    from collections.abc import Awaitable
-    from collections.abc import Callable
     from collections.abc import Sequence
 
     from tornado import httputil
@@ -275,7 +274,7 @@
         self._random = random_source
         self._loop_delay = loop_delays.LoopDelay(FAST_TICK_INTERVAL_MS)
         self._link_load = link_loads.LinkLoad(settings.link_mbps)
-        self._tasks: set[asyncio.Task[None]] = set()
+        self._tasks = tasks.BackgroundTasks(clock)
         self._listeners: list[listeners.Listener] = []
 
     async def start(self) -> None:
@@ -285,16 +284,27 @@
             self._settings.ip, self._settings.peer_port
         )
         self._listen()
-        self._run(self._follower.run())
-        self._run(self._follower.run_confirmations())
-        self._run(self._run_quarantine())
-        self._run_periodically(REGISTRATION_INTERVAL_MS, self._register)
-        self._run_periodically(REGISTRATION_INTERVAL_MS, self._keep_verdicts)
-        self._run_periodically(FAST_TICK_INTERVAL_MS, self._tick_quickly)
-        self._run_periodically(DETECTION_INTERVAL_MS, self._detect)
-        self._run_periodically(STATE_UPDATE_INTERVAL_MS, self._send_updates)
-        self._run_periodically(PLACEMENT_INTERVAL_MS, self._plan)
-        self._run_periodically(USAGE_LOG_INTERVAL_MS, self._log_usage)
+        self._start_tasks()
+
+    def _start_tasks(self) -> None:
+        self._failure_detector.start_task = self._tasks.start
+        self._placement.start_task = self._tasks.start
+        for work in (
+            self._follower.run,
+            self._follower.run_confirmations,
+            self._run_quarantine,
+        ):
+            self._tasks.supervise(work)
+        for interval_ms, periodic in (
+            (REGISTRATION_INTERVAL_MS, self._register),
+            (REGISTRATION_INTERVAL_MS, self._keep_verdicts),
+            (FAST_TICK_INTERVAL_MS, self._tick_quickly),
+            (DETECTION_INTERVAL_MS, self._detect),
+            (STATE_UPDATE_INTERVAL_MS, self._send_updates),
+            (PLACEMENT_INTERVAL_MS, self._plan),
+            (USAGE_LOG_INTERVAL_MS, self._log_usage),
+        ):
+            self._tasks.run_periodically(interval_ms, periodic)
 
     async def stop(self) -> None:
         """Leave lookups, finish in-flight requests, then close."""
@@ -319,8 +329,7 @@
             in_flight=self._intake.in_flight,
             left=self._describe_in_flight(),
         )
-        for task in list(self._tasks):
-            task.cancel()
+        self._tasks.cancel()
         for listener in self._listeners:
             await listener.stop(FLUSH_TIMEOUT_MS, self._intake.begin_closing)
         self._registration.stop_renewing()
@@ -431,10 +440,13 @@
             self._routing_state,
             self._evidence,
             self._server_limits.try_acquire,
-            self._run,
+            self._tasks.start,
         )
         permits = run_permits.RunPermits(
-            self._quarantine, self._crashes, self._run, self._verdicts.keep
+            self._quarantine,
+            self._crashes,
+            self._tasks.start,
+            self._verdicts.keep,
         )
         self._streams = streams.StreamService(
             clock,
@@ -490,6 +502,7 @@
                 clock,
                 self._session,
                 store,
+                self._follower,
                 self._routing_state,
                 self._view,
                 self._leadership,
@@ -505,6 +518,7 @@
                 self._streams.paths,
                 self._quarantine,
                 self._loop_delay,
+                self._tasks,
             ),
         )
 
@@ -564,7 +578,7 @@
             servers,
             links_module.Links(),
             self._random,
-            self._run,
+            self._tasks.start,
             self._server_limits.try_acquire,
             self._membership.broadcast_failures,
         )
@@ -595,7 +609,7 @@
 
     def _build_quarantine(self, incarnation: str) -> None:
         self._peer_calls = peer_calls.PeerCalls(
-            incarnation, self._peer_socket.send_call, self._run
+            incarnation, self._peer_socket.send_call, self._tasks.start
         )
         self._quarantine = quarantine.QuarantineService(
             members.RegisteredMembers(self._clock, self._view),
@@ -775,32 +789,6 @@
         }
         logger.info('store_used', collects=self._view.is_collector, **calls)
 
-    def _run_periodically(
-        self, interval_ms: int, work: Callable[[], Awaitable[None]]
-    ) -> None:
-        self._run(_run_forever(interval_ms, work))
-
-    def _run(
-        self, work: typing.Coroutine[typing.Any, typing.Any, None]
-    ) -> None:
-        task = asyncio.get_running_loop().create_task(work)
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
-
-
-async def _run_forever(
-    interval_ms: int, work: Callable[[], Awaitable[None]]
-) -> None:
-    """Run a task periodically; an exception does not end the loop."""
-    while True:
-        try:
-            await work()
-        except Exception:
-            # If a loop ended, its effects would stop without notice; for
-            # example the lease would expire.
-            logger.exception('work_failed', work=work.__name__)
-        await asyncio.sleep(interval_ms / _MS_PER_S)
-
 
 if __name__ == '__main__':
     with contextlib.suppress(KeyboardInterrupt):
--- a/src/thornspool/platform/state_metrics.py
+++ b/src/thornspool/platform/state_metrics.py
@@ -21,6 +21,7 @@
     from collections.abc import Iterable
 
     from thornspool import clock as clock_module
+    from thornspool import tasks as tasks_module
     from thornspool.application import quarantine as quarantine_module
     from thornspool.application.routing import admission_control
     from thornspool.application.routing import (
@@ -45,6 +46,7 @@
     from thornspool.domain.entries import leadership
     from thornspool.domain.entries import view as view_module
     from thornspool.domain.fleet import messages as fleet
+    from thornspool.platform import follower as follower_module
     from thornspool.platform import loop_delays
 
 _MS_PER_S = 1000.0
@@ -58,6 +60,7 @@
     clock: clock_module.Clock
     session: transfers.Session
     store: store.Store
+    follower: follower_module.Follower
     routing_state: routing_state_module.RoutingState
     view: view_module.View
     leader: leadership.Leadership
@@ -73,6 +76,7 @@
     paths: path_finding.PathFinder
     quarantine: quarantine_module.QuarantineService
     loop_delay: loop_delays.LoopDelay
+    tasks: tasks_module.BackgroundTasks
 
 
 def add_entry_metrics(
@@ -160,6 +164,13 @@
         'Servers that ended while they ran requests of this entry.',
         metrics_module.make_sample_reader(lambda: sources.crashes.ended_count),
     )
+    metrics.add_counter(
+        'thornspool_task_failures_total',
+        'Errors of background tasks, by the function that failed.',
+        lambda: metrics_module.list_samples_by_label(
+            'work', dict(sources.tasks.failures)
+        ),
+    )
     metrics.add_counter(
         'thornspool_orders_total',
         'Orders to engines that this entry gave.',
@@ -192,6 +203,13 @@
             lambda: sources.loop_delay.read(sources.clock.now()) / _MS_PER_S
         ),
     )
+    metrics.add_counter(
+        'thornspool_changes_unapplied_total',
+        'Values of the store that were skipped because of an error.',
+        metrics_module.make_sample_reader(
+            lambda: sources.follower.unapplied_count
+        ),
+    )
     metrics.add_gauge(
         'thornspool_proof_age_seconds',
         'Age of the proof that the copy of the store is current; absent '
--- a/tests/application/routing/test_failure_detection.py
+++ b/tests/application/routing/test_failure_detection.py
@@ -68,6 +68,24 @@
         second.send(3, 4)
         self.assertTrue(self.run.stopped)
 
+    async def test_probe_that_fails_does_not_hide_lost_engines(self):
+        """Guards against one engine whose answer ends the probes of others."""
+        lost = self.middle
+        odd = self.first
+        del self.servers.reports[lost.id]
+        probe = self.servers.probe
+
+        async def fail_for_one(server, wait_ms=ports.REPORT_MS):
+            if server.id == odd.id:
+                raise RecursionError
+            await asyncio.sleep(0)
+            return await probe(server, wait_ms)
+
+        self.servers.probe = fail_for_one
+        await self.world.failure_detector._probe_suspicious([odd, lost])
+        self.assertIn(lost.id, self.world.routing_state.suspicions)
+        self.assertNotIn(odd.id, self.world.routing_state.suspicions)
+
     async def test_stream_leaves_an_unresponsive_first_engine(self):
         del self.servers.reports[self.first.id]
         await self.pass_time(700)
--- a/tests/application/routing/test_run_permits.py
+++ b/tests/application/routing/test_run_permits.py
@@ -55,6 +55,21 @@
                 await asyncio.sleep(0.01)
         await self.run_tasks()
 
+    async def test_reservation_that_fails_is_answered(self):
+        """Guards against a request that waits for a trial until its end."""
+        replies = []
+        self.crash('/read/x', 'a-1', 'a-2')
+
+        async def fail(*arguments):
+            raise RecursionError
+
+        self.quarantine.reserve_trial = fail
+        self.world.permits.reserve(
+            compute_fingerprint('/read/x'), [], 1_000, replies.append
+        )
+        await self.run_tasks()
+        self.assertEqual([None], replies)
+
     async def test_condemned_request_is_refused_at_once(self):
         """Guards against a request that crashes every server."""
         for path in PATHS:
--- a/tests/platform/test_following.py
+++ b/tests/platform/test_following.py
@@ -15,6 +15,7 @@
 from standins import kv_store
 from tests import builders
 from thornspool import clock as clock_module
+from thornspool import tasks
 from thornspool.adapters import transfers
 from thornspool.application.routing import exceptions as routing_errors
 from thornspool.application.routing import registration
@@ -233,6 +234,25 @@
         await self.wait_for_version(4)
         await self.wait(lambda: freshness.is_within(500, now()), 2)
 
+    async def test_error_of_the_task_does_not_end_the_copy(self):
+        """Guards against a task that follows the store no longer."""
+        self.running.cancel()
+        background_tasks = tasks.BackgroundTasks(clock_module.Clock())
+        watch = self.store.watch
+        failures = [RecursionError(), KeyError('a'), MemoryError()]
+
+        async def fail_first(*arguments):
+            if failures:
+                raise failures.pop()
+            return await watch(*arguments)
+
+        self.store.watch = fail_first
+        background_tasks.supervise(self.follower.run)
+        self.put('op/config', kv_fleet.build_configuration(4))
+        await self.wait_for_version(4)
+        self.assertEqual({'run': 3}, dict(background_tasks.failures))
+        background_tasks.cancel()
+
     async def test_changes_in_a_lost_history_are_detected(self):
         """The store loses its history while a server is removed."""
         self.state.history.clear()
