Translate errors of decoding in the own interface too

What callers saw: a body that is nested too deeply got 500 in place of 400 from the own interface, and such bytes in a key of the configuration, in a page of the ledger, from an engine or from a peer raised what their readers don't expect.

Change: all of them decode through `decoding`.

--- a/src/thornspool/adapters/callers/generate_bodies.py
+++ b/src/thornspool/adapters/callers/generate_bodies.py
@@ -10,6 +10,7 @@
 import attrs
 import msgspec
 
+from thornspool import decoding
 from thornspool.application.generation import (
     attachments as generation_attachments,
 )
@@ -43,10 +44,10 @@
 
     Raises
     ------
-    msgspec.DecodeError
+    decoding.DecodeError
         If it is not JSON or does not match the type.
     """
-    return msgspec.json.decode(content, type=GenerateBody)
+    return decoding.decode_json(content, GenerateBody)
 
 
 def find_problem(
--- a/src/thornspool/adapters/callers/handlers.py
+++ b/src/thornspool/adapters/callers/handlers.py
@@ -9,6 +9,7 @@
 import attrs
 import msgspec
 
+from thornspool import decoding
 from thornspool.adapters import problems
 from thornspool.application import exceptions
 from thornspool.application import requests
@@ -66,9 +67,9 @@
             If it is not JSON.
         """
         try:
-            msgspec.json.decode(self.request.body, type=msgspec.Raw)
-            msgspec.json.decode(self.request.body)
-        except msgspec.DecodeError as error:
+            decoding.decode_json(self.request.body, msgspec.Raw)
+            decoding.decode_json(self.request.body, object)
+        except decoding.DecodeError as error:
             detail = f'The body is not JSON: {error}. Send one JSON value.'
             raise problems.ProblemError(
                 problems.Problem(400, detail)
--- a/src/thornspool/adapters/callers/streams.py
+++ b/src/thornspool/adapters/callers/streams.py
@@ -10,6 +10,7 @@
 import structlog
 from tornado import iostream
 
+from thornspool import decoding
 from thornspool.adapters import problems
 from thornspool.adapters.callers import generate_bodies
 from thornspool.adapters.callers import handlers
@@ -64,7 +65,7 @@
         content = self.request.body
         try:
             body = generate_bodies.decode_body(content)
-        except msgspec.DecodeError as error:
+        except decoding.DecodeError as error:
             detail = f'The body is not a request for text: {error}.'
             raise problems.ProblemError(
                 problems.Problem(400, detail)
--- a/src/thornspool/adapters/operators/publishing.py
+++ b/src/thornspool/adapters/operators/publishing.py
@@ -4,8 +4,7 @@
 
 import typing
 
-import msgspec
-
+from thornspool import decoding
 from thornspool.adapters.operators import bodies
 from thornspool.adapters.operators import browsing
 from thornspool.adapters.operators import exceptions
@@ -35,8 +34,8 @@
         If the body is invalid.
     """
     try:
-        decoded = msgspec.json.decode(body, type=bodies.PublicationBody)
-    except msgspec.DecodeError as error:
+        decoded = decoding.decode_json(body, bodies.PublicationBody)
+    except decoding.DecodeError as error:
         raise exceptions.BadRequest(
             f'The publication cannot be decoded: {error}.',
             'Send id, base_version and documents.',
--- a/src/thornspool/adapters/peers/frames.py
+++ b/src/thornspool/adapters/peers/frames.py
@@ -14,6 +14,7 @@
 import attrs
 import msgspec
 
+from thornspool import decoding
 from thornspool.adapters.peers import exceptions
 from thornspool.adapters.peers import kinds
 from thornspool.adapters.peers import packing
@@ -99,10 +100,11 @@
     if version != VERSION:
         _raise_unreadable(version, len(data))
     try:
-        host, identifier, address, kind, correlation, recipient, body = (
-            _decoder.decode(data[1:])
-        )
-    except msgspec.MsgspecError as error:
+        with decoding.translate_errors():
+            host, identifier, address, kind, correlation, recipient, body = (
+                _decoder.decode(data[1:])
+            )
+    except decoding.DecodeError as error:
         raise exceptions.MalformedFrame(
             f'{len(data)} bytes are not a valid frame: {error}.'
         ) from error
--- a/src/thornspool/adapters/peers/registry.py
+++ b/src/thornspool/adapters/peers/registry.py
@@ -7,6 +7,7 @@
 import attrs
 import msgspec
 
+from thornspool import decoding
 from thornspool.adapters.peers import exceptions
 
 _PACKAGES = ('thornspool.domain.', 'thornspool.application.', 'thornspool.')
@@ -123,8 +124,9 @@
                 'Register the type when the entry starts.',
             )
         try:
-            return registration.decoder.decode(body)
-        except (msgspec.MsgspecError, ValueError, TypeError) as error:
+            with decoding.translate_errors():
+                return registration.decoder.decode(body)
+        except decoding.DecodeError as error:
             raise exceptions.MalformedFrame(
                 f'A body of kind {kind} cannot be decoded: {error}.'
             ) from error
--- a/src/thornspool/adapters/store/client.py
+++ b/src/thornspool/adapters/store/client.py
@@ -14,6 +14,7 @@
 import msgspec
 import structlog
 
+from thornspool import decoding
 from thornspool.adapters import transfers
 from thornspool.adapters.store import gate
 from thornspool.application import exceptions
@@ -356,8 +357,8 @@
         return None
     name = item.key.removeprefix(ENTRIES_PREFIX)
     try:
-        read = msgspec.json.decode(item.value, type=_Announcement)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        read = decoding.decode_json(item.value, _Announcement)
+    except decoding.DecodeError as error:
         logger.warning('entry_ignored', key=item.key, reason=str(error))
         return None
     return ports.Host(
--- a/src/thornspool/adapters/targets/loads.py
+++ b/src/thornspool/adapters/targets/loads.py
@@ -5,10 +5,10 @@
 import typing
 
 import attrs
-import msgspec
 from tornado import curl_httpclient
 from tornado import httpclient
 
+from thornspool import decoding
 from thornspool.application import exceptions
 from thornspool.domain.targets import messages
 
@@ -66,8 +66,8 @@
         try:
             # A leaving target responds with status 409 and its report.
             response = await self._client.fetch(request, raise_error=False)
-            body = msgspec.json.decode(response.body, type=LoadBody)
-        except (OSError, httpclient.HTTPError, msgspec.DecodeError) as error:
+            body = decoding.decode_json(response.body, LoadBody)
+        except (OSError, httpclient.HTTPError, decoding.DecodeError) as error:
             reason = f'No load report from {target.name}: {error}.'
             raise exceptions.TargetUnreachable(reason) from error
         readiness = (
--- a/src/thornspool/adapters/targets/services.py
+++ b/src/thornspool/adapters/targets/services.py
@@ -7,8 +7,8 @@
 import urllib.parse
 
 import attrs
-import msgspec
 
+from thornspool import decoding
 from thornspool.adapters import exceptions as transfer_errors
 from thornspool.adapters import transfers
 from thornspool.application import exceptions
@@ -151,8 +151,8 @@
     if response.status != http.HTTPStatus.CONFLICT:
         return False
     try:
-        conflict = msgspec.json.decode(response.body, type=_ConflictBody)
-    except msgspec.DecodeError:
+        conflict = decoding.decode_json(response.body, _ConflictBody)
+    except decoding.DecodeError:
         return False
     return conflict.state == messages.Readiness.LEAVING.value
 
--- a/src/thornspool/domain/actions/records.py
+++ b/src/thornspool/domain/actions/records.py
@@ -7,6 +7,7 @@
 import attrs
 import msgspec
 
+from thornspool import decoding
 from thornspool.domain.actions import exceptions
 
 MAX_OUTCOME_BYTES = 2_048
@@ -157,8 +158,8 @@
     if not value:
         return EMPTY_PAGE
     try:
-        return msgspec.msgpack.decode(value, type=Page)
-    except msgspec.MsgspecError as error:
+        return decoding.decode_msgpack(value, Page)
+    except decoding.DecodeError as error:
         raise exceptions.PageMalformed(
             f'A ledger page can not be decoded: {error}.',
             'Check that all entries run releases that share a page format.',
--- a/src/thornspool/domain/configuration/head.py
+++ b/src/thornspool/domain/configuration/head.py
@@ -7,6 +7,7 @@
 import attrs
 import msgspec
 
+from thornspool import decoding
 from thornspool.domain.configuration import exceptions
 
 HEAD_KEY = 'configuration/head'
@@ -106,8 +107,9 @@
     if not value:
         return Head()
     try:
-        head = msgspec.json.decode(zlib.decompress(value), type=Head)
-    except (zlib.error, msgspec.DecodeError) as error:
+        with decoding.translate_errors():
+            head = decoding.decode_json(zlib.decompress(value), Head)
+    except decoding.DecodeError as error:
         raise exceptions.MalformedValue(
             f'The configuration head cannot be decoded: {error}.',
             'Restore the key configuration/head in the platform.',
--- a/src/thornspool/domain/configuration/storage.py
+++ b/src/thornspool/domain/configuration/storage.py
@@ -10,6 +10,7 @@
 import msgspec
 import xxhash
 
+from thornspool import decoding
 from thornspool.domain.configuration import documents
 from thornspool.domain.configuration import exceptions
 from thornspool.domain.configuration import head as heads
@@ -123,11 +124,12 @@
             'Read the head again, then use another source.',
         )
     try:
-        items = msgspec.json.decode(
-            zlib.decompress(value), type=tuple[_EncodedDocument, ...]
-        )
-        return dict(_decode_document(item) for item in items)
-    except (zlib.error, msgspec.DecodeError) as error:
+        with decoding.translate_errors():
+            items = decoding.decode_json(
+                zlib.decompress(value), tuple[_EncodedDocument, ...]
+            )
+            return dict(_decode_document(item) for item in items)
+    except decoding.DecodeError as error:
         raise exceptions.MalformedValue(
             f'Bucket {digest} cannot be decoded: {error}.',
             'This entry may be too old for these documents; upgrade it.',
@@ -145,7 +147,7 @@
     encoded: _EncodedDocument,
 ) -> tuple[documents.DocumentKey, StoredDocument]:
     key = documents.DocumentKey(encoded.kind, encoded.name)
-    document = msgspec.json.decode(
-        encoded.document, type=_OPTIONAL_TYPES[encoded.kind]
+    document = decoding.decode_json(
+        bytes(encoded.document), _OPTIONAL_TYPES[encoded.kind]
     )
     return key, StoredDocument(encoded.version, document)
--- a/src/thornspool/domain/pipelines/frames.py
+++ b/src/thornspool/domain/pipelines/frames.py
@@ -9,6 +9,7 @@
 import attrs
 import msgspec
 
+from thornspool import decoding
 from thornspool.domain.pipelines import exceptions
 
 NO_INDEX = -1
@@ -118,8 +119,9 @@
             return []
         lines, self._partial_line = self._partial_line + complete, partial_line
         try:
-            return self._decoder.decode_lines(lines)
-        except msgspec.MsgspecError as error:
+            with decoding.translate_errors():
+                return self._decoder.decode_lines(lines)
+        except decoding.DecodeError as error:
             raise exceptions.MalformedFrame(
                 f'The stream contains a line that is not a frame: {error}.',
                 'See docs/standins/engine.md for the stream format.',
