Treat a response whose head is no HTTP as broken

Cause: libcurl checks heads in part only. What can't be passed on was found out when tornado refused to write it, after the call had been taken out and its run freed, or after the stream counted as started; the exception left no one who would end the exchange.

Change: the head of each response, of a server, a peer or the store, is checked where it is parsed, by the check of the library that will write it, and before any state changes. An action that may have run is not run again and its caller gets 502; a call or a stream is retried as its route allows. The address and the reason are logged and counted. Only spaces and tabs are stripped from values now, so that a last byte of 0x85 or 0xA0 is kept. The reason phrase is not passed on and not checked.

--- a/src/thornspool/adapters/transfers.py
+++ b/src/thornspool/adapters/transfers.py
@@ -21,6 +21,7 @@
 import attrs
 import pycurl
 import structlog
+from tornado import httputil
 
 from thornspool.adapters import exceptions
 
@@ -68,6 +69,9 @@
 """libcurl's error for a header line over its own limit; pycurl lacks a name
 for it."""
 
+_STATUS_DIGITS = 3
+_WHITESPACE = ' \t'
+
 _CUSTOM_BODY = frozenset({'POST', 'PUT', 'PATCH', 'DELETE', 'OPTIONS'})
 
 logger = structlog.get_logger(__name__)
@@ -198,7 +202,8 @@
         Returns
         -------
         int or None
-            0 if the head is too long; libcurl then closes the connection.
+            0 if the head is too long or malformed; libcurl then closes the
+            connection.
         """
         self.head_bytes += len(raw)
         if self.head_bytes > MAX_HEAD_BYTES:
@@ -211,12 +216,13 @@
         lines, self._header_lines = self._header_lines, []
         if not lines or not lines[0].startswith('HTTP/'):
             return None  # trailers of a chunked body
-        parts = lines[0].split(' ', 2)
-        status = int(parts[1]) if len(parts) > 1 else 0
+        try:
+            status, headers = _parse_head(lines)
+        except (ValueError, httputil.HTTPInputError) as error:
+            self._session.record_malformed(self, str(error))
+            return 0
         if status >= 200 and not self.done:
-            self._on_head(
-                status, tuple(_split_header(line) for line in lines[1:])
-            )
+            self._on_head(status, headers)
         return None
 
     def receive_body(self, chunk: bytes) -> int | None:
@@ -252,9 +258,30 @@
             self._on_end(result)
 
 
+def _parse_head(lines: list[str]) -> tuple[int, Headers]:
+    """Parse the head of a response, which libcurl checks only in part.
+
+    Raises
+    ------
+    ValueError, httputil.HTTPInputError
+        If the status or a header does not conform to RFC 9110, so that it
+        can't be passed on.
+    """
+    parts = lines[0].split(' ', 2)
+    status = parts[1] if len(parts) > 1 else ''
+    if len(status) != _STATUS_DIGITS or not status.isdecimal():
+        raise ValueError(f'Invalid status {status!r}')
+    headers = tuple(_split_header(line) for line in lines[1:])
+    # It raises for what tornado's server refuses to send.
+    checked = httputil.HTTPHeaders()
+    for name, value in headers:
+        checked.add(name, value)
+    return int(status), headers
+
+
 def _split_header(line: str) -> tuple[str, str]:
     name, _, value = line.partition(':')
-    return name.strip(), value.strip()
+    return name.strip(_WHITESPACE), value.strip(_WHITESPACE)
 
 
 class Session:
@@ -267,11 +294,14 @@
     overlong_counts : collections.Counter of Part
         Responses that were broken off as they exceeded a limit, by the part
         that did.
+    malformed_count : int
+        Responses that were broken off as their head is malformed.
     """
 
     def __init__(self) -> None:
         self.received_bytes = 0
         self.overlong_counts: collections.Counter[Part] = collections.Counter()
+        self.malformed_count = 0
         self._loop = asyncio.get_running_loop()
         self._multi = pycurl.CurlMulti()
         self._multi.setopt(pycurl.M_SOCKETFUNCTION, self._watch_socket)
@@ -461,12 +491,21 @@
             if not remaining:
                 return
 
+    def record_malformed(self, transfer: Transfer, reason: str) -> None:
+        """Count and log a response whose head is malformed."""
+        self.malformed_count += 1
+        logger.warning(
+            'response_head_malformed',
+            address=_extract_address(transfer),
+            reason=reason,
+        )
+
     def _record_overlong(self, transfer: Transfer, part: Part) -> None:
         """Count and log a response that exceeds a limit."""
         self.overlong_counts[part] += 1
         logger.warning(
             'response_too_long',
-            address=urllib.parse.urlsplit(transfer.request.url).netloc,
+            address=_extract_address(transfer),
             part=part.value,
             head_bytes=transfer.head_bytes,
             body_bytes=transfer.body_bytes,
@@ -480,6 +519,11 @@
         transfer.finish(result)
 
 
+def _extract_address(transfer: Transfer) -> str:
+    """Return the ``ip:port`` that a transfer connects to."""
+    return urllib.parse.urlsplit(transfer.request.url).netloc
+
+
 class _Watchdog:
     """Enforces the idle timeout of a request, if it has one."""
 
--- a/src/thornspool/platform/state_metrics.py
+++ b/src/thornspool/platform/state_metrics.py
@@ -152,6 +152,13 @@
             },
         ),
     )
+    metrics.add_counter(
+        'thornspool_malformed_heads_total',
+        'Responses of servers, peers and the store whose head is no HTTP.',
+        metrics_module.make_sample_reader(
+            lambda: sources.session.malformed_count
+        ),
+    )
     metrics.add_counter(
         'thornspool_repeats_refused_total',
         'Repeats that were due and for which the budget had no room.',
--- a/tests/platform/builders.py
+++ b/tests/platform/builders.py
@@ -1,9 +1,13 @@
-"""Stub of a server whose responses don't end."""
+"""Stubs of servers whose responses are no sound HTTP."""
 
 from __future__ import annotations
 
 import asyncio
 
+import attrs
+
+from thornspool.platform import engines
+
 MAX_SENT_BYTES = 64_000_000
 """Bytes after which the stub gives up on a client that reads on and on."""
 
@@ -52,3 +56,82 @@
             pass
         finally:
             writer.close()
+
+
+class RawServer:
+    """Sends given bytes to each client, and closes the connection.
+
+    Attributes
+    ----------
+    response : bytes
+        What it sends.
+    address : str
+        ``ip:port`` once it has started.
+    request_count : int
+        Requests that it has received.
+    """
+
+    def __init__(self, response=b''):
+        self.response = response
+        self.request_count = 0
+
+    async def start(self):
+        self._server = await asyncio.start_server(self._serve, '127.0.0.1', 0)
+        port = self._server.sockets[0].getsockname()[1]
+        self.address = f'127.0.0.1:{port}'
+
+    def stop(self):
+        self._server.close()
+
+    async def _serve(self, reader, writer):
+        await reader.readuntil(b'\r\n\r\n')
+        self.request_count += 1
+        writer.write(self.response)
+        await writer.drain()
+        writer.close()
+
+
+def send_first_run_to(stub, world, session):
+    """Send the first run of a world's requests to a stub, others to fakes.
+
+    Returns the list to which the first run is appended.
+    """
+    first_runs = []
+    client = engines.ServerClient(session)
+    send_to_fake = world.servers.send
+
+    def send(run, listener):
+        if first_runs:
+            return send_to_fake(run, listener)
+        first_runs.append(run)
+        server = attrs.evolve(run.server, address=stub.address)
+        return client.send(attrs.evolve(run, server=server), listener)
+
+    world.servers.send = send
+    return first_runs
+
+
+HEADS = {
+    'control character': b'X: a\x01b',
+    'only a control character': b'Weight-Versions: \x01',
+    'delete': b'X: a\x7fb',
+    'control character at the end': b'X: a\x1f',
+    'space in a name': b'X Y: 1',
+    'no name': b': 1',
+    'control character in a name': b'X\x02: 1',
+    'byte above 0x7F in a name': b'X\xe9: 1',
+    'zero': b'X: a\x00b',
+    'carriage return': b'X: a\rb',
+    'no colon': b'X a',
+}
+"""Header lines that no client may get, by what is wrong."""
+
+SOUND_HEADS = {
+    'bytes above 0x7F': (b'X: \xe9\xff\x85', ('X', '\xe9\xff\x85')),
+    'no value': (b'X:', ('X', '')),
+    'tabs': (b'X:\ta\tb\t', ('X', 'a\tb')),
+    'space before the colon': (b'X : 1', ('X', '1')),
+    'folded': (b'X: a\r\n b: c', ('X', 'a b: c')),
+    'odd name': (b"!#$%&'*+-.^_`|~1: 1", ("!#$%&'*+-.^_`|~1", '1')),
+}
+"""Header lines that conform to RFC 9110, and how they are passed on."""
--- a/tests/platform/test_endless_responses.py
+++ b/tests/platform/test_endless_responses.py
@@ -50,18 +50,9 @@
         await self.stub.start()
         self.session = transfers.Session()
         self.world = routing_builders.World()
-        self.first_runs = []
-        client = engines.ServerClient(self.session)
-        send_to_fake = self.world.servers.send
-
-        def send(run, listener):
-            if self.first_runs:
-                return send_to_fake(run, listener)
-            self.first_runs.append(run)
-            server = attrs.evolve(run.server, address=self.stub.address)
-            return client.send(attrs.evolve(run, server=server), listener)
-
-        self.world.servers.send = send
+        self.first_runs = builders.send_first_run_to(
+            self.stub, self.world, self.session
+        )
 
     async def stop(self):
         self.stub.stop()
