Keep an error of one transfer from the others of its turn

Cause: `_handle_completions` takes several ends from one call of libcurl; an exception of one callback left the loop, and the others were never reported, so that their owners waited for ever.

Change: an error of a callback is logged and stays with its transfer. A callback for the head or the body that fails breaks its transfer off, as before, and its owner gets the end.

Measured: eight transfers that time out in one call of libcurl, four of which raise: before, the other ends do not come within 5 s; after, all four come.

--- a/src/thornspool/adapters/transfers.py
+++ b/src/thornspool/adapters/transfers.py
@@ -222,7 +222,11 @@
             self._session.record_malformed(self, str(error))
             return 0
         if status >= 200 and not self.done:
-            self._on_head(status, headers)
+            try:
+                self._on_head(status, headers)
+            except Exception:
+                logger.exception('transfer_callback_failed')
+                return 0
         return None
 
     def receive_body(self, chunk: bytes) -> int | None:
@@ -238,11 +242,15 @@
             return 0
         self._session.received_bytes += len(chunk)
         self.body_bytes += len(chunk)
-        if (
-            0 < self.request.max_body_bytes < self.body_bytes
-            or self._on_body(chunk) is False
-        ):
-            self.overlong = Part.BODY
+        try:
+            if (
+                0 < self.request.max_body_bytes < self.body_bytes
+                or self._on_body(chunk) is False
+            ):
+                self.overlong = Part.BODY
+                return 0
+        except Exception:
+            logger.exception('transfer_callback_failed')
             return 0
         return None
 
@@ -516,7 +524,11 @@
         if transfer is None:
             return
         self._remove(transfer)
-        transfer.finish(result)
+        try:
+            transfer.finish(result)
+        except Exception:
+            # Other transfers may have ended in the same turn of the loop.
+            logger.exception('transfer_callback_failed')
 
 
 def _extract_address(transfer: Transfer) -> str:
--- a/tests/adapters/test_transfers.py
+++ b/tests/adapters/test_transfers.py
@@ -6,6 +6,7 @@
 import os
 import socket
 import stat
+import time
 import unittest
 
 import pycurl
@@ -118,6 +119,60 @@
         )
         self.assertEqual(body, response.body)
 
+    async def test_callbacks_that_fail_concern_their_transfer_alone(self):
+        """Guards against sound responses that an error of another drops."""
+
+        async def respond(_number, writer, _body):
+            writer.write(b'HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\na')
+
+        await self.start(respond)
+        for part, ended in (('head', 8), ('body', 8), ('end', 4)):
+            with self.subTest(part):
+                results = []
+                for number in range(8):
+                    self.start_failing(part if number % 2 else '', results)
+                await self.wait_until(
+                    lambda into=results, count=ended: len(into) == count
+                )
+                self.assertEqual(
+                    4, results.count(transfers.TransferResult.COMPLETE)
+                )
+
+    async def test_callback_that_fails_drops_no_other_end(self):
+        """Guards against ends in one turn that are never reported."""
+        never = asyncio.Event()
+
+        async def respond(_number, writer, _body):
+            await never.wait()
+
+        await self.start(respond)
+        results = []
+        for number in range(8):
+            self.start_failing('' if number % 2 else 'end', results, 300)
+        await self.wait_until(lambda: len(self.peer.requests) == 8)
+        # Past the timeouts, libcurl ends all of them in one call.
+        time.sleep(0.4)
+        await self.wait_until(lambda: len(results) == 4)
+        self.assertEqual({transfers.TransferResult.TIMED_OUT}, set(results))
+
+    def start_failing(self, part, results, timeout_ms=0):
+        """Start a transfer, one of whose callbacks may fail."""
+
+        def fail(*_):
+            raise RecursionError(part)
+
+        self.session.start(
+            transfers.Request(self.peer.url, timeout_ms=timeout_ms),
+            fail if part == 'head' else lambda *head: None,
+            fail if part == 'body' else lambda chunk: None,
+            fail if part == 'end' else results.append,
+        )
+
+    async def wait_until(self, is_met):
+        async with asyncio.timeout(5):
+            while not is_met():
+                await asyncio.sleep(0.002)
+
     async def test_large_response_on_a_slow_link_does_not_time_out(self):
         """Guards against a host that never gets a current configuration.
 
