End each request in whose handling an error occurs

Cause: state changed before the write that can fail. A call was taken out and its run freed before its response was written; streams and relays counted as started before their head was. An exception there left nothing that would end the exchange, and in a tick or a queue it kept the requests behind it from their turn, or dropped them from the queue.

Change: one place ends such a request, `containment.end_on_error`. Each run, tick, queue and start of calls, streams and relays goes through it: the runs end, the request is dropped, and its caller gets 500, or a closed connection once the response has begun. Heads are built before anything counts as sent, so that another answer can still be written. Callbacks of failures and confirmations of links are independent of each other.

Measured: 19 cases of the new tests fail before and hold after: responses that can't be written, by kind of request and behind a peer, with `in_flight` at 0; expiry and queues beside a request that raises; a caller that gets 500 in place of events without a head.

--- a/src/thornspool/application/routing/calls.py
+++ b/src/thornspool/application/routing/calls.py
@@ -15,6 +15,7 @@
 import attrs
 import structlog
 
+from thornspool.application.routing import containment
 from thornspool.application.routing import crash_detection
 from thornspool.application.routing import listeners
 from thornspool.application.routing import ports
@@ -25,6 +26,7 @@
 
 if typing.TYPE_CHECKING:
     from collections.abc import Callable
+    import contextlib
     import random
 
     from thornspool import clock as clock_module
@@ -223,9 +225,22 @@
         if exchange.ended:
             return
         self.calls.add(call)
-        if not exchange.is_counted:
-            self._retry_budget.record_request(exchange.service)
-        self._start_attempt(call)
+        with self._end_on_error(call):
+            if not exchange.is_counted:
+                self._retry_budget.record_request(exchange.service)
+            self._start_attempt(call)
+
+    def _end_on_error(
+        self, call: Call
+    ) -> contextlib.AbstractContextManager[None]:
+        """Create the context that ends a call if it raises an error."""
+        return containment.end_on_error(
+            call.exchange, functools.partial(self._release, call)
+        )
+
+    def _release(self, call: Call) -> None:
+        self.calls.discard(call)
+        self._end_all(call)
 
     def run_dry(
         self, exchange: exchanges.Exchange, random_source: random.Random
@@ -274,16 +289,21 @@
         """Expire late calls and retry those whose server is unresponsive."""
         now = self._clock.now()
         for call in list(self.calls):
-            if call.exchange.compute_remaining_ms(now) <= 0:
-                self._expire(call)
-            elif call.current is not None and self._is_overdue(
-                call.current, call.exchange.route.target_latency_ms, now
-            ):
-                self._handle_overdue(call, call.current)
+            with self._end_on_error(call):
+                self._check(call, now)
         queued, self._queued = self._queued, []
         for call in queued:
             if not call.exchange.ended and call.current is None:
-                self._start_attempt(call)
+                with self._end_on_error(call):
+                    self._start_attempt(call)
+
+    def _check(self, call: Call, now: int) -> None:
+        if call.exchange.compute_remaining_ms(now) <= 0:
+            self._expire(call)
+        elif call.current is not None and self._is_overdue(
+            call.current, call.exchange.route.target_latency_ms, now
+        ):
+            self._handle_overdue(call, call.current)
 
     def _is_overdue(
         self, attempt: Attempt, target_latency_ms: int, now: int
@@ -337,8 +357,7 @@
     def _start_attempt(self, call: Call) -> None:
         exchange = call.exchange
         if self.take_over(exchange, '', True):
-            self._end_all(call)
-            self.calls.discard(call)
+            self._release(call)
             return
         now = self._clock.now()
         permit = self._permits.check(exchange.fingerprint)
@@ -426,6 +445,7 @@
             functools.partial(_store_head, attempt),
             attempt.body.append,
             functools.partial(self.handle_completion, call, attempt),
+            functools.partial(self._end_on_error, call),
         )
         attempt.run = self._permits.begin(
             exchange.fingerprint, [server], trial
@@ -619,9 +639,8 @@
             exchange.link_bytes += len(body)
         attempt.cancel = None
         self._scores.finish(attempt.server.id)
-        self._end_all(call)
-        self.calls.discard(call)
         exchange.reply.send(head.status, head.headers, body)
+        self._release(call)
         exchange.end(
             'served' if head.status < 400 else f'server_{head.status}'
         )
@@ -684,8 +703,7 @@
             )
 
     def _expire(self, call: Call) -> None:
-        self._end_all(call)
-        self.calls.discard(call)
+        self._release(call)
         if call.exchange.runs > 0:
             call.exchange.refuse(504, 'deadline')
         else:
@@ -699,8 +717,7 @@
         """
         if call.exchange.ended:
             return
-        self._end_all(call)
-        self.calls.discard(call)
+        self._release(call)
         call.exchange.end('caller_left')
 
     def _record_failure(self, attempt: Attempt, weight: float) -> None:
--- a/src/thornspool/application/routing/exchanges.py
+++ b/src/thornspool/application/routing/exchanges.py
@@ -30,6 +30,7 @@
 The verdict on a request compares all its names with each other.
 """
 
+_INTERNAL_ERROR = 500
 _UNAVAILABLE = 503
 
 _LOCAL_REASONS = frozenset({'draining', 'limited', 'links_lost', 'no_trial'})
@@ -236,6 +237,27 @@
             self.ended = True
             self.on_end(self, outcome)
 
+    def break_off(self) -> None:
+        """End the request after an error of this program.
+
+        The request may have run, so that the answer must not state that it
+        has not.
+        """
+        if self.ended:
+            return
+        self.outcome_reason = 'internal'
+        try:
+            if self.response_started:
+                self.reply.abort()
+            else:
+                self.reply.refuse(_INTERNAL_ERROR, 'internal')
+        finally:
+            self.end(
+                'cut'
+                if self.response_started
+                else f'refused_{_INTERNAL_ERROR}'
+            )
+
     def refuse(
         self, status: int, reason: str, retry_after_ms: int | None = None
     ) -> None:
--- a/src/thornspool/application/routing/failure_detection.py
+++ b/src/thornspool/application/routing/failure_detection.py
@@ -200,7 +200,8 @@
                     run.active_at = now
             return
         for in_flight, run in self._list_running():
-            self._check_stream(in_flight, run, now)
+            with self._service.end_on_error(in_flight):
+                self._check_stream(in_flight, run, now)
         self._probe_refusing(now)
         self._probe_late_streams(now)
         self._probe_slow(now)
@@ -282,10 +283,11 @@
         for in_flight, run in sorted(
             self._list_running(), key=lambda one: one[0].rank
         ):
-            if run in in_flight.open_runs and not self._service.end_proven(
-                in_flight, run
-            ):
-                self._reroute_from_suspects(in_flight, run)
+            with self._service.end_on_error(in_flight):
+                if run in in_flight.open_runs and not (
+                    self._service.end_proven(in_flight, run)
+                ):
+                    self._reroute_from_suspects(in_flight, run)
 
     def _probe_refusing(self, now: int) -> None:
         """Probe the engines that have refused requests.
--- a/src/thornspool/application/routing/intake.py
+++ b/src/thornspool/application/routing/intake.py
@@ -10,6 +10,7 @@
 
 import structlog
 
+from thornspool.application.routing import containment
 from thornspool.application.routing import exchanges
 from thornspool.application.routing import streams as streams_module
 from thornspool.domain.quarantine import fingerprints
@@ -34,6 +35,7 @@
 """Retry-After of an entry that can't serve yet. An entry reads its
 configuration within about 100 ms of its start; store outages last seconds."""
 
+_INTERNAL_ERROR = 500
 _UNAVAILABLE = 503
 _NOT_CONFIRMED_REASONS = frozenset(
     {'route_not_confirmed', 'key_not_confirmed'}
@@ -123,7 +125,11 @@
 
         def serve_confirmed() -> None:
             self.in_flight -= 1
-            self._serve_decided(request, reply, self.decide(request))
+            try:
+                self._serve_decided(request, reply, self.decide(request))
+            except Exception:
+                logger.exception('request_failed', id=request.id)
+                reply.refuse(_INTERNAL_ERROR, 'internal')
 
         if (
             decision.reason in _NOT_CONFIRMED_REASONS
@@ -163,10 +169,11 @@
             self._record_end,
         )
         self.in_flight += 1
-        if self._routing_state.find_model(exchange.service) is not None:
-            self._streams.serve(exchange)
-        else:
-            self._calls.serve(exchange)
+        with containment.end_on_error(exchange, lambda: None):
+            if self._routing_state.find_model(exchange.service) is not None:
+                self._streams.serve(exchange)
+            else:
+                self._calls.serve(exchange)
 
     def is_available(self, request: ports.Request) -> bool:
         """Return whether this entry may serve a request now.
--- a/src/thornspool/application/routing/listeners.py
+++ b/src/thornspool/application/routing/listeners.py
@@ -6,6 +6,7 @@
 
 if typing.TYPE_CHECKING:
     from collections.abc import Callable
+    import contextlib
 
     from thornspool.application.routing import ports
 
@@ -29,6 +30,9 @@
     on_head, on_body, on_end : callable
         Handle the head, a chunk of the body and the end of the answer.
         ``on_body`` returns False if the answer exceeds a limit.
+    end_on_error : callable
+        Creates the context in which they are called; it ends the request if
+        one of them raises an error.
     """
 
     def __init__(
@@ -37,12 +41,14 @@
         on_head: Callable[[ports.ResponseHead], None],
         on_body: Callable[[bytes], bool],
         on_end: Callable[[ports.Completion], None],
+        end_on_error: Callable[[], contextlib.AbstractContextManager[None]],
     ) -> None:
         self._owner = owner
         self._generation = owner.generation
         self._on_head = on_head
         self._on_body = on_body
         self._on_end = on_end
+        self._end_on_error = end_on_error
 
     @property
     def is_current(self) -> bool:
@@ -52,13 +58,18 @@
     def handle_head(self, head: ports.ResponseHead) -> None:
         """Pass on the head of the answer."""
         if self.is_current:
-            self._on_head(head)
+            with self._end_on_error():
+                self._on_head(head)
 
     def handle_body(self, chunk: bytes) -> bool:
         """Pass on a chunk of the body; False if the answer is too long."""
-        return not self.is_current or self._on_body(chunk)
+        if self.is_current:
+            with self._end_on_error():
+                return self._on_body(chunk)
+        return True
 
     def handle_completion(self, completion: ports.Completion) -> None:
         """Pass on the end of the answer."""
         if self.is_current:
-            self._on_end(completion)
+            with self._end_on_error():
+                self._on_end(completion)
--- a/src/thornspool/application/routing/relays.py
+++ b/src/thornspool/application/routing/relays.py
@@ -16,6 +16,7 @@
 import attrs
 import structlog
 
+from thornspool.application.routing import containment
 from thornspool.application.routing import listeners
 from thornspool.application.routing import ports
 from thornspool.application.routing import run_notices
@@ -26,6 +27,7 @@
 if typing.TYPE_CHECKING:
     from collections.abc import Callable
     from collections.abc import Iterable
+    import contextlib
     import random
 
     from thornspool import clock as clock_module
@@ -248,9 +250,23 @@
         exchange.reply.set_disconnect_callback(lambda: self._abandon(relay))
         self.relayed_count += 1
         if not exchange.ended:
-            self._send(relay)
+            with self._end_on_error(relay):
+                self._send(relay)
         return True
 
+    def _end_on_error(
+        self, relay: _Relay
+    ) -> contextlib.AbstractContextManager[None]:
+        """Create the context that ends a request if it raises an error."""
+        return containment.end_on_error(
+            relay.exchange, functools.partial(self._release, relay)
+        )
+
+    def _release(self, relay: _Relay) -> None:
+        self._relays.discard(relay)
+        self._withdraw_second(relay)
+        self._end_transfer(relay)
+
     def offer(self, offer: Offer) -> Callable[[], None] | None:
         """Offer a stream to peers while its run here stays open.
 
@@ -280,7 +296,8 @@
 
     def _start_offer(self, relay: _Relay) -> Callable[[], None]:
         self._relays.add(relay)
-        self._send(relay)
+        with self._end_on_error(relay):
+            self._send(relay)
         return lambda: self._withdraw(relay)
 
     def _withdraw(self, relay: _Relay) -> None:
@@ -297,16 +314,20 @@
         """End expired requests and those of lost peers; called often."""
         now = self._clock.now()
         for relay in list(self._relays):
-            if relay.exchange.compute_remaining_ms(now) <= 0:
-                if relay.offer is None:
-                    self._expire(relay)
-            elif relay.peer is not None and self._is_gone(relay.peer):
-                self._end_transfer(relay)
-                self._handle_break(relay)
-            elif relay.peer is not None and self._needs_another(
-                relay, relay.peer, now
-            ):
-                self._offer_second(relay, relay.peer, now)
+            with self._end_on_error(relay):
+                self._check(relay, now)
+
+    def _check(self, relay: _Relay, now: int) -> None:
+        if relay.exchange.compute_remaining_ms(now) <= 0:
+            if relay.offer is None:
+                self._expire(relay)
+        elif relay.peer is not None and self._is_gone(relay.peer):
+            self._end_transfer(relay)
+            self._handle_break(relay)
+        elif relay.peer is not None and self._needs_another(
+            relay, relay.peer, now
+        ):
+            self._offer_second(relay, relay.peer, now)
 
     def _is_gone(self, peer: entries.Record) -> bool:
         """Return whether the process of a peer is proven to have ended."""
@@ -461,6 +482,7 @@
                 functools.partial(self.handle_head, relay),
                 functools.partial(self.handle_body, relay),
                 functools.partial(self.handle_completion, relay),
+                functools.partial(self._end_on_error, relay),
             ),
         )
 
@@ -494,8 +516,8 @@
         self, exchange: exchanges.Exchange, head: ports.ResponseHead
     ) -> None:
         if not exchange.response_started:
-            exchange.response_started = True
             exchange.reply.begin(head.status, head.headers)
+            exchange.response_started = True
 
     def _accept(self, relay: _Relay) -> None:
         """Continue an offered request here, as a peer has served it.
--- a/src/thornspool/application/routing/server_evidence.py
+++ b/src/thornspool/application/routing/server_evidence.py
@@ -21,6 +21,7 @@
 import attrs
 import structlog
 
+from thornspool.application.routing import containment
 from thornspool.application.routing import ports
 from thornspool.application.routing import (
     routing_state as routing_state_module,
@@ -505,7 +506,8 @@
             if is_alone or self.links.has_answer_since(
                 failure.opened_at, failure.server.id
             ):
-                failure.apply()
+                with containment.contain_error():
+                    failure.apply()
             else:
                 self._failures.append(failure)
         if len(self._failures) < len(failures):
@@ -529,7 +531,8 @@
             if not has_references or self.links.has_answer_since(
                 one.proven_since, ''
             ):
-                one.on_result(True)
+                with containment.contain_error():
+                    one.on_result(True)
             else:
                 self._confirmations.append(one)
 
@@ -544,7 +547,8 @@
         self._announce()
         confirmations, self._confirmations = self._confirmations, []
         for one in confirmations:
-            one.on_result(False)
+            with containment.contain_error():
+                one.on_result(False)
 
     async def _check_restored(self) -> None:
         """Check one server, and further ones if it answers.
--- a/src/thornspool/application/routing/streams.py
+++ b/src/thornspool/application/routing/streams.py
@@ -9,6 +9,7 @@
 import attrs
 import structlog
 
+from thornspool.application.routing import containment
 from thornspool.application.routing import crash_detection
 from thornspool.application.routing import fault_attribution
 from thornspool.application.routing import in_flight as in_flight_module
@@ -29,6 +30,7 @@
 
 if typing.TYPE_CHECKING:
     from collections.abc import Callable
+    import contextlib
     import random
 
     from thornspool import clock as clock_module
@@ -197,14 +199,36 @@
         if exchange.ended:
             return
         self.in_flight_requests.add(in_flight)
-        if not exchange.is_counted:
-            self._budget.record_request(exchange.service)
-        self._admission.record_arrival(in_flight)
-        if self._is_behind(in_flight):
-            self._wait_or_refuse(in_flight, choice.NoPathReason.NO_CAPACITY)
-            in_flight.searched_at = None
-        else:
-            self._start(in_flight)
+        with self.end_on_error(in_flight):
+            if not exchange.is_counted:
+                self._budget.record_request(exchange.service)
+            self._admission.record_arrival(in_flight)
+            if self._is_behind(in_flight):
+                self._wait_or_refuse(
+                    in_flight, choice.NoPathReason.NO_CAPACITY
+                )
+                in_flight.searched_at = None
+            else:
+                self._start(in_flight)
+
+    def end_on_error(
+        self, in_flight: in_flight_module.InFlightRequest
+    ) -> contextlib.AbstractContextManager[None]:
+        """Create the context that ends a request if it raises an error.
+
+        Parameters
+        ----------
+        in_flight : in_flight_module.InFlightRequest
+            The request.
+        """
+        return containment.end_on_error(
+            in_flight.exchange, functools.partial(self._release, in_flight)
+        )
+
+    def _release(self, in_flight: in_flight_module.InFlightRequest) -> None:
+        """Drop a request, and end its runs."""
+        self._discard(in_flight)
+        self._close_all(in_flight)
 
     def _build_in_flight(
         self, exchange: exchanges.Exchange
@@ -293,7 +317,8 @@
         now = self._clock.now()
         for in_flight in list(self.in_flight_requests):
             if in_flight.exchange.compute_remaining_ms(now) <= 0:
-                self._expire(in_flight)
+                with self.end_on_error(in_flight):
+                    self._expire(in_flight)
         self._retry_waiting()
 
     def _retry_waiting(self) -> None:
@@ -302,10 +327,11 @@
         for in_flight in waiting:
             if in_flight.exchange.ended:
                 continue
-            if self._admission.is_search_due(in_flight):
-                self._start(in_flight)
-            else:
-                self._waiting.append(in_flight)
+            with self.end_on_error(in_flight):
+                if self._admission.is_search_due(in_flight):
+                    self._start(in_flight)
+                else:
+                    self._waiting.append(in_flight)
 
     def _start(
         self,
@@ -383,22 +409,26 @@
         """
         now = self._clock.now()
         for in_flight in list(self.in_flight_requests):
-            run = in_flight.current
             if (
-                run is None
-                or in_flight.rerouting
-                or now - in_flight.active_at < LOST_LINKS_IDLE_MS
-            ):
-                continue
-            if in_flight.exchange.request.relay is not None:
-                self._leave_to_sender(in_flight)
-            elif (
-                in_flight.withdraw_offer is None
-                and now >= in_flight.offer_at
-                and self.has_linked_peer()
-                and self._may_leave(in_flight)
+                in_flight.current is not None
+                and not in_flight.rerouting
+                and now - in_flight.active_at >= LOST_LINKS_IDLE_MS
             ):
-                self._offer(in_flight, now)
+                with self.end_on_error(in_flight):
+                    self._leave_lost_links(in_flight, now)
+
+    def _leave_lost_links(
+        self, in_flight: in_flight_module.InFlightRequest, now: int
+    ) -> None:
+        if in_flight.exchange.request.relay is not None:
+            self._leave_to_sender(in_flight)
+        elif (
+            in_flight.withdraw_offer is None
+            and now >= in_flight.offer_at
+            and self.has_linked_peer()
+            and self._may_leave(in_flight)
+        ):
+            self._offer(in_flight, now)
 
     def _offer(
         self, in_flight: in_flight_module.InFlightRequest, now: int
@@ -751,6 +781,7 @@
                 functools.partial(self._handle_head, in_flight, run),
                 functools.partial(self._handle_body, in_flight, run),
                 functools.partial(self._handle_completion, in_flight, run),
+                functools.partial(self.end_on_error, in_flight),
             ),
         )
 
@@ -785,8 +816,8 @@
     ) -> None:
         exchange = in_flight.exchange
         if not exchange.response_started:
-            exchange.response_started = True
             exchange.reply.begin(head.status, head.headers)
+            exchange.response_started = True
             self._inform_sender(in_flight)
 
     def _handle_body(
--- a/src/thornspool/platform/callers.py
+++ b/src/thornspool/platform/callers.py
@@ -41,6 +41,8 @@
 
 RequestHandler = typing.Callable[[ports.Request, ports.ResponseWriter], None]
 
+_Head = tuple[httputil.ResponseStartLine, httputil.HTTPHeaders]
+
 RequestDecoder = typing.Callable[
     [httputil.RequestStartLine, httputil.HTTPHeaders, bytes, int],
     ports.Request,
@@ -109,20 +111,22 @@
         self._body.extend(chunk)
 
     def finish(self) -> None:
-        request = self._decode(
-            self._start_line,
-            self._headers,
-            bytes(self._body),
-            self._clock.now(),
-        )
         reply = ResponseWriter(self._connection, self._start_line.method)
         try:
+            request = self._decode(
+                self._start_line,
+                self._headers,
+                bytes(self._body),
+                self._clock.now(),
+            )
             self._serve(request, reply)
         except Exception:
             # Without a response the connection would stay open until the
             # caller times out. The request may have been executed, so the
             # response must not state that it was not.
-            logger.exception('request_failed', id=request.id)
+            logger.exception(
+                'request_failed', id=self._headers.get('Attempt-Id', '')
+            )
             reply.refuse(500, 'internal')
 
     def on_connection_close(self) -> None:
@@ -269,8 +273,9 @@
         """Start a response of unknown length."""
         if self._done or self._started:
             return
+        head = _build_head(status, headers)
         self._started = True
-        self._write_head(status, headers, b'')
+        self._write_head(head, b'')
 
     def write(self, chunk: bytes) -> None:
         """Send a chunk of the response body."""
@@ -300,29 +305,18 @@
         if self._done or self._started:
             self.abort()
             return
-        self._started = True
-        self._done = True
         if status not in {204, 304}:
             headers = (*headers, ('Content-Length', str(len(body))))
-        if self._method == 'HEAD':
-            body = b''
-        self._write_head(status, headers, body)
+        head = _build_head(status, headers)
+        self._started = True
+        self._done = True
+        self._write_head(head, b'' if self._method == 'HEAD' else body)
         if not self._connection.stream.closed():
             self._connection.finish()
 
-    def _write_head(
-        self, status: int, headers: ports.Headers, body: bytes
-    ) -> None:
-        start_line = httputil.ResponseStartLine(
-            'HTTP/1.1', status, _REASON_PHRASES.get(status, 'Unknown')
-        )
-        http_headers = httputil.HTTPHeaders()
-        for name, value in headers:
-            http_headers.add(name, value)
+    def _write_head(self, head: _Head, body: bytes) -> None:
         try:
-            self._consume_error(
-                self._connection.write_headers(start_line, http_headers, body)
-            )
+            self._consume_error(self._connection.write_headers(*head, body))
         except iostream.StreamClosedError:
             self._close()
 
@@ -338,6 +332,26 @@
             self._on_close()
 
 
+def _build_head(status: int, headers: ports.Headers) -> _Head:
+    """Build the head of a response.
+
+    Raises
+    ------
+    httputil.HTTPInputError
+        If a header can't be sent; nothing has been written then, and another
+        response can be.
+    """
+    http_headers = httputil.HTTPHeaders()
+    for name, value in headers:
+        http_headers.add(name, value)
+    return (
+        httputil.ResponseStartLine(
+            'HTTP/1.1', status, _REASON_PHRASES.get(status, 'Unknown')
+        ),
+        http_headers,
+    )
+
+
 class QueryDelegate(httputil.HTTPServerConnectionDelegate):
     """Serves GET requests without a body, such as lookups and readiness.
 
--- a/tests/application/routing/builders.py
+++ b/tests/application/routing/builders.py
@@ -233,6 +233,28 @@
         self.whole = True
 
 
+class FailingResponseWriter(FakeResponseWriter):
+    """Can't write the responses of servers, as their heads can't be sent.
+
+    With `fails_always` it can write no other response either.
+    """
+
+    def __init__(self, fails_always=False):
+        super().__init__()
+        self.fails_always = fails_always
+
+    def begin(self, status, headers):
+        raise ValueError('head')
+
+    def send(self, status, headers, body):
+        raise ValueError('head')
+
+    def refuse(self, status, reason, retry_after_ms=None):
+        if self.fails_always:
+            raise ValueError('refusal')
+        super().refuse(status, reason, retry_after_ms)
+
+
 @attrs.define(eq=False)
 class FakeRun:
     """A run at a server, whose output the test provides."""
@@ -440,7 +462,10 @@
 
     def serve(self, path='/brief/x', number=1, **changes):
         """Serve a request and return the reply that its caller receives."""
-        reply = FakeResponseWriter()
+        return self.serve_with(FakeResponseWriter(), path, number, **changes)
+
+    def serve_with(self, reply, path='/brief/x', number=1, **changes):
+        """Serve a request whose answer a reply of the test receives."""
         changes.setdefault('arrived_at', self.clock.now())
         self.intake.serve(build_request(path, number, **changes), reply)
         return reply
