Keep an error of one periodic check from the others

Cause: the daemon calls eight services in one periodic task and four in another. An exception of the first kept the rest from their turn, at each turn: with a stream that raises, calls and relays would not have expired any more.

Change: each is called by itself; errors are logged and counted by the name of the function, with its class (`work` of `work_failed`).

--- a/src/thornspool/platform/daemon.py
+++ b/src/thornspool/platform/daemon.py
@@ -743,30 +743,42 @@
 
     async def _tick_quickly(self) -> None:
         self._loop_delay.record(self._clock.now())
-        self._streams.tick()
-        self._calls.tick()
-        self._relays.tick()
+        self._tasks.run_each(
+            self._streams.tick,
+            self._calls.tick,
+            self._relays.tick,
+            self._record_link_load,
+            self._failure_detector.check_idle_streams,
+            self._update_starting_state,
+            self._membership.broadcast_failures,
+            self._server_limits.tick,
+        )
+
+    def _record_link_load(self) -> None:
         self._link_load.record(
             self._session.received_bytes + self._peer_socket.passed_bytes,
             self._clock.now(),
         )
-        self._failure_detector.check_idle_streams()
+
+    def _update_starting_state(self) -> None:
+        # While all entries start, lookups return no address, so this state is
+        # checked at the shorter interval.
         if self._membership.state is messages.State.STARTING:
-            # While all entries start, lookups return no address, so this
-            # state is checked at the shorter interval.
             self._update_state()
-        self._membership.broadcast_failures()
-        self._server_limits.tick()
 
     async def _detect(self) -> None:
-        self._failure_detector.tick()
-        self._crashes.tick()
-        self._evidence.tick()
+        self._tasks.run_each(
+            self._failure_detector.tick,
+            self._crashes.tick,
+            self._evidence.tick,
+            self._purge_expired,
+        )
+
+    def _purge_expired(self) -> None:
         self._routing_state.purge_expired(self._clock.now())
 
     async def _send_updates(self) -> None:
-        self._update_state()
-        self._membership.tick()
+        self._tasks.run_each(self._update_state, self._membership.tick)
 
     def _update_state(self) -> None:
         configuration = self._routing_state.configuration
--- a/src/thornspool/tasks.py
+++ b/src/thornspool/tasks.py
@@ -74,6 +74,14 @@
         """
         self._create(self._repeat(interval_ms, work))
 
+    def run_each(self, *work: Callable[[], None]) -> None:
+        """Call functions one after the other, also after errors."""
+        for one in work:
+            try:
+                one()
+            except Exception:
+                self._record_failure(_get_name(one))
+
     def supervise(self, work: Callable[[], Awaitable[None]]) -> None:
         """Run a function that must not end, and restart it when it does.
 
@@ -100,7 +108,7 @@
         try:
             await work
         except Exception:
-            self._record_failure(getattr(work, '__name__', 'unnamed'))
+            self._record_failure(_get_name(work))
 
     async def _repeat(
         self, interval_ms: int, work: Callable[[], Awaitable[None]]
@@ -109,7 +117,7 @@
             try:
                 await work()
             except Exception:
-                self._record_failure(work.__name__)
+                self._record_failure(_get_name(work))
             await asyncio.sleep(interval_ms / _MS_PER_S)
 
     async def _keep_running(self, work: Callable[[], Awaitable[None]]) -> None:
@@ -119,11 +127,11 @@
             try:
                 await work()
             except Exception:
-                self._record_failure(work.__name__)
+                self._record_failure(_get_name(work))
             if self._clock.now() - started_at >= STABLE_MS:
                 restart_ms = MIN_RESTART_MS
             logger.error(
-                'task_restarted', work=work.__name__, delay_ms=restart_ms
+                'task_restarted', work=_get_name(work), delay_ms=restart_ms
             )
             await asyncio.sleep(restart_ms / _MS_PER_S)
             restart_ms = min(MAX_RESTART_MS, 2 * restart_ms)
@@ -132,3 +140,8 @@
         """Log the current exception and count it."""
         self.failures[name] += 1
         logger.exception('work_failed', work=name)
+
+
+def _get_name(work: object) -> str:
+    """Return the name of a function or of the function of a coroutine."""
+    return getattr(work, '__qualname__', type(work).__name__)
