Send request targets byte by byte

What callers saw: a request whose target has raw bytes above 0x7F got 503, though all servers were sound, and the servers that were to get it counted as unreachable for 50 ms.

Cause: libcurl was given the target as text, which pycurl refuses unless it is ASCII. The refusal was reported as a transfer that had not reached its server. As part of a URL, libcurl would encode such bytes, write percent escapes in upper case and drop what follows a "#".

Change: the target is passed to libcurl as such, in the bytes that its caller has sent. A request that can't be encoded at all is refused where it is started, as `Unsendable`; it ends at once, and no server counts as unreachable for it.

--- a/src/thornspool/adapters/transfers.py
+++ b/src/thornspool/adapters/transfers.py
@@ -330,6 +330,9 @@
     ) -> Transfer:
         """Start a transfer.
 
+        A request that can't be encoded says nothing about its server, so
+        that it is refused here and not reported as a failed transfer.
+
         Parameters
         ----------
         request : Request
@@ -342,7 +345,13 @@
             the transfer ends with ``TOO_LARGE``.
         on_end : callable
             Called last with the result; not called after ``cancel``.
+
+        Raises
+        ------
+        exceptions.Unsendable
+            If the target or a header can't be encoded.
         """
+        _check_encodable(request)
         transfer = Transfer(self, request, on_head, on_body, on_end)
         curl = (
             self._idle_handles.pop() if self._idle_handles else pycurl.Curl()
@@ -605,10 +614,41 @@
     return exceptions.ResponseLost(f'{url}: {result.value}.')
 
 
+def _check_encodable(request: Request) -> None:
+    try:
+        _split_url(request.url)
+        _encode_headers(request.headers)
+    except UnicodeEncodeError as error:
+        raise exceptions.Unsendable(
+            f'A request to {urllib.parse.urlsplit(request.url).netloc} can '
+            f'not be encoded: {error}.'
+        ) from error
+
+
+def _encode_headers(headers: Headers) -> list[bytes]:
+    """Encode headers as libcurl takes them; one without a value ends in ;."""
+    return [
+        f'{name}: {value}'.encode('latin-1')
+        if value
+        else f'{name};'.encode('latin-1')
+        for name, value in headers
+    ]
+
+
+def _split_url(url: str) -> tuple[str, bytes]:
+    """Split a URL into the server and the request target as it is sent."""
+    scheme, _, rest = url.partition('://')
+    authority, _, target = rest.partition('/')
+    return f'{scheme}://{authority}/', f'/{target}'.encode('latin-1')
+
+
 def _configure(
     curl: pycurl.Curl, request: Request, transfer: Transfer
 ) -> None:
-    curl.setopt(pycurl.URL, request.url)
+    base, target = _split_url(request.url)
+    curl.setopt(pycurl.URL, base)
+    # libcurl would encode bytes of a path, and drop what follows a "#".
+    curl.setopt(pycurl.REQUEST_TARGET, target)
     curl.setopt(pycurl.NOSIGNAL, 1)
     # A proxy from the environment would respond for unreachable hosts.
     curl.setopt(pycurl.PROXY, '')
@@ -627,12 +667,7 @@
     curl.setopt(pycurl.HEADERFUNCTION, transfer.receive_line)
     curl.setopt(pycurl.WRITEFUNCTION, transfer.receive_body)
     names = {name.lower() for name, _ in request.headers}
-    lines = [
-        f'{name}: {value}'.encode('latin-1')
-        if value
-        else f'{name};'.encode('latin-1')
-        for name, value in request.headers
-    ]
+    lines = _encode_headers(request.headers)
     # libcurl adds these headers by default; a name without a value removes
     # the header.
     lines.extend(
--- a/src/thornspool/application/routing/calls.py
+++ b/src/thornspool/application/routing/calls.py
@@ -427,7 +427,7 @@
         exchange.sends += 1
         exchange.runs += 1
         self._record_domain(call, server, now)
-        attempt = call.current = Attempt(server, now)
+        attempt = call.current = Attempt(server, now, _cancel_nothing)
         exchange.path = server.id
         self._limits.record_send(server.id)
         self._scores.begin(server.id)
@@ -751,6 +751,10 @@
             call.overdue = None
 
 
+def _cancel_nothing() -> None:
+    """Stand for the cancellation of an attempt that is being sent."""
+
+
 def _ignore_overdue() -> None:
     """Hold nothing against a server that is only slow."""
 
--- a/tests/adapters/test_transfers.py
+++ b/tests/adapters/test_transfers.py
@@ -119,6 +119,44 @@
         )
         self.assertEqual(body, response.body)
 
+    async def test_targets_are_sent_byte_by_byte(self):
+        """Guards against targets that no server can be sent."""
+
+        async def respond(_number, writer, _body):
+            writer.write(b'HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n')
+
+        await self.start(respond)
+        for target in (
+            '/',
+            '/a//b/../c?q=1&r',
+            '/read/\xe9\xff?q=\xc3\xa9',
+            '/a?b#c',
+            '/\x80"<>\\^`{|}',
+        ):
+            with self.subTest(target):
+                await self.session.fetch(
+                    transfers.Request(self.peer.url + target)
+                )
+                line = self.peer.requests[-1].split(b'\r\n')[0]
+                self.assertEqual(
+                    f'GET {target} HTTP/1.1'.encode('latin-1'), line
+                )
+
+    async def test_request_that_can_not_be_encoded_is_refused_at_once(self):
+        """Guards against a server that counts as unreachable for it."""
+        await self.start(None)
+        for changes in (
+            {'headers': (('Tenant', '\u0141'),)},
+            {'path': '\u0141'},
+        ):
+            path = changes.pop('path', '')
+            request = transfers.Request(f'{self.peer.url}/{path}', **changes)
+            with self.assertRaises(exceptions.Unsendable):
+                self.session.start(request, None, None, self.fail)
+            with self.assertRaises(exceptions.NotSent):
+                await self.session.fetch(request)
+        self.assertEqual([], self.peer.requests)
+
     async def test_callbacks_that_fail_concern_their_transfer_alone(self):
         """Guards against sound responses that an error of another drops."""
 
--- a/tests/application/routing/test_containment.py
+++ b/tests/application/routing/test_containment.py
@@ -104,6 +104,20 @@
             ):
                 self.check_ended(self.world.serve(path))
 
+    def test_request_that_can_not_be_encoded_is_answered_at_once(self):
+        """Guards against servers that count as unreachable for a request."""
+        for path in PATHS:
+            with (
+                self.subTest(path),
+                mock.patch.object(
+                    self.world.servers, 'send', side_effect=ValueError
+                ),
+            ):
+                self.check_ended(self.world.serve(path))
+                self.assertEqual({}, self.world.routing_state.suspicions)
+        scores = self.world.calls._scores.servers.values()
+        self.assertEqual(0, sum(one.in_flight for one in scores))
+
     def test_expired_request_that_fails_keeps_no_other_from_expiring(self):
         """Guards against one request that stops the clock for all others."""
         for path in PATHS:
