Decompress changes of peers within a limit

Cause: a datagram of 60 kB can hold changes that take 60 MB; nothing bounded what its decompression yields. Found while the decoders were read; not seen.

Change: changes of more than the largest response of the store (32 MiB), or cut off, are malformed. The receiver reads them from the store, as after a lost datagram.

Measured: a datagram with exactly the limit is read, one with nine bytes more is not.

--- a/src/thornspool/platform/peers.py
+++ b/src/thornspool/platform/peers.py
@@ -43,6 +43,13 @@
 ENDED_LIMIT = -1
 """Value that stands for the end of a limit."""
 
+MAX_CHANGED_BYTES = store.MAX_BODY_BYTES
+"""Largest size of the changes in a datagram after decompression.
+
+They come from one response of the store. A datagram of 60 kB could otherwise
+fill 60 MB of memory.
+"""
+
 COMPRESSION_LEVEL = 1
 """Fastest level of zlib.
 
@@ -309,9 +316,11 @@
 
 
 def _convert_change_set(message: _ChangeSet) -> follower.ChangeSet:
-    items = msgspec.msgpack.decode(
-        zlib.decompress(message.items), type=_ChangedItems
-    )
+    inflater = zlib.decompressobj()
+    packed = inflater.decompress(message.items, MAX_CHANGED_BYTES)
+    if not inflater.eof:
+        raise ValueError(f'more than {MAX_CHANGED_BYTES} bytes, or cut off')
+    items = msgspec.msgpack.decode(packed, type=_ChangedItems)
     return follower.ChangeSet(
         message.since,
         message.until,
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -451,6 +451,19 @@
             with self.subTest(raw[:20]):
                 self.assertIsNone(peers.decode_datagram(raw))
 
+    def test_change_sets_are_decompressed_within_a_limit(self):
+        """Guards against a datagram that fills the memory."""
+        largest = msgspec.msgpack.encode(
+            [('k', 2, b'x' * (peers.MAX_CHANGED_BYTES - 10))]
+        )
+        self.assertEqual(peers.MAX_CHANGED_BYTES, len(largest))
+        for packed, is_read in ((largest, True), (largest + b'x' * 9, False)):
+            items = zlib.compress(packed)
+            raw = msgspec.msgpack.encode([1, 1, 2, items, False])
+            self.assertLess(len(raw), peers.MAX_DATAGRAM_BYTES)
+            with self.subTest(is_read):
+                self.assertIs(is_read, peers.decode_datagram(raw) is not None)
+
     def test_malformed_bodies_of_calls_are_ignored(self):
         """Guards against a peer's bytes that end the handling of calls."""
         calls = peer_calls.PeerCalls('h-1', mock.Mock(), mock.Mock())
