Let the soak write unreadable entries and spoil heads

Both inputs of the review go on all the while, from a random source of their own, so that the other faults of a seed stay: another writer puts one of the bytes that no decoder accepts into the server list, and the heads of some answers are no HTTP. The soak's proxies of servers pass such entries on unchanged.

Two trials before were wrong by the soak itself: its proxy answered 500 for the whole list once an entry was nested too deeply, and the stand-in logged a spoiled stream as ended by the entry, which its check then named.

--- a/standins/kv_fleet.py
+++ b/standins/kv_fleet.py
@@ -6,7 +6,9 @@
 prints one line of JSON when all servers listen. ``POST /control`` takes
 ``{"kill": ID}`` (the server stops and its store entry remains),
 ``{"drain": ID}``, ``{"add": ID}`` (an empty engine), ``{"put": KEY,
-"document": DOCUMENT}``, ``{"delete": KEY}``, ``{"lose_answers": N}`` or
+"document": DOCUMENT}``, ``{"put_raw": KEY, "value": BASE64}``, ``{"delete":
+KEY}``, ``{"lose_answers": N}``, ``{"spoil_heads": N}`` (a header of the next N
+answers is no HTTP) or
 ``{"limit": ID, "per_s": NUMBER}`` (the server names a limit in its responses;
 null ends it) or ``{"rest": ID, "host": HOST, "seconds": NUMBER, "for_s":
 NUMBER}`` (the server turns the host away and asks it for rest) or ``{"leave":
@@ -62,6 +64,7 @@
 _HEARTBEAT_INTERVAL_MS = 1200
 RESTART_S = 2.0
 _BROKEN_EVENT = EVENTS // 2
+_SPOILED_HEADER = 'Weight-Versions: \x01'
 PUBLICATION_RETRY_S = 0.5
 
 
@@ -162,6 +165,7 @@
         self.runs: collections.Counter[str] = collections.Counter()
         self.wrong_paths = 0
         self.lose_answers = 0
+        self.spoil_heads = 0
         self.crash_on = ''
         self.unframed: list[str] | None = None
         self.crash_on_part = ''
@@ -207,8 +211,16 @@
                 return
             await asyncio.sleep(PUBLICATION_RETRY_S)
 
+    async def put_raw(self, key: str, value: str) -> None:
+        """Write bytes, as base64, as another program may do."""
+        async with self._writing:
+            await self._put_value(key, value)
+
     async def _put(self, key: str, document: object) -> None:
         value = base64.b64encode(json.dumps(document).encode()).decode()
+        await self._put_value(key, value)
+
+    async def _put_value(self, key: str, value: str) -> None:
         await self._write({'puts': [{'key': key, 'value': value, 'lease': 0}]})
 
     async def _write(self, body: dict[str, typing.Any]) -> None:
@@ -367,13 +379,19 @@
         self.set_header('Attempt-Id', self.request.headers['Attempt-Id'])
 
     def take_ending(self) -> str | None:
-        """Return how the response ends; None if it has a length or chunks."""
+        """Return how the response ends; None if it has a length or chunks.
+
+        One whose head is spoiled ends with its connection.
+        """
+        if self.fleet.spoil_heads > 0:
+            self.fleet.spoil_heads -= 1
+            return 'spoiled'
         unframed = self.fleet.unframed
         if unframed is None:
             return None
         return unframed.pop(0) if unframed else 'whole'
 
-    def detach(self) -> iostream.IOStream:
+    def detach_stream(self, ending: str) -> iostream.IOStream:
         """Write the head without a length or chunks; return the stream."""
         self._auto_finish = False
         connection: typing.Any = self.request.connection
@@ -381,6 +399,10 @@
         self.set_header('Connection', 'close')
         lines = [f'HTTP/1.1 {self.get_status()} OK']
         lines += [f'{one}: {value}' for one, value in self._headers.get_all()]
+        if ending == 'spoiled':
+            lines.append(_SPOILED_HEADER)
+            # The server has broken its response, before anyone ends it.
+            self.end_run('broken')
         stream.write('\r\n'.join([*lines, '\r\n']).encode('latin-1'))
         return stream
 
@@ -485,7 +507,7 @@
 
     async def _write_unframed(self, first: int, ending: str) -> None:
         """Write a stream that ends with its connection."""
-        stream = self.detach()
+        stream = self.detach_stream(ending)
         for index in range(first, EVENTS):
             await asyncio.sleep(STEP_S)
             event = f'id: {index}\ndata: word{index}\n\n'.encode()
@@ -553,15 +575,16 @@
             self.end_run('broken')
             common.drop_connection(self)
             return
-        self.end_run('complete')
         self.add_response_headers()
         workspace = self.request.headers.get('Tenant', '')
         text = f'{self.server.id} for {workspace}'
         ending = self.take_ending()
         if ending is None:
+            self.end_run('complete')
             self.finish(text)
             return
-        stream = self.detach()
+        stream = self.detach_stream(ending)
+        self.end_run('complete')
         sent = text if ending == 'whole' else text[: len(text) // 2]
         with contextlib.suppress(iostream.StreamClosedError):
             await stream.write(sent.encode())
@@ -629,18 +652,27 @@
             'crash_on_part', self.fleet.crash_on_part
         )
         self._set_conditions(commands)
+        await self._write_keys(commands)
+        self.fleet.lose_answers = commands.get('lose_answers', 0)
+        self.finish({})
+
+    async def _write_keys(self, commands: dict[str, typing.Any]) -> None:
+        """Write and delete keys of the store."""
         if 'put' in commands:
             await self.fleet.put(commands['put'], commands['document'])
+        if 'put_raw' in commands:
+            await self.fleet.put_raw(commands['put_raw'], commands['value'])
         if 'delete' in commands:
             await self.fleet.delete(commands['delete'])
-        self.fleet.lose_answers = commands.get('lose_answers', 0)
-        self.finish({})
 
     def _set_conditions(self, commands: dict[str, typing.Any]) -> None:
         """Set what servers state in their responses."""
         if 'limit' in commands:
             server = self.fleet.servers[commands['limit']]
             server.limit_per_s = commands['per_s']
+        self.fleet.spoil_heads = commands.get(
+            'spoil_heads', self.fleet.spoil_heads
+        )
         if 'leave' in commands:
             self.fleet.servers[commands['leave']].is_leaving = True
         for name in commands.get('suspend', ()):
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -155,7 +155,11 @@
     crashing = asyncio.create_task(
         callers.send_crashing(random.Random(seed + 2))
     )
-    faults = faults_module.Faults(world, random.Random(f'{seed} changes'))
+    faults = faults_module.Faults(
+        world,
+        random.Random(f'{seed} changes'),
+        random.Random(f'{seed} odd bytes'),
+    )
     tasks = await _start_part(seed, world, callers) if with_part else []
     await faults.inject(seconds)
     for task in (crashing, *tasks):
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -3,10 +3,13 @@
 from __future__ import annotations
 
 import asyncio
+import base64
 import contextlib
 import typing
 import urllib.error
 
+from tests import builders
+from tests.soak import links
 from tests.soak import proxies
 from tests.soak import world as world_module
 
@@ -31,13 +34,20 @@
     change_source : random.Random
         Source of the choices for changes of the configuration and for entries
         that the store turns away, so that the other faults of a seed stay.
+    odd_source : random.Random
+        Source of the choices for entries that no one can read and for spoiled
+        heads, for the same reason.
     """
 
     def __init__(
-        self, world: world_module.World, change_source: random.Random
+        self,
+        world: world_module.World,
+        change_source: random.Random,
+        odd_source: random.Random,
     ) -> None:
         self._world = world
         self._changes = change_source
+        self._odd = odd_source
         self._random = world.random
         self._tasks: set[asyncio.Task[None]] = set()
         self._added_engines = 0
@@ -65,8 +75,9 @@
     async def inject(self, seconds: float) -> None:
         """Inject faults for a period and wait until all have ended.
 
-        Servers name limits and ask for rest, and operators change routes and
-        keys, all the while.
+        Servers name limits, ask for rest and spoil heads, operators change
+        routes and keys, and another writer writes entries that no one can
+        read, all the while.
         """
         conditions = [
             asyncio.create_task(self._repeat(seconds, inject, source))
@@ -75,6 +86,8 @@
                 (self._ask_for_rest, self._random),
                 (self._change_routes, self._changes),
                 (self._turn_away, self._changes),
+                (self._write_odd_entry, self._odd),
+                (self._spoil_heads, self._odd),
             )
         ]
         end = asyncio.get_running_loop().time() + seconds
@@ -217,11 +230,11 @@
         )
         chosen = [one for one in all_proxies if self._random.random() < 0.5]
         with contextlib.ExitStack() as interruptions:
-            for links, cuts in (
+            for by_name, cuts in (
                 (self._world.to_store, self._world.store_cuts),
                 (self._world.to_entry, self._world.caller_cuts),
             ):
-                for name, proxy in links.items():
+                for name, proxy in by_name.items():
                     if proxy in chosen:
                         interruptions.enter_context(
                             self._world.interrupt(name, cuts)
@@ -312,6 +325,19 @@
     async def _lose_answers(self) -> None:
         await self._control(lose_answers=self._random.randint(1, 3))
 
+    async def _spoil_heads(self) -> None:
+        """Let the heads of some answers be no HTTP."""
+        await self._control(spoil_heads=self._odd.randint(1, 3))
+
+    async def _write_odd_entry(self) -> None:
+        """Let another writer change an entry that no one can read."""
+        kinds = sorted(builders.UNREADABLE_DOCUMENTS)
+        raw = builders.UNREADABLE_DOCUMENTS[self._odd.choice(kinds)]
+        key = f'{links.ODD_PREFIX}{self._odd.randint(1, 3)}'
+        await self._control(
+            put_raw=key, value=base64.b64encode(raw[:20_000]).decode()
+        )
+
     async def _publish_configuration(self) -> None:
         include_south = self._random.random() < 0.5
         await asyncio.to_thread(lambda: self._world.configure(include_south))
--- a/tests/soak/links.py
+++ b/tests/soak/links.py
@@ -26,6 +26,8 @@
 MAX_CALLS = 200
 CALL_TIMEOUT_S = 60.0
 _SERVERS_PREFIX = 'servers/'
+ODD_PREFIX = _SERVERS_PREFIX + 'odd-'
+"""Prefix of the entries that no one can read."""
 
 
 class ServerLinks:
@@ -133,7 +135,10 @@
     async def rewrite(self, items: list[dict[str, typing.Any]]) -> None:
         """Replace the addresses of servers in items of the store."""
         for item in items:
-            if not item['key'].startswith(_SERVERS_PREFIX):
+            key = item['key']
+            if not key.startswith(_SERVERS_PREFIX) or key.startswith(
+                ODD_PREFIX
+            ):
                 continue
             if item.get('value'):
                 record = json.loads(base64.b64decode(item['value']))
