Apply a configuration once more that an error has kept out

Cause: a configuration whose application raised, for example for want of memory, was not applied again before the next version, and the copy stayed unconfirmed for as long. Found by reading the change that withholds confirmations.

Change: such a change is kept and applied once more before each watch. A failed removal of a server is logged.

Measured: with one MemoryError, the version is in force within 2 s; before, not within 2 s.

--- a/src/thornspool/platform/follower.py
+++ b/src/thornspool/platform/follower.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import collections
-import contextlib
 import typing
 
 import attrs
@@ -243,6 +242,7 @@
         self.previous_lease: int | None = None
         self.unapplied_count = 0
         self._key_revisions: dict[str, int] = {}
+        self._unapplied: store_module.Item | None = None
         self._change_sets: collections.deque[ChangeSet] = collections.deque(
             maxlen=MAX_CHANGE_SETS
         )
@@ -488,6 +488,7 @@
         return min(candidates, key=lambda one: one.since, default=None)
 
     async def _watch(self) -> None:
+        self._retry_unapplied()
         self._called_at = self._clock.now()
         has_changes = await self._fetch_changes(self._choose_watch_ms())
         self._received_feed = False
@@ -576,23 +577,36 @@
             else:
                 self._apply_value(item.key, item.value, item.revision)
         except Exception as error:
-            logger.exception(
-                'change_not_applied', key=item.key, revision=item.revision
-            )
             self._handle_unapplied(item, str(error))
 
     def _handle_unapplied(self, item: store_module.Item, reason: str) -> None:
         """Keep the copy from being used for what a change has replaced."""
         self.unapplied_count += 1
+        logger.exception(
+            'change_not_applied', key=item.key, revision=item.revision
+        )
         if item.key == documents.CONFIGURATION_KEY:
+            self._unapplied = item
             self._withhold_confirmations(item.revision, reason)
-        elif item.key.startswith(documents.SERVERS_PREFIX):
-            name = item.key.removeprefix(documents.SERVERS_PREFIX)
-            with contextlib.suppress(Exception):
-                self._routing_state.remove_server(
-                    name, self._clock.now(), item.revision
+        elif item.value is not None and item.key.startswith(
+            documents.SERVERS_PREFIX
+        ):
+            try:
+                self._remove(item.key, item.revision)
+            except Exception:
+                logger.exception(
+                    'change_not_applied', key=item.key, revision=item.revision
                 )
 
+    def _retry_unapplied(self) -> None:
+        """Apply a configuration once more that an error has kept out."""
+        item, self._unapplied = self._unapplied, None
+        if item is not None and item.revision == self._key_revisions.get(
+            item.key
+        ):
+            del self._key_revisions[item.key]
+            self._apply(item)
+
     def _withhold_confirmations(self, revision: int, reason: str) -> None:
         """Let the copy age, as the newest configuration is not in force.
 
--- a/tests/platform/test_following.py
+++ b/tests/platform/test_following.py
@@ -215,6 +215,20 @@
         self.assertIn('i-1', self.routing_state.leaving)
         self.assertEqual(1, self.follower.unapplied_count)
 
+    async def test_configuration_that_an_error_keeps_out_is_tried_again(self):
+        """Guards against a passing error that outlasts its cause."""
+        freshness = self.routing_state.freshness
+        with mock.patch.object(
+            routing_state_module.RoutingState,
+            'apply_configuration',
+            side_effect=MemoryError,
+        ):
+            self.put('op/config', kv_fleet.build_configuration(4))
+            await self.wait(lambda: freshness.is_withheld)
+        self.put('servers/i-2', SERVER_ENTRY)
+        await self.wait_for_version(4)
+        self.assertFalse(freshness.is_withheld)
+
     async def test_copy_without_the_newest_configuration_is_not_confirmed(
         self,
     ):
