Count the requests at a peer once when one fails

Cause: releasing a relayed request after an error ended its transfer once more where it had ended already. The count decides between peers. Found by reading the change that ends requests on errors.

Change: a transfer is ended only while it is open, and counts once it is sent. The tests of relays over a stub share their builder.

Measured: before, the count of the peer is -1 and -2 in two cases of the tests; after, 0 in all.

--- a/src/thornspool/application/routing/relays.py
+++ b/src/thornspool/application/routing/relays.py
@@ -265,7 +265,8 @@
     def _release(self, relay: _Relay) -> None:
         self._relays.discard(relay)
         self._withdraw_second(relay)
-        self._end_transfer(relay)
+        if relay.cancel is not None:
+            self._end_transfer(relay)
 
     def offer(self, offer: Offer) -> Callable[[], None] | None:
         """Offer a stream to peers while its run here stays open.
@@ -455,7 +456,6 @@
         if relay.offer is not None:
             # Its other run may go on and must know of this one.
             self._count_runs(relay, 1)
-        self._in_flight[peer.host] += 1
         exchange.path = peer.host
         relay.cancel = self._gateway.send(
             peer,
@@ -485,6 +485,7 @@
                 functools.partial(self._end_on_error, relay),
             ),
         )
+        self._in_flight[peer.host] += 1
 
     def _choose_peer(self, tried: Iterable[str]) -> entries.Record | None:
         """Choose a serving peer that reaches servers, the less loaded first.
--- a/tests/application/routing/test_containment.py
+++ b/tests/application/routing/test_containment.py
@@ -61,7 +61,7 @@
 
     def test_relayed_response_that_can_not_be_written_ends_its_request(self):
         """Guards against the same behind a peer."""
-        _, gateway = self.add_relays()
+        service, gateway = self.add_relays()
         for path in PATHS:
             with self.subTest(path):
                 reply = builders.FailingResponseWriter()
@@ -72,6 +72,16 @@
                 )
                 listener.handle_completion(ports.Completion.COMPLETE)
                 self.check_ended(reply)
+                self.assertEqual(0, service._in_flight.total())
+
+    def test_request_that_can_not_be_relayed_ends(self):
+        """Guards against a peer that counts as busy for ever."""
+        service, gateway = self.add_relays()
+        gateway.send.side_effect = ValueError
+        for path in PATHS:
+            with self.subTest(path):
+                self.check_ended(self.world.serve(path))
+                self.assertEqual(0, service._in_flight.total())
 
     def test_started_stream_is_cut(self):
         """Guards against a stream that goes on after an error."""
--- a/tests/platform/builders.py
+++ b/tests/platform/builders.py
@@ -3,10 +3,15 @@
 from __future__ import annotations
 
 import asyncio
+import random
 
 import attrs
 
+from tests.application.routing import builders as routing_builders
+from thornspool.application.routing import relays
+from thornspool.domain.entries import view as view_module
 from thornspool.platform import engines
+from thornspool.platform import peer_gateway
 
 MAX_SENT_BYTES = 64_000_000
 """Bytes after which the stub gives up on a client that reads on and on."""
@@ -111,6 +116,25 @@
     return first_runs
 
 
+def relay_all_to(stub, world, session):
+    """Pass all requests of a world on to a stub in the place of a peer."""
+    links = world.evidence.links
+    links.lost_since = 0
+    view = view_module.View(routing_builders.build_record())
+    peer = attrs.evolve(
+        routing_builders.build_record('a-01'), peers=stub.address
+    )
+    view.apply_record(peer, 0)
+    world.streams.take_over = world.calls.take_over = relays.RelayService(
+        world.clock,
+        view,
+        links,
+        peer_gateway.PeerGateway(session),
+        world.budget,
+        random.Random(1),
+    ).take_over
+
+
 HEADS = {
     'control character': b'X: a\x01b',
     'only a control character': b'Weight-Versions: \x01',
--- a/tests/platform/test_endless_responses.py
+++ b/tests/platform/test_endless_responses.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import random
 import unittest
 
 import attrs
@@ -12,10 +11,7 @@
 from tests.platform import builders
 from thornspool.adapters import exceptions
 from thornspool.adapters import transfers
-from thornspool.application.routing import relays
-from thornspool.domain.entries import view as view_module
 from thornspool.platform import engines
-from thornspool.platform import peer_gateway
 
 SIGNED = b'HTTP/1.1 %d X\r\nResponse-Seal: s\r\n'
 EVENTS = b''.join(b'id: %d\ndata: x\n\n' % number for number in range(10))
@@ -151,23 +147,7 @@
         for path, status in (('/once/x', 200), ('/hold/1', 502)):
             with self.subTest(path):
                 await self.start(SIGNED % 200 + b'\r\n', TEXT)
-                view = view_module.View(routing_builders.build_record())
-                peer = attrs.evolve(
-                    routing_builders.build_record('a-01'),
-                    peers=self.stub.address,
-                )
-                view.apply_record(peer, 0)
-                links = self.world.evidence.links
-                links.lost_since = 0
-                self.world.streams.take_over = relays.RelayService(
-                    self.world.clock,
-                    view,
-                    links,
-                    peer_gateway.PeerGateway(self.session),
-                    self.world.budget,
-                    random.Random(1),
-                ).take_over
-                self.world.calls.take_over = self.world.streams.take_over
+                builders.relay_all_to(self.stub, self.world, self.session)
                 reply = self.world.serve(path)
                 await self.wait_until(lambda one=reply: one.status)
                 await self.check_broken_off()
--- a/tests/platform/test_spoiled_heads.py
+++ b/tests/platform/test_spoiled_heads.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import random
 import unittest
 
 import attrs
@@ -11,10 +10,7 @@
 from tests.application.routing import builders as routing_builders
 from tests.platform import builders
 from thornspool.adapters import transfers
-from thornspool.application.routing import relays
-from thornspool.domain.entries import view as view_module
 from thornspool.platform import engines
-from thornspool.platform import peer_gateway
 
 EVENTS = b''.join(b'id: %d\ndata: x\n\n' % number for number in range(10))
 STATUS_LINES = (
@@ -113,23 +109,7 @@
         ):
             with self.subTest(path, response=response):
                 self.start(response)
-                links = self.world.evidence.links
-                links.lost_since = 0
-                view = view_module.View(routing_builders.build_record())
-                peer = attrs.evolve(
-                    routing_builders.build_record('a-01'),
-                    peers=self.stub.address,
-                )
-                view.apply_record(peer, 0)
-                self.world.streams.take_over = relays.RelayService(
-                    self.world.clock,
-                    view,
-                    links,
-                    peer_gateway.PeerGateway(self.session),
-                    self.world.budget,
-                    random.Random(1),
-                ).take_over
-                self.world.calls.take_over = self.world.streams.take_over
+                builders.relay_all_to(self.stub, self.world, self.session)
                 reply = self.world.serve(path)
                 await self.wait_until(lambda one=reply: one.status)
                 self.assertEqual(502, reply.status)
