Send names beyond Latin-1 in UTF-8

Cause: since targets are sent byte by byte, a request that could not be encoded was refused with an error where it was started. The id or the address of a server, which other writers may list, can be such a name: the error would have ended each request that chose the server with 500, where it went on to another one before. Found by reading; it had not landed. A workspace with such a name could never be served.

Change: text that is not Latin-1 is sent as UTF-8, so that no header fails; the error is gone. An address that is none is not reached, as before.

Measured: a header with U+0141 arrives in UTF-8, one with 0xE9 as that byte; five odd addresses end as not sent.

--- a/src/thornspool/adapters/exceptions.py
+++ b/src/thornspool/adapters/exceptions.py
@@ -13,10 +13,6 @@
     """No byte of the request was written, and none will be."""
 
 
-class Unsendable(NotSent):
-    """The request can't be encoded; no server is the cause."""
-
-
 class ConnectionRefused(NotSent):
     """No process listens at the address."""
 
--- a/src/thornspool/adapters/transfers.py
+++ b/src/thornspool/adapters/transfers.py
@@ -330,9 +330,6 @@
     ) -> Transfer:
         """Start a transfer.
 
-        A request that can't be encoded says nothing about its server, so
-        that it is refused here and not reported as a failed transfer.
-
         Parameters
         ----------
         request : Request
@@ -345,13 +342,7 @@
             the transfer ends with ``TOO_LARGE``.
         on_end : callable
             Called last with the result; not called after ``cancel``.
-
-        Raises
-        ------
-        exceptions.Unsendable
-            If the target or a header can't be encoded.
         """
-        _check_encodable(request)
         transfer = Transfer(self, request, on_head, on_body, on_end)
         curl = (
             self._idle_handles.pop() if self._idle_handles else pycurl.Curl()
@@ -614,32 +605,22 @@
     return exceptions.ResponseLost(f'{url}: {result.value}.')
 
 
-def _check_encodable(request: Request) -> None:
+def _encode(text: str) -> bytes:
+    """Encode text of a request; names beyond Latin-1 are sent as UTF-8.
+
+    Text of callers is Latin-1, as which its bytes were decoded.
+    """
     try:
-        _split_url(request.url)
-        _encode_headers(request.headers)
-    except UnicodeEncodeError as error:
-        raise exceptions.Unsendable(
-            f'A request to {urllib.parse.urlsplit(request.url).netloc} can '
-            f'not be encoded: {error}.'
-        ) from error
-
-
-def _encode_headers(headers: Headers) -> list[bytes]:
-    """Encode headers as libcurl takes them; one without a value ends in ;."""
-    return [
-        f'{name}: {value}'.encode('latin-1')
-        if value
-        else f'{name};'.encode('latin-1')
-        for name, value in headers
-    ]
+        return text.encode('latin-1')
+    except UnicodeEncodeError:
+        return text.encode()
 
 
 def _split_url(url: str) -> tuple[str, bytes]:
     """Split a URL into the server and the request target as it is sent."""
     scheme, _, rest = url.partition('://')
     authority, _, target = rest.partition('/')
-    return f'{scheme}://{authority}/', f'/{target}'.encode('latin-1')
+    return f'{scheme}://{authority}/', _encode(f'/{target}')
 
 
 def _configure(
@@ -667,7 +648,11 @@
     curl.setopt(pycurl.HEADERFUNCTION, transfer.receive_line)
     curl.setopt(pycurl.WRITEFUNCTION, transfer.receive_body)
     names = {name.lower() for name, _ in request.headers}
-    lines = _encode_headers(request.headers)
+    lines = [
+        # A header without a value ends in ";" for libcurl.
+        _encode(f'{name}: {value}' if value else f'{name};')
+        for name, value in request.headers
+    ]
     # libcurl adds these headers by default; a name without a value removes
     # the header.
     lines.extend(
