Check only heads of responses that are passed on

Cause: since the head of each response is checked, one spoiled byte in the head of an engine's report would have made the report missing, and the engine count as lost within 200 ms, though it had answered.

Change: requests say whether their response is passed on; only such heads have to conform to RFC 9110.

Measured: a report with a control character in a header name is read; the tables of spoiled heads for actions, calls, streams and relays hold.

--- a/src/thornspool/adapters/transfers.py
+++ b/src/thornspool/adapters/transfers.py
@@ -125,6 +125,9 @@
         Whether to use a new connection that is not reused afterwards.
     max_body_bytes : int
         Maximum size of the response body in bytes; 0 for no limit.
+    is_forwarded : bool
+        Whether the response is passed on. One whose head can't be is broken
+        off as malformed.
     """
 
     url: str
@@ -137,6 +140,7 @@
     max_duration_ms: int = 0
     dedicated_connection: bool = True
     max_body_bytes: int = 0
+    is_forwarded: bool = False
 
 
 @attrs.frozen
@@ -218,6 +222,8 @@
             return None  # trailers of a chunked body
         try:
             status, headers = _parse_head(lines)
+            if self.request.is_forwarded:
+                _check_headers(headers)
         except (ValueError, httputil.HTTPInputError) as error:
             self._session.record_malformed(self, str(error))
             return 0
@@ -267,24 +273,32 @@
 
 
 def _parse_head(lines: list[str]) -> tuple[int, Headers]:
-    """Parse the head of a response, which libcurl checks only in part.
+    """Parse the head of a response.
 
     Raises
     ------
-    ValueError, httputil.HTTPInputError
-        If the status or a header does not conform to RFC 9110, so that it
-        can't be passed on.
+    ValueError
+        If the status is not three digits.
     """
     parts = lines[0].split(' ', 2)
     status = parts[1] if len(parts) > 1 else ''
     if len(status) != _STATUS_DIGITS or not status.isdecimal():
         raise ValueError(f'Invalid status {status!r}')
-    headers = tuple(_split_header(line) for line in lines[1:])
-    # It raises for what tornado's server refuses to send.
+    return int(status), tuple(_split_header(line) for line in lines[1:])
+
+
+def _check_headers(headers: Headers) -> None:
+    """Check headers, which libcurl does only in part.
+
+    Raises
+    ------
+    httputil.HTTPInputError
+        If a name or a value does not conform to RFC 9110, so that tornado's
+        server refuses to send it.
+    """
     checked = httputil.HTTPHeaders()
     for name, value in headers:
         checked.add(name, value)
-    return int(status), headers
 
 
 def _split_header(line: str) -> tuple[str, str]:
--- a/src/thornspool/platform/engines.py
+++ b/src/thornspool/platform/engines.py
@@ -205,6 +205,7 @@
             _build_headers(run),
             caller_request.body or None,
             CONNECT_TIMEOUT_MS,
+            is_forwarded=True,
         )
         return self._session.start(
             request,
--- a/src/thornspool/platform/peer_gateway.py
+++ b/src/thornspool/platform/peer_gateway.py
@@ -97,6 +97,7 @@
                 _build_headers(relayed),
                 caller_request.body or None,
                 CONNECT_TIMEOUT_MS,
+                is_forwarded=True,
             ),
             handle_head,
             listener.handle_body,
--- a/src/thornspool/platform/state_metrics.py
+++ b/src/thornspool/platform/state_metrics.py
@@ -154,7 +154,7 @@
     )
     metrics.add_counter(
         'thornspool_malformed_heads_total',
-        'Responses of servers, peers and the store whose head is no HTTP.',
+        'Responses of servers and peers whose head is no HTTP.',
         metrics_module.make_sample_reader(
             lambda: sources.session.malformed_count
         ),
