--- /dev/null
+++ b/tests/clients/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of clients that exceed limits, stall or flood an entry."""
--- a/tests/platform/deployment.py
+++ b/tests/platform/deployment.py
@@ -233,8 +233,12 @@
         domain: str = 'a',
         store_address: str | None = None,
         retry_slack: int = 100,
+        limits: dict[str, float] | None = None,
     ) -> Entry:
-        """Start an entry without waiting until it is ready."""
+        """Start an entry without waiting until it is ready.
+
+        ``limits`` are those of its host, as the settings name them.
+        """
         ports = find_ports(5)
         name = f'entry-{len(self.entries)}'
         settings = {
@@ -250,6 +254,7 @@
             'port_range': [ports[3], ports[4]],
             'platform': {'address': store_address or self.store_address},
             'bounds': {'grace_s': 8, 'budget_slack': retry_slack},
+            'limits': limits or {},
         }
         path = self._running.folder / f'{name}.json'
         path.write_text(json.dumps(settings))
--- a/tools/grouped_tests.py
+++ b/tools/grouped_tests.py
@@ -20,7 +20,9 @@
 SIMULATION_GROUPS = 2
 """Groups of the modules of the simulation."""
 
-_PROCESS_PACKAGES = frozenset({'platform', 'processes', 'soak', 'standins'})
+_PROCESS_PACKAGES = frozenset(
+    {'clients', 'platform', 'processes', 'soak', 'standins'}
+)
 _SIMULATION = 'simulation'
 _SUMMARY = re.compile(r'^(\d+) passed, (\d+) failed(?:, (\d+) skipped)?$')
 
