Free bodies when their requests end

Callers saw nothing of it at first: bodies of ended requests stayed in memory until the next full collection of reference cycles, so that memory grew on after clients had left.

Cause: the callback for a disconnection refers to the exchange, and through it to the reply that holds the callback; a transfer refers to its owner, which holds the transfer. Each of these cycles keeps the whole body. The delegate of a request kept a second copy of the body until its response was complete.

The reply drops its callback when it ends, a transfer its callbacks and body, and the delegate its buffer once the body is passed on. Ruled out: the quarantine and the detection of crashes, which keep names and no bodies.

Evidence: both new tests fail on the code before.

--- a/src/thornspool/adapters/transfers.py
+++ b/src/thornspool/adapters/transfers.py
@@ -199,6 +199,7 @@
         if not self.done:
             self.done = True
             self._session.discard(self)
+            self._release()
 
     def receive_line(self, raw: bytes) -> int | None:
         """Handle a header line; called by libcurl.
@@ -269,7 +270,21 @@
         """Call the completion callback once."""
         if not self.done:
             self.done = True
-            self._on_end(result)
+            on_end = self._on_end
+            self._release()
+            on_end(result)
+
+    def _release(self) -> None:
+        """Drop the body and the callbacks, which refer to the transfer.
+
+        They would stay in memory until the next collection of reference
+        cycles.
+        """
+        if self.request.body:
+            self.request = attrs.evolve(self.request, body=None)
+        self._on_head = lambda status, headers: None
+        self._on_body = lambda chunk: False
+        self._on_end = lambda result: None
 
 
 def _parse_head(lines: list[str]) -> tuple[int, Headers]:
--- a/src/thornspool/platform/callers.py
+++ b/src/thornspool/platform/callers.py
@@ -112,14 +112,11 @@
 
     def finish(self) -> None:
         reply = ResponseWriter(self._connection, self._start_line.method)
+        body = bytes(self._body)
+        # The delegate exists until the response is complete.
+        self._body = bytearray()
         try:
-            request = self._decode(
-                self._start_line,
-                self._headers,
-                bytes(self._body),
-                self._clock.now(),
-            )
-            self._serve(request, reply)
+            self._serve(self._decode_with(body), reply)
         except Exception:
             # Without a response the connection would stay open until the
             # caller times out. The request may have been executed, so the
@@ -129,8 +126,13 @@
             )
             reply.refuse(500, 'internal')
 
+    def _decode_with(self, body: bytes) -> ports.Request:
+        return self._decode(
+            self._start_line, self._headers, body, self._clock.now()
+        )
+
     def on_connection_close(self) -> None:
-        self._body.clear()
+        self._body = bytearray()
 
 
 def decode_request(
@@ -290,14 +292,14 @@
         """Finish the response as complete."""
         if self._done:
             return
-        self._done = True
+        self._end()
         self._connection.finish()
 
     def abort(self) -> None:
         """Close the connection, so that the response is visibly incomplete."""
         if self._done:
             return
-        self._done = True
+        self._end()
         self._connection.close()
 
     def send(self, status: int, headers: ports.Headers, body: bytes) -> None:
@@ -309,7 +311,7 @@
             headers = (*headers, ('Content-Length', str(len(body))))
         head = _build_head(status, headers)
         self._started = True
-        self._done = True
+        self._end()
         self._write_head(head, b'' if self._method == 'HEAD' else body)
         if not self._connection.stream.closed():
             self._connection.finish()
@@ -327,9 +329,19 @@
     def _close(self) -> None:
         if self._done:
             return
+        on_close = self._on_close
+        self._end()
+        if on_close is not None:
+            on_close()
+
+    def _end(self) -> None:
+        """Record that no more is sent.
+
+        The callback refers to the request, whose body would stay in memory
+        until the next collection of reference cycles.
+        """
         self._done = True
-        if self._on_close is not None:
-            self._on_close()
+        self._on_close = None
 
 
 def _build_head(status: int, headers: ports.Headers) -> _Head:
--- a/tests/adapters/test_transfers.py
+++ b/tests/adapters/test_transfers.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import asyncio
+import gc
 import os
 import socket
 import stat
 import time
 import unittest
+import weakref
 
 import pycurl
 
@@ -359,6 +361,37 @@
             while not self.peer.closed:
                 await asyncio.sleep(0.01)
 
+    async def test_owner_is_freed_with_its_transfer(self):
+        """Guards against bodies that stay until a collection of cycles."""
+
+        class Owner:
+            transfer = None
+
+        async def respond(_number, writer, _body):
+            writer.write(HEAD + b'2\r\nab\r\n0\r\n\r\n')
+
+        gc.disable()
+        self.addCleanup(gc.enable)
+        await self.start(respond)
+        for is_cancelled in (False, True):
+            owner = Owner()
+            owner_gone = weakref.ref(owner)
+            ended = asyncio.Event()
+            owner.transfer = self.session.start(
+                transfers.Request(self.peer.url, 'POST', body=b'x'),
+                lambda status, headers, owner=owner: None,
+                lambda chunk, owner=owner: None,
+                lambda ending, owner=owner, ended=ended: ended.set(),
+            )
+            if is_cancelled:
+                await asyncio.sleep(0)
+                owner.transfer.cancel()
+            else:
+                await asyncio.wait_for(ended.wait(), 5)
+            del owner
+            await asyncio.sleep(0.01)
+            self.assertIsNone(owner_gone())
+
     async def test_request_that_cannot_be_sent_fails(self):
         async def respond(_number, writer, _body):
             writer.close()
--- a/tests/platform/test_callers.py
+++ b/tests/platform/test_callers.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import gc
 import unittest
+import weakref
 
 from tests.platform import builders
 from tests.platform import deployment
@@ -57,3 +59,20 @@
                     (header[0].lower(), header[1]),
                     [(key.lower(), text) for key, text in response.headers],
                 )
+
+    async def test_request_is_freed_with_its_response(self):
+        """Guards against bodies that stay until a collection of cycles."""
+        gc.disable()
+        self.addCleanup(gc.enable)
+        request = {'body'}
+        request_gone = weakref.ref(request)
+
+        def serve(reply, held):
+            reply.set_disconnect_callback(lambda: (reply, held))
+            reply.send(200, (), b'done')
+
+        held = [request]
+        del request
+        self.serve = lambda reply: serve(reply, held.pop())
+        await self.session.fetch(self.request)
+        self.assertIsNone(request_gone())
