Keep only the parts of a prompt that are named

A head of 16 KB can name 2,300 parts of a prompt. Each request kept a string for every one of them while it waited or ran, although the quarantine names 32 at most. 300 clients with such heads took 243 MB in 7 s, and 240 MB were still used 4 s later.

A request now keeps the names that are used. The head is forwarded as it came.

The new test fails on the code before (2,299 names).

--- a/src/thornspool/platform/callers.py
+++ b/src/thornspool/platform/callers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import http.client
+import itertools
 import math
 import typing
 import urllib.parse
@@ -12,6 +13,7 @@
 from tornado import httputil
 from tornado import iostream
 
+from thornspool.application.routing import exchanges
 from thornspool.application.routing import ports
 from thornspool.application.routing import route_preview
 from thornspool.platform import engines
@@ -199,8 +201,8 @@
     The size of a part is not read, and the last part is left out.
     """
     entries = [entry for entry in text.split(',') if entry.strip()]
-    names = [entry.partition(':')[0].strip().lower() for entry in entries]
-    return tuple(dict.fromkeys(names[:-1]))
+    names = (entry.partition(':')[0].strip().lower() for entry in entries[:-1])
+    return tuple(itertools.islice(dict.fromkeys(names), exchanges.MAX_PARTS))
 
 
 def _parse_usage(text: str) -> tuple[float, float]:
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -14,6 +14,7 @@
 from tests import builders
 from tests.application.routing import builders as routing_builders
 from tests.domain.fleet import builders as fleet_builders
+from thornspool.application.routing import exchanges
 from thornspool.application.routing import ports
 from thornspool.domain.entries import messages as entries
 from thornspool.domain.fleet import named_limits
@@ -238,6 +239,13 @@
                 self.assertEqual(tuple(expected.split()), read.prompt_parts)
                 self.assertIn(('Prompt-Prefix', text), read.headers)
 
+    def test_names_only_the_parts_that_are_used(self):
+        """Guards against heads whose parts fill the memory."""
+        text = ','.join(f'{number:x}:1' for number in range(2_300))
+        parts = self.decode(Host='h', Prompt_Prefix=text).prompt_parts
+        self.assertEqual(exchanges.MAX_PARTS, len(parts))
+        self.assertEqual(('0', '1f'), (parts[0], parts[-1]))
+
     def test_malformed_headers_are_treated_as_missing(self):
         read = self.decode(
             Host='h', Deadline_Ms='soon', Token_Usage='x', Length_Hint='-'
