Bound what connections of clients hold

What callers saw: with 150 clients that send bodies of legal size an entry passes the memory of its machine within a second or two, at routes, at paths without a route and at the port of peers. With 4,500 clients that connect and send nothing, 39 of 52 calls were served and readiness checks failed, also when they came at another port.

Cause: each connection had a buffer as large as a body, nobody added up what all connections hold, and of the settings' memory and descriptors and the configuration's limits only the largest body was read. tornado accepts without a bound, gives each connection buffers and a task, and raises in each turn of the loop once descriptors run out.

One account (domain/clients) holds the buffers, heads, bodies and unsent responses of the connections of all listeners. A large request reserves its memory when its length is known, and is refused with 503 "not run" and a Retry-After where there is no room; small ones have a share of their own. Slow bodies, then those of the workspace that holds most, give way. Each listener has a share of the descriptors; a full one closes the connection that has waited longest without a request. A connection gets its buffers when its first bytes arrive. An answer before the end of a body discards the rest for a time, so that it is not lost to a reset; bodies over the limit get 413 in place of 400, which callers take for the same, and heads 431. The test of the largest body expects 413 now.

Descriptors and memory share one commit, since connections are admitted in one place.

--- a/src/thornspool/adapters/servers.py
+++ b/src/thornspool/adapters/servers.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import socket
 import ssl
 import typing
 
@@ -12,10 +13,15 @@
 from tornado import httputil
 from tornado import netutil
 
+from thornspool import clock as clock_module
 from thornspool import exceptions
+from thornspool.adapters import acceptors
+from thornspool.adapters import connections
+from thornspool.adapters import guards
+from thornspool.domain.clients import connections as clients
+from thornspool.domain.clients import limits
 
 if typing.TYPE_CHECKING:
-    from collections.abc import Awaitable
     from collections.abc import Callable
     from collections.abc import Iterator
 
@@ -26,7 +32,9 @@
 LISTEN_BACKLOG = 1024
 DEFAULT_BODY_LIMIT_BYTES = 8 * 1024 * 1024
 RESPONSE_TIMEOUT_MS = 30_000
-_HEADER_ALLOWANCE_BYTES = 65_536
+DEFAULT_SHARE = 0.45
+"""Share of the connections of a host that one listener may have open."""
+
 _POLL_INTERVAL_S = 0.02
 
 logger = structlog.get_logger(__name__)
@@ -81,35 +89,6 @@
     return context
 
 
-class _BusyTracker(httputil.HTTPMessageDelegate):
-    """Marks a connection as busy after the request headers are read."""
-
-    def __init__(
-        self,
-        inner: httputil.HTTPMessageDelegate,
-        mark_busy: Callable[[], None],
-    ) -> None:
-        self._inner = inner
-        self._mark_busy = mark_busy
-
-    def headers_received(
-        self,
-        start_line: httputil.RequestStartLine | httputil.ResponseStartLine,
-        headers: httputil.HTTPHeaders,
-    ) -> Awaitable[None] | None:
-        self._mark_busy()
-        return self._inner.headers_received(start_line, headers)
-
-    def data_received(self, chunk: bytes) -> Awaitable[None] | None:
-        return self._inner.data_received(chunk)
-
-    def finish(self) -> None:
-        self._inner.finish()
-
-    def on_connection_close(self) -> None:
-        self._inner.on_connection_close()
-
-
 class _TrackingServer(httpserver.HTTPServer):
     """An HTTP server that tracks connections with unfinished responses."""
 
@@ -123,13 +102,26 @@
         # tornado waits for the next request of a connection only after the
         # last byte of the previous response was passed to the kernel.
         self.busy_connections.discard(server_conn)
-        return _BusyTracker(
-            super().start_request(server_conn, request_conn),
+        stream = typing.cast(typing.Any, request_conn).stream
+        context: connections.ClientContext = stream.context
+        context.end_request()
+        if stream.has_served:
+            context.enter(clients.Phase.IDLE)
+        guarded = guards.GuardedConnection(request_conn)
+        inner = super().start_request(
+            server_conn, typing.cast(httputil.HTTPConnection, guarded)
+        )
+        return guards.RequestGuard(
+            inner,
+            guarded,
+            context,
+            self.conn_params.max_body_size or DEFAULT_BODY_LIMIT_BYTES,
             lambda: self.busy_connections.add(server_conn),
         )
 
     def on_close(self, server_conn: object) -> None:
         self.busy_connections.discard(server_conn)
+        typing.cast(typing.Any, server_conn).stream.context.end()
         super().on_close(server_conn)
 
 
@@ -163,6 +155,13 @@
         Maximum size of a request body in bytes.
     name : str
         Settings member of the listener, for error messages.
+    manager : connections.ConnectionManager, optional
+        Manager of the connections of all listeners; one for this listener
+        alone by default.
+    share : float, optional
+        Share of all connections that this listener may have open.
+    format_refusal : callable, optional
+        Formats refusals before a request reaches the application.
 
     Raises
     ------
@@ -176,16 +175,34 @@
         tls: settings.Tls | None,
         body_limit_bytes: int = DEFAULT_BODY_LIMIT_BYTES,
         name: str = 'callers',
+        manager: connections.ConnectionManager | None = None,
+        share: float = DEFAULT_SHARE,
+        format_refusal: connections.RefusalFormatter = (
+            connections.format_refusal
+        ),
     ) -> None:
         self._address, _, port = listen.rpartition(':')
         self._scheme = 'https' if tls else 'http'
         self._body_limit_bytes = body_limit_bytes
         self._server: _TrackingServer | None = None
+        self._acceptor: acceptors.Acceptor | None = None
+        self._name = name
+        self._manager = manager or connections.ConnectionManager(
+            clock_module.Clock(), limits.compute_capacity(0, 0)
+        )
+        self._pool = self._manager.add_pool(name, share)
+        self._format_refusal = format_refusal
         self._tls = make_tls(tls, name)
         try:
             self._sockets = netutil.bind_sockets(
                 int(port), self._address.strip('[]'), backlog=LISTEN_BACKLOG
             )
+            for listening in self._sockets:
+                listening.setsockopt(
+                    socket.SOL_SOCKET,
+                    socket.SO_RCVBUF,
+                    connections.RECEIVE_BUFFER_BYTES,
+                )
         except OSError as error:
             raise ListenError(
                 f'Cannot listen on {listen}: {error}.',
@@ -208,11 +225,39 @@
         """Serve an application."""
         self._server = _TrackingServer(
             application,
-            ssl_options=self._tls,
+            chunk_size=connections.READ_BYTES,
             max_body_size=self._body_limit_bytes,
-            max_buffer_size=self._body_limit_bytes + _HEADER_ALLOWANCE_BYTES,
         )
-        self._server.add_sockets(self._sockets)
+        self._acceptor = acceptors.Acceptor(
+            self._sockets,
+            self._manager,
+            self._pool,
+            self._serve,
+            self._tls is not None,
+            self._format_refusal,
+        )
+
+    def _serve(
+        self,
+        accepted: socket.socket,
+        address: typing.Any,
+        context: connections.ClientContext,
+        first_bytes: bytes,
+    ) -> Callable[[], None]:
+        """Serve the requests of a connection; return how to close it."""
+        assert self._server is not None
+        if self._tls is not None:
+            accepted = netutil.ssl_wrap_socket(
+                accepted,
+                self._tls,
+                server_side=True,
+                do_handshake_on_connect=False,
+            )
+        stream = connections.make_stream(
+            accepted, context, first_bytes, self._tls is not None
+        )
+        self._server.handle_stream(stream, address)
+        return stream.close
 
     def allow_body(self, body_limit_bytes: int) -> None:
         """Accept bodies of at least a size on new connections.
@@ -226,9 +271,6 @@
             return
         self._body_limit_bytes = body_limit_bytes
         self._server.conn_params.max_body_size = body_limit_bytes
-        self._server.max_buffer_size = (
-            body_limit_bytes + _HEADER_ALLOWANCE_BYTES
-        )
 
     def disable_keep_alive(self) -> None:
         """Disable keep-alive: close each connection after its next response.
@@ -257,7 +299,8 @@
         """
         if self._server is None:
             return
-        self._server.stop()
+        if self._acceptor is not None:
+            self._acceptor.stop()
         # A request is recorded as executed before its response has left the
         # process. Without this wait, a slow reader would receive a truncated
         # response.
@@ -271,3 +314,4 @@
             )
         before_close()
         await self._server.close_all_connections()
+        self._manager.remove_pool(self._pool)
--- /dev/null
+++ b/src/thornspool/domain/clients/__init__.py
@@ -0,0 +1,1 @@
+"""Limits on clients, and the memory and connections that they may use."""
--- /dev/null
+++ b/src/thornspool/domain/clients/limits.py
@@ -0,0 +1,102 @@
+"""Limits on what clients send, and on what all of them may hold."""
+
+from __future__ import annotations
+
+import resource
+
+import attrs
+
+REQUEST_LINE_BYTES = 8_192
+"""Room for the request line, which the limit on header fields excludes."""
+
+FILE_DESCRIPTORS = 200
+"""Descriptors that files and the runtime use, and not connections."""
+
+MEMORY_SHARE = 0.3
+"""Share of the memory of a host that clients may hold.
+
+The process itself uses up to half of the smallest host.
+"""
+
+MIN_MEMORY_BYTES = 8 * 2**20
+"""Least memory for clients, which admits one body of the largest size."""
+
+DEFAULT_MEMORY_MB = 512
+DEFAULT_DESCRIPTORS = 4_096
+"""Limits of a host whose settings name none."""
+
+_MIN_CONNECTIONS = 16
+
+
+@attrs.frozen
+class ClientLimits:
+    """Limits on the requests and the connections of one client.
+
+    Attributes
+    ----------
+    max_head_bytes : int
+        Largest request line with all header fields.
+    max_body_bytes : int
+        Largest body.
+    head_timeout_ms : int
+        Longest time from the first to the last byte of a head.
+    idle_timeout_ms : int
+        Longest time without a request, or without progress of a body or of a
+        response.
+    """
+
+    max_head_bytes: int = 65_536
+    max_body_bytes: int = 8 * 2**20
+    head_timeout_ms: int = 10_000
+    idle_timeout_ms: int = 60_000
+
+
+@attrs.frozen
+class HostCapacity:
+    """Memory and connections of a host that clients may use.
+
+    Attributes
+    ----------
+    memory_bytes : int
+        Memory for the requests, connections and unsent responses of clients.
+    connections : int
+        Connections of clients and of this process together.
+    """
+
+    memory_bytes: int
+    connections: int
+
+    def compute_connections(self, share: float) -> int:
+        """Compute the connections that a listener may have open."""
+        return max(_MIN_CONNECTIONS, int(self.connections * share))
+
+
+def find_descriptors(configured: int) -> int:
+    """Return how many descriptors this process may have open.
+
+    Parameters
+    ----------
+    configured : int
+        Descriptors of the host; 0 for unknown.
+    """
+    limit, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    if limit == resource.RLIM_INFINITY:
+        return configured
+    return min(configured or limit, limit)
+
+
+def compute_capacity(memory_mb: float, descriptors: int) -> HostCapacity:
+    """Compute what clients may use of a host.
+
+    Parameters
+    ----------
+    memory_mb : float
+        Memory of the host in MiB; 0 for unknown.
+    descriptors : int
+        Descriptors of the process; 0 for unknown.
+    """
+    memory_bytes = int((memory_mb or DEFAULT_MEMORY_MB) * 2**20)
+    return HostCapacity(
+        max(MIN_MEMORY_BYTES, int(memory_bytes * MEMORY_SHARE)),
+        max(1, (descriptors or DEFAULT_DESCRIPTORS) - FILE_DESCRIPTORS),
+    )
--- a/src/thornspool/domain/routing/messages.py
+++ b/src/thornspool/domain/routing/messages.py
@@ -8,6 +8,7 @@
 import attrs
 
 if typing.TYPE_CHECKING:
+    from thornspool.domain.clients import limits
     from thornspool.domain.fleet import messages as fleet
 
 
@@ -126,8 +127,8 @@
         Workspaces by key.
     needs_keys : bool
         Whether requests of routes that are not anonymous need a key.
-    max_body_bytes : int
-        Maximum size of a request body, in bytes.
+    client_limits : limits.ClientLimits
+        Limits on the requests and connections of clients.
     """
 
     version: int
@@ -135,7 +136,7 @@
     services: dict[str, Service]
     workspaces: dict[str, Workspace]
     needs_keys: bool
-    max_body_bytes: int
+    client_limits: limits.ClientLimits
 
     def find_route(self, host: str, path: str) -> Route | None:
         """Find the route with the longest prefix that matches a path."""
--- a/src/thornspool/platform/callers.py
+++ b/src/thornspool/platform/callers.py
@@ -79,7 +79,10 @@
     ) -> httputil.HTTPMessageDelegate:
         """Create the delegate of the next request of a connection."""
         return _RequestCollector(
-            self._clock, self._serve, self._decode, request_conn
+            self._clock,
+            self._serve,
+            self._decode,
+            request_conn,
         )
 
 
@@ -130,7 +133,10 @@
 
     def _decode_with(self, body: bytes) -> ports.Request:
         return self._decode(
-            self._start_line, self._headers, body, self._clock.now()
+            self._start_line,
+            self._headers,
+            body,
+            self._clock.now(),
         )
 
     def on_connection_close(self) -> None:
--- a/src/thornspool/platform/daemon.py
+++ b/src/thornspool/platform/daemon.py
@@ -19,6 +19,7 @@
 from thornspool import logs
 from thornspool import metrics as metrics_module
 from thornspool import tasks
+from thornspool.adapters import connections
 from thornspool.adapters import servers as listeners
 from thornspool.adapters import transfers
 from thornspool.application import quarantine
@@ -44,6 +45,7 @@
 from thornspool.application.routing import server_limits
 from thornspool.application.routing import stored_verdicts
 from thornspool.application.routing import streams
+from thornspool.domain.clients import limits
 from thornspool.domain.entries import leadership
 from thornspool.domain.entries import messages
 from thornspool.domain.entries import view as view_module
@@ -123,6 +125,18 @@
 Closing takes about 250 ms.
 """
 
+CONNECTION_SHARES = {
+    'callers': 0.45,
+    'peers': 0.10,
+    'lookups': 0.10,
+    'readiness': 0.05,
+    'metrics': 0.02,
+}
+"""Shares of all connections that clients of each listener may have open.
+
+The rest is for calls to servers, peers and the store.
+"""
+
 _MS_PER_S = 1000.0
 
 logger = structlog.get_logger(__name__)
@@ -276,6 +290,13 @@
         self._link_load = link_loads.LinkLoad(settings.link_mbps)
         self._tasks = tasks.BackgroundTasks(clock)
         self._listeners: list[listeners.Listener] = []
+        self._connections = connections.ConnectionManager(
+            clock,
+            limits.compute_capacity(
+                settings.memory_mb,
+                limits.find_descriptors(settings.descriptors),
+            ),
+        )
 
     async def start(self) -> None:
         """Open the listeners and start the periodic tasks."""
@@ -648,6 +669,7 @@
     def _listen(self) -> None:
         settings = self._settings
         self._caller_listener = self._open(
+            'callers',
             settings.callers,
             callers.CallerDelegate(self._clock, self._intake.serve),
         )
@@ -660,6 +682,7 @@
             self._intake.is_available,
         )
         self._peer_listener = self._open(
+            'peers',
             f'{settings.ip}:{settings.peer_port}',
             callers.CallerDelegate(
                 self._clock,
@@ -668,6 +691,7 @@
             ),
         )
         self._open(
+            'lookups',
             settings.lookups,
             callers.QueryDelegate(
                 {
@@ -680,6 +704,7 @@
             ),
         )
         self._open(
+            'readiness',
             settings.readiness,
             callers.QueryDelegate(
                 {
@@ -690,6 +715,7 @@
             ),
         )
         self._open(
+            'metrics',
             f'{settings.ip}:{settings.metrics_port}',
             callers.QueryDelegate(
                 {
@@ -702,9 +728,18 @@
         )
 
     def _open(
-        self, address: str, delegate: httputil.HTTPServerConnectionDelegate
+        self,
+        name: str,
+        address: str,
+        delegate: httputil.HTTPServerConnectionDelegate,
     ) -> listeners.Listener:
-        listener = listeners.Listener(address, None)
+        listener = listeners.Listener(
+            address,
+            None,
+            name=name,
+            manager=self._connections,
+            share=CONNECTION_SHARES[name],
+        )
         listener.start(delegate)
         self._listeners.append(listener)
         return listener
@@ -783,8 +818,9 @@
     def _update_state(self) -> None:
         configuration = self._routing_state.configuration
         if configuration is not None:
-            for listener in (self._caller_listener, self._peer_listener):
-                listener.allow_body(configuration.max_body_bytes)
+            self._connections.limits = configuration.client_limits
+            for listener in self._listeners:
+                listener.allow_body(configuration.client_limits.max_body_bytes)
         self._membership.update_state(
             configuration is not None,
             self._limits.key_ms,
--- a/src/thornspool/platform/documents.py
+++ b/src/thornspool/platform/documents.py
@@ -8,6 +8,7 @@
 import structlog
 
 from thornspool import decoding
+from thornspool.domain.clients import limits as clients
 from thornspool.domain.fleet import messages as fleet
 from thornspool.domain.routing import messages as routing
 from thornspool.platform import exceptions
@@ -76,7 +77,10 @@
 
 
 class _Limits(msgspec.Struct):
+    max_header_bytes: int = 16_384
     max_body_bytes: int = 4_194_304
+    header_timeout_ms: float = 3_000
+    idle_timeout_ms: float = 15_000
 
 
 class _Tenant(msgspec.Struct):
@@ -156,7 +160,16 @@
             for key in tenant.api_keys
         },
         needs_keys=bool(document.tenants),
-        max_body_bytes=document.limits.max_body_bytes,
+        client_limits=_convert_limits(document.limits),
+    )
+
+
+def _convert_limits(limits: _Limits) -> clients.ClientLimits:
+    return clients.ClientLimits(
+        limits.max_header_bytes + clients.REQUEST_LINE_BYTES,
+        limits.max_body_bytes,
+        round(limits.header_timeout_ms),
+        round(limits.idle_timeout_ms),
     )
 
 
--- a/src/thornspool/platform/settings.py
+++ b/src/thornspool/platform/settings.py
@@ -40,6 +40,8 @@
 
 class _HostLimits(msgspec.Struct):
     link_mbps: float = 0.0
+    memory_mb: float = 0.0
+    max_fds: int = 0
 
 
 class _NodeFile(msgspec.Struct):
@@ -122,6 +124,10 @@
         Required service levels.
     link_mbps : float
         Bandwidth of this host's link in megabits per second; 0 for unknown.
+    memory_mb : float
+        Memory of this host in MiB; 0 for unknown.
+    descriptors : int
+        Descriptors that this process may have open; 0 for unknown.
     """
 
     host: str
@@ -137,6 +143,8 @@
     heartbeat_ms: int
     bounds: Bounds
     link_mbps: float = 0.0
+    memory_mb: float = 0.0
+    descriptors: int = 0
 
 
 def find_file() -> pathlib.Path:
@@ -204,4 +212,6 @@
             max_address_ttl_s=bounds.ttl_max_s,
         ),
         link_mbps=document.limits.link_mbps,
+        memory_mb=document.limits.memory_mb,
+        descriptors=document.limits.max_fds,
     )
--- /dev/null
+++ b/tests/adapters/test_client_limits.py
@@ -0,0 +1,181 @@
+"""Tests of the limits on clients, over loopback."""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+
+from tests.adapters import client_builders
+from thornspool.domain.clients import connections
+from thornspool.domain.clients import limits
+
+BODY_BYTES = client_builders.BODY_BYTES
+LENGTH = f'Content-Length: {BODY_BYTES}'
+build_request = client_builders.build_request
+
+
+class ClientCase(unittest.IsolatedAsyncioTestCase):
+    capacity = client_builders.CAPACITY
+
+    async def asyncSetUp(self):
+        self.deployed = client_builders.Deployment(self.capacity)
+        self.manager = self.deployed.manager
+        self.clients = []
+
+    async def asyncTearDown(self):
+        for client in self.clients:
+            client.writer.close()
+        await self.deployed.stop()
+
+    async def connect(self, data=b''):
+        """Open a connection and send bytes."""
+        client = await self.deployed.connect()
+        self.clients.append(client)
+        await client.send(data)
+        return client
+
+    async def wait_until(self, is_met):
+        async with asyncio.timeout(client_builders.TIMEOUT_S):
+            while not is_met():
+                await asyncio.sleep(0.005)
+
+    async def wait_for_phase(self, phase, count=1):
+        (pool,) = self.manager.pools
+        await self.wait_until(lambda: pool.count(phase) == count)
+
+    def expire(self, milliseconds):
+        """Let time pass, and close what has expired."""
+        self.deployed.clock.advance(milliseconds)
+        self.manager.tick()
+
+
+class BodyTest(ClientCase):
+    async def test_largest_body_is_served(self):
+        """Guards against limits that a legal body exceeds."""
+        chunk = b'%x\r\n%b\r\n0\r\n\r\n' % (BODY_BYTES, bytes(BODY_BYTES))
+        for data in (
+            build_request(LENGTH, body=bytes(BODY_BYTES)),
+            build_request('Transfer-Encoding: chunked', body=chunk),
+        ):
+            client = await self.connect(data)
+            status, answer = await client.read()
+            self.assertEqual(200, status)
+            self.assertTrue(answer.endswith(b'1000000'), answer)
+
+    async def test_body_over_the_limit_is_refused_with_its_reason(self):
+        """Guards against a reset in place of the answer."""
+        over = BODY_BYTES + 1
+        chunk = b'%x\r\n%b\r\n0\r\n\r\n' % (over, bytes(over))
+        for data in (
+            build_request(f'Content-Length: {over}', body=bytes(over)),
+            build_request('Transfer-Encoding: chunked', body=chunk),
+        ):
+            client = await self.connect(data)
+            status, answer = await client.read()
+            self.assertEqual(413, status)
+            self.assertIn(b'Connection: close', answer)
+            self.assertEqual(b'', await client.read_rest())
+        self.assertEqual(2, self.deployed.count('body_too_large'))
+        self.assertEqual([], self.deployed.served)
+
+    async def test_bodies_that_exceed_the_memory_are_refused(self):
+        """Guards against many legal bodies that fill the memory."""
+        waiting = [await self.connect(build_request(LENGTH)) for _ in '12']
+        await self.wait_for_phase(connections.Phase.BODY, 2)
+        refused = await self.connect(build_request(LENGTH))
+        status, answer = await refused.read()
+        self.assertEqual(503, status)
+        self.assertIn(b'Retry-After: 0.500', answer)
+        small = await self.connect(build_request(method='GET'))
+        self.assertEqual(200, (await small.read())[0])
+        for client in waiting:
+            await client.send(bytes(BODY_BYTES))
+            self.assertEqual(200, (await client.read())[0])
+        later = await self.connect(
+            build_request(LENGTH, body=bytes(BODY_BYTES))
+        )
+        self.assertEqual(200, (await later.read())[0])
+
+
+class HeadTest(ClientCase):
+    async def test_head_over_the_limit_is_refused(self):
+        client = await self.connect(
+            build_request('X: ' + 'x' * client_builders.LIMITS.max_head_bytes)
+        )
+        self.assertEqual(431, (await client.read())[0])
+        self.assertEqual(1, self.deployed.count('head_too_large'))
+
+    async def test_head_without_end_is_closed(self):
+        """Guards against a head that fills the memory."""
+        client = await self.connect(b'GET / HTTP/1.1\r\nX: ' + bytes(100_000))
+        with self.assertRaises((ConnectionError, asyncio.IncompleteReadError)):
+            await client.read()
+
+    async def test_heads_of_many_fields_that_exceed_the_memory(self):
+        """Guards against heads whose fields fill the memory."""
+        fields = [f'{number:x}:' for number in range(1_200)]
+        data = build_request(*fields, 'Content-Length: 1')
+        clients = [await self.connect(data) for _ in range(6)]
+        await self.wait_until(lambda: self.deployed.count('memory') == 2)
+        self.assertLessEqual(
+            self.manager.memory.held_bytes, self.manager.memory.budget_bytes
+        )
+        for client in clients:
+            await client.send(b'x')
+        statuses = sorted([(await one.read())[0] for one in clients])
+        self.assertEqual([200] * 4 + [503] * 2, statuses)
+
+    async def test_requests_that_were_sent_ahead_are_not_run_for_nobody(self):
+        """Guards against requests that run after their client has left."""
+        self.deployed.holds = True
+        client = await self.connect(build_request(method='GET') * 20)
+        await self.wait_until(lambda: self.deployed.served)
+        client.writer.transport.abort()
+        self.deployed.holds = False
+        await asyncio.sleep(0.05)
+        self.deployed.replies[0].send(200, (), b'')
+        await asyncio.sleep(0.05)
+        self.assertLess(len(self.deployed.served), 3)
+
+
+class ConnectionTest(ClientCase):
+    capacity = limits.HostCapacity(4 * BODY_BYTES, 16)
+
+    async def test_silent_connections_make_room(self):
+        """Guards against silent clients that keep all others out."""
+        silent = [await self.connect() for _ in range(16)]
+        await self.wait_for_phase(connections.Phase.OPEN, 16)
+        client = await self.connect(build_request(method='GET'))
+        self.assertEqual(200, (await client.read())[0])
+        self.assertEqual(b'', await silent[0].read_rest())
+        self.assertEqual(1, self.deployed.count('evicted'))
+
+    async def test_requests_in_service_are_kept(self):
+        """Guards against requests that are cut for new connections."""
+        self.deployed.holds = True
+        serving = [
+            await self.connect(build_request(method='GET')) for _ in range(16)
+        ]
+        await self.wait_for_phase(connections.Phase.SERVING, 16)
+        late = await self.connect()
+        self.assertEqual(b'', await late.read_rest())
+        self.assertEqual(1, self.deployed.count('connections'))
+        for reply in self.deployed.replies:
+            reply.send(200, (), b'')
+        for client in serving:
+            self.assertEqual(200, (await client.read())[0])
+
+    async def test_responses_without_readers_make_room(self):
+        """Guards against responses that fill the memory."""
+        self.deployed.holds = True
+        for _ in range(2):
+            await self.connect(build_request(method='GET'))
+        await self.wait_until(lambda: len(self.deployed.replies) == 2)
+        for reply in self.deployed.replies:
+            reply.begin(200, ())
+            for _ in range(64):
+                reply.write(bytes(100_000))
+        self.assertGreaterEqual(self.deployed.count('unread_response'), 1)
+        self.assertLessEqual(
+            self.manager.memory.held_bytes, self.manager.memory.budget_bytes
+        )
--- /dev/null
+++ b/tests/domain/clients/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of ``thornspool.domain.clients``."""
