Let demanding work wait for its turn

What callers saw: beside 300 clients with heads of 2,600 fields 15 of 33 calls were served and readiness checks failed, also when the heads came at the port for these checks; beside bodies in chunks of 64 bytes calls took seconds; beside 100 clients that send requests ahead or reset after each request some were not answered in time.

Cause: in one turn of the event loop every connection may do all work for which bytes have arrived. Parsing such a head takes some 10 ms, and 256 small chunks of a body as much, so that one turn takes seconds. Ruled out: a limit on the number of fields, which legal heads would meet.

Heads over 4 KB, each 32nd chunk, large bodies and requests that were sent ahead wait for a turn, about a millisecond of such work or one piece; after a turn that took long, other work gets as much time. Long heads are refused at once while over a second of work waits. Work of connections that have closed takes no turn, and requests that a client has sent ahead before it left are not run.

--- a/src/thornspool/adapters/connections.py
+++ b/src/thornspool/adapters/connections.py
@@ -15,6 +15,7 @@
 from tornado import ioloop
 from tornado import iostream
 
+from thornspool.adapters import turns as turns_module
 from thornspool.domain.clients import connections
 from thornspool.domain.clients import limits as limits_module
 
@@ -37,6 +38,24 @@
 """Retry-After while the memory for requests is full. A body arrives and is
 served in about that time."""
 
+BUSY_RETRY_MS = 1_000
+"""Retry-After while demanding heads have to wait; they do so for a second."""
+
+MAX_WAITING_WORK = 1_000_000_000
+"""Work that may wait for its turn, in nanoseconds of a fast processor."""
+
+SHORT_HEAD_BYTES = 4_096
+"""Longest head that is parsed at once."""
+
+FIELD_WORK = 8_000
+HEAD_BYTE_WORK = 200
+CHUNK_WORK = 40_000
+"""Work to parse a header field, a byte of a head, and a chunk of a body."""
+
+CHUNKS_PER_TURN = 32
+PIPELINED_WORK = 1_000_000
+"""Work of a request that was sent ahead, before its predecessor's answer."""
+
 IDLE_REASON = 'idle'
 """Reason that is usual, so that it is counted and not logged."""
 
@@ -92,6 +111,8 @@
     ----------
     memory : connections.ClientMemory
         Account of the memory that clients hold.
+    turns : turns_module.Turns
+        Work that waits for its turn.
     pools : list of connections.ConnectionPool
         Connections of each listener.
     refusals : collections.Counter of tuple of str
@@ -109,6 +130,7 @@
         self._capacity = capacity
         self.limits = limits or limits_module.ClientLimits()
         self.memory = connections.ClientMemory(capacity.memory_bytes)
+        self.turns = turns_module.Turns(clock)
         self.pools: list[connections.ConnectionPool] = []
         self.refusals: collections.Counter[tuple[str, str]] = (
             collections.Counter()
@@ -216,6 +238,18 @@
     pool: connections.ConnectionPool
     connection: connections.Connection
     format_refusal: RefusalFormatter = format_refusal
+    _turn: asyncio.Future[None] | None = None
+
+    def take_turn(
+        self, work: int, is_urgent: bool = True
+    ) -> asyncio.Future[None]:
+        """Return a future that is resolved when work may begin.
+
+        It is resolved at once when the connection is closed, so that those
+        that have left do not wait.
+        """
+        self._turn = self.manager.turns.take(work, is_urgent)
+        return self._turn
 
     def enter(self, phase: connections.Phase) -> None:
         """Record the phase of the connection."""
@@ -242,6 +276,8 @@
         # collection of reference cycles.
         connection.close = _do_nothing
         connection.refuse = _ignore_reason
+        if self._turn is not None and not self._turn.done():
+            self._turn.set_result(None)
 
 
 def _do_nothing() -> None:
@@ -265,6 +301,7 @@
     is_muted = False
     """Whether further writes are dropped, since the response is complete."""
 
+    _chunk_count = 0
     _head_bytes = 0
 
     def read_from_fd(self, buffer: bytearray | memoryview) -> int | None:
@@ -338,7 +375,7 @@
     async def read_until_regex(
         self, regex: bytes, max_bytes: int | None = None
     ) -> bytes:
-        """Read a head if there is room for it."""
+        """Read a head once there is room for it, in its turn."""
         stream: typing.Any = self
         if stream.closed():
             # tornado would serve what a client has sent ahead before it left.
@@ -347,13 +384,14 @@
         reading = super().read_until_regex(  # type: ignore[misc]
             regex, limit_bytes + READ_BYTES
         )
+        is_pipelined = self.has_served and reading.done()
         is_idle = self.context.connection.phase is connections.Phase.IDLE
         if is_idle and reading.done():
             self.context.enter(connections.Phase.HEAD)
         head: bytes = await reading
         refusal: Refusal | None = 431, 'head_too_large', None
         if len(head) <= limit_bytes:
-            refusal = self._admit_head(head)
+            refusal = await self._admit_head(head, is_pipelined)
         if refusal is not None:
             await self._refuse_head(head, refusal)
         if stream.closed():
@@ -361,14 +399,23 @@
         self.has_served = True
         return head
 
-    def _admit_head(self, head: bytes) -> Refusal | None:
-        """Reserve memory for a head; return why it is refused, if it is."""
+    async def _admit_head(
+        self, head: bytes, is_pipelined: bool
+    ) -> Refusal | None:
+        """Wait for the turn of a head; return why it is refused, if it is."""
+        turns = self.context.manager.turns
         fields = head.count(b'\n')
         memory = 2 * len(head) + fields * connections.FIELD_BYTES
-        if memory > connections.SMALL_BYTES and not self.context.reserve(
-            memory
-        ):
-            return 503, 'memory', MEMORY_RETRY_MS
+        if len(head) > SHORT_HEAD_BYTES:
+            if turns.waiting_work > MAX_WAITING_WORK:
+                return 503, 'busy', BUSY_RETRY_MS
+            await self.context.take_turn(
+                fields * FIELD_WORK + len(head) * HEAD_BYTE_WORK
+            )
+            if not self.context.reserve(memory):
+                return 503, 'memory', MEMORY_RETRY_MS
+        elif is_pipelined:
+            await self.context.take_turn(PIPELINED_WORK)
         return None
 
     async def _refuse_head(self, head: bytes, refusal: Refusal) -> None:
@@ -385,6 +432,24 @@
         context.enter(connections.Phase.DISCARDING)
         while True:
             await stream.read_bytes(READ_BYTES, partial=True)
+            await context.take_turn(READ_BYTES, is_urgent=False)
+
+    def read_until(
+        self, delimiter: bytes, max_bytes: int | None = None
+    ) -> typing.Any:
+        """Read the size of a chunk; many small chunks wait for their turn."""
+        self._chunk_count += 1
+        if self._chunk_count % CHUNKS_PER_TURN == 0:
+            return self._read_in_turn(delimiter, max_bytes)
+        return super().read_until(delimiter, max_bytes)  # type: ignore[misc]
+
+    async def _read_in_turn(
+        self, delimiter: bytes, max_bytes: int | None
+    ) -> bytes:
+        await self.context.take_turn(CHUNKS_PER_TURN * CHUNK_WORK)
+        base: typing.Any = super()
+        line: bytes = await base.read_until(delimiter, max_bytes)
+        return line
 
 
 class ClientStream(_ClientStreamMixin, iostream.IOStream):
--- a/src/thornspool/adapters/guards.py
+++ b/src/thornspool/adapters/guards.py
@@ -149,17 +149,16 @@
             self.refuse(413, 'body_too_large')
             return None
         answer = self._inner.headers_received(start_line, headers)
-        if self._is_large:
-            self._admit_body(length)
-        return answer
+        return self._admit_body(length) if self._is_large else answer
 
-    def _admit_body(self, length: int | None) -> None:
+    async def _admit_body(self, length: int | None) -> None:
         """Reserve memory for a large body, or refuse the request."""
         if length is None:
             # tornado would end the request without a reason.
             self._connection.set_max_body_size(_UNLIMITED_BYTES)
         if not self._reserve(length or FIRST_CHUNK_BYTES):
             self._refuse_arriving('memory')
+        await self._context.take_turn(connections_module.READ_BYTES)
 
     def _reserve(self, body_bytes: int) -> bool:
         # A buffer that grows has room for an eighth more than it holds.
@@ -217,14 +216,15 @@
 
     def data_received(self, chunk: bytes) -> Awaitable[None] | None:
         """Pass on a part of the body, or discard it."""
-        self._arrived_bytes += len(chunk)
+        size = len(chunk)
+        self._arrived_bytes += size
         if self._is_discarding:
             if self._arrived_bytes > 2 * self._max_body_bytes:
                 self._connection.close()
-            return None
+            return self._context.take_turn(size, is_urgent=False)
         if self._arrived_bytes > self._max_body_bytes:
             self.refuse(413, 'body_too_large')
-            return None
+            return self._context.take_turn(size)
         answer = self._inner.data_received(chunk)
         if not self._is_large:
             return answer
@@ -237,7 +237,7 @@
             min(2 * self._arrived_bytes, self._max_body_bytes)
         ):
             self._refuse_arriving('memory')
-        return answer
+        return self._context.take_turn(size)
 
     def finish(self) -> None:
         """Serve the request, or end its early answer."""
