Decide on large requests before their body is read

What callers saw: bodies of 4 MiB at a path without a route, with a wrong key or from a stranger at the port of peers were read to the end before the request was denied, and filled the memory meanwhile; look-ups, readiness and metrics read bodies that they do not use.

Cause: a request was decoded and decided once it was complete.

The delegate of a request over 16 KB decides when its head has arrived: the intake denies or refuses it at once, after a confirmation of the copy where one is needed; the intake of peers denies strangers; look-ups, readiness and metrics answer. What still arrives is discarded. The terms of an admitted body name its workspace, among which memory is shared, and the time after which it is of no use. Smaller requests are decided as before, since they fit into what a connection holds anyway.

--- a/src/thornspool/adapters/guards.py
+++ b/src/thornspool/adapters/guards.py
@@ -94,7 +94,9 @@
     Parameters
     ----------
     inner : httputil.HTTPMessageDelegate
-        Delegate that serves the request.
+        Delegate that serves the request. If it has a method ``check_body``,
+        this is awaited before a large body is read; it returns
+        ``connections.BodyTerms``, or None if it has answered the request.
     connection : GuardedConnection
         Connection of the request.
     context : connections_module.ClientContext
@@ -153,9 +155,22 @@
 
     async def _admit_body(self, length: int | None) -> None:
         """Reserve memory for a large body, or refuse the request."""
+        check = getattr(self._inner, 'check_body', _allow_body)
+        terms: connections.BodyTerms | None = await check()
+        if self._is_discarding:
+            return
+        if terms is None:
+            self._discard()
+            return
+        connection = self._context.connection
+        connection.group = terms.group
         if length is None:
             # tornado would end the request without a reason.
             self._connection.set_max_body_size(_UNLIMITED_BYTES)
+        if terms.timeout_ms is not None:
+            connection.body_expires_at = (
+                self._context.manager.now() + terms.timeout_ms
+            )
         if not self._reserve(length or FIRST_CHUNK_BYTES):
             self._refuse_arriving('memory')
         await self._context.take_turn(connections_module.READ_BYTES)
@@ -261,6 +276,11 @@
     """Continue after an answer that comes in time."""
 
 
+async def _allow_body() -> connections.BodyTerms:
+    """Read the body of a request whose delegate does not decide on it."""
+    return connections.BodyTerms()
+
+
 def _find_body_length(headers: httputil.HTTPHeaders) -> int | None:
     """Return the length of a body; None if it is sent in chunks.
 
--- a/src/thornspool/application/routing/intake.py
+++ b/src/thornspool/application/routing/intake.py
@@ -13,6 +13,7 @@
 from thornspool.application.routing import containment
 from thornspool.application.routing import exchanges
 from thornspool.application.routing import streams as streams_module
+from thornspool.domain.clients import connections
 from thornspool.domain.quarantine import fingerprints
 from thornspool.domain.routing import decisions
 from thornspool.domain.routing import messages as routing
@@ -140,6 +141,54 @@
         else:
             self._serve_decided(request, reply, decision)
 
+    def check_body(
+        self,
+        request: ports.Request,
+        reply: ports.ResponseWriter,
+        on_decided: Callable[[connections.BodyTerms | None], None],
+    ) -> None:
+        """Decide on a request before its body is read.
+
+        Parameters
+        ----------
+        request : ports.Request
+            The request without its body.
+        reply : ports.ResponseWriter
+            Its reply.
+        on_decided : callable
+            Called with the terms on which the body is read, or with None
+            after the request was refused.
+        """
+
+        def decide() -> None:
+            on_decided(self._check_confirmed(request, reply))
+
+        if (
+            self.is_draining
+            or self.decide(request).reason not in _NOT_CONFIRMED_REASONS
+            or not self.confirm_copy(decide)
+        ):
+            decide()
+
+    def _check_confirmed(
+        self, request: ports.Request, reply: ports.ResponseWriter
+    ) -> connections.BodyTerms | None:
+        """Return the terms for a body, or refuse the request."""
+        decision = self.decide(request)
+        route, workspace = decision.route, decision.workspace
+        if route is None or decision.verdict is not decisions.Verdict.ALLOWED:
+            self._serve_decided(request, reply, decision)
+            return None
+        if self.find_unavailability(decision) is not None:
+            self._serve_decided(request, reply, decision)
+            return None
+        timeout_ms = request.timeout_ms
+        if route.timeout_ms > 0:
+            timeout_ms = min(timeout_ms, route.timeout_ms)
+        return connections.BodyTerms(
+            timeout_ms, '' if workspace is None else workspace.name
+        )
+
     def _serve_decided(
         self,
         request: ports.Request,
--- a/src/thornspool/application/routing/relays.py
+++ b/src/thornspool/application/routing/relays.py
@@ -20,6 +20,7 @@
 from thornspool.application.routing import listeners
 from thornspool.application.routing import ports
 from thornspool.application.routing import run_notices
+from thornspool.domain.clients import connections
 from thornspool.domain.fleet import bodies
 from thornspool.domain.fleet import events
 from thornspool.domain.routing import messages as routing
@@ -765,18 +766,50 @@
         self, request: ports.Request, reply: ports.ResponseWriter
     ) -> None:
         """Serve a request of a peer, or refuse it without running it."""
+        if self._refuse(request, reply):
+            return
+        self._waiting.add(reply)
+        reply.set_disconnect_callback(lambda: self._waiting.discard(reply))
+        self._confirm_links(
+            lambda is_linked: self._admit(request, reply, is_linked)
+        )
+
+    def check_body(
+        self,
+        request: ports.Request,
+        reply: ports.ResponseWriter,
+        on_decided: Callable[[connections.BodyTerms | None], None],
+    ) -> None:
+        """Decide on a request before its body is read.
+
+        Parameters
+        ----------
+        request : ports.Request
+            The request without its body.
+        reply : ports.ResponseWriter
+            Its reply.
+        on_decided : callable
+            Called with the terms on which the body is read, or with None
+            after the request was refused.
+        """
+        is_refused = self._refuse(request, reply)
+        on_decided(
+            None if is_refused else connections.BodyTerms(request.timeout_ms)
+        )
+
+    def _refuse(
+        self, request: ports.Request, reply: ports.ResponseWriter
+    ) -> bool:
+        """Refuse a request that this entry does not accept from a peer."""
         if not self._is_from_peer(request.relay):
             logger.warning('relay_denied', id=request.id)
             # A peer may have passed it on to the process before this one.
             reply.refuse_relay(403)
-        elif self._is_full(request):
+            return True
+        if self._is_full(request):
             reply.refuse_relay()
-        else:
-            self._waiting.add(reply)
-            reply.set_disconnect_callback(lambda: self._waiting.discard(reply))
-            self._confirm_links(
-                lambda is_linked: self._admit(request, reply, is_linked)
-            )
+            return True
+        return False
 
     def _admit(
         self,
--- a/src/thornspool/platform/callers.py
+++ b/src/thornspool/platform/callers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import http.client
 import itertools
 import math
@@ -16,6 +17,7 @@
 from thornspool.application.routing import exchanges
 from thornspool.application.routing import ports
 from thornspool.application.routing import route_preview
+from thornspool.domain.clients import connections
 from thornspool.platform import engines
 
 if typing.TYPE_CHECKING:
@@ -43,6 +45,11 @@
 
 RequestHandler = typing.Callable[[ports.Request, ports.ResponseWriter], None]
 
+_OnDecided = typing.Callable[[connections.BodyTerms | None], None]
+BodyChecker = typing.Callable[
+    [ports.Request, ports.ResponseWriter, _OnDecided], None
+]
+
 _Head = tuple[httputil.ResponseStartLine, httputil.HTTPHeaders]
 
 RequestDecoder = typing.Callable[
@@ -62,6 +69,10 @@
         Called with each complete request and its reply.
     decode : callable, optional
         Decodes a request; the default is for requests of callers.
+    check_body : callable, optional
+        Called with a request whose body has not been read, its reply, and a
+        function that takes the terms for the body, or None if the request is
+        refused.
     """
 
     def __init__(
@@ -69,10 +80,12 @@
         clock: clock_module.Clock,
         serve: RequestHandler,
         decode: RequestDecoder | None = None,
+        check_body: BodyChecker | None = None,
     ) -> None:
         self._clock = clock
         self._serve = serve
         self._decode = decode or decode_request
+        self._check_body = check_body or _allow_body
 
     def start_request(
         self, server_conn: object, request_conn: httputil.HTTPConnection
@@ -82,6 +95,7 @@
             self._clock,
             self._serve,
             self._decode,
+            self._check_body,
             request_conn,
         )
 
@@ -94,11 +108,13 @@
         clock: clock_module.Clock,
         serve: RequestHandler,
         decode: RequestDecoder,
+        check_body: BodyChecker,
         connection: httputil.HTTPConnection,
     ) -> None:
         self._clock = clock
         self._serve = serve
         self._decode = decode
+        self._check_body = check_body
         self._connection = connection
         self._body = bytearray()
         self._start_line = httputil.RequestStartLine('', '', '')
@@ -112,6 +128,27 @@
         self._start_line = typing.cast(httputil.RequestStartLine, start_line)
         self._headers = headers
 
+    def check_body(self) -> asyncio.Future[connections.BodyTerms | None]:
+        """Decide on the request before its body is read."""
+        decided: asyncio.Future[connections.BodyTerms | None] = (
+            asyncio.get_running_loop().create_future()
+        )
+        reply = ResponseWriter(self._connection, self._start_line.method)
+
+        def record(terms: connections.BodyTerms | None) -> None:
+            if not decided.done():
+                decided.set_result(terms)
+
+        try:
+            self._check_body(self._decode_with(b''), reply, record)
+        except Exception:
+            logger.exception(
+                'request_failed', id=self._headers.get('Attempt-Id', '')
+            )
+            reply.refuse(500, 'internal')
+            record(None)
+        return decided
+
     def data_received(self, chunk: bytes) -> None:
         self._body.extend(chunk)
 
@@ -143,6 +180,15 @@
         self._body = bytearray()
 
 
+def _allow_body(
+    _request: ports.Request,
+    _reply: ports.ResponseWriter,
+    on_decided: _OnDecided,
+) -> None:
+    """Read the body of any request."""
+    on_decided(connections.BodyTerms())
+
+
 def decode_request(
     start_line: httputil.RequestStartLine,
     headers: httputil.HTTPHeaders,
@@ -416,7 +462,14 @@
     ) -> None:
         self._start_line = typing.cast(httputil.RequestStartLine, start_line)
 
+    async def check_body(self) -> None:
+        """Answer at once, since no request has a body that is used."""
+        self._answer()
+
     def finish(self) -> None:
+        self._answer()
+
+    def _answer(self) -> None:
         path, _, query = self._start_line.path.partition('?')
         reply = ResponseWriter(self._connection, self._start_line.method)
         handler = self._handlers.get(path)
--- a/src/thornspool/platform/daemon.py
+++ b/src/thornspool/platform/daemon.py
@@ -671,7 +671,11 @@
         self._caller_listener = self._open(
             'callers',
             settings.callers,
-            callers.CallerDelegate(self._clock, self._intake.serve),
+            callers.CallerDelegate(
+                self._clock,
+                self._intake.serve,
+                check_body=self._intake.check_body,
+            ),
         )
         relay_intake = relays.RelayIntake(
             self._view,
@@ -688,6 +692,7 @@
                 self._clock,
                 relay_intake.serve,
                 peer_gateway.decode_relayed_request,
+                relay_intake.check_body,
             ),
         )
         self._open(
--- a/tests/adapters/client_builders.py
+++ b/tests/adapters/client_builders.py
@@ -71,6 +71,8 @@
         Manager of the connections.
     served : list of ports.Request
         Requests that were served.
+    denied : str
+        Path that is answered before the body is read.
     """
 
     def __init__(
@@ -85,12 +87,14 @@
         )
         self.served: list[typing.Any] = []
         self.replies: list[typing.Any] = []
+        self.denied = '/denied'
         self.holds = False
         self.listener.start(
             callers.CallerDelegate(
                 self.clock,
                 self._serve,
                 self._decode,
+                check_body=self._check_body,
             )
         )
 
@@ -116,6 +120,15 @@
     ) -> typing.Any:
         return callers.decode_request(start_line, headers, body, now)
 
+    def _check_body(
+        self, request: typing.Any, reply: typing.Any, on_decided: typing.Any
+    ) -> None:
+        if request.path == self.denied:
+            reply.refuse(404, 'no_route')
+            on_decided(None)
+            return
+        on_decided(callers.connections.BodyTerms(request.timeout_ms))
+
     def _serve(self, request: typing.Any, reply: typing.Any) -> None:
         self.served.append(request)
         self.replies.append(reply)
--- a/tests/adapters/test_client_limits.py
+++ b/tests/adapters/test_client_limits.py
@@ -78,6 +78,16 @@
         self.assertEqual(2, self.deployed.count('body_too_large'))
         self.assertEqual([], self.deployed.served)
 
+    async def test_request_is_denied_before_its_body_arrives(self):
+        """Guards against bodies that are read though they are not served."""
+        client = await self.connect(build_request(LENGTH, path='/denied'))
+        status, answer = await client.read()
+        self.assertEqual(404, status)
+        self.assertIn(b'Connection: close', answer)
+        self.assertLess(self.manager.memory.held_bytes, 100_000)
+        await client.send(bytes(BODY_BYTES))
+        self.assertEqual(b'', await client.read_rest())
+
     async def test_bodies_that_exceed_the_memory_are_refused(self):
         """Guards against many legal bodies that fill the memory."""
         waiting = [await self.connect(build_request(LENGTH)) for _ in '12']
@@ -96,6 +106,20 @@
         )
         self.assertEqual(200, (await later.read())[0])
 
+    async def test_answer_in_the_middle_of_a_body_is_the_only_one(self):
+        """Guards against bytes of a second answer after a refusal."""
+        for data in (
+            build_request(LENGTH, 'Expect: 100-continue', path='/denied'),
+            build_request(
+                'Transfer-Encoding: chunked', path='/denied', body=b'x\r\n'
+            ),
+        ):
+            client = await self.connect(data)
+            status, _ = await client.read()
+            self.assertEqual(404, status)
+            self.expire(connections.DISCARD_TIMEOUT_MS + 1)
+            self.assertEqual(b'', await client.read_rest())
+
 
 class HeadTest(ClientCase):
     async def test_head_over_the_limit_is_refused(self):
--- a/tests/application/routing/test_intake.py
+++ b/tests/application/routing/test_intake.py
@@ -127,6 +127,60 @@
         self.assertEqual([], self.waiting)
 
 
+class BodyTest(unittest.TestCase):
+    """Decisions on requests whose body has not been read."""
+
+    def setUp(self):
+        self.world = builders.World()
+        self.decided = []
+
+    def check(self, path='/brief/x', **changes):
+        reply = builders.FakeResponseWriter()
+        changes.setdefault('arrived_at', self.world.clock.now())
+        request = builders.build_request(path, 1, **changes)
+        self.world.intake.check_body(request, reply, self.decided.append)
+        return reply
+
+    def test_denied_requests_are_answered_at_once(self):
+        """Guards against bodies that are read for nothing."""
+        for reply, status in (
+            (self.check('/none/x'), 404),
+            (self.check(key='key-2'), 401),
+        ):
+            self.assertEqual(status, reply.status)
+        self.world.intake.is_draining = True
+        self.assertEqual(503, self.check().status)
+        self.world.intake.is_draining = False
+        self.world.clock.advance(60_000)
+        self.assertEqual(503, self.check().status)
+        self.assertEqual([None] * 4, self.decided)
+
+    def test_body_is_of_use_until_the_deadline(self):
+        """Guards against bodies that are read beyond their deadline."""
+        for timeout_ms in (2_000, 10**9):
+            self.assertIsNone(self.check(timeout_ms=timeout_ms).status)
+        route = self.world.routing_state.configuration.find_route(
+            builders.build_request().host, '/brief/x'
+        )
+        self.assertEqual(
+            [2_000, route.timeout_ms], [one.timeout_ms for one in self.decided]
+        )
+        self.assertEqual({'north'}, {one.group for one in self.decided})
+        self.assertEqual([], self.world.servers.runs)
+        self.assertEqual(0, self.world.intake.in_flight)
+
+    def test_decision_waits_for_a_confirmation_of_the_copy(self):
+        """Guards against bodies that fill the memory meanwhile."""
+        waiting = []
+        self.world.clock.advance(1_900)
+        self.world.intake.confirm_copy = lambda call: not waiting.append(call)
+        reply = self.check('/none/x')
+        self.assertEqual((None, []), (reply.status, self.decided))
+        self.world.routing_state.freshness.confirm(self.world.clock.now())
+        waiting[0]()
+        self.assertEqual((404, [None]), (reply.status, self.decided))
+
+
 class PartTest(unittest.TestCase):
     def test_further_parts_of_a_prompt_are_ignored(self):
         """Guards against requests whose verdict takes seconds to find."""
--- a/tests/application/routing/test_relays.py
+++ b/tests/application/routing/test_relays.py
@@ -642,6 +642,14 @@
         self.relay_intake.serve(request, reply)
         return reply
 
+    def test_requests_of_others_are_denied_before_their_body(self):
+        """Guards against bodies that strangers send to the port of peers."""
+        decided = []
+        reply = builders.FakeResponseWriter()
+        request = builders.build_request('/brief/x')
+        self.relay_intake.check_body(request, reply, decided.append)
+        self.assertEqual((403, [None]), (reply.status, decided))
+
     def test_only_registered_entries_are_served(self):
         """Guards against callers that use the address of peers."""
         relay = ports.Relay('a-01', 'a-01-1', 'a-00-1', 0, False)
