Close clients that exceed limits of time

Cause: of the configuration's limits only the largest body was read; a connection could wait 3,600 s for its first byte, and a body could take for ever.

Each half second, connections are closed that exceed header_timeout_ms within a head or idle_timeout_ms without a request or without progress of a response. A body is refused with 408 "not run" when it makes no progress or, after that time, arrives at under 16 KB/s, and one of over 16 KB when its deadline or its route's timeout has passed. Clients that reuse connections after four fifths of the idle limit are not concerned; a test keeps such a connection for three times as long.

Ruled out: tornado's timeouts, which count a kept connection's idle time as part of the next head, and limit a body as a whole.

--- a/src/thornspool/adapters/connections.py
+++ b/src/thornspool/adapters/connections.py
@@ -23,7 +23,7 @@
     from thornspool import clock as clock_module
 
 TICK_INTERVAL_MS = 500
-"""Interval at which refusals are logged."""
+"""Interval at which expired connections are closed and refusals logged."""
 
 READ_BYTES = 16_384
 """Bytes that are read at once, also ahead of what is needed."""
@@ -210,7 +210,18 @@
             unread.close()
 
     def tick(self) -> None:
-        """Log what was refused."""
+        """Close expired connections, and log what was refused."""
+        now = self.now()
+        for pool in self.pools:
+            for connection in pool:
+                reason = connections.find_expiry(connection, self.limits, now)
+                if reason is None:
+                    continue
+                self.count(pool, reason)
+                if connection.phase is connections.Phase.BODY:
+                    connection.refuse(reason)
+                else:
+                    connection.close()
         for (name, reason), count in self._unlogged.items():
             logger.warning(
                 'clients_refused', listener=name, reason=reason, count=count
--- a/tests/adapters/test_client_limits.py
+++ b/tests/adapters/test_client_limits.py
@@ -162,6 +162,46 @@
         self.assertLess(len(self.deployed.served), 3)
 
 
+class TimeTest(ClientCase):
+    async def test_slow_clients_are_closed(self):
+        """Guards against clients that keep connections for ever."""
+        for data, elapsed_ms, reason in (
+            (b'', 15_001, 'idle'),
+            (b'GET / ', 3_001, 'head_timeout'),
+        ):
+            client = await self.connect(data)
+            phase = connections.Phase.HEAD if data else connections.Phase.OPEN
+            await self.wait_for_phase(phase)
+            self.expire(elapsed_ms)
+            self.assertEqual(b'', await client.read_rest())
+            self.assertEqual(1, self.deployed.count(reason))
+
+    async def test_body_that_stops_is_refused(self):
+        """Guards against bodies that never end."""
+        for lines, elapsed_ms, reason in (
+            ((LENGTH, 'Deadline-Ms: 2000'), 2_001, 'body_expired'),
+            ((LENGTH,), 15_001, 'body_timeout'),
+            (('Content-Length: 9',), 15_001, 'body_timeout'),
+        ):
+            client = await self.connect(build_request(*lines, body=b'x'))
+            await self.wait_for_phase(connections.Phase.BODY)
+            await asyncio.sleep(0.02)
+            self.expire(elapsed_ms)
+            self.assertEqual(408, (await client.read())[0])
+            self.assertGreaterEqual(self.deployed.count(reason), 1)
+            self.expire(connections.DISCARD_TIMEOUT_MS + 1)
+        self.assertEqual([], self.deployed.served)
+
+    async def test_kept_connection_is_served_within_the_idle_limit(self):
+        """Guards against a connection that is closed under a request."""
+        client = await self.connect()
+        for _ in range(3):
+            await client.send(build_request(method='GET'))
+            self.assertEqual(200, (await client.read())[0])
+            await self.wait_for_phase(connections.Phase.IDLE)
+            self.expire(12_000)
+
+
 class ConnectionTest(ClientCase):
     capacity = limits.HostCapacity(4 * BODY_BYTES, 16)
 
