Keep the process within the memory of its host

What callers saw: crowds of large bodies took more memory than the account shows, and the entry kept it: five crowds one after the other left 77 MB in use, and the next one passed 112 MB.

Cause: glibc raises the size from which a block has pages of its own when it frees a large one, so that bodies come to lie among small blocks; closed connections stay in reference cycles until a full collection, which is rare beside the objects of the start; and what the kernel has received for hundreds of refused requests counts too.

Large blocks keep pages of their own; free pages of small ones are returned once clients hold half of what they held; the objects of the start are exempt from collections. Each half second the resident memory is read, and clients may hold less, 8 MiB at least, while all together would pass 0.75 of the host's memory; garbage is collected then. Receive buffers are smaller, and of a listener's connections a quarter may have their rest discarded. Small unsent responses are never closed for memory.

Ruled out: the resident memory in place of the account, which lags behind.

--- a/src/thornspool/adapters/connections.py
+++ b/src/thornspool/adapters/connections.py
@@ -15,6 +15,7 @@
 from tornado import ioloop
 from tornado import iostream
 
+from thornspool import allocation
 from thornspool.adapters import turns as turns_module
 from thornspool.domain.clients import connections
 from thornspool.domain.clients import limits as limits_module
@@ -31,7 +32,7 @@
 MAX_BUFFER_BYTES = 262_144
 """Largest read buffer; a head has to fit in it, a body does not."""
 
-RECEIVE_BUFFER_BYTES = 32_768
+RECEIVE_BUFFER_BYTES = 16_384
 """Buffer of the kernel for bytes of a connection that are not read yet."""
 
 MEMORY_RETRY_MS = 500
@@ -52,6 +53,14 @@
 CHUNK_WORK = 40_000
 """Work to parse a header field, a byte of a head, and a chunk of a body."""
 
+BUSY_SHARE = 0.3
+CALMER_FACTOR = 2
+"""Free pages are released when clients hold less than half of the most that
+they have held, if that was over this share of their memory."""
+
+COLLECT_INTERVAL_MS = 2_000
+"""Shortest time between two collections of garbage while memory is short."""
+
 CHUNKS_PER_TURN = 32
 PIPELINED_WORK = 1_000_000
 """Work of a request that was sent ahead, before its predecessor's answer."""
@@ -138,6 +147,8 @@
         self._unlogged: collections.Counter[tuple[str, str]] = (
             collections.Counter()
         )
+        self._most_held = 0
+        self._collected_at = 0
         self._timer = ioloop.PeriodicCallback(self.tick, TICK_INTERVAL_MS)
 
     def add_pool(self, name: str, share: float) -> connections.ConnectionPool:
@@ -209,6 +220,22 @@
                     self.count(pool, 'unread_response')
             unread.close()
 
+    def _adjust_budget(self) -> None:
+        """Adjust what clients may hold; release pages when they hold less."""
+        memory = self.memory
+        self._most_held = max(self._most_held, memory.held_bytes)
+        is_calmer = memory.held_bytes * CALMER_FACTOR < self._most_held
+        if is_calmer and self._most_held > memory.budget_bytes * BUSY_SHARE:
+            self._most_held = memory.held_bytes
+            allocation.release_free_pages()
+        memory.budget_bytes = self._capacity.compute_budget(
+            allocation.read_resident_bytes(), memory.held_bytes
+        )
+        is_short = memory.budget_bytes < self._capacity.memory_bytes
+        if is_short and self.now() - self._collected_at >= COLLECT_INTERVAL_MS:
+            self._collected_at = self.now()
+            allocation.collect_garbage()
+
     def tick(self) -> None:
         """Close expired connections, and log what was refused."""
         now = self.now()
@@ -222,6 +249,7 @@
                     connection.refuse(reason)
                 else:
                     connection.close()
+        self._adjust_budget()
         for (name, reason), count in self._unlogged.items():
             logger.warning(
                 'clients_refused', listener=name, reason=reason, count=count
@@ -266,6 +294,14 @@
         """Record the phase of the connection."""
         self.pool.move(self.connection, phase, self.manager.now())
 
+    def discard(self) -> None:
+        """Record that the request is answered before its end."""
+        self.end_request()
+        self.enter(connections.Phase.DISCARDING)
+        surplus = self.pool.choose_surplus()
+        if surplus is not None:
+            surplus.close()
+
     def reserve(self, request_bytes: int) -> bool:
         """Reserve memory for a request, with what it has already."""
         return self.manager.memory.reserve(
@@ -440,7 +476,7 @@
             )
         )
         self.end_output()
-        context.enter(connections.Phase.DISCARDING)
+        context.discard()
         while True:
             await stream.read_bytes(READ_BYTES, partial=True)
             await context.take_turn(READ_BYTES, is_urgent=False)
--- a/src/thornspool/adapters/guards.py
+++ b/src/thornspool/adapters/guards.py
@@ -226,8 +226,7 @@
             return
         self._is_discarding = True
         self._connection.set_max_body_size(_UNLIMITED_BYTES)
-        self._context.end_request()
-        self._context.enter(connections.Phase.DISCARDING)
+        self._context.discard()
 
     def data_received(self, chunk: bytes) -> Awaitable[None] | None:
         """Pass on a part of the body, or discard it."""
--- a/src/thornspool/domain/clients/connections.py
+++ b/src/thornspool/domain/clients/connections.py
@@ -40,6 +40,9 @@
 A client that still sends may lose a response that is followed by a reset.
 """
 
+MAX_DISCARDING_SHARE = 0.25
+"""Share of the connections of a listener whose rest may be discarded."""
+
 _MS_PER_S = 1_000
 
 
@@ -202,6 +205,16 @@
             return connection
         return None
 
+    def choose_surplus(self) -> Connection | None:
+        """Choose a connection to close while too many requests are discarded.
+
+        What the kernel has received for them uses memory.
+        """
+        discarding = self._by_phase[Phase.DISCARDING]
+        if len(discarding) <= self.max_connections * MAX_DISCARDING_SHARE:
+            return None
+        return next(iter(discarding))
+
 
 def is_slow(connection: Connection, now: int) -> bool:
     """Return whether a body arrives more slowly than usual ones do."""
@@ -382,12 +395,15 @@
         """Choose the connection to close while responses exceed the memory.
 
         It is the one with the largest response of those that make no
-        progress, or of all.
+        progress, or of all. Small responses are left alone.
         """
         if self.held_bytes <= self.budget_bytes:
             return None
         unread = [
-            one for pool in self._pools for one in pool if one.unsent_bytes
+            one
+            for pool in self._pools
+            for one in pool
+            if one.unsent_bytes > SMALL_BYTES
         ]
         stalled = [one for one in unread if now - one.progress_at > STALLED_MS]
         return max(
--- a/src/thornspool/domain/clients/limits.py
+++ b/src/thornspool/domain/clients/limits.py
@@ -18,6 +18,13 @@
 The process itself uses up to half of the smallest host.
 """
 
+MAX_RESIDENT_SHARE = 0.75
+"""Share of the memory of a host up to which clients may use it.
+
+The rest is for what the kernel has received, and for growth between two
+readings of the resident memory.
+"""
+
 MIN_MEMORY_BYTES = 8 * 2**20
 """Least memory for clients, which admits one body of the largest size."""
 
@@ -61,15 +68,38 @@
         Memory for the requests, connections and unsent responses of clients.
     connections : int
         Connections of clients and of this process together.
+    host_bytes : int
+        Memory of the host; 0 for unknown.
     """
 
     memory_bytes: int
     connections: int
+    host_bytes: int = 0
 
     def compute_connections(self, share: float) -> int:
         """Compute the connections that a listener may have open."""
         return max(_MIN_CONNECTIONS, int(self.connections * share))
 
+    def compute_budget(self, resident_bytes: int, held_bytes: int) -> int:
+        """Compute the memory that clients may hold now.
+
+        It is less while the process uses much memory beside, such as pages
+        that are free and not returned.
+
+        Parameters
+        ----------
+        resident_bytes : int
+            Resident memory of the process; 0 for unknown.
+        held_bytes : int
+            Memory that clients hold.
+        """
+        if not self.host_bytes or not resident_bytes:
+            return self.memory_bytes
+        beside = max(0, resident_bytes - held_bytes)
+        left = int(self.host_bytes * MAX_RESIDENT_SHARE) - beside
+        floor = min(MIN_MEMORY_BYTES, self.memory_bytes)
+        return max(floor, min(self.memory_bytes, left))
+
 
 def find_descriptors(configured: int) -> int:
     """Return how many descriptors this process may have open.
@@ -99,4 +129,5 @@
     return HostCapacity(
         max(MIN_MEMORY_BYTES, int(memory_bytes * MEMORY_SHARE)),
         max(1, (descriptors or DEFAULT_DESCRIPTORS) - FILE_DESCRIPTORS),
+        int(memory_mb * 2**20),
     )
--- a/src/thornspool/platform/daemon.py
+++ b/src/thornspool/platform/daemon.py
@@ -14,6 +14,7 @@
 import attrs
 import structlog
 
+from thornspool import allocation
 from thornspool import clock as clock_module
 from thornspool import exceptions
 from thornspool import logs
@@ -195,6 +196,7 @@
     if options.check:
         return EXIT_OK
     logs.configure_logs(options.log_level, settings.host, to_stdout=True)
+    allocation.map_large_blocks()
     try:
         asyncio.run(_run_entry(settings, options))
     except exceptions.ThornspoolError as error:
@@ -219,6 +221,7 @@
         Features(options.share_memory, options.decide_spillover),
     )
     await entry.start()
+    allocation.exempt_start_objects()
     logger.info(
         'entry_started',
         seed=seed,
--- a/tests/clients/test_crowds.py
+++ b/tests/clients/test_crowds.py
@@ -48,6 +48,7 @@
         for door in ('route', 'no route', 'peers'):
             self.check(trials.Part('send_whole_body', door, 150))
         for kind, connections in (
+            ('send_whole_body', 1_200),
             ('send_pieces', 150),
             ('send_small_chunks', 100),
             ('stop_before_last_byte', 300),
--- a/tests/clients/trials.py
+++ b/tests/clients/trials.py
@@ -231,9 +231,14 @@
     counts too.
     """
 
-    def __init__(self, entry: deployment.Entry, limit_mb: int) -> None:
-        self._popen = entry.popen
-        self._ports = {f'{port:04X}' for port in entry.ports}
+    def __init__(
+        self,
+        popen: subprocess.Popen[bytes],
+        ports: typing.Iterable[int],
+        limit_mb: int,
+    ) -> None:
+        self._popen = popen
+        self._ports = {f'{port:04X}' for port in ports}
         self._limit = limit_mb << 20
         self._ended = threading.Event()
         self.peak = self.kernel_peak = 0
@@ -336,13 +341,19 @@
     ) -> subprocess.Popen[bytes]:
         """Start the process that plays the crowd."""
         port = entry.ports[builders.PORTS.get(self.door, 0)]
+        return self.start_at(port, builders.PATHS[self.door], seconds)
+
+    def start_at(
+        self, port: int, path: str, seconds: float
+    ) -> subprocess.Popen[bytes]:
+        """Start the process against a port and a path."""
         return subprocess.Popen(
             [
                 sys.executable,
                 '-m',
                 'tests.clients.crowd',
                 self.kind,
-                builders.PATHS[self.door],
+                path,
                 f'127.0.0.1:{port}',
                 '--connections',
                 str(self.connections),
@@ -385,7 +396,7 @@
     settle_s: float = SETTLE_S,
 ) -> Result:
     """Play crowds against an entry beside ordinary callers."""
-    watch = MemoryWatch(entry, machine.memory_mb)
+    watch = MemoryWatch(entry.popen, entry.ports, machine.memory_mb)
     ordinary = OrdinaryCallers(entry)
     try:
         time.sleep(1.0)
@@ -430,6 +441,7 @@
         (Part('send_whole_body', door, 150),)
         for door in ('route', 'action', 'stream', 'no route', 'peers')
     ),
+    (Part('send_whole_body', 'route', 1_200),),
     (Part('send_pieces', 'route', 150),),
     (Part('stop_before_last_byte', 'route', 300),),
     (Part('stop_before_last_byte_of_chunk', 'route', 300),),
--- a/tests/domain/clients/test_connections.py
+++ b/tests/domain/clients/test_connections.py
@@ -111,6 +111,16 @@
         self.assertEqual([serving], list(self.pool))
         self.assertIsNone(self.pool.choose_evicted(self.clients.now))
 
+    def test_few_requests_are_discarded_at_a_time(self):
+        """Guards against refused requests that fill the kernel's memory."""
+        pool = connections.ConnectionPool('callers', 16)
+        self.clients.pool = pool
+        refused = []
+        for _ in range(5):
+            refused.append(self.clients.connect(Phase.DISCARDING))
+            surplus = pool.choose_surplus()
+            self.assertIs(refused[0] if len(refused) == 5 else None, surplus)
+
     def test_body_that_arrives_is_not_evicted(self):
         """Guards against large requests that new connections keep out."""
         body = self.clients.connect(Phase.BODY)
@@ -178,6 +188,19 @@
         connection = clients.connect(Phase.BODY)
         self.assertTrue(clients.reserve(connection, BODY_BYTES))
 
+    def test_memory_that_is_used_beside_counts(self):
+        """Guards against free pages that fill the memory of a host."""
+        capacity = limits.compute_capacity(112, 2_870)
+        for resident_mb, held_mb, expected_mb in (
+            (0, 0, 33.6),
+            (47, 0, 33.6),
+            (80, 35, 33.6),
+            (80, 15, 19),
+            (110, 0, 8),
+        ):
+            budget = capacity.compute_budget(resident_mb << 20, held_mb << 20)
+            self.assertAlmostEqual(expected_mb, budget / 2**20, 2)
+
     def test_unknown_limits_have_defaults(self):
         capacity = limits.compute_capacity(0, 0)
         self.assertGreater(capacity.memory_bytes, 100_000_000)
