Count the deadline of a request from its first byte

Cause: a request's time of arrival was the time at which it was complete.

It is the time of its first byte now, which is when the client's time runs. Requests that were sent ahead begin when their predecessor is answered.

Evidence: the new test gets 900 ms too late an arrival on the code before.

--- a/src/thornspool/adapters/connections.py
+++ b/src/thornspool/adapters/connections.py
@@ -271,12 +271,15 @@
         State of the connection.
     format_refusal : callable
         Formats refusals for the clients of the listener.
+    request_began_at : int
+        Time of the first byte of the request, in milliseconds of the clock.
     """
 
     manager: ConnectionManager
     pool: connections.ConnectionPool
     connection: connections.Connection
     format_refusal: RefusalFormatter = format_refusal
+    request_began_at: int = 0
     _turn: asyncio.Future[None] | None = None
 
     def take_turn(
@@ -290,6 +293,11 @@
         self._turn = self.manager.turns.take(work, is_urgent)
         return self._turn
 
+    def begin_request(self) -> None:
+        """Record that the first byte of a request is available."""
+        self.enter(connections.Phase.HEAD)
+        self.request_began_at = self.connection.phase_began_at
+
     def enter(self, phase: connections.Phase) -> None:
         """Record the phase of the connection."""
         self.pool.move(self.connection, phase, self.manager.now())
@@ -370,7 +378,7 @@
             connections.Phase.IDLE,
         }:
             self._head_bytes = count
-            self.context.enter(connections.Phase.HEAD)
+            self.context.begin_request()
             return
         connection.progress_at = self.context.manager.now()
         if connection.phase is connections.Phase.HEAD:
@@ -434,7 +442,7 @@
         is_pipelined = self.has_served and reading.done()
         is_idle = self.context.connection.phase is connections.Phase.IDLE
         if is_idle and reading.done():
-            self.context.enter(connections.Phase.HEAD)
+            self.context.begin_request()
         head: bytes = await reading
         refusal: Refusal | None = 431, 'head_too_large', None
         if len(head) <= limit_bytes:
--- a/src/thornspool/adapters/guards.py
+++ b/src/thornspool/adapters/guards.py
@@ -56,6 +56,12 @@
         self.is_read = True
         self.closes_early = False
 
+    @property
+    def request_began_at(self) -> int:
+        """Time of the first byte of the request, in milliseconds."""
+        began_at: int = self._connection.stream.context.request_began_at
+        return began_at
+
     def __getattr__(self, name: str) -> typing.Any:
         return getattr(self._connection, name)
 
@@ -169,7 +175,7 @@
             self._connection.set_max_body_size(_UNLIMITED_BYTES)
         if terms.timeout_ms is not None:
             connection.body_expires_at = (
-                self._context.manager.now() + terms.timeout_ms
+                self._connection.request_began_at + terms.timeout_ms
             )
         if not self._reserve(length or FIRST_CHUNK_BYTES):
             self._refuse_arriving('memory')
--- a/src/thornspool/platform/callers.py
+++ b/src/thornspool/platform/callers.py
@@ -169,11 +169,12 @@
             reply.refuse(500, 'internal')
 
     def _decode_with(self, body: bytes) -> ports.Request:
+        began_at = getattr(self._connection, 'request_began_at', None)
         return self._decode(
             self._start_line,
             self._headers,
             body,
-            self._clock.now(),
+            self._clock.now() if began_at is None else began_at,
         )
 
     def on_connection_close(self) -> None:
--- a/tests/adapters/test_client_limits.py
+++ b/tests/adapters/test_client_limits.py
@@ -201,6 +201,16 @@
             await self.wait_for_phase(connections.Phase.IDLE)
             self.expire(12_000)
 
+    async def test_time_in_arrival_counts_against_the_deadline(self):
+        """Guards against servers that are given more time than is left."""
+        client = await self.connect(build_request('Content-Length: 1'))
+        await self.wait_for_phase(connections.Phase.BODY)
+        began_at = self.deployed.clock.now()
+        self.deployed.clock.advance(900)
+        await client.send(b'x')
+        await client.read()
+        self.assertEqual(began_at, self.deployed.served[0].arrived_at)
+
 
 class ConnectionTest(ClientCase):
     capacity = limits.HostCapacity(4 * BODY_BYTES, 16)
