Limit clients of the own interface by the settings of the host

The listeners of the own interface are the same, and had the limits of an unknown host: 512 MiB, and the descriptors that the system allows.

New settings `host_limits.memory_mb` and `host_limits.descriptors`; one account for callers and operators, who have a share of the connections each. Refusals are problem details with the outcome "not run". The process returns pages as the entry on the platform does. Peers of the own interface use pynng, which limits the size of messages and not the number of connections: open.

--- a/src/thornspool/adapters/problems.py
+++ b/src/thornspool/adapters/problems.py
@@ -95,6 +95,39 @@
     handler.finish(msgspec.json.encode(describe_problem(problem)))
 
 
+def format_refusal(
+    status: int, reason: str, retry_after_ms: int | None
+) -> tuple[tuple[tuple[str, str], ...], bytes]:
+    """Format the refusal of a request whose connection exceeds a limit.
+
+    Parameters
+    ----------
+    status : int
+        HTTP status.
+    reason : str
+        Short name of the reason.
+    retry_after_ms : int or None
+        Time after which a retry may succeed, in milliseconds; None if it
+        would not.
+
+    Returns
+    -------
+    tuple of headers and bytes
+        Headers without those on the connection, and the body.
+    """
+    problem = Problem(
+        status,
+        f'The request was refused before it was read ({reason}); see'
+        ' docs/settings.md for the limits.',
+        retry_after_ms=retry_after_ms,
+    )
+    headers = [('Content-Type', CONTENT_TYPE)]
+    if retry_after_ms is not None:
+        seconds = math.ceil(retry_after_ms / 1000)
+        headers.append(('Retry-After', str(seconds)))
+    return tuple(headers), msgspec.json.encode(describe_problem(problem))
+
+
 class ProblemHandler(web.RequestHandler):
     """Base class for handlers that report errors as problem details."""
 
--- a/src/thornspool/daemon.py
+++ b/src/thornspool/daemon.py
@@ -14,6 +14,7 @@
 import structlog
 
 import thornspool
+from thornspool import allocation
 from thornspool import clock
 from thornspool import entry
 from thornspool import exceptions
@@ -77,6 +78,7 @@
     if options.check:
         return EXIT_OK
     logs.configure_logs(entry_settings.log_level, entry_settings.host)
+    allocation.map_large_blocks()
     try:
         asyncio.run(run_entry(entry_settings))
     except exceptions.ThornspoolError as error:
@@ -105,6 +107,7 @@
         entry_settings, clock.Clock(), random.Random(seed), stop_requested.set
     )
     addresses = await local_entry.start()
+    allocation.exempt_start_objects()
     print(msgspec.json.encode(addresses).decode(), flush=True)
     logger.info('entry_started', seed=seed, callers=addresses.callers)
     await stop_requested.wait()
--- a/src/thornspool/entry.py
+++ b/src/thornspool/entry.py
@@ -15,6 +15,8 @@
 from thornspool import identifiers
 from thornspool import metrics as metrics_module
 from thornspool import state_metrics
+from thornspool.adapters import connections
+from thornspool.adapters import problems
 from thornspool.adapters import servers
 from thornspool.adapters.callers import context
 from thornspool.adapters.callers import routes as caller_routes
@@ -27,6 +29,7 @@
 from thornspool.application import outages
 from thornspool.application import ports
 from thornspool.domain.actions import messages as action_messages
+from thornspool.domain.clients import limits
 from thornspool.domain.configuration import messages as configuration_messages
 from thornspool.domain.limits import messages as limit_messages
 from thornspool.domain.quarantine import messages as quarantine_messages
@@ -50,6 +53,9 @@
 )
 """Types of replies, which no message handler registers with the codec."""
 
+OPERATOR_SHARE = 0.1
+"""Share of all connections that operators and scrapes may have open."""
+
 OUTCOME_TIMEOUT_MS = 10_000
 """Time to record the outcomes of actions during a drain."""
 
@@ -120,15 +126,27 @@
             If an address can't be bound.
         """
         settings = self._settings
+        self._connections = connections.ConnectionManager(
+            self._clock,
+            limits.compute_capacity(
+                settings.host_limits.memory_mb,
+                limits.find_descriptors(settings.host_limits.descriptors),
+            ),
+        )
         self._caller_listener = servers.Listener(
             settings.callers.listen,
             settings.callers.tls,
             settings.callers.body_limit_bytes,
+            manager=self._connections,
+            format_refusal=problems.format_refusal,
         )
         self._operator_listener = servers.Listener(
             settings.operators.listen,
             settings.operators.tls,
             name='operators',
+            manager=self._connections,
+            share=OPERATOR_SHARE,
+            format_refusal=problems.format_refusal,
         )
         incarnation = f'{settings.host}-{self._make_identifier()}'
         self._peers = node.PeerNode(
--- a/src/thornspool/settings.py
+++ b/src/thornspool/settings.py
@@ -151,6 +151,23 @@
     url: str = ''
 
 
+@attrs.frozen
+class HostLimits:
+    """Limits of the host, of which clients may use a part.
+
+    Attributes
+    ----------
+    memory_mb : float
+        Memory of the host in MiB; 0 for unknown.
+    descriptors : int
+        Descriptors that the process may have open; 0 for those that the
+        system allows.
+    """
+
+    memory_mb: float = 0.0
+    descriptors: int = 0
+
+
 @attrs.frozen
 class Settings:
     """All settings of one entry.
@@ -171,6 +188,8 @@
         The platform.
     region : str
         Region of the failure domain.
+    host_limits : HostLimits
+        Limits of the host.
     log_level : str
         ``debug``, ``info``, ``warning`` or ``error``.
     seed : int or None
@@ -184,6 +203,7 @@
     peers: Peers
     platform: Platform
     region: str = ''
+    host_limits: HostLimits = HostLimits()
     log_level: str = 'info'
     seed: int | None = None
 
