--- a/src/thornspool/entry.py
+++ b/src/thornspool/entry.py
@@ -173,6 +173,7 @@
             dependencies.platform,
             self._peers.traffic,
         )
+        state_metrics.add_client_metrics(self._metrics, self._connections)
         self._start_listeners()
         await self._services.members.start(settings.peers.seeds)
         await self._services.targets.start()
--- a/src/thornspool/platform/daemon.py
+++ b/src/thornspool/platform/daemon.py
@@ -543,6 +543,7 @@
                 self._quarantine,
                 self._loop_delay,
                 self._tasks,
+                self._connections,
             ),
         )
 
--- a/src/thornspool/platform/state_metrics.py
+++ b/src/thornspool/platform/state_metrics.py
@@ -22,6 +22,7 @@
 
     from thornspool import clock as clock_module
     from thornspool import tasks as tasks_module
+    from thornspool.adapters import connections as connections_module
     from thornspool.application import quarantine as quarantine_module
     from thornspool.application.routing import admission_control
     from thornspool.application.routing import (
@@ -77,6 +78,7 @@
     quarantine: quarantine_module.QuarantineService
     loop_delay: loop_delays.LoopDelay
     tasks: tasks_module.BackgroundTasks
+    connections: connections_module.ConnectionManager
 
 
 def add_entry_metrics(
@@ -88,6 +90,7 @@
     _add_engines(metrics, sources)
     add_admission(metrics, sources.paths)
     _add_sharing(metrics, sources)
+    common_metrics.add_client_metrics(metrics, sources.connections)
     common_metrics.add_quarantine_metrics(metrics, sources.quarantine)
     metrics.add_gauge(
         'thornspool_quarantine_proven_parts',
--- a/src/thornspool/state_metrics.py
+++ b/src/thornspool/state_metrics.py
@@ -8,6 +8,7 @@
 from thornspool import metrics as metrics_module
 from thornspool.adapters.store import client as store_client
 from thornspool.application import ports
+from thornspool.domain.clients import connections as clients
 from thornspool.domain.targets import messages as target_messages
 
 if typing.TYPE_CHECKING:
@@ -15,6 +16,7 @@
 
     from thornspool import clock as clock_module
     from thornspool import composition
+    from thornspool.adapters import connections
     from thornspool.adapters.peers import traffic as traffic_module
     from thornspool.application import quarantine as quarantine_module
 
@@ -151,6 +153,59 @@
     )
 
 
+def add_client_metrics(
+    metrics: metrics_module.Metrics,
+    manager: connections.ConnectionManager,
+) -> None:
+    """Add what the connections of clients hold, and what was refused."""
+    metrics.add_gauge(
+        'thornspool_client_connections',
+        'Connections of clients by listener and phase.',
+        lambda: _list_connections(manager),
+    )
+    metrics.add_gauge(
+        'thornspool_client_connections_max',
+        'Connections of clients that a listener may have open.',
+        lambda: [
+            metrics_module.Sample(
+                pool.max_connections, {'listener': pool.name}
+            )
+            for pool in manager.pools
+        ],
+    )
+    metrics.add_gauge(
+        'thornspool_client_memory_bytes',
+        'Memory that the requests and connections of clients hold.',
+        metrics_module.make_sample_reader(lambda: manager.memory.held_bytes),
+    )
+    metrics.add_gauge(
+        'thornspool_client_memory_max_bytes',
+        'Memory that they may hold together.',
+        metrics_module.make_sample_reader(lambda: manager.memory.budget_bytes),
+    )
+    metrics.add_counter(
+        'thornspool_clients_refused_total',
+        'Requests refused and connections closed, by listener and reason.',
+        lambda: [
+            metrics_module.Sample(
+                count, {'listener': listener, 'reason': reason}
+            )
+            for (listener, reason), count in manager.refusals.items()
+        ],
+    )
+
+
+def _list_connections(
+    manager: connections.ConnectionManager,
+) -> Iterator[metrics_module.Sample]:
+    for pool in manager.pools:
+        for phase in clients.Phase:
+            yield metrics_module.Sample(
+                pool.count(phase),
+                {'listener': pool.name, 'phase': phase.value},
+            )
+
+
 def _add_peer_traffic(
     metrics: metrics_module.Metrics, traffic: traffic_module.Traffic
 ) -> None:
--- a/tests/test_state_metrics.py
+++ b/tests/test_state_metrics.py
@@ -9,9 +9,12 @@
 from tests import builders
 from thornspool import metrics as metrics_module
 from thornspool import state_metrics
+from thornspool.adapters import connections
 from thornspool.adapters.peers import traffic as traffic_module
 from thornspool.adapters.store import memory
 from thornspool.application import ports
+from thornspool.domain.clients import connections as clients
+from thornspool.domain.clients import limits
 from thornspool.domain.limits import concurrency
 from thornspool.domain.targets import messages as target_messages
 
@@ -127,3 +130,28 @@
         self.traffic.sent['Gossip'].add(1)
         name = 'thornspool_peer_bytes_total{direction="sent",kind="Gossip"}'
         self.assertEqual(43, self._read_samples()[name])
+
+
+class ClientMetricsTest(unittest.IsolatedAsyncioTestCase):
+    async def test_connections_memory_and_refusals_are_shown(self):
+        """Guards against refusals that operators can't see."""
+        manager = connections.ConnectionManager(
+            builders.FakeClock(), limits.compute_capacity(112, 2_870)
+        )
+        pool = manager.add_pool('callers', 0.45)
+        client = clients.Connection(lambda: None, 0)
+        pool.add(client)
+        manager.memory.open(client)
+        manager.count(pool, 'memory')
+        registry = metrics_module.Metrics()
+        state_metrics.add_client_metrics(registry, manager)
+        text = registry.render()[0].decode()
+        for line in (
+            'client_connections{listener="callers",phase="open"} 1',
+            'client_connections_max{listener="callers"} 1201',
+            f'client_memory_bytes {clients.CONNECTION_BYTES}',
+            f'client_memory_max_bytes {manager.memory.budget_bytes}',
+            'clients_refused_total{listener="callers",reason="memory"} 1',
+        ):
+            self.assertIn(f'thornspool_{line}', text)
+        manager.remove_pool(pool)
