Split streams and refusals from the manager of connections

adapters/connections had three jobs: it managed the connections of a process, read heads in its streams, and formatted refusals. A reader looking for the limits had to know which parts belong together.

client_streams has the streams and the constants of what is read, refusals the format of refusals and their Retry-After; the code is unchanged.

--- a/src/thornspool/adapters/acceptors.py
+++ b/src/thornspool/adapters/acceptors.py
@@ -15,7 +15,9 @@
 import structlog
 from tornado import ioloop
 
+from thornspool.adapters import client_streams
 from thornspool.adapters import connections as connections_module
+from thornspool.adapters import refusals
 from thornspool.domain.clients import connections
 
 if typing.TYPE_CHECKING:
@@ -71,7 +73,7 @@
             Callable[[], None],
         ],
         is_encrypted: bool,
-        format_refusal: connections_module.RefusalFormatter,
+        format_refusal: refusals.RefusalFormatter,
     ) -> None:
         self._sockets = list(sockets)
         self._manager = manager
@@ -191,7 +193,7 @@
 
     def _read(self) -> None:
         try:
-            first_bytes = self.accepted.recv(connections_module.READ_BYTES)
+            first_bytes = self.accepted.recv(client_streams.READ_BYTES)
         except BlockingIOError:
             self._wait(self._read)
         except OSError:
--- a/src/thornspool/adapters/guards.py
+++ b/src/thornspool/adapters/guards.py
@@ -11,13 +11,16 @@
 
 from tornado import httputil
 
-from thornspool.adapters import connections as connections_module
+from thornspool.adapters import client_streams
+from thornspool.adapters import refusals
 from thornspool.domain.clients import connections
 
 if typing.TYPE_CHECKING:
     from collections.abc import Awaitable
     from collections.abc import Callable
 
+    from thornspool.adapters import connections as connections_module
+
 SMALL_BODY_BYTES = 16_384
 """Largest body that is read without a check, within a connection's memory."""
 
@@ -179,7 +182,7 @@
             )
         if not self._reserve(length or FIRST_CHUNK_BYTES):
             self._refuse_arriving('memory')
-        await self._context.take_turn(connections_module.READ_BYTES)
+        await self._context.take_turn(client_streams.READ_BYTES)
 
     def _reserve(self, body_bytes: int) -> bool:
         # A buffer that grows has room for an eighth more than it holds.
@@ -190,7 +193,7 @@
     def _refuse_arriving(self, reason: str) -> None:
         """Refuse the request while its body arrives; it has not run."""
         if reason == 'memory':
-            self.refuse(503, reason, connections_module.MEMORY_RETRY_MS)
+            self.refuse(503, reason, refusals.MEMORY_RETRY_MS)
         else:
             self.refuse(408, reason)
 
@@ -216,7 +219,7 @@
         stream = self._connection.stream
         if not stream.closed():
             stream.write(
-                connections_module.build_refusal(
+                refusals.build_refusal(
                     (status, reason, retry_after_ms),
                     context.format_refusal,
                     self._has_answer_body,
--- a/src/thornspool/adapters/servers.py
+++ b/src/thornspool/adapters/servers.py
@@ -16,8 +16,10 @@
 from thornspool import clock as clock_module
 from thornspool import exceptions
 from thornspool.adapters import acceptors
+from thornspool.adapters import client_streams
 from thornspool.adapters import connections
 from thornspool.adapters import guards
+from thornspool.adapters import refusals
 from thornspool.domain.clients import connections as clients
 from thornspool.domain.clients import limits
 
@@ -177,9 +179,7 @@
         name: str = 'callers',
         manager: connections.ConnectionManager | None = None,
         share: float = DEFAULT_SHARE,
-        format_refusal: connections.RefusalFormatter = (
-            connections.format_refusal
-        ),
+        format_refusal: refusals.RefusalFormatter = (refusals.format_refusal),
     ) -> None:
         self._address, _, port = listen.rpartition(':')
         self._scheme = 'https' if tls else 'http'
@@ -201,7 +201,7 @@
                 listening.setsockopt(
                     socket.SOL_SOCKET,
                     socket.SO_RCVBUF,
-                    connections.RECEIVE_BUFFER_BYTES,
+                    client_streams.RECEIVE_BUFFER_BYTES,
                 )
         except OSError as error:
             raise ListenError(
@@ -225,7 +225,7 @@
         """Serve an application."""
         self._server = _TrackingServer(
             application,
-            chunk_size=connections.READ_BYTES,
+            chunk_size=client_streams.READ_BYTES,
             max_body_size=self._body_limit_bytes,
         )
         self._acceptor = acceptors.Acceptor(
@@ -253,7 +253,7 @@
                 server_side=True,
                 do_handshake_on_connect=False,
             )
-        stream = connections.make_stream(
+        stream = client_streams.make_stream(
             accepted, context, first_bytes, self._tls is not None
         )
         self._server.handle_stream(stream, address)
