Play every kind of client at every port, by hand

The table of trials has each kind of client at the ports where it matters most, while the users ask for each at every one.

A listener with TLS gets a test of its own: clients that send nothing, one byte or plain text make room for the tool.

--- a/tests/adapters/test_servers_tls.py
+++ b/tests/adapters/test_servers_tls.py
@@ -15,9 +15,11 @@
 from tests import builders
 from tests.adapters import certificates
 from thornspool import settings
+from thornspool.adapters import connections
 from thornspool.adapters import servers
 from thornspool.console import application
 from thornspool.console import base
+from thornspool.domain.clients import limits
 from tools import processes
 
 
@@ -77,6 +79,33 @@
                 self.assertIn('Version 7', out)
                 self.assertEqual(['/v1/configuration'], self.seen)
 
+    async def test_silent_clients_make_room_for_the_tool(self) -> None:
+        """Guards against silent clients that keep operators out."""
+        manager = connections.ConnectionManager(
+            builders.FakeClock(), limits.HostCapacity(4_000_000, 16)
+        )
+        listener = servers.Listener(
+            '127.0.0.1:0',
+            self.pki.build_tls(False),
+            name='operators',
+            manager=manager,
+            share=1.0,
+        )
+        self.seen = []
+        routes = [('/.*', _Handler, {'seen': self.seen})]
+        listener.start(web.Application(routes))
+        self.addAsyncCleanup(listener.stop)
+        port = int(listener.read_url().rpartition(':')[2])
+        for data in (b'', b'\x16', b'GET / HTTP/1.1\r\n\r\n') * 10:
+            _, writer = await asyncio.open_connection('127.0.0.1', port)
+            self.addCleanup(writer.close)
+            writer.write(data)
+        code, _, err = await self._run_tool(
+            listener.read_url(), '--ca-file', self.pki.authority.certificate
+        )
+        self.assertEqual((0, ''), (code, err))
+        self.assertGreater(manager.refusals['operators', 'evicted'], 0)
+
     async def test_untrusted_client_is_rejected(self) -> None:
         """Guards against requests without valid TLS credentials.
 
--- a/tests/clients/trials.py
+++ b/tests/clients/trials.py
@@ -22,6 +22,7 @@
 
 from standins import kv_fleet
 from tests.clients import builders
+from tests.clients import crowd
 from tests.platform import deployment
 from tools import processes
 
@@ -402,8 +403,8 @@
         time.sleep(1.0)
         calm = watch.read()
         ordinary.take_outcome()
-        crowds = [one.start(entry, seconds) for one in parts]
-        outputs = [one.communicate()[0] for one in crowds]
+        started = [one.start(entry, seconds) for one in parts]
+        outputs = [one.communicate()[0] for one in started]
         during = ordinary.take_outcome()
         time.sleep(settle_s)
         after = ordinary.take_outcome()
@@ -485,6 +486,37 @@
 """All kinds of clients, at the doors where each of them matters."""
 
 
+CONNECTIONS = {
+    'send_nothing': 4_500,
+    'send_head_slowly': 3_900,
+    'send_body_slowly': 3_900,
+    'send_fields_without_body': 3_000,
+    'connect_and_leave': 400,
+    'stop_before_last_byte': 300,
+    'stop_before_last_byte_of_chunk': 300,
+    'send_many_fields': 300,
+    'send_many_parts': 300,
+    'send_same_field': 300,
+}
+"""Connections of a crowd at any door; 100 by default."""
+
+
+def play_matrix(seconds: float, machine: Machine, only: str) -> None:
+    """Play each kind at each door, one after the other on one entry."""
+    with processes.open_processes() as running:
+        deployed = deployment.Deployment(running)
+        entry = start_entry(deployed, machine)
+        for door in builders.PATHS:
+            for kind in crowd.KINDS:
+                part = Part(kind, door, CONNECTIONS.get(kind, 100))
+                if only not in str(part):
+                    continue
+                if entry.popen.poll() is not None:
+                    entry = start_entry(deployed, machine)
+                result = play(entry, [part], seconds, machine, settle_s=1.5)
+                print(result.describe(), flush=True)
+
+
 def main() -> None:
     """Play trials and print a line for each."""
     parser = argparse.ArgumentParser(description=__doc__)
@@ -497,9 +529,17 @@
     parser.add_argument(
         '--shard', default='0/1', help='every Nth trial from the Ith: I/N'
     )
+    parser.add_argument(
+        '--matrix',
+        action='store_true',
+        help='each kind at each door, one after the other on one entry',
+    )
     parser.add_argument('--logs', type=pathlib.Path)
     options = parser.parse_args()
     machine = Machine(options.memory, options.descriptors)
+    if options.matrix:
+        play_matrix(options.seconds, machine, options.only)
+        return
     first, step = map(int, options.shard.split('/'))
     for parts in TRIALS[first::step]:
         name = ', '.join(map(str, parts))
