Let the decision on a large request wait for its turn too

What callers saw: beside 3,900 clients with slow bodies the loop stood still for 1.4 s, and 3 to 7 calls ran into their deadline after the crowd had left.

Cause: hundreds of heads that arrive in one turn of the loop were each decided and reserved for in that turn, half a millisecond or more each; only the body waited.

The decision waits for its turn as well, and other work gets twice as long as a long turn took. Ruled out: the eviction of connections and the choice of a body to refuse, which take 0.3 s of 10 s in a profile.

--- a/src/thornspool/adapters/guards.py
+++ b/src/thornspool/adapters/guards.py
@@ -11,7 +11,6 @@
 
 from tornado import httputil
 
-from thornspool.adapters import client_streams
 from thornspool.adapters import refusals
 from thornspool.domain.clients import connections
 
@@ -27,6 +26,9 @@
 FIRST_CHUNK_BYTES = connections.SMALL_BYTES
 """Memory that is reserved at first for a body of unknown length."""
 
+DECISION_WORK = 500_000
+"""Work to decide on a large request, in nanoseconds of a fast processor."""
+
 _UNLIMITED_BYTES = 2**62
 _MAX_LENGTH_DIGITS = 18
 
@@ -164,6 +166,9 @@
 
     async def _admit_body(self, length: int | None) -> None:
         """Reserve memory for a large body, or refuse the request."""
+        await self._context.take_turn(DECISION_WORK)
+        if self._is_discarding:
+            return
         check = getattr(self._inner, 'check_body', _allow_body)
         terms: connections.BodyTerms | None = await check()
         if self._is_discarding:
@@ -182,7 +187,6 @@
             )
         if not self._reserve(length or FIRST_CHUNK_BYTES):
             self._refuse_arriving('memory')
-        await self._context.take_turn(client_streams.READ_BYTES)
 
     def _reserve(self, body_bytes: int) -> bool:
         # A buffer that grows has room for an eighth more than it holds.
--- a/src/thornspool/adapters/turns.py
+++ b/src/thornspool/adapters/turns.py
@@ -12,9 +12,10 @@
 WORK_PER_TURN = 1_000_000
 """Work in one turn of the loop; one unit takes about a nanosecond."""
 
-MIN_PAUSE_MS = 4
-MAX_PAUSE_MS = 100
-"""Bounds of the time that is left to other work after a long turn."""
+LONG_TURN_MS = 4
+PAUSE_FACTOR = 2
+MAX_PAUSE_MS = 200
+"""Time that is left to other work after a long turn, as a multiple of it."""
 
 _MS_PER_S = 1000.0
 _Queue = collections.deque[tuple[asyncio.Future[None], int]]
@@ -25,8 +26,8 @@
 
     In one turn of the event loop, every connection may do all work for which
     bytes have arrived. A crowd with demanding requests would hold up all
-    others for seconds. After a turn that has taken long, other work gets as
-    much time.
+    others for seconds. After a turn that has taken long, other work gets twice
+    as much time.
 
     Parameters
     ----------
@@ -74,8 +75,8 @@
         if self._released_at is not None:
             took_ms = now - self._released_at
             self._released_at = None
-            if took_ms >= MIN_PAUSE_MS:
-                pause_ms = min(took_ms, MAX_PAUSE_MS)
+            if took_ms >= LONG_TURN_MS:
+                pause_ms = min(PAUSE_FACTOR * took_ms, MAX_PAUSE_MS)
                 loop.call_later(pause_ms / _MS_PER_S, self._release, loop)
                 return
         left = WORK_PER_TURN
