Account for responses only where the socket is full

Cause: each event of a stream was accounted for twice and read the clock twice, though the socket takes nearly all of them at once; each request got a task for its head; attributes of the guarded connection were looked up in two steps.

A stream counts what is queued in a number of its own, and the account and the clock are used only while the socket has not taken it. A short head is passed on by a callback, and only one that waits for its turn gets a task. Errors of that task end the read, so that a connection is never left waiting.

--- a/src/thornspool/adapters/client_streams.py
+++ b/src/thornspool/adapters/client_streams.py
@@ -55,6 +55,8 @@
 
     _chunk_count = 0
     _head_bytes = 0
+    _queued_bytes = 0
+    _admission: asyncio.Task[None] | None = None
 
     def read_from_fd(self, buffer: bytearray | memoryview) -> int | None:
         """Read from the socket, after what was read before the stream."""
@@ -88,21 +90,27 @@
 
     def write(self, data: bytes | memoryview) -> asyncio.Future[None]:
         """Queue bytes for the client."""
-        context = self.context
         if self.is_muted:
             done = asyncio.get_running_loop().create_future()
             done.set_result(None)
             return done
-        manager = context.manager
-        connection = context.connection
-        if not connection.unsent_bytes:
-            connection.progress_at = manager.now()
-        manager.memory.change_unsent(connection, len(data))
+        self._queued_bytes += len(data)
         base: typing.Any = super()
         future: asyncio.Future[None] = base.write(data)
+        if self._queued_bytes:
+            self._account_queue()
+        return future
+
+    def _account_queue(self) -> None:
+        """Account for bytes that the socket has not taken at once."""
+        connection, manager = self.context.connection, self.context.manager
+        if not connection.unsent_bytes:
+            connection.progress_at = manager.now()
+        manager.memory.change_unsent(
+            connection, self._queued_bytes - connection.unsent_bytes
+        )
         if manager.memory.held_bytes > manager.memory.budget_bytes:
             manager.close_unread()
-        return future
 
     def end_output(self) -> None:
         """Send the end of the stream, and drop further writes.
@@ -119,37 +127,79 @@
         """Send queued bytes."""
         count: int = super().write_to_fd(data)  # type: ignore[misc]
         if count:
+            self._queued_bytes -= count
             connection = self.context.connection
-            connection.progress_at = self.context.manager.now()
-            self.context.manager.memory.change_unsent(connection, -count)
+            if connection.unsent_bytes:
+                connection.progress_at = self.context.manager.now()
+                self.context.manager.memory.change_unsent(connection, -count)
         return count
 
-    async def read_until_regex(
+    def read_until_regex(
         self, regex: bytes, max_bytes: int | None = None
-    ) -> bytes:
+    ) -> asyncio.Future[bytes]:
         """Read a head once there is room for it, in its turn."""
+        loop = asyncio.get_running_loop()
+        admitted: asyncio.Future[bytes] = loop.create_future()
         stream: typing.Any = self
         if stream.closed():
             # tornado would serve what a client has sent ahead before it left.
-            raise iostream.StreamClosedError
+            _resolve(admitted, iostream.StreamClosedError())
+            return admitted
         limit_bytes = self.context.manager.limits.max_head_bytes
-        reading = super().read_until_regex(  # type: ignore[misc]
+        base: typing.Any = super()
+        reading: asyncio.Future[bytes] = base.read_until_regex(
             regex, limit_bytes + READ_BYTES
         )
         is_pipelined = self.has_served and reading.done()
         is_idle = self.context.connection.phase is connections.Phase.IDLE
         if is_idle and reading.done():
             self.context.begin_request()
-        head: bytes = await reading
-        refusal: refusals.Refusal | None = 431, 'head_too_large', None
-        if len(head) <= limit_bytes:
-            refusal = await self._admit_head(head, is_pipelined)
-        if refusal is not None:
-            await self._refuse_head(head, refusal)
+
+        def handle_head(_done: asyncio.Future[bytes]) -> None:
+            if reading.cancelled():
+                admitted.cancel()
+            elif reading.exception() is not None:
+                _resolve(admitted, reading.exception())
+            elif is_pipelined or len(reading.result()) > min(
+                SHORT_HEAD_BYTES, limit_bytes
+            ):
+                self._admission = loop.create_task(
+                    self._admit(reading.result(), is_pipelined, admitted)
+                )
+            else:
+                self._pass_on(reading.result(), admitted)
+
+        if reading.done():
+            handle_head(reading)
+        else:
+            reading.add_done_callback(handle_head)
+        return admitted
+
+    async def _admit(
+        self, head: bytes, is_pipelined: bool, admitted: asyncio.Future[bytes]
+    ) -> None:
+        """Pass on a head in its turn, or refuse it."""
+        limit_bytes = self.context.manager.limits.max_head_bytes
+        try:
+            refusal: refusals.Refusal | None = 431, 'head_too_large', None
+            if len(head) <= limit_bytes:
+                refusal = await self._admit_head(head, is_pipelined)
+            if refusal is not None:
+                await self._refuse_head(head, refusal)
+        except Exception as error:
+            # Without a result, tornado would wait for the head for ever.
+            _resolve(admitted, error)
+        else:
+            self._pass_on(head, admitted)
+
+    def _pass_on(self, head: bytes, admitted: asyncio.Future[bytes]) -> None:
+        """Let tornado parse a head, unless its client has left."""
+        stream: typing.Any = self
         if stream.closed():
-            raise iostream.StreamClosedError
-        self.has_served = True
-        return head
+            _resolve(admitted, iostream.StreamClosedError())
+        elif not admitted.done():
+            self.has_served = True
+            admitted.set_result(head)
 
     async def _admit_head(
         self, head: bytes, is_pipelined: bool
@@ -206,6 +256,16 @@
         return line
 
 
+def _resolve(
+    future: asyncio.Future[bytes], error: BaseException | None
+) -> None:
+    """Let a read fail, unless nobody waits for it any more."""
+    if error is not None and not future.done():
+        future.set_exception(error)
+        # tornado may have stopped waiting; asyncio would log the error.
+        future.exception()
+
+
 class ClientStream(_ClientStreamMixin, iostream.IOStream):
     """Stream of a client's connection."""
 
--- a/src/thornspool/adapters/guards.py
+++ b/src/thornspool/adapters/guards.py
@@ -57,6 +57,10 @@
 
     def __init__(self, connection: httputil.HTTPConnection) -> None:
         self._connection = typing.cast(typing.Any, connection)
+        # Events of streams pass these; __getattr__ takes several times as
+        # long.
+        self.stream = self._connection.stream
+        self.write = self._connection.write
         self.on_early_answer: Callable[[], None] = _do_nothing
         self.is_read = True
         self.closes_early = False
