Drop connections whose clients left before they were accepted

Cause: up to 1,024 connections wait to be accepted. Requests of clients that had left meanwhile were parsed and run, a millisecond each, before those of callers behind them.

While more connections wait than a turn accepts, a connection is read once more; one that is closed or reset is dropped at once, and does not count as one of the 16 of a turn.

Clients that close their sending side after a request are dropped too, while the listener is overloaded.

--- a/src/thornspool/adapters/acceptors.py
+++ b/src/thornspool/adapters/acceptors.py
@@ -26,7 +26,9 @@
     import socket
 
 ACCEPTS_PER_TURN = 16
-"""Connections that one listener accepts in a turn of the event loop."""
+MAX_ACCEPTS_PER_TURN = 128
+"""Connections that one listener accepts in a turn of the event loop, without
+and with those whose clients have left."""
 
 EXHAUSTED_PAUSE_S = 0.1
 """Pause after the descriptors or buffers of the host are exhausted."""
@@ -56,6 +58,11 @@
         Whether the first bytes are left in the socket, for TLS.
     format_refusal : callable
         Formats refusals for the clients of the listener.
+
+    Attributes
+    ----------
+    is_backlogged : bool
+        Whether more connections wait to be accepted than one turn accepts.
     """
 
     def __init__(
@@ -83,6 +90,7 @@
         self._format_refusal = format_refusal
         self._loop = asyncio.get_running_loop()
         self._resumption: asyncio.TimerHandle | None = None
+        self.is_backlogged = False
         self._resume()
 
     def stop(self) -> None:
@@ -109,15 +117,20 @@
             )
 
     def _accept_pending(self, listening: typing.Any, _events: int) -> None:
-        for _ in range(ACCEPTS_PER_TURN):
+        admitted = 0
+        for _ in range(MAX_ACCEPTS_PER_TURN):
+            if admitted == ACCEPTS_PER_TURN:
+                self.is_backlogged = True
+                return
             try:
                 accepted, address = listening.accept()
             except (BlockingIOError, ConnectionAbortedError):
+                self.is_backlogged = False
                 return
             except OSError as error:
                 self._record_failure(error)
                 return
-            self._admit(accepted, address)
+            admitted += self._admit(accepted, address)
 
     def _record_failure(self, error: OSError) -> None:
         """Pause if the host is exhausted; other errors concern one client."""
@@ -130,15 +143,16 @@
             EXHAUSTED_PAUSE_S, self._resume
         )
 
-    def _admit(self, accepted: socket.socket, address: typing.Any) -> None:
-        """Admit a connection, and wait for its first bytes."""
+    def _admit(self, accepted: socket.socket, address: typing.Any) -> bool:
+        """Admit a connection; return whether its client is still there."""
         if not self._manager.make_room(self._pool):
             accepted.close()
-            return
+            return False
         accepted.setblocking(False)
         waiting = _Waiting(self, accepted, address)
         self._pool.add(waiting.context.connection)
         waiting.start()
+        return not waiting.context.connection.is_closed
 
     def make_context(
         self, close: Callable[[], None]
@@ -199,11 +213,30 @@
         except OSError:
             self.close()
         else:
+            if self._acceptor.is_backlogged:
+                first_bytes = self._read_on(first_bytes)
             if first_bytes:
                 self._begin(first_bytes)
             else:
                 self.close()
 
+    def _read_on(self, first_bytes: bytes) -> bytes:
+        """Return the first bytes; none if the client has left meanwhile.
+
+        Requests of clients that have left while they waited to be accepted
+        would hold up those of others.
+        """
+        room = client_streams.READ_BYTES - len(first_bytes)
+        if not first_bytes or not room:
+            return first_bytes
+        try:
+            further_bytes = self.accepted.recv(room)
+        except BlockingIOError:
+            return first_bytes
+        except OSError:
+            return b''
+        return first_bytes + further_bytes if further_bytes else b''
+
     def _begin(self, first_bytes: bytes = b'') -> None:
         self._stop_waiting()
         try:
