Reject responses whose status is none

What callers saw: an action got status 600 or 999 of a server in trouble, directly and through a peer. One with status 101 on a connection that stays open was held until its deadline (504), although it could not be answered.

Cause: the head was only asked for three digits. RFC 9110 defines 100 to 599; 101 answers an upgrade, which no request asks for. A status line that does not begin with HTTP/ was taken for a trailer, so that its transfer ended as complete without a head.

Evidence: test_broken_answers, new, with entries as processes and a stand-in that sends raw answers. On: status 600 and 999 reach the caller of /hold/ in all three tests of calls, status 101 ends in 504 on an open connection. Status 000 and 099 and a version in lower case held before; their rows stay.

Change: heads are parsed in a module of their own, for all readers. Only what follows the final head is a trailer. The set-up of test_unframed_answers is a module of its own now, as both tests use it; its checks are the same.

--- a/src/thornspool/adapters/exceptions.py
+++ b/src/thornspool/adapters/exceptions.py
@@ -23,3 +23,7 @@
 
 class ConnectionBroken(ResponseLost):
     """The connection closed during the request; it did not time out."""
+
+
+class MalformedHead(TransportError):
+    """The head of a response does not conform to HTTP."""
--- a/src/thornspool/adapters/transfers.py
+++ b/src/thornspool/adapters/transfers.py
@@ -21,14 +21,14 @@
 import attrs
 import pycurl
 import structlog
-from tornado import httputil
 
 from thornspool.adapters import exceptions
+from thornspool.adapters import response_heads
 
 if typing.TYPE_CHECKING:
     from collections.abc import Callable
 
-Headers = tuple[tuple[str, str], ...]
+Headers = response_heads.Headers
 
 _MS_PER_S = 1000.0
 _MAX_IDLE_HANDLES = 64
@@ -69,9 +69,6 @@
 """libcurl's error for a header line over its own limit; pycurl lacks a name
 for it."""
 
-_STATUS_DIGITS = 3
-_WHITESPACE = ' \t'
-
 _CUSTOM_BODY = frozenset({'POST', 'PUT', 'PATCH', 'DELETE', 'OPTIONS'})
 
 logger = structlog.get_logger(__name__)
@@ -188,6 +185,7 @@
         self._on_body = on_body
         self._on_end = on_end
         self._header_lines: list[str] = []
+        self._has_head = False
         self.sent = False
         self.done = False
         self.head_bytes = 0
@@ -219,21 +217,21 @@
             self._header_lines.append(line)
             return None
         lines, self._header_lines = self._header_lines, []
-        if not lines or not lines[0].startswith('HTTP/'):
+        if self._has_head:
             return None  # trailers of a chunked body
         try:
-            status, headers = _parse_head(lines)
-            if self.request.is_forwarded:
-                _check_headers(headers)
-        except (ValueError, httputil.HTTPInputError) as error:
+            head = response_heads.parse_head(lines, self.request.is_forwarded)
+        except exceptions.MalformedHead as error:
             self._session.record_malformed(self, str(error))
             return 0
-        if status >= 200 and not self.done:
-            try:
-                self._on_head(status, headers)
-            except Exception:
-                logger.exception('transfer_callback_failed')
-                return 0
+        if not head.is_final or self.done:
+            return None
+        self._has_head = True
+        try:
+            self._on_head(head.status, head.headers)
+        except Exception:
+            logger.exception('transfer_callback_failed')
+            return 0
         return None
 
     def receive_body(self, chunk: bytes) -> int | None:
@@ -287,40 +285,6 @@
         self._on_end = lambda result: None
 
 
-def _parse_head(lines: list[str]) -> tuple[int, Headers]:
-    """Parse the head of a response.
-
-    Raises
-    ------
-    ValueError
-        If the status is not three digits.
-    """
-    parts = lines[0].split(' ', 2)
-    status = parts[1] if len(parts) > 1 else ''
-    if len(status) != _STATUS_DIGITS or not status.isdecimal():
-        raise ValueError(f'Invalid status {status!r}')
-    return int(status), tuple(_split_header(line) for line in lines[1:])
-
-
-def _check_headers(headers: Headers) -> None:
-    """Check headers, which libcurl does only in part.
-
-    Raises
-    ------
-    httputil.HTTPInputError
-        If a name or a value does not conform to RFC 9110, so that tornado's
-        server refuses to send it.
-    """
-    checked = httputil.HTTPHeaders()
-    for name, value in headers:
-        checked.add(name, value)
-
-
-def _split_header(line: str) -> tuple[str, str]:
-    name, _, value = line.partition(':')
-    return name.strip(_WHITESPACE), value.strip(_WHITESPACE)
-
-
 class Session:
     """Runs the transfers of a process on the running event loop.
 
--- a/standins/kv_fleet.py
+++ b/standins/kv_fleet.py
@@ -8,7 +8,8 @@
 ``{"drain": ID}``, ``{"add": ID}`` (an empty engine), ``{"put": KEY,
 "document": DOCUMENT}``, ``{"put_raw": KEY, "value": BASE64}``, ``{"delete":
 KEY}``, ``{"lose_answers": N}``, ``{"spoil_heads": N}`` (a header of the next N
-answers is no HTTP) or
+answers is no HTTP), ``{"raw_answers": [ANSWER, ...]}`` (the next answers, with
+the fields of ``raw_answers.RawAnswer``) or
 ``{"limit": ID, "per_s": NUMBER}`` (the server names a limit in its responses;
 null ends it) or ``{"rest": ID, "host": HOST, "seconds": NUMBER, "for_s":
 NUMBER}`` (the server turns the host away and asks it for rest) or ``{"leave":
@@ -50,6 +51,7 @@
 from tornado import web
 
 from standins import common
+from standins import raw_answers
 
 LAYERS = 12
 KIND = 'card'
@@ -166,6 +168,7 @@
         self.wrong_paths = 0
         self.lose_answers = 0
         self.spoil_heads = 0
+        self.raw_answers: list[raw_answers.RawAnswer] = []
         self.crash_on = ''
         self.unframed: list[str] | None = None
         self.crash_on_part = ''
@@ -391,11 +394,30 @@
             return None
         return unframed.pop(0) if unframed else 'whole'
 
-    def detach_stream(self, ending: str) -> iostream.IOStream:
-        """Write the head without a length or chunks; return the stream."""
+    async def answer_raw(self, content: bytes) -> bool:
+        """Send the raw answer that a test has set, if there is one."""
+        if not self.fleet.raw_answers:
+            return False
+        answer = self.fleet.raw_answers.pop(0)
+        stream = self._detach()
+        self.end_run('broken')
+        with contextlib.suppress(iostream.StreamClosedError):
+            await stream.write(answer.encode(self._headers.get_all(), content))
+            if answer.stays_open:
+                await stream.read_until_close()
+        stream.close()
+        return True
+
+    def _detach(self) -> iostream.IOStream:
+        """Take the stream over from the server."""
         self._auto_finish = False
         connection: typing.Any = self.request.connection
         stream: iostream.IOStream = connection.detach()
+        return stream
+
+    def detach_stream(self, ending: str) -> iostream.IOStream:
+        """Write the head without a length or chunks; return the stream."""
+        stream = self._detach()
         self.set_header('Connection', 'close')
         lines = [f'HTTP/1.1 {self.get_status()} OK']
         lines += [f'{one}: {value}' for one, value in self._headers.get_all()]
@@ -481,9 +503,7 @@
         self.set_header('Content-Type', 'text/event-stream')
         if await self.crash_if_told(_format_event(first)):
             return
-        ending = self.take_ending()
-        if ending is not None:
-            await self._write_unframed(first, ending)
+        if await self._write_odd(first):
             return
         for index in range(first, EVENTS):
             await asyncio.sleep(STEP_S)
@@ -505,6 +525,16 @@
         self.end_run('complete')
         self.finish()
 
+    async def _write_odd(self, first: int) -> bool:
+        """Write a stream that a test has asked for, if it has."""
+        events = [_format_event(index) for index in range(first, EVENTS)]
+        if await self.answer_raw(''.join(events).encode()):
+            return True
+        ending = self.take_ending()
+        if ending is not None:
+            await self._write_unframed(first, ending)
+        return ending is not None
+
     async def _write_unframed(self, first: int, ending: str) -> None:
         """Write a stream that ends with its connection."""
         stream = self.detach_stream(ending)
@@ -578,6 +608,8 @@
         self.add_response_headers()
         workspace = self.request.headers.get('Tenant', '')
         text = f'{self.server.id} for {workspace}'
+        if await self.answer_raw(text.encode()):
+            return
         ending = self.take_ending()
         if ending is None:
             self.end_run('complete')
@@ -673,6 +705,10 @@
         self.fleet.spoil_heads = commands.get(
             'spoil_heads', self.fleet.spoil_heads
         )
+        if 'raw_answers' in commands:
+            self.fleet.raw_answers = [
+                raw_answers.RawAnswer(**one) for one in commands['raw_answers']
+            ]
         if 'leave' in commands:
             self.fleet.servers[commands['leave']].is_leaving = True
         for name in commands.get('suspend', ()):
--- a/tests/platform/test_spoiled_heads.py
+++ b/tests/platform/test_spoiled_heads.py
@@ -9,6 +9,7 @@
 
 from tests.application.routing import builders as routing_builders
 from tests.platform import builders
+from tests.platform import raw_answers
 from thornspool.adapters import transfers
 from thornspool.platform import engines
 
@@ -34,6 +35,10 @@
 SPOILED = {
     **{name: build_response(line) for name, line in builders.HEADS.items()},
     **{repr(one): build_response(b'X: 1', one) for one in STATUS_LINES},
+    **{
+        name: answer.encode((('Response-Seal', 's'),), EVENTS)
+        for name, answer in raw_answers.BROKEN_HEADS.items()
+    },
 }
 
 
--- a/tests/platform/test_unframed_answers.py
+++ b/tests/platform/test_unframed_answers.py
@@ -3,58 +3,11 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
-import unittest
 
-from standins import kv_fleet
-from tests.platform import deployment
-from tests.soak import links
-from tools import processes
+from tests.platform import linked_entries
 
-COMPLETE_STREAM = b''.join(
-    b'id: %d\ndata: word%d\n\n' % (number, number)
-    for number in range(kv_fleet.EVENTS)
-)
-
-
-class UnframedAnswerTest(unittest.IsolatedAsyncioTestCase):
-    """The first entry has no links to servers, where a test cuts them.
-
-    Its links don't carry resets, so that the second one gets the others.
-    """
-
-    async def asyncSetUp(self):
-        asyncio.get_running_loop().set_debug(False)
-        stack = contextlib.ExitStack()
-        self.addCleanup(stack.close)
-        running = stack.enter_context(processes.open_processes())
-        self.deployment = await asyncio.to_thread(
-            deployment.Deployment, running
-        )
-        self.links = links.ServerLinks(self.deployment, 'entry-0', 0)
-        self.first = self.deployment.start_entry('a', self.links.start())
-        self.second = self.deployment.start_entry('b')
-        await asyncio.to_thread(deployment.wait_until, self.is_ready)
-
-    async def asyncTearDown(self):
-        await self.links.stop()
-
-    def is_ready(self):
-        held_layers = self.deployment.read_fleet()['servers'].values()
-        return (
-            self.first.is_ready()
-            and self.second.is_ready()
-            and all(held_layers)
-            and all(
-                entry.call(*request, f'warm-{entry.callers}').status == 200
-                for entry in (self.first, self.second)
-                for request in (('POST', '/brief/0'), ('GET', '/read/0'))
-            )
-        )
-
-    async def control(self, **orders):
-        await asyncio.to_thread(lambda: self.deployment.control(**orders))
 
+class UnframedAnswerTest(linked_entries.LinkedEntriesCase):
     async def call(self, entry, method, path, attempt, ending):
         """Send a request whose first run ends so, and further ones whole."""
         await self.control(unframed=[ending])
@@ -73,7 +26,7 @@
                 )
                 self.assertEqual(200, response.status)
                 self.assertTrue(response.complete)
-                self.assertEqual(COMPLETE_STREAM, response.body)
+                self.assertEqual(linked_entries.COMPLETE_STREAM, response.body)
                 lines = [
                     line
                     for one in (self.first, self.second)
@@ -115,10 +68,6 @@
 
         The entry has lost its links to all servers.
         """
-        self.links.cut('refused')
-        await asyncio.to_thread(
-            deployment.wait_until,
-            lambda: self.first.call('GET', '/read/1', 'cut').status == 200,
-        )
+        await self.cut_links()
         await self.check_streams(self.first, 'relayed')
         await self.check_calls(self.first, 'relayed')
