Break off responses whose body exceeds its length

What callers saw: three bytes, or none, as the complete answer to a call or an action, where a server in trouble had sent a length that is too small.

Cause: libcurl drops the bytes behind a body without notice, so that a spoiled length could not be told from a sound one.

Evidence: on the two rows that this commit adds to test_broken_answers reach callers in all tests of calls (200, of connections that close, stay open, and through a peer), and the length of zero in streams (an empty stream with status 200). Five of five cases of test_surplus_shows_a_wrong_length fail there.

Change: where a response is passed on over a connection of its own, libcurl is told to ignore the length, and the end of the body is found here: a body that is short is a broken connection, as before; bytes behind it in the same read make the response malformed. A body that has its length is complete in the same turn of the loop, without a wait. A second response behind the first one belongs to no request and shows that the first is complete; it is dropped.

Price: other bytes behind a sound body break it off too, as nothing tells them from the rest of a longer body. An action then gets 502.

Not covered: the rest of a body that comes in a later read than the end that the length names.

--- a/src/thornspool/adapters/response_heads.py
+++ b/src/thornspool/adapters/response_heads.py
@@ -113,6 +113,11 @@
     )
 
 
+def begins_response(data: bytes) -> bool:
+    """Return whether bytes may be the beginning of a response."""
+    return bool(data) and data[:5] == b'HTTP/'[: len(data)]
+
+
 def _split_field(line: str) -> tuple[str, str]:
     """Split a line into the name as it is, and the value."""
     name, _, value = line.partition(':')
--- a/src/thornspool/adapters/transfers.py
+++ b/src/thornspool/adapters/transfers.py
@@ -123,8 +123,9 @@
     max_body_bytes : int
         Maximum size of the response body in bytes; 0 for no limit.
     is_forwarded : bool
-        Whether the response is passed on. One whose head can't be is broken
-        off as malformed.
+        Whether the response is passed on. Its head then has to conform to
+        HTTP in full, and on a dedicated connection its body has to end
+        where the head says; if not, it is broken off as malformed.
     """
 
     url: str
@@ -139,6 +140,20 @@
     max_body_bytes: int = 0
     is_forwarded: bool = False
 
+    @property
+    def measures_body(self) -> bool:
+        """Whether the end of the body is found here instead of by libcurl.
+
+        libcurl drops bytes behind a body without notice. They show that the
+        length in the head is wrong, as the connection carries no other
+        response.
+        """
+        return (
+            self.is_forwarded
+            and self.dedicated_connection
+            and self.method != 'HEAD'
+        )
+
 
 @attrs.frozen
 class Response:
@@ -169,6 +184,8 @@
         Size of what has arrived.
     overlong : Part or None
         Part of the response that exceeds its limit.
+    is_malformed : bool
+        Whether the response was broken off as malformed.
     """
 
     def __init__(
@@ -186,11 +203,27 @@
         self._on_end = on_end
         self._header_lines: list[str] = []
         self._has_head = False
+        self._has_successor = False
+        self._body_length: int | None = None
         self.sent = False
         self.done = False
         self.head_bytes = 0
         self.body_bytes = 0
         self.overlong: Part | None = None
+        self.is_malformed = False
+
+    @property
+    def is_whole(self) -> bool:
+        """Whether the body has reached its measured length."""
+        return self._body_length == self.body_bytes and not self.is_malformed
+
+    @property
+    def is_short(self) -> bool:
+        """Whether the body has not reached its measured length."""
+        return (
+            self._body_length is not None
+            and self.body_bytes < self._body_length
+        )
 
     def cancel(self) -> None:
         """Cancel the transfer and close its connection without a callback."""
@@ -227,11 +260,14 @@
         if not head.is_final or self.done:
             return None
         self._has_head = True
+        if self.request.measures_body:
+            self._body_length = head.body_length
         try:
             self._on_head(head.status, head.headers)
         except Exception:
             logger.exception('transfer_callback_failed')
             return 0
+        self._report_if_whole()
         return None
 
     def receive_body(self, chunk: bytes) -> int | None:
@@ -246,6 +282,12 @@
         if self.done:
             return 0
         self._session.received_bytes += len(chunk)
+        if self._body_length is not None:
+            chunk, is_malformed = self._drop_surplus(chunk, self._body_length)
+            if is_malformed:
+                return 0
+            if not chunk:
+                return None
         self.body_bytes += len(chunk)
         try:
             if (
@@ -257,8 +299,36 @@
         except Exception:
             logger.exception('transfer_callback_failed')
             return 0
+        self._report_if_whole()
         return None
 
+    def _drop_surplus(self, chunk: bytes, length: int) -> tuple[bytes, bool]:
+        """Drop what follows the body.
+
+        Returns
+        -------
+        bytes
+            What belongs to the body.
+        bool
+            Whether the rest shows that the length is wrong.
+        """
+        if self._has_successor:
+            return b'', False
+        end = length - self.body_bytes
+        surplus = chunk[end:]
+        # A second response shows that the first one is complete.
+        self._has_successor = response_heads.begins_response(surplus)
+        if surplus and not self._has_successor:
+            self._session.record_malformed(
+                self, 'The body exceeds its length.'
+            )
+            return b'', True
+        return chunk[:end], False
+
+    def _report_if_whole(self) -> None:
+        if self.is_whole and not self.done:
+            self._session.add_whole(self)
+
     def record_sending(self, *_: typing.Any) -> int:
         """Record that sending starts; libcurl calls it after connecting."""
         self.sent = True
@@ -313,6 +383,7 @@
         self._idle_handles: list[pycurl.Curl] = []
         self._in_callback = False
         self._discarded: list[Transfer] = []
+        self._whole: list[Transfer] = []
 
     def start(
         self,
@@ -464,13 +535,33 @@
         discarded, self._discarded = self._discarded, []
         for transfer in discarded:
             self._remove(transfer)
+        self._complete_whole()
         self._handle_completions()
 
+    def _complete_whole(self) -> None:
+        """Complete the transfers whose bodies have reached their lengths.
+
+        Within the callbacks, surplus bytes of the same read may follow.
+        """
+        whole, self._whole = self._whole, []
+        for transfer in whole:
+            if transfer.is_whole and not transfer.done:
+                self._complete(
+                    self._handles[transfer], TransferResult.COMPLETE
+                )
+
     def _handle_completions(self) -> None:
         while True:
             remaining, succeeded, failed = self._multi.info_read()
             for curl in succeeded:
-                self._complete(curl, TransferResult.COMPLETE)
+                transfer = self._transfers.get(curl)
+                is_short = transfer is not None and transfer.is_short
+                self._complete(
+                    curl,
+                    TransferResult.BROKEN
+                    if is_short
+                    else TransferResult.COMPLETE,
+                )
             for curl, error, _message in failed:
                 transfer = self._transfers.get(curl)
                 if transfer is None:
@@ -492,8 +583,13 @@
             if not remaining:
                 return
 
+    def add_whole(self, transfer: Transfer) -> None:
+        """Add a transfer that is complete if nothing follows its body."""
+        self._whole.append(transfer)
+
     def record_malformed(self, transfer: Transfer, reason: str) -> None:
         """Count and log a response whose head is malformed."""
+        transfer.is_malformed = True
         self.malformed_count += 1
         logger.warning(
             'response_head_malformed',
@@ -637,6 +733,7 @@
     curl.setopt(pycurl.TIMEOUT_MS, max(0, timeout_ms))
     curl.setopt(pycurl.FRESH_CONNECT, int(request.dedicated_connection))
     curl.setopt(pycurl.FORBID_REUSE, int(request.dedicated_connection))
+    curl.setopt(pycurl.IGNORE_CONTENT_LENGTH, int(request.measures_body))
     curl.setopt(pycurl.PREREQFUNCTION, transfer.record_sending)
     curl.setopt(pycurl.HEADERFUNCTION, transfer.receive_line)
     curl.setopt(pycurl.WRITEFUNCTION, transfer.receive_body)
--- a/tests/adapters/test_transfers.py
+++ b/tests/adapters/test_transfers.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import gc
+import itertools
 import os
 import socket
 import stat
@@ -401,3 +402,96 @@
             await self.session.fetch(
                 transfers.Request(self.peer.url, headers=(('X', 'a\0b'),))
             )
+
+
+class MeasuredBodyTest(unittest.IsolatedAsyncioTestCase):
+    """Responses that are passed on, over connections of their own."""
+
+    async def fetch(self, parts, ending='open', method='GET'):
+        """Fetch a response that comes in parts, and how it ended."""
+
+        async def respond(_number, writer, _body):
+            for part in parts:
+                writer.write(part)
+                await writer.drain()
+                await asyncio.sleep(0.02)
+            if ending == 'reset':
+                writer.transport.abort()
+            elif ending == 'closed':
+                writer.close()
+
+        peer = _Server(respond)
+        await peer.start()
+        session = transfers.Session()
+        try:
+            return await session.fetch(
+                transfers.Request(
+                    peer.url, method, timeout_ms=2_000, is_forwarded=True
+                )
+            )
+        finally:
+            session.close()
+            peer.server.close()
+
+    async def test_sound_bodies_are_complete(self):
+        """Guards against sound responses that wait or count as broken."""
+        head = b'HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n'
+        other = b'HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nother'
+        empty = b'HTTP/1.1 503 X\r\nContent-Length: 0\r\n\r\n'
+        cases = {
+            'in one piece': ((head + b'done',), b'done'),
+            'in pieces': ((head[:-1], head[-1:], b'do', b'ne'), b'done'),
+            'without a body': ((empty,), b''),
+            'before a second response': ((head + b'done' + other,), b'done'),
+            'without a body before a second response': ((empty + other,), b''),
+            'before a part of one': ((head + b'doneHT',), b'done'),
+            'after an interim head': (
+                (b'HTTP/1.1 103 X\r\nLink: a\r\n\r\n' + head + b'done',),
+                b'done',
+            ),
+            'in chunks': ((HEAD + b'4\r\ndone\r\n0\r\n\r\n',), b'done'),
+        }
+        for (name, (parts, body)), ending in itertools.product(
+            cases.items(), ('open', 'closed', 'reset')
+        ):
+            with self.subTest(name, ending=ending):
+                response = await self.fetch(parts, ending)
+                self.assertEqual(body, response.body)
+
+    async def test_heads_alone_are_complete(self):
+        """Guards against a wait for bodies that no server sends."""
+        head = b'HTTP/1.1 %d X\r\nContent-Length: 4\r\n\r\n'
+        for status, method in ((200, 'HEAD'), (304, 'GET')):
+            with self.subTest(status):
+                response = await self.fetch((head % status,), method=method)
+                self.assertEqual(
+                    (status, b''), (response.status, response.body)
+                )
+
+    async def test_short_body_is_a_broken_connection(self):
+        """Guards against a part of a body that counts as complete."""
+        head = b'HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n'
+        for body, ending in itertools.product(
+            (b'', b'don'), ('closed', 'reset')
+        ):
+            with (
+                self.subTest(body, ending=ending),
+                self.assertRaises(exceptions.ConnectionBroken),
+            ):
+                await self.fetch((head + body,), ending)
+
+    async def test_surplus_shows_a_wrong_length(self):
+        """Guards against the first bytes of a body that count as all."""
+        head = b'HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n'
+        for parts in (
+            (head % 3 + b'done',),
+            (head % 3 + b'do', b'ne'),
+            (head % 0 + b'done',),
+            (head % 3 + b'donHTML',),
+            (head % 4 + b'done\r\n',),
+        ):
+            with (
+                self.subTest(parts),
+                self.assertRaises(exceptions.ResponseLost),
+            ):
+                await self.fetch(parts)
--- a/tests/platform/raw_answers.py
+++ b/tests/platform/raw_answers.py
@@ -90,6 +90,12 @@
 BROKEN_HEADS = BROKEN_FRAMING | BROKEN_LINES
 """Answers that are broken off before their bodies."""
 
+EXCEEDED_LENGTHS = {
+    'length that is too small': raw_answers.RawAnswer('Content-Length: 3'),
+    'length of zero': raw_answers.RawAnswer('Content-Length: 0'),
+}
+"""Answers that are broken off in their bodies."""
+
 BROKEN_CODINGS = {
     name: answer
     for name, answer in BROKEN_HEADS.items()
--- a/tests/platform/test_broken_answers.py
+++ b/tests/platform/test_broken_answers.py
@@ -9,8 +9,8 @@
 from tests.platform import linked_entries
 from tests.platform import raw_answers
 
-CALLS = raw_answers.BROKEN_HEADS
-STREAMS = raw_answers.BROKEN_CODINGS
+CALLS = raw_answers.BROKEN_HEADS | raw_answers.EXCEEDED_LENGTHS
+STREAMS = raw_answers.BROKEN_CODINGS | raw_answers.EXCEEDED_LENGTHS
 
 
 class BrokenAnswerTest(linked_entries.LinkedEntriesCase):
