Check the responses of plain services in full

Cause: the client of plain services read heads as those that no one passes on, and calls without a key over connections that are used again, where bytes behind a body are dropped without notice.

Change: these responses count as passed on, and each call has a connection of its own, as calls on the platform have. This also ends the resending by libcurl of calls without a key, so that runs_alone has no use left; its test holds for all calls now. The price is one connection a call. The streams of engines and the reports of load are frames and JSON with checks of their own.

--- a/src/thornspool/adapters/targets/services.py
+++ b/src/thornspool/adapters/targets/services.py
@@ -31,6 +31,9 @@
 class HttpServices:
     """Client of plain services; create it inside a running event loop.
 
+    Each call uses a new connection. libcurl resends calls on a reused one,
+    and the end of a body is checked only where nothing may follow it.
+
     Parameters
     ----------
     max_calls : int, optional
@@ -108,9 +111,8 @@
                     call.body,
                     connect_timeout_ms=call.timeout_ms,
                     timeout_ms=call.timeout_ms,
-                    # libcurl may resend only calls without a key.
-                    dedicated_connection=bool(call.key or call.runs_alone),
                     max_body_bytes=_MAX_RESPONSE_BYTES,
+                    is_forwarded=True,
                 )
             )
         finally:
@@ -160,8 +162,8 @@
 def _is_complete(response: transfers.Response) -> bool:
     """Return whether a response is known to be complete.
 
-    libcurl reports an error if a body is shorter than its Content-Length or
-    a chunked body has no last chunk. A body that is delimited by the end of
+    A transfer fails if a body differs from its Content-Length or a chunked
+    body has no last chunk. A body that is delimited by the end of
     the connection appears complete even if the connection broke, so it is
     not accepted.
     """
--- a/src/thornspool/application/ports.py
+++ b/src/thornspool/application/ports.py
@@ -295,9 +295,6 @@
         Name of the target.
     fingerprint : str
         Hash of the content of the request, without its key; empty if unknown.
-    runs_alone : bool
-        Whether the call needs a connection of its own. A connection that
-        breaks then can't have been broken before the call.
     """
 
     url: str
@@ -310,7 +307,6 @@
     timeout_ms: int
     target: str = ''
     fingerprint: str = ''
-    runs_alone: bool = False
 
 
 @attrs.frozen
--- a/src/thornspool/application/service_trials.py
+++ b/src/thornspool/application/service_trials.py
@@ -313,9 +313,7 @@
         on_trial = self._trials.record_start(call.fingerprint, call.target)
         succeeded = False
         try:
-            response = await self._services.call(
-                attrs.evolve(call, runs_alone=on_trial)
-            )
+            response = await self._services.call(call)
             succeeded = True
         except exceptions.TargetConnectionBroken:
             # The crash is recorded before the trial ends; otherwise it would
--- a/tests/adapters/targets/test_services.py
+++ b/tests/adapters/targets/test_services.py
@@ -4,12 +4,14 @@
 
 import asyncio
 import contextlib
+import itertools
 import typing
 import unittest
 
 from standins import common
 from standins import service as standin
 from tests.adapters import broken
+from tests.platform import raw_answers
 from thornspool.adapters.targets import services
 from thornspool.application import exceptions
 from thornspool.application import ports
@@ -86,6 +88,21 @@
                         await self.services.call(build_call(server.url))
                     self.assertEqual(1, len(server.requests))
 
+    async def test_answer_with_a_spoiled_head_is_lost(self) -> None:
+        """Guards against a body that is not the one of the target."""
+        answers = raw_answers.BROKEN_HEADS | raw_answers.EXCEEDED_LENGTHS
+        for (name, answer), key in itertools.product(
+            answers.items(), ('', 'key-1')
+        ):
+            with self.subTest(name, key=key):
+                reply = answer.encode((), b'{"slot": 4, "held": true}')
+                async with broken.open_broken([reply, None]) as server:
+                    with self.assertRaises(exceptions.TargetResponseLost):
+                        await self.services.call(
+                            build_call(server.url, key=key)
+                        )
+                    self.assertEqual(1, len(server.requests))
+
     async def test_broken_connection_differs_from_a_timeout(self):
         """Guards against a slow call that is counted as a crash.
 
@@ -124,9 +141,7 @@
         async with broken.open_broken(replies, close=False) as server:
             await self.services.call(build_call(server.url, key=''))
             with self.assertRaises(exceptions.TargetConnectionBroken):
-                await self.services.call(
-                    build_call(server.url, key='', runs_alone=True)
-                )
+                await self.services.call(build_call(server.url, key=''))
             self.assertEqual(2, len(server.requests))
 
     async def test_closed_at_accept_counts_as_lost(self) -> None:
