Ignore entries of servers without an address

What callers saw: 503 for calls, actions and model requests that sound servers could have served, while entries of another writer stood in the list whose addresses are none (port 0 or 65536, no port, a path, a blank).

Cause: an entry was used for any text as its address. Each send fails without harm, as nothing is written, but uses up one of the four that a call has; text behind a port would have become part of the request target.

Change: an address is ip:port with a port from 1 to 65535; any other entry is ignored like one that cannot be read (server_entry_ignored).

--- a/src/thornspool/platform/documents.py
+++ b/src/thornspool/platform/documents.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import re
 import typing
 
 import msgspec
@@ -16,6 +17,11 @@
 CONFIGURATION_KEY = 'op/config'
 SERVERS_PREFIX = 'servers/'
 
+_ADDRESS = re.compile(
+    r'(?:[0-9]+(?:\.[0-9]+){3}|\[[0-9A-Fa-f:.]+\]):([0-9]{1,5})'
+)
+_PORTS = range(1, 65_536)
+
 logger = structlog.get_logger(__name__)
 
 
@@ -238,6 +244,7 @@
     """
     try:
         entry = decoding.decode_json(raw, _ServerEntry)
+        _check_address(entry.address)
     except decoding.DecodeError as error:
         logger.warning('server_entry_ignored', key=key, reason=str(error))
         return None
@@ -255,3 +262,10 @@
         kind=entry.kind,
         layers=layers,
     )
+
+
+def _check_address(address: str) -> None:
+    """Check that an address is ``ip:port``, as it becomes part of URLs."""
+    match = _ADDRESS.fullmatch(address)
+    if match is None or int(match[1]) not in _PORTS:
+        raise decoding.DecodeError(f'Invalid address {address[:40]!r}.')
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -11,6 +11,24 @@
 
 WALL_START = 1_790_000_000_000
 
+ODD_ADDRESSES = (
+    '',
+    'nowhere',
+    ':80',
+    '127.0.0.1:',
+    '127.0.0.1:0',
+    '127.0.0.1:-1',
+    '127.0.0.1:65536',
+    '127.0.0.1:' + '9' * 40,
+    '127.0.0.1: 80',
+    '127.0.0.1:\u0661',
+    '127.0.0.1:80/path?query#part',
+    'user@127.0.0.1:80',
+    '127.0.0.1:80\r\nX: 1',
+    '\x00:80',
+)
+"""Texts that name no address and port."""
+
 UNREADABLE_DOCUMENTS = {
     'empty': b'',
     'no JSON': b'{"state":',
--- a/tests/platform/builders.py
+++ b/tests/platform/builders.py
@@ -159,3 +159,19 @@
     'odd name': (b"!#$%&'*+-.^_`|~1: 1", ("!#$%&'*+-.^_`|~1", '1')),
 }
 """Header lines that conform to RFC 9110, and how they are passed on."""
+
+
+def build_server_entry(service, address):
+    """Build the entry of a server that is ready and holds all layers."""
+    return {
+        'service': service,
+        'address': address,
+        'zone': 'a',
+        'version': 'v1',
+        'slots': 6,
+        'state': 'ready',
+        'sequence': 1,
+        'born': 1,
+        'kind': 'card',
+        'layers': {'from': 0, 'to': 12, 'version': 1},
+    }
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -121,10 +121,14 @@
             {'born': 1.5},
             {'slots': 'many'},
             {'layers': 'all'},
+            *({'address': address} for address in builders.ODD_ADDRESSES),
         )
         for changes in table:
             with self.subTest(changes):
                 self.assertIsNone(self.decode(**changes))
+        for address in ('10.0.0.1:1', '10.0.0.1:65535', '[fd00::1]:80'):
+            with self.subTest(address):
+                self.assertEqual(address, self.decode(address=address).address)
         for raw in (
             b'null',
             b'\xff\xfe',
