--- a/src/thornspool/adapters/response_heads.py
+++ b/src/thornspool/adapters/response_heads.py
@@ -44,8 +44,8 @@
 )
 """A framing field that libcurl does not recognize.
 
-A blank or control byte is in its name, or begins its line. libcurl appends
-the latter to the value of the field before.
+A blank or control byte follows its name, begins its line or replaces its first
+letter. A line that begins with a blank arrives as a part of the line before.
 """
 
 
