Let servers of the list have host names

Cause: the check of addresses took IP addresses alone. The own interface reads the same list for the hosts of its targets, whose addresses may hold names, so that these hosts were unknown.

Change: host:port, with letters, digits, dots and hyphens, or an IPv6 address in brackets.

--- a/src/thornspool/platform/documents.py
+++ b/src/thornspool/platform/documents.py
@@ -17,9 +17,7 @@
 CONFIGURATION_KEY = 'op/config'
 SERVERS_PREFIX = 'servers/'
 
-_ADDRESS = re.compile(
-    r'(?:[0-9]+(?:\.[0-9]+){3}|\[[0-9A-Fa-f:.]+\]):([0-9]{1,5})'
-)
+_ADDRESS = re.compile(r'(?:[0-9A-Za-z.-]+|\[[0-9A-Fa-f:.]+\]):([0-9]{1,5})')
 _PORTS = range(1, 65_536)
 
 logger = structlog.get_logger(__name__)
@@ -265,7 +263,7 @@
 
 
 def _check_address(address: str) -> None:
-    """Check that an address is ``ip:port``, as it becomes part of URLs."""
+    """Check that an address is ``host:port``, as it becomes part of URLs."""
     match = _ADDRESS.fullmatch(address)
     if match is None or int(match[1]) not in _PORTS:
         raise decoding.DecodeError(f'Invalid address {address[:40]!r}.')
