--- a/review/6/case.py
+++ b/review/6/case.py
@@ -15,6 +15,13 @@
 
 
 class Case(world.World):
+    def build_configuration(self) -> dict:
+        """Streams may be resumed, as on the site, unless RESUMABLE is 0."""
+        document = super().build_configuration()
+        is_resumable = os.environ.get('RESUMABLE', '1') != '0'
+        document['routes'][0]['resumable'] = is_resumable
+        return document
+
     async def play(self) -> dict:
         until = time.monotonic() + 16
         clients = [
