Take no record for the proof that a server has ended

Cause: "a later process has this id or address" was concluded from a record alone, when the routing state dropped the server, when the crash detection recorded its end and a crash against the requests there, when an open run was ended, and when its attempts were given back. An end was withdrawn by nothing for 60 s. Ruled out: that it depends on a service that no configuration names; records of a named service, and under the engines' own ids, did the same.

Change: a later record starts a check, and only answers prove. An answer with the process's own start refutes the record; a later start, or no listener in two checks, proves the end. Where checks show nothing, a record counts that has stood for 3.6 s while the process wrote none and delivered no event. A server at a claimed address is excluded from routing, not dropped, until it shows life. An end counts for runs whose last sign of life it follows; later signs start a check, whose answer withdraws the end. An engine that stalls others is looked up among all records at its address.

Four tests took a record without any answer of the later process for its proof; there the later process answers the check now, and what they assert is unchanged but for one, which asserted that the older record is dropped and now asserts for 10 s that it is not usable and on no path.

--- a/src/thornspool/application/routing/crash_detection.py
+++ b/src/thornspool/application/routing/crash_detection.py
@@ -3,7 +3,11 @@
 A connection that breaks does not show that its server has ended: it may have
 been reset or cut, and a host that is suspended answers nobody. A server has
 ended if nothing listens at its address any more after it broke a run, or if
-another process was started in its place.
+another process answers in its place.
+
+A record in the server list is no proof, as any program may write one: it is a
+reason to check the process that it seems to replace. Only where checks show
+nothing, a record counts that stands while the process writes none.
 """
 
 from __future__ import annotations
@@ -56,6 +60,10 @@
 ENDED_MS = 60_000
 """Time for which the end of a server is remembered."""
 
+SILENT_MS = 3_600
+"""Time without a record of a process after which a later one has replaced it
+if checks show nothing; records expire after the same time."""
+
 _MS_PER_S = 1000.0
 
 logger = structlog.get_logger(__name__)
@@ -77,6 +85,9 @@
     """The entry ended the run."""
 
 
+_Key = tuple[str, int | None]
+
+
 @attrs.define(eq=False)
 class TrackedRun:
     """A run at one or several servers.
@@ -110,6 +121,8 @@
         Names of the parts of its prompt that other requests share.
     on_established : callable
         Called once its servers have run it for a while.
+    began_at : int
+        Time of its begin in milliseconds.
     """
 
     fingerprint: str
@@ -125,6 +138,14 @@
     is_implicated: bool = False
     parts: tuple[str, ...] = ()
     on_established: Callable[[], None] = lambda: None
+    began_at: int = 0
+
+    @property
+    def active_at(self) -> int:
+        """Time of its last event, or of its begin, in milliseconds."""
+        if self.last_progress_at is None:
+            return self.began_at
+        return self.last_progress_at
 
     def may_have_ended(self, server: fleet.Server) -> bool:
         """Return whether the run may have ended a server."""
@@ -173,6 +194,42 @@
         )
 
 
+@attrs.frozen
+class ServerUse:
+    """Use of a server by a run.
+
+    Attributes
+    ----------
+    server : fleet.Server
+        The server.
+    active_at : int
+        Time in milliseconds of the last sign that the server runs it: of its
+        last event, or of its send.
+    """
+
+    server: fleet.Server
+    active_at: int
+
+
+@attrs.define(eq=False)
+class _Claim:
+    """Record of a later process in the place of a server.
+
+    Attributes
+    ----------
+    key : tuple of str and int or None
+        Identifies the later process.
+    since : int
+        Time in milliseconds at which it was first found.
+    is_refuted : bool
+        Whether the process of the server has answered since.
+    """
+
+    key: _Key
+    since: int
+    is_refuted: bool = False
+
+
 @attrs.define(eq=False)
 class _Process:
     """One process of a server, with the runs that may have ended it.
@@ -189,6 +246,8 @@
         Time of the last check in milliseconds.
     is_checking : bool
         Whether a check is in progress.
+    claim : _Claim or None
+        Record of a later process in its place, if there is one.
     """
 
     server: fleet.Server
@@ -197,9 +256,14 @@
     checks: int = 0
     checked_at: int = 0
     is_checking: bool = False
+    claim: _Claim | None = None
+
+    @property
+    def is_claimed(self) -> bool:
+        """Whether a later record is neither proven nor refuted."""
+        return self.claim is not None and not self.claim.is_refuted
 
 
-_Key = tuple[str, int | None]
 _CrashHandler = typing.Callable[
     ['fleet.Server', frozenset[str], frozenset[str]], None
 ]
@@ -266,9 +330,19 @@
         """
         self._on_proof = handler
 
-    def has_ended(self, server: fleet.Server) -> bool:
-        """Return whether the process of a server is known to have ended."""
-        return _get_key(server) in self._ended
+    def has_ended(self, server: fleet.Server, active_at: int = 0) -> bool:
+        """Return whether the process of a server is known to have ended.
+
+        Parameters
+        ----------
+        server : fleet.Server
+            The server.
+        active_at : int, optional
+            Time in milliseconds of its last sign of life. An end that was
+            found before it is wrong, or is the end of another process.
+        """
+        ended_at = self._ended.get(_get_key(server))
+        return ended_at is not None and active_at <= ended_at
 
     def count_checks(self, name: str) -> int:
         """Count the servers that are being checked after they broke a run.
@@ -293,7 +367,11 @@
     ) -> TrackedRun:
         """Record that a run is sent to servers, or continues on them."""
         run = TrackedRun(
-            fingerprint, tuple(servers), origin=origin, parts=parts
+            fingerprint,
+            tuple(servers),
+            origin=origin,
+            parts=parts,
+            began_at=self._clock.now(),
         )
         run.on_established = lambda: self._record_proof(run)
         for server in run.servers:
@@ -384,12 +462,11 @@
         self._drop_if_unused(process)
 
     def tick(self) -> None:
-        """Apply successors in the server list, and repeat checks."""
+        """Check processes that may have ended, and repeat checks."""
         now = self._clock.now()
         if self._revision != self._routing_state.revision:
             self._revision = self._routing_state.revision
-            for server in self._find_replaced():
-                self._record_end(server, 'replaced')
+            self._update_claims(now)
         for process in list(self._processes.values()):
             self._resolve(
                 process,
@@ -399,36 +476,83 @@
                     if run.ended_at is None or now - run.ended_at > DOUBT_MS
                 ],
             )
-            if (
-                process.doubtful
-                and process.checks
-                and now - process.checked_at >= RECHECK_MS
-            ):
+            if self._is_silent(process, now):
+                self._record_end(process.server, 'replaced')
+            elif self._is_check_due(process, now):
                 self._start_check(process.server)
         self._ended = {
             key: at for key, at in self._ended.items() if now - at <= ENDED_MS
         }
 
-    def _find_replaced(self) -> list[fleet.Server]:
-        """Find the servers in whose place a later process is listed."""
-        listed = self._routing_state.servers
-        started: dict[str, int] = {}
-        for server in listed.values():
+    def _update_claims(self, now: int) -> None:
+        """Find the processes in whose place a later one is listed."""
+        latest: dict[str, fleet.Server] = {}
+        for server in self._routing_state.servers.values():
             for name in (server.id, server.address):
-                started[name] = max(
-                    started.get(name, 0), server.started_at or 0
-                )
-        return [
-            process.server
-            for process in self._processes.values()
-            if _is_later(
-                max(
-                    started.get(process.server.id, 0),
-                    started.get(process.server.address, 0),
-                ),
-                process.server.started_at,
-            )
-        ]
+                known = latest.get(name)
+                if known is None or _is_later(
+                    server.started_at, known.started_at or 0
+                ):
+                    latest[name] = server
+        for process in self._processes.values():
+            server = process.server
+            later = [
+                _get_key(one)
+                for name in (server.id, server.address)
+                if (one := latest.get(name)) is not None
+                and _is_later(one.started_at, server.started_at)
+            ]
+            if not later:
+                process.claim = None
+            elif process.claim is None or process.claim.key not in later:
+                process.claim = _Claim(later[0], now)
+                process.checks = 0
+
+    def _is_silent(self, process: _Process, now: int) -> bool:
+        """Return whether a later record has stood while none was written.
+
+        While the store is unavailable, no process writes any.
+        """
+        claim = process.claim
+        if claim is None or claim.is_refuted:
+            return False
+        active_at = max(
+            claim.since,
+            self._find_listed_at(process.server),
+            *(run.active_at for run in process.running),
+        )
+        return now - active_at >= SILENT_MS and not (
+            self._routing_state.is_stale(now)
+            or self._routing_state.is_settling(now)
+        )
+
+    def _find_listed_at(self, server: fleet.Server) -> int:
+        """Find when a process has last been listed; 0 if it is not listed."""
+        listed = self._routing_state.servers.get(server.id)
+        if listed is None or listed.started_at != server.started_at:
+            return 0
+        return self._routing_state.listed_at.get(server.id, 0)
+
+    def _is_check_due(self, process: _Process, now: int) -> bool:
+        if process.checks and now - process.checked_at < RECHECK_MS:
+            return False
+        return (
+            bool(process.doubtful) and process.checks > 0
+        ) or self._is_end_open(process)
+
+    def _is_end_open(self, process: _Process) -> bool:
+        """Return whether records or runs differ from what is known."""
+        if _get_key(process.server) in self._ended:
+            return self._shows_life(process)
+        return process.is_claimed
+
+    def _shows_life(self, process: _Process) -> bool:
+        """Return whether a process that has ended goes on."""
+        ended_at = self._ended.get(_get_key(process.server))
+        return ended_at is not None and (
+            self._find_listed_at(process.server) > ended_at
+            or any(run.active_at > ended_at for run in process.running)
+        )
 
     def _find_process(self, server: fleet.Server) -> _Process:
         key = _get_key(server)
@@ -447,8 +571,8 @@
         if (
             process is None
             or process.is_checking
-            or not process.doubtful
             or process.checks >= MAX_CHECKS
+            or not (process.doubtful or self._is_end_open(process))
         ):
             return
         process.checked_at = self._clock.now()
@@ -475,14 +599,42 @@
             self._evidence.record_failure(
                 process.server,
                 opened_at,
-                lambda: self._record_end(process.server, 'not_listening'),
+                lambda: self._record_end(
+                    process.server,
+                    'replaced' if process.is_claimed else 'not_listening',
+                ),
             )
         elif _is_later(found.started_at, process.server.started_at):
-            self._record_end(process.server, 'restarted')
+            self._record_end(
+                process.server,
+                'replaced' if process.is_claimed else 'restarted',
+            )
         elif found.is_listening:
+            self._record_life(process, found.started_at, opened_at)
+        self._drop_if_unused(process)
+
+    def _record_life(
+        self, process: _Process, started_at: int | None, opened_at: int
+    ) -> None:
+        """Record that a process, or one of an unknown start, listens."""
+        is_identified = started_at is not None and (
+            started_at == process.server.started_at
+        )
+        if is_identified or not process.is_claimed:
             process.checks = 0
             self._resolve(process, process.doubtful)
-        self._drop_if_unused(process)
+        if not is_identified:
+            return
+        if process.claim is not None:
+            process.claim.is_refuted = True
+        key = _get_key(process.server)
+        if opened_at > self._ended.get(key, opened_at):
+            del self._ended[key]
+            logger.warning(
+                'server_end_withdrawn',
+                server=process.server.id,
+                born=process.server.started_at,
+            )
 
     def _record_end(self, server: fleet.Server, evidence: str) -> None:
         """Record that the process of a server has ended."""
--- a/src/thornspool/application/routing/failure_detection.py
+++ b/src/thornspool/application/routing/failure_detection.py
@@ -549,9 +549,8 @@
         now = self._clock.now()
         self._record_slowdown(server, report.slowdown_factor, now)
         for stalled in report.stalled:
-            suspected = self._routing_state.find_by_address(stalled.address)
-            if suspected is not None:
-                self._routing_state.suspect(suspected.id, 'stalls_others', now)
+            for one in self._routing_state.list_at_address(stalled.address):
+                self._routing_state.suspect(one.id, 'stalls_others', now)
 
     def _record_slowdown(
         self, server: fleet.Server, factor: float, now: int
--- a/src/thornspool/application/routing/in_flight.py
+++ b/src/thornspool/application/routing/in_flight.py
@@ -55,6 +55,8 @@
     prefill_tokens : float
         Prompt tokens that its engines still have to process; 0 after the first
         event.
+    use : crash_detection.ServerUse or None
+        Its use of the engine to which it was sent.
     """
 
     hops: tuple[search.Hop, ...]
@@ -70,6 +72,7 @@
         factory=lambda: bodies.BodyBuffer(bodies.MAX_FAILURE_BYTES)
     )
     prefill_tokens: float = 0.0
+    use: crash_detection.ServerUse | None = None
 
     @probed_at.default
     def _start_probe_interval(self) -> int:
@@ -157,8 +160,8 @@
         Whether its next run is left to the peer that relays it.
     reroute_at : int
         Time in milliseconds from which its path may be changed again.
-    used_servers : list of fleet.Server
-        First engines of its runs.
+    server_uses : list of crash_detection.ServerUse
+        First engines of its runs, and when these were sent.
     needs_retry : bool
         Whether its next send counts as a retry.
     is_over_share : bool
@@ -203,7 +206,7 @@
     offer_at: int = 0
     has_left: bool = False
     reroute_at: int = 0
-    used_servers: list[fleet.Server] = attrs.field(factory=list)
+    server_uses: list[crash_detection.ServerUse] = attrs.field(factory=list)
     needs_retry: bool = False
     is_over_share: bool = False
     rank_limit: int | None = None
--- a/src/thornspool/application/routing/observed_servers.py
+++ b/src/thornspool/application/routing/observed_servers.py
@@ -26,15 +26,14 @@
         The client.
     on_answer : callable
         Called with each server that answers, the time in milliseconds at
-        which the connection was opened, and whether another process than the
-        listed one has answered.
+        which the connection was opened, and which process has answered.
     """
 
     def __init__(
         self,
         clock: clock_module.Clock,
         client: ports.ServerClient,
-        on_answer: Callable[[fleet.Server, int, bool], None],
+        on_answer: Callable[[fleet.Server, int, ports.Responder], None],
     ) -> None:
         self._clock = clock
         self._client = client
@@ -49,7 +48,7 @@
             _ObservingListener(
                 listener,
                 functools.partial(
-                    self._on_answer, run.server, self._clock.now(), False
+                    self._on_answer, run.server, self._clock.now()
                 ),
             ),
         )
@@ -100,10 +99,20 @@
         opened_at: int,
         started_at: int | None = None,
     ) -> None:
-        is_replaced = None not in {started_at, server.started_at} and (
-            started_at != server.started_at
+        self._on_answer(
+            server, opened_at, _identify(server.started_at, started_at)
         )
-        self._on_answer(server, opened_at, is_replaced)
+
+
+def _identify(
+    listed_start: int | None, stated_start: int | None
+) -> ports.Responder:
+    """Find out which process has answered, by the starts of processes."""
+    if listed_start is None or stated_start is None:
+        return ports.Responder.UNKNOWN
+    if listed_start == stated_start:
+        return ports.Responder.LISTED
+    return ports.Responder.OTHER
 
 
 class _ObservingListener:
@@ -112,7 +121,7 @@
     def __init__(
         self,
         listener: ports.ResponseListener,
-        on_answer: Callable[[], None],
+        on_answer: Callable[[ports.Responder], None],
     ) -> None:
         self._listener = listener
         self._on_answer = on_answer
@@ -121,5 +130,5 @@
 
     def handle_head(self, head: ports.ResponseHead) -> None:
         """Record that the server has answered."""
-        self._on_answer()
+        self._on_answer(ports.Responder.UNKNOWN)
         self._listener.handle_head(head)
--- a/src/thornspool/application/routing/ports.py
+++ b/src/thornspool/application/routing/ports.py
@@ -345,6 +345,18 @@
     stalled: tuple[StalledRequest, ...]
 
 
+class Responder(enum.Enum):
+    """Process that has answered at the address of a server."""
+
+    LISTED = 'listed'
+    """The one that the record of the server describes."""
+
+    OTHER = 'other'
+
+    UNKNOWN = 'unknown'
+    """The answer does not state when its process started."""
+
+
 CHECK_MS = 150
 """Timeout of a check; the connection attempt is answered at once by any host
 that runs."""
--- a/src/thornspool/application/routing/routing_state.py
+++ b/src/thornspool/application/routing/routing_state.py
@@ -101,6 +101,13 @@
 NOT_REACHED = 'not_reached'
 """Reason of a suspicion: no connection to the server could be opened."""
 
+ADDRESS_CLAIMED = 'address_claimed'
+"""Reason of a suspicion: the record of a later process has the address.
+
+Records are no proof: another program may have written this one. The suspicion
+lasts until the server shows that it still runs, or its record is removed.
+"""
+
 _REPORTED_EVIDENCE = frozenset({'reported', 'peer_list'})
 
 logger = structlog.get_logger(__name__)
@@ -191,6 +198,9 @@
         Whether there are retractions that were not reported to peers yet.
     probe_candidates : set of str
         Engines that have refused or broken runs and are to be probed.
+    listed_at : dict of str to int
+        Time in milliseconds at which the record of a server was last written
+        or read.
     """
 
     configuration: routing.Configuration | None = None
@@ -234,7 +244,10 @@
     retractions: dict[str, int] = attrs.field(factory=dict)
     has_unsent_retractions: bool = False
     probe_candidates: set[str] = attrs.field(factory=set)
-    _id_by_address: dict[str, str] = attrs.field(factory=dict, init=False)
+    listed_at: dict[str, int] = attrs.field(factory=dict, init=False)
+    _ids_by_address: dict[str, set[str]] = attrs.field(
+        factory=dict, init=False
+    )
 
     def apply_configuration(
         self, configuration: routing.Configuration
@@ -399,13 +412,17 @@
         if self.unlisted_while_settling.pop(server.id, None) is not None:
             was_listed = False
         self.removals.forget(departures_module.compute_run_hash(server))
+        self.listed_at[server.id] = now
+        self._end_claim(server)
         if current == server and server.id not in self.unlisted:
             return
         self.unlisted.pop(server.id, None)
-        self._drop_predecessor(server, now)
+        if current is None or _names_other_process(current, server):
+            self._doubt_predecessors(server, now)
         if current is not None and current.started_at != server.started_at:
             self.named_limits.forget(server.id)
         self.servers[server.id] = server
+        self._index_address(current, server)
         self.servers_changed_at = now
         self.revision += 1
         if server.draining and self.departures.record(
@@ -525,7 +542,10 @@
 
     def _forget_old_suspicions(self, now: int) -> None:
         for server_id, suspicion in list(self.suspicions.items()):
-            if now >= suspicion.until:
+            if now >= suspicion.until and not (
+                suspicion.reason == ADDRESS_CLAIMED
+                and server_id in self.servers
+            ):
                 del self.suspicions[server_id]
         for server_id, at in list(self.retractions.items()):
             if now - at > RETRACTION_MS:
@@ -542,16 +562,47 @@
             and not self.is_stale(now)
         )
 
-    def _drop_predecessor(self, server: fleet.Server, now: int) -> None:
-        """Drop the server that a newer one at its address has replaced."""
-        predecessor = self.servers.get(
-            self._id_by_address.get(server.address, '')
+    def _end_claim(self, server: fleet.Server) -> None:
+        """End the suspicion of a server that renews its own record."""
+        suspicion = self.suspicions.get(server.id)
+        if (
+            suspicion is not None
+            and suspicion.reason == ADDRESS_CLAIMED
+            and suspicion.started_at == server.started_at
+        ):
+            del self.suspicions[server.id]
+
+    def _doubt_predecessors(self, server: fleet.Server, now: int) -> None:
+        """Exclude the servers whose address a later process claims."""
+        for other in self.list_at_address(server.address):
+            if other.id == server.id or (
+                (other.started_at or 0) >= (server.started_at or 0)
+            ):
+                continue
+            if self._is_listed(other.id):
+                self.suspect(other.id, ADDRESS_CLAIMED, now)
+            else:
+                self._drop(other.id, now)
+
+    def _is_listed(self, server_id: str) -> bool:
+        """Return whether a server still has its record."""
+        return not (
+            server_id in self.unlisted
+            or server_id in self.unlisted_while_settling
         )
-        if predecessor is None or predecessor.id == server.id:
-            self._id_by_address[server.address] = server.id
-        elif (predecessor.started_at or 0) < (server.started_at or 0):
-            self._id_by_address[server.address] = server.id
-            self._drop(predecessor.id, now)
+
+    def _index_address(
+        self, current: fleet.Server | None, server: fleet.Server
+    ) -> None:
+        if current is not None and current.address != server.address:
+            self._remove_address(current)
+        self._ids_by_address.setdefault(server.address, set()).add(server.id)
+
+    def _remove_address(self, server: fleet.Server) -> None:
+        ids = self._ids_by_address[server.address]
+        ids.discard(server.id)
+        if not ids:
+            del self._ids_by_address[server.address]
 
     def _drop(self, server_id: str, now: int) -> None:
         """Remove a server from the routing state."""
@@ -559,9 +610,9 @@
         self.leaving.pop(server_id, None)
         dropped = self.servers.pop(server_id, None)
         self.named_limits.forget(server_id)
+        self.listed_at.pop(server_id, None)
         if dropped is not None:
-            if self._id_by_address.get(dropped.address) == server_id:
-                del self._id_by_address[dropped.address]
+            self._remove_address(dropped)
             self.servers_changed_at = now
             self.revision += 1
             logger.info('server_dropped', server=server_id)
@@ -587,6 +638,8 @@
         if server is None:
             return
         known = self.suspicions.get(server_id)
+        if known is not None and known.reason == ADDRESS_CLAIMED:
+            return
         if known is None:
             if reporter and not self._may_exclude(reporter):
                 logger.warning(
@@ -600,7 +653,11 @@
         elif reporter and not known.reporter:
             # What this entry has observed itself is more certain.
             reporter = ''
-        if not reporter and (known is None or known.reporter):
+        if (
+            not reporter
+            and (known is None or known.reporter)
+            and reason != ADDRESS_CLAIMED
+        ):
             self.unreported_suspects.append(server_id)
             self.retractions.pop(server_id, None)
         duration_ms = MISDIRECTED_MS if reason == MISDIRECTED else SUSPICION_MS
@@ -636,7 +693,9 @@
             if not suspicion.reporter and suspicion.reason != MISDIRECTED
         ]
 
-    def record_contact(self, server_id: str, now: int) -> None:
+    def record_contact(
+        self, server_id: str, now: int, is_identified: bool = True
+    ) -> None:
         """End the suspicion of a server that has just answered this entry.
 
         Parameters
@@ -645,12 +704,15 @@
             Id of the server.
         now : int
             Current time in milliseconds.
+        is_identified : bool, optional
+            Whether the answer shows which process at the address has sent it.
         """
         suspicion = self.suspicions.get(server_id)
         if (
             suspicion is None
             or suspicion.since >= now
             or suspicion.reason == MISDIRECTED
+            or (suspicion.reason == ADDRESS_CLAIMED and not is_identified)
         ):
             return
         logger.info(
@@ -661,7 +723,7 @@
     def _end_suspicion(self, server_id: str, now: int) -> None:
         """End a suspicion; retract it if this entry has reported it."""
         suspicion = self.suspicions.pop(server_id)
-        if not suspicion.reporter:
+        if not suspicion.reporter and suspicion.reason != ADDRESS_CLAIMED:
             self.retractions[server_id] = now
             self.has_unsent_retractions = True
             if server_id in self.unreported_suspects:
@@ -670,7 +732,8 @@
     def retract_suspicions(self, now: int) -> None:
         """End all suspicions that rest on what this entry has observed."""
         for server_id in self.list_own_suspects():
-            self._end_suspicion(server_id, now)
+            if self.suspicions[server_id].reason != ADDRESS_CLAIMED:
+                self._end_suspicion(server_id, now)
 
     def apply_retractions(
         self, retracted: typing.Iterable[str], reporter: str
@@ -981,22 +1044,21 @@
             and suspicion.reporter
         ]
 
-    def find_by_address(self, address: str) -> fleet.Server | None:
-        """Find the server at an address that started last.
+    def list_at_address(self, address: str) -> list[fleet.Server]:
+        """List the servers whose records have an address.
+
+        There are several while an address is used again, and if another
+        program has written one of the records.
 
         Parameters
         ----------
         address : str
-            Address of the server.
+            Address of the servers.
         """
-        found = [
-            server
-            for server in self.servers.values()
-            if server.address == address
+        return [
+            self.servers[server_id]
+            for server_id in sorted(self._ids_by_address.get(address, ()))
         ]
-        if not found:
-            return None
-        return max(found, key=lambda server: server.started_at or 0)
 
     def find_model(self, service: str) -> fleet.Model | None:
         """Find the model of a service.
@@ -1017,6 +1079,13 @@
         return None if found is None else found.model
 
 
+def _names_other_process(current: fleet.Server, server: fleet.Server) -> bool:
+    return (current.started_at, current.address) != (
+        server.started_at,
+        server.address,
+    )
+
+
 def _is_recent(at: int | None, now: int) -> bool:
     return at is not None and now - at < SETTLING_MS
 
--- a/src/thornspool/application/routing/run_permits.py
+++ b/src/thornspool/application/routing/run_permits.py
@@ -140,9 +140,11 @@
             self._quarantine.count_deaths(name, names) for name in names
         )
 
-    def count_ended(self, servers: Iterable[fleet.Server]) -> int:
-        """Count the servers whose processes are known to have ended."""
-        return sum(self._crashes.has_ended(server) for server in servers)
+    def count_ended(self, uses: Iterable[crash_detection.ServerUse]) -> int:
+        """Count the uses of servers whose processes have ended since."""
+        return sum(
+            self._crashes.has_ended(use.server, use.active_at) for use in uses
+        )
 
     def compute_retry_after(
         self, fingerprint: str, parts: tuple[str, ...] = ()
--- a/src/thornspool/application/routing/run_proofs.py
+++ b/src/thornspool/application/routing/run_proofs.py
@@ -5,12 +5,12 @@
 import enum
 import typing
 
+from thornspool.application.routing import crash_detection
+
 if typing.TYPE_CHECKING:
     from collections.abc import Iterable
 
-    from thornspool.application.routing import (
-        routing_state as routing_state_module,
-    )
+    from thornspool.application.routing import in_flight
     from thornspool.application.routing import run_permits
     from thornspool.domain.fleet import messages as fleet
 
@@ -31,31 +31,31 @@
     """The connection to the server has ended."""
 
     SERVER_ENDED = 'server_ended'
-    """Nothing listens at the address of a server any more."""
-
-    REPLACED = 'replaced'
-    """Another process has the place of a server."""
+    """Nothing listens at the address of a server any more, or another process
+    has its place."""
 
 
 def find_server_proof(
-    routing_state: routing_state_module.RoutingState,
     permits: run_permits.RunPermits,
+    run: in_flight.OpenRun,
     servers: Iterable[fleet.Server],
 ) -> Proof:
     """Find the proof that a server of an open run has ended.
 
     Parameters
     ----------
-    routing_state : routing_state_module.RoutingState
-        The listed servers.
     permits : run_permits.RunPermits
         Knows the servers that have ended.
+    run : in_flight.OpenRun
+        The run. Its own events show that its servers have not ended before.
     servers : iterable of fleet.Server
         Servers of the run.
     """
-    listed = list(servers)
-    if any(routing_state.has_later_process(server) for server in listed):
-        return Proof.REPLACED
-    if permits.count_ended(listed):
+    if run.tracked is None:
+        return Proof.NONE
+    active_at = run.tracked.active_at
+    if permits.count_ended(
+        crash_detection.ServerUse(server, active_at) for server in servers
+    ):
         return Proof.SERVER_ENDED
     return Proof.NONE
--- a/src/thornspool/application/routing/second_runs.py
+++ b/src/thornspool/application/routing/second_runs.py
@@ -19,9 +19,6 @@
     from thornspool.application.routing import in_flight as in_flight_module
     from thornspool.application.routing import path_finding
     from thornspool.application.routing import retry_pools
-    from thornspool.application.routing import (
-        routing_state as routing_state_module,
-    )
     from thornspool.application.routing import server_evidence
 
 RECHECK_MS = 50
@@ -74,8 +71,6 @@
     ----------
     clock : clock_module.Clock
         Source of time.
-    routing_state : routing_state_module.RoutingState
-        Routing state with the engines.
     paths : path_finding.PathFinder
         Finds paths, within the limits that servers name.
     permits : run_permits.RunPermits
@@ -91,7 +86,6 @@
     def __init__(
         self,
         clock: clock_module.Clock,
-        routing_state: routing_state_module.RoutingState,
         paths: path_finding.PathFinder,
         permits: run_permits.RunPermits,
         evidence: server_evidence.ServerEvidence,
@@ -99,7 +93,6 @@
         owner: RunOwner,
     ) -> None:
         self._clock = clock
-        self._routing_state = routing_state
         self._paths = paths
         self._permits = permits
         self._evidence = evidence
@@ -208,9 +201,7 @@
         return found
 
     def _find_proof(self, run: in_flight_module.OpenRun) -> run_proofs.Proof:
-        return run_proofs.find_server_proof(
-            self._routing_state, self._permits, run.servers
-        )
+        return run_proofs.find_server_proof(self._permits, run, run.servers)
 
     def _choose_surplus(
         self, in_flight: in_flight_module.InFlightRequest
--- a/src/thornspool/application/routing/server_evidence.py
+++ b/src/thornspool/application/routing/server_evidence.py
@@ -278,7 +278,7 @@
         self._routing_state.suspect(server.id, reason, self._clock.now())
 
     def record_answer(
-        self, server: fleet.Server, opened_at: int, is_replaced: bool
+        self, server: fleet.Server, opened_at: int, responder: ports.Responder
     ) -> None:
         """Record that a server has answered.
 
@@ -288,12 +288,16 @@
             The server.
         opened_at : int
             Time in milliseconds at which the connection was opened.
-        is_replaced : bool
-            Whether another process than the listed one has answered.
+        responder : ports.Responder
+            The process that has answered.
         """
         self.links.record_answer(server.id, opened_at)
-        if not is_replaced:
-            self._routing_state.record_contact(server.id, self._clock.now())
+        if responder is not ports.Responder.OTHER:
+            self._routing_state.record_contact(
+                server.id,
+                self._clock.now(),
+                responder is ports.Responder.LISTED,
+            )
             self._failures = [
                 one
                 for one in self._failures
--- a/src/thornspool/application/routing/streams.py
+++ b/src/thornspool/application/routing/streams.py
@@ -165,7 +165,7 @@
             clock, routing_state, evidence
         )
         self._second_runs = second_runs.SecondRuns(
-            clock, routing_state, paths, permits, evidence, budget, self
+            clock, paths, permits, evidence, budget, self
         )
         self.take_over: TakeOver = _take_over_nothing
         self.offer_to_peers: OfferToPeers = lambda offer: None
@@ -510,7 +510,7 @@
         relay = exchange.request.relay
         if relay is None or not exchange.response_started:
             return
-        lost = self._permits.count_ended(in_flight.used_servers)
+        lost = self._permits.count_ended(in_flight.server_uses)
         exchange.reply.write(
             run_notices.encode(
                 run_notices.Notice(
@@ -737,7 +737,8 @@
         exchange.runs += 1
         exchange.timing.record_send(now)
         in_flight.needs_retry = False
-        in_flight.used_servers.append(hops[0].server)
+        use = crash_detection.ServerUse(hops[0].server, now)
+        in_flight.server_uses.append(use)
         in_flight.active_at = now
         # A second run of the stream may use all memory: a wait would end it.
         in_flight.max_reserved_share = reservations.MAX_RESERVED_SHARE
@@ -749,6 +750,7 @@
                 in_flight.events.last_id, in_flight.events.count
             ),
             prefill_tokens=in_flight.request_size.prompt_tokens,
+            use=use,
         )
         in_flight.add(run)
         self.limits.record_send(hops[0].server.id)
@@ -938,7 +940,8 @@
     ) -> None:
         """Record that a run did not take place."""
         in_flight.exchange.runs -= 1
-        in_flight.used_servers.remove(run.first_server)
+        if run.use is not None:
+            in_flight.server_uses.remove(run.use)
         self._inform_sender(in_flight)
 
     def _handle_failure(
@@ -973,7 +976,7 @@
             The request.
         """
         exchange = in_flight.exchange
-        lost = self._permits.count_ended(in_flight.used_servers)
+        lost = self._permits.count_ended(in_flight.server_uses)
         return (
             exchange.route.retryable
             and exchange.runs < exchange.route.attempts + lost
@@ -1125,7 +1128,7 @@
             False if nothing proves that the run can't continue.
         """
         proof = run_proofs.find_server_proof(
-            self._routing_state, self._permits, [run.first_server]
+            self._permits, run, [run.first_server]
         )
         if proof is run_proofs.Proof.NONE:
             return False
--- a/standins/kv_fleet.py
+++ b/standins/kv_fleet.py
@@ -68,6 +68,7 @@
 _BROKEN_EVENT = EVENTS // 2
 _SPOILED_HEADER = 'Weight-Versions: \x01'
 PUBLICATION_RETRY_S = 0.5
+CLAIMS_PREFIX = 'servers/export-'
 
 
 @attrs.define(eq=False)
@@ -191,6 +192,24 @@
         async with self._writing:
             await self._put(key, document)
 
+    async def claim_address(self, name: str, service: str) -> None:
+        """List a later process at the address of a server that still runs.
+
+        Another program does so by mistake.
+
+        Parameters
+        ----------
+        name : str
+            Id of the server.
+        service : str
+            Service of the record; empty for the one of the server.
+        """
+        server = self.servers[name]
+        document = server.describe()
+        document['service'] = service or server.service
+        document['born'] = time.time_ns() // 1_000_000
+        await self.put(f'{CLAIMS_PREFIX}{name}', document)
+
     async def delete(self, key: str) -> None:
         """Delete a key of the store."""
         async with self._writing:
@@ -454,6 +473,7 @@
                 'sequence': self.server.order_sequence,
                 'layers': self.server.describe_layers(),
                 'pace': 1.0,
+                'born': self.server.started_at_ms,
                 'stalled': [
                     {'id': name, 'address': address}
                     for name, address in self.server.stalled.items()
@@ -694,6 +714,8 @@
             await self.fleet.put(commands['put'], commands['document'])
         if 'put_raw' in commands:
             await self.fleet.put_raw(commands['put_raw'], commands['value'])
+        for name in commands.get('claim', ()):
+            await self.fleet.claim_address(name, commands.get('service', ''))
         if 'delete' in commands:
             await self.fleet.delete(commands['delete'])
 
--- a/tests/application/routing/builders.py
+++ b/tests/application/routing/builders.py
@@ -461,6 +461,16 @@
         """Add a server to the server list."""
         self.routing_state.apply_server(server, self.clock.now())
 
+    def replace(self, server, **changes):
+        """Let a later process answer at a server's address, and list it."""
+        changes.setdefault('started_at', server.started_at + 1)
+        later = attrs.evolve(server, **changes)
+        self.servers.checks[server.id] = ports.ProcessCheck(
+            True, later.started_at
+        )
+        self.add(later)
+        return later
+
     def serve(self, path='/brief/x', number=1, **changes):
         """Serve a request and return the reply that its caller receives."""
         return self.serve_with(FakeResponseWriter(), path, number, **changes)
--- a/tests/application/routing/test_crash_detection.py
+++ b/tests/application/routing/test_crash_detection.py
@@ -82,17 +82,14 @@
                 self.world.routing_state.remove_server(self.server.id, 3_600)
                 await self.pass_time(4_000)
                 self.assertEqual([], self.crashed)
-                self.world.add(attrs.evolve(self.server, **change))
+                self.world.replace(self.server, **change)
                 await self.pass_time()
                 self.assertEqual([(self.server.id, {'one'})], self.crashed)
 
     async def test_later_process_is_not_suspected(self):
         """Guards against a sound server excluded for the process before."""
         run = self.begin()
-        later = attrs.evolve(
-            self.server, started_at=self.server.started_at + 1
-        )
-        self.world.add(later)
+        later = self.world.replace(self.server)
         await self.pass_time()
         self.detector.end(run, crash_detection.RunEnd.BROKEN)
         self.assertEqual([(self.server.id, {'one'})], self.crashed)
@@ -107,11 +104,7 @@
             with self.subTest(ending):
                 await self.asyncSetUp()
                 run = self.begin()
-                self.world.add(
-                    attrs.evolve(
-                        self.server, started_at=self.server.started_at + 1
-                    )
-                )
+                self.world.replace(self.server)
                 await self.pass_time()
                 self.assertEqual([], self.crashed)
                 self.detector.end(run, ending)
--- a/tests/application/routing/test_review.py
+++ b/tests/application/routing/test_review.py
@@ -95,8 +95,8 @@
         reply = self.world.serve()
         run = self.servers.last
         server = run.run.server
-        self.world.permits.count_ended = lambda servers: sum(
-            one.id == server.id for one in servers
+        self.world.permits.count_ended = lambda uses: sum(
+            use.server.id == server.id for use in uses
         )
         self.world.clock.advance(600)
         self.world.routing_state.suspect(
--- a/tests/application/routing/test_run_permits.py
+++ b/tests/application/routing/test_run_permits.py
@@ -143,10 +143,9 @@
                 run = self.world.permits.begin(
                     fingerprint, [server], trials[0]
                 )
-                self.world.add(
-                    attrs.evolve(server, started_at=server.started_at + 1)
-                )
+                self.world.replace(server)
                 self.world.crashes.tick()
+                await self.run_tasks()
                 self.world.permits.end(run, ending)
                 self.world.clock.advance(records.VERDICT_DELAY_MS)
                 self.assertIsInstance(
--- a/tests/application/routing/test_server_evidence.py
+++ b/tests/application/routing/test_server_evidence.py
@@ -332,7 +332,9 @@
         failed, other, *_ = self.servers
         self.limited = {server.id for server in self.servers} - {failed.id}
         await self.fail_connections(failed)
-        self.evidence.record_answer(other, self.world.clock.now(), False)
+        self.evidence.record_answer(
+            other, self.world.clock.now(), ports.Responder.UNKNOWN
+        )
         await self.pass_time(100)
         self.assertEqual([failed.id], list(self.state.suspicions))
 
@@ -343,7 +345,9 @@
         await self.fail_connections(failed)
         for _ in range(6):
             await self.pass_time(100)
-        self.evidence.record_answer(other, self.world.clock.now(), False)
+        self.evidence.record_answer(
+            other, self.world.clock.now(), ports.Responder.UNKNOWN
+        )
         await self.pass_time(100)
         self.assertEqual({}, self.state.suspicions)
 
@@ -366,8 +370,12 @@
         self.limited = {server.id for server in self.servers} - {failed.id}
         await self.fail_connections(failed)
         await self.pass_time(50)
-        self.evidence.record_answer(failed, self.world.clock.now(), False)
-        self.evidence.record_answer(other, self.world.clock.now(), False)
+        self.evidence.record_answer(
+            failed, self.world.clock.now(), ports.Responder.UNKNOWN
+        )
+        self.evidence.record_answer(
+            other, self.world.clock.now(), ports.Responder.UNKNOWN
+        )
         await self.pass_time(100)
         self.assertEqual({}, self.state.suspicions)
 
--- a/tests/application/routing/test_streams.py
+++ b/tests/application/routing/test_streams.py
@@ -429,7 +429,11 @@
             old, id='a-8', started_at=old.started_at + 1, layers=None
         )
         world.add(new)
-        self.assertNotIn('a-1', world.routing_state.servers)
+        world.advance(10_000)
+        self.assertFalse(world.routing_state.is_usable(old, 10_000))
+        world.serve()
+        path = [hop.server.id for hop in world.servers.last.run.hops]
+        self.assertNotIn('a-1', path)
         world.add(attrs.evolve(old, draining=True))
         self.assertIn('a-8', world.routing_state.servers)
 
--- a/tests/platform/test_odd_entries.py
+++ b/tests/platform/test_odd_entries.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import concurrent.futures
 import contextlib
+import time
 import unittest
 
 from standins import kv_fleet
@@ -11,6 +13,9 @@
 from tests.platform import deployment
 from tools import processes
 
+STREAMS = 12
+CLAIM_S = 0.6
+
 
 class OddEntryTest(unittest.TestCase):
     def setUp(self):
@@ -55,3 +60,40 @@
         self.assertEqual(200, self.call('POST', '/brief/1', 'brief'))
         self.assertEqual([], self.entry.find_lines('request_unsendable'))
         self.assertIsNone(self.entry.popen.poll())
+
+    def test_claimed_engines_keep_their_streams(self):
+        """Guards against streams that records of other programs end.
+
+        These list later processes at the addresses of engines that still run;
+        then an engine elsewhere crashes.
+        """
+        engines = [f'b-{number}' for number in range(3)]
+        with concurrent.futures.ThreadPoolExecutor(STREAMS) as pool:
+            for service in ('', 'night-export'):
+                lost = f'a-{1 + bool(service)}'
+                with self.subTest(service):
+                    self.deployment.control(kill=lost)
+                    self.deployment.control(claim=engines, service=service)
+                    time.sleep(CLAIM_S)
+                    streams = [
+                        pool.submit(
+                            self.entry.call,
+                            'POST',
+                            '/brief/1',
+                            f'brief-{service}-{number}',
+                        )
+                        for number in range(STREAMS)
+                    ]
+                    for one in streams:
+                        response = one.result()
+                        self.assertEqual(
+                            (200, True), (response.status, response.complete)
+                        )
+                    for name in engines:
+                        self.assertEqual(
+                            [],
+                            self.entry.find_lines('server_ended', server=name),
+                        )
+        self.assertEqual(
+            [], self.entry.find_lines('run_repeated', proof='server_ended')
+        )
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -159,6 +159,7 @@
         world,
         random.Random(f'{seed} changes'),
         random.Random(f'{seed} odd bytes'),
+        random.Random(f'{seed} claims'),
     )
     tasks = await _start_part(seed, world, callers) if with_part else []
     await faults.inject(seconds)
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -8,6 +8,7 @@
 import typing
 import urllib.error
 
+from standins import kv_fleet
 from tests import builders
 from tests.soak import links
 from tests.soak import proxies
@@ -37,6 +38,8 @@
     odd_source : random.Random
         Source of the choices for entries that no one can read and for spoiled
         heads, for the same reason.
+    claim_source : random.Random
+        Source of the choices for records at the addresses of servers.
     """
 
     def __init__(
@@ -44,10 +47,12 @@
         world: world_module.World,
         change_source: random.Random,
         odd_source: random.Random,
+        claim_source: random.Random,
     ) -> None:
         self._world = world
         self._changes = change_source
         self._odd = odd_source
+        self._claims = claim_source
         self._random = world.random
         self._tasks: set[asyncio.Task[None]] = set()
         self._added_engines = 0
@@ -77,7 +82,7 @@
 
         Servers name limits, ask for rest and spoil heads, operators change
         routes and keys, and another writer writes entries that no one can
-        read, all the while.
+        read or that have the addresses of servers, all the while.
         """
         conditions = [
             asyncio.create_task(self._repeat(seconds, inject, source))
@@ -88,6 +93,7 @@
                 (self._turn_away, self._changes),
                 (self._write_odd_entry, self._odd),
                 (self._spoil_heads, self._odd),
+                (self._claim_address, self._claims),
             )
         ]
         end = asyncio.get_running_loop().time() + seconds
@@ -338,6 +344,14 @@
             put_raw=key, value=base64.b64encode(raw[:20_000]).decode()
         )
 
+    async def _claim_address(self) -> None:
+        """Let another writer list a process at the address of a server."""
+        fleet = await asyncio.to_thread(self._world.deployment.read_fleet)
+        name = self._claims.choice(sorted([*fleet['servers'], 'a-9', 'b-9']))
+        await self._control(claim=[name], service='night-export')
+        await asyncio.sleep(self._claims.uniform(0.5, 3.0))
+        await self._control(delete=f'{kv_fleet.CLAIMS_PREFIX}{name}')
+
     async def _publish_configuration(self) -> None:
         include_south = self._random.random() < 0.5
         await asyncio.to_thread(lambda: self._world.configure(include_south))
