Let the kind of a route decide how its answers are read

Idempotent requests ran twice before, and the outcome of each action was lost after it had run.

Cause: the service alone chose how an answer is read. The stream service began the reply with the head, took the body for events, and what was left at its end for an answer that stops inside an event. Ruled out: the move itself (requests sent 4 s later are cut as well), and the length of the body.

Change: `Route.is_streamed` decides, the service only says how it is reached. The other way round, the events of plain servers on streaming routes were kept back until their end, a second attempt began beside them, and `Last-Event-Id` was dropped: they are passed on as they arrive now, by one attempt from the first event on. Through a peer, a stated length tells a whole answer from events. An engine with an unsigned answer is left out of the next attempt.

--- a/src/thornspool/application/routing/calls.py
+++ b/src/thornspool/application/routing/calls.py
@@ -1,9 +1,12 @@
-"""Idempotent calls and non-idempotent actions on plain services.
+"""Requests to plain services: calls, actions, and streams of events.
 
 A non-idempotent action is retried at another server only if the first server
 was certainly not reached or states that it did not execute the action. After
 any other failure the outcome is unknown, and the caller gets an error that
 says so: a second execution could, for example, pay out twice.
+
+A response is passed on once it is complete. The events of a stream are passed
+on as they arrive, and from the first one on its attempt is the only one.
 """
 
 from __future__ import annotations
@@ -21,6 +24,7 @@
 from thornspool.application.routing import ports
 from thornspool.application.routing import run_permits
 from thornspool.domain.fleet import bodies
+from thornspool.domain.fleet import events
 from thornspool.domain.fleet import server_scores
 from thornspool.domain.paths import domain_choice
 
@@ -65,6 +69,8 @@
 MAX_PERMIT_WAIT_MS = 1_500
 """Maximum wait of a call that may have crashed servers for its trial."""
 
+_OK = 200
+
 logger = structlog.get_logger(__name__)
 
 
@@ -89,7 +95,9 @@
     head : ports.ResponseHead or None
         Head of the response, once received.
     body : bodies.BodyBuffer
-        Body received so far.
+        Body received so far, unless it is a stream of events.
+    events : events.EventBuffer
+        Splits a stream into complete events.
     """
 
     server: fleet.Server
@@ -100,6 +108,7 @@
     is_overdue: bool = False
     head: ports.ResponseHead | None = None
     body: bodies.BodyBuffer = attrs.field(factory=bodies.BodyBuffer)
+    events: events.EventBuffer = attrs.field(factory=events.EventBuffer)
 
 
 @attrs.define(eq=False)
@@ -300,8 +309,12 @@
     def _check(self, call: Call, now: int) -> None:
         if call.exchange.compute_remaining_ms(now) <= 0:
             self._expire(call)
-        elif call.current is not None and self._is_overdue(
-            call.current, call.exchange.route.target_latency_ms, now
+        elif (
+            call.current is not None
+            and not call.exchange.response_started
+            and self._is_overdue(
+                call.current, call.exchange.route.target_latency_ms, now
+            )
         ):
             self._handle_overdue(call, call.current)
 
@@ -437,13 +450,13 @@
             (),
             exchange.compute_remaining_ms(now),
             exchange.workspace_name,
-            '',
+            exchange.request.resume_after,
             exchange.priority,
         )
         listener = listeners.RunListener(
             attempt,
             functools.partial(_store_head, attempt),
-            attempt.body.append,
+            functools.partial(self._handle_body, call, attempt),
             functools.partial(self.handle_completion, call, attempt),
             functools.partial(self._end_on_error, call),
         )
@@ -558,20 +571,65 @@
             return
         self._fail(call, exchange.outcome_reason or 'no_server')
 
+    def _handle_body(self, call: Call, attempt: Attempt, chunk: bytes) -> bool:
+        """Handle a chunk of a response; False if it is too long."""
+        if not _is_stream(call, attempt):
+            return attempt.body.append(chunk)
+        complete = attempt.events.take(chunk)
+        if complete:
+            self._deliver(call, attempt, complete)
+        return not attempt.events.is_overlong
+
+    def _deliver(self, call: Call, attempt: Attempt, complete: bytes) -> None:
+        """Pass on complete events, and end the other attempt if any."""
+        exchange = call.exchange
+        for other in call.attempts:
+            if other is not attempt:
+                if other.cancel is not None:
+                    other.cancel()
+                self._end_attempt(call, other)
+        call.current, call.overdue = attempt, None
+        now = self._clock.now()
+        if not exchange.response_started:
+            assert attempt.head is not None
+            exchange.reply.begin(attempt.head.status, attempt.head.headers)
+            exchange.response_started = True
+            exchange.first_event_at = now
+            exchange.path = attempt.server.id
+        if attempt.run is not None:
+            attempt.run.record_progress(now)
+        if attempt.server.failure_domain != self._failure_domain:
+            exchange.link_bytes += len(complete)
+        exchange.timing.record_event(now)
+        exchange.reply.write(complete)
+
+    def _score_response(
+        self, call: Call, attempt: Attempt, head: ports.ResponseHead
+    ) -> None:
+        """Record load and speed of a server that has responded."""
+        now = self._clock.now()
+        self._scores.record_load(attempt.server.id, head.load, now)
+        if (
+            head.load is not None
+            and head.executed
+            and not call.exchange.response_started
+        ):
+            self._scores.record_response(
+                attempt.server, now - attempt.sent_at, now
+            )
+
     def handle_completion(
         self, call: Call, attempt: Attempt, completion: ports.Completion
     ) -> None:
         """Handle the completion of an attempt."""
         head = attempt.head
         exchange = call.exchange
+        if attempt.events.pending and completion is ports.Completion.COMPLETE:
+            # The server has stopped in the middle of an event.
+            completion = ports.Completion.BROKEN
         self._end_run(attempt, crash_detection.classify_end(head, completion))
         if head is not None:
-            now = self._clock.now()
-            self._scores.record_load(attempt.server.id, head.load, now)
-            if head.load is not None and head.executed:
-                self._scores.record_response(
-                    attempt.server, now - attempt.sent_at, now
-                )
+            self._score_response(call, attempt, head)
         if completion is ports.Completion.NOT_SENT:
             exchange.runs -= 1
             self._evidence.record_unreachable(attempt.server, attempt.sent_at)
@@ -591,6 +649,8 @@
             self._retry_or_fail(
                 call, attempt, 'broken', exchange.route.retryable
             )
+        elif exchange.response_started:
+            self._finish_stream(call, attempt)
         elif head.status >= 500 and exchange.route.retryable:
             self._record_failure(attempt, server_scores.ERROR_WEIGHT)
             self._handle_server_error(call, attempt, head)
@@ -645,11 +705,19 @@
             'served' if head.status < 400 else f'server_{head.status}'
         )
 
+    def _finish_stream(self, call: Call, attempt: Attempt) -> None:
+        attempt.cancel = None
+        self._scores.finish(attempt.server.id)
+        call.exchange.reply.finish()
+        self._release(call)
+        call.exchange.end('served')
+
     def _may_retry(self, call: Call) -> bool:
         exchange = call.exchange
         remaining_ms = exchange.compute_remaining_ms(self._clock.now())
         return (
-            exchange.runs < exchange.route.attempts
+            not exchange.response_started
+            and exchange.runs < exchange.route.attempts
             and exchange.sends < MAX_SENDS
             and remaining_ms > MIN_REMAINING_MS
         )
@@ -693,7 +761,9 @@
             call.current, call.overdue = call.overdue, None
             return
         self.calls.discard(call)
-        if exchange.runs > 0:
+        if exchange.response_started:
+            self._cut(call, reason)
+        elif exchange.runs > 0:
             exchange.refuse(502, f'outcome_unknown_{reason}')
         else:
             exchange.refuse(
@@ -702,9 +772,17 @@
                 retry_after_ms or self._random.randint(*RETRY_AFTER_RANGE_MS),
             )
 
+    def _cut(self, call: Call, reason: str) -> None:
+        """End a stream of which the caller has received a part."""
+        call.exchange.outcome_reason = reason
+        call.exchange.reply.abort()
+        call.exchange.end('cut')
+
     def _expire(self, call: Call) -> None:
         self._release(call)
-        if call.exchange.runs > 0:
+        if call.exchange.response_started:
+            self._cut(call, 'deadline')
+        elif call.exchange.runs > 0:
             call.exchange.refuse(504, 'deadline')
         else:
             call.exchange.refuse(503, 'deadline', RETRY_AFTER_RANGE_MS[0])
@@ -759,5 +837,17 @@
     """Hold nothing against a server that is only slow."""
 
 
+def _is_stream(call: Call, attempt: Attempt) -> bool:
+    """Return whether a server answers with events that are passed on."""
+    head = attempt.head
+    return (
+        head is not None
+        and call.exchange.route.is_streamed
+        and head.status == _OK
+        and head.is_authentic
+        and head.is_event_stream
+    )
+
+
 def _store_head(attempt: Attempt, head: ports.ResponseHead) -> None:
     attempt.head = head
--- a/src/thornspool/application/routing/failure_detection.py
+++ b/src/thornspool/application/routing/failure_detection.py
@@ -318,7 +318,9 @@
         has_events = in_flight.events.count > 0
         if idle_ms < (STALL_PROBE_MS if has_events else FIRST_EVENT_PROBE_MS):
             return
-        if idle_ms >= FAILOVER_IDLE_MS and self._service.may_retry(in_flight):
+        if idle_ms >= _compute_failover_idle(
+            in_flight
+        ) and self._service.may_retry(in_flight):
             in_flight.exchange.exclude(run.engines, now)
             self._service.fail_over(in_flight, 'silent')
             return
@@ -352,6 +354,8 @@
         run: in_flight_module.OpenRun,
         now: int,
     ) -> bool:
+        if not in_flight.is_streamed:
+            return False
         idle_ms = now - run.active_at
         has_events = in_flight.events.count > 0
         return idle_ms >= (
@@ -570,3 +574,14 @@
                 before=round(before, 1),
                 pace=round(factor, 1),
             )
+
+
+def _compute_failover_idle(in_flight: in_flight_module.InFlightRequest) -> int:
+    """Compute the idle time after which a request leaves its path.
+
+    An answer that is no stream arrives as a whole, so that its engines are
+    idle until then. They have the time within which callers want it.
+    """
+    if in_flight.is_streamed:
+        return FAILOVER_IDLE_MS
+    return max(FAILOVER_IDLE_MS, in_flight.exchange.route.target_latency_ms)
--- a/src/thornspool/application/routing/in_flight.py
+++ b/src/thornspool/application/routing/in_flight.py
@@ -51,7 +51,8 @@
     head : ports.ResponseHead or None
         Head of its answer; None before it arrives.
     body : bodies.BodyBuffer
-        Body of an answer that is not a stream of events.
+        Body of an answer that is not a stream of events. It is passed on only
+        once it is complete.
     prefill_tokens : float
         Prompt tokens that its engines still have to process; 0 after the first
         event.
@@ -219,6 +220,11 @@
     domain_reason: domain_choice.Reason | None = None
     exit_reason: str = ''
 
+    @property
+    def is_streamed(self) -> bool:
+        """Whether its answer is a stream of events."""
+        return self.exchange.route.is_streamed
+
     @property
     def open_runs(self) -> list[OpenRun]:
         """Its runs, the older one first."""
--- a/src/thornspool/application/routing/ports.py
+++ b/src/thornspool/application/routing/ports.py
@@ -233,6 +233,10 @@
         the request.
     is_relay_refused : bool
         Whether a peer refuses to serve a request that is passed on to it.
+    has_length : bool
+        Whether the response states the length of its body.
+    is_event_stream : bool
+        Whether the media type of the body is that of a stream of events.
     """
 
     status: int
@@ -242,6 +246,8 @@
     load: Load | None
     is_authentic: bool
     is_relay_refused: bool = False
+    has_length: bool = False
+    is_event_stream: bool = False
 
 
 @attrs.frozen
--- a/src/thornspool/application/routing/relays.py
+++ b/src/thornspool/application/routing/relays.py
@@ -23,7 +23,6 @@
 from thornspool.domain.clients import connections
 from thornspool.domain.fleet import bodies
 from thornspool.domain.fleet import events
-from thornspool.domain.routing import messages as routing
 
 if typing.TYPE_CHECKING:
     from collections.abc import Callable
@@ -543,12 +542,17 @@
         self._begin_reply(relay.exchange, relay.head)
 
     def _is_stream(self, relay: _Relay) -> bool:
+        """Return whether a peer answers with events.
+
+        It states the length of an answer that it passes on as a whole.
+        """
         head = relay.head
         return (
             head is not None
             and head.status == _OK
             and head.is_authentic
-            and relay.exchange.route.kind is routing.Kind.STREAMING
+            and not head.has_length
+            and relay.exchange.route.is_streamed
         )
 
     def handle_body(self, relay: _Relay, chunk: bytes) -> bool:
@@ -605,8 +609,7 @@
     def _handle_failure(self, relay: _Relay, head: ports.ResponseHead) -> None:
         """Handle a complete response of a peer that serves no stream."""
         if relay.offer is not None and (
-            head.status >= _ERROR
-            or relay.exchange.route.kind is routing.Kind.STREAMING
+            head.status >= _ERROR or relay.exchange.route.is_streamed
         ):
             # The other run may still end well.
             self._fail(relay, 'relayed')
--- a/src/thornspool/application/routing/streams.py
+++ b/src/thornspool/application/routing/streams.py
@@ -22,6 +22,7 @@
 from thornspool.application.routing import run_permits
 from thornspool.application.routing import run_proofs
 from thornspool.application.routing import second_runs
+from thornspool.domain.fleet import bodies
 from thornspool.domain.fleet import events
 from thornspool.domain.paths import choice
 from thornspool.domain.paths import reservations
@@ -84,6 +85,8 @@
 logger = structlog.get_logger(__name__)
 
 _OK = 200
+_ERROR = 400
+_SERVER_ERROR = 500
 
 
 @attrs.frozen
@@ -752,6 +755,8 @@
             prefill_tokens=in_flight.request_size.prompt_tokens,
             use=use,
         )
+        if not in_flight.is_streamed:
+            run.body.max_bytes = bodies.MAX_BODY_BYTES
         in_flight.add(run)
         self.limits.record_send(hops[0].server.id)
         self.paths.spillover.record_send(in_flight, hops[0].server)
@@ -802,14 +807,15 @@
             run.first_server.id, self._clock.now()
         )
         if (
-            head.executed
-            and head.status == _OK
-            and head.is_authentic
+            _begins_stream(in_flight, head)
+            and head.executed
             and in_flight.second is None
             and not in_flight.exchange.response_started
         ):
             run.active_at = in_flight.active_at = self._clock.now()
             self._begin_reply(in_flight, head)
+        elif head.executed and not in_flight.is_streamed:
+            self._record_life(run)
 
     def _begin_reply(
         self,
@@ -830,7 +836,9 @@
     ) -> bool:
         """Handle a chunk of an engine's answer; False if it is too long."""
         head = run.head
-        if head is None or head.status != _OK or not head.is_authentic:
+        if head is None or not _begins_stream(in_flight, head):
+            if not in_flight.is_streamed:
+                self._record_life(run)
             return run.body.append(chunk)
         complete = run.events.take(chunk)
         if complete:
@@ -841,6 +849,19 @@
             self._deliver(in_flight, run, complete)
         return not run.events.is_overlong
 
+    def _record_life(self, run: in_flight_module.OpenRun) -> None:
+        """Record that the engines of a run have sent a part of its answer.
+
+        This is no progress: a faulty engine may send byte after byte.
+        """
+        now = self._clock.now()
+        if self._routing_state.suspicions:
+            for server_id in run.engines:
+                self._routing_state.record_contact(server_id, now)
+        if run.tracked is not None:
+            run.tracked.record_progress(now)
+        self._end_prefill(run)
+
     def _deliver(
         self,
         in_flight: in_flight_module.InFlightRequest,
@@ -855,12 +876,7 @@
             in_flight.event_interval.record(now - run.active_at)
         in_flight.events = run.events
         run.active_at = in_flight.active_at = now
-        if self._routing_state.suspicions:
-            for server_id in run.engines:
-                self._routing_state.record_contact(server_id, now)
-        if run.tracked is not None:
-            run.tracked.record_progress(now)
-        self._end_prefill(run)
+        self._record_life(run)
         exchange.timing.record_event(now)
         if exchange.first_event_at is None:
             exchange.first_event_at = now
@@ -882,8 +898,8 @@
         if (
             ending is crash_detection.RunEnd.COMPLETED
             and head is not None
-            and head.status == _OK
             and head.is_authentic
+            and _is_final(in_flight, head)
         ):
             self._finish(in_flight, run, head)
             return
@@ -915,6 +931,9 @@
         elif head.is_authentic and not in_flight.exchange.response_started:
             self._handle_failure(in_flight, run, head)
         else:
+            in_flight.exchange.exclude(
+                [run.first_server.id], self._clock.now()
+            )
             self._retry_or_fail(
                 in_flight, 'malformed', run_proofs.Proof.CLOSED, run
             )
@@ -926,13 +945,37 @@
         head: ports.ResponseHead,
     ) -> None:
         """Complete the answer, as a run has delivered all of it."""
+        exchange = in_flight.exchange
         self._withdraw_offer(in_flight)
         self._second_runs.settle(in_flight, run)
+        if not in_flight.is_streamed:
+            run.active_at = self._clock.now()
         self.close_run(in_flight, run, crash_detection.RunEnd.COMPLETED)
+        if not in_flight.is_streamed:
+            self._send_whole(in_flight, run, head)
+            return
         self._begin_reply(in_flight, head)
-        in_flight.exchange.reply.finish()
+        exchange.reply.finish()
         self._end(in_flight, 'served')
 
+    def _send_whole(
+        self,
+        in_flight: in_flight_module.InFlightRequest,
+        run: in_flight_module.OpenRun,
+        head: ports.ResponseHead,
+    ) -> None:
+        """Pass on a complete answer that is not a stream of events."""
+        exchange = in_flight.exchange
+        body = bytes(run.body)
+        if exchange.first_event_at is None:
+            exchange.first_event_at = self._clock.now()
+        self.paths.spillover.record_events(in_flight, run, len(body))
+        exchange.reply.send(head.status, head.headers, body)
+        is_served = head.status < _ERROR and not in_flight.is_streamed
+        self._end(
+            in_flight, 'served' if is_served else f'engine_{head.status}'
+        )
+
     def _uncount_run(
         self,
         in_flight: in_flight_module.InFlightRequest,
@@ -960,8 +1003,7 @@
             exchange.exclude([run.first_server.id], self._clock.now())
             self._start(in_flight)
         else:
-            exchange.reply.send(head.status, head.headers, bytes(run.body))
-            self._end(in_flight, f'engine_{head.status}')
+            self._send_whole(in_flight, run, head)
 
     def may_retry(self, in_flight: in_flight_module.InFlightRequest) -> bool:
         """Return whether a request that may have run may run again.
@@ -1295,6 +1337,24 @@
     return False
 
 
+def _begins_stream(
+    in_flight: in_flight_module.InFlightRequest, head: ports.ResponseHead
+) -> bool:
+    """Return whether the body behind a head is a stream of events."""
+    return in_flight.is_streamed and head.status == _OK and head.is_authentic
+
+
+def _is_final(
+    in_flight: in_flight_module.InFlightRequest, head: ports.ResponseHead
+) -> bool:
+    """Return whether a complete answer is passed on without a retry."""
+    if in_flight.is_streamed:
+        return head.status == _OK
+    return (
+        head.status < _SERVER_ERROR or not in_flight.exchange.route.retryable
+    )
+
+
 def _limit_to_share(
     found: search.Path | choice.NoPathReason, may_use_free: bool
 ) -> search.Path | choice.NoPathReason:
--- a/src/thornspool/domain/routing/messages.py
+++ b/src/thornspool/domain/routing/messages.py
@@ -71,10 +71,18 @@
     anonymous: bool = False
     resumable: bool = False
 
+    @property
+    def is_streamed(self) -> bool:
+        """Whether the response is a series of events.
+
+        This depends on the route alone: any service may serve any kind.
+        """
+        return self.kind is Kind.STREAMING
+
     @property
     def retryable(self) -> bool:
         """Whether a request may run more than once."""
-        if self.kind is Kind.STREAMING:
+        if self.is_streamed:
             return self.resumable
         return self.kind is Kind.IDEMPOTENT
 
--- a/src/thornspool/platform/engines.py
+++ b/src/thornspool/platform/engines.py
@@ -407,9 +407,16 @@
         and values.get('attempt-id', request_id) == request_id,
         is_relay_refused=RELAY_REFUSED_HEADER.lower() in values
         and 'response-seal' not in values,
+        has_length='content-length' in values,
+        is_event_stream=_get_media_type(values) == 'text/event-stream',
     )
 
 
+def _get_media_type(values: dict[str, str]) -> str:
+    """Return the media type of a body without its parameters."""
+    return values.get('content-type', '').partition(';')[0].strip().lower()
+
+
 def _decode_notice(
     status: int, headers: transfers.Headers, is_authentic: bool
 ) -> ports.ServerNotice:
--- a/standins/kv_fleet.py
+++ b/standins/kv_fleet.py
@@ -69,6 +69,7 @@
 _SPOILED_HEADER = 'Weight-Versions: \x01'
 PUBLICATION_RETRY_S = 0.5
 CLAIMS_PREFIX = 'servers/export-'
+STREAMED_PREFIX = '/brief/'
 
 
 @attrs.define(eq=False)
@@ -510,14 +511,20 @@
 class StreamHandler(_Handler):
     """Stream the response of a request over the path in its header."""
 
+    async def get(self) -> None:
+        """Answer as to POST."""
+        await self.post()
+
     async def post(self) -> None:
-        """Stream the events; stall and drop when a hop was killed."""
+        """Stream the events, or answer as a whole."""
         hops = self._parse_path()
         if hops is None:
             return
-        attempt_id = self.request.headers['Attempt-Id']
-        self.fleet.runs[attempt_id] += 1
+        self.fleet.runs[self.request.headers['Attempt-Id']] += 1
         self.begin_run()
+        if not self.request.path.startswith(STREAMED_PREFIX):
+            await self._answer_whole()
+            return
         first = int(self.request.headers.get('Last-Event-Id', -1)) + 1
         self.add_response_headers()
         self.set_header('Content-Type', 'text/event-stream')
@@ -525,6 +532,13 @@
             return
         if await self._write_odd(first):
             return
+        await self._write_events(first, hops)
+
+    async def _write_events(
+        self, first: int, hops: list[tuple[Server, int, int, str]]
+    ) -> None:
+        """Write the events from one on; stall and drop if a hop is lost."""
+        attempt_id = self.request.headers['Attempt-Id']
         for index in range(first, EVENTS):
             await asyncio.sleep(STEP_S)
             for hop in hops:
@@ -545,6 +559,16 @@
         self.end_run('complete')
         self.finish()
 
+    async def _answer_whole(self) -> None:
+        """Answer a request of a route that is not streamed."""
+        self.add_response_headers()
+        if await self.crash_if_told():
+            return
+        await asyncio.sleep(STEP_S)
+        await self.server.wait_until_resumed()
+        self.end_run('complete')
+        self.finish(f'{self.server.id} for {self.request.path}')
+
     async def _write_odd(self, first: int) -> bool:
         """Write a stream that a test has asked for, if it has."""
         events = [_format_event(index) for index in range(first, EVENTS)]
@@ -797,7 +821,7 @@
         API keys of the only tenant.
     """
     kinds = {
-        '/brief/': ('streaming', MODEL_SERVICE),
+        STREAMED_PREFIX: ('streaming', MODEL_SERVICE),
         '/hold/': ('non_idempotent', PLAIN_SERVICE),
         '/read/': ('idempotent', PLAIN_SERVICE),
     }
--- a/tests/application/routing/builders.py
+++ b/tests/application/routing/builders.py
@@ -271,6 +271,7 @@
         executed=True,
         fault='',
         is_authentic=True,
+        is_event_stream=False,
         **statements,
     ):
         """Send the head; ``statements`` are fields of a `ServerNotice`."""
@@ -278,7 +279,15 @@
             self.run.server, ports.ServerNotice(is_authentic, **statements)
         )
         self.listener.handle_head(
-            ports.ResponseHead(status, (), executed, fault, None, is_authentic)
+            ports.ResponseHead(
+                status,
+                (),
+                executed,
+                fault,
+                None,
+                is_authentic,
+                is_event_stream=is_event_stream,
+            )
         )
 
     def send(self, first, end):
