--- a/src/thornspool/application/routing/routing_state.py
+++ b/src/thornspool/application/routing/routing_state.py
@@ -599,10 +599,10 @@
         self._ids_by_address.setdefault(server.address, set()).add(server.id)
 
     def _remove_address(self, server: fleet.Server) -> None:
-        ids = self._ids_by_address[server.address]
+        ids = self._ids_by_address.get(server.address, set())
         ids.discard(server.id)
         if not ids:
-            del self._ids_by_address[server.address]
+            self._ids_by_address.pop(server.address, None)
 
     def _drop(self, server_id: str, now: int) -> None:
         """Remove a server from the routing state."""
@@ -1058,6 +1058,7 @@
         return [
             self.servers[server_id]
             for server_id in sorted(self._ids_by_address.get(address, ()))
+            if server_id in self.servers
         ]
 
     def find_model(self, service: str) -> fleet.Model | None:
