Take no line for the end of a head that lacks its line feed

Callers got a 200 with an empty body, framed as whole, from a server that wrote all fields and the carriage return of the empty line and then closed (MIXED, ORDER; a report of other operators). A 204 cut there was passed on too.

Cause: libcurl hands the bytes of an unfinished line on as a line when the connection closes, and `Transfer.receive_line` removed line ends before it looked. Ruled out: heads without their end in general; of each head only the prefix without its last byte counted as complete there.

Change: a line without a line feed breaks the response. All readers that go through `adapters/transfers` have it. tornado's client, which engines and loads of the own interface and the console use, takes the status line alone for an answer; `head_checks.fetch` fails there unless the head has ended.

Callers that stop in their heads were not served before either; a test keeps that.

--- a/src/thornspool/adapters/targets/engines.py
+++ b/src/thornspool/adapters/targets/engines.py
@@ -11,6 +11,7 @@
 from tornado import curl_httpclient
 from tornado import httpclient
 
+from thornspool.adapters import head_checks
 from thornspool.adapters.targets import engine_messages
 from thornspool.application import exceptions
 from thornspool.application.generation import (
@@ -201,9 +202,7 @@
             headers={'Content-Type': 'application/json', 'Expect': ''},
             decompress_response=False,
         )
-        fetch = asyncio.ensure_future(
-            self._client.fetch(request, raise_error=False)
-        )
+        fetch = asyncio.ensure_future(head_checks.fetch(self._client, request))
         self._fetches.add(fetch)
         fetch.add_done_callback(self._fetches.discard)
         fetch.add_done_callback(transfer.release)
--- a/src/thornspool/adapters/targets/loads.py
+++ b/src/thornspool/adapters/targets/loads.py
@@ -9,6 +9,7 @@
 from tornado import httpclient
 
 from thornspool import decoding
+from thornspool.adapters import head_checks
 from thornspool.application import exceptions
 from thornspool.domain.targets import messages
 
@@ -65,7 +66,7 @@
         )
         try:
             # A leaving target responds with status 409 and its report.
-            response = await self._client.fetch(request, raise_error=False)
+            response = await head_checks.fetch(self._client, request)
             body = decoding.decode_json(response.body, LoadBody)
         except (OSError, httpclient.HTTPError, decoding.DecodeError) as error:
             reason = f'No load report from {target.name}: {error}.'
--- a/src/thornspool/adapters/transfers.py
+++ b/src/thornspool/adapters/transfers.py
@@ -23,6 +23,7 @@
 import structlog
 
 from thornspool.adapters import exceptions
+from thornspool.adapters import head_checks
 from thornspool.adapters import response_heads
 
 if typing.TYPE_CHECKING:
@@ -245,13 +246,23 @@
         if self.head_bytes > MAX_HEAD_BYTES:
             self.overlong = Part.HEAD
             return 0
-        line = raw.decode('latin-1').rstrip('\r\n')
+        text = raw.decode('latin-1')
+        if head_checks.is_cut(text):
+            self._session.record_malformed(
+                self, 'The connection has closed within a line.'
+            )
+            return 0
+        line = text.rstrip('\r\n')
         if line:
             self._header_lines.append(line)
             return None
         lines, self._header_lines = self._header_lines, []
         if self._has_head:
             return None  # trailers of a chunked body
+        return self._receive_head(lines)
+
+    def _receive_head(self, lines: list[str]) -> int | None:
+        """Handle a complete head; 0 if it is malformed."""
         try:
             head = response_heads.parse_head(lines, self.request.is_forwarded)
         except exceptions.MalformedHead as error:
--- a/src/thornspool/console/client.py
+++ b/src/thornspool/console/client.py
@@ -13,6 +13,7 @@
 from tornado import curl_httpclient
 from tornado import httpclient
 
+from thornspool.adapters import head_checks
 from thornspool.console import exceptions
 
 if typing.TYPE_CHECKING:
@@ -248,7 +249,7 @@
 ) -> httpclient.HTTPResponse:
     client = curl_httpclient.CurlAsyncHTTPClient(force_instance=True)
     try:
-        return await client.fetch(request, raise_error=False)
+        return await head_checks.fetch(client, request)
     finally:
         client.close()
 
--- a/standins/raw_answers.py
+++ b/standins/raw_answers.py
@@ -24,12 +24,15 @@
         The first line.
     stays_open : bool
         Whether the connection stays open after the answer.
+    missing : int
+        Bytes that are missing at the end of the head; no body follows then.
     """
 
     lines: str
     body: str = 'whole'
     status_line: str = 'HTTP/1.1 200 OK'
     stays_open: bool = False
+    missing: int = 0
 
     def encode(
         self, headers: typing.Iterable[tuple[str, str]], content: bytes
@@ -41,7 +44,10 @@
             *(f'{name}: {value}' for name, value in headers),
         ]
         head = '\r\n'.join(one for one in lines if one) + '\r\n\r\n'
-        return head.encode('latin-1') + self._encode_body(content)
+        encoded = head.encode('latin-1')
+        if self.missing:
+            return encoded[: -self.missing]
+        return encoded + self._encode_body(content)
 
     def _encode_body(self, content: bytes) -> bytes:
         if self.body == 'half':
--- a/tests/platform/raw_answers.py
+++ b/tests/platform/raw_answers.py
@@ -25,6 +25,9 @@
     return raw_answers.RawAnswer(_LENGTH, status_line=status_line)
 
 
+_INTERIM = 'HTTP/1.1 103 Early Hints\r\n\r\n'
+
+
 BROKEN_FRAMING = {
     'blank before the colon of the length': _hide_length(
         'Content-Length : {length}'
@@ -90,6 +93,27 @@
 BROKEN_HEADS = BROKEN_FRAMING | BROKEN_LINES
 """Answers that are broken off before their bodies."""
 
+CUT_HEADS = {
+    f'{name}, {missing} bytes missing': raw_answers.RawAnswer(
+        lines, status_line=status_line, missing=missing
+    )
+    for name, lines, status_line in (
+        ('no length', '', 'HTTP/1.1 200 OK'),
+        ('length', _LENGTH, 'HTTP/1.1 200 OK'),
+        ('length of zero', 'Content-Length: 0', 'HTTP/1.1 200 OK'),
+        ('chunks', 'Transfer-Encoding: chunked', 'HTTP/1.1 200 OK'),
+        ('HTTP/1.0', '', 'HTTP/1.0 200 OK'),
+        ('no content', '', 'HTTP/1.1 204 No Content'),
+        ('interim head', '', f'{_INTERIM}HTTP/1.1 200 OK'),
+    )
+    for missing in (1, 2, 6)
+}
+"""Answers of servers that stop in the middle of their heads.
+
+Of an empty line, its line feed, the whole, or also the end of the field before
+it are missing.
+"""
+
 EXCEEDED_LENGTHS = {
     'length that is too small': raw_answers.RawAnswer('Content-Length: 3'),
     'length of zero': raw_answers.RawAnswer('Content-Length: 0'),
--- a/tests/platform/test_broken_answers.py
+++ b/tests/platform/test_broken_answers.py
@@ -6,11 +6,20 @@
 
 import attrs
 
+from standins import kv_fleet
 from tests.platform import linked_entries
 from tests.platform import raw_answers
 
-CALLS = raw_answers.BROKEN_HEADS | raw_answers.EXCEEDED_LENGTHS
-STREAMS = raw_answers.BROKEN_CODINGS | raw_answers.EXCEEDED_LENGTHS
+CALLS = (
+    raw_answers.BROKEN_HEADS
+    | raw_answers.EXCEEDED_LENGTHS
+    | raw_answers.CUT_HEADS
+)
+STREAMS = (
+    raw_answers.BROKEN_CODINGS
+    | raw_answers.EXCEEDED_LENGTHS
+    | raw_answers.CUT_HEADS
+)
 
 
 class BrokenAnswerTest(linked_entries.LinkedEntriesCase):
@@ -28,6 +37,9 @@
         """Call with each broken answer, of connections changed as given."""
         for number, (name, one) in enumerate(CALLS.items()):
             answer = attrs.evolve(one, **changes)
+            if answer.stays_open and answer.missing:
+                # The rest of the head may still come.
+                continue
             with self.subTest(name, path='/read/1'):
                 response, runs = await self.call(
                     entry, 'GET', '/read/1', f'{label}-{number}-read', answer
@@ -68,3 +80,25 @@
         await self.cut_links()
         await self.check_calls(self.first, 'relayed')
         await self.check_streams(self.first, 'relayed')
+
+    async def test_requests_whose_heads_are_cut_do_not_run(self):
+        """Guards against callers that stop in the middle of their heads."""
+        ip, port = self.second.callers.split(':')
+        for missing in range(1, 7):
+            label = f'cut-{missing}'
+            head = (
+                f'POST /hold/1 HTTP/1.1\r\nHost: {kv_fleet.HOST}\r\n'
+                f'Attempt-Id: {label}\r\nDeadline-Ms: 10000\r\n'
+                f'Authorization: Bearer {kv_fleet.KEY}\r\n'
+                'Content-Length: 0\r\n\r\n'
+            ).encode()
+            reader, writer = await asyncio.open_connection(ip, int(port))
+            writer.write(head[:-missing])
+            writer.write_eof()
+            with self.subTest(label):
+                self.assertNotIn(b' 200 ', await reader.read())
+            writer.close()
+        fleet = await asyncio.to_thread(self.deployment.read_fleet)
+        self.assertEqual(
+            [], [one for one in fleet['runs'] if one.startswith('cut-')]
+        )
