Play status 000 in all its forms

A report of other operators: an engine in trouble sent an answer whose status was 000, and the client got it as an answer (MIXED). Not seen here: eight forms reach no caller by calls and actions, directly, over connections that stay open and through a peer, and run no action twice. The suite had one of them; seven are added (without a length, in chunks, of HTTP/1.0 and HTTP/2, behind an interim head, cut, and `00`).

--- a/tests/platform/raw_answers.py
+++ b/tests/platform/raw_answers.py
@@ -70,6 +70,18 @@
         'Transfer-Encoding: chunked', 'chunks', 'HTTP/1.0 200 OK'
     ),
     'status 000': _spoil_status('HTTP/1.1 000 OK'),
+    'status 000 without a length': raw_answers.RawAnswer(
+        '', status_line='HTTP/1.1 000 OK'
+    ),
+    'status 000 in chunks': raw_answers.RawAnswer(
+        'Transfer-Encoding: chunked', 'chunks', 'HTTP/1.1 000 OK'
+    ),
+    'status 000 of HTTP/1.0': _spoil_status('HTTP/1.0 000 OK'),
+    'status 000 of HTTP/2': _spoil_status('HTTP/2 000'),
+    'status 000, cut': raw_answers.RawAnswer(
+        _LENGTH, 'half', 'HTTP/1.1 000 OK'
+    ),
+    'status 00': _spoil_status('HTTP/1.1 00 OK'),
     'status 099': _spoil_status('HTTP/1.1 099 OK'),
     'status 101': _spoil_status('HTTP/1.1 101 OK'),
     'status 600': _spoil_status('HTTP/1.1 600 OK'),
@@ -90,7 +102,14 @@
 }
 """Answers that hold a line that no server may send."""
 
-BROKEN_HEADS = BROKEN_FRAMING | BROKEN_LINES
+BROKEN_SUCCESSORS = {
+    'status 000 behind another head': _spoil_status(
+        f'{_INTERIM}HTTP/1.1 000 OK'
+    ),
+}
+"""Answers whose first head is sound."""
+
+BROKEN_HEADS = BROKEN_FRAMING | BROKEN_LINES | BROKEN_SUCCESSORS
 """Answers that are broken off before their bodies."""
 
 CUT_HEADS = {
