Doubt starts that go back, and use the last claimed servers

A foreign record under an engine's own id with an earlier start: requests sent before the engine's next record count as sent to an earlier process, which the check then found replaced, and their streams were ended. And with foreign records at the addresses of all servers of a service, callers were refused until the next records, though a request states the id that it expects.

Change: a start that is earlier than the one listed before is doubted until a second record confirms it; no later start proves the end of such a process, as the process that answers may run its requests. Servers at claimed addresses are used where a service has no others.

Measured: test_stream_sent_by_a_foreign_record_goes_on and test_last_claimed_servers_are_used fail before and pass after, with the 594 other tests of tests/application.

--- a/src/thornspool/application/routing/crash_detection.py
+++ b/src/thornspool/application/routing/crash_detection.py
@@ -248,6 +248,9 @@
         Whether a check is in progress.
     claim : _Claim or None
         Record of a later process in its place, if there is one.
+    has_doubted_start : bool
+        Whether the record may state a start that is too early, so that a
+        later one shows no other process.
     """
 
     server: fleet.Server
@@ -257,11 +260,20 @@
     checked_at: int = 0
     is_checking: bool = False
     claim: _Claim | None = None
+    has_doubted_start: bool = False
 
     @property
     def is_claimed(self) -> bool:
         """Whether a later record is neither proven nor refuted."""
-        return self.claim is not None and not self.claim.is_refuted
+        return not self.has_doubted_start and (
+            self.claim is not None and not self.claim.is_refuted
+        )
+
+    def has_successor(self, started_at: int | None) -> bool:
+        """Return whether a start that is stated is that of a later process."""
+        return not self.has_doubted_start and _is_later(
+            started_at, self.server.started_at
+        )
 
 
 _CrashHandler = typing.Callable[
@@ -514,7 +526,7 @@
         While the store is unavailable, no process writes any.
         """
         claim = process.claim
-        if claim is None or claim.is_refuted:
+        if claim is None or not process.is_claimed:
             return False
         active_at = max(
             claim.since,
@@ -558,7 +570,12 @@
         key = _get_key(server)
         process = self._processes.get(key)
         if process is None:
-            process = self._processes[key] = _Process(server)
+            process = self._processes[key] = _Process(
+                server,
+                has_doubted_start=self._routing_state.has_doubted_start(
+                    server
+                ),
+            )
         return process
 
     def _drop_if_unused(self, process: _Process) -> None:
@@ -604,7 +621,7 @@
                     'replaced' if process.is_claimed else 'not_listening',
                 ),
             )
-        elif _is_later(found.started_at, process.server.started_at):
+        elif process.has_successor(found.started_at):
             self._record_end(
                 process.server,
                 'replaced' if process.is_claimed else 'restarted',
--- a/src/thornspool/application/routing/routing_state.py
+++ b/src/thornspool/application/routing/routing_state.py
@@ -245,6 +245,7 @@
     has_unsent_retractions: bool = False
     probe_candidates: set[str] = attrs.field(factory=set)
     listed_at: dict[str, int] = attrs.field(factory=dict, init=False)
+    _doubted_starts: dict[str, int] = attrs.field(factory=dict, init=False)
     _ids_by_address: dict[str, set[str]] = attrs.field(
         factory=dict, init=False
     )
@@ -414,6 +415,7 @@
         self.removals.forget(departures_module.compute_run_hash(server))
         self.listed_at[server.id] = now
         self._end_claim(server)
+        self._check_start(current, server)
         if current == server and server.id not in self.unlisted:
             return
         self.unlisted.pop(server.id, None)
@@ -562,6 +564,33 @@
             and not self.is_stale(now)
         )
 
+    def _check_start(
+        self, current: fleet.Server | None, server: fleet.Server
+    ) -> None:
+        """Record whether the start of a server is earlier than the last one.
+
+        A second record confirms it, as its process goes on to write.
+        """
+        if (
+            current is not None
+            and current.started_at is not None
+            and server.started_at is not None
+            and server.started_at < current.started_at
+        ):
+            self._doubted_starts[server.id] = server.started_at
+        else:
+            self._doubted_starts.pop(server.id, None)
+
+    def has_doubted_start(self, server: fleet.Server) -> bool:
+        """Return whether a record may state a start that is too early.
+
+        Such a record stands between two of the process that runs: another
+        program has written one of the three.
+        """
+        return server.id in self._doubted_starts and (
+            self._doubted_starts[server.id] == server.started_at
+        )
+
     def _end_claim(self, server: fleet.Server) -> None:
         """End the suspicion of a server that renews its own record."""
         suspicion = self.suspicions.get(server.id)
@@ -611,6 +640,7 @@
         dropped = self.servers.pop(server_id, None)
         self.named_limits.forget(server_id)
         self.listed_at.pop(server_id, None)
+        self._doubted_starts.pop(server_id, None)
         if dropped is not None:
             self._remove_address(dropped)
             self.servers_changed_at = now
@@ -1035,13 +1065,14 @@
         usable = [one for one in of_service if self.is_usable(one, now)]
         if usable:
             return usable
-        # What peers report does not exclude the last servers of a service.
+        # Reports of peers and records of others do not exclude the last
+        # servers of a service.
         return [
             server
             for server in of_service
             if self._is_serving(server, now)
             and (suspicion := self.suspicions.get(server.id)) is not None
-            and suspicion.reporter
+            and (suspicion.reporter or suspicion.reason == ADDRESS_CLAIMED)
         ]
 
     def list_at_address(self, address: str) -> list[fleet.Server]:
--- a/tests/application/routing/test_claimed_servers.py
+++ b/tests/application/routing/test_claimed_servers.py
@@ -91,6 +91,28 @@
                 self.assertFalse(self.crashes.has_ended(first))
                 self.assertEqual(0, self.crashes.ended_count)
 
+    async def test_stream_sent_by_a_foreign_record_goes_on(self):
+        """Guards against streams that end when the true record returns."""
+        server = self.server
+        for name in ('a-0', 'a-1', 'a-2'):
+            del self.state.servers[name]
+        earlier = attrs.evolve(server, started_at=server.started_at - 1)
+        for one in (earlier, server):
+            self.world.servers.checks[one.id] = identify(server)
+        self.world.add(earlier)
+        reply = self.world.serve('/once/x')
+        run = self.world.servers.last
+        self.assertEqual(earlier, run.run.hops[0].server)
+        run.begin()
+        run.send(0, 1)
+        self.world.add(server)
+        self.state.suspect('b-91', 'test', self.world.clock.now())
+        await self.pass_time(1_000)
+        run.send(1, 2)
+        run.end()
+        self.assertEqual((200, True), (reply.status, reply.whole))
+        self.assertFalse(run.stopped)
+
     async def test_stream_of_a_replaced_engine_does_not_wait(self):
         """Guards against callers that wait for an engine that has ended."""
         for name, changes in CLAIMS:
@@ -168,6 +190,15 @@
         now = self.world.clock.now()
         self.world.evidence.record_answer(self.server, now, responder)
 
+    async def test_last_claimed_servers_are_used(self):
+        """Guards against callers that are refused for a foreign record."""
+        for name in ('a-90', 'b-91', 'c-92'):
+            self.claim(
+                self.state.servers[name], id='export', service='night-export'
+            )
+        self.world.serve('/read/x')
+        self.assertEqual(1, len(self.world.servers.runs))
+
     async def test_stalled_server_is_found_beside_a_claim(self):
         """Guards against a foreign record suspected in place of an engine."""
         self.claim(self.server, id='export')
