Check a server at a claimed address once

Each entry checked such a server every 0.4 s until its record was removed, as it checks all its suspects. Where an address is really used again, that is a burst of checks by the whole fleet at a server that has just started, and the next record of the old one would end the claim anyway.

Change: one check for each claim and entry.

--- a/src/thornspool/application/routing/routing_state.py
+++ b/src/thornspool/application/routing/routing_state.py
@@ -129,6 +129,8 @@
         Time in milliseconds at which it was last observed.
     reporter : str
         Host of the peer that observed it; empty for this entry.
+    is_checked : bool
+        Whether this entry has checked the server since it is suspected.
     """
 
     until: int
@@ -136,6 +138,7 @@
     started_at: int | None
     since: int = 0
     reporter: str = ''
+    is_checked: bool = False
 
 
 @attrs.define
--- a/src/thornspool/application/routing/server_evidence.py
+++ b/src/thornspool/application/routing/server_evidence.py
@@ -379,11 +379,11 @@
             server = self._routing_state.servers.get(server_id)
             if (
                 server is not None
-                and now - self._suspects_checked_at.get(server_id, 0)
-                >= SUSPECT_CHECK_MS
+                and self._is_check_due(server_id, now)
                 and self._try_acquire(server_id)
             ):
                 self._suspects_checked_at[server_id] = now
+                self._routing_state.suspicions[server_id].is_checked = True
                 self._start_task(self._check_suspect(server))
         self._suspects_checked_at = {
             server_id: at
@@ -391,6 +391,22 @@
             if now - at <= SUSPECT_CHECK_MS
         }
 
+    def _is_check_due(self, server_id: str, now: int) -> bool:
+        """Return whether a suspected server is to be checked now.
+
+        A server at a claimed address is checked once: all entries have the
+        claim, and the next record of the server ends it as well.
+        """
+        suspicion = self._routing_state.suspicions[server_id]
+        if suspicion.is_checked and (
+            suspicion.reason == routing_state_module.ADDRESS_CLAIMED
+        ):
+            return False
+        return (
+            now - self._suspects_checked_at.get(server_id, 0)
+            >= SUSPECT_CHECK_MS
+        )
+
     async def _check_suspect(self, server: fleet.Server) -> None:
         # An answer is recorded like any other one.
         await self.servers.check(server)
--- a/tests/application/routing/test_server_evidence.py
+++ b/tests/application/routing/test_server_evidence.py
@@ -351,6 +351,27 @@
         await self.pass_time(100)
         self.assertEqual({}, self.state.suspicions)
 
+    async def test_claimed_server_is_checked_once(self):
+        """Guards against checks by all entries while a claim stands."""
+        server = self.servers[0]
+        for start, is_excluded in (
+            (server.started_at, False),
+            (server.started_at + 1, True),
+        ):
+            with self.subTest(start):
+                await self.asyncSetUp()
+                self.set_checks(ports.ProcessCheck(True, start))
+                self.world.clock.advance(1)
+                self.world.add(
+                    attrs.evolve(
+                        server, id='export', started_at=server.started_at + 1
+                    )
+                )
+                for _ in range(20):
+                    await self.pass_time(100)
+                self.assertEqual([server.id], self.world.servers.checked)
+                self.assertIs(is_excluded, server.id in self.state.suspicions)
+
     async def test_server_that_answers_alone_is_checked_now_and_then(self):
         """Guards against checks in a loop that decide nothing."""
         alone, other = self.keep_servers(2)
