--- a/src/thornspool/application/routing/crash_detection.py
+++ b/src/thornspool/application/routing/crash_detection.py
@@ -23,6 +23,7 @@
 from thornspool.application.routing import (
     routing_state as routing_state_module,
 )
+from thornspool.application.routing import tracked_processes
 from thornspool.domain.quarantine import fingerprints as fingerprints_module
 from thornspool.domain.quarantine import proofs
 
@@ -85,9 +86,6 @@
     """The entry ended the run."""
 
 
-_Key = tuple[str, int | None]
-
-
 @attrs.define(eq=False)
 class TrackedRun:
     """A run at one or several servers.
@@ -156,7 +154,9 @@
             origin is not None
             and origin.is_implicated
             and any(
-                _get_key(one) == _get_key(server) for one in origin.servers
+                tracked_processes.get_key(one)
+                == tracked_processes.get_key(server)
+                for one in origin.servers
             )
         )
 
@@ -211,71 +211,6 @@
     active_at: int
 
 
-@attrs.define(eq=False)
-class _Claim:
-    """Record of a later process in the place of a server.
-
-    Attributes
-    ----------
-    key : tuple of str and int or None
-        Identifies the later process.
-    since : int
-        Time in milliseconds at which it was first found.
-    is_refuted : bool
-        Whether the process of the server has answered since.
-    """
-
-    key: _Key
-    since: int
-    is_refuted: bool = False
-
-
-@attrs.define(eq=False)
-class _Process:
-    """One process of a server, with the runs that may have ended it.
-
-    Attributes
-    ----------
-    server : fleet.Server
-        Record of the server when it got the first of these runs.
-    running, doubtful : set of TrackedRun
-        Runs in progress, and runs that ended without a response.
-    checks : int
-        Checks since a run broke.
-    checked_at : int
-        Time of the last check in milliseconds.
-    is_checking : bool
-        Whether a check is in progress.
-    claim : _Claim or None
-        Record of a later process in its place, if there is one.
-    has_doubted_start : bool
-        Whether the record may state a start that is too early, so that a
-        later one shows no other process.
-    """
-
-    server: fleet.Server
-    running: set[TrackedRun] = attrs.field(factory=set)
-    doubtful: set[TrackedRun] = attrs.field(factory=set)
-    checks: int = 0
-    checked_at: int = 0
-    is_checking: bool = False
-    claim: _Claim | None = None
-    has_doubted_start: bool = False
-
-    @property
-    def is_claimed(self) -> bool:
-        """Whether a later record is neither proven nor refuted."""
-        return not self.has_doubted_start and (
-            self.claim is not None and not self.claim.is_refuted
-        )
-
-    def has_successor(self, started_at: int | None) -> bool:
-        """Return whether a start that is stated is that of a later process."""
-        return not self.has_doubted_start and _is_later(
-            started_at, self.server.started_at
-        )
-
-
 _CrashHandler = typing.Callable[
     ['fleet.Server', frozenset[str], frozenset[str]], None
 ]
@@ -316,8 +251,10 @@
         self._on_proof: Callable[[TrackedRun, frozenset[str]], None] = (
             lambda run, known: None
         )
-        self._processes: dict[_Key, _Process] = {}
-        self._ended: dict[_Key, int] = {}
+        self._processes: dict[
+            tracked_processes.Key, tracked_processes.Process
+        ] = {}
+        self._ended: dict[tracked_processes.Key, int] = {}
         self._revision = 0
         self.proven_parts = proofs.ProvenParts()
         self.ended_count = 0
@@ -353,7 +290,7 @@
             Time in milliseconds of its last sign of life. An end that was
             found before it is wrong, or is the end of another process.
         """
-        ended_at = self._ended.get(_get_key(server))
+        ended_at = self._ended.get(tracked_processes.get_key(server))
         return ended_at is not None and active_at <= ended_at
 
     def count_checks(self, name: str) -> int:
@@ -421,7 +358,8 @@
     def _close(self, run: TrackedRun, may_be_cause: bool) -> None:
         """Remove a run from its servers, or keep it there as doubtful."""
         is_doubtful = may_be_cause and not any(
-            _get_key(one) in self._ended for one in run.servers
+            tracked_processes.get_key(one) in self._ended
+            for one in run.servers
         )
         for server in run.servers:
             process = self._find_process(server)
@@ -464,7 +402,9 @@
                 ],
             )
 
-    def _resolve(self, process: _Process, runs: Iterable[TrackedRun]) -> None:
+    def _resolve(
+        self, process: tracked_processes.Process, runs: Iterable[TrackedRun]
+    ) -> None:
         """Drop the doubts about runs at a process."""
         for run in list(runs):
             process.doubtful.discard(run)
@@ -478,7 +418,11 @@
         now = self._clock.now()
         if self._revision != self._routing_state.revision:
             self._revision = self._routing_state.revision
-            self._update_claims(now)
+            tracked_processes.update_claims(
+                self._processes.values(),
+                self._routing_state.servers.values(),
+                now,
+            )
         for process in list(self._processes.values()):
             self._resolve(
                 process,
@@ -496,31 +440,7 @@
             key: at for key, at in self._ended.items() if now - at <= ENDED_MS
         }
 
-    def _update_claims(self, now: int) -> None:
-        """Find the processes in whose place a later one is listed."""
-        latest: dict[str, fleet.Server] = {}
-        for server in self._routing_state.servers.values():
-            for name in (server.id, server.address):
-                known = latest.get(name)
-                if known is None or _is_later(
-                    server.started_at, known.started_at or 0
-                ):
-                    latest[name] = server
-        for process in self._processes.values():
-            server = process.server
-            later = [
-                _get_key(one)
-                for name in (server.id, server.address)
-                if (one := latest.get(name)) is not None
-                and _is_later(one.started_at, server.started_at)
-            ]
-            if not later:
-                process.claim = None
-            elif process.claim is None or process.claim.key not in later:
-                process.claim = _Claim(later[0], now)
-                process.checks = 0
-
-    def _is_silent(self, process: _Process, now: int) -> bool:
+    def _is_silent(self, process: tracked_processes.Process, now: int) -> bool:
         """Return whether a later record has stood while none was written.
 
         While the store is unavailable, no process writes any.
@@ -545,32 +465,34 @@
             return 0
         return self._routing_state.listed_at.get(server.id, 0)
 
-    def _is_check_due(self, process: _Process, now: int) -> bool:
+    def _is_check_due(
+        self, process: tracked_processes.Process, now: int
+    ) -> bool:
         if process.checks and now - process.checked_at < RECHECK_MS:
             return False
         return (
             bool(process.doubtful) and process.checks > 0
         ) or self._is_end_open(process)
 
-    def _is_end_open(self, process: _Process) -> bool:
+    def _is_end_open(self, process: tracked_processes.Process) -> bool:
         """Return whether records or runs differ from what is known."""
-        if _get_key(process.server) in self._ended:
+        if tracked_processes.get_key(process.server) in self._ended:
             return self._shows_life(process)
         return process.is_claimed
 
-    def _shows_life(self, process: _Process) -> bool:
+    def _shows_life(self, process: tracked_processes.Process) -> bool:
         """Return whether a process that has ended goes on."""
-        ended_at = self._ended.get(_get_key(process.server))
+        ended_at = self._ended.get(tracked_processes.get_key(process.server))
         return ended_at is not None and (
             self._find_listed_at(process.server) > ended_at
             or any(run.active_at > ended_at for run in process.running)
         )
 
-    def _find_process(self, server: fleet.Server) -> _Process:
-        key = _get_key(server)
+    def _find_process(self, server: fleet.Server) -> tracked_processes.Process:
+        key = tracked_processes.get_key(server)
         process = self._processes.get(key)
         if process is None:
-            process = self._processes[key] = _Process(
+            process = self._processes[key] = tracked_processes.Process(
                 server,
                 has_doubted_start=self._routing_state.has_doubted_start(
                     server
@@ -578,13 +500,15 @@
             )
         return process
 
-    def _drop_if_unused(self, process: _Process) -> None:
+    def _drop_if_unused(self, process: tracked_processes.Process) -> None:
         if not (process.running or process.doubtful or process.is_checking):
-            self._processes.pop(_get_key(process.server), None)
+            self._processes.pop(
+                tracked_processes.get_key(process.server), None
+            )
 
     def _start_check(self, server: fleet.Server) -> None:
         """Check a server unless that is in progress or can tell nothing."""
-        process = self._processes.get(_get_key(server))
+        process = self._processes.get(tracked_processes.get_key(server))
         if (
             process is None
             or process.is_checking
@@ -601,7 +525,7 @@
         process.is_checking = True
         self._start_task(self._check(process))
 
-    async def _check(self, process: _Process) -> None:
+    async def _check(self, process: tracked_processes.Process) -> None:
         """Check a server twice before it counts as ended."""
         opened_at = self._clock.now()
         try:
@@ -631,7 +555,10 @@
         self._drop_if_unused(process)
 
     def _record_life(
-        self, process: _Process, started_at: int | None, opened_at: int
+        self,
+        process: tracked_processes.Process,
+        started_at: int | None,
+        opened_at: int,
     ) -> None:
         """Record that a process, or one of an unknown start, listens."""
         is_identified = started_at is not None and (
@@ -644,7 +571,7 @@
             return
         if process.claim is not None:
             process.claim.is_refuted = True
-        key = _get_key(process.server)
+        key = tracked_processes.get_key(process.server)
         if opened_at > self._ended.get(key, opened_at):
             del self._ended[key]
             logger.warning(
@@ -655,7 +582,7 @@
 
     def _record_end(self, server: fleet.Server, evidence: str) -> None:
         """Record that the process of a server has ended."""
-        key = _get_key(server)
+        key = tracked_processes.get_key(server)
         process = self._processes.get(key)
         if process is None or key in self._ended:
             return
@@ -718,16 +645,6 @@
     return f'{server.id}@{server.started_at}'
 
 
-def _get_key(server: fleet.Server) -> _Key:
-    """Return what identifies one process of a server."""
-    return server.id, server.started_at
-
-
-def _is_later(found: int | None, known: int | None) -> bool:
-    """Return whether a start is later than one that is known."""
-    return found is not None and known is not None and found > known
-
-
 def classify_end(
     head: ports.ResponseHead | None, completion: ports.Completion
 ) -> RunEnd:
