Show the use of the retry budget in metrics and logs

An operator who looks for repeats beyond the budget found only the number of refused retries. Nothing told how many retries an entry counts for itself and for the others, how many it allows and among how many entries it divides them, so that a window forgotten by a restart, an attempt too many and a request that crashes servers looked alike.

Add gauges for these figures by service, and the line retry_refused with the same figures, at most once a second and service. No decision changes.

--- a/src/thornspool/application/routing/retry_pools.py
+++ b/src/thornspool/application/routing/retry_pools.py
@@ -5,6 +5,8 @@
 import copy
 import typing
 
+import structlog
+
 from thornspool.domain.fleet import server_hashes
 from thornspool.domain.retries import pools
 
@@ -27,8 +29,16 @@
 has received a part of a stream loses the stream when no retry is left.
 """
 
+REFUSAL_LOG_INTERVAL_MS = 1_000
+"""Shortest interval of log lines on refused retries of one service.
+
+A service that fails all requests causes hundreds of refusals a second.
+"""
+
 _MS_PER_S = 1000.0
 
+logger = structlog.get_logger(__name__)
+
 
 class RetryPools:
     """Limits the retries of all services.
@@ -65,6 +75,7 @@
         self._count_entries = count_entries
         self._seed = seed
         self._pools: dict[str, pools.RetryPool] = {}
+        self._refusals_logged_at: dict[str, int] = {}
         self.refused_count = 0
 
     def detach(self) -> RetryPools:
@@ -96,8 +107,35 @@
         if self._get_pool(service).acquire(self._clock.now(), share):
             return True
         self.refused_count += 1
+        self._log_refusal(service, urgent)
         return False
 
+    def _log_refusal(self, service: str, urgent: bool) -> None:
+        now = self._clock.now()
+        logged_at = self._refusals_logged_at.get(service)
+        if logged_at is not None and now - logged_at < REFUSAL_LOG_INTERVAL_MS:
+            return
+        self._refusals_logged_at[service] = now
+        usage = self._get_pool(service).measure(now)
+        logger.info(
+            'retry_refused',
+            service=service,
+            urgent=urgent,
+            local=usage.local,
+            others=usage.others,
+            allowed=round(usage.allowed, 1),
+            entries=usage.entries,
+            members=usage.members,
+        )
+
+    def measure(self) -> dict[str, pools.Usage]:
+        """Measure the use of the budget of each service."""
+        now = self._clock.now()
+        return {
+            service: self._get_pool(service).measure(now)
+            for service in self._pools
+        }
+
     def can_acquire(self, service: str, urgent: bool) -> bool:
         """Return whether a retry can be acquired now."""
         share = _choose_share(urgent)
--- a/src/thornspool/domain/retries/pools.py
+++ b/src/thornspool/domain/retries/pools.py
@@ -69,6 +69,31 @@
     retries: float
 
 
+@attrs.frozen
+class Usage:
+    """Retries of one service in the last window, as one entry knows them.
+
+    Attributes
+    ----------
+    local : float
+        Retries of this entry.
+    others : float
+        Retries of the other entries that count against this one.
+    allowed : float
+        Retries that this entry and the reporting ones may send.
+    entries : int
+        Number of entries that share the budget.
+    members : int
+        Number of entries whose retries are known, this one included.
+    """
+
+    local: float
+    others: float
+    allowed: float
+    entries: int
+    members: int
+
+
 @attrs.define
 class RetryPool:
     """Requests and retries of one service.
@@ -195,6 +220,22 @@
         share = (allowed - settled) / members
         return recent + 1 <= math.floor(share) + self._may_round_up(share, now)
 
+    def measure(self, now: int) -> Usage:
+        """Measure the use of the budget, for logs and metrics."""
+        local = self.count(now)
+        others = self._get_others(now)
+        if others is None:
+            allowed = self.slack / self.entries + self.ratio * local.requests
+            return Usage(local.retries, 0.0, allowed, self.entries, 1)
+        members = self._count_members()
+        requests = self._find_peak_requests(
+            local.requests + others.requests, now
+        )
+        allowed = self.slack * members / self.entries + self.ratio * requests
+        return Usage(
+            local.retries, others.retries, allowed, self.entries, members
+        )
+
     def _get_others(self, now: int) -> RequestCounts | None:
         """Return the numbers of other entries; None if none is known."""
         is_alone = self._count_members() == 1 < self.entries
--- a/src/thornspool/platform/state_metrics.py
+++ b/src/thornspool/platform/state_metrics.py
@@ -169,6 +169,30 @@
             lambda: sources.retry_budget.refused_count
         ),
     )
+    metrics.add_gauge(
+        'thornspool_retry_budget_retries',
+        'Retries of the last window that count against the budget, by service '
+        'and by whether this entry or another one sent them.',
+        lambda: _read_retries(sources),
+    )
+    metrics.add_gauge(
+        'thornspool_retry_budget_allowed_retries',
+        'Retries of a window that the budget allows the entries whose reports '
+        'are known here, by service.',
+        lambda: metrics_module.list_samples_by_label(
+            'service',
+            {
+                service: usage.allowed
+                for service, usage in sources.retry_budget.measure().items()
+            },
+        ),
+    )
+    metrics.add_gauge(
+        'thornspool_retry_budget_entries',
+        'Entries that share the retry budget, and those whose retries are '
+        'known here, by service.',
+        lambda: _count_sharing_entries(sources),
+    )
     metrics.add_counter(
         'thornspool_server_ends_total',
         'Servers that ended while they ran requests of this entry.',
@@ -386,6 +410,30 @@
     )
 
 
+def _read_retries(sources: MetricSources) -> list[metrics_module.Sample]:
+    return [
+        metrics_module.Sample(count, {'service': service, 'sender': sender})
+        for service, usage in sources.retry_budget.measure().items()
+        for sender, count in (
+            ('local', usage.local),
+            ('others', usage.others),
+        )
+    ]
+
+
+def _count_sharing_entries(
+    sources: MetricSources,
+) -> list[metrics_module.Sample]:
+    return [
+        metrics_module.Sample(count, {'service': service, 'state': state})
+        for service, usage in sources.retry_budget.measure().items()
+        for state, count in (
+            ('registered', usage.entries),
+            ('reporting', usage.members),
+        )
+    ]
+
+
 def _count_entries(sources: MetricSources) -> list[metrics_module.Sample]:
     serving = len(sources.view.list_serving(sources.clock.now()))
     return metrics_module.list_samples_by_label(
--- a/tests/application/routing/test_retry_pools.py
+++ b/tests/application/routing/test_retry_pools.py
@@ -4,6 +4,8 @@
 
 import unittest
 
+from structlog import testing
+
 from tests.application.routing import fleet as fleet_module
 
 SERVICE = 'drafting'
@@ -108,3 +110,16 @@
         self.record_requests()
         self.fleet.play(2_000)
         self.assertGreater(self.retry(['a-05'], 3_000), 0)
+
+    def test_refused_retries_are_logged_once_a_second(self):
+        """Guards against refusals that only the counter shows."""
+        budget = self.members['a-05'].budget
+        counts = []
+        with testing.capture_logs() as lines:
+            for _ in range(4):
+                self.retry(['a-05'], 600)
+                counts.append(len(lines))
+                usage = budget.measure()[SERVICE]
+        self.assertEqual([1, 2, 2, 3], counts)
+        self.assertEqual(usage.local, lines[-1]['local'])
+        self.assertEqual(30, lines[-1]['members'])
