Reproduce retries that the fleet forgets, in failing tests

Real processes exceeded the budget of a window beside restarts of entries and ends of their leases. The bound is the one of the configuration.

--- a/tests/application/routing/fleet.py
+++ b/tests/application/routing/fleet.py
@@ -46,6 +46,7 @@
         self.loss = loss
         self.members = {}
         self.sent = 0
+        self.launches = 0
         self.cut = set()
         self.separates_domains = False
         self.store_rejected = set()
@@ -59,8 +60,13 @@
 
     def add(self, host, domain):
         """Start an entry whose registration all others see at once."""
+        self.launches += 1
         record = messages.Record(
-            host, f'{host}-1', domain, f'{host}:80', f'{host}:90'
+            host,
+            f'{host}-{self.launches}',
+            domain,
+            f'{host}:80',
+            f'{host}:90',
         )
         view = view_module.View(record)
         reserved = reservations.Reservations()
@@ -119,6 +125,20 @@
         """Stop an entry without notice; its registration stays for now."""
         self.members[host].up = False
 
+    def restart(self, hosts):
+        """Kill entries at once and start new processes on their hosts."""
+        killed = [self.members.pop(host) for host in hosts]
+        for member in killed:
+            self.add(member.record.host, member.record.failure_domain)
+        self.settle()
+
+    def register(self, host):
+        """Register a running entry again, as after the end of its lease."""
+        for member in self.members.values():
+            member.view.apply_record(
+                self.members[host].record, self.clock.now()
+            )
+
     def unregister(self, host):
         """Remove the registration of an entry from all other entries."""
         for member in self.members.values():
--- a/tests/application/routing/test_retry_pools.py
+++ b/tests/application/routing/test_retry_pools.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import bisect
 import unittest
 
 from structlog import testing
@@ -9,6 +10,7 @@
 from tests.application.routing import fleet as fleet_module
 
 SERVICE = 'drafting'
+CALLS_PER_TICK = 3
 SLACK = 300.0
 RATIO = 0.2
 WINDOW_MS = 10_000
@@ -123,3 +125,107 @@
         self.assertEqual([1, 2, 2, 3], counts)
         self.assertEqual(usage.local, lines[-1]['local'])
         self.assertEqual(30, lines[-1]['members'])
+
+
+class Load:
+    """A service that fails each run, and the windows of its arrivals.
+
+    Every entry gets requests and retries whenever it may.
+    """
+
+    def __init__(self, fleet):
+        self.fleet = fleet
+        self.requests = []
+        self.retries = []
+
+    def play(self, milliseconds):
+        for _ in range(0, milliseconds, fleet_module.TICK_MS):
+            self.fleet.play(fleet_module.TICK_MS)
+            now = self.fleet.clock.now()
+            for member in self.fleet.members.values():
+                for _ in range(CALLS_PER_TICK):
+                    member.budget.record_request(SERVICE)
+                    self.requests.append(now)
+                while member.budget.acquire(SERVICE, urgent=True):
+                    self.retries.append(now)
+
+    def count(self, times, end):
+        return bisect.bisect_right(times, end) - bisect.bisect_right(
+            times, end - WINDOW_MS
+        )
+
+    def find_excess(self):
+        """Return the retries beyond the budget in the worst window."""
+        return max(
+            self.count(self.retries, end)
+            - SLACK
+            - RATIO
+            * max(
+                self.count(self.requests, end - age)
+                for age in (0, WINDOW_MS // 2, WINDOW_MS)
+            )
+            for end in sorted(set(self.retries))
+        )
+
+
+class RestartTest(unittest.TestCase):
+    """Entries of a mesh, and of a fleet with collectors."""
+
+    def play_beside(self, disturb, pause_ms):
+        """Disturb fleets at intervals; return the largest excess."""
+        excesses = []
+        for hosts in (1, 10):
+            fleet = fleet_module.Fleet(hosts=hosts)
+            load = Load(fleet)
+            fleet.play(3_000)
+            load.play(4_000)
+            for number in range(30_000 // pause_ms):
+                disturb(fleet, number)
+                load.play(pause_ms)
+            excesses.append(load.find_excess())
+        return max(excesses)
+
+    def test_entries_restarted_one_by_one_keep_the_limit(self):
+        """Guards against retries that a restarted entry forgets."""
+
+        def restart_next(fleet, number):
+            hosts = sorted(fleet.members)
+            count = max(1, len(hosts) // 10)
+            first = number * count % len(hosts)
+            fleet.restart(hosts[first : first + count])
+
+        for pause_ms in (600, 1_600):
+            with self.subTest(pause_ms):
+                self.assertLessEqual(
+                    self.play_beside(restart_next, pause_ms), 0
+                )
+
+    def test_entries_restarted_together_keep_the_limit(self):
+        """Guards against a slack that each start of the fleet renews."""
+        self.assertLessEqual(
+            self.play_beside(
+                lambda fleet, number: fleet.restart(sorted(fleet.members)),
+                4_000,
+            ),
+            0,
+        )
+
+    def test_ended_leases_leave_the_limit_in_force(self):
+        """Guards against entries that take the slack of all for their own.
+
+        The leases of all entries end, and they register again one by one.
+        """
+        for hosts in (1, 10):
+            fleet = fleet_module.Fleet(hosts=hosts)
+            load = Load(fleet)
+            fleet.play(3_000)
+            for _ in range(3):
+                load.play(9_000)
+                for host in sorted(fleet.members):
+                    fleet.unregister(host)
+                load.play(1_600)
+                for host in sorted(fleet.members):
+                    fleet.register(host)
+            load.play(4_000)
+            with self.subTest(hosts):
+                self.assertLessEqual(load.find_excess(), 0)
