Keep entries whose leases have ended as peers

The class is a share of a fleet that is computed from a number of members that falls while the members live.

An ended registration proves nothing about a process that still sends updates. View.remove keeps such a peer for 10 s, in which it registers again once the store responds; a peer that is not alive, or leaves, is removed at once. So all users of the list (retry budgets, shares of server limits, owners of quarantine records, probes, admission) keep the members, and updates of the others still apply. peer_changed logs the end of a registration.

--- a/src/thornspool/application/routing/membership.py
+++ b/src/thornspool/application/routing/membership.py
@@ -174,7 +174,7 @@
             'admission': _ExchangedAmounts(dict, lambda sums, known: None),
         }
         self._collector_hosts: dict[str, tuple[str, int]] = {}
-        self._alive: dict[str, bool] = {}
+        self._logged_peers: dict[str, tuple[bool, bool]] = {}
         self._feed_update: messages.StateUpdate | None = None
         self._feed_received_at = 0
         self._lagging_since: int | None = None
@@ -203,7 +203,9 @@
 
     def tick(self) -> None:
         """Send the periodic state updates; called every 200 ms."""
-        self._view.choose_collector(self._clock.now())
+        now = self._clock.now()
+        self._view.expire_lapsed(now)
+        self._view.choose_collector(now)
         self._log_peer_changes()
         self._reported_revision = self._read_revision()
         self._tick_count += 1
@@ -564,15 +566,22 @@
         now = self._clock.now()
         for host, peer in self._view.peers.items():
             alive = self._view.is_alive(peer, now)
-            if self._alive.setdefault(host, True) is not alive:
-                self._alive[host] = alive
-                logger.info('peer_changed', peer=host, alive=alive)
+            registered = peer.lapsed_at is None
+            logged = self._logged_peers.setdefault(host, (True, True))
+            if logged != (alive, registered):
+                self._logged_peers[host] = (alive, registered)
+                logger.info(
+                    'peer_changed',
+                    peer=host,
+                    alive=alive,
+                    registered=registered,
+                )
             if not alive:
                 self._forget_totals(host)
         for host in [
-            host for host in self._alive if host not in self._view.peers
+            host for host in self._logged_peers if host not in self._view.peers
         ]:
-            del self._alive[host]
+            del self._logged_peers[host]
             self._forget_totals(host)
 
     def _forget_totals(self, host: str) -> None:
--- a/src/thornspool/domain/entries/view.py
+++ b/src/thornspool/domain/entries/view.py
@@ -46,6 +46,13 @@
 JOIN_GRACE_MS = 1_500
 """Time for which a listed entry counts as alive before its first update."""
 
+LAPSE_RETENTION_MS = 10_000
+"""Time for which an entry that runs without a registration remains a peer.
+
+Its lease has ended while the store was unreachable, and it registers again
+once the store responds to it.
+"""
+
 MIN_LOCAL_ADDRESSES = 2
 """Minimum number of addresses of the caller's failure domain; with fewer,
 those of other domains are added.
@@ -74,6 +81,9 @@
         State in its last update.
     has_links : bool
         Whether it reached servers at its last update.
+    lapsed_at : int or None
+        When its registration ended while it was alive; None for a registered
+        entry.
     """
 
     record: messages.Record
@@ -83,6 +93,7 @@
     confirmed_at: int | None = None
     state: messages.State = messages.State.SERVING
     has_links: bool = True
+    lapsed_at: int | None = None
 
 
 @attrs.define
@@ -130,10 +141,39 @@
         known = self.peers.get(record.host)
         if known is None or known.record != record:
             self.peers[record.host] = Peer(record, now)
+        else:
+            known.lapsed_at = None
+
+    def remove(self, host: str, now: int) -> None:
+        """Remove an entry whose registration no longer exists.
+
+        An entry that is alive remains a peer for a while, since only its
+        lease has ended. Without it, the others would share the limits of the
+        fleet among fewer entries than use them.
+        """
+        peer = self.peers.get(host)
+        if peer is None:
+            return
+        if peer.state is not messages.State.LEAVING and self.is_alive(
+            peer, now
+        ):
+            peer.lapsed_at = now
+        else:
+            self._forget(host)
+
+    def expire_lapsed(self, now: int) -> None:
+        """Remove the entries that have not registered again in time."""
+        expired = [
+            host
+            for host, peer in self.peers.items()
+            if peer.lapsed_at is not None
+            and now - peer.lapsed_at > LAPSE_RETENTION_MS
+        ]
+        for host in expired:
+            self._forget(host)
 
-    def remove(self, host: str) -> None:
-        """Remove an entry whose registration no longer exists."""
-        self.peers.pop(host, None)
+    def _forget(self, host: str) -> None:
+        del self.peers[host]
         self.absent.pop(host, None)
 
     @property
@@ -429,7 +469,7 @@
         ]
 
     def count_entries(self) -> int:
-        """Count the registered entries, this one included.
+        """Count the peers and this entry.
 
         Shares of fleet-wide limits are computed from this number, so entries
         that may still be running are included.
--- a/src/thornspool/platform/follower.py
+++ b/src/thornspool/platform/follower.py
@@ -656,7 +656,7 @@
             name = key.removeprefix(documents.SERVERS_PREFIX)
             self._routing_state.remove_server(name, now, revision)
         elif key.startswith(registry.ENTRIES_PREFIX):
-            self._view.remove(key.removeprefix(registry.ENTRIES_PREFIX))
+            self._view.remove(key.removeprefix(registry.ENTRIES_PREFIX), now)
         elif key == registry.LEADER_KEY:
             self._leadership.apply_holder(None, now)
         elif key.startswith(registry.VERDICTS_PREFIX) and self._verdicts:
