Keep the retries of ended processes in the retry budget

Each entry counted its own retries, and the count ended with its process, while the service still had the arrivals. A new process began with a whole share of the slack, and the others kept the largest reported sum for 5 s of a window of 10 s. The class is an allowance shared by a fleet and forgotten by a restart.

Each process now reports a number of retries that only grows, with ages (domain/retries/histories). Reports are merged by process, so that lost, late and repeated ones, and those passed on by collectors or peers, neither lose nor add retries, and what an ended process has sent counts until it has left the window. A process that starts is told by any peer whose account reaches back a whole window. Until then, and where all entries are new, it may retry a part of its own requests but uses no slack; a first start is known by the list of entries, which its first read of the store finds empty. An entry that was suspended does not vouch for what it has missed. A group that is cut off from the others pays its part of what they had used. Nothing is written to the store, and no call is made on the path of a request.

--- a/src/thornspool/application/routing/membership.py
+++ b/src/thornspool/application/routing/membership.py
@@ -323,6 +323,9 @@
         if peer is None:
             return
         domain = peer.record.failure_domain
+        self._retry_budget.apply_reports(
+            update.retries, update.retries_known_ms
+        )
         for name, exchanged in self._exchanged.items():
             exchanged.totals.record(update, domain, getattr(update, name), now)
         if update.scope is messages.Scope.DOMAIN:
@@ -664,6 +667,7 @@
             for name, exchanged in self._exchanged.items()
         }
         absent = self._list_absent(self._view.peers.values())
+        retries = self._retry_budget.list_reports(includes_others=True)
         for peer in self._view.list_domain_peers():
             peer_hosts = [peer.record.host]
             rest = {
@@ -672,7 +676,7 @@
                 )
                 for name, exchanged in self._exchanged.items()
             }
-            self._send_update(peer, rest, messages.Scope.REST, absent)
+            self._send_update(peer, rest, retries, messages.Scope.REST, absent)
 
     def _send_to_collectors(self) -> None:
         """Send this domain's sums to the collectors of the other domains."""
@@ -686,11 +690,14 @@
             for name, exchanged in self._exchanged.items()
         }
         absent = self._list_absent(self._view.list_domain_peers())
+        retries = self._retry_budget.list_reports(includes_others=True)
         for domain in self._view.list_domains():
             if domain == own_domain:
                 continue
             for peer in self._find_collectors(domain):
-                self._send_update(peer, sums, messages.Scope.DOMAIN, absent)
+                self._send_update(
+                    peer, sums, retries, messages.Scope.DOMAIN, absent
+                )
 
     def _find_collectors(self, domain: str) -> list[view_module.Peer]:
         now = self._clock.now()
@@ -724,13 +731,16 @@
             name: exchanged.list_own()
             for name, exchanged in self._exchanged.items()
         }
+        # Followers receive the reports of all others from their collector.
+        retries = self._retry_budget.list_reports(self._view.is_mesh)
         for peer in list(peers):
-            self._send_update(peer, own)
+            self._send_update(peer, own, retries)
 
     def _send_update(
         self,
         peer: view_module.Peer,
         amounts: Mapping[str, totals_module.Amounts],
+        retries: retry_pools.Reports,
         scope: messages.Scope = messages.Scope.ENTRY,
         absent: tuple[str, ...] = (),
     ) -> None:
@@ -773,5 +783,18 @@
             ),
             departures=self._routing_state.departures.list_announced(),
             removals=self._routing_state.removals.list_announced(),
+            retries=retries,
+            retries_known_ms=self._compute_retries_known_ms(scope, now),
         )
         self._send(peer.record.peers, update)
+
+    def _compute_retries_known_ms(
+        self, scope: messages.Scope, now: int
+    ) -> int:
+        """Return up to which age an update includes the retries of all."""
+        if self._view.is_mesh or (
+            scope is not messages.Scope.ENTRY
+            and self._view.has_complete_sums(now)
+        ):
+            return self._retry_budget.compute_known_ms()
+        return 0
--- a/src/thornspool/application/routing/retry_pools.py
+++ b/src/thornspool/application/routing/retry_pools.py
@@ -8,6 +8,7 @@
 import structlog
 
 from thornspool.domain.fleet import server_hashes
+from thornspool.domain.retries import histories
 from thornspool.domain.retries import pools
 
 if typing.TYPE_CHECKING:
@@ -18,8 +19,7 @@
 USABLE_SLACK_SHARE = 0.7
 """Share of the configured slack that the retry pools use.
 
-A restarted process begins with an empty window. The remaining share covers
-restarts of a third of the entries within one window.
+The remaining share covers retries that ended processes had not reported yet.
 """
 
 REGULAR_SHARE = 0.6
@@ -37,6 +37,9 @@
 
 _MS_PER_S = 1000.0
 
+Reports = dict[int, dict[int, histories.Report]]
+"""Reports by hash of the service and id of the process."""
+
 logger = structlog.get_logger(__name__)
 
 
@@ -55,8 +58,11 @@
         Length of the window for both limits, in milliseconds.
     count_entries : callable
         Returns the number of entries that share the slack.
-    seed : int, optional
-        Differs between entries, so that they do not all take the last retry.
+    process_id : int, optional
+        Differs between the processes of all entries.
+    is_past_known : bool, optional
+        Whether no retries were sent before this process started, or all of
+        them are known.
     """
 
     def __init__(
@@ -66,15 +72,21 @@
         slack: float,
         window_ms: int,
         count_entries: Callable[[], int],
-        seed: int = 0,
+        process_id: int = 0,
+        is_past_known: bool = True,
     ) -> None:
         self._clock = clock
         self._ratio = ratio
         self._slack = slack
         self._window_ms = window_ms
         self._count_entries = count_entries
-        self._seed = seed
+        self._process_id = process_id
         self._pools: dict[str, pools.RetryPool] = {}
+        self._histories: dict[int, histories.RetryHistory] = {}
+        self._applied_at = clock.now()
+        self._known_since = clock.now()
+        if is_past_known:
+            self.assume_no_past()
         self._refusals_logged_at: dict[str, int] = {}
         self.refused_count = 0
 
@@ -82,6 +94,7 @@
         """Copy the pools for a dry run, which changes only the copy."""
         detached = copy.copy(self)
         detached._pools = copy.deepcopy(self._pools)
+        detached._histories = {}
         return detached
 
     def record_request(self, service: str) -> None:
@@ -169,6 +182,12 @@
             Number of other entries that the sums include; None for all.
         """
         now = self._clock.now()
+        if now - self._applied_at > pools.REPORT_VALID_MS:
+            # This process was suspended and has missed reports.
+            self._known_since = now
+        self._applied_at = now
+        for history in self._histories.values():
+            history.drop_expired(now)
         for service, pool in self._pools.items():
             counts = pools.RequestCounts(
                 reported.get(_hash_requests(service), 0.0),
@@ -176,6 +195,68 @@
             )
             pool.apply_others(counts, now, known)
 
+    def list_reports(self, includes_others: bool) -> Reports:
+        """List the reports of retries by hash of the service and process.
+
+        Parameters
+        ----------
+        includes_others : bool
+            Whether to pass on the reports of other processes.
+        """
+        now = self._clock.now()
+        reports: Reports = {}
+        if includes_others:
+            reports = {
+                service_hash: history.list_reports(now)
+                for service_hash, history in self._histories.items()
+            }
+        for service, pool in self._pools.items():
+            own = pool.build_report(now)
+            if own.groups:
+                by_process = reports.setdefault(_hash_retries(service), {})
+                by_process[self._process_id] = own
+        return {key: found for key, found in reports.items() if found}
+
+    def apply_reports(self, reports: Reports, known_ms: int) -> None:
+        """Add the retries that a peer reports.
+
+        Parameters
+        ----------
+        reports : Reports
+            Reports of the peer's process, and of others that it passes on.
+        known_ms : int
+            Age in milliseconds up to which the reports include the retries
+            of all processes; 0 for reports that do not.
+        """
+        now = self._clock.now()
+        for service_hash, by_process in reports.items():
+            history = self._get_history(service_hash)
+            for process_id, report in by_process.items():
+                if process_id != self._process_id:
+                    history.record(process_id, report, now)
+        self._known_since = min(self._known_since, now - known_ms)
+
+    def assume_no_past(self) -> None:
+        """Assume that no retries were sent before, as at the first start."""
+        self._known_since = self._clock.now() - self._window_ms
+
+    def compute_known_ms(self) -> int:
+        """Return up to which age the retries of all processes are known.
+
+        Returns
+        -------
+        int
+            Milliseconds, at most the length of the window.
+        """
+        return min(self._window_ms, self._clock.now() - self._known_since)
+
+    def _get_history(self, service_hash: int) -> histories.RetryHistory:
+        history = self._histories.get(service_hash)
+        if history is None:
+            history = histories.RetryHistory(self._window_ms)
+            self._histories[service_hash] = history
+        return history
+
     def _get_pool(self, service: str) -> pools.RetryPool:
         pool = self._pools.get(service)
         if pool is None:
@@ -183,10 +264,12 @@
                 self._ratio,
                 self._slack * USABLE_SLACK_SHARE,
                 self._window_ms,
-                seed=self._seed,
+                process_id=self._process_id,
+                history=self._get_history(_hash_retries(service)),
             )
             self._pools[service] = pool
         pool.entries = max(1, self._count_entries())
+        pool.is_past_known = self.compute_known_ms() >= self._window_ms
         return pool
 
 
--- a/src/thornspool/domain/entries/messages.py
+++ b/src/thornspool/domain/entries/messages.py
@@ -9,6 +9,7 @@
 
 if typing.TYPE_CHECKING:
     from thornspool.domain.fleet import named_limits
+    from thornspool.domain.retries import histories
 
 
 class State(enum.Enum):
@@ -142,6 +143,12 @@
     rejection_ms : int
         Milliseconds for which the sender should not collect, as the store
         rejects it; 0 for an entry that may collect.
+    retries : dict of int to dict of int to histories.Report
+        Retries of the last window by hash of the service and id of the
+        process that sent them; processes that have ended are included.
+    retries_known_ms : int
+        Age in milliseconds up to which ``retries`` includes all processes of
+        the fleet; 0 where it does not.
     """
 
     host: str
@@ -168,3 +175,5 @@
     links_lost: bool = False
     configuration_version: int = 0
     admission: dict[int, float] = attrs.field(factory=dict)
+    retries: dict[int, dict[int, histories.Report]] = attrs.field(factory=dict)
+    retries_known_ms: int = 0
--- a/src/thornspool/domain/retries/pools.py
+++ b/src/thornspool/domain/retries/pools.py
@@ -13,6 +13,11 @@
 Entries that have no reports of some others form a group with its own budget:
 the retries for the requests of the group and its part of the slack. The sum
 over the groups of a partitioned fleet is then at most the budget of all.
+
+Retries of entries that have ended, or that no longer report, are still in the
+window of the service. All entries keep them, and entries that start are told
+by the others. A group is charged with its part of them. A process that
+nobody has told uses no slack until the window has passed since its start.
 """
 
 from __future__ import annotations
@@ -23,6 +28,8 @@
 import attrs
 import xxhash
 
+from thornspool.domain.retries import histories
+
 PROPAGATION_MS = 1_200
 """Time in which a report reaches every entry.
 
@@ -37,16 +44,6 @@
 limit without any reports.
 """
 
-
-PEAK_RETENTION_MS = 5_000
-"""Time for which the maximum number of reported retries is retained.
-
-The count of a killed entry is lost, while its retries are still in the window
-of the service. When half of the entries restarted at once, the others treated
-the retries of these as unused.
-"""
-
-
 MIN_KNOWN_SHARE_FOR_PEAK = 0.8
 """Least share of the entries that the reports include for requests of earlier
 windows to count.
@@ -108,23 +105,39 @@
         Length of the window in milliseconds.
     entries : int
         Number of entries that share the budget.
-    seed : int
-        Differs between entries; determines which of them may retry when the
+    process_id : int
+        Identifies this process; determines which entries may retry when the
         remaining budget is less than one retry for each.
+    is_past_known : bool
+        Whether the history includes the retries that were sent in the window
+        before this process started.
+    history : histories.RetryHistory
+        Retries of the processes of the other entries, ended ones included.
     """
 
     ratio: float
     slack: float
     window_ms: int
     entries: int = 1
-    seed: int = 0
+    process_id: int = 0
+    is_past_known: bool = True
+    history: histories.RetryHistory = attrs.field(
+        default=attrs.Factory(
+            lambda self: histories.RetryHistory(self.window_ms),
+            takes_self=True,
+        )
+    )
+    _sent: histories.SentRetries = attrs.field(
+        default=attrs.Factory(
+            lambda self: histories.SentRetries(self.window_ms),
+            takes_self=True,
+        ),
+        init=False,
+    )
     _others: RequestCounts | None = attrs.field(default=None, init=False)
     _reported_at: int = attrs.field(default=0, init=False)
     _members: int | None = attrs.field(default=None, init=False)
     # With the number of entries that the amounts include.
-    _others_retries: collections.deque[tuple[int, float, int]] = attrs.field(
-        factory=collections.deque, init=False
-    )
     _samples: collections.deque[tuple[int, float, int]] = attrs.field(
         factory=collections.deque, init=False
     )
@@ -156,14 +169,7 @@
         """
         self._members = None if known is None else known + 1
         members = self._count_members()
-        self._others_retries.append((now, counts.retries, members))
-        while self._others_retries[0][0] <= now - PEAK_RETENTION_MS:
-            self._others_retries.popleft()
-        peak = max(
-            retries * min(1.0, members / included)
-            for _, retries, included in self._others_retries
-        )
-        self._others = RequestCounts(counts.requests, peak)
+        self._others = counts
         self._reported_at = now
         if (
             not self._samples
@@ -203,21 +209,15 @@
         limit_share : float, optional
             Share of the budget that may be used up.
         """
-        self._drop_expired(now)
-        others = self._get_others(now)
-        if others is None:
-            return self._fits_equal_share(limit_share)
+        usage = self.measure(now)
+        allowed = limit_share * usage.allowed
+        if usage.members == 1:
+            return usage.local + usage.others + 1 <= allowed
         recent = sum(
             1 for at in self._retry_times if at > now - PROPAGATION_MS
         )
-        requests = self._find_peak_requests(
-            len(self._request_times) + others.requests, now
-        )
-        members = self._count_members()
-        slack = self.slack * members / self.entries
-        allowed = limit_share * (slack + self.ratio * requests)
-        settled = len(self._retry_times) - recent + others.retries
-        share = (allowed - settled) / members
+        settled = usage.local - recent + usage.others
+        share = (allowed - settled) / usage.members
         return recent + 1 <= math.floor(share) + self._may_round_up(share, now)
 
     def measure(self, now: int) -> Usage:
@@ -225,17 +225,29 @@
         local = self.count(now)
         others = self._get_others(now)
         if others is None:
-            allowed = self.slack / self.entries + self.ratio * local.requests
-            return Usage(local.retries, 0.0, allowed, self.entries, 1)
-        members = self._count_members()
-        requests = self._find_peak_requests(
-            local.requests + others.requests, now
-        )
-        allowed = self.slack * members / self.entries + self.ratio * requests
+            others = RequestCounts(0.0, 0.0)
+            members, requests = 1, local.requests
+        else:
+            members = self._count_members()
+            requests = self._find_peak_requests(
+                local.requests + others.requests, now
+            )
+        # Of the processes that have ended or do not report any more.
+        unreported = max(0.0, self.history.count(now) - others.retries)
+        group_share = members / self.entries
+        slack = self.slack if self.is_past_known else 0.0
         return Usage(
-            local.retries, others.retries, allowed, self.entries, members
+            local.retries,
+            others.retries + unreported * group_share,
+            slack * group_share + self.ratio * requests,
+            self.entries,
+            members,
         )
 
+    def build_report(self, now: int) -> histories.Report:
+        """Build the report of this process's retries."""
+        return self._sent.build_report(now)
+
     def _get_others(self, now: int) -> RequestCounts | None:
         """Return the numbers of other entries; None if none is known."""
         is_alone = self._count_members() == 1 < self.entries
@@ -258,7 +270,7 @@
         """
         interval = now // PROPAGATION_MS
         drawn = (
-            xxhash.xxh32_intdigest(f'{self.seed} {interval}'.encode())
+            xxhash.xxh32_intdigest(f'{self.process_id} {interval}'.encode())
             / _HASH_RANGE
         )
         return drawn < share - math.floor(share)
@@ -289,14 +301,10 @@
         if not self.allows_retry(now, limit_share):
             return False
         self._retry_times.append(now)
+        self._sent.add(now)
+        self._sent.total += 1
         return True
 
-    def _fits_equal_share(self, limit_share: float) -> bool:
-        """Return whether an equal share of the window allows another retry."""
-        slack = self.slack / self.entries
-        allowed = limit_share * (slack + self.ratio * len(self._request_times))
-        return len(self._retry_times) + 1 <= allowed
-
     def _drop_expired(self, now: int) -> None:
         for times in (self._request_times, self._retry_times):
             while times and times[0] <= now - self.window_ms:
--- a/src/thornspool/platform/daemon.py
+++ b/src/thornspool/platform/daemon.py
@@ -383,7 +383,6 @@
     def _build(self) -> None:
         """Create the services and connect them."""
         settings, clock = self._settings, self._clock
-        bounds = settings.bounds
         local_record = messages.Record(
             settings.host,
             f'{settings.host}-{self._random.getrandbits(48):012x}',
@@ -433,14 +432,7 @@
             self._view,
             self._peer_socket.send_limit_message,
         )
-        budget = retry_pools.RetryPools(
-            clock,
-            bounds.retry_ratio,
-            bounds.retry_slack,
-            bounds.retry_window_ms,
-            self._view.count_entries,
-            self._random.getrandbits(32),
-        )
+        budget = self._build_retry_budget()
         self._membership = membership.MembershipService(
             clock,
             self._view,
@@ -547,6 +539,21 @@
             ),
         )
 
+    def _build_retry_budget(self) -> retry_pools.RetryPools:
+        """Create the budget, which the list of entries tells of a past."""
+        bounds = self._settings.bounds
+        budget = retry_pools.RetryPools(
+            self._clock,
+            bounds.retry_ratio,
+            bounds.retry_slack,
+            bounds.retry_window_ms,
+            self._view.count_entries,
+            self._random.getrandbits(32),
+            is_past_known=False,
+        )
+        self._follower.on_first_start = budget.assume_no_past
+        return budget
+
     def _build_admission_control(self) -> admission_control.AdmissionControl:
         """Create the control that exchanges demand with the other entries."""
         control = admission_control.AdmissionControl(
--- a/src/thornspool/platform/follower.py
+++ b/src/thornspool/platform/follower.py
@@ -219,6 +219,8 @@
         for none, None before the first read.
     unapplied_count : int
         Changes that could not be applied because of an error.
+    on_first_start : callable
+        Called when the first read finds no registration of any entry.
     """
 
     def __init__(
@@ -250,6 +252,7 @@
         self._watch_ms = compute_watch_ms(limits.key_ms)
         self._coordination = coordination or Coordination()
         self._verdicts = verdicts
+        self.on_first_start: Callable[[], None] = lambda: None
         self._confirmation_requested = asyncio.Event()
         self._confirmation_waiters: list[Callable[[], None]] = []
         self._next_confirmation_at = 0
@@ -396,6 +399,11 @@
         self._routing_state.record_store_contact(self._clock.now())
         if self.previous_lease is None:
             self.previous_lease = self._find_previous_lease(snapshot)
+            if not any(
+                item.key.startswith(registry.ENTRIES_PREFIX)
+                for item in snapshot.items
+            ):
+                self.on_first_start()
         changes = self._compare(snapshot)
         for item in changes:
             self._apply(item)
--- a/src/thornspool/platform/peers.py
+++ b/src/thornspool/platform/peers.py
@@ -19,6 +19,7 @@
 from thornspool.domain.entries import messages
 from thornspool.domain.fleet import named_limits
 from thornspool.domain.limits import messages as limit_messages
+from thornspool.domain.retries import histories
 from thornspool.platform import follower
 from thornspool.platform import peer_calls
 from thornspool.platform import store
@@ -40,6 +41,9 @@
 LIMIT_UNITS = 1000
 """Units per request per second of a limit."""
 
+RETRY_AGE_UNIT_MS = 10
+"""Unit of the ages of retries, which take two bytes then."""
+
 ENDED_LIMIT = -1
 """Value that stands for the end of a limit."""
 
@@ -60,6 +64,10 @@
 logger = structlog.get_logger(__name__)
 
 
+_PackedReport = tuple[int, list[tuple[int, int]]]
+"""Total, and ages in ``RETRY_AGE_UNIT_MS`` with numbers."""
+
+
 class _StateUpdate(msgspec.Struct, array_like=True, tag=0):
     host: str
     incarnation: str
@@ -92,6 +100,9 @@
     configuration: int = 0
     # In tokens or requests.
     admission: dict[int, int] = {}
+    # By service and process.
+    retries: dict[int, dict[int, _PackedReport]] = {}
+    retries_known_ms: int = 0
 
 
 class _ChangeSet(msgspec.Struct, array_like=True, tag=1):
@@ -204,10 +215,24 @@
                 key: math.ceil(amount)
                 for key, amount in state_update.admission.items()
             },
+            {
+                service_hash: {
+                    process_id: _pack_report(report)
+                    for process_id, report in by_process.items()
+                }
+                for service_hash, by_process in state_update.retries.items()
+            },
+            state_update.retries_known_ms,
         )
     )
 
 
+def _pack_report(report: histories.Report) -> _PackedReport:
+    return report.total, [
+        (age // RETRY_AGE_UNIT_MS, count) for age, count in report.groups
+    ]
+
+
 def encode_failure_notice(notice: messages.FailureNotice) -> bytes:
     """Encode suspicions and retractions as a datagram."""
     return msgspec.msgpack.encode(
@@ -370,6 +395,20 @@
         message.links_lost,
         message.configuration,
         {key: float(amount) for key, amount in message.admission.items()},
+        {
+            service_hash: {
+                process_id: histories.Report(
+                    total,
+                    tuple(
+                        (units * RETRY_AGE_UNIT_MS, count)
+                        for units, count in groups
+                    ),
+                )
+                for process_id, (total, groups) in by_process.items()
+            }
+            for service_hash, by_process in message.retries.items()
+        },
+        message.retries_known_ms,
     )
 
 
--- a/tests/application/routing/fleet.py
+++ b/tests/application/routing/fleet.py
@@ -77,6 +77,8 @@
             300.0,
             10_000,
             view.count_entries,
+            self.launches,
+            is_past_known=self.launches == 1,
         )
         control = admission_control.AdmissionControl(
             self.clock, view.count_entries, random.Random(host)
--- a/tests/application/routing/test_retry_pools.py
+++ b/tests/application/routing/test_retry_pools.py
@@ -229,3 +229,96 @@
             load.play(4_000)
             with self.subTest(hosts):
                 self.assertLessEqual(load.find_excess(), 0)
+
+    def retry_once(self, fleet, host):
+        """Send all retries that an entry may send; return their number."""
+        retries = 0
+        while fleet.members[host].budget.acquire(SERVICE, urgent=True):
+            retries += 1
+        return retries
+
+    def test_first_start_of_a_fleet_has_the_whole_slack(self):
+        """Guards against callers who pay for a past that never was."""
+        for hosts in (1, 10):
+            fleet = fleet_module.Fleet(hosts=hosts)
+            fleet.play(2_000)
+            load = Load(fleet)
+            load.play(2_000)
+            with self.subTest(hosts):
+                self.assertGreater(len(load.retries), 0.9 * 0.7 * SLACK)
+
+    def test_restarted_entry_has_its_share_when_peers_have_told_it(self):
+        """Guards against a restart that costs its callers all retries."""
+        for hosts in (1, 10):
+            fleet = fleet_module.Fleet(hosts=hosts)
+            fleet.play(3_000)
+            self.retry_once(fleet, 'b-00')
+            fleet.play(1_000)
+            fleet.restart(['a-00'])
+            fleet.play(1_600)
+            with self.subTest(hosts):
+                self.assertGreater(self.retry_once(fleet, 'a-00'), 0)
+
+    def test_restart_of_all_entries_has_the_slack_after_a_window(self):
+        for hosts in (1, 10):
+            fleet = fleet_module.Fleet(hosts=hosts)
+            fleet.play(3_000)
+            fleet.restart(sorted(fleet.members))
+            fleet.play(WINDOW_MS - 400)
+            with self.subTest(hosts):
+                self.assertEqual(0, self.retry_once(fleet, 'a-00'))
+                fleet.play(800)
+                self.assertGreater(self.retry_once(fleet, 'a-00'), 0)
+
+    def test_restarts_beside_lost_updates_keep_the_limit(self):
+        """Guards against a limit that rests on single datagrams."""
+        for hosts in (1, 10):
+            fleet = fleet_module.Fleet(hosts=hosts, loss=0.3)
+            load = Load(fleet)
+            fleet.play(3_000)
+            for number in range(30):
+                load.play(800)
+                names = sorted(fleet.members)
+                fleet.restart([names[number % len(names)]])
+            with self.subTest(hosts):
+                self.assertLessEqual(load.find_excess(), 0)
+
+    def test_partition_after_the_slack_was_used_keeps_the_limit(self):
+        """Guards against groups that forget what the others have used.
+
+        One domain uses the slack of all; then the domains lose each other.
+        """
+        for hosts in (1, 10):
+            fleet = fleet_module.Fleet(hosts=hosts)
+            fleet.play(3_000)
+            used = 0
+            for _ in range(40):
+                fleet.play(200)
+                for host in list(fleet.members):
+                    if host.startswith('a'):
+                        used += self.retry_once(fleet, host)
+            fleet.separates_domains = True
+            fleet.play(1_400)
+            later = sum(
+                self.retry_once(fleet, host)
+                for host in fleet.members
+                if not host.startswith('a')
+            )
+            with self.subTest(hosts):
+                self.assertGreater(used, 0.6 * SLACK)
+                self.assertLessEqual(used + later, SLACK)
+
+    def test_suspended_entry_vouches_for_no_past(self):
+        """Guards against an entry that claims to know what it has missed."""
+        fleet = fleet_module.Fleet(hosts=1)
+        fleet.play(12_000)
+        fleet.kill('a-00')
+        fleet.play(5_000)
+        fleet.members['a-00'].up = True
+        budget = fleet.members['a-00'].budget
+        fleet.cut_off('a-00')
+        fleet.play(200)
+        self.assertEqual(0, budget.compute_known_ms())
+        fleet.rejoin('a-00')
+        fleet.play(400)
+        self.assertEqual(WINDOW_MS, budget.compute_known_ms())
--- a/tests/domain/retries/test_pools.py
+++ b/tests/domain/retries/test_pools.py
@@ -5,6 +5,7 @@
 import random
 import unittest
 
+from thornspool.domain.retries import histories
 from thornspool.domain.retries import pools
 
 
@@ -74,12 +75,32 @@
     def test_the_retries_of_killed_entries_still_count(self):
         """Half of all entries are killed and restart without their counts."""
         pool = pools.RetryPool(0.0, 100.0, 10_000, entries=2)
+        pool.history.record(1, histories.Report(99, ((0, 99),)), 0)
         pool.apply_others(pools.RequestCounts(0.0, 99.0), 0)
         pool.apply_others(pools.RequestCounts(0.0, 0.0), 400)
         self.assertFalse(pool.acquire(500))
-        late = pools.PEAK_RETENTION_MS + 400
-        pool.apply_others(pools.RequestCounts(0.0, 0.0), late)
-        self.assertTrue(pool.acquire(late))
+        pool.apply_others(pools.RequestCounts(0.0, 0.0), 9_900)
+        self.assertFalse(pool.acquire(9_999))
+        self.assertTrue(pool.acquire(10_000))
+
+    def test_a_process_that_knows_no_past_uses_no_slack(self):
+        """Guards against a slack that each restart of all entries renews."""
+        pool = pools.RetryPool(0.2, 100.0, 10_000, is_past_known=False)
+        self.assertFalse(pool.acquire(0))
+        for now in range(5):
+            pool.record_request(now)
+        self.assertTrue(pool.acquire(5))
+        self.assertFalse(pool.acquire(6))
+
+    def test_a_group_pays_its_part_of_the_retries_of_the_others(self):
+        """Guards against a partition that makes used slack free again."""
+        pool = pools.RetryPool(0.0, 100.0, 10_000, entries=4)
+        pool.history.record(1, histories.Report(60, ((0, 60),)), 0)
+        pool.apply_others(pools.RequestCounts(0.0, 0.0), 0, known=1)
+        usage = pool.measure(0)
+        self.assertEqual(2, usage.members)
+        self.assertEqual(30.0, usage.others)
+        self.assertEqual(50.0, usage.allowed)
 
 
 class SharedTest(unittest.TestCase):
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -20,6 +20,7 @@
 from thornspool.domain.fleet import named_limits
 from thornspool.domain.limits import messages as limits
 from thornspool.domain.paths import search
+from thornspool.domain.retries import histories
 from thornspool.domain.routing import messages as routing
 from thornspool.platform import callers
 from thornspool.platform import documents
@@ -415,6 +416,11 @@
             },
             departures=(83, 84),
             configuration_version=7,
+            retries={
+                85: {86: histories.Report(7, ((0, 2), (4_010, 3)))},
+                87: {86: histories.Report(1, ((9_990, 1),))},
+            },
+            retries_known_ms=10_000,
         )
         self.assertEqual(
             state_update,
