Check the retry budget in the soak, beside restarts in series

The stand-in of the store can end all leases, and the one of the fleet breaks streams after a number of events.

--- a/standins/kv_fleet.py
+++ b/standins/kv_fleet.py
@@ -17,10 +17,11 @@
 as it is) or ``{"crash_on": TEXT}`` (a request with the text in its body
 crashes each server that runs it, and it starts anew after a while) or
 ``{"crash_on_part": ID}`` (the same for a part of the prompt that is not the
-last one, on engines) or ``{"alias": {ADDRESS: ADDRESS}}`` (further addresses
-at which servers are reached, in addition to those before) or ``{"sources":
-{IP: HOST}}`` (hosts that open connections from an address, in addition to
-those before).
+last one, on engines) or ``{"break_after": N}`` (engines close the connection
+after N events of each stream; null ends it) or ``{"alias": {ADDRESS:
+ADDRESS}}`` (further addresses at which servers are reached, in addition to
+those before) or ``{"sources": {IP: HOST}}`` (hosts that open connections from
+an address, in addition to those before).
 ``GET /control`` returns what the servers ran, which layers they hold, and with
 ``?log=1`` what arrived at them and what they answered; with ``?listening=1``
 only the addresses at which servers listen.
@@ -173,6 +174,7 @@
         self.raw_answers: list[raw_answers.RawAnswer] = []
         self.crash_on = ''
         self.unframed: list[str] | None = None
+        self.break_after: int | None = None
         self.crash_on_part = ''
         self.aliases: dict[str, str] = {}
         self.hosts: dict[str, str] = {}
@@ -540,6 +542,10 @@
         """Write the events from one on; stall and drop if a hop is lost."""
         attempt_id = self.request.headers['Attempt-Id']
         for index in range(first, EVENTS):
+            if index - first == self.fleet.break_after:
+                self.end_run('broken')
+                common.drop_connection(self)
+                return
             await asyncio.sleep(STEP_S)
             for hop in hops:
                 await hop[0].wait_until_resumed()
@@ -727,6 +733,9 @@
         self.fleet.crash_on_part = commands.get(
             'crash_on_part', self.fleet.crash_on_part
         )
+        self.fleet.break_after = commands.get(
+            'break_after', self.fleet.break_after
+        )
         self._set_conditions(commands)
         await self._write_keys(commands)
         self.fleet.lose_answers = commands.get('lose_answers', 0)
--- a/standins/kv_store.py
+++ b/standins/kv_store.py
@@ -2,11 +2,11 @@
 
 ``python -m standins.kv_store`` prints its address as one line of JSON when
 it listens. ``POST /control`` takes ``{"mode": "up" | "busy" | "silent"}``
-(``busy`` responds with status 503, ``silent`` does not respond) and
-``{"drop_history": true}``, ``POST /control/faults`` takes the faults of the
-in-memory platform, and ``GET /control/counts`` returns calls by kind. Calls
-with the header ``Standin-Writer`` may write keys that belong to operators
-and servers.
+(``busy`` responds with status 503, ``silent`` does not respond),
+``{"drop_history": true}`` and ``{"end_leases": true}`` (all leases end),
+``POST /control/faults`` takes the faults of the in-memory platform, and ``GET
+/control/counts`` returns calls by kind. Calls with the header
+``Standin-Writer`` may write keys that belong to operators and servers.
 """
 
 from __future__ import annotations
@@ -404,6 +404,9 @@
         self.store.mode = commands.get('mode', self.store.mode)
         if commands.get('drop_history'):
             self.store.drop_history()
+        if commands.get('end_leases'):
+            for lease in list(self.store.leases):
+                self.store.end_lease(lease)
         self.finish({})
 
 
--- a/tests/engine_rules.py
+++ b/tests/engine_rules.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import bisect
 import typing
 
 import attrs
@@ -88,6 +89,14 @@
     server: str
 
 
+@attrs.frozen
+class SentRequest:
+    """Request that a caller sent to a service."""
+
+    sent_at: int
+    service: str
+
+
 @attrs.frozen
 class FirstTry:
     """First try of a request at a host, and whether it was served."""
@@ -442,6 +451,71 @@
     return violations
 
 
+def find_retry_violations(
+    arrivals: Iterable[Arrival],
+    requests: Mapping[str, SentRequest],
+    window_ms: int,
+    ratio: float,
+    slack: float,
+) -> list[str]:
+    """Find services that got more retries in a window than the budget.
+
+    The requests for a service are counted in the same window, the one before
+    it or the one half a window before it, whichever has most.
+
+    Parameters
+    ----------
+    arrivals : iterable of Arrival
+        What reached the servers.
+    requests : mapping of str to SentRequest
+        Requests of callers by id of the attempt.
+    window_ms : int
+        Length of the window in milliseconds.
+    ratio, slack : float
+        Retries for each request, and further ones, of the whole fleet.
+    """
+    seen = set()
+    retries: dict[str, list[int]] = {}
+    for one in sorted(arrivals, key=lambda arrival: arrival.at):
+        if one.kind != 'request' or one.attempt not in requests:
+            continue
+        if one.attempt in seen:
+            service = requests[one.attempt].service
+            retries.setdefault(service, []).append(one.at)
+        seen.add(one.attempt)
+    violations = []
+    for service, times in sorted(retries.items()):
+        sent = sorted(
+            one.sent_at for one in requests.values() if one.service == service
+        )
+        excess, end = max(
+            (
+                _count_between(times, at - window_ms, at)
+                - slack
+                - ratio
+                * max(
+                    _count_between(sent, at - age - window_ms, at - age)
+                    for age in (0, window_ms // 2, window_ms)
+                ),
+                at,
+            )
+            for at in times
+        )
+        if excess > 0:
+            violations.append(
+                f'{service} got {excess:.0f} retries beyond the budget in '
+                f'the {window_ms} ms before {end}'
+            )
+    return violations
+
+
+def _count_between(times: Sequence[int], since: int, until: int) -> int:
+    """Count sorted times after ``since`` and up to ``until``."""
+    return bisect.bisect_right(times, until) - bisect.bisect_right(
+        times, since
+    )
+
+
 def find_denial_violations(
     denials: Iterable[Denial],
     versions: Sequence[Version],
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -28,6 +28,7 @@
 from tests.soak import checks
 from tests.soak import faults as faults_module
 from tests.soak import kept_callers
+from tests.soak import restarts as restarts_module
 from tests.soak import stalls as stalls_module
 from tests.soak import world as world_module
 from tools import processes
@@ -41,7 +42,13 @@
 MEAN_REQUEST_INTERVAL_S = 0.04
 
 FEW_RETRIES = 10
-"""Retries beyond the ratio that seeds with stalls allow."""
+"""Retries beyond the ratio that seeds with stalls or restarts allow."""
+
+RETRY_RATIO = 0.2
+RETRY_WINDOW_MS = 10_000
+
+BREAK_AFTER = 5
+"""Events after which engines break each stream in seeds with restarts."""
 
 CALM_S = 4.0
 """Time before the faults of a seed with a part that crashes engines."""
@@ -78,6 +85,7 @@
     stalls: bool = False,
     with_part: bool = False,
     with_scarcity: bool = False,
+    restarts: bool = False,
 ) -> Report:
     """Run one seed.
 
@@ -105,7 +113,7 @@
             scope,
             source,
             entries,
-            **({'retry_slack': FEW_RETRIES} if stalls else {}),
+            **({'retry_slack': FEW_RETRIES} if stalls or restarts else {}),
             options=world_module.FEATURES if with_scarcity else (),
         )
         callers = callers_module.Callers(
@@ -115,15 +123,16 @@
             world.draw_recent,
         )
         try:
-            run = (
-                _run_stalls
-                if stalls
-                else functools.partial(
+            if stalls:
+                run = _run_stalls
+            elif restarts:
+                run = _run_restarts
+            else:
+                run = functools.partial(
                     _run_scenario,
                     with_part=with_part,
                     with_scarcity=with_scarcity,
                 )
-            )
             report = await run(seed, seconds, world, callers, scope.folder)
         finally:
             callers.close()
@@ -179,6 +188,7 @@
     fleet = await asyncio.to_thread(world.deployment.read_fleet, log=True)
     (folder / 'servers.json').write_text(json.dumps(fleet['log']))
     problems += _check_conditions(world, callers, fleet['log'])
+    problems += _check_retries(world, callers, fleet['log'])
     if fleet['wrong_paths']:
         problems.append(f'{fleet["wrong_paths"]} paths omit or repeat layers')
     problems += _check_denials(world, callers)
@@ -236,6 +246,7 @@
     problems += answers.check_planned_work(
         world, callers.sent_requests, fleet['log']
     )
+    problems += _check_retries(world, callers, fleet['log'])
     problems += answers.check_stalls(
         world, callers.sent_requests, fleet['log']
     )
@@ -245,6 +256,68 @@
     )
 
 
+async def _run_restarts(
+    seed: int,
+    seconds: float,
+    world: world_module.World,
+    callers: callers_module.Callers,
+    folder: pathlib.Path,
+) -> Report:
+    """Let engines break all streams beside restarts of entries."""
+    await world.start()
+    reason = await world.wait_until_served(START_TIMEOUT_S)
+    if reason:
+        return Report(seed, [f'at the start: {reason}'], [], 0, 0)
+    load = asyncio.create_task(
+        callers.send_continuously(MEAN_REQUEST_INTERVAL_S)
+    )
+    control = world.deployment.control
+    await asyncio.to_thread(control, break_after=BREAK_AFTER)
+    faults = restarts_module.Restarts(world, random.Random(f'{seed} restarts'))
+    await faults.inject(seconds)
+    await asyncio.to_thread(control, break_after=None)
+    reason = await world.wait_until_served(RECOVERY_TIMEOUT_S)
+    load.cancel()
+    await callers.finish()
+    problems = list(world.problems)
+    if reason:
+        problems.append(f'after the last restart: {reason}')
+    fleet = await asyncio.to_thread(world.deployment.read_fleet, log=True)
+    (folder / 'servers.json').write_text(json.dumps(fleet['log']))
+    problems += _check_retries(world, callers, fleet['log'])
+    problems += checks.check_requests(
+        callers.sent_requests, fleet['runs'], world.revoked_at
+    )
+    served = sum(one.status == 200 for one in callers.sent_requests)
+    return Report(
+        seed, problems, faults.drawn, len(callers.sent_requests), served
+    )
+
+
+def _check_retries(
+    world: world_module.World,
+    callers: callers_module.Callers,
+    log: list[dict[str, typing.Any]],
+) -> list[str]:
+    """Check that the fleet keeps its retry budget in each window."""
+    arrivals, _ = engine_rules.read_log(log)
+    return engine_rules.find_retry_violations(
+        arrivals,
+        {
+            one.id: engine_rules.SentRequest(
+                round(one.sent_at * 1000),
+                kv_fleet.MODEL_SERVICE
+                if one.kind == 'brief'
+                else kv_fleet.PLAIN_SERVICE,
+            )
+            for one in callers.sent_requests
+        },
+        RETRY_WINDOW_MS,
+        RETRY_RATIO,
+        world.retry_slack,
+    )
+
+
 async def _start_part(
     seed: int, world: world_module.World, callers: callers_module.Callers
 ) -> list[asyncio.Task[None]]:
@@ -468,6 +541,7 @@
                 options.stalls,
                 options.part,
                 options.scarcity,
+                options.restarts,
             )
         failed += bool(report.problems)
         result = 'WRONG' if report.problems else 'held'
@@ -521,6 +595,12 @@
         action='store_true',
         help='let a part of prompts crash engines; takes 20 seconds or more',
     )
+    parser.add_argument(
+        '--restarts',
+        action='store_true',
+        help='restart entries and end their leases while engines break all '
+        'streams and few retries are allowed',
+    )
     return asyncio.run(_run_all(parser.parse_args()))
 
 
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -26,6 +26,10 @@
 SECONDS = 6.0
 STALL_SEED = 402
 STALL_SECONDS = 12.0
+RESTART_SEEDS = (2, 3)
+"""Restarted entries forgot the retries that they and the others had sent."""
+
+RESTART_SECONDS = 25.0
 PART_SEED = 2
 PART_SECONDS = 18.0
 
@@ -61,6 +65,20 @@
         self.assertEqual([], report.problems)
         self.assertGreater(report.served, 0)
 
+    def test_retry_budget_holds_while_entries_restart(self):
+        """Guards against retries that end with the process that sent them.
+
+        Entries are killed in series and at once, stopped and suspended, and
+        their leases end.
+        """
+        for seed in RESTART_SEEDS:
+            with self.subTest(seed=seed):
+                report = asyncio.run(
+                    soak.run_seed(seed, RESTART_SECONDS, restarts=True)
+                )
+                self.assertEqual([], report.problems)
+                self.assertGreater(report.served, 0)
+
     def test_part_that_crashes_engines_is_withheld_and_no_other(self):
         """Guards against requests of which only a part is the same.
 
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -65,7 +65,7 @@
         options: tuple[str, ...] = (),
     ) -> None:
         self.random = source
-        self._retry_slack = retry_slack
+        self.retry_slack = retry_slack
         self.deployment = deployment.Deployment(scope, options)
         self._count = entries
         self.to_store: dict[str, proxies.Proxy] = {}
@@ -102,7 +102,7 @@
             entry = self.deployment.start_entry(
                 DOMAINS[number % len(DOMAINS)],
                 self.to_store[name].address,
-                self._retry_slack,
+                self.retry_slack,
             )
             self.entries[name] = entry
             self.to_entry[name] = proxies.Proxy(entry.callers)
--- a/tests/test_engine_rules.py
+++ b/tests/test_engine_rules.py
@@ -99,3 +99,44 @@
             applied, VERSIONS, BOUND_MS, CONTACT_MS, [excuse]
         )
         self.assertEqual([], found)
+
+
+class RetryRuleTest(unittest.TestCase):
+    """Budget: 0.5 for each request and 2 further ones in 10 s."""
+
+    def find(self, retry_times, sent_times=(0, 0)):
+        requests = {
+            f'r{number}': engine_rules.SentRequest(at, 'drafting')
+            for number, at in enumerate(sent_times)
+        }
+        arrivals = [
+            engine_rules.Arrival(at, 'a-1', 'a', attempt='r0')
+            for at in (0, *retry_times)
+        ]
+        arrivals.append(engine_rules.Arrival(5, 'a-1', 'a', attempt='other'))
+        return engine_rules.find_retry_violations(
+            arrivals, requests, 10_000, 0.5, 2.0
+        )
+
+    def test_retries_are_counted_in_every_window(self):
+        self.assertEqual([], self.find([1, 2, 3]))
+        self.assertEqual(1, len(self.find([1, 2, 3, 10_000])))
+        self.assertEqual([], self.find([1, 2, 3, 10_001]))
+
+    def test_requests_of_earlier_windows_count(self):
+        """Guards against findings right after an outage."""
+        self.assertEqual([], self.find([14_000, 14_001, 14_002]))
+        self.assertEqual(1, len(self.find([24_000, 24_001, 24_002])))
+
+    def test_probes_are_no_retries(self):
+        arrivals = [
+            engine_rules.Arrival(at, 'a-1', 'a', 'probe', 'r0')
+            for at in range(9)
+        ]
+        requests = {'r0': engine_rules.SentRequest(0, 'drafting')}
+        self.assertEqual(
+            [],
+            engine_rules.find_retry_violations(
+                arrivals, requests, 10_000, 0.0, 0.0
+            ),
+        )
