--- a/src/thornspool/application/routing/exchanges.py
+++ b/src/thornspool/application/routing/exchanges.py
@@ -98,7 +98,8 @@
         Servers with a limit for which the request has counted as demand.
     fingerprint : str
         Hash of workspace, target and body, by which a request that is sent
-        again is recognized.
+        again is recognized. The query belongs to the target only where there
+        is no body.
     parts : tuple of str
         Names of the parts of its prompt that other requests share.
     """
@@ -137,10 +138,12 @@
     @fingerprint.default
     def _compute_fingerprint(self) -> str:
         request = self.request
+        target = request.target
+        if request.body:
+            # A caller may vary the query of a request that crashes servers.
+            target = target.partition('?')[0]
         return fingerprints.compute_fingerprint(
-            self.workspace_name,
-            f'{request.host}{request.target}',
-            request.body,
+            self.workspace_name, f'{request.host}{target}', request.body
         )
 
     @parts.default
--- a/tests/application/routing/test_run_permits.py
+++ b/tests/application/routing/test_run_permits.py
@@ -82,6 +82,28 @@
                 self.assertGreater(reply.retry_after_ms, 60_000)
         self.assertEqual([], self.world.servers.runs)
 
+    async def test_condemned_request_with_another_query_is_refused(self):
+        """Guards against a request that crashes servers by each query."""
+        for path in PATHS:
+            with self.subTest(path):
+                self.quarantine.condemn(compute_fingerprint(path))
+                reply = self.world.serve(f'{path}?t=1')
+                self.assertEqual(
+                    (503, 'quarantined'), (reply.status, reply.reason)
+                )
+
+    async def test_queries_without_a_body_are_different_requests(self):
+        """Guards against sound reads refused for another one."""
+        self.quarantine.condemn(
+            fingerprints.compute_fingerprint(
+                'north', f'{builders.HOST}/read/x?t=1', b''
+            )
+        )
+        for query, is_refused in (('t=1', True), ('t=2', False)):
+            with self.subTest(query):
+                reply = self.world.serve(f'/read/x?{query}', body=b'')
+                self.assertEqual(is_refused, reply.reason == 'quarantined')
+
     async def test_verdict_lasts_while_the_request_comes_again(self):
         """Guards against a verdict that expires while callers retry."""
         path = PATHS[0]
