--- a/src/thornspool/application/routing/retry_pools.py
+++ b/src/thornspool/application/routing/retry_pools.py
@@ -85,6 +85,7 @@
         self._histories: dict[int, histories.RetryHistory] = {}
         self._applied_at = clock.now()
         self._known_since = clock.now()
+        self._was_known = is_past_known
         if is_past_known:
             self.assume_no_past()
         self._refusals_logged_at: dict[str, int] = {}
@@ -139,6 +140,7 @@
             allowed=round(usage.allowed, 1),
             entries=usage.entries,
             members=usage.members,
+            known=self._is_known(),
         )
 
     def measure(self) -> dict[str, pools.Usage]:
@@ -186,6 +188,7 @@
             # This process was suspended and has missed reports.
             self._known_since = now
         self._applied_at = now
+        self._log_known()
         for history in self._histories.values():
             history.drop_expired(now)
         for service, pool in self._pools.items():
@@ -250,6 +253,16 @@
         """
         return min(self._window_ms, self._clock.now() - self._known_since)
 
+    def _is_known(self) -> bool:
+        return self.compute_known_ms() >= self._window_ms
+
+    def _log_known(self) -> None:
+        """Log whether the retries of all processes are known, on a change."""
+        is_known = self._is_known()
+        if is_known is not self._was_known:
+            self._was_known = is_known
+            logger.info('retry_history_changed', known=is_known)
+
     def _get_history(self, service_hash: int) -> histories.RetryHistory:
         history = self._histories.get(service_hash)
         if history is None:
@@ -269,7 +282,7 @@
             )
             self._pools[service] = pool
         pool.entries = max(1, self._count_entries())
-        pool.is_past_known = self.compute_known_ms() >= self._window_ms
+        pool.is_past_known = self._is_known()
         return pool
 
 
--- a/tests/application/routing/test_retry_pools.py
+++ b/tests/application/routing/test_retry_pools.py
@@ -143,6 +143,8 @@
             self.fleet.play(fleet_module.TICK_MS)
             now = self.fleet.clock.now()
             for member in self.fleet.members.values():
+                if not member.up:
+                    continue
                 for _ in range(CALLS_PER_TICK):
                     member.budget.record_request(SERVICE)
                     self.requests.append(now)
@@ -283,6 +285,23 @@
             with self.subTest(hosts):
                 self.assertLessEqual(load.find_excess(), 0)
 
+    def test_suspended_entries_keep_the_limit(self):
+        """Guards against a share that was used while its entry stood still."""
+        for hosts in (1, 10):
+            fleet = fleet_module.Fleet(hosts=hosts)
+            load = Load(fleet)
+            fleet.play(3_000)
+            names = sorted(fleet.members)
+            for number in range(4):
+                load.play(2_000)
+                host = names[number * 2 % len(names)]
+                fleet.members[host].up = False
+                load.play(5_000 + 4_000 * number)
+                fleet.members[host].up = True
+            load.play(3_000)
+            with self.subTest(hosts):
+                self.assertLessEqual(load.find_excess(), 0)
+
     def test_partition_after_the_slack_was_used_keeps_the_limit(self):
         """Guards against groups that forget what the others have used.
 
