Send an entry that knows the window the latest retries alone

With 350 processes that retry on three services, the reports of a whole window took 72 kB: more than a datagram holds, so that a collector's whole state update was dropped, and 10 ms to pack for each of some 70 followers, 2.5 times a second. No deployment of today is as large; the fault was found by measuring the encoding at the size of docs/CAPACITY.md.

An entry says whether it knows the window. One that does gets the retries of the last 3 s: totals make up for updates that were lost before, and the report names how many of the unknown ones are still in the window. All others get everything, with one group a process where there are more than 6,000. The reports are packed once for all receivers.

test_reports_of_a_large_fleet_fit_into_a_datagram plays the size whose reports took 72 kB before.

--- a/src/thornspool/application/routing/membership.py
+++ b/src/thornspool/application/routing/membership.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import functools
 import typing
 
 import attrs
@@ -63,6 +64,12 @@
 leave the serving state and return to it, and broadcast both changes.
 """
 
+LATEST_RETRIES_MS = 3_000
+"""Age of the retries that an update lists for an entry that knows the others.
+
+Several updates in a row may be lost.
+"""
+
 MAX_ADDRESSES = 64
 """Maximum number of addresses in one response to a caller."""
 
@@ -667,7 +674,7 @@
             for name, exchanged in self._exchanged.items()
         }
         absent = self._list_absent(self._view.peers.values())
-        retries = self._retry_budget.list_reports(includes_others=True)
+        retries = self._prepare_retries(includes_others=True)
         for peer in self._view.list_domain_peers():
             peer_hosts = [peer.record.host]
             rest = {
@@ -690,7 +697,7 @@
             for name, exchanged in self._exchanged.items()
         }
         absent = self._list_absent(self._view.list_domain_peers())
-        retries = self._retry_budget.list_reports(includes_others=True)
+        retries = self._prepare_retries(includes_others=True)
         for domain in self._view.list_domains():
             if domain == own_domain:
                 continue
@@ -732,7 +739,7 @@
             for name, exchanged in self._exchanged.items()
         }
         # Followers receive the reports of all others from their collector.
-        retries = self._retry_budget.list_reports(self._view.is_mesh)
+        retries = self._prepare_retries(self._view.is_mesh)
         for peer in list(peers):
             self._send_update(peer, own, retries)
 
@@ -740,7 +747,7 @@
         self,
         peer: view_module.Peer,
         amounts: Mapping[str, totals_module.Amounts],
-        retries: retry_pools.Reports,
+        list_retries: Callable[[view_module.Peer], retry_pools.Reports],
         scope: messages.Scope = messages.Scope.ENTRY,
         absent: tuple[str, ...] = (),
     ) -> None:
@@ -783,18 +790,34 @@
             ),
             departures=self._routing_state.departures.list_announced(),
             removals=self._routing_state.removals.list_announced(),
-            retries=retries,
-            retries_known_ms=self._compute_retries_known_ms(scope, now),
+            retries=list_retries(peer),
+            retries_known_ms=self._compute_retries_known_ms(peer, scope, now),
+            knows_retries=self._retry_budget.is_known(),
         )
         self._send(peer.record.peers, update)
 
+    def _prepare_retries(
+        self, includes_others: bool
+    ) -> Callable[[view_module.Peer], retry_pools.Reports]:
+        """Return a function that lists what a peer needs of the retries."""
+        latest = self._retry_budget.list_reports(
+            includes_others, LATEST_RETRIES_MS
+        )
+
+        @functools.cache
+        def list_all() -> retry_pools.Reports:
+            return self._retry_budget.list_reports(includes_others)
+
+        return lambda peer: latest if peer.knows_retries else list_all()
+
     def _compute_retries_known_ms(
-        self, scope: messages.Scope, now: int
+        self, peer: view_module.Peer, scope: messages.Scope, now: int
     ) -> int:
         """Return up to which age an update includes the retries of all."""
-        if self._view.is_mesh or (
+        includes_all = self._view.is_mesh or (
             scope is not messages.Scope.ENTRY
             and self._view.has_complete_sums(now)
-        ):
+        )
+        if includes_all and not peer.knows_retries:
             return self._retry_budget.compute_known_ms()
         return 0
--- a/src/thornspool/application/routing/retry_pools.py
+++ b/src/thornspool/application/routing/retry_pools.py
@@ -5,6 +5,7 @@
 import copy
 import typing
 
+import attrs
 import structlog
 
 from thornspool.domain.fleet import server_hashes
@@ -35,6 +36,12 @@
 A service that fails all requests causes hundreds of refusals a second.
 """
 
+MAX_REPORTED_GROUPS = 6_000
+"""Groups of retries in an update above which each report has its latest only.
+
+Each group takes three bytes, and an update has to fit into a datagram.
+"""
+
 _MS_PER_S = 1000.0
 
 Reports = dict[int, dict[int, histories.Report]]
@@ -140,7 +147,7 @@
             allowed=round(usage.allowed, 1),
             entries=usage.entries,
             members=usage.members,
-            known=self._is_known(),
+            known=self.is_known(),
         )
 
     def measure(self) -> dict[str, pools.Usage]:
@@ -198,27 +205,34 @@
             )
             pool.apply_others(counts, now, known)
 
-    def list_reports(self, includes_others: bool) -> Reports:
+    def list_reports(
+        self, includes_others: bool, max_age_ms: int | None = None
+    ) -> Reports:
         """List the reports of retries by hash of the service and process.
 
         Parameters
         ----------
         includes_others : bool
             Whether to pass on the reports of other processes.
+        max_age_ms : int, optional
+            Age in milliseconds up to which retries are listed; the whole
+            window by default.
         """
         now = self._clock.now()
         reports: Reports = {}
         if includes_others:
             reports = {
-                service_hash: history.list_reports(now)
+                service_hash: history.list_reports(now, max_age_ms)
                 for service_hash, history in self._histories.items()
             }
         for service, pool in self._pools.items():
-            own = pool.build_report(now)
+            own = pool.build_report(now, max_age_ms)
             if own.groups:
                 by_process = reports.setdefault(_hash_retries(service), {})
                 by_process[self._process_id] = own
-        return {key: found for key, found in reports.items() if found}
+        return _limit_groups(
+            {key: found for key, found in reports.items() if found}
+        )
 
     def apply_reports(self, reports: Reports, known_ms: int) -> None:
         """Add the retries that a peer reports.
@@ -253,12 +267,13 @@
         """
         return min(self._window_ms, self._clock.now() - self._known_since)
 
-    def _is_known(self) -> bool:
+    def is_known(self) -> bool:
+        """Return whether all retries of the last window are known."""
         return self.compute_known_ms() >= self._window_ms
 
     def _log_known(self) -> None:
         """Log whether the retries of all processes are known, on a change."""
-        is_known = self._is_known()
+        is_known = self.is_known()
         if is_known is not self._was_known:
             self._was_known = is_known
             logger.info('retry_history_changed', known=is_known)
@@ -282,7 +297,7 @@
             )
             self._pools[service] = pool
         pool.entries = max(1, self._count_entries())
-        pool.is_past_known = self._is_known()
+        pool.is_past_known = self.is_known()
         return pool
 
 
@@ -290,6 +305,24 @@
     return 1.0 if urgent else REGULAR_SHARE
 
 
+def _limit_groups(reports: Reports) -> Reports:
+    """Leave out all but the latest groups of reports that are too large."""
+    count = sum(
+        len(report.groups)
+        for by_process in reports.values()
+        for report in by_process.values()
+    )
+    if count <= MAX_REPORTED_GROUPS:
+        return reports
+    return {
+        service_hash: {
+            process_id: attrs.evolve(report, groups=report.groups[:1])
+            for process_id, report in by_process.items()
+        }
+        for service_hash, by_process in reports.items()
+    }
+
+
 def _hash_requests(service: str) -> int:
     return server_hashes.compute_server_hash(f'requests of {service}')
 
--- a/src/thornspool/domain/entries/messages.py
+++ b/src/thornspool/domain/entries/messages.py
@@ -149,6 +149,9 @@
     retries_known_ms : int
         Age in milliseconds up to which ``retries`` includes all processes of
         the fleet; 0 where it does not.
+    knows_retries : bool
+        Whether the sender knows all retries of the last window, so that the
+        latest ones suffice it.
     """
 
     host: str
@@ -177,3 +180,4 @@
     admission: dict[int, float] = attrs.field(factory=dict)
     retries: dict[int, dict[int, histories.Report]] = attrs.field(factory=dict)
     retries_known_ms: int = 0
+    knows_retries: bool = False
--- a/src/thornspool/domain/entries/view.py
+++ b/src/thornspool/domain/entries/view.py
@@ -81,6 +81,8 @@
         State in its last update.
     has_links : bool
         Whether it reached servers at its last update.
+    knows_retries : bool
+        Whether it knows all retries of the last window.
     lapsed_at : int or None
         When its registration ended while it was alive; None for a registered
         entry.
@@ -93,6 +95,7 @@
     confirmed_at: int | None = None
     state: messages.State = messages.State.SERVING
     has_links: bool = True
+    knows_retries: bool = False
     lapsed_at: int | None = None
 
 
@@ -326,6 +329,7 @@
         peer.last_stamp = max(peer.last_stamp, update.stamp)
         peer.state = update.state
         peer.has_links = not update.links_lost
+        peer.knows_retries = update.knows_retries
         self.newest_version = max(
             self.newest_version, update.configuration_version
         )
--- a/src/thornspool/domain/retries/histories.py
+++ b/src/thornspool/domain/retries/histories.py
@@ -24,12 +24,15 @@
     ----------
     total : int
         Retries since the process has started.
+    in_window : int
+        Those of them in the last window.
     groups : tuple of tuple of int and int
         Ages in milliseconds and numbers of the retries in the last window,
-        the latest first.
+        the latest first. Earlier ones may be left out.
     """
 
     total: int
+    in_window: int
     groups: tuple[tuple[int, int], ...]
 
 
@@ -62,8 +65,13 @@
         self.total = 0
         self.heard_at = 0
 
-    def add(self, at: int, count: int = 1) -> None:
-        """Add retries; the time must not be before that of earlier ones."""
+    def record_retry(self, now: int) -> None:
+        """Record that this process sends a retry."""
+        self.total += 1
+        self.add(now, 1)
+
+    def add(self, at: int, count: int) -> None:
+        """Add retries that ``total`` includes, in the order of their times."""
         last = self._groups[-1] if self._groups else None
         if last is not None and at - last.began_at < GROUP_MS:
             last.last_at = max(last.last_at, at)
@@ -83,16 +91,25 @@
         """Whether there are retries that have not been dropped."""
         return bool(self._groups)
 
-    def build_report(self, now: int) -> Report:
-        """Build the report of the retries in the window."""
+    def build_report(self, now: int, max_age_ms: int | None = None) -> Report:
+        """Build the report of the retries in the window.
+
+        Parameters
+        ----------
+        now : int
+            Milliseconds of the clock.
+        max_age_ms : int, optional
+            Age in milliseconds up to which groups are listed.
+        """
         self.drop_expired(now)
-        return Report(
-            self.total,
-            tuple(
-                (now - group.last_at, group.count)
-                for group in reversed(self._groups)
-            ),
-        )
+        longest_ms = self._window_ms if max_age_ms is None else max_age_ms
+        groups = []
+        for group in reversed(self._groups):
+            if now - group.last_at > longest_ms:
+                break
+            groups.append((now - group.last_at, group.count))
+        in_window = sum(group.count for group in self._groups)
+        return Report(self.total, in_window, tuple(groups))
 
 
 class RetryHistory:
@@ -132,7 +149,7 @@
                 self._window_ms
             )
         process.heard_at = now
-        unknown = report.total - process.total
+        unknown = min(report.total - process.total, report.in_window)
         process.total = max(process.total, report.total)
         added: list[tuple[int, int]] = []
         for age, count in report.groups:
@@ -140,6 +157,10 @@
                 break
             added.append((now - age, min(count, unknown)))
             unknown -= count
+        if added and unknown > 0:
+            # Those that the report leaves out are older than its groups.
+            at, count = added[-1]
+            added[-1] = (at, count + unknown)
         for at, count in reversed(added):
             process.add(at, count)
             heapq.heappush(self._expiries, (at + self._window_ms, count))
@@ -151,14 +172,26 @@
             self._count -= heapq.heappop(self._expiries)[1]
         return self._count
 
-    def list_reports(self, now: int) -> dict[int, Report]:
-        """List the reports of the processes with retries in the window."""
+    def list_reports(
+        self, now: int, max_age_ms: int | None = None
+    ) -> dict[int, Report]:
+        """List the reports of the processes with retries in the window.
+
+        Parameters
+        ----------
+        now : int
+            Milliseconds of the clock.
+        max_age_ms : int, optional
+            Age in milliseconds up to which groups are listed. Processes
+            without any are left out.
+        """
         self.drop_expired(now)
-        return {
-            process_id: process.build_report(now)
+        reports = {
+            process_id: process.build_report(now, max_age_ms)
             for process_id, process in self._processes.items()
             if process.has_recent
         }
+        return {key: found for key, found in reports.items() if found.groups}
 
     def drop_expired(self, now: int) -> None:
         """Drop what has left the window.
--- a/src/thornspool/domain/retries/pools.py
+++ b/src/thornspool/domain/retries/pools.py
@@ -244,9 +244,11 @@
             members,
         )
 
-    def build_report(self, now: int) -> histories.Report:
+    def build_report(
+        self, now: int, max_age_ms: int | None = None
+    ) -> histories.Report:
         """Build the report of this process's retries."""
-        return self._sent.build_report(now)
+        return self._sent.build_report(now, max_age_ms)
 
     def _get_others(self, now: int) -> RequestCounts | None:
         """Return the numbers of other entries; None if none is known."""
@@ -301,8 +303,7 @@
         if not self.allows_retry(now, limit_share):
             return False
         self._retry_times.append(now)
-        self._sent.add(now)
-        self._sent.total += 1
+        self._sent.record_retry(now)
         return True
 
     def _drop_expired(self, now: int) -> None:
--- a/src/thornspool/platform/peers.py
+++ b/src/thornspool/platform/peers.py
@@ -27,6 +27,7 @@
 if typing.TYPE_CHECKING:
     from collections.abc import Callable
     from collections.abc import Iterable
+    from collections.abc import Mapping
 
 MAX_DATAGRAM_BYTES = 60_000
 """Largest datagram that is sent; the limit of UDP over IPv4 is 65,507."""
@@ -64,8 +65,13 @@
 logger = structlog.get_logger(__name__)
 
 
-_PackedReport = tuple[int, list[tuple[int, int]]]
-"""Total, and ages in ``RETRY_AGE_UNIT_MS`` with numbers."""
+_PackedReport = tuple[int, int, list[tuple[int, int]]]
+"""Total, number in the window, and ages in ``RETRY_AGE_UNIT_MS`` with numbers.
+"""
+
+
+_PackedReports = dict[int, dict[int, _PackedReport]]
+"""Reports of retries by service and process."""
 
 
 class _StateUpdate(msgspec.Struct, array_like=True, tag=0):
@@ -100,9 +106,10 @@
     configuration: int = 0
     # In tokens or requests.
     admission: dict[int, int] = {}
-    # By service and process.
-    retries: dict[int, dict[int, _PackedReport]] = {}
+    # See _PackedReports. It is the same for many receivers, and packed once.
+    retries: msgspec.Raw = msgspec.Raw(b'\x80')
     retries_known_ms: int = 0
+    knows_retries: bool = False
 
 
 class _ChangeSet(msgspec.Struct, array_like=True, tag=1):
@@ -167,8 +174,20 @@
 )
 
 
-def encode_state_update(state_update: messages.StateUpdate) -> bytes:
-    """Encode a state update as a datagram."""
+def encode_state_update(
+    state_update: messages.StateUpdate, packed_retries: bytes | None = None
+) -> bytes:
+    """Encode a state update as a datagram.
+
+    Parameters
+    ----------
+    state_update : messages.StateUpdate
+        The state update.
+    packed_retries : bytes, optional
+        Its retries as ``pack_retries`` has packed them.
+    """
+    if packed_retries is None:
+        packed_retries = pack_retries(state_update.retries)
     return msgspec.msgpack.encode(
         _StateUpdate(
             state_update.host,
@@ -215,22 +234,52 @@
                 key: math.ceil(amount)
                 for key, amount in state_update.admission.items()
             },
-            {
-                service_hash: {
-                    process_id: _pack_report(report)
-                    for process_id, report in by_process.items()
-                }
-                for service_hash, by_process in state_update.retries.items()
-            },
+            msgspec.Raw(packed_retries),
             state_update.retries_known_ms,
+            state_update.knows_retries,
         )
     )
 
 
-def _pack_report(report: histories.Report) -> _PackedReport:
-    return report.total, [
-        (age // RETRY_AGE_UNIT_MS, count) for age, count in report.groups
-    ]
+def pack_retries(
+    retries: Mapping[int, Mapping[int, histories.Report]],
+) -> bytes:
+    """Pack the reports of retries for a state update."""
+    packed: _PackedReports = {
+        service_hash: {
+            process_id: (
+                report.total,
+                report.in_window,
+                [
+                    (age // RETRY_AGE_UNIT_MS, count)
+                    for age, count in report.groups
+                ],
+            )
+            for process_id, report in by_process.items()
+        }
+        for service_hash, by_process in retries.items()
+    }
+    return msgspec.msgpack.encode(packed)
+
+
+def _unpack_retries(
+    packed: msgspec.Raw,
+) -> dict[int, dict[int, histories.Report]]:
+    decoded = msgspec.msgpack.decode(packed, type=_PackedReports)
+    return {
+        service_hash: {
+            process_id: histories.Report(
+                total,
+                in_window,
+                tuple(
+                    (units * RETRY_AGE_UNIT_MS, count)
+                    for units, count in groups
+                ),
+            )
+            for process_id, (total, in_window, groups) in by_process.items()
+        }
+        for service_hash, by_process in decoded.items()
+    }
 
 
 def encode_failure_notice(notice: messages.FailureNotice) -> bytes:
@@ -395,20 +444,9 @@
         message.links_lost,
         message.configuration,
         {key: float(amount) for key, amount in message.admission.items()},
-        {
-            service_hash: {
-                process_id: histories.Report(
-                    total,
-                    tuple(
-                        (units * RETRY_AGE_UNIT_MS, count)
-                        for units, count in groups
-                    ),
-                )
-                for process_id, (total, groups) in by_process.items()
-            }
-            for service_hash, by_process in message.retries.items()
-        },
+        _unpack_retries(message.retries),
         message.retries_known_ms,
+        message.knows_retries,
     )
 
 
@@ -449,6 +487,8 @@
         self._on_call = on_call
         self.passed_bytes = 0
         self._transport: asyncio.DatagramTransport | None = None
+        self._last_retries: dict[int, dict[int, histories.Report]] = {}
+        self._packed_retries = pack_retries(self._last_retries)
 
     async def open(self, ip: str, port: int) -> None:
         """Bind the socket to ``ip:port``."""
@@ -487,12 +527,23 @@
         if isinstance(state_update, messages.FailureNotice):
             raw = encode_failure_notice(state_update)
         else:
-            raw = encode_state_update(state_update)
+            raw = encode_state_update(
+                state_update, self._pack_retries(state_update.retries)
+            )
         if len(raw) > MAX_DATAGRAM_BYTES:
             logger.warning('news_too_large', bytes=len(raw))
             return
         self._send_raw(address, raw)
 
+    def _pack_retries(
+        self, retries: dict[int, dict[int, histories.Report]]
+    ) -> bytes:
+        """Pack reports once for all receivers of the same object."""
+        if retries is not self._last_retries:
+            self._last_retries = retries
+            self._packed_retries = pack_retries(retries)
+        return self._packed_retries
+
     def send_limit_message(
         self,
         address: str,
--- a/tests/application/routing/test_retry_pools.py
+++ b/tests/application/routing/test_retry_pools.py
@@ -7,7 +7,11 @@
 
 from structlog import testing
 
+from tests import builders as common
 from tests.application.routing import fleet as fleet_module
+from thornspool.application.routing import retry_pools
+from thornspool.domain.retries import histories
+from thornspool.platform import peers
 
 SERVICE = 'drafting'
 CALLS_PER_TICK = 3
@@ -327,6 +331,36 @@
                 self.assertGreater(used, 0.6 * SLACK)
                 self.assertLessEqual(used + later, SLACK)
 
+    def test_reports_of_a_large_fleet_fit_into_a_datagram(self):
+        """Guards against updates that are dropped when all services fail."""
+        budget = self.build_told_budget(entries=350, services=3)
+        reports = budget.list_reports(includes_others=True)
+        self.assertLess(
+            len(peers.pack_retries(reports)), peers.MAX_DATAGRAM_BYTES // 2
+        )
+        for by_process in reports.values():
+            self.assertEqual(350, len(by_process))
+            for report in by_process.values():
+                self.assertEqual(20, report.in_window)
+
+    def build_told_budget(self, entries, services):
+        """Build a budget that knows of retries in each half second."""
+        budget = retry_pools.RetryPools(
+            common.FakeClock(10_000), RATIO, SLACK, WINDOW_MS, lambda: entries
+        )
+        groups = tuple((500 * number, 1) for number in range(20))
+        budget.apply_reports(
+            {
+                service: {
+                    process: histories.Report(20, 20, groups)
+                    for process in range(1, entries + 1)
+                }
+                for service in range(services)
+            },
+            0,
+        )
+        return budget
+
     def test_suspended_entry_vouches_for_no_past(self):
         """Guards against an entry that claims to know what it has missed."""
         fleet = fleet_module.Fleet(hosts=1)
--- a/tests/domain/retries/test_pools.py
+++ b/tests/domain/retries/test_pools.py
@@ -75,7 +75,7 @@
     def test_the_retries_of_killed_entries_still_count(self):
         """Half of all entries are killed and restart without their counts."""
         pool = pools.RetryPool(0.0, 100.0, 10_000, entries=2)
-        pool.history.record(1, histories.Report(99, ((0, 99),)), 0)
+        pool.history.record(1, histories.Report(99, 99, ((0, 99),)), 0)
         pool.apply_others(pools.RequestCounts(0.0, 99.0), 0)
         pool.apply_others(pools.RequestCounts(0.0, 0.0), 400)
         self.assertFalse(pool.acquire(500))
@@ -95,7 +95,7 @@
     def test_a_group_pays_its_part_of_the_retries_of_the_others(self):
         """Guards against a partition that makes used slack free again."""
         pool = pools.RetryPool(0.0, 100.0, 10_000, entries=4)
-        pool.history.record(1, histories.Report(60, ((0, 60),)), 0)
+        pool.history.record(1, histories.Report(60, 60, ((0, 60),)), 0)
         pool.apply_others(pools.RequestCounts(0.0, 0.0), 0, known=1)
         usage = pool.measure(0)
         self.assertEqual(2, usage.members)
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -417,10 +417,11 @@
             departures=(83, 84),
             configuration_version=7,
             retries={
-                85: {86: histories.Report(7, ((0, 2), (4_010, 3)))},
-                87: {86: histories.Report(1, ((9_990, 1),))},
+                85: {86: histories.Report(7, 5, ((0, 2), (4_010, 3)))},
+                87: {86: histories.Report(1, 1, ((9_990, 1),))},
             },
             retries_known_ms=10_000,
+            knows_retries=True,
         )
         self.assertEqual(
             state_update,
