Try requests at three ends whoever explains them

A request that was at three ends since its last completion is a suspect in any case, and runs on servers of its own. Parts of prompts are judged as before: many requests have them.

test_request_at_three_deaths_is_a_suspect_in_any_case failed before.

--- a/src/thornspool/domain/quarantine/records.py
+++ b/src/thornspool/domain/quarantine/records.py
@@ -46,6 +46,13 @@
 PROBATION_MS = CONDEMNED_TTL_MS
 """Time after a verdict on a part of prompts in which it runs on trial."""
 
+UNEXCUSED_DEATHS = 3
+"""Deaths of targets from which on a request is a suspect in any case.
+
+Where several requests crash targets at the same time, all deaths of one may be
+explained by the others.
+"""
+
 MAX_RECORDS = 4096
 MAX_DEATHS = 8
 
@@ -220,12 +227,23 @@
         unproven = self.count_deaths(name, now, others)
         if unproven >= self._suspect_deaths:
             return True
+        if not fingerprints.is_part(name):
+            return self._count_all_deaths(name, now) >= UNEXCUSED_DEATHS
         return (
-            fingerprints.is_part(name)
-            and len(self._find_unexplained(name, now, others))
+            len(self._find_unexplained(name, now, others))
             >= PROVEN_PART_DEATHS
         )
 
+    def _count_all_deaths(self, name: str, now: int) -> int:
+        """Count the targets that died under a request, explained or not."""
+        return len(
+            {
+                death.target
+                for death in self._list_deaths(name)
+                if death.at + SUSPECT_TTL_MS > now
+            }
+        )
+
     def count_deaths(
         self,
         name: str,
