--- a/src/thornspool/application/routing/membership.py
+++ b/src/thornspool/application/routing/membership.py
@@ -23,6 +23,7 @@
 
     from thornspool import clock as clock_module
     from thornspool.application.routing import admission_control
+    from thornspool.application.routing import retry_histories
     from thornspool.application.routing import retry_pools
     from thornspool.application.routing import (
         routing_state as routing_state_module,
@@ -330,7 +331,7 @@
         if peer is None:
             return
         domain = peer.record.failure_domain
-        self._retry_budget.apply_reports(
+        self._retry_budget.histories.apply_reports(
             update.retries, update.retries_known_ms
         )
         for name, exchanged in self._exchanged.items():
@@ -747,7 +748,7 @@
         self,
         peer: view_module.Peer,
         amounts: Mapping[str, totals_module.Amounts],
-        list_retries: Callable[[view_module.Peer], retry_pools.Reports],
+        list_retries: Callable[[view_module.Peer], retry_histories.Reports],
         scope: messages.Scope = messages.Scope.ENTRY,
         absent: tuple[str, ...] = (),
     ) -> None:
@@ -792,20 +793,20 @@
             removals=self._routing_state.removals.list_announced(),
             retries=list_retries(peer),
             retries_known_ms=self._compute_retries_known_ms(peer, scope, now),
-            knows_retries=self._retry_budget.is_known(),
+            knows_retries=self._retry_budget.histories.is_known(),
         )
         self._send(peer.record.peers, update)
 
     def _prepare_retries(
         self, includes_others: bool
-    ) -> Callable[[view_module.Peer], retry_pools.Reports]:
+    ) -> Callable[[view_module.Peer], retry_histories.Reports]:
         """Return a function that lists what a peer needs of the retries."""
         latest = self._retry_budget.list_reports(
             includes_others, LATEST_RETRIES_MS
         )
 
         @functools.cache
-        def list_all() -> retry_pools.Reports:
+        def list_all() -> retry_histories.Reports:
             return self._retry_budget.list_reports(includes_others)
 
         return lambda peer: latest if peer.knows_retries else list_all()
@@ -819,5 +820,5 @@
             and self._view.has_complete_sums(now)
         )
         if includes_all and not peer.knows_retries:
-            return self._retry_budget.compute_known_ms()
+            return self._retry_budget.histories.compute_known_ms()
         return 0
--- a/src/thornspool/application/routing/retry_pools.py
+++ b/src/thornspool/application/routing/retry_pools.py
@@ -5,11 +5,10 @@
 import copy
 import typing
 
-import attrs
 import structlog
 
+from thornspool.application.routing import retry_histories
 from thornspool.domain.fleet import server_hashes
-from thornspool.domain.retries import histories
 from thornspool.domain.retries import pools
 
 if typing.TYPE_CHECKING:
@@ -36,17 +35,8 @@
 A service that fails all requests causes hundreds of refusals a second.
 """
 
-MAX_REPORTED_GROUPS = 6_000
-"""Groups of retries in an update above which each report has its latest only.
-
-Each group takes three bytes, and an update has to fit into a datagram.
-"""
-
 _MS_PER_S = 1000.0
 
-Reports = dict[int, dict[int, histories.Report]]
-"""Reports by hash of the service and id of the process."""
-
 logger = structlog.get_logger(__name__)
 
 
@@ -68,8 +58,14 @@
     process_id : int, optional
         Differs between the processes of all entries.
     is_past_known : bool, optional
-        Whether no retries were sent before this process started, or all of
-        them are known.
+        Whether no retries were sent before this process started.
+
+    Attributes
+    ----------
+    histories : retry_histories.RetryHistories
+        Retries of the processes of the other entries.
+    refused_count : int
+        Retries that were not allowed.
     """
 
     def __init__(
@@ -89,20 +85,17 @@
         self._count_entries = count_entries
         self._process_id = process_id
         self._pools: dict[str, pools.RetryPool] = {}
-        self._histories: dict[int, histories.RetryHistory] = {}
-        self._applied_at = clock.now()
-        self._known_since = clock.now()
-        self._was_known = is_past_known
-        if is_past_known:
-            self.assume_no_past()
         self._refusals_logged_at: dict[str, int] = {}
         self.refused_count = 0
+        self.histories = retry_histories.RetryHistories(
+            clock, window_ms, process_id, is_past_known
+        )
 
     def detach(self) -> RetryPools:
         """Copy the pools for a dry run, which changes only the copy."""
         detached = copy.copy(self)
         detached._pools = copy.deepcopy(self._pools)
-        detached._histories = {}
+        detached.histories = copy.deepcopy(self.histories)
         return detached
 
     def record_request(self, service: str) -> None:
@@ -147,7 +140,7 @@
             allowed=round(usage.allowed, 1),
             entries=usage.entries,
             members=usage.members,
-            known=self.is_known(),
+            known=self.histories.is_known(),
         )
 
     def measure(self) -> dict[str, pools.Usage]:
@@ -191,13 +184,7 @@
             Number of other entries that the sums include; None for all.
         """
         now = self._clock.now()
-        if now - self._applied_at > pools.REPORT_VALID_MS:
-            # This process was suspended and has missed reports.
-            self._known_since = now
-        self._applied_at = now
-        self._log_known()
-        for history in self._histories.values():
-            history.drop_expired(now)
+        self.histories.tick()
         for service, pool in self._pools.items():
             counts = pools.RequestCounts(
                 reported.get(_hash_requests(service), 0.0),
@@ -207,7 +194,7 @@
 
     def list_reports(
         self, includes_others: bool, max_age_ms: int | None = None
-    ) -> Reports:
+    ) -> retry_histories.Reports:
         """List the reports of retries by hash of the service and process.
 
         Parameters
@@ -219,72 +206,18 @@
             window by default.
         """
         now = self._clock.now()
-        reports: Reports = {}
-        if includes_others:
-            reports = {
-                service_hash: history.list_reports(now, max_age_ms)
-                for service_hash, history in self._histories.items()
-            }
+        reports = (
+            self.histories.list_reports(max_age_ms) if includes_others else {}
+        )
         for service, pool in self._pools.items():
             own = pool.build_report(now, max_age_ms)
             if own.groups:
                 by_process = reports.setdefault(_hash_retries(service), {})
                 by_process[self._process_id] = own
-        return _limit_groups(
+        return retry_histories.limit_groups(
             {key: found for key, found in reports.items() if found}
         )
 
-    def apply_reports(self, reports: Reports, known_ms: int) -> None:
-        """Add the retries that a peer reports.
-
-        Parameters
-        ----------
-        reports : Reports
-            Reports of the peer's process, and of others that it passes on.
-        known_ms : int
-            Age in milliseconds up to which the reports include the retries
-            of all processes; 0 for reports that do not.
-        """
-        now = self._clock.now()
-        for service_hash, by_process in reports.items():
-            history = self._get_history(service_hash)
-            for process_id, report in by_process.items():
-                if process_id != self._process_id:
-                    history.record(process_id, report, now)
-        self._known_since = min(self._known_since, now - known_ms)
-
-    def assume_no_past(self) -> None:
-        """Assume that no retries were sent before, as at the first start."""
-        self._known_since = self._clock.now() - self._window_ms
-
-    def compute_known_ms(self) -> int:
-        """Return up to which age the retries of all processes are known.
-
-        Returns
-        -------
-        int
-            Milliseconds, at most the length of the window.
-        """
-        return min(self._window_ms, self._clock.now() - self._known_since)
-
-    def is_known(self) -> bool:
-        """Return whether all retries of the last window are known."""
-        return self.compute_known_ms() >= self._window_ms
-
-    def _log_known(self) -> None:
-        """Log whether the retries of all processes are known, on a change."""
-        is_known = self.is_known()
-        if is_known is not self._was_known:
-            self._was_known = is_known
-            logger.info('retry_history_changed', known=is_known)
-
-    def _get_history(self, service_hash: int) -> histories.RetryHistory:
-        history = self._histories.get(service_hash)
-        if history is None:
-            history = histories.RetryHistory(self._window_ms)
-            self._histories[service_hash] = history
-        return history
-
     def _get_pool(self, service: str) -> pools.RetryPool:
         pool = self._pools.get(service)
         if pool is None:
@@ -293,11 +226,11 @@
                 self._slack * USABLE_SLACK_SHARE,
                 self._window_ms,
                 process_id=self._process_id,
-                history=self._get_history(_hash_retries(service)),
+                history=self.histories.find(_hash_retries(service)),
             )
             self._pools[service] = pool
         pool.entries = max(1, self._count_entries())
-        pool.is_past_known = self.is_known()
+        pool.is_past_known = self.histories.is_known()
         return pool
 
 
@@ -305,24 +238,6 @@
     return 1.0 if urgent else REGULAR_SHARE
 
 
-def _limit_groups(reports: Reports) -> Reports:
-    """Leave out all but the latest groups of reports that are too large."""
-    count = sum(
-        len(report.groups)
-        for by_process in reports.values()
-        for report in by_process.values()
-    )
-    if count <= MAX_REPORTED_GROUPS:
-        return reports
-    return {
-        service_hash: {
-            process_id: attrs.evolve(report, groups=report.groups[:1])
-            for process_id, report in by_process.items()
-        }
-        for service_hash, by_process in reports.items()
-    }
-
-
 def _hash_requests(service: str) -> int:
     return server_hashes.compute_server_hash(f'requests of {service}')
 
--- a/src/thornspool/platform/daemon.py
+++ b/src/thornspool/platform/daemon.py
@@ -551,7 +551,7 @@
             self._random.getrandbits(32),
             is_past_known=False,
         )
-        self._follower.on_first_start = budget.assume_no_past
+        self._follower.on_first_start = budget.histories.assume_no_past
         return budget
 
     def _build_admission_control(self) -> admission_control.AdmissionControl:
--- a/tests/application/routing/test_retry_pools.py
+++ b/tests/application/routing/test_retry_pools.py
@@ -349,7 +349,7 @@
             common.FakeClock(10_000), RATIO, SLACK, WINDOW_MS, lambda: entries
         )
         groups = tuple((500 * number, 1) for number in range(20))
-        budget.apply_reports(
+        budget.histories.apply_reports(
             {
                 service: {
                     process: histories.Report(20, 20, groups)
@@ -371,7 +371,7 @@
         budget = fleet.members['a-00'].budget
         fleet.cut_off('a-00')
         fleet.play(200)
-        self.assertEqual(0, budget.compute_known_ms())
+        self.assertEqual(0, budget.histories.compute_known_ms())
         fleet.rejoin('a-00')
         fleet.play(400)
-        self.assertEqual(WINDOW_MS, budget.compute_known_ms())
+        self.assertEqual(WINDOW_MS, budget.histories.compute_known_ms())
