Send all retries again to an entry that missed updates

Found by reading: an entry that had heard nobody for more than 3 s got the retries of the last 3 s only when updates arrived again. What a process had sent before that, and had then ended, stayed unknown to it until it left the window.

Each entry notes when a peer's updates were 1.5 s apart, and tells that peer that the latest retries do not suffice until it has received a complete list.

test_retries_beside_lost_updates_are_made_up_for fails without it, in a mesh and in a fleet with collectors.

--- a/src/thornspool/application/routing/membership.py
+++ b/src/thornspool/application/routing/membership.py
@@ -793,7 +793,8 @@
             removals=self._routing_state.removals.list_announced(),
             retries=list_retries(peer),
             retries_known_ms=self._compute_retries_known_ms(peer, scope, now),
-            knows_retries=self._retry_budget.histories.is_known(),
+            knows_retries=self._retry_budget.histories.is_known()
+            and not peer.has_missed_retries,
         )
         self._send(peer.record.peers, update)
 
--- a/src/thornspool/domain/entries/messages.py
+++ b/src/thornspool/domain/entries/messages.py
@@ -151,7 +151,7 @@
         the fleet; 0 where it does not.
     knows_retries : bool
         Whether the sender knows all retries of the last window, so that the
-        latest ones suffice it.
+        receiver need only send it the latest ones.
     """
 
     host: str
--- a/src/thornspool/domain/entries/view.py
+++ b/src/thornspool/domain/entries/view.py
@@ -46,6 +46,13 @@
 JOIN_GRACE_MS = 1_500
 """Time for which a listed entry counts as alive before its first update."""
 
+MISSED_RETRIES_MS = 1_500
+"""Time without an update of a peer after which it sends all retries again.
+
+An update lists the retries of the last 3 s, some of which have taken a while
+to reach the peer.
+"""
+
 LAPSE_RETENTION_MS = 10_000
 """Time for which an entry that runs without a registration remains a peer.
 
@@ -82,7 +89,10 @@
     has_links : bool
         Whether it reached servers at its last update.
     knows_retries : bool
-        Whether it knows all retries of the last window.
+        Whether it needs only the latest retries from this entry.
+    has_missed_retries : bool
+        Whether its updates may have listed retries that this entry has not
+        received, so that it has to send all.
     lapsed_at : int or None
         When its registration ended while it was alive; None for a registered
         entry.
@@ -96,6 +106,7 @@
     state: messages.State = messages.State.SERVING
     has_links: bool = True
     knows_retries: bool = False
+    has_missed_retries: bool = True
     lapsed_at: int | None = None
 
 
@@ -321,6 +332,13 @@
             # its collector failed.
             self.collector_choice.chosen_at = now
         self.last_update_at = now
+        if (
+            peer.last_update_at is not None
+            and now - peer.last_update_at > MISSED_RETRIES_MS
+        ):
+            peer.has_missed_retries = True
+        if update.retries_known_ms > 0:
+            peer.has_missed_retries = False
         peer.last_update_at = now
         if update.rejection_ms > 0:
             self.collector_choice.record_rejection(
--- a/tests/application/routing/test_retry_pools.py
+++ b/tests/application/routing/test_retry_pools.py
@@ -306,6 +306,30 @@
             with self.subTest(hosts):
                 self.assertLessEqual(load.find_excess(), 0)
 
+    def test_retries_beside_lost_updates_are_made_up_for(self):
+        """Guards against retries that were sent while a peer heard nobody.
+
+        Their sender ends, so that no later report mentions them.
+        """
+        for hosts, cut_off in ((1, 'c-00'), (10, 'c-05')):
+            fleet = fleet_module.Fleet(hosts=hosts)
+            fleet.play(3_000)
+            fleet.cut_off(cut_off)
+            self.assertGreater(self.retry_once(fleet, 'a-00'), 0)
+            fleet.play(600)
+            fleet.kill('a-00')
+            fleet.play(4_000)
+            fleet.rejoin(cut_off)
+            fleet.play(2_000)
+            counted = []
+            for host in ('b-00', cut_off):
+                budget = fleet.members[host].budget
+                budget.can_acquire(SERVICE, urgent=True)
+                counted.append(budget.measure()[SERVICE].others)
+            with self.subTest(hosts):
+                self.assertGreater(counted[0], 0)
+                self.assertEqual(counted[0], counted[1])
+
     def test_partition_after_the_slack_was_used_keeps_the_limit(self):
         """Guards against groups that forget what the others have used.
 
