--- a/src/thornspool/domain/quarantine/records.py
+++ b/src/thornspool/domain/quarantine/records.py
@@ -46,8 +46,8 @@
 PROBATION_MS = CONDEMNED_TTL_MS
 """Time after a verdict on a part of prompts in which it runs on trial."""
 
-UNEXCUSED_DEATHS = 3
-"""Deaths of targets from which on a request is a suspect in any case.
+MAX_EXPLAINED_DEATHS = 2
+"""Deaths of a request that others may explain; with more, it is a suspect.
 
 Where several requests crash targets at the same time, all deaths of one may be
 explained by the others.
@@ -228,7 +228,7 @@
         if unproven >= self._suspect_deaths:
             return True
         if not fingerprints.is_part(name):
-            return self._count_all_deaths(name, now) >= UNEXCUSED_DEATHS
+            return self._count_all_deaths(name, now) > MAX_EXPLAINED_DEATHS
         return (
             len(self._find_unexplained(name, now, others))
             >= PROVEN_PART_DEATHS
