Log why the history of retries is complete

retry_history_changed said that an entry knows the retries of the window, not how. The three ways are told apart only by the order of other lines: a peer has told it, it has run for a window, or it takes its start for the first. The line has a field source now. No decision changes. Tests of the retry pools and of the page of operations pass.

--- a/src/thornspool/application/routing/retry_histories.py
+++ b/src/thornspool/application/routing/retry_histories.py
@@ -19,6 +19,10 @@
 Each group takes three bytes, and an update has to fit into a datagram.
 """
 
+_FROM_FIRST_START = 'first_start'
+_FROM_PEER = 'peer'
+_FROM_WINDOW = 'window'
+
 Reports = dict[int, dict[int, histories.Report]]
 """Reports by hash of the service and id of the process."""
 
@@ -54,6 +58,7 @@
         self._ticked_at = clock.now()
         self._known_since = clock.now()
         self._was_known = is_past_known
+        self._source = _FROM_WINDOW
         if is_past_known:
             self.assume_no_past()
 
@@ -97,11 +102,14 @@
             for process_id, report in by_process.items():
                 if process_id != self._process_id:
                     history.record(process_id, report, now)
-        self._known_since = min(self._known_since, now - known_ms)
+        if now - known_ms < self._known_since:
+            self._known_since = now - known_ms
+            self._source = _FROM_PEER
 
     def assume_no_past(self) -> None:
         """Assume that no retries were sent before, as at the first start."""
         self._known_since = self._clock.now() - self._window_ms
+        self._source = _FROM_FIRST_START
 
     def compute_known_ms(self) -> int:
         """Return up to which age the retries of all processes are known.
@@ -123,11 +131,14 @@
         if now - self._ticked_at > pools.REPORT_VALID_MS:
             # This process was suspended and has missed reports.
             self._known_since = now
+            self._source = _FROM_WINDOW
         self._ticked_at = now
         is_known = self.is_known()
         if is_known is not self._was_known:
             self._was_known = is_known
-            logger.info('retry_history_changed', known=is_known)
+            logger.info(
+                'retry_history_changed', known=is_known, source=self._source
+            )
         for history in self._histories.values():
             history.drop_expired(now)
 
