Tell a first start by a key that remains in the store

Callers' streams were resumed beyond the retry budget of the fleet: a process that found no registration in the store took its start for the first one of the fleet, and used a whole share of the slack although the retries of ended processes were still in the window. Registrations prove nothing here. Their leases end while the store is down, and processes that are killed before they have registered again leave no trace. The first restarted process then told all others that it knew the window.

The first entry writes thornspool/started, a key without a lease, on the condition that it is new, before it registers. Only the one whose write succeeds, and whose first read showed no key of any entry, takes its start for the first. Without a response, or in conflict, it is told by a peer or waits for the window. It is one write in the life of a deployment; entries that start at the same time as the first one try it too. A deployment that was stopped altogether has no slack for the first window after its start.

--- a/src/thornspool/application/routing/registration.py
+++ b/src/thornspool/application/routing/registration.py
@@ -39,6 +39,15 @@
     async def register(self, record: messages.Record, lease: int) -> None:
         """Write the registration of this entry."""
 
+    async def record_start(self) -> None:
+        """Record that entries have run, in a key that remains.
+
+        Raises
+        ------
+        exceptions.RegistryConflict
+            If it is recorded already.
+        """
+
     async def claim_leadership(
         self, record: messages.Record, lease: int, revision: int
     ) -> int:
@@ -84,6 +93,10 @@
     ----------
     may_lead : callable
         Returns whether this entry may hold the leadership.
+    is_start_recorded : callable
+        Returns whether the store is known to show that entries have run.
+    on_start_recorded : callable
+        Called when this entry has recorded it as the first one.
     """
 
     def __init__(
@@ -106,7 +119,10 @@
         self._lead_lease_renewed_at = 0
         self._registered = False
         self._leaving = False
+        self._has_tried_start = False
         self.may_lead: Callable[[], bool] = lambda: True
+        self.is_start_recorded: Callable[[], bool] = lambda: True
+        self.on_start_recorded: Callable[[], None] = lambda: None
         self._reachable = True
         self._retry_at = 0
         self._backoff_ms = INITIAL_BACKOFF_MS
@@ -119,6 +135,7 @@
             if not self.may_lead():
                 await self._give_up_leadership()
             await self._renew_leadership()
+            await self._record_start()
             await self._renew_registration()
             await self._claim_leadership()
         except exceptions.LeaseLost:
@@ -211,6 +228,28 @@
             await self._registry.register(self._view.local, self._lease)
             self._registered = True
 
+    async def _record_start(self) -> None:
+        """Record that entries have run, unless the store shows it.
+
+        This precedes the registration, so that no other entry finds one
+        without the record.
+        """
+        is_copy_read = self._find_previous_lease() is not None
+        if (
+            not is_copy_read
+            or self._has_tried_start
+            or self.is_start_recorded()
+        ):
+            return
+        try:
+            await self._registry.record_start()
+        except exceptions.RegistryConflict:
+            # By another entry, or by a call of this one without a response.
+            self._has_tried_start = True
+        else:
+            self._has_tried_start = True
+            self.on_start_recorded()
+
     async def _open_lease(self, old_lease: int) -> int:
         """Continue the lease of an earlier process, or open a new one.
 
--- a/src/thornspool/platform/daemon.py
+++ b/src/thornspool/platform/daemon.py
@@ -443,13 +443,7 @@
             lambda: self._follower.revision,
             self._send_missed_changes,
         )
-        self._registration = registration.RegistrationService(
-            clock,
-            self._view,
-            self._leadership,
-            registry.Registry(store),
-            lambda: self._follower.previous_lease,
-        )
+        self._build_registration(budget)
         self._build_evidence()
         self._crashes = crash_detection.CrashDetector(
             clock,
@@ -540,9 +534,9 @@
         )
 
     def _build_retry_budget(self) -> retry_pools.RetryPools:
-        """Create the budget, which the list of entries tells of a past."""
+        """Create the budget of an entry that knows no past yet."""
         bounds = self._settings.bounds
-        budget = retry_pools.RetryPools(
+        return retry_pools.RetryPools(
             self._clock,
             bounds.retry_ratio,
             bounds.retry_slack,
@@ -551,8 +545,31 @@
             self._random.getrandbits(32),
             is_past_known=False,
         )
-        self._follower.on_first_start = budget.histories.assume_no_past
-        return budget
+
+    def _build_registration(self, budget: retry_pools.RetryPools) -> None:
+        """Create the registration, which finds out about a first start."""
+        self._registration = registration.RegistrationService(
+            self._clock,
+            self._view,
+            self._leadership,
+            registry.Registry(self._store),
+            lambda: self._follower.previous_lease,
+        )
+        self._registration.is_start_recorded = lambda: (
+            self._follower.is_start_recorded
+        )
+        self._registration.on_start_recorded = functools.partial(
+            self._apply_first_start, budget
+        )
+
+    def _apply_first_start(self, budget: retry_pools.RetryPools) -> None:
+        """Tell the retry budget that no entry has run before.
+
+        Entries of an earlier version did not record their start, but they are
+        listed while their leases last.
+        """
+        if self._follower.found_no_entry:
+            budget.histories.assume_no_past()
 
     def _build_admission_control(self) -> admission_control.AdmissionControl:
         """Create the control that exchanges demand with the other entries."""
--- a/src/thornspool/platform/follower.py
+++ b/src/thornspool/platform/follower.py
@@ -219,8 +219,8 @@
         for none, None before the first read.
     unapplied_count : int
         Changes that could not be applied because of an error.
-    on_first_start : callable
-        Called when the first read finds no registration of any entry.
+    found_no_entry : bool
+        Whether the first read showed no trace of any entry.
     """
 
     def __init__(
@@ -252,7 +252,7 @@
         self._watch_ms = compute_watch_ms(limits.key_ms)
         self._coordination = coordination or Coordination()
         self._verdicts = verdicts
-        self.on_first_start: Callable[[], None] = lambda: None
+        self.found_no_entry = False
         self._confirmation_requested = asyncio.Event()
         self._confirmation_waiters: list[Callable[[], None]] = []
         self._next_confirmation_at = 0
@@ -263,6 +263,11 @@
         self._called_at = clock.now()
         self._query_age_ms = self._draw_uniform(limits.query_range_ms)
 
+    @property
+    def is_start_recorded(self) -> bool:
+        """Whether the store shows that entries have run before."""
+        return registry.STARTED_KEY in self._key_revisions
+
     def request_confirmation(self, on_end: Callable[[], None]) -> bool:
         """Confirm the copy by one call for all that request it meanwhile.
 
@@ -399,11 +404,9 @@
         self._routing_state.record_store_contact(self._clock.now())
         if self.previous_lease is None:
             self.previous_lease = self._find_previous_lease(snapshot)
-            if not any(
-                item.key.startswith(registry.ENTRIES_PREFIX)
-                for item in snapshot.items
-            ):
-                self.on_first_start()
+            self.found_no_entry = not any(
+                item.key.startswith(registry.PREFIX) for item in snapshot.items
+            )
         changes = self._compare(snapshot)
         for item in changes:
             self._apply(item)
--- a/src/thornspool/platform/registry.py
+++ b/src/thornspool/platform/registry.py
@@ -23,6 +23,11 @@
 ENTRIES_PREFIX = PREFIX + 'entries/'
 LEADER_KEY = PREFIX + 'lead'
 VERDICTS_PREFIX = PREFIX + 'quarantine/'
+STARTED_KEY = PREFIX + 'started'
+"""Key without a lease, which shows that entries have run before.
+
+Registrations do not show it: their leases end while the store is down.
+"""
 
 logger = structlog.get_logger(__name__)
 
@@ -64,6 +69,12 @@
         with _translate_errors():
             await self._store.write({}, [put])
 
+    async def record_start(self) -> None:
+        """Write the key which shows that entries have run, if it is new."""
+        put = store_module.Put(STARTED_KEY, b'{}')
+        with _translate_errors():
+            await self._store.write({STARTED_KEY: 0}, [put])
+
     async def claim_leadership(
         self, record: messages.Record, lease: int, revision: int
     ) -> int:
--- a/tests/platform/test_following.py
+++ b/tests/platform/test_following.py
@@ -285,6 +285,15 @@
             lambda: self.routing_state.freshness.is_within(500, now()), 2.0
         )
 
+    async def test_record_of_a_start_is_followed(self):
+        """Guards against a start that is recorded and not believed."""
+        self.assertTrue(self.follower.found_no_entry)
+        self.assertFalse(self.follower.is_start_recorded)
+        await registry.Registry(self.store).record_start()
+        await self.wait(lambda: self.follower.is_start_recorded)
+        with self.assertRaises(routing_errors.RegistryConflict):
+            await registry.Registry(self.store).record_start()
+
     async def test_registrations_and_the_leader_are_followed(self):
         service = registration.RegistrationService(
             clock_module.Clock(),
@@ -795,6 +804,9 @@
     async def register(self, record, lease):
         self._call('register')
 
+    async def record_start(self):
+        self._call('record_start')
+
     async def claim_leadership(self, record, lease, revision):
         self._call('claim')
         return 5
@@ -931,6 +943,49 @@
         await self.service.tick()
         self.assertEqual([], self.registry.calls)
 
+    def start_unrecorded(self, previous_lease=0):
+        """Start a process to whose copy no start of an entry is known."""
+        self.restart(previous_lease)
+        self.service.is_start_recorded = lambda: False
+        self.service.on_start_recorded = lambda: self.registry.calls.append(
+            'recorded'
+        )
+
+    async def test_start_is_recorded_before_the_registration(self):
+        """Guards against a registration beside which no start is recorded."""
+        self.start_unrecorded(None)
+        await self.service.tick()
+        self.assertEqual([], self.registry.calls)
+        self.start_unrecorded()
+        await self.service.tick()
+        await self.service.tick()
+        self.assertEqual(
+            ['record_start', 'recorded', 'open', 'register'],
+            self.registry.calls,
+        )
+
+    async def test_start_that_another_has_recorded_is_not_the_first(self):
+        """Guards against two entries that both take theirs for the first."""
+        self.start_unrecorded()
+        self.registry.error = routing_errors.RegistryConflict('exists')
+        await self.service.tick()
+        self.assertEqual(
+            ['record_start', 'open', 'register'], self.registry.calls
+        )
+
+    async def test_start_is_recorded_once_the_store_is_available(self):
+        """Guards against a first start of which no trace remains."""
+        self.start_unrecorded()
+        self.registry.error = routing_errors.RegistryUnavailable('busy')
+        await self.service.tick()
+        self.assertEqual(['record_start'], self.registry.calls)
+        self.clock.advance(registration.INITIAL_BACKOFF_MS)
+        await self.service.tick()
+        self.assertEqual(
+            ['record_start', 'record_start', 'recorded', 'open', 'register'],
+            self.registry.calls,
+        )
+
     async def test_the_leader_renews_more_often(self):
         """Its orders are valid only for a short time after each renewal."""
         holder = leadership.Holder(
