Keep leaving entries whose leases have ended as peers

Streams of callers were resumed beyond the retry budget where entries got SIGTERM while the leases of all had ended: the others dropped an entry that was leaving together with its registration, though it still finishes its requests and retries them. Each of three entries that leave at once counted itself as the fleet and used the slack of all.

Registrations of entries that stop outlive their processes, so that a usual stop is not affected.

test_ended_leases_of_leaving_entries_leave_the_limit_in_force failed before (63 retries too many in a mesh of three, 212 in a fleet of thirty) and passes. Tests of the view, membership, relays and limits pass.

--- a/src/thornspool/domain/entries/view.py
+++ b/src/thornspool/domain/entries/view.py
@@ -162,15 +162,14 @@
         """Remove an entry whose registration no longer exists.
 
         An entry that is alive remains a peer for a while, since only its
-        lease has ended. Without it, the others would share the limits of the
-        fleet among fewer entries than use them.
+        lease has ended; so does one that is leaving and finishes its requests.
+        Without it, the others would share the limits of the fleet among fewer
+        entries than use them.
         """
         peer = self.peers.get(host)
         if peer is None:
             return
-        if peer.state is not messages.State.LEAVING and self.is_alive(
-            peer, now
-        ):
+        if self.is_alive(peer, now):
             peer.lapsed_at = now
         else:
             self._forget(host)
--- a/tests/application/routing/test_retry_pools.py
+++ b/tests/application/routing/test_retry_pools.py
@@ -10,6 +10,7 @@
 from tests import builders as common
 from tests.application.routing import fleet as fleet_module
 from thornspool.application.routing import retry_pools
+from thornspool.domain.entries import messages
 from thornspool.domain.retries import histories
 from thornspool.platform import peers
 
@@ -236,6 +237,23 @@
             with self.subTest(hosts):
                 self.assertLessEqual(load.find_excess(), 0)
 
+    def test_ended_leases_of_leaving_entries_leave_the_limit_in_force(self):
+        """Guards against entries that count as ended while they drain.
+
+        All entries get SIGTERM while the store is down and their leases end.
+        """
+        for hosts in (1, 10):
+            fleet = fleet_module.Fleet(hosts=hosts)
+            load = Load(fleet)
+            fleet.play(3_000)
+            load.play(6_000)
+            for host in sorted(fleet.members):
+                fleet.members[host].service.set_state(messages.State.LEAVING)
+                fleet.unregister(host)
+            load.play(8_000)
+            with self.subTest(hosts):
+                self.assertLessEqual(load.find_excess(), 0)
+
     def retry_once(self, fleet, host):
         """Send all retries that an entry may send; return their number."""
         retries = 0
