Register again soon where the store refused the registration

An entry whose lease was opened, and whose registration the store then refused, tried again only when the lease was due for renewal, after 6 s. Until then lookups did not return it, peers sent it nothing, and it counted in no share of a limit. The renewal is due at once now while the entry is not registered, after the pause for refused calls (0.5 s).

test_registration_that_the_store_refused_is_sent_again failed before (one try in the 6 s) and passes.

--- a/src/thornspool/application/routing/registration.py
+++ b/src/thornspool/application/routing/registration.py
@@ -213,7 +213,10 @@
             if old_lease is None:
                 return
             self._lease = await self._open_lease(old_lease)
-        elif now - self._renewed_at < leadership_module.RENEW_MS:
+        elif (
+            self._registered
+            and now - self._renewed_at < leadership_module.RENEW_MS
+        ):
             return
         else:
             await self._registry.renew_lease(self._lease)
--- a/tests/platform/test_following.py
+++ b/tests/platform/test_following.py
@@ -986,6 +986,24 @@
             self.registry.calls,
         )
 
+    async def test_registration_that_the_store_refused_is_sent_again(self):
+        """Guards against an entry that runs unregistered for a renewal."""
+        self.restart(9)
+        register = self.registry.register
+
+        async def refuse(record, lease):
+            self.registry.register = register
+            self.registry.error = routing_errors.RegistryUnavailable('busy')
+            await register(record, lease)
+
+        self.registry.register = refuse
+        await self.service.tick()
+        self.clock.advance(registration.INITIAL_BACKOFF_MS)
+        await self.service.tick()
+        self.assertEqual(
+            ['renew', 'register', 'renew', 'register'], self.registry.calls
+        )
+
     async def test_the_leader_renews_more_often(self):
         """Its orders are valid only for a short time after each renewal."""
         holder = leadership.Holder(
