Count retries that go through a peer

An entry that reaches no server passes its requests on to peers, and only runs that may have taken place counted as retries there. A service got repeats that no budget counted: servers had refused the request at the first peer, or at this entry, and the next peer sent it as if for the first time. Rejected arrivals count too. Each peer that refused also counted the request again, so that the ratio allowed retries for requests that no caller had sent. The class is an allowance by the process that sends, where a request has several.

A refusal states how often the request was sent to servers (Relay-Sends). The entry of the caller acquires a retry before it asks the next peer, and tells it that the request is counted. A stream that needs a retry acquires it also when it is handed over.

Found by reading each path that sends. Four tests of test_relays failed before and pass: a request that a peer has sent went on to two more without a retry; it was counted again; a refused stream was handed over without a retry; no refusal stated sends. Tests of links in the simulation pass. Not reproduced with processes.

--- a/src/thornspool/application/routing/exchanges.py
+++ b/src/thornspool/application/routing/exchanges.py
@@ -283,7 +283,7 @@
             and reason in _LOCAL_REASONS
             and self.request.relay is not None
         ):
-            self.reply.refuse_relay(status, reason, retry_after_ms)
+            self.reply.refuse_relay(status, reason, retry_after_ms, self.sends)
         else:
             self.reply.refuse(status, reason, retry_after_ms)
         self.end(f'refused_{status}')
--- a/src/thornspool/application/routing/ports.py
+++ b/src/thornspool/application/routing/ports.py
@@ -118,10 +118,23 @@
         status: int = 503,
         reason: str = 'relay_refused',
         retry_after_ms: int | None = None,
+        sends: int | None = None,
     ) -> None:
         """Refuse a request that a peer has passed on, without running it.
 
         The peer may pass it on to another entry.
+
+        Parameters
+        ----------
+        status : int, optional
+            HTTP status code.
+        reason : str, optional
+            Reason for the refusal.
+        retry_after_ms : int, optional
+            Milliseconds after which the caller may retry.
+        sends : int, optional
+            Times it was sent to servers, which refused it; None if this
+            entry has not counted it in the retry budget.
         """
 
     def begin(self, status: int, headers: Headers) -> None:
@@ -233,6 +246,9 @@
         the request.
     is_relay_refused : bool
         Whether a peer refuses to serve a request that is passed on to it.
+    relayed_sends : int or None
+        Times that this peer had sent the request to servers; None if it has
+        not counted the request in its retry budget.
     has_length : bool
         Whether the response states the length of its body.
     is_event_stream : bool
@@ -246,6 +262,7 @@
     load: Load | None
     is_authentic: bool
     is_relay_refused: bool = False
+    relayed_sends: int | None = None
     has_length: bool = False
     is_event_stream: bool = False
 
--- a/src/thornspool/application/routing/relays.py
+++ b/src/thornspool/application/routing/relays.py
@@ -381,9 +381,7 @@
         The peer may still serve it, and the other one may refuse it.
         """
         exchange = relay.exchange
-        if not self._budget.acquire(
-            exchange.service, exchange.response_started
-        ):
+        if not self._acquire_retry(exchange):
             return
         self._count_runs(relay, max(1, relay.counted_runs))
         relay.offer_at = now + OFFER_PAUSE_MS
@@ -640,9 +638,29 @@
         relay.tried.add(relay.peer.host)
         relay.peer = None
         self._count_runs(relay, 0)
-        if relay.withdraw is None:
+        sends = None if refusal is None else refusal.relayed_sends
+        if sends is not None:
+            relay.is_counted = True
+        if relay.withdraw is not None:
+            return
+        # Servers that refuse a request have received it all the same.
+        needs_retry = bool(sends) and self._has_next_peer(relay)
+        if needs_retry and not self._acquire_retry(relay.exchange):
+            self._fail(relay, 'relay_refused')
+        else:
             self._send(relay)
 
+    def _has_next_peer(self, relay: _Relay) -> bool:
+        return (
+            len(relay.tried) < MAX_SENDS
+            and self._choose_peer(relay.tried) is not None
+        )
+
+    def _acquire_retry(self, exchange: exchanges.Exchange) -> bool:
+        return self._budget.acquire(
+            exchange.service, exchange.response_started
+        )
+
     def _handle_break(self, relay: _Relay) -> None:
         """Pass a request on once more if it may run again, or end it.
 
@@ -650,6 +668,7 @@
         """
         assert relay.peer is not None
         self._count_runs(relay, max(1, relay.counted_runs))
+        relay.is_counted = True
         relay.tried.add(relay.peer.host)
         relay.peer = None
         if relay.withdraw is None:
@@ -661,9 +680,7 @@
         if (
             exchange.route.retryable
             and exchange.runs < exchange.route.attempts
-            and self._budget.acquire(
-                exchange.service, exchange.response_started
-            )
+            and self._acquire_retry(exchange)
         ):
             self._send(relay)
         else:
--- a/src/thornspool/application/routing/streams.py
+++ b/src/thornspool/application/routing/streams.py
@@ -396,7 +396,8 @@
         exchange = in_flight.exchange
         if not self._evidence.links.are_lost or exchange.request.relay:
             return False
-        if exchange.runs > 0 and not self._acquire_retry(in_flight):
+        is_retry = exchange.runs > 0 or in_flight.needs_retry
+        if is_retry and not self._acquire_retry(in_flight):
             return False
         if not self.take_over(exchange, in_flight.events.last_id, True):
             return False
--- a/src/thornspool/platform/callers.py
+++ b/src/thornspool/platform/callers.py
@@ -303,14 +303,16 @@
         status: int = 503,
         reason: str = 'relay_refused',
         retry_after_ms: int | None = None,
+        sends: int | None = None,
     ) -> None:
-        """Refuse a request that a peer has passed on, without running it."""
-        self._send_error(
-            status,
-            reason,
-            retry_after_ms,
-            ((engines.RELAY_REFUSED_HEADER, '1'),),
-        )
+        """Refuse a request that a peer has passed on, without running it.
+
+        See `ports.ResponseWriter.refuse_relay`.
+        """
+        headers = [(engines.RELAY_REFUSED_HEADER, '1')]
+        if sends is not None:
+            headers.append((engines.RELAY_SENDS_HEADER, str(sends)))
+        self._send_error(status, reason, retry_after_ms, tuple(headers))
 
     def _send_error(
         self,
--- a/src/thornspool/platform/engines.py
+++ b/src/thornspool/platform/engines.py
@@ -46,6 +46,7 @@
 """
 
 RELAY_REFUSED_HEADER = 'Relay-Refused'
+RELAY_SENDS_HEADER = 'Relay-Sends'
 """Header of a peer that does not serve a request that is passed on to it."""
 
 _HOP_BY_HOP_HEADERS = frozenset(
@@ -88,6 +89,7 @@
         'date',
         'server',
         RELAY_REFUSED_HEADER.lower(),
+        RELAY_SENDS_HEADER.lower(),
     }
 )
 
@@ -407,6 +409,9 @@
         and values.get('attempt-id', request_id) == request_id,
         is_relay_refused=RELAY_REFUSED_HEADER.lower() in values
         and 'response-seal' not in values,
+        relayed_sends=_decode_count(
+            values.get(RELAY_SENDS_HEADER.lower(), '')
+        ),
         has_length='content-length' in values,
         is_event_stream=_get_media_type(values) == 'text/event-stream',
     )
@@ -443,6 +448,11 @@
     )
 
 
+def _decode_count(text: str) -> int | None:
+    is_count = text.isascii() and text.isdecimal() and len(text) < 10
+    return int(text) if is_count else None
+
+
 def _decode_amount(values: dict[str, str], name: str) -> float | None:
     """Decode a header with a decimal number that is not negative.
 
--- a/tests/application/routing/builders.py
+++ b/tests/application/routing/builders.py
@@ -190,6 +190,7 @@
         self.reason = ''
         self.retry_after_ms = None
         self.is_relay_refused = False
+        self.relayed_sends = None
         self._on_close = lambda: None
         self._has_left = False
 
@@ -210,9 +211,14 @@
         self.whole = True
 
     def refuse_relay(
-        self, status=503, reason='relay_refused', retry_after_ms=None
+        self,
+        status=503,
+        reason='relay_refused',
+        retry_after_ms=None,
+        sends=None,
     ):
         self.is_relay_refused = True
+        self.relayed_sends = sends
         self.refuse(status, reason, retry_after_ms)
 
     def begin(self, status, headers):
--- a/tests/application/routing/test_relays.py
+++ b/tests/application/routing/test_relays.py
@@ -340,6 +340,81 @@
         )
         self.assertLess(0.0, self.world.budget.estimate_rate('drafting'))
 
+    def refuse(self, sent, sends):
+        """Refuse what was passed on, after a number of sends to servers."""
+        sent.listener.handle_head(
+            attrs.evolve(
+                HEAD,
+                status=503,
+                headers=(('Retry-After', '2.500'),),
+                is_authentic=False,
+                is_relay_refused=True,
+                relayed_sends=sends,
+            )
+        )
+        sent.listener.handle_completion(ports.Completion.COMPLETE)
+
+    def test_request_that_a_peer_has_sent_needs_a_retry_at_the_next(self):
+        """Guards against retries that pass for the first send of a peer."""
+        for sends, peers in ((None, 3), (0, 3), (1, 1)):
+            with self.subTest(sends):
+                self.setUp()
+                reply, _ = self.pass_on()
+                while self.world.budget.acquire('drafting', urgent=True):
+                    pass
+                for _ in range(3):
+                    if reply.status is None:
+                        self.refuse(self.gateway.last, sends)
+                self.assertEqual(peers, len(self.gateway.sent))
+                self.assertEqual(503, reply.status)
+
+    def test_request_that_a_peer_has_counted_is_not_counted_again(self):
+        """Guards against refusals of peers that make more retries."""
+        for sends, is_counted in ((None, False), (0, True), (1, True)):
+            with self.subTest(sends):
+                self.setUp()
+                _, sent = self.pass_on()
+                self.refuse(sent, sends)
+                relay = self.gateway.last.relayed.relay
+                self.assertNotEqual(sent, self.gateway.last)
+                self.assertIs(is_counted, relay.is_counted)
+        self.setUp()
+        _, sent = self.pass_on()
+        sent.listener.handle_completion(ports.Completion.BROKEN)
+        self.assertTrue(self.gateway.last.relayed.relay.is_counted)
+
+    def test_request_that_servers_refused_needs_a_retry_at_a_peer(self):
+        """Guards against retries that pass for the first send of a peer."""
+        for can_retry in (True, False):
+            with self.subTest(can_retry):
+                self.setUp()
+                self.world.serve()
+                run = self.world.servers.last
+                while not can_retry and self.world.budget.acquire(
+                    'drafting', urgent=True
+                ):
+                    pass
+                self.lose_links()
+                run.begin(status=503, executed=False)
+                run.end()
+                self.assertEqual(int(can_retry), len(self.gateway.sent))
+
+    def test_refusal_states_the_sends_to_servers(self):
+        """Guards against sends that the entry of the caller can not count."""
+        self.links.lost_since = None
+        relay = ports.Relay('a-01', 'a-01-1', 'a-00-1', 0, True)
+        reply = self.world.serve(relay=relay)
+        run = self.world.servers.last
+        for server in self.world.routing_state.servers.values():
+            self.world.servers.on_notice(
+                server, ports.ServerNotice(False, rest_ms=2_500)
+            )
+        run.begin(status=503, executed=False)
+        run.end()
+        self.world.advance(25)
+        self.assertEqual((503, 'limited'), (reply.status, reply.reason))
+        self.assertEqual(1, reply.relayed_sends)
+
     def test_runs_before_the_relay_count_at_the_peer(self):
         relay = ports.Relay('a-01', 'a-01-1', 'a-00-1', 1, True)
         reply = self.world.serve('/brief/x', relay=relay)
--- a/tests/simulation/world.py
+++ b/tests/simulation/world.py
@@ -182,6 +182,7 @@
                 None,
                 status == 200,
                 is_relay_refused,
+                self.relayed_sends,
             )
         )
 
