Describe the two headers of a refused relay apart

The description of Relay-Refused stood under Relay-Sends. The test of a stream that is handed over states that it is refused at once where there is no retry, as it was with runs before.

--- a/src/thornspool/platform/engines.py
+++ b/src/thornspool/platform/engines.py
@@ -46,9 +46,11 @@
 """
 
 RELAY_REFUSED_HEADER = 'Relay-Refused'
-RELAY_SENDS_HEADER = 'Relay-Sends'
 """Header of a peer that does not serve a request that is passed on to it."""
 
+RELAY_SENDS_HEADER = 'Relay-Sends'
+"""How often this peer has sent the request to servers."""
+
 _HOP_BY_HOP_HEADERS = frozenset(
     {
         'connection',
--- a/tests/application/routing/test_relays.py
+++ b/tests/application/routing/test_relays.py
@@ -388,7 +388,7 @@
         for can_retry in (True, False):
             with self.subTest(can_retry):
                 self.setUp()
-                self.world.serve()
+                reply = self.world.serve()
                 run = self.world.servers.last
                 while not can_retry and self.world.budget.acquire(
                     'drafting', urgent=True
@@ -398,6 +398,7 @@
                 run.begin(status=503, executed=False)
                 run.end()
                 self.assertEqual(int(can_retry), len(self.gateway.sent))
+                self.assertEqual(None if can_retry else 503, reply.status)
 
     def test_refusal_states_the_sends_to_servers(self):
         """Guards against sends that the entry of the caller can not count."""
